--- /dev/null
+++ b/packages/oakbase/oakbase/__init__.py
@@ -0,0 +1,1 @@
+"""Constants, verdicts, env checking, log lines, registries and inboxes."""
--- /dev/null
+++ b/packages/oakbase/oakbase/checks.py
@@ -0,0 +1,74 @@
+"""Checking of JSON that comes from outside."""
+import json
+
+from schema import And, Optional, Schema, SchemaError
+
+from oakbase.constants import NAME_LIMIT
+from oakbase.verdict import BadRequest, TooLarge
+
+
+def isName(text):
+    return (isinstance(text, str) and 0 < len(text) <= NAME_LIMIT
+            and all(letter.isalnum() or letter in "-_." for letter in text))
+
+
+NAME = And(str, isName, error=f"must be 1 to {NAME_LIMIT} letters, digits, '-', '_' or '.'")
+
+
+def whole(low, high):
+    return And(int, lambda number: type(number) is int and low <= number <= high,
+               error=f"must be a whole number from {low} to {high}")
+
+
+def seconds(low, high):
+    return And(lambda number: type(number) in (int, float) and low <= number <= high,
+               error=f"must be {low} to {high} seconds")
+
+
+def oneOf(*texts):
+    return And(lambda text: isinstance(text, str) and text in texts, error=f"must be one of {', '.join(texts)}")
+
+
+def parseJson(data, limit, what="body"):
+    if len(data) > limit:
+        raise TooLarge(f"{what} is over {limit} bytes")
+    try:
+        parsed = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise BadRequest(f"{what} is no JSON: {error}") from error
+    if not isinstance(parsed, dict):
+        raise BadRequest(f"{what} must be a JSON object")
+    return parsed
+
+
+def _nameOf(key):
+    return getattr(key, "schema", key)
+
+
+def faultsOf(rules, pairs, path=""):
+    """One line with its path for every fault, of fields that are unknown, missing or wrong."""
+    if not isinstance(pairs, dict):
+        return [f"{path or 'body'}: must be an object"]
+    prefix = f"{path}." if path else ""
+    known = {_nameOf(key): rule for key, rule in rules.items()}
+    faults = [f"{prefix}{name}: is not a known field" for name in pairs if name not in known]
+    faults += [f"{prefix}{key}: is missing" for key in rules if not isinstance(key, Optional) and key not in pairs]
+    for name in known.keys() & pairs.keys():
+        try:
+            Schema(known[name]).validate(pairs[name])
+        except SchemaError as error:
+            texts = [text for text in error.errors if text] or [text for text in error.autos if text]
+            faults.append(f"{prefix}{name}: {texts[-1]}")
+    return sorted(faults)
+
+
+def checkFields(rules, pairs):
+    """The pairs, with None for optional fields left out; or a BadRequest naming every fault."""
+    faults = faultsOf(rules, pairs)
+    if faults:
+        raise BadRequest("; ".join(faults), detail=faults)
+    return {_nameOf(key): pairs.get(_nameOf(key)) for key in rules}
+
+
+def packJson(value):
+    return json.dumps(value, separators=(",", ":"), sort_keys=True).encode()
--- /dev/null
+++ b/packages/oakbase/oakbase/constants.py
@@ -0,0 +1,88 @@
+"""Every constant of oakramp, with its unit and the reason for its value.
+
+Times are seconds of monotonic time, sizes are bytes, unless the name or the comment says otherwise.
+"""
+
+# --- versions of formats -----------------------------------------------------
+WIRE_VERSION = 1            # number; rises when frames change in a way an older node cannot ignore
+RING_VERSION = 1            # number; rises when the layout of ring files changes
+
+# --- peer connections --------------------------------------------------------
+FRAME_LIMIT = 8 << 20       # bytes; a whole line of long turns fits, a garbage length prefix does not
+HELLO_TIME = 3.0            # s; a peer that says nothing for this long is no member
+CONNECT_TIME = 1.0          # s; machines of one site answer in milliseconds
+PEER_IN_FLIGHT = 512        # calls; more waiting on one peer means that peer is not answering
+RECONNECT_PAUSE = 0.2       # s; keeps a dead address from being dialled in a loop
+CALL_TIME = 2.0             # s; a control or store call that takes longer is tried elsewhere
+ACCEPT_LIMIT = 512          # connections; a few times the largest fleet tried
+
+# --- ring of files -----------------------------------------------------------
+RING_FILES = 8              # files; enough that reclaiming one frees space before the head meets it
+RING_FILE_SIZE = 4 << 20    # bytes; a small disk holds a ring of 32 MiB
+RING_RESERVE_FILES = 2      # files; kept free so that reclaiming the tail always has room to copy
+RING_BATCH = 256            # commits; one sync covers this many at most, so that no commit waits long
+
+# --- cohort and news ---------------------------------------------------------
+COHORT_SIZE = 4             # members; each node pulls from this many, so three losses still leave one
+PULL_PAUSE = 0.2            # s; two hops of it stay well below every freshness bound
+PULL_TIME = 0.8             # s; a member that does not answer a pull in this time counts as silent
+CONDITION_AGE = 2.0         # s; a node whose newest sign of life is older counts as dead
+FORGET_AGE = 60.0           # s; a dead node's address is dropped from the table after this
+BLUEPRINT_AGE = 1.5         # s; the rule allows 2 s, the rest covers the carry itself
+REPLICA_AGE = 2.5           # s; the rule allows 3 s, the rest covers the carry itself
+FRESH_POLL = 0.02           # s; how often a request waiting for fresh news looks again
+
+# --- owned keys --------------------------------------------------------------
+SLOTS = 32                  # slots; several for each of five owners, few enough to take over at once
+TERM = 1.2                  # s; an owner serves this long after asking a majority
+TERM_RENEW = 0.4            # s; three renewals fit into a term, so that one may be lost
+TAKEOVER_LOOK = 0.25        # s; how often a control node compares owned slots with the live members
+CONTROL_INBOX = 1024        # commands; a slot with more waiting answers that it is overloaded
+CONTROL_BATCH = 64          # commands; one majority write covers this many at most
+OWNER_TRIES_PAUSE = 0.1     # s; between asking for an owner again while a slot is changing hands
+ENTRY_LIMIT = 4 << 20       # bytes; a plan of some thousand bindings fits
+PLATFORM_PAUSE = 0.5        # s; with the news' path this keeps a leaving replica inside its bound
+PLATFORM_TIME = 1.0         # s; a platform that takes longer counts as out of reach this round
+PLATFORM_LIMIT = 1 << 20    # bytes; a list of thousands of replicas fits
+BLUEPRINTS_KEPT = 500       # versions; a day of changes every three minutes can be read back
+CHANGES_KEPT = 1000         # change ids; a retry finds its outcome for at least as long as the day
+CLAIM_KEPT = 150.0          # s; twice the rule's minute with margin, counted by the owner
+CLAIM_ANSWER_LIMIT = 64 << 10   # bytes; larger answers are not kept, only the fact that they were given
+CLAIM_SWEEP = 5.0           # s; how often an owner looks for claims past their time
+TURN_MARKS_KEPT = 4096      # turn ids; remembered outcomes of one program, far above a day of turns
+
+# --- stores ------------------------------------------------------------------
+STORE_COPIES = 3            # stores; each line is on all three, any one may be lost
+STORE_RING_FILE_SIZE = 16 << 20  # bytes; a busy quarter of an hour of lines stays live in half the ring
+STORE_OWNERS = 16           # table owners in a store; lines are spread over them by hash
+STORE_INBOX = 256           # commands; waiting for one table owner of a store
+STORE_CALL_TIME = 1.0       # s; a store that takes longer is passed over for its fellows
+STORE_SWEEP = 1.0           # s; pause between rounds of hand-over and anti-entropy
+SWEEP_HINTS = 64            # lines; handed over to one member in one round, so that others get their turn
+SWEEP_KEYS = 256            # lines; compared in one anti-entropy message
+HINT_LIMIT = 20000          # lines; beyond this anti-entropy alone finds what a missing store lacks
+LINE_KEPT = 900.0           # s; well over the rule's minute after the last turn finished
+LINE_TURNS = 512            # turns; a long session has about seven
+LINE_SIZE = 4 << 20         # bytes; below the frame limit with room for its clocks
+
+# --- gates -------------------------------------------------------------------
+BODY_LIMIT = 1 << 20        # bytes; a caller's request body
+PIECE_LIMIT = 64 << 10      # bytes; one event line from a replica
+OUTPUT_LIMIT = 1 << 20      # bytes; one turn's whole output
+NAME_LIMIT = 128            # characters; names of partners, programs, lines, turns and keys
+UNITS_LIMIT = 1 << 40       # units; a spending limit above it is a mistake
+ACCEPT_INBOX = 1024         # requests; inside one gate at a time, above it the gate says overloaded
+PLACE_INBOX = 256           # requests; waiting for a replica in one gate, for each partner
+TIME_LEFT_DEFAULT = 120.0   # s; a whole turn, when the caller does not say
+TIME_LEFT_LIMIT = 600.0     # s; nothing waits longer than this
+IDLE_TIME = 20.0            # s; a replica silent between two pieces for this long is given up on
+GATE_REPLICA_IN_FLIGHT = 32 # requests; one gate's own on one replica, a few dozen each
+DESCRIBE_PAUSE = 1.0        # s; how often a gate asks a replica for its weight; in between it counts its own
+DESCRIBE_TIME = 1.0         # s; a replica that takes longer to describe itself is placed last
+WEIGHT_BOUND = 0.85         # share of capacity; above it a replica no longer holds its lines
+PREFIX_CHARACTERS = 256     # characters; the common start that draws like prompts together
+SETTLE_WAIT = 2.0           # s; a finished turn's closing event waits this long for its settling
+SETTLE_TIME = 20.0          # s; how long a gate goes on telling the owner what came out
+RETRY_AFTER = 1             # s; what an overloaded gate tells its caller
+FRONT_TRIES = 4             # replicas; tried for one request as long as each one said no
+STOP_TIME = 60.0            # s; a planned stop waits this long for what runs
--- /dev/null
+++ b/packages/oakbase/oakbase/fetch.py
@@ -0,0 +1,189 @@
+"""HTTP/1.1 requests with twisted.web, each on a connection of its own.
+
+A connection that is not shared keeps the verdict sharp: unless it was made, nothing has left.
+"""
+from collections import deque
+
+from twisted.internet import defer, error, protocol
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
+from zope.interface import implementer
+
+from oakbase.checks import packJson, parseJson
+from oakbase.constants import BODY_LIMIT, CONNECT_TIME
+from oakbase.tasks import within
+from oakbase.verdict import BadRequest, Broken, NoAnswer, OakError, TooLarge, Unreachable, Verdict
+
+
+@implementer(IBodyProducer)
+class _Body:
+    def __init__(self, data):
+        self._data, self.length = data, len(data)
+
+    def startProducing(self, consumer):
+        consumer.write(self._data)
+        return defer.succeed(None)
+
+    def pauseProducing(self):
+        pass
+
+    def resumeProducing(self):
+        pass
+
+    def stopProducing(self):
+        pass
+
+
+@implementer(IAgentEndpointFactory)
+class _Endpoints:
+    """`lastCheck` runs once the connection stands, in the same turn in which the request is written."""
+
+    def __init__(self, reactor, bindHost, lastCheck=None):
+        self._reactor, self._bindHost, self._lastCheck = reactor, bindHost, lastCheck
+
+    def endpointForURI(self, uri):
+        bound = (self._bindHost, 0) if self._bindHost else None
+        return _Checked(TCP4ClientEndpoint(self._reactor, uri.host.decode(), uri.port, CONNECT_TIME, bound),
+                        self._lastCheck)
+
+
+@implementer(IStreamClientEndpoint)
+class _Checked:
+    def __init__(self, endpoint, lastCheck):
+        self._endpoint, self._lastCheck = endpoint, lastCheck
+
+    def connect(self, factory):
+        connecting = self._endpoint.connect(factory)
+        return connecting.addCallback(self._check) if self._lastCheck else connecting
+
+    def _check(self, connection):
+        try:
+            self._lastCheck()
+        except Exception:
+            connection.transport.abortConnection()
+            raise
+        return connection
+
+
+class BodyLines(protocol.Protocol):
+    """The body of an answer as lines, read by one task.
+
+    Invariants: `_lines` holds whole lines only, and the sender is paused while more than `most` wait;
+    `ended` is set once nothing more comes, however the body ended."""
+
+    def __init__(self, lineLimit, most=64):
+        self._lineLimit, self._most = lineLimit, most
+        self._lines = deque()
+        self._rest = b""
+        self._waiting = None
+        self.ended = False
+        self.whole = False
+
+    def dataReceived(self, data):
+        if self.ended:
+            return
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        self._lines.extend(line for line in lines if line.strip())
+        if len(self._rest) > self._lineLimit or any(len(line) > self._lineLimit for line in lines):
+            self._end(False)
+            self.abort()
+            return
+        if len(self._lines) > self._most:
+            self.transport.pauseProducing()
+        self._wake()
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        # A body cut off shows as another reason; a last line without its end does not count either way.
+        self._end(bool(reason.check(ResponseDone)) and not self._rest)
+
+    def _end(self, whole):
+        if not self.ended:
+            self.ended, self.whole = True, whole
+            self._wake()
+
+    def _wake(self):
+        if self._waiting is not None and (self._lines or self.ended):
+            waiting, self._waiting = self._waiting, None
+            waiting.callback(None)
+
+    async def next(self):
+        """The next line, or None once the body has ended."""
+        if not self._lines and not self.ended:
+            self._waiting = defer.Deferred()
+            await self._waiting
+        if self._lines:
+            line = self._lines.popleft()
+            if not self.ended and len(self._lines) == self._most // 2:
+                self.transport.resumeProducing()
+            return line
+        return None
+
+    def abort(self):
+        """Closes the connection, so that the other side learns that nobody listens any more."""
+        self._end(False)
+        transport = getattr(self.transport, "_producer", self.transport)
+        closing = getattr(transport, "abortConnection", None) or getattr(transport, "loseConnection", None)
+        if closing is not None:
+            closing()
+
+
+class _Whole(protocol.Protocol):
+    def __init__(self, limit, outcome):
+        self._limit, self._outcome, self._parts, self._size = limit, outcome, [], 0
+
+    def dataReceived(self, data):
+        self._size += len(data)
+        if self._size > self._limit and not self._outcome.called:
+            self._outcome.errback(TooLarge(f"answer is over {self._limit} bytes", Verdict.MAYBE))
+        if not self._outcome.called:
+            self._parts.append(data)
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        if self._outcome.called:
+            return
+        if reason.check(ResponseDone):
+            self._outcome.callback(b"".join(self._parts))
+            return
+        self._outcome.errback(NoAnswer("the answer was cut off"))
+
+
+class WebClient:
+    def __init__(self, reactor, bindHost=None):
+        self._reactor, self._bindHost = reactor, bindHost
+        self._pool = HTTPConnectionPool(reactor, persistent=False)
+
+    async def send(self, method, address, path, value, timeLeft, lastCheck=None):
+        """The head of the answer. Verdict no only if no connection was made or `lastCheck` raised it."""
+        body = None if value is None else _Body(packJson(value))
+        headers = Headers({"content-type": ["application/json"], "connection": ["close"]})
+        agent = Agent.usingEndpointFactory(
+            self._reactor, _Endpoints(self._reactor, self._bindHost, lastCheck), self._pool)
+        asked = agent.request(method.encode(), f"http://{address}{path}".encode(), headers, body)
+        try:
+            return await within(self._reactor, timeLeft, asked, NoAnswer(f"{address} did not answer in time"))
+        except (error.ConnectError, error.ConnectingCancelledError) as fault:
+            raise Unreachable(f"{address} cannot be reached: {fault!r}") from fault
+        except OakError:
+            raise
+        except Exception as fault:
+            raise NoAnswer(f"{address} broke off: {fault!r}") from fault
+
+    async def data(self, method, address, path, value, timeLeft, limit=BODY_LIMIT, lastCheck=None):
+        """(status, bytes) of a small answer."""
+        endsAt = self._reactor.seconds() + timeLeft
+        response = await self.send(method, address, path, value, timeLeft, lastCheck)
+        outcome = defer.Deferred(lambda _: None)
+        response.deliverBody(_Whole(limit, outcome))
+        return response.code, await within(self._reactor, endsAt - self._reactor.seconds(), outcome,
+                                           NoAnswer(f"{address} did not finish its answer in time"))
+
+    async def json(self, method, address, path, value, timeLeft, limit=BODY_LIMIT, lastCheck=None):
+        """(status, JSON object) of a small answer."""
+        status, data = await self.data(method, address, path, value, timeLeft, limit, lastCheck)
+        try:
+            return status, parseJson(data, limit, "answer")
+        except BadRequest as fault:
+            raise Broken(f"{address} answered with what is no JSON: {fault.reason}", Verdict.MAYBE) from fault
--- /dev/null
+++ b/packages/oakbase/oakbase/metrics.py
@@ -0,0 +1,27 @@
+"""Counters and gauges of one node, shown as text with one `name{labels} value` a line."""
+from collections import Counter
+
+
+class Metrics:
+    # Invariant: counters only rise; gauges are asked when shown.
+    def __init__(self):
+        self._counters = Counter()
+        self._gauges = {}
+
+    def count(self, name, by=1, **labels):
+        self._counters[self._shownName(name, labels)] += by
+
+    def gauge(self, name, ask, **labels):
+        self._gauges[self._shownName(name, labels)] = ask
+
+    def read(self, name, **labels):
+        return self._counters[self._shownName(name, labels)]
+
+    @staticmethod
+    def _shownName(name, labels):
+        pairs = ",".join(f'{key}="{value}"' for key, value in sorted(labels.items()))
+        return f"oak_{name}{{{pairs}}}" if pairs else f"oak_{name}"
+
+    def toText(self):
+        shown = [*self._counters.items(), *((name, ask()) for name, ask in self._gauges.items())]
+        return "".join(f"{name} {value:g}\n" for name, value in sorted(shown))
--- /dev/null
+++ b/packages/oakbase/oakbase/registry.py
@@ -0,0 +1,25 @@
+"""Plug-ins by entry in a registry."""
+from oakbase.verdict import Unknown
+
+
+class Registry:
+    # Invariant: a name is entered once; what it stands for never changes afterwards.
+    def __init__(self, kind):
+        self.kind = kind
+        self._entries = {}
+
+    def enter(self, name):
+        def keep(entry):
+            if name in self._entries:
+                raise ValueError(f"{self.kind} {name} is entered twice")
+            self._entries[name] = entry
+            return entry
+        return keep
+
+    def find(self, name):
+        if name not in self._entries:
+            raise Unknown(f"no {self.kind} named {name}; known: {', '.join(self.names())}")
+        return self._entries[name]
+
+    def names(self):
+        return sorted(self._entries)
--- /dev/null
+++ b/packages/oakbase/oakbase/tasks.py
@@ -0,0 +1,129 @@
+"""Small helpers for coroutines on a Twisted reactor that is handed in."""
+import time
+
+from twisted.internet import defer
+
+from oakbase.verdict import OakError, TimeSpent
+
+
+def monotonicReactor():
+    """The process's reactor, with its time made monotonic: Twisted takes wall time, which may jump."""
+    from twisted.internet import reactor
+    reactor.seconds = time.monotonic
+    return reactor
+
+
+def spawn(coroutine, log=None):
+    """Starts a task; what it raises is logged and goes no further."""
+    task = defer.ensureDeferred(coroutine)
+
+    def failed(failure):
+        if failure.check(defer.CancelledError) or log is None:
+            return
+        error = failure.value
+        if isinstance(error, OakError):
+            log.event("taskFailed", code=error.code, reason=error.reason)
+            return
+        log.event("taskCrashed", error=repr(error), trace=failure.getTraceback())
+    task.addErrback(failed)
+    return task
+
+
+def sleep(reactor, seconds):
+    waiting = defer.Deferred(lambda _: call.active() and call.cancel())
+    call = reactor.callLater(max(0.0, seconds), waiting.callback, None)
+    return waiting
+
+
+def within(reactor, seconds, awaited, error=None):
+    """The awaited result, or `error` once the time is over; the awaited thing is then cancelled."""
+    work = awaited if isinstance(awaited, defer.Deferred) else defer.ensureDeferred(awaited)
+    outcome = defer.Deferred(lambda _: work.cancel())
+    spent = []
+
+    def over():
+        spent.append(True)
+        work.cancel()
+        if not outcome.called:
+            outcome.errback(error or TimeSpent(f"no answer within {seconds:.2f} s"))
+    call = reactor.callLater(max(0.0, seconds), over)
+
+    def finished(result):
+        if call.active():
+            call.cancel()
+        if spent or outcome.called:
+            return None
+        outcome.callback(result)
+        return None
+    work.addBoth(finished)
+    return outcome
+
+
+def shielded(work):
+    """Fires with the work's result, but cancelling it leaves the work alone."""
+    waiting = defer.Deferred(lambda _: None)
+
+    def passOn(result):
+        if not waiting.called:
+            waiting.callback(result)
+        return result
+    work.addBoth(passOn)
+    return waiting
+
+
+async def settled(awaitables):
+    """Waits for all and returns (ok, value-or-error) pairs in order."""
+    pairs = await defer.DeferredList([
+        one if isinstance(one, defer.Deferred) else defer.ensureDeferred(one) for one in awaitables
+    ], consumeErrors=True)
+    return [(ok, value if ok else value.value) for ok, value in pairs]
+
+
+def firstOf(awaitables, enough):
+    """Fires with the list of answers once `enough` of them are in, or with an error list once that is
+    out of reach. Later answers are left to finish by themselves."""
+    works = [one if isinstance(one, defer.Deferred) else defer.ensureDeferred(one) for one in awaitables]
+    outcome, answers, errors = defer.Deferred(), [], []
+
+    def answered(answer):
+        answers.append(answer)
+        if len(answers) == enough and not outcome.called:
+            outcome.callback((True, list(answers)))
+
+    def failed(failure):
+        errors.append(failure.value)
+        if len(errors) > len(works) - enough and not outcome.called:
+            outcome.callback((False, list(errors)))
+    if enough > len(works):
+        outcome.callback((False, []))
+    for work in works:
+        work.addCallbacks(answered, failed)
+    return outcome
+
+
+class Repeater:
+    """A task that runs `round` again and again with a pause, until stopped."""
+
+    def __init__(self, reactor, pause, roundFunction, log):
+        self._reactor, self._pause, self._round, self._log = reactor, pause, roundFunction, log
+        self._task = None
+
+    def start(self):
+        self._task = spawn(self._run(), self._log)
+        return self
+
+    def stop(self):
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self):
+        while True:
+            try:
+                await self._round()
+            except defer.CancelledError:
+                raise
+            except OakError as error:
+                self._log.event("roundFailed", round=self._round.__qualname__, reason=error.reason)
+            except Exception as error:  # one bad round must not end the duty
+                self._log.event("roundCrashed", round=self._round.__qualname__, error=repr(error))
+            await sleep(self._reactor, self._pause)
--- /dev/null
+++ b/packages/oakbase/oakbase/web.py
@@ -0,0 +1,153 @@
+"""JSON over HTTP with twisted.web: routes, body limits, errors with their verdict."""
+from twisted.internet import defer
+from twisted.web import resource, server
+
+from oakbase.checks import packJson, parseJson
+from oakbase.constants import BODY_LIMIT
+from oakbase.env import splitAddress
+from oakbase.tasks import spawn
+from oakbase.verdict import BadRequest, OakError, Overloaded, TooLarge, Unknown, Verdict
+
+
+class _Request(server.Request):
+    """Refuses a body that is too large while it arrives, before it fills memory or disk."""
+
+    _arrived = 0
+
+    def gotLength(self, length):
+        if length is not None and length > BODY_LIMIT:
+            self._refuse()
+            length = 0
+        super().gotLength(length)
+
+    def handleContentChunk(self, data):
+        self._arrived += len(data)
+        if self._arrived > BODY_LIMIT:
+            self._refuse()
+            return
+        super().handleContentChunk(data)
+
+    def _refuse(self):
+        body = packJson(TooLarge(f"body is over {BODY_LIMIT} bytes").toJson()) + b"\n"
+        self.channel.transport.write(
+            b"HTTP/1.1 413 Request Entity Too Large\r\nContent-Type: application/json\r\nConnection: close\r\n"
+            b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
+        self.channel.loseConnection()
+
+
+class WebCall:
+    """One request as the handlers see it."""
+
+    def __init__(self, request, names):
+        self.request, self.names = request, names
+        self.gone = defer.Deferred()
+        self.isGone = False
+        request.notifyFinish().addErrback(self._left)
+
+    def _left(self, _failure):
+        self.isGone = True
+        self.gone.callback(None)
+
+    def json(self):
+        return parseJson(self.request.content.read(BODY_LIMIT + 1), BODY_LIMIT)
+
+    def query(self, name):
+        values = self.request.args.get(name.encode())
+        return values[0].decode(errors="replace") if values else None
+
+    def reply(self, status, value, retryAfter=None):
+        if self.isGone:
+            return
+        body = value if isinstance(value, bytes) else packJson(value) + b"\n"
+        self.request.setResponseCode(status)
+        self.request.setHeader(b"content-type", b"text/plain" if isinstance(value, bytes) else b"application/json")
+        self.request.setHeader(b"content-length", b"%d" % len(body))
+        if retryAfter is not None:
+            self.request.setHeader(b"retry-after", b"%d" % retryAfter)
+        self.request.write(body)
+        self.request.finish()
+
+    def replyError(self, error):
+        self.reply(error.status, error.toJson(), error.retryAfter)
+
+
+class Web(resource.Resource):
+    """Routes of one daemon. A handler is a coroutine function of a WebCall; it returns (status, value),
+    or None if it has answered by itself. `running` counts what is being handled, for a graceful stop."""
+
+    isLeaf = True
+
+    def __init__(self, reactor, address, log, limit):
+        super().__init__()
+        self._reactor, self._address, self._log, self._limit = reactor, address, log, limit
+        self._routes = []
+        self.running = 0
+        self._idle = []
+        self._port = None
+        self.stopping = False
+        self.site = server.Site(self, requestFactory=_Request, reactor=reactor)
+        self.site.noisy = False
+        self.site.displayTracebacks = False
+
+    def route(self, method, path, handler):
+        self._routes.append((method.encode(), path.strip("/").split("/"), handler))
+
+    def listen(self):
+        host, port = splitAddress(self._address)
+        self._port = self._reactor.listenTCP(port, self.site, interface=host)
+
+    async def stop(self):
+        """Takes no new connection, and returns once everything under way is answered."""
+        self.stopping = True
+        if self._port is not None:
+            await defer.maybeDeferred(self._port.stopListening)
+        if self.running:
+            idle = defer.Deferred()
+            self._idle.append(idle)
+            await idle
+
+    def _find(self, request):
+        try:
+            parts = [part.decode() for part in request.postpath]
+        except UnicodeDecodeError as error:
+            raise BadRequest("path is no UTF-8") from error
+        pathKnown = False
+        for method, pattern, handler in self._routes:
+            if len(pattern) != len(parts) or any(
+                    not mask.startswith("{") and mask != part for mask, part in zip(pattern, parts)):
+                continue
+            pathKnown = True
+            if method == request.method:
+                names = {mask.strip("{}"): part for mask, part in zip(pattern, parts) if mask.startswith("{")}
+                return handler, names
+        if pathKnown:
+            raise BadRequest(f"{request.method.decode(errors='replace')} is not for this path")
+        raise Unknown("no such path")
+
+    def render(self, request):
+        spawn(self._run(request), self._log)
+        return server.NOT_DONE_YET
+
+    async def _run(self, request):
+        self.running += 1
+        call = WebCall(request, {})
+        if self.stopping:
+            request.setHeader(b"connection", b"close")
+        try:
+            handler, call.names = self._find(request)
+            if self.running > self._limit:
+                raise Overloaded("too many requests are under way here", retryAfter=1)
+            answer = await handler(call)
+            if answer is not None:
+                call.reply(*answer)
+        except OakError as error:
+            call.replyError(error)
+        except Exception as error:
+            self._log.event("requestCrashed", path=request.path.decode(errors="replace"), error=repr(error))
+            call.replyError(OakError("internal fault", verdict=Verdict.MAYBE))
+        finally:
+            self.running -= 1
+            if not self.running:
+                for idle in self._idle:
+                    idle.callback(None)
+                self._idle.clear()
--- /dev/null
+++ b/packages/oakcohort/oakcohort/__init__.py
@@ -0,0 +1,1 @@
+"""Node identity, rendezvous cohorts, condition and learnt addresses."""
--- /dev/null
+++ b/packages/oakcohort/oakcohort/members.py
@@ -0,0 +1,77 @@
+"""What a node knows of the others, and whom it pulls from."""
+from dataclasses import dataclass
+
+from oakbase.constants import COHORT_SIZE, CONDITION_AGE, FORGET_AGE
+from oakcohort.rendezvous import named
+
+LIVE, SILENT, LEAVING = "live", "silent", "leaving"
+
+
+@dataclass(frozen=True)
+class Member:
+    nodeId: str
+    boot: str
+    kind: str
+    zone: str
+    machine: str
+    peer: str
+    http: str
+    state: str      # "up" or "leaving", by its own word
+    release: str
+
+
+class Members:
+    """Invariants: one row for each boot of a node; `_seenAt` is this node's own monotonic time of the
+    newest sign of life, counted back by the age under which it was passed on, and never goes back."""
+
+    def __init__(self, reactor, ownId):
+        self._reactor, self._ownId = reactor, ownId
+        self._rows = {}
+        self._seenAt = {}
+
+    def note(self, member, seenAt):
+        key = (member.nodeId, member.boot)
+        if self._reactor.seconds() - seenAt > FORGET_AGE:
+            return
+        self._rows[key] = member
+        self._seenAt[key] = max(seenAt, self._seenAt.get(key, seenAt))
+
+    def forgetOld(self):
+        """Drops rows past their time, and returns the boots dropped."""
+        now = self._reactor.seconds()
+        old = [key for key, seenAt in self._seenAt.items() if now - seenAt > FORGET_AGE and key[0] != self._ownId]
+        for key in old:
+            del self._rows[key], self._seenAt[key]
+        return [boot for _, boot in old]
+
+    def newest(self):
+        """nodeId -> (member, age), the boot that was seen last."""
+        now, newest = self._reactor.seconds(), {}
+        for key, member in self._rows.items():
+            age = now - self._seenAt[key]
+            if member.nodeId not in newest or age < newest[member.nodeId][1]:
+                newest[member.nodeId] = (member, age)
+        return newest
+
+    def condition(self, nodeId):
+        row = self.newest().get(nodeId)
+        if row is None or row[1] > CONDITION_AGE:
+            return SILENT
+        return LEAVING if row[0].state == "leaving" else LIVE
+
+    def live(self, kind=None):
+        return [member for member, age in self.newest().values()
+                if age <= CONDITION_AGE and member.state == "up" and kind in (None, member.kind)]
+
+    def find(self, nodeId):
+        row = self.newest().get(nodeId)
+        return row[0] if row else None
+
+    def cohort(self, ownKind):
+        """Those this node pulls from and so watches: all control nodes if it is one of them, else the
+        two control nodes named for it; and the few of all nodes that are named for it."""
+        others = {member.nodeId: member for member in self.live() if member.nodeId != self._ownId}
+        controlIds = [nodeId for nodeId, member in others.items() if member.kind == "control"]
+        chosenIds = set(controlIds if ownKind == "control" else named(controlIds, self._ownId, 2))
+        chosenIds |= set(named(list(others), self._ownId, COHORT_SIZE))
+        return [others[nodeId] for nodeId in sorted(chosenIds)]
--- /dev/null
+++ b/packages/oakcohort/oakcohort/rendezvous.py
@@ -0,0 +1,19 @@
+"""Rendezvous hashing: who of the candidates is named for a key, with no table to agree on."""
+from hashlib import blake2b
+
+
+def score(candidate, key):
+    return blake2b(f"{candidate}\0{key}".encode(), digest_size=8).digest()
+
+
+def ranked(candidates, key):
+    """All candidates, the one named first in front."""
+    return sorted(candidates, key=lambda candidate: (score(candidate, key), candidate), reverse=True)
+
+
+def named(candidates, key, count):
+    return ranked(candidates, key)[:count]
+
+
+def slotOf(key, slotCount):
+    return int.from_bytes(blake2b(key.encode(), digest_size=4).digest(), "big") % slotCount
--- /dev/null
+++ b/packages/oakcontrol/oakcontrol/__init__.py
@@ -0,0 +1,1 @@
+"""Owned control keys and their controllers."""
--- /dev/null
+++ b/packages/oakcontrol/oakcontrol/admin.py
@@ -0,0 +1,102 @@
+"""The operators' side of a control node: HTTP + JSON."""
+from oakbase.checks import NAME, checkFields
+from oakbase.constants import CALL_TIME
+from oakbase.env import ADDRESS
+from oakbase.verdict import BadRequest, Conflict, Refused
+from schema import And
+
+from oakcontrol.places import REPLICAS_KEY, STORES_KEY
+
+READ_TIME = 2 * CALL_TIME   # s; an owner may change once while an operator reads
+CHANGE_TIME = 4 * CALL_TIME  # s; a change outlasts one take-over before it is answered with maybe
+
+
+class Admin:
+    def __init__(self, control):
+        self._control, self._node, self._client = control, control.node, control.client
+        web = control.web
+        web.route("POST", "/v1/init", self._init)
+        web.route("PUT", "/v1/blueprints/{partner}", self._putBlueprint)
+        web.route("POST", "/v1/blueprints/{partner}/changes", self._putBlueprint)
+        web.route("GET", "/v1/blueprints/{partner}", self._readBlueprint)
+        web.route("GET", "/v1/blueprints/{partner}/changes/{changeId}", self._outcome)
+        web.route("GET", "/v1/nodes", self._nodes)
+        web.route("GET", "/v1/slots", self._slots)
+        web.route("GET", "/v1/replicas", self._replicas)
+        web.route("POST", "/v1/replicas/{id}/leaving", self._markLeaving)
+        web.route("GET", "/v1/stores", self._stores)
+        web.route("PUT", "/v1/stores", self._setStores)
+        web.route("GET", "/condition", self._condition)
+
+    async def _init(self, call):
+        body = checkFields({"clusterId": NAME, "roster": And(dict, lambda roster: len(roster) % 2 == 1 and all(
+            map(NAME.validate, roster)) and all(map(ADDRESS.validate, roster.values())),
+            error="must be an odd number of node ids with their addresses")}, call.json())
+        voter = self._control.voter
+        roster = {"version": 1, "members": body["roster"]}
+        if self._node.nodeId not in body["roster"]:
+            raise Refused("this node is not named in the roster")
+        if voter.roster is not None and (voter.roster, self._node.identity.clusterId) != (roster, body["clusterId"]):
+            raise Conflict("this node belongs to a cluster already", detail={"clusterId": self._node.net.clusterId})
+        if voter.roster is None:
+            # The roster first: a node with a roster and no cluster id takes part in nothing yet.
+            await voter.setRoster(roster)
+            self._node.identity.joinCluster(body["clusterId"])
+            self._node.net.joinCluster(body["clusterId"])
+            self._node.log.event("clusterMade", clusterId=body["clusterId"], members=len(body["roster"]))
+        return 200, {"nodeId": self._node.nodeId, "clusterId": body["clusterId"]}
+
+    async def _ask(self, key, command, arguments, timeLeft=READ_TIME):
+        if not self._node.net.clusterId:
+            raise Refused("this node is in no cluster yet", retryAfter=1)
+        return 200, await self._client.call(key, command, arguments, timeLeft)
+
+    def _partnerKey(self, call):
+        checkFields({"partner": NAME}, {"partner": call.names["partner"]})
+        return f"blueprint/{call.names['partner']}"
+
+    async def _putBlueprint(self, call):
+        return await self._ask(self._partnerKey(call), "put", call.json(), CHANGE_TIME)
+
+    async def _readBlueprint(self, call):
+        version = call.query("version")
+        if version is not None and not version.isdigit():
+            raise BadRequest("version must be a whole number")
+        return await self._ask(self._partnerKey(call), "read", {"version": int(version)} if version else {})
+
+    async def _outcome(self, call):
+        return await self._ask(self._partnerKey(call), "outcome", {"changeId": call.names["changeId"]})
+
+    async def _nodes(self, _call):
+        members = self._node.members
+        return 200, {"clusterId": self._node.net.clusterId, "nodes": [
+            vars(member) | {"age": round(age, 3), "condition": members.condition(member.nodeId)}
+            for member, age in sorted(members.newest().values(), key=lambda row: (row[0].kind, row[0].machine))]}
+
+    async def _slots(self, _call):
+        owners = self._control.owners
+        rows = ((slot, owners.believedOwner(slot)) for slot in range(self._control.slotCount))
+        return 200, {"slots": [{"slot": slot, "epoch": row and row[0], "owner": row and row[1],
+                                "age": row and round(min(self._node.board.age(f"slot/{slot}"), 1e9), 3)}
+                               for slot, row in rows]}
+
+    async def _replicas(self, _call):
+        return await self._ask(REPLICAS_KEY, "read", {})
+
+    async def _markLeaving(self, call):
+        return await self._ask(REPLICAS_KEY, "markLeaving", {"id": call.names["id"]}, CHANGE_TIME)
+
+    async def _stores(self, _call):
+        status, stores = await self._ask(STORES_KEY, "read", {})
+        members = self._node.members
+        return status, {"epoch": stores["version"], "members": [
+            row | {"condition": members.condition(row["nodeId"])} for row in stores["members"]]}
+
+    async def _setStores(self, call):
+        return await self._ask(STORES_KEY, "set", call.json(), CHANGE_TIME)
+
+    async def _condition(self, _call):
+        owners, node = self._control.owners, self._node
+        return 200, {"condition": "ready" if owners.held else "waiting", "nodeId": node.nodeId, "peer": node.net.address,
+                     "clusterId": node.net.clusterId, "slots": len(owners.held),
+                     "disk": "failed" if self._control.ring.broken else "well"}
--- /dev/null
+++ b/packages/oakcontrol/oakcontrol/blueprint.py
@@ -0,0 +1,193 @@
+"""Blueprints: one for each partner, changed whole or by a named change built on a version."""
+from schema import And, Optional
+
+from oakbase.checks import NAME, checkFields, faultsOf, isName, oneOf, packJson, seconds, whole
+from oakbase.constants import BLUEPRINTS_KEPT, TIME_LEFT_LIMIT, UNITS_LIMIT
+from oakbase.registry import Registry
+from oakbase.verdict import BadRequest, Invalid, Lost, Unknown
+from oakcontrol.controllers import CONTROLLERS, Controller
+
+BINDING = {
+    "kind": oneOf("model", "plain"),
+    "pool": NAME,
+    "urgency": oneOf("urgent", "normal", "patient"),
+    "maxWaitSeconds": seconds(0.1, TIME_LEFT_LIMIT),
+    Optional("maxOutput"): whole(1, 1 << 20),
+    Optional("repeatable"): bool,
+    Optional("onCallerGone"): oneOf("cancel", "finish"),
+    Optional("adapter"): NAME,
+    Optional("modelWeights"): NAME,
+}
+PROGRAMS = {"defaultLimit": whole(1, UNITS_LIMIT), "maxLimit": whole(1, UNITS_LIMIT)}
+BLUEPRINT = {
+    "bindings": And(dict, error="must be an object"),
+    "programs": And(dict, error="must be an object"),
+    Optional("share"): whole(1, 100),
+}
+BASE_EVERY = 64  # changes; between two whole blueprints, so that reading one back replays few changes
+
+
+def blueprintFaults(blueprint):
+    """The path of every fault; an empty list means that the blueprint is valid as a whole."""
+    faults = faultsOf(BLUEPRINT, blueprint)
+    if faults:
+        return faults
+    faults += [fault for name, binding in blueprint["bindings"].items()
+               for fault in bindingFaults(name, binding)]
+    faults += faultsOf(PROGRAMS, blueprint["programs"], "programs")
+    if not faults and blueprint["programs"]["defaultLimit"] > blueprint["programs"]["maxLimit"]:
+        faults.append("programs.defaultLimit: is above programs.maxLimit")
+    return faults
+
+
+def bindingFaults(name, binding):
+    path = f"bindings.{name}"
+    if not isName(name):
+        return [f"{path}: is no name"]
+    faults = faultsOf(BINDING, binding, path)
+    if faults:
+        return faults
+    if binding["kind"] == "model" and "maxOutput" not in binding:
+        return [f"{path}.maxOutput: is missing"]
+    if binding["kind"] == "plain" and "maxOutput" in binding:
+        return [f"{path}.maxOutput: is for model bindings only"]
+    return []
+
+
+# --- named changes: (blueprint, arguments) -> new blueprint --------------------
+
+CHANGES = Registry("change")
+
+
+@CHANGES.enter("setBinding")
+def _setBinding(blueprint, arguments):
+    checkFields({"name": NAME, "binding": dict}, arguments)
+    return blueprint | {"bindings": blueprint["bindings"] | {arguments["name"]: arguments["binding"]}}
+
+
+@CHANGES.enter("removeBinding")
+def _removeBinding(blueprint, arguments):
+    checkFields({"name": NAME}, arguments)
+    if arguments["name"] not in blueprint["bindings"]:
+        raise Invalid(f"bindings.{arguments['name']}: is not there", detail=[f"bindings.{arguments['name']}"])
+    return blueprint | {"bindings": {name: binding for name, binding in blueprint["bindings"].items()
+                                     if name != arguments["name"]}}
+
+
+@CHANGES.enter("setPrograms")
+def _setPrograms(blueprint, arguments):
+    checkFields({"programs": dict}, arguments)
+    return blueprint | {"programs": arguments["programs"]}
+
+
+@CHANGES.enter("setShare")
+def _setShare(blueprint, arguments):
+    checkFields({"share": int}, arguments)
+    return blueprint | {"share": arguments["share"]}
+
+
+# --- the owned key --------------------------------------------------------------
+# Entries of blueprint/P:  itself: {version, base, first};  #v/<n>: {whole} or {change, arguments}, with
+# the change id;  #c/<id>: {version}.
+# Invariant: base <= version, entry #v/<base> is whole, every entry from `first` to `version` is there.
+
+def _versionKey(key, version):
+    return f"{key}#v/{version:010d}"
+
+
+def _head(view, key):
+    return view.get(key) or {"version": 0, "base": 0, "first": 0}
+
+
+def _at(view, key, version, base):
+    rows = [view.get(_versionKey(key, number)) for number in range(base, version + 1)]
+    blueprint = rows[0]["whole"]
+    for row in rows[1:]:
+        blueprint = row["whole"] if "whole" in row else CHANGES.find(row["change"])(blueprint, row["arguments"])
+    return blueprint
+
+
+def _current(view, key, head):
+    memo = view.context.marks.get(f"memo/{key}") if view.context else None
+    if memo and memo[0] == head["version"]:
+        return memo[1]
+    blueprint = _at(view, key, head["version"], head["base"])
+    if view.context:
+        view.context.marks[f"memo/{key}"] = (head["version"], blueprint)
+    return blueprint
+
+
+def _put(view, key, arguments):
+    checkFields({"changeId": NAME, "basedOn": whole(0, 1 << 53), Optional("blueprint"): dict,
+                 Optional("change"): NAME, Optional("arguments"): dict}, arguments)
+    head = _head(view, key)
+    known = view.get(f"{key}#c/{arguments['changeId']}")
+    asked = {name: arguments[name] for name in ("blueprint", "change", "arguments") if name in arguments}
+    if known:
+        return {"outcome": "accepted", "version": known["version"]}
+    if arguments["basedOn"] != head["version"]:
+        raise Lost(f"built on version {arguments['basedOn']}, the newest is {head['version']}",
+                   detail={"version": head["version"]})
+    if ("blueprint" in asked) == ("change" in asked):
+        raise BadRequest("either a whole blueprint or a named change is needed")
+    if "change" in asked and not head["version"]:
+        raise Invalid("there is no blueprint to change yet", detail=["blueprint: is missing"])
+    if "change" in asked:
+        blueprint = CHANGES.find(asked["change"])(_current(view, key, head), asked.get("arguments") or {})
+    else:
+        blueprint = asked["blueprint"]
+    faults = blueprintFaults(blueprint)
+    if faults:
+        raise Invalid("; ".join(faults[:20]), detail=faults[:200])
+    version = head["version"] + 1
+    isBase = "blueprint" in asked or version - head["base"] >= BASE_EVERY
+    row = {"whole": blueprint} if isBase else {"change": asked["change"], "arguments": asked.get("arguments") or {}}
+    view.put(_versionKey(key, version), row | {"changeId": arguments["changeId"]})
+    view.put(f"{key}#c/{arguments['changeId']}", {"version": version})
+    head = {"version": version, "base": version if isBase else head["base"], "first": head["first"] or 1}
+    view.put(key, _pruned(view, key, head))
+    view.context.marks[f"memo/{key}"] = (version, blueprint)
+    return {"outcome": "accepted", "version": version}
+
+
+def _pruned(view, key, head):
+    """Lets whole runs of versions go once they are past what is kept, from one base to the next."""
+    oldest = head["version"] - BLUEPRINTS_KEPT
+    if oldest <= head["first"]:
+        return head
+    bases = [number for number in range(head["first"], oldest + 1)
+             if "whole" in view.get(_versionKey(key, number))]
+    for number in range(head["first"], bases[-1]):
+        view.put(f"{key}#c/{view.get(_versionKey(key, number))['changeId']}", None)
+        view.put(_versionKey(key, number), None)
+    return head | {"first": bases[-1]}
+
+
+def _read(view, key, arguments):
+    head = _head(view, key)
+    version = arguments.get("version") or head["version"]
+    if not version or not head["first"] <= version <= head["version"]:
+        raise Unknown(f"version {version} is not kept" if head["version"] else "no blueprint has been accepted")
+    if version == head["version"]:
+        return {"version": version, "blueprint": _current(view, key, head)}
+    base = next(number for number in range(version, 0, -1) if "whole" in view.get(_versionKey(key, number)))
+    return {"version": version, "blueprint": _at(view, key, version, base)}
+
+
+def _outcome(view, key, arguments):
+    known = view.get(f"{key}#c/{arguments['changeId']}")
+    return {"outcome": "accepted", "version": known["version"]} if known else \
+        {"outcome": "notAccepted", "version": _head(view, key)["version"]}
+
+
+def _image(view, key):
+    head = _head(view, key)
+    if not head["version"]:
+        return 0, {}
+    blueprint = _at(view, key, head["version"], head["base"])
+    rest = {name: value for name, value in blueprint.items() if name != "bindings"}
+    return head["version"], {"rest": packJson(rest)} | {
+        f"binding/{name}": packJson(binding) for name, binding in blueprint["bindings"].items()}
+
+
+CONTROLLERS.enter("blueprint")(Controller({"put": _put, "read": _read, "outcome": _outcome}, image=_image))
--- /dev/null
+++ b/packages/oakcontrol/oakcontrol/claim.py
@@ -0,0 +1,58 @@
+"""Claims: a plain request with a key runs at most once.
+
+Invariants of claim/P/K: one claim holds the key at a time; `done` keeps its answer, if it is small
+enough; an entry is let go only when this owner has counted CLAIM_KEPT seconds since its last change or
+since it took the slot over, whichever is later.
+"""
+from schema import Optional, Or
+
+from oakbase.checks import NAME, checkFields
+from oakbase.constants import CLAIM_KEPT
+from oakbase.verdict import Conflict, InProgress, Refused
+from oakcontrol.controllers import CONTROLLERS, Controller
+
+
+def _set(view, key, claim):
+    view.put(key, claim)
+    view.context.touch(key)
+
+
+def _claim(view, key, arguments):
+    checkFields({"print": str, "admission": NAME}, arguments)
+    claim = view.get(key)
+    if claim and claim["state"] != "free" and claim["print"] != arguments["print"]:
+        raise Conflict("this key is in use for another body")
+    if claim and claim["state"] == "free" and claim["admission"] == arguments["admission"]:
+        raise Refused("this claim was taken back before it came in")
+    if claim and claim["state"] == "done":
+        return {"state": "done", "answer": claim["answer"]}
+    if claim and claim["state"] == "claimed" and claim["admission"] != arguments["admission"]:
+        raise InProgress("this key is claimed; its request runs now or may have run", retryAfter=1)
+    _set(view, key, {"state": "claimed", "print": arguments["print"], "admission": arguments["admission"]})
+    return {"state": "claimed"}
+
+
+def _finish(view, key, arguments):
+    checkFields({"admission": NAME, "print": str, Optional("answer"): Or(None, dict)}, arguments)
+    claim = view.get(key)
+    if claim and claim["state"] == "claimed" and claim["admission"] == arguments["admission"]:
+        _set(view, key, claim | {"state": "done", "answer": arguments.get("answer")})
+    return {}
+
+
+def _free(view, key, arguments):
+    """The request never left: the key may be claimed again, but not by this admission come late."""
+    checkFields({"admission": NAME, "print": str}, arguments)
+    claim = view.get(key)
+    if claim is None or claim["admission"] == arguments["admission"]:
+        _set(view, key, {"state": "free", "print": arguments["print"], "admission": arguments["admission"]})
+    return {}
+
+
+def _sweep(view, key, _arguments):
+    if view.context.ageOf(key) > CLAIM_KEPT:
+        view.put(key, None)
+
+
+CONTROLLERS.enter("claim")(Controller(
+    {"claim": _claim, "finish": _finish, "free": _free, "sweep": _sweep}, sweep="sweep"))
--- /dev/null
+++ b/packages/oakcontrol/oakcontrol/control.py
@@ -0,0 +1,57 @@
+"""A control node put together."""
+from oakbase.constants import SLOTS
+from oakbase.constants import ACCEPT_INBOX
+from oakbase.metrics import Metrics
+from oakbase.web import Web
+from oakcontrol import blueprint, budget, claim, places  # noqa: F401  each enters its controller
+from oakcontrol.admin import Admin
+from oakcontrol.client import OwnerClient
+from oakcontrol.owner import Owners
+from oakcontrol.platform import PlatformWatch
+from oakcontrol.voter import Voter
+from oaknews.node import Node
+from oakring.ring import Ring
+
+
+def serveMetrics(web, metrics):
+    async def show(_call):
+        return 200, metrics.toText().encode()
+    web.route("GET", "/metrics", show)
+
+
+class ControlNode:
+    slotCount = SLOTS
+
+    def __init__(self, reactor, env, disk, random, sink):
+        self.node = Node(reactor, "control", env, random, sink, disk)
+        self.ring = Ring(disk, self.node.log, env.get("ringFileSize"))
+        self.voter = Voter(self.node, self.ring)
+        self.client = OwnerClient(self.node)
+        self.owners = Owners(self.node, self.voter)
+        self.platform = PlatformWatch(self.node, self.owners, env["platform"]) if env.get("platform") else None
+        self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
+        self.metrics = Metrics()
+        serveMetrics(self.web, self.metrics)
+        Admin(self)
+        for name, ask in (("slots_held", lambda: len(self.owners.held)),
+                          ("ring_syncs", lambda: self.ring.syncCount),
+                          ("ring_commits", lambda: self.ring.commitCount),
+                          ("ring_live_bytes", self.ring.liveBytes),
+                          ("members_live", lambda: len(self.node.members.live()))):
+            self.metrics.gauge(name, ask)
+
+    def start(self):
+        self.node.start()
+        self.owners.start()
+        self.web.listen()
+        if self.platform:
+            self.platform.start()
+
+    async def stop(self):
+        await self.node.puller.sayLeaving()
+        if self.platform:
+            self.platform.stop()
+        await self.web.stop()
+        await self.owners.stop()
+        self.voter.stop()
+        await self.node.stop()
--- /dev/null
+++ b/packages/oakcontrol/oakcontrol/controllers.py
@@ -0,0 +1,39 @@
+"""Controllers: what the commands on each kind of owned key do.
+
+A command sees a view of the slot's entries and writes to it; whatever it wrote is on a majority of disks
+before its result leaves the owner. Commands are plain functions: no waiting, no I/O, no wall time.
+"""
+from oakbase.registry import Registry
+from oakbase.verdict import Unknown
+
+CONTROLLERS = Registry("controller")
+
+
+class Controller:
+    """`commands` maps names to functions (view, key, arguments) -> JSON-able result."""
+
+    def __init__(self, commands, image=None, sweep=None):
+        self._commands = Registry("command")
+        for name, function in commands.items():
+            self._commands.enter(name)(function)
+        self.image, self.sweep = image, sweep
+
+    def run(self, view, key, command, arguments):
+        return self._commands.find(command)(view, key, arguments)
+
+
+def publishedBy(entryKey):
+    """The news source that an entry belongs to, or None if its kind is not published."""
+    key = entryKey.partition("#")[0]
+    try:
+        controller = CONTROLLERS.find(key.partition("/")[0])
+    except Unknown:
+        return None
+    return key if controller.image else None
+
+
+def sweepsFor(entryKeys):
+    """The (key, command) pairs by which an owner lets old things go."""
+    keys = {key.partition("#")[0] for key in entryKeys}
+    return sorted((key, command) for key in keys
+                  for command in [CONTROLLERS.find(key.partition("/")[0]).sweep] if command)
--- /dev/null
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -0,0 +1,401 @@
+"""The owner's side of owned keys: taking a slot over, holding its term, working through its commands."""
+import json
+import zlib
+from collections import ChainMap
+
+from twisted.internet import defer
+
+from oakbase.checks import packJson
+from oakbase.constants import (CALL_TIME, CLAIM_SWEEP, CONTROL_BATCH, CONTROL_INBOX, ENTRY_LIMIT, SLOTS,
+                               TAKEOVER_LOOK, TERM, TERM_RENEW)
+from oakbase.inbox import Inbox
+from oakbase.tasks import Repeater, firstOf, sleep, spawn
+from oakbase.verdict import CannotTell, NoAnswer, NotOwner, OakError, TooLarge, Verdict
+from oakcohort.members import LIVE
+from oakcohort.rendezvous import ranked, slotOf
+from oakcontrol.controllers import CONTROLLERS, publishedBy, sweepsFor
+from oakwire.codec import idl
+
+SLOT_SOURCE = "slot/"
+PACK_FROM = 4096  # bytes; below this an entry is not worth compressing
+
+
+def slotOfKey(key):
+    return slotOf(key.partition("#")[0], SLOTS)
+
+
+def packEntry(value):
+    if value is None:
+        return None
+    data = packJson(value)
+    if len(data) > ENTRY_LIMIT:
+        raise TooLarge(f"{len(data)} bytes in one entry of the control state")
+    return b"z" + zlib.compress(data) if len(data) > PACK_FROM else b"j" + data
+
+
+def unpackEntry(data):
+    return json.loads(zlib.decompress(data[1:]) if data[:1] == b"z" else data[1:])
+
+
+class View:
+    """What a command sees and writes: the committed entries under those of its own batch."""
+
+    def __init__(self, entries, context):
+        self._layers = ChainMap({}, entries)
+        self.context = context
+
+    def get(self, key):
+        value = self._layers.get(key)
+        return None if value is None else unpackEntry(value)
+
+    def put(self, key, value):
+        self._layers.maps[0][key] = packEntry(value)
+
+    def keys(self, prefix):
+        return sorted(key for key, value in self._layers.items() if value is not None and key.startswith(prefix))
+
+    def nested(self):
+        """A view for one command, so that one that fails leaves nothing behind."""
+        view = View({}, self.context)
+        view._layers = self._layers.new_child()
+        return view
+
+    def fold(self, view):
+        self._layers.maps[0].update(view._layers.maps[0])
+
+    def changes(self):
+        return self._layers.maps[0]
+
+
+class SlotOwner:
+    """One slot held by this node. Invariants:
+    - `entries` is on a majority of the roster's disks under (epoch, sequence);
+    - nothing is answered from it once `termUntil` has passed or `ended` is set;
+    - no command is answered before what it changed, and all that it read, is on that majority."""
+
+    def __init__(self, owners, slot, epoch, entries, sequence):
+        self._owners, self.slot, self.epoch = owners, slot, epoch
+        self.entries, self._sequence = entries, sequence
+        self._inbox = Inbox(CONTROL_INBOX, f"slot{slot}")
+        self.termUntil = 0.0
+        self.ended = False
+        self.idle = True
+        self.marks = {}
+        self._task = None
+
+    def serve(self):
+        self._task = spawn(self._run(), self._owners.log)
+
+    def holdsTerm(self):
+        return not self.ended and self._owners.reactor.seconds() < self.termUntil
+
+    def end(self):
+        if self.ended:
+            return
+        self.ended = True
+        self._owners.retract(self)
+        for _, _, _, answer in self._inbox.takeReady(CONTROL_INBOX):
+            answer.errback(NotOwner("this slot is changing hands"))
+        if self._task is not None and self.idle:
+            self._task.cancel()
+
+    def do(self, key, command, arguments):
+        if not self.holdsTerm():
+            raise NotOwner(f"no term for slot {self.slot}")
+        answer = defer.Deferred()
+        self._inbox.put((key, command, arguments, answer))
+        return answer
+
+    async def _run(self):
+        while not self.ended:
+            self.idle = True
+            first = await self._inbox.take()
+            self.idle = False
+            await self._work([first, *self._inbox.takeReady(CONTROL_BATCH - 1)])
+
+    async def _work(self, batch):
+        view, outcomes = View(self.entries, self._owners.contextFor(self)), []
+        for key, command, arguments, answer in batch:
+            inner = view.nested()
+            try:
+                result = CONTROLLERS.find(key.partition("/")[0]).run(inner, key, command, arguments)
+            except OakError as error:
+                outcomes.append((answer, error))
+                continue
+            except Exception as error:
+                self._owners.log.event("commandCrashed", key=key, command=command, error=repr(error))
+                outcomes.append((answer, OakError(f"{command} crashed", Verdict.NO)))
+                continue
+            view.fold(inner)
+            outcomes.append((answer, result))
+        fault = await self._keep(dict(view.changes()))
+        for answer, outcome in outcomes:
+            if fault is not None or isinstance(outcome, OakError):
+                answer.errback(fault or outcome)
+                continue
+            answer.callback(outcome)
+
+    async def _keep(self, changes):
+        """None once the changes are on a majority and the term still holds; else what to tell all callers."""
+        if changes:
+            self._sequence += 1
+            entries = self.entries | changes
+            if not await self._owners.replicate(self, self._sequence, changes, entries):
+                self.end()
+                return NoAnswer("the change did not reach a majority of disks; ask for it by its id")
+            self.entries = {key: value for key, value in entries.items() if value is not None}
+            self._owners.publish(self, changes)
+        if not self.holdsTerm():
+            return NoAnswer("the term ended meanwhile; ask for the change by its id") if changes \
+                else NotOwner("the term ended meanwhile")
+        return None
+
+
+class Owners:
+    """The slots this node owns, and the task that takes over those which it should own.
+
+    Invariant: a slot is in `held` only after its image under our epoch is on a majority and every
+    earlier term has ended."""
+
+    def __init__(self, node, voter):
+        self.reactor, self._node, self._voter = node.reactor, node, voter
+        self.log = node.log
+        self.held = {}
+        self._taking = set()
+        self._seenEpochs = {}
+        self.pollTimes = {}
+        self._tasks = [Repeater(node.reactor, pause, roundFunction, node.log) for pause, roundFunction in (
+            (TAKEOVER_LOOK, self._look), (TERM_RENEW, self._renew), (CLAIM_SWEEP, self._sweep))]
+        node.net.handle("ownerCall", self._serveCall)
+        node.net.handle("release", self._serveRelease)
+
+    def start(self):
+        for task in self._tasks:
+            task.start()
+
+    async def stop(self):
+        self._tasks[0].stop()
+        self._tasks[2].stop()
+        # Whoever is named next asks for each slot; what nobody asked for is taken over after its term.
+        for _ in range(20):
+            if not self.held:
+                break
+            await sleep(self.reactor, TAKEOVER_LOOK)
+        for owner in list(self.held.values()):
+            owner.end()
+        self._tasks[1].stop()
+
+    def contextFor(self, owner):
+        return Context(self.reactor.seconds(), self._node.members, owner.marks)
+
+    # --- the majority ---
+
+    def _rosterAddresses(self):
+        """Where each voter is; one that nobody has seen is not asked."""
+        roster = self._voter.roster["members"]
+        rows = {nodeId: self._node.members.find(nodeId) for nodeId in roster}
+        return [member.peer if member else roster[nodeId] for nodeId, member in rows.items()]
+
+    def _majority(self):
+        return len(self._voter.roster["members"]) // 2 + 1
+
+    def _askVoters(self, method, **arguments):
+        return [self._node.net.call(address, method, CALL_TIME, rosterVersion=self._voter.roster["version"],
+                                    owner=self._node.nodeId, **arguments) for address in self._rosterAddresses()]
+
+    async def replicate(self, owner, sequence, changes, entries):
+        """Whether a majority has this change. A voter that lacks something before it gets the whole image."""
+        asks = [self._giveChange(address, owner, sequence, changes, entries) for address in self._rosterAddresses()]
+        reached, _ = await firstOf(asks, self._majority())
+        return reached
+
+    async def _giveChange(self, address, owner, sequence, changes, entries):
+        taken = await self._accept(address, owner, sequence, False, changes)
+        if taken.needsImage:
+            taken = await self._accept(address, owner, sequence, True, entries)
+        if not taken.taken:
+            self._seenEpochs[owner.slot] = max(self._seenEpochs.get(owner.slot, 0), taken.promisedEpoch or 0)
+            raise CannotTell("the voter has promised a later epoch")
+
+    def _accept(self, address, owner, sequence, whole, entries):
+        return self._node.net.call(
+            address, "accept", CALL_TIME, slot=owner.slot, epoch=owner.epoch, owner=self._node.nodeId,
+            rosterVersion=self._voter.roster["version"], sequence=sequence, whole=whole,
+            entries=[idl.Entry(key=key, value=value) for key, value in entries.items()
+                     if value is not None or not whole])
+
+    # --- terms ---
+
+    async def _renew(self):
+        owners = dict(self.held)
+        if not owners:
+            return
+        askedAt = self.reactor.seconds()
+        confirmed = dict.fromkeys(owners, 0)
+        terms = [idl.SlotEpoch(slot=slot, epoch=owner.epoch) for slot, owner in owners.items()]
+
+        async def ask(answer):
+            for term in await answer:
+                confirmed[term.slot] += 1
+                if confirmed[term.slot] == self._majority():
+                    owner = owners[term.slot]
+                    owner.termUntil = max(owner.termUntil, askedAt + TERM)
+        reached, _ = await firstOf(map(ask, self._askVoters("confirm", terms=terms)), self._majority())
+        if not reached:
+            self.log.event("termsNotConfirmed", slots=len(owners))
+        for slot, owner in owners.items():
+            if self.reactor.seconds() > owner.termUntil + TERM and not owner.ended:
+                self.log.event("termLost", slot=slot, epoch=owner.epoch)
+                owner.end()
+
+    # --- taking over ---
+
+    def _liveRoster(self):
+        return [nodeId for nodeId in self._voter.roster["members"]
+                if self._node.members.condition(nodeId) == LIVE]
+
+    async def _look(self):
+        if self._voter.roster is None or self._node.nodeId not in self._voter.roster["members"]:
+            return
+        liveIds = self._liveRoster()
+        if len(liveIds) < self._majority() or self._node.nodeId not in liveIds:
+            return
+        for slot in range(SLOTS):
+            if slot in self.held or slot in self._taking or ranked(liveIds, f"slot{slot}")[0] != self._node.nodeId:
+                continue
+            self._taking.add(slot)
+            spawn(self._takeOver(slot, liveIds), self.log)
+
+    def believedOwner(self, slot):
+        """(epoch, nodeId, address) of the slot's newest owner that this node has heard of, or None."""
+        rows = self._node.board.values(f"{SLOT_SOURCE}{slot}")
+        return tuple(json.loads(rows["owner"])) if "owner" in rows else None
+
+    async def _takeOver(self, slot, liveIds):
+        try:
+            released = await self._askRelease(slot, liveIds)
+            await self._prepareAndServe(slot, released)
+        except OakError as error:
+            self.log.event("takeOverFailed", slot=slot, reason=error.reason)
+            await sleep(self.reactor, self._node.random.uniform(0.1, 0.5))
+        finally:
+            self._taking.discard(slot)
+
+    async def _askRelease(self, slot, liveIds):
+        believed = self.believedOwner(slot)
+        if believed is None or believed[1] not in self._voter.roster["members"] or believed[1] == self._node.nodeId:
+            return None
+        if self._node.members.condition(believed[1]) not in (LIVE, "leaving"):
+            return None
+        try:
+            return await self._node.net.call(believed[2], "release", CALL_TIME, slot=slot)
+        except OakError as error:
+            self.log.event("releaseUnanswered", slot=slot, owner=believed[1], reason=error.reason)
+            return None
+
+    async def _prepareAndServe(self, slot, releasedEpoch):
+        believed = self.believedOwner(slot)
+        epoch = max(self._seenEpochs.get(slot, 0), believed[0] if believed else 0, releasedEpoch or 0) + 1
+        self._seenEpochs[slot] = epoch
+        reached, promises = await firstOf(map(
+            self._granted, self._askVoters("prepare", slot=slot, epoch=epoch)), self._majority())
+        if not reached:
+            raise CannotTell(f"no majority promised epoch {epoch}")
+        preparedAt = self.reactor.seconds()
+        newest = max(promises, key=lambda promise: (promise.imageEpoch, promise.sequence))
+        formerEpoch = max(promise.promisedEpoch for promise in promises)
+        entries = {entry.key: entry.value for entry in newest.entries or []}
+        owner = SlotOwner(self, slot, epoch, entries, 1)
+        if not await self.replicate(owner, 1, {}, entries):
+            raise CannotTell(f"the image of epoch {epoch} did not reach a majority")
+        if formerEpoch and formerEpoch != releasedEpoch:
+            await sleep(self.reactor, preparedAt + TERM - self.reactor.seconds())
+        self.held[slot] = owner
+        await self._renew()
+        if not owner.holdsTerm():
+            owner.end()
+            raise CannotTell(f"epoch {epoch} was not confirmed")
+        owner.serve()
+        self.publish(owner, entries)
+        self.log.event("slotTaken", slot=slot, epoch=epoch, entries=len(entries), released=releasedEpoch or "no")
+
+    async def _granted(self, answer):
+        promise = await answer
+        if not promise.granted:
+            raise CannotTell(f"epoch {promise.promisedEpoch} is promised already")
+        return promise
+
+    async def _serveRelease(self, _peer, arguments):
+        owner = self.held.get(arguments.slot)
+        if owner is None:
+            return None
+        owner.end()
+        self.log.event("slotReleased", slot=arguments.slot, epoch=owner.epoch)
+        return owner.epoch
+
+    # --- news ---
+
+    def retract(self, owner):
+        if self.held.get(owner.slot) is owner:
+            del self.held[owner.slot]
+        for source in [f"{SLOT_SOURCE}{owner.slot}", *self._sourcesOf(owner)]:
+            self._node.board.retract(source)
+
+    def _sourcesOf(self, owner):
+        return {source for key in owner.entries for source in [publishedBy(key)] if source}
+
+    def publish(self, owner, changes):
+        source = f"{SLOT_SOURCE}{owner.slot}"
+        self._node.board.publish(source, lambda: self._vouch(owner))
+        self._node.board.setItems(source, owner.epoch, {
+            "owner": packJson([owner.epoch, self._node.nodeId, self._node.net.address])})
+        view = View(owner.entries, None)
+        for published in {publishedBy(key) for key in changes} - {None}:
+            controller = CONTROLLERS.find(published.partition("/")[0])
+            version, values = controller.image(view, published)
+            self._node.board.publish(published, lambda published=published: self._vouchFor(owner, published))
+            self._node.board.setItems(published, version, values)
+
+    def _vouch(self, owner):
+        return self.reactor.seconds() if owner.holdsTerm() else None
+
+    def _vouchFor(self, owner, published):
+        """What hangs on a duty is only as new as the duty's last round."""
+        at = self._vouch(owner)
+        return at if at is None or published not in self.pollTimes else self.pollTimes[published]
+
+    # --- calls ---
+
+    async def _serveCall(self, _peer, arguments):
+        return packJson(await self.call(arguments.key, arguments.command,
+                                        json.loads(arguments.argumentsJson))).decode()
+
+    async def call(self, key, command, arguments):
+        slot = slotOfKey(key)
+        owner = self.held.get(slot)
+        if owner is None:
+            believed = self.believedOwner(slot)
+            raise NotOwner(f"slot {slot} is owned elsewhere", detail=believed and believed[2])
+        return await owner.do(key, command, arguments)
+
+    async def _sweep(self):
+        for owner in list(self.held.values()):
+            for key, command in sweepsFor(owner.entries):
+                try:
+                    await owner.do(key, command, {})
+                except OakError as error:
+                    self.log.event("sweepFailed", key=key, reason=error.reason)
+
+
+class Context:
+    """What a command may look at besides entries: the owner's monotonic time, the members, and marks,
+    which live only as long as this ownership: key -> time since which the key counts."""
+
+    def __init__(self, now, members, marks):
+        self.now, self.members, self.marks = now, members, marks
+
+    def ageOf(self, key):
+        return self.now - self.marks.setdefault(key, self.now)
+
+    def touch(self, key):
+        self.marks[key] = self.now
--- /dev/null
+++ b/packages/oakctl/oakctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of the operators."""
--- /dev/null
+++ b/packages/oakctl/oakctl/main.py
@@ -0,0 +1,197 @@
+"""oakctl: the operators' command line."""
+import json
+import sys
+import time
+import uuid
+
+import click
+
+from oakctl.asking import ADDRESS_TYPE, Refusal, ask, askFirst, show
+
+INIT_TIME = 30  # s; nodes that were just started need a few rounds of news to meet
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.option("--control", "controls", multiple=True, type=ADDRESS_TYPE, envvar="OAK_CONTROL", metavar="IP:PORT",
+              help="HTTP address of a control node; may be given several times, or in OAK_CONTROL with spaces.")
+@click.pass_context
+def main(context, controls):
+    """Drives an oakramp fleet through its control nodes.
+
+    Exit codes: 0 done, 1 refused or outcome unknown (the message says which), 2 wrong use.
+    """
+    context.obj = controls
+
+
+def _controls(context):
+    if not context.obj:
+        raise click.UsageError("--control is needed")
+    return context.obj
+
+
+def _conditionOf(address):
+    try:
+        status, answer = ask(address, "GET", "/condition")
+    except OSError as error:
+        raise Refusal(f"{address} does not answer: {error}") from error
+    if status != 200:
+        raise Refusal(f"{address}: {answer.get('reason', status)}")
+    return answer
+
+
+def _waitFor(what, check):
+    endsAt = time.monotonic() + INIT_TIME
+    while True:
+        result = check()
+        if result:
+            return result
+        if time.monotonic() > endsAt:
+            raise Refusal(f"{what} did not happen within {INIT_TIME} s; running this command again is safe")
+        time.sleep(0.2)
+
+
+@main.command()
+@click.option("--cluster", "clusterId", required=True, help="The new cluster's id.")
+@click.option("--store", "stores", multiple=True, required=True, type=ADDRESS_TYPE, metavar="IP:PORT",
+              help="HTTP address of a store node; give all three.")
+@click.pass_context
+def init(context, clusterId, stores):
+    """Makes a cluster of the control nodes named with --control and the stores named with --store.
+
+    Safe to run again: nodes that are in this cluster already stay as they are.
+    """
+    controls = _controls(context)
+    rows = {address: _conditionOf(address) for address in controls}
+    for address, row in rows.items():
+        if row["clusterId"] not in ("", None, clusterId):
+            raise Refusal(f"{address} belongs to cluster {row['clusterId']} already")
+    roster = {row["nodeId"]: row["peer"] for row in rows.values()}
+    for address in controls:
+        status, answer = ask(address, "POST", "/v1/init", {"clusterId": clusterId, "roster": roster})
+        if status != 200:
+            raise Refusal(f"{address}: {answer.get('reason', status)}")
+    click.echo(f"control nodes: {len(roster)}")
+    members = _waitFor("the stores joining", lambda: _joinedStores(stores, clusterId))
+
+    def setStores():
+        try:
+            return askFirst(controls, "PUT", "/v1/stores", {"basedOn": 0, "members": members})
+        except Refusal as error:
+            if str(error).startswith("no: "):
+                raise
+            return None
+    answer = _waitFor("the store set being written", setStores)
+    click.echo(f"stores: {len(answer['members'])}, epoch {answer['version']}")
+
+
+def _joinedStores(stores, clusterId):
+    rows = [_conditionOf(address) for address in stores]
+    if all(row["clusterId"] == clusterId for row in rows):
+        return [{"nodeId": row["nodeId"], "peer": row["peer"]} for row in rows]
+    other = [row["clusterId"] for row in rows if row["clusterId"] not in ("", None, clusterId)]
+    if other:
+        raise Refusal(f"a store belongs to cluster {other[0]} already")
+    return None
+
+
+# --- plans ---------------------------------------------------------------------
+
+@main.group()
+def plan():
+    """Blueprints: send a whole one or a named change, read any kept version."""
+
+
+def _readFile(file):
+    try:
+        return json.load(file)
+    except ValueError as error:
+        raise click.UsageError(f"{file.name} is no JSON: {error}") from error
+
+
+def _change(context, path, partner, changeId, body):
+    changeId = changeId or uuid.uuid4().hex
+    answer = askFirst(_controls(context), *path, body | {"changeId": changeId},
+                      onMaybe=f"oakctl plan outcome {partner} {changeId}")
+    show(answer | {"changeId": changeId})
+
+
+BASED_ON = click.option("--based-on", "basedOn", type=click.IntRange(0), required=True,
+                        help="The version you last saw; 0 for the first.")
+CHANGE_ID = click.option("--change-id", "changeId", help="Give the same id again to retry; made up if left out.")
+
+
+@plan.command("put")
+@click.argument("partner")
+@click.argument("file", type=click.File(encoding="utf-8"))
+@BASED_ON
+@CHANGE_ID
+@click.pass_context
+def putPlan(context, partner, file, basedOn, changeId):
+    """Sends FILE as PARTNER's whole blueprint."""
+    _change(context, ("PUT", f"/v1/blueprints/{partner}"), partner, changeId,
+            {"basedOn": basedOn, "blueprint": _readFile(file)})
+
+
+@plan.command("change")
+@click.argument("partner")
+@click.argument("name")
+@click.argument("arguments")
+@BASED_ON
+@CHANGE_ID
+@click.pass_context
+def changePlan(context, partner, name, arguments, basedOn, changeId):
+    """Applies the change NAME with ARGUMENTS (JSON) to PARTNER's blueprint.
+
+    Changes: setBinding {"name","binding"}, removeBinding {"name"}, setPrograms {"programs"}, setShare {"share"}.
+    """
+    try:
+        parsed = json.loads(arguments)
+    except ValueError as error:
+        raise click.UsageError(f"ARGUMENTS is no JSON: {error}") from error
+    _change(context, ("POST", f"/v1/blueprints/{partner}/changes"), partner, changeId,
+            {"basedOn": basedOn, "change": name, "arguments": parsed})
+
+
+@plan.command("read")
+@click.argument("partner")
+@click.option("--version", type=click.IntRange(1), help="An older version; the newest if left out.")
+@click.pass_context
+def readPlan(context, partner, version):
+    """Shows PARTNER's blueprint."""
+    show(askFirst(_controls(context), "GET", f"/v1/blueprints/{partner}" + (f"?version={version}" if version else "")))
+
+
+@plan.command("outcome")
+@click.argument("partner")
+@click.argument("changeId")
+@click.pass_context
+def outcome(context, partner, changeid):
+    """Tells whether the change CHANGEID was accepted."""
+    show(askFirst(_controls(context), "GET", f"/v1/blueprints/{partner}/changes/{changeid}"))
+
+
+# --- looking -------------------------------------------------------------------
+
+def _listing(name, path, text):
+    @main.command(name, help=text)
+    @click.pass_context
+    def listing(context):
+        show(askFirst(_controls(context), "GET", path))
+
+
+_listing("nodes", "/v1/nodes", "Lists all nodes with their condition.")
+_listing("slots", "/v1/slots", "Lists the slots of the control state and who owns them.")
+_listing("stores", "/v1/stores", "Lists the store set with its epoch and conditions.")
+_listing("replicas", "/v1/replicas", "Lists the replicas as the platform listed them.")
+
+
+@main.command("leaving")
+@click.argument("replica")
+@click.pass_context
+def markLeaving(context, replica):
+    """Marks REPLICA as leaving: nothing more is placed on it."""
+    show(askFirst(_controls(context), "POST", f"/v1/replicas/{replica}/leaving", {}, onMaybe="oakctl replicas"))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/oakdvv/oakdvv/__init__.py
@@ -0,0 +1,1 @@
+"""Dotted version vectors: leq, sync, update and the opaque context."""
--- /dev/null
+++ b/packages/oakgate/oakgate/__init__.py
@@ -0,0 +1,1 @@
+"""Request filters, placing, carrying and streams."""
--- /dev/null
+++ b/packages/oakgate/oakgate/bindings.py
@@ -0,0 +1,82 @@
+"""What a gate knows of blueprints and replicas, and how old that is."""
+import json
+
+from cachetools import LRUCache
+
+from oakbase.constants import BLUEPRINT_AGE, FRESH_POLL, REPLICA_AGE, SLOTS
+from oakbase.tasks import sleep, spawn
+from oakbase.verdict import BadRequest, CannotTell, Unknown
+from oakcohort.rendezvous import slotOf
+from oakcontrol.owner import SLOT_SOURCE
+from oakcontrol.places import REPLICAS_KEY
+
+
+class Bindings:
+    """Reads the board's images. Invariant: nothing it gives out was replaced longer ago than the caller's
+    age check allows; the items are parsed once for each version of theirs."""
+
+    def __init__(self, node):
+        self._node, self._board = node, node.board
+        self._parsed = LRUCache(maxsize=20000)
+
+    def _item(self, source, name):
+        image = self._board.images.get(source)
+        version, value = image.items.get(name, (0, None)) if image else (0, None)
+        if value is None:
+            return None
+        if (source, name, version) not in self._parsed:
+            self._parsed[source, name, version] = json.loads(value)
+        return self._parsed[source, name, version]
+
+    def _rest(self, partner):
+        return self._item(f"blueprint/{partner}", "rest")
+
+    def share(self, partner):
+        return (self._rest(partner) or {}).get("share", 1)
+
+    def programs(self, partner):
+        rest = self._rest(partner)
+        if rest is None:
+            raise Unknown(f"no partner {partner}")
+        return rest["programs"]
+
+    def find(self, partner, name, kind):
+        binding = self._item(f"blueprint/{partner}", f"binding/{name}")
+        if binding is None:
+            self.programs(partner)
+            raise Unknown(f"no binding {name}")
+        if binding["kind"] != kind:
+            raise BadRequest(f"binding {name} is for {binding['kind']} requests")
+        return binding
+
+    def replicas(self):
+        image = self._board.images.get(REPLICAS_KEY)
+        rows = (self._item(REPLICAS_KEY, name) for name in list(image.items)) if image else ()
+        return {row["id"]: row for row in rows if row is not None}
+
+    # --- ages ---
+
+    def _blueprintAge(self, partner):
+        source = f"blueprint/{partner}"
+        # A partner without any blueprint is known to be so by the owner of the slot it would be in.
+        return self._board.age(source if source in self._board.images
+                               else f"{SLOT_SOURCE}{slotOf(source, SLOTS)}")
+
+    def staleness(self, partner):
+        """Why a request of this partner may not be carried now, or None."""
+        if self._blueprintAge(partner) > BLUEPRINT_AGE:
+            return "the blueprint's news is too old"
+        if self._board.age(REPLICAS_KEY) > REPLICA_AGE:
+            return "the replicas' news is too old"
+        return None
+
+    async def waitFresh(self, partner, endsAt):
+        """Returns once the news is new enough; refuses with no when the time left is spent first."""
+        reactor, asked = self._node.reactor, False
+        while (why := self.staleness(partner)) is not None:
+            if reactor.seconds() >= endsAt:
+                raise CannotTell(f"{why}, so the request was not carried", retryAfter=1)
+            if not asked:
+                asked = True
+                spawn(self._node.puller.pullNow(), self._node.log)
+            await sleep(reactor, FRESH_POLL)
--- /dev/null
+++ b/packages/oakgate/oakgate/carry.py
@@ -0,0 +1,89 @@
+"""Placing and carrying, shared by turns and plain calls."""
+import json
+
+from oakbase.constants import FRONT_TRIES
+from oakbase.tasks import within
+from oakbase.verdict import Broken, NoAnswer, OakError, Overloaded, TimeSpent, Verdict
+from oakgate.placer import Wish, prefixOf
+
+
+class Carrier:
+    def __init__(self, node, bindings, placer, webClient, metrics):
+        self._node, self._bindings, self._placer = node, bindings, placer
+        self._client, self._metrics = webClient, metrics
+
+    async def carry(self, request, send):
+        """Places the request, and calls `send(replica, lastCheck)`; on a no it goes on to another replica, on
+        a maybe only if the binding says that the request may be repeated and nothing has reached the caller."""
+        tried = set()
+        for attempt in range(FRONT_TRIES):
+            replica = await self._placeFresh(request, tried)
+            try:
+                return await send(replica, lambda: self._lastCheck(request, replica))
+            except OakError as error:
+                tried.add(replica.row["id"])
+                if error.verdict is Verdict.NO:
+                    self._placer.refused(replica)
+                self._metrics.count("carry_failed", verdict=error.verdict.value)
+                if attempt == FRONT_TRIES - 1 or not self._mayRetry(request, error):
+                    raise
+                self._node.log.event("carryRetried", replica=replica.row["id"], reason=error.reason,
+                                     verdict=error.verdict.value)
+            finally:
+                self._placer.release(replica)
+
+    def _mayRetry(self, request, error):
+        if error.verdict is Verdict.NO:
+            return True
+        return bool(request.binding.get("repeatable")) and not request.fields.get("begun") \
+            and self._node.reactor.seconds() < request.waitUntil and not request.call.isGone
+
+    async def _placeFresh(self, request, tried):
+        """A replica under a blueprint that is surely current. News that came while it waited counts."""
+        while True:
+            binding = request.binding
+            replica = await self._placer.place(Wish(
+                request.partner, binding["pool"], binding["urgency"], request.waitUntil,
+                request.fields.get("lineKey", ""), prefixOf(request.fields.get("start", "")),
+                binding.get("adapter"), binding.get("modelWeights"), tried))
+            try:
+                await self._bindings.waitFresh(request.partner, request.waitUntil)
+                if request.call.isGone:
+                    raise TimeSpent("the caller went away")
+                request.binding = self._bindings.find(request.partner, request.bindingName, request.kind)
+            except OakError:
+                self._placer.release(replica)
+                raise
+            if request.binding == binding and replica.row["state"] == "ready" \
+                    and replica.row["id"] in self._placer.replicas:
+                return replica
+            self._placer.release(replica)
+            request.remaining(self._node.reactor.seconds())
+
+    def _lastCheck(self, request, replica):
+        """Run with the connection made and nothing written: the rules hold at the moment of writing."""
+        why = self._bindings.staleness(request.partner)
+        if why is not None:
+            raise Overloaded(why, retryAfter=1)
+        if replica.row["state"] != "ready" or replica.row["id"] not in self._placer.replicas:
+            raise Overloaded("the replica is leaving", retryAfter=1)
+        if self._bindings.find(request.partner, request.bindingName, request.kind) != request.binding:
+            raise Overloaded("the binding was replaced", retryAfter=1)
+        if self._node.reactor.seconds() >= request.endsAt:
+            raise TimeSpent("no time is left")
+        request.left = True
+
+
+async def refusalOf(reactor, response, lines, timeLeft):
+    """The error for an answer that is not 200. No only if the replica itself says so."""
+    said = {}
+    try:
+        line = await within(reactor, timeLeft, lines.next(), NoAnswer("the replica's refusal did not end"))
+        said = json.loads(line) if line else {}
+    except (ValueError, OakError):
+        said = {}
+    finally:
+        lines.abort()
+    if isinstance(said, dict) and said.get("verdict") == "no":
+        return Overloaded(f"the replica refused with {response.code}", retryAfter=1)
+    return Broken(f"the replica answered {response.code}", Verdict.MAYBE)
--- /dev/null
+++ b/packages/oakgate/oakgate/placer.py
@@ -0,0 +1,235 @@
+"""Placing: which replica serves which request, and who goes first when none has room."""
+import heapq
+import itertools
+from dataclasses import dataclass, field
+
+from twisted.internet import defer
+
+from oakbase.constants import (DESCRIBE_PAUSE, DESCRIBE_TIME, GATE_REPLICA_IN_FLIGHT, PLACE_INBOX,
+                               PREFIX_CHARACTERS, RETRY_AFTER, WEIGHT_BOUND)
+from oakbase.tasks import Repeater, spawn, within
+from oakbase.verdict import OakError, Overloaded, TimeSpent, Unknown
+from oakcohort.rendezvous import ranked
+
+URGENCY = {"urgent": 0, "normal": 1, "patient": 2}
+DESCRIBED_AGE = 5 * DESCRIBE_PAUSE  # s; a description older than this says nothing about the weight
+
+
+@dataclass
+class Replica:
+    """A row of the gate's replica table. Invariant: `ownRunning` counts this gate's requests between
+    placing and release; `running` is what the replica said at `describedAt`, when `ownThen` were ours."""
+
+    row: dict
+    capacity: int = GATE_REPLICA_IN_FLIGHT
+    running: int = 0
+    ownRunning: int = 0
+    ownThen: int = 0
+    describedAt: float = float("-inf")
+    adapters: tuple = ()
+    modelWeights: str = ""
+    refusedAt: float = float("-inf")
+
+    def weight(self):
+        """Share of the capacity in use, as well as this gate can tell."""
+        return max(self.running + self.ownRunning - self.ownThen, self.ownRunning) / self.capacity
+
+    def hasRoom(self):
+        return self.weight() < 1 and self.ownRunning < GATE_REPLICA_IN_FLIGHT
+
+
+@dataclass
+class Wish:
+    """What a request needs of its replica."""
+
+    partner: str
+    pool: str
+    urgency: str
+    endsAt: float
+    lineKey: str = ""
+    prefix: str = ""
+    adapter: str | None = None
+    modelWeights: str | None = None
+    tried: set = field(default_factory=set)
+
+
+class Placer:
+    """Owner of the replica table and of the waiting requests.
+
+    Invariants: for each pool and partner at most PLACE_INBOX wait; `_served` rises by 1/share for each
+    request placed, and the partner with the least goes first; one that comes back after a pause starts
+    level with the least of those waiting, so nobody saves up."""
+
+    def __init__(self, node, bindings, webClient, metrics):
+        self._node, self._reactor, self._bindings, self._client = node, node.reactor, bindings, webClient
+        self._metrics = metrics
+        self.replicas = {}
+        self._waiting = {}
+        self._served = {}
+        self._order = itertools.count()
+        self._describing = set()
+        self._repeater = Repeater(node.reactor, DESCRIBE_PAUSE, self._describeAll, node.log)
+        node.board.watch("replicas", lambda _source: self._refresh())
+
+    def start(self):
+        self._repeater.start()
+
+    def stop(self):
+        self._repeater.stop()
+
+    # --- the table ---
+
+    def _refresh(self):
+        rows = self._bindings.replicas()
+        for replicaId in self.replicas.keys() - rows.keys():
+            del self.replicas[replicaId]
+        for replicaId, row in rows.items():
+            if replicaId not in self.replicas:
+                self.replicas[replicaId] = Replica(row)
+                spawn(self._describe(self.replicas[replicaId]), self._node.log)
+            self.replicas[replicaId].row = row
+        self._dispatchAll()
+
+    async def _describeAll(self):
+        for replica in list(self.replicas.values()):
+            if replica.row["id"] not in self._describing:
+                spawn(self._describe(replica), self._node.log)
+
+    async def _describe(self, replica):
+        """Asks the replica what it is and how much it does. One that does not answer keeps its last row,
+        which counts for nothing once it is old."""
+        replicaId = replica.row["id"]
+        self._describing.add(replicaId)
+        try:
+            own = replica.ownRunning
+            status, said = await self._client.json("GET", replica.row["address"], "/describe", None, DESCRIBE_TIME)
+            load = said.get("load")
+            if status != 200 or not isinstance(load, dict):
+                return
+            if any(type(load.get(name)) is not int or load[name] < low
+                   for name, low in (("running", 0), ("capacity", 1))):
+                self._node.log.event("describeUnreadable", replica=replicaId)
+                return
+            replica.running, replica.capacity, replica.ownThen = load["running"], load["capacity"], own
+            replica.adapters = tuple(map(str, said.get("adapters") or ()))
+            replica.modelWeights = str(said.get("weights", ""))
+            replica.describedAt = self._reactor.seconds()
+            self._dispatchAll()
+        except OakError as error:
+            self._node.log.event("describeFailed", replica=replicaId, reason=error.reason)
+        finally:
+            self._describing.discard(replicaId)
+
+    # --- placing ---
+
+    def _candidates(self, wish):
+        pool = [replica for replica in self.replicas.values() if replica.row["pool"] == wish.pool]
+        ready = [replica for replica in pool if replica.row["state"] == "ready"]
+        fitting = [replica for replica in ready
+                   if (wish.adapter is None or wish.adapter in replica.adapters)
+                   and (wish.modelWeights is None or wish.modelWeights == replica.modelWeights)]
+        return [replica for replica in fitting if replica.row["id"] not in wish.tried], len(ready)
+
+    def _place(self, wish):
+        """The replica for this wish now, or None if none has room.
+
+        The line's own order within those named for its prefix comes first, as long as the weight allows:
+        there the line's earlier turns, or at least the common start, are in the cache."""
+        candidates, _ = self._candidates(wish)
+        now = self._reactor.seconds()
+        roomy = [replica for replica in candidates if replica.hasRoom()]
+        sound = [replica for replica in roomy if now - replica.describedAt < DESCRIBED_AGE
+                 and now - replica.refusedAt > DESCRIBE_PAUSE] or roomy
+        if not sound:
+            return None
+        if not wish.lineKey:
+            return min(sound, key=lambda replica: (replica.weight(), replica.row["id"]))
+        byId = {replica.row["id"]: replica for replica in sound}
+        # Named over all that fit, not only over those with room, so that a full one does not move the rest.
+        everyId = [replica.row["id"] for replica in candidates]
+        near = ranked(everyId, wish.prefix)[:max(2, (len(everyId) + 1) // 2)] if wish.prefix else everyId
+        order = ranked(near, wish.lineKey) + [one for one in ranked(everyId, wish.lineKey) if one not in near]
+        light = [byId[one] for one in order if one in byId and byId[one].weight() < WEIGHT_BOUND]
+        return light[0] if light else min(sound, key=lambda replica: (replica.weight(), replica.row["id"]))
+
+    def hasInboxRoom(self, partner, pool):
+        return len(self._waiting.get((pool, partner), ())) < PLACE_INBOX
+
+    async def place(self, wish):
+        """A replica with one place taken on it; the caller must release it. Raises with verdict no."""
+        candidates, readyCount = self._candidates(wish)
+        if not candidates and readyCount and wish.tried:
+            raise Overloaded("every fitting replica said no", retryAfter=RETRY_AFTER)
+        if not candidates and readyCount:
+            described = [replica for replica in self.replicas.values() if replica.row["pool"] == wish.pool
+                         and replica.describedAt > float("-inf")]
+            if described:
+                raise Unknown("no replica of the pool has these weights and adapters")
+        heap = self._waiting.setdefault((wish.pool, wish.partner), [])
+        if len(heap) >= PLACE_INBOX:
+            raise Overloaded("too many requests wait for a replica", retryAfter=RETRY_AFTER)
+        if not heap:
+            self._startLevel(wish.pool, wish.partner)
+        waiter = defer.Deferred(lambda _: None)
+        heapq.heappush(heap, (URGENCY[wish.urgency], wish.endsAt, next(self._order), wish, waiter))
+        self._dispatch(wish.pool)
+        try:
+            return await within(self._reactor, wish.endsAt - self._reactor.seconds(), waiter,
+                                TimeSpent("no replica had room within the time left", retryAfter=RETRY_AFTER))
+        finally:
+            self._waiting[wish.pool, wish.partner] = heap = [
+                entry for entry in self._waiting[wish.pool, wish.partner] if entry[4] is not waiter]
+            heapq.heapify(heap)
+
+    def _startLevel(self, pool, partner):
+        level = min((self._served.get((pool, other), 0.0) for (otherPool, other), heap in self._waiting.items()
+                     if otherPool == pool and heap), default=None)
+        if level is not None:
+            self._served[pool, partner] = max(self._served.get((pool, partner), 0.0), level)
+
+    def _dispatchAll(self):
+        for pool in {pool for pool, _ in self._waiting}:
+            self._dispatch(pool)
+
+    def _dispatch(self, pool):
+        """Gives out room while there is any: to the partner served least, and of its requests to the most
+        urgent with the least time left."""
+        blocked = set()
+        while True:
+            partners = [(self._served.get((pool, partner), 0.0), partner)
+                        for (waitingPool, partner), heap in self._waiting.items()
+                        if waitingPool == pool and heap and partner not in blocked]
+            if not partners:
+                return
+            _, partner = min(partners)
+            heap = self._waiting[pool, partner]
+            entry = next((entry for entry in sorted(heap) if self._place(entry[3]) is not None), None)
+            if entry is None:
+                blocked.add(partner)
+                continue
+            heap.remove(entry)
+            heapq.heapify(heap)
+            replica = self._place(entry[3])
+            replica.ownRunning += 1
+            self._served[pool, partner] = (self._served.get((pool, partner), 0.0)
+                                           + 1 / self._bindings.share(partner))
+            self._metrics.count("placed", replica=replica.row["id"])
+            if entry[4].called:
+                replica.ownRunning -= 1
+                continue
+            entry[4].callback(replica)
+
+    def release(self, replica):
+        replica.ownRunning -= 1
+        self._dispatch(replica.row["pool"])
+
+    def refused(self, replica):
+        """The replica said no, or could not be reached: others go first for a while."""
+        replica.refusedAt = self._reactor.seconds()
+
+    def waitingCount(self):
+        return sum(map(len, self._waiting.values()))
+
+
+def prefixOf(text):
+    return text[:PREFIX_CHARACTERS]
--- /dev/null
+++ b/packages/oakgate/oakgate/plain.py
@@ -0,0 +1,90 @@
+"""The filters of a plain service call: bind, claim, then place and carry."""
+import json
+
+from schema import Optional, Or
+
+from oakbase.checks import NAME, checkFields, packJson, seconds
+from oakbase.constants import CALL_TIME, CLAIM_ANSWER_LIMIT, SETTLE_TIME, TIME_LEFT_LIMIT
+from oakbase.verdict import Broken, Conflict, NoAnswer, OakError, Overloaded, TimeSpent, Verdict
+from oakgate.request import Request, chain, printOf
+
+PLAIN = {Optional("key"): Or(None, NAME, error="must be a name"), "body": dict,
+         Optional("timeLeft"): seconds(0.05, TIME_LEFT_LIMIT)}
+
+
+class Plain:
+    def __init__(self, gate):
+        self._gate, self._node, self._reactor = gate, gate.node, gate.node.reactor
+        self._bindings, self._owners, self._carrier = gate.bindings, gate.owners, gate.carrier
+        self._run = chain([self._bind, self._claim], self._carry)
+
+    async def post(self, call):
+        names = checkFields({"partner": NAME, "binding": NAME}, call.names)
+        body = checkFields(PLAIN, call.json())
+        request = Request(call, names["partner"], names["binding"], "plain", body, self._gate.mintId(),
+                          self._reactor.seconds(), body["timeLeft"])
+        try:
+            answer = await self._run(request)
+        except OakError as error:
+            self._gate.metrics.count("plain", outcome=error.code)
+            raise
+        self._gate.metrics.count("plain", outcome="done")
+        return 200, answer
+
+    async def _bind(self, request, onward):
+        await self._bindings.waitFresh(request.partner, self._reactor.seconds() + CALL_TIME)
+        request.bound(self._bindings.find(request.partner, request.bindingName, request.kind))
+        if not self._gate.placer.hasInboxRoom(request.partner, request.binding["pool"]):
+            raise Overloaded("too many requests wait for a replica", retryAfter=1)
+        return await onward(request)
+
+    async def _claim(self, request, onward):
+        """A keyed call is claimed on a majority of disks before it may leave, and its answer kept after."""
+        key = request.body["key"]
+        if key is None:
+            return {"answer": await onward(request)}
+        claimKey = f"claim/{request.partner}/{key}"
+        pairs = {"admission": request.admission, "print": printOf([request.bindingName, request.body["body"]])}
+
+        def later(command, **more):
+            self._gate.background(self._owners.call(claimKey, command, pairs | more, SETTLE_TIME))
+        try:
+            claimed = await self._owners.call(claimKey, "claim", pairs, request.remaining(self._reactor.seconds()))
+        except NoAnswer as error:
+            later("free")  # it may be claimed, but it will not be carried
+            raise TimeSpent(f"the claim's owner did not answer: {error.reason}", retryAfter=1) from error
+        if claimed["state"] == "done" and claimed["answer"] is None:
+            raise Conflict("this ran before; its answer was too large to keep", Verdict.YES)
+        if claimed["state"] == "done":
+            return {"answer": claimed["answer"], "kept": True}
+        try:
+            answer = await onward(request)
+        except OakError as error:
+            if error.verdict is Verdict.NO:
+                later("free")
+            raise
+        later("finish", answer=answer if len(packJson(answer)) <= CLAIM_ANSWER_LIMIT else None)
+        return {"answer": answer}
+
+    async def _carry(self, request):
+        asked = {"run": request.admission, "key": request.body["key"], "body": request.body["body"]}
+        return await self._carrier.carry(request, lambda replica, lastCheck: self._send(
+            request, asked, replica, lastCheck))
+
+    async def _send(self, request, asked, replica, lastCheck):
+        status, data = await self._gate.webClient.data(
+            "POST", replica.row["address"], "/call", asked, request.endsAt - self._reactor.seconds(),
+            lastCheck=lastCheck)
+        try:
+            said = json.loads(data)
+        except ValueError as error:
+            raise Broken("the replica answered with what is no JSON", Verdict.MAYBE) from error
+        if not isinstance(said, dict):
+            raise Broken("the replica's answer is no object", Verdict.MAYBE)
+        if status != 200 and said.get("verdict") == "no":
+            raise Overloaded(f"the replica refused with {status}", retryAfter=1)
+        if status != 200:
+            raise Broken(f"the replica answered {status}", Verdict.MAYBE)
+        if said.get("run") != request.admission or not isinstance(said.get("answer"), dict):
+            raise Broken("the replica gave an answer to another request", Verdict.MAYBE)
+        return said["answer"]
--- /dev/null
+++ b/packages/oakgate/oakgate/request.py
@@ -0,0 +1,60 @@
+"""A caller's request on its way through the filters, and the chain itself."""
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+from oakbase.checks import packJson
+from oakbase.constants import TIME_LEFT_DEFAULT
+from oakbase.verdict import TimeSpent
+
+
+@dataclass
+class Request:
+    """Until `waitUntil` it may wait to be carried (the binding's bound), until `endsAt` it may run (the
+    caller's). Invariants: `waitUntil` <= `endsAt`; `admission` is new for each request that a gate takes in, so that what one try asked
+    for can be told from another's; `left` turns true before the first byte may reach a replica."""
+
+    call: object
+    partner: str
+    bindingName: str
+    kind: str
+    body: dict
+    admission: str
+    askedAt: float
+    timeLeft: float | None = None
+    binding: dict = None
+    endsAt: float = 0.0
+    waitUntil: float = 0.0
+    left: bool = False
+    fields: dict = field(default_factory=dict)
+
+    def bound(self, binding):
+        self.binding = binding
+        self.endsAt = self.askedAt + (self.timeLeft or TIME_LEFT_DEFAULT)
+        self.waitUntil = min(self.endsAt, self.askedAt + binding["maxWaitSeconds"])
+
+    def remaining(self, now):
+        """Seconds in which it may still be carried."""
+        if now >= self.waitUntil:
+            raise TimeSpent("no time is left to wait")
+        return self.waitUntil - now
+
+
+def printOf(value):
+    """What tells one request from another under the same id."""
+    return blake2b(packJson(value), digest_size=16).hexdigest()
+
+
+def chain(filters, last):
+    """One coroutine function of a request: each filter gets the request and what comes after it."""
+    onward = last
+    for one in reversed(filters):
+        onward = _Joint(one, onward)
+    return onward
+
+
+class _Joint:
+    def __init__(self, one, onward):
+        self._one, self._onward = one, onward
+
+    def __call__(self, request):
+        return self._one(request, self._onward)
--- /dev/null
+++ b/packages/oakgate/oakgate/turns.py
@@ -0,0 +1,213 @@
+"""The filters of a turn: bind, admit, recall, then place and carry, retain, settle."""
+from schema import And, Optional, Or
+
+from oakbase.checks import NAME, checkFields, seconds, whole
+from oakbase.constants import (CALL_TIME, PIECE_LIMIT, SETTLE_TIME, SETTLE_WAIT, TIME_LEFT_LIMIT, UNITS_LIMIT)
+from oakbase.fetch import BodyLines
+from oakbase.tasks import shielded, within
+from oakbase.verdict import (BadRequest, BudgetEmpty, Broken, Conflict, Gone, NoAnswer, OakError, Overloaded,
+                             TimeSpent, Verdict)
+from oakgate.carry import refusalOf
+from oakgate.request import Request, chain, printOf
+from oakgate.stream import CallerStream, RunReader
+
+TURN = {
+    "turnId": NAME,
+    "binding": NAME,
+    "after": Or(None, NAME, error="must be null or the id of an earlier turn"),
+    "input": And(str, len, error="must be a text that is not empty"),
+    Optional("timeLeft"): seconds(0.05, TIME_LEFT_LIMIT),
+    Optional("maxOutput"): whole(1, 1 << 20),
+}
+PROGRAM = {"program": NAME, Optional("limit"): whole(1, UNITS_LIMIT)}
+
+
+class Turns:
+    def __init__(self, gate):
+        self._gate, self._node, self._reactor = gate, gate.node, gate.node.reactor
+        self._bindings, self._owners, self._lines = gate.bindings, gate.owners, gate.lines
+        self._placer, self._carrier = gate.placer, gate.carrier
+        self._run = chain([self._bind, self._admit, self._recall, self._retain], self._carry)
+
+    # --- programs ---
+
+    async def openProgram(self, call):
+        partner = call.names["partner"]
+        body = checkFields(PROGRAM, call.json())
+        await self._bindings.waitFresh(partner, self._reactor.seconds() + CALL_TIME)
+        rules = self._bindings.programs(partner)
+        limit = body["limit"] or rules["defaultLimit"]
+        if limit > rules["maxLimit"]:
+            raise BadRequest(f"limit is above the plan's {rules['maxLimit']}")
+        shown = await self._owners.call(f"budget/{partner}/{body['program']}", "open", {"limit": limit},
+                                        2 * CALL_TIME)
+        return 201, {"program": body["program"]} | shown
+
+    async def readProgram(self, call):
+        partner, program = call.names["partner"], call.names["program"]
+        checkFields({"partner": NAME, "program": NAME}, call.names)
+        shown = await self._owners.call(f"budget/{partner}/{program}", "read", {}, 2 * CALL_TIME)
+        return 200, {"program": program} | shown
+
+    # --- turns ---
+
+    async def postTurn(self, call):
+        names = checkFields({"partner": NAME, "program": NAME, "line": NAME}, call.names)
+        body = checkFields(TURN, call.json())
+        request = Request(call, names["partner"], body["binding"], "model", body, self._gate.mintId(),
+                          self._reactor.seconds(), body["timeLeft"])
+        request.fields |= {
+            "budgetKey": f"budget/{names['partner']}/{names['program']}",
+            "lineKey": f"{names['partner']}/{names['program']}/{names['line']}",
+            "turnKey": f"{names['line']}/{body['turnId']}",
+            "print": printOf([body["binding"], body["after"], body["input"], body["maxOutput"]]),
+        }
+        stream = CallerStream(call)
+        request.fields["stream"] = stream
+        try:
+            await self._run(request)
+        except OakError as error:
+            self._gate.metrics.count("turns", outcome=error.code)
+            if not stream.begun:
+                raise
+            stream.breakOff(error)
+            return
+        self._gate.metrics.count("turns", outcome="done")
+
+    async def _bind(self, request, onward):
+        await self._bindings.waitFresh(request.partner, self._reactor.seconds() + CALL_TIME)
+        request.bound(self._bindings.find(request.partner, request.bindingName, request.kind))
+        if not self._placer.hasInboxRoom(request.partner, request.binding["pool"]):
+            raise Overloaded("too many requests wait for a replica", retryAfter=1)
+        reserve = request.binding["maxOutput"]
+        request.fields["reserve"] = min(reserve, request.body["maxOutput"] or reserve)
+        await onward(request)
+
+    async def _admit(self, request, onward):
+        """Reserves what the turn may put out; whatever happens after, the reservation is settled."""
+        fields = request.fields
+        answered = self._owners.call(fields["budgetKey"], "admit", {
+            "turn": fields["turnKey"], "print": fields["print"], "reserve": fields["reserve"],
+            "admission": request.admission, "gate": self._node.nodeId,
+            "repeatable": bool(request.binding.get("repeatable"))}, request.remaining(self._reactor.seconds()))
+        try:
+            state = (await answered)["state"]
+        except NoAnswer as error:
+            # It may be reserved, but it will not be carried: so it never runs.
+            self._settleLater(request, "never", 0)
+            raise TimeSpent(f"the budget's owner did not answer: {error.reason}", retryAfter=1) from error
+        if state == "refused":
+            raise BudgetEmpty("the program has put out all of its budget")
+        if state != "admitted":
+            await self._replayKept(request, state)
+            return
+        try:
+            await onward(request)
+        except OakError as error:
+            outcome = "broken" if request.left and error.verdict is not Verdict.NO else "never"
+            self._settleLater(request, outcome, self._unitsOf(request, outcome))
+            raise
+        except BaseException:
+            self._settleLater(request, "broken", fields["reserve"])
+            raise
+
+    def _unitsOf(self, request, outcome):
+        """What a turn that broke off may have put out: what was seen, or all that was reserved if the
+        replica may have gone on where nobody saw it."""
+        if outcome == "never":
+            return 0
+        reader = request.fields.get("reader")
+        return reader.units if reader is not None else request.fields["reserve"]
+
+    def _settle(self, request, outcome, units):
+        fields = request.fields
+        return self._owners.call(fields["budgetKey"], "settle", {
+            "turn": fields["turnKey"], "print": fields["print"], "admission": request.admission,
+            "units": units, "outcome": outcome}, SETTLE_TIME)
+
+    def _settleLater(self, request, outcome, units):
+        return self._gate.background(self._settle(request, outcome, units))
+
+    async def _recall(self, request, onward):
+        fields, body = request.fields, request.body
+        line = await self._lines.get(fields["lineKey"], request.remaining(self._reactor.seconds()))
+        if body["turnId"] in line.turns:
+            raise Conflict("a turn with this id is on the line already")
+        fields["line"] = line
+        fields["path"] = line.pathTo(body["after"])
+        fields["start"] = (fields["path"][0] if fields["path"] else body)["input"]
+        await onward(request)
+
+    async def _retain(self, request, onward):
+        """Keeps the finished turn and settles it, and only then lets the caller see the closing event."""
+        fields, body = request.fields, request.body
+        await onward(request)
+        reader = fields["reader"]
+        turn = {"parent": body["after"], "input": body["input"], "pieces": reader.pieces, "run": fields["run"],
+                "print": fields["print"]}
+        try:
+            await self._lines.keep(fields["lineKey"], fields["line"], body["turnId"], turn, SETTLE_TIME)
+        except OakError as error:
+            raise Broken(f"the turn ran, but is not surely kept: {error.reason}") from error
+        settling = self._settleLater(request, "done", reader.units)
+        try:
+            await within(self._reactor, SETTLE_WAIT, shielded(settling))
+        except OakError as error:
+            self._node.log.event("settlingLate", turn=fields["turnKey"], reason=error.reason)
+        fields["stream"].end(turn=body["turnId"], units=reader.units)
+
+    async def _carry(self, request):
+        fields, body = request.fields, request.body
+        asked = {
+            "turn": body["turnId"], "line": fields["lineKey"], "input": body["input"],
+            "history": [{"input": turn["input"], "output": "".join(text for text, _ in turn["pieces"])}
+                        for turn in fields["path"]],
+            "maxOutput": fields["reserve"]}
+        if request.binding.get("adapter"):
+            asked["adapter"] = request.binding["adapter"]
+        await self._carrier.carry(request, lambda replica, lastCheck: self._stream(
+            request, asked, replica, lastCheck))
+
+    async def _stream(self, request, asked, replica, lastCheck):
+        fields = request.fields
+        # Each carry is a run of its own, so pieces of two runs can never pass for one.
+        fields["run"] = run = self._gate.mintId()
+        fields["stream"].useRun(run)
+        fields.pop("reader", None)
+        response = await self._gate.webClient.send(
+            "POST", replica.row["address"], "/turn", asked | {"run": run},
+            request.endsAt - self._reactor.seconds(), lastCheck)
+        lines = BodyLines(PIECE_LIMIT)
+        response.deliverBody(lines)
+        if response.code != 200:
+            raise await refusalOf(self._reactor, response, lines, CALL_TIME)
+        fields["reader"] = reader = RunReader(self._reactor, run, lines, fields["reserve"])
+        if request.binding.get("onCallerGone", "cancel") == "cancel":
+            request.call.gone.addCallback(lambda _: lines.abort())
+        try:
+            while (piece := await reader.next(request.endsAt)) is not None:
+                fields["begun"] = True
+                fields["stream"].piece(*piece)
+        except OakError as error:
+            if request.call.isGone:
+                raise Broken("the caller went away") from error
+            raise
+        finally:
+            lines.abort()
+
+    async def _replayKept(self, request, state):
+        """A turn id that was used before: the kept answer, if it was kept, else what is known of it."""
+        fields = request.fields
+        line = await self._lines.get(fields["lineKey"], request.remaining(self._reactor.seconds()))
+        turn = line.turns.get(request.body["turnId"])
+        if turn is None and state == "done":
+            raise Gone("this turn ran, but is kept no longer", Verdict.YES)
+        if turn is None:
+            raise Broken("this turn ran before and broke off", Verdict.MAYBE if state == "vanished" else Verdict.YES)
+        if turn["print"] != fields["print"]:
+            raise Conflict("this turn id was used for another request")
+        stream = fields["stream"]
+        stream.useRun(turn["run"])
+        for text, units in turn["pieces"]:
+            stream.piece(text, units)
+        stream.end(turn=request.body["turnId"], units=sum(units for _, units in turn["pieces"]), kept=True)
--- /dev/null
+++ b/packages/oaklab/oaklab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, fleet runner and simulator."""
--- /dev/null
+++ b/packages/oaklab/oaklab/fleet.py
@@ -0,0 +1,122 @@
+"""A fleet of real processes on loopback addresses. Only the lab starts processes; the daemons never do."""
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+
+from oakctl.asking import ask
+from oaklab.plan import PLATFORM, SIZES, blueprintOf, PARTNERS, envOf, machinesOf
+
+PROGRAMS = {"control": "oakcored", "store": "oakstored", "gate": "oakgated"}
+START_TIME = 30.0  # s; a dozen interpreters starting at once on a busy machine
+
+
+def _program(name):
+    return os.path.join(os.path.dirname(sys.executable), name)
+
+
+class Fleet:
+    """Invariant: `_processes` holds only processes that this fleet started and has not seen end."""
+
+    def __init__(self, folder, sizeName):
+        self.folder, self.sizeName = folder, sizeName
+        self.machines = machinesOf(SIZES[sizeName])
+        self._processes = {}
+        os.makedirs(folder, exist_ok=True)
+
+    def ofKind(self, kind):
+        return [machine for machine in self.machines if machine.kind == kind]
+
+    def _spawn(self, name, command):
+        with open(os.path.join(self.folder, f"{name}.log"), "ab") as log:
+            self._processes[name] = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+
+    def startStandins(self):
+        self._spawn("standins", [_program("oaklab"), "standins", "--size", self.sizeName])
+
+    def start(self, name):
+        machine = next(one for one in self.machines if one.name == name)
+        path = os.path.join(self.folder, f"{name}.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(envOf(machine, self.machines, os.path.join(self.folder, name)), file, indent=1)
+        self._spawn(name, [_program(PROGRAMS[machine.kind]), "--env", path])
+
+    def startAll(self):
+        for machine in self.machines:
+            self.start(machine.name)
+
+    def signal(self, name, number):
+        self._processes[name].send_signal(number)
+
+    def kill(self, name):
+        self._processes[name].kill()
+        self._processes.pop(name).wait()
+
+    def stop(self, name, timeLeft=60):
+        """A planned stop; returns the exit code."""
+        self._processes[name].send_signal(signal.SIGTERM)
+        return self._processes.pop(name).wait(timeLeft)
+
+    def isRunning(self, name):
+        return name in self._processes and self._processes[name].poll() is None
+
+    def down(self):
+        for process in self._processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in self._processes.values():
+            process.wait()
+        self._processes.clear()
+
+    def dropDisk(self, name):
+        folder = os.path.join(self.folder, name)
+        for file in os.listdir(folder):
+            os.remove(os.path.join(folder, file))
+
+    # --- bringing it up ---
+
+    def control(self, *words):
+        """Runs oakctl as an operator would."""
+        command = [_program("oakctl")]
+        for machine in self.ofKind("control"):
+            command += ["--control", machine.http]
+        return subprocess.run([*command, *words], capture_output=True, text=True, check=False)
+
+    def waitFor(self, what, check, timeLeft=START_TIME):
+        endsAt = time.monotonic() + timeLeft
+        while True:
+            try:
+                result = check()
+                if result:
+                    return result
+            except OSError:
+                pass
+            if time.monotonic() > endsAt:
+                raise TimeoutError(f"{what} did not happen within {timeLeft} s")
+            time.sleep(0.1)
+
+    def bringUp(self):
+        self.startStandins()
+        self.startAll()
+        for machine in self.machines:
+            self.waitFor(f"{machine.name} answering", lambda machine=machine: ask(machine.http, "GET", "/condition"))
+        self.waitFor("the stand-ins answering", lambda: ask(PLATFORM, "GET", "/replicas"))
+        stores = [word for machine in self.ofKind("store") for word in ("--store", machine.http)]
+        done = self.control("init", "--cluster", "lab", *stores)
+        if done.returncode:
+            raise RuntimeError(done.stderr)
+        for partner in PARTNERS:
+            path = os.path.join(self.folder, f"plan-{partner}.json")
+            with open(path, "w", encoding="utf-8") as file:
+                json.dump(blueprintOf(partner), file, indent=1)
+            done = self.control("plan", "put", partner, path, "--based-on", "0")
+            if done.returncode:
+                raise RuntimeError(done.stderr)
+        self.waitReady()
+
+    def waitReady(self):
+        for machine in self.machines:
+            self.waitFor(f"{machine.name} being ready", lambda machine=machine: ask(
+                machine.http, "GET", "/condition")[1].get("condition") == "ready")
--- /dev/null
+++ b/packages/oaklab/oaklab/plan.py
@@ -0,0 +1,74 @@
+"""The lab's machines, replicas and blueprints: the brief's sizes, and a small fleet for a first look."""
+from dataclasses import dataclass
+
+NETWORK = "127.20"  # loopback addresses, one for each machine
+
+
+@dataclass(frozen=True)
+class Machine:
+    name: str
+    kind: str       # control, store, gate
+    zone: str
+    host: str
+
+    @property
+    def peer(self):
+        return f"{self.host}:7400"
+
+    @property
+    def http(self):
+        return f"{self.host}:7480"
+
+
+@dataclass(frozen=True)
+class Size:
+    gates: int
+    stores: int
+    controls: int
+    replicas: tuple  # (pool, kind, count)
+
+
+SIZES = {
+    "small": Size(1, 3, 3, (("dalatech-model", "model", 1), ("dalatech-results", "plain", 1),
+                            ("nile-model", "model", 1), ("nile-notices", "plain", 1))),
+    "brief": Size(8, 3, 5, (("dalatech-model", "model", 9), ("dalatech-results", "plain", 3),
+                            ("nile-model", "model", 5), ("nile-notices", "plain", 3))),
+}
+PLATFORM = f"{NETWORK}.200.1:7490"
+
+
+def machinesOf(size):
+    counts = (("control", size.controls, 1), ("store", size.stores, 2), ("gate", size.gates, 3))
+    return [Machine(f"{kind}{number}", kind, f"zone{number % 3}", f"{NETWORK}.{net}.{number + 1}")
+            for kind, count, net in counts for number in range(count)]
+
+
+def replicaRows(size):
+    rows = [(f"{pool}-{number}", pool) for pool, _, count in size.replicas for number in range(count)]
+    return [(replicaId, f"{NETWORK}.201.{index + 1}:7491", pool) for index, (replicaId, pool) in enumerate(rows)]
+
+
+def envOf(machine, machines, folder=None, seeds=None):
+    seeds = seeds or [other.peer for other in machines if other.kind == "control"][:3]
+    env = {"machine": machine.name, "zone": machine.zone, "peer": machine.peer, "http": machine.http, "seeds": seeds}
+    if machine.kind == "gate":
+        return env
+    return env | {"folder": folder} | ({"platform": PLATFORM} if machine.kind == "control" else {})
+
+
+def blueprintOf(partner, adapter=None):
+    prefix, plain, plainName = {"dalatech": ("dalatech", "dalatech-results", "results"),
+                                "nile": ("nile", "nile-notices", "notices")}[partner]
+    chat = {"kind": "model", "pool": f"{prefix}-model", "urgency": "normal", "maxWaitSeconds": 20, "maxOutput": 64}
+    bindings = {
+        "chat": chat | ({"adapter": adapter} if adapter else {}),
+        "ask": chat | {"repeatable": True, "onCallerGone": "finish"} | ({"adapter": adapter} if adapter else {}),
+        plainName: {"kind": "plain", "pool": plain, "urgency": "urgent", "maxWaitSeconds": 5},
+        f"{plainName}-read": {"kind": "plain", "pool": plain, "urgency": "normal", "maxWaitSeconds": 5,
+                              "repeatable": True},
+    }
+    return {"bindings": bindings, "programs": {"defaultLimit": 200, "maxLimit": 100000}, "share": 1}
+
+
+PARTNERS = ("dalatech", "nile")
+PLAIN_NAMES = {"dalatech": "results", "nile": "notices"}
--- /dev/null
+++ b/packages/oaknews/oaknews/__init__.py
@@ -0,0 +1,1 @@
+"""Images and deltas, pulled by a vector of versions."""
--- /dev/null
+++ b/packages/oaknews/oaknews/board.py
@@ -0,0 +1,130 @@
+"""Images of all sources, and the deltas between them.
+
+A source is one thing with one writer at a time (a published control key, or one boot of a node) and a
+version that only rises. A puller sends the version it has of each source and gets what is newer, with
+the age of the source's last confirmation. Ages travel as durations and are counted back on the
+receiver's own clock from the moment it asked, so they can only be overstated.
+"""
+from dataclasses import dataclass, field
+
+from oakwire.codec import idl
+
+AGE_LIMIT = 2 ** 31 - 1  # ms, the largest age that fits the wire's field
+
+
+@dataclass
+class Image:
+    """Invariants: every item's version <= `version`; an item with value None was removed at its version;
+    at monotonic time `confirmedAt` the source still stood at `version`; all changes and removals after
+    version `base` are in `items`, so a delta can be given from `base` on and from nowhere earlier."""
+
+    version: int = 0
+    base: int = 0
+    items: dict = field(default_factory=dict)
+    confirmedAt: float = float("-inf")
+
+
+class Board:
+    def __init__(self, reactor):
+        self._reactor = reactor
+        self.images = {}
+        self._ownSources = {}
+        self._watchers = {}
+
+    # --- own sources ---
+
+    def publish(self, source, confirmedAt):
+        """This node speaks for `source` from now on. `confirmedAt()` is the newest time for which it may
+        vouch, or None if it cannot at the moment."""
+        self._ownSources[source] = confirmedAt
+        return self.images.setdefault(source, Image())
+
+    def retract(self, source):
+        self._ownSources.pop(source, None)
+
+    def setItems(self, source, version, values):
+        """The source moved to `version` and now has these items and no others."""
+        image = self.images.setdefault(source, Image())
+        if version <= image.version:
+            return
+        gone = [name for name, (_, value) in image.items.items() if value is not None and name not in values]
+        changed = {name: value for name, value in values.items()
+                   if image.items.get(name, (0, None))[1] != value}
+        changed |= dict.fromkeys(gone)
+        if not image.version:
+            image.base = version
+        image.items |= {name: (version, value) for name, value in changed.items()}
+        image.version = version
+        self._tell(source)
+
+    # --- reading ---
+
+    def confirmedAt(self, source):
+        """This node's monotonic time at which its image of the source was surely the newest."""
+        image = self.images.get(source)
+        if image is None:
+            return float("-inf")
+        own = self._ownSources.get(source)
+        at = own() if own else None
+        if at is not None:
+            image.confirmedAt = max(image.confirmedAt, at)
+        return image.confirmedAt
+
+    def age(self, source):
+        return self._reactor.seconds() - self.confirmedAt(source)
+
+    def values(self, source):
+        image = self.images.get(source)
+        return {} if image is None else {
+            name: value for name, (_, value) in image.items.items() if value is not None}
+
+    def watch(self, prefix, watcher):
+        """`watcher(source)` is called when the image of a source with this prefix has moved."""
+        self._watchers.setdefault(prefix, []).append(watcher)
+
+    def _tell(self, source):
+        for prefix, watchers in self._watchers.items():
+            if source.startswith(prefix):
+                for watcher in watchers:
+                    watcher(source)
+
+    def drop(self, source):
+        self.images.pop(source, None)
+
+    # --- pulling ---
+
+    def seen(self):
+        return [idl.Seen(source=source, version=image.version) for source, image in self.images.items()]
+
+    def newsFor(self, seen):
+        known = {one.source: one.version for one in seen}
+        return [self._imageFor(source, known.get(source, 0)) for source, image in self.images.items()
+                if image.version >= known.get(source, 0)]
+
+    def _imageFor(self, source, version):
+        image = self.images[source]
+        whole = version < image.base
+        items = [idl.Item(name=name, version=itemVersion, value=value)
+                 for name, (itemVersion, value) in image.items.items()
+                 if (value is not None if whole else itemVersion > version)]
+        age = self.age(source)
+        return idl.Image(source=source, version=image.version, whole=whole, items=items,
+                         ageMs=AGE_LIMIT if age > AGE_LIMIT / 1000 else int(age * 1000) + 1)
+
+    def merge(self, news, askedAt):
+        for received in news:
+            if received.source in self._ownSources:
+                continue
+            image = self.images.setdefault(received.source, Image())
+            if received.version < image.version:
+                continue
+            moved = received.version > image.version
+            if moved:
+                items = {item.name: (item.version, item.value) for item in received.items
+                         if received.whole or item.version > image.items.get(item.name, (0, None))[0]}
+                image.items = items if received.whole else image.items | items
+                image.base = received.version if received.whole else image.base
+                image.version = received.version
+            image.confirmedAt = max(image.confirmedAt, askedAt - received.ageMs / 1000)
+            if moved:
+                self._tell(received.source)
--- /dev/null
+++ b/packages/oaknews/oaknews/puller.py
@@ -0,0 +1,104 @@
+"""The task that pulls news from each cohort member, and the node's own row among the members."""
+import json
+
+from oakbase.constants import PULL_PAUSE, PULL_TIME
+from oakbase.tasks import Repeater, settled, sleep, spawn
+from oakbase.verdict import OakError
+from oakcohort.members import Member
+from oakwire.codec import idl
+
+NODE_SOURCE = "node/"
+
+
+class Puller:
+    """`_pulling` names the addresses with a pull under way: never two to one address."""
+
+    def __init__(self, reactor, net, board, members, identity, me, seeds, random, log):
+        self._reactor, self._net, self._board, self._members = reactor, net, board, members
+        self._identity, self._me, self._seeds, self._random, self._log = identity, me, list(seeds), random, log
+        self._source = f"{NODE_SOURCE}{me.nodeId}/{me.boot}"
+        self._version = 0
+        self._pulling = set()
+        self._rounds = 0
+        self._repeater = None
+        board.publish(self._source, reactor.seconds)
+        board.watch(NODE_SOURCE, self._noteMember)
+        self.describe(me)
+        net.handle("pull", self._servePull)
+
+    def describe(self, member):
+        """Publishes this node's own row."""
+        self._me = member
+        self._version += 1
+        self._board.setItems(self._source, self._version, {"about": json.dumps(vars(member)).encode()})
+
+    @property
+    def me(self):
+        return self._me
+
+    def _noteMember(self, source):
+        about = self._board.values(source).get("about")
+        if about is None:
+            return
+        try:
+            self._members.note(Member(**json.loads(about)), self._board.confirmedAt(source))
+        except (ValueError, TypeError) as error:
+            self._log.event("memberUnreadable", source=source, error=repr(error))
+
+    async def _servePull(self, _peer, arguments):
+        return idl.News(images=self._board.newsFor(arguments.seen or []), clusterId=self._net.clusterId)
+
+    def start(self):
+        self._repeater = Repeater(self._reactor, PULL_PAUSE, self._round, self._log).start()
+
+    def stop(self):
+        if self._repeater:
+            self._repeater.stop()
+
+    async def sayLeaving(self):
+        """Tells the others, before it stops, that this node is about to."""
+        self.describe(Member(**(vars(self._me) | {"state": "leaving"})))
+        await sleep(self._reactor, 2 * PULL_PAUSE)
+
+    async def _round(self):
+        self._refresh()
+        self._rounds += 1
+        addresses = {member.peer for member in self._members.cohort(self._me.kind)}
+        # One more place each few rounds: it joins a new node and heals what a cut has parted.
+        others = [address for address in {*self._seeds, *self._identity.addresses} - addresses
+                  if address != self._me.peer]
+        if others and (not addresses or self._rounds % 5 == 0):
+            addresses |= set(others) if not addresses else {self._random.choice(sorted(others))}
+        for address in sorted(addresses - self._pulling):
+            spawn(self._pullFrom(address), self._log)
+
+    def _refresh(self):
+        for source in list(self._board.images):
+            if source.startswith(NODE_SOURCE):
+                self._noteMember(source)
+        forgotten = set(self._members.forgetOld())
+        for source in [source for source in self._board.images if source.rpartition("/")[2] in forgotten]:
+            self._board.drop(source)
+        if self._net.clusterId:
+            self._identity.learn({member.peer for member in self._members.live("control")}
+                                 or set(self._identity.addresses))
+
+    async def _pullFrom(self, address):
+        self._pulling.add(address)
+        try:
+            askedAt = self._reactor.seconds()
+            news = await self._net.call(address, "pull", PULL_TIME, seen=self._board.seen())
+            if news.clusterId and not self._net.clusterId:
+                self._identity.joinCluster(news.clusterId)
+                self._net.joinCluster(news.clusterId)
+                self._log.event("joinedCluster", clusterId=news.clusterId, through=address)
+            self._board.merge(news.images or [], askedAt)
+        except OakError as error:
+            self._log.event("pullFailed", address=address, reason=error.reason)
+        finally:
+            self._pulling.discard(address)
+
+    async def pullNow(self):
+        """One pull from every cohort member, for a request that waits for fresh news."""
+        await settled([self._pullFrom(member.peer) for member in self._members.cohort(self._me.kind)
+                       if member.peer not in self._pulling])
--- /dev/null
+++ b/packages/oakring/oakring/__init__.py
@@ -0,0 +1,1 @@
+"""A durable keyed table on a ring of preallocated files."""
--- /dev/null
+++ b/packages/oakring/oakring/disk.py
@@ -0,0 +1,80 @@
+"""The folder of one node on a real disk.
+
+A disk gives preallocated files, whose writes last only once `sync` has fired, and small files that
+are replaced whole. The lab brings a simulated disk with the same methods.
+"""
+import os
+
+from twisted.internet.threads import deferToThreadPool
+from twisted.python.threadpool import ThreadPool
+
+
+class FolderDisk:
+    def __init__(self, reactor, folder):
+        self._reactor, self._folder = reactor, folder
+        os.makedirs(folder, exist_ok=True)
+        self._syncFolder()
+        # One thread: the syncs of a ring follow one another, so more would only wait.
+        self._pool = ThreadPool(1, 1, "oakdisk")
+        self._pool.start()
+        self._handles = {}
+
+    def _path(self, name):
+        return os.path.join(self._folder, name)
+
+    def _syncFolder(self):
+        handle = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(handle)
+        finally:
+            os.close(handle)
+
+    def names(self):
+        return sorted(os.listdir(self._folder))
+
+    def create(self, name, size):
+        handle = os.open(self._path(name), os.O_RDWR | os.O_CREAT | os.O_EXCL, 0o600)
+        os.posix_fallocate(handle, 0, size)
+        os.fsync(handle)
+        self._syncFolder()
+        self._handles[name] = handle
+
+    def read(self, name):
+        with open(self._path(name), "rb") as file:
+            return file.read()
+
+    def write(self, name, offset, data):
+        if name not in self._handles:
+            self._handles[name] = os.open(self._path(name), os.O_RDWR)
+        view = memoryview(data)
+        while view:
+            written = os.pwrite(self._handles[name], view, offset)
+            view, offset = view[written:], offset + written
+
+    def sync(self, names):
+        """Fires once all that was written to these files before this call is on the disk."""
+        handles = [self._handles[name] for name in names]
+        return deferToThreadPool(self._reactor, self._pool, lambda: [os.fdatasync(handle) for handle in handles])
+
+    def syncNow(self, names):
+        """The same, waiting; for the start of a node, before it takes part in anything."""
+        for name in names:
+            self.write(name, 0, b"")
+            os.fdatasync(self._handles[name])
+
+    def replace(self, name, data):
+        """A whole small file, on the disk when this returns; used at start and for rare changes only."""
+        handle = os.open(self._path(name + ".new"), os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            os.write(handle, data)
+            os.fsync(handle)
+        finally:
+            os.close(handle)
+        os.rename(self._path(name + ".new"), self._path(name))
+        self._syncFolder()
+
+    def close(self):
+        self._pool.stop()
+        for handle in self._handles.values():
+            os.close(handle)
+        self._handles = {}
--- /dev/null
+++ b/packages/oakring/oakring/ring.py
@@ -0,0 +1,310 @@
+"""A durable keyed table on a ring of preallocated files.
+
+Each file holds one lap of records. The head lap is appended to; when it is full the ring goes on in
+a free file. When free files run short, the live entries of the oldest lap are written again at the
+head, and once that is synced the oldest lap's file is free. A removal is itself an entry; it may be
+left behind when its own lap is the oldest, since no older lap can hold what it removes.
+
+Lap:    header = marker, version, lap, first number, synced number, checksum, then records.
+Record: marker, lap, length, checksum, number, synced number, then the batch.
+Batch:  for each entry key length, value length (0xffffffff: removed), key, value.
+
+The `synced number` is the newest record known to be on disk when this one was written. If a record
+that something later names as synced cannot be read, the disk lost what it had confirmed: that is
+damage and stops recovery. An unreadable record that nothing names is a tail torn by a power cut. After
+each sync an empty record is written without a sync of its own, so that even the last commit is named.
+"""
+import struct
+import zlib
+from collections import Counter, deque
+
+from twisted.internet import defer
+
+from oakbase.constants import RING_BATCH, RING_FILES, RING_FILE_SIZE, RING_RESERVE_FILES, RING_VERSION
+from oakbase.tasks import spawn
+from oakbase.verdict import RingDamaged, RingError, RingFull
+
+LAP_MARK = b"OAKRING\0"
+LAP = struct.Struct("<8sIQQQ")
+LAP_SIZE = LAP.size + 4
+RECORD_MARK = b"\xa7oak"
+RECORD = struct.Struct("<4sIIIQQ")
+SUMMED_FROM = 16
+ENTRY = struct.Struct("<II")
+REMOVED = 0xFFFFFFFF
+
+
+def _packEntry(key, value):
+    keyBytes = key.encode()
+    return ENTRY.pack(len(keyBytes), REMOVED if value is None else len(value)) + keyBytes + (value or b"")
+
+
+def _unpackBatch(batch):
+    offset = 0
+    while offset < len(batch):
+        keyLength, valueLength = ENTRY.unpack_from(batch, offset)
+        keyEnd = offset + ENTRY.size + keyLength
+        key = batch[offset + ENTRY.size:keyEnd].decode()
+        offset = keyEnd + (0 if valueLength == REMOVED else valueLength)
+        yield key, None if valueLength == REMOVED else batch[keyEnd:offset]
+
+
+def _packLap(lap, firstNumber, syncedNumber):
+    head = LAP.pack(LAP_MARK, RING_VERSION, lap, firstNumber, syncedNumber)
+    return head + struct.pack("<I", zlib.crc32(head))
+
+
+def _packRecord(lap, number, syncedNumber, batch):
+    tail = struct.pack("<QQ", number, syncedNumber) + batch
+    return struct.pack("<4sIII", RECORD_MARK, lap & 0xFFFFFFFF, len(batch), zlib.crc32(tail)) + tail
+
+
+def _readRecord(data, lap, offset):
+    """(number, synced number, batch, end) of a whole record of this lap at this place, or None."""
+    if offset + RECORD.size > len(data):
+        return None
+    mark, recordLap, length, checksum, number, syncedNumber = RECORD.unpack_from(data, offset)
+    end = offset + RECORD.size + length
+    if mark != RECORD_MARK or recordLap != lap & 0xFFFFFFFF or end > len(data):
+        return None
+    if zlib.crc32(data[offset + SUMMED_FROM:end]) != checksum:
+        return None
+    return number, syncedNumber, data[offset + RECORD.size:end], end
+
+
+def _recordsAfter(data, lap, offset):
+    """Every whole record of this lap at or past an unreadable place."""
+    mark = RECORD_MARK + struct.pack("<I", lap & 0xFFFFFFFF)
+    place = data.find(mark, offset)
+    while place >= 0:
+        record = _readRecord(data, lap, place)
+        if record is not None:
+            yield record
+        place = data.find(mark, place + 1)
+
+
+class Ring:
+    """Invariants:
+    - `table` holds exactly the entries of the records written so far, in the order of their numbers.
+    - a commit's Deferred fires only after the sync that covers its record.
+    - `_places[key]` is the lap of the newest record that names the key; a lap is freed only when no
+      live key is placed in it and everything copied out of it is synced.
+    - records are numbered without gaps from the first number of the oldest lap on.
+    """
+
+    def __init__(self, disk, log, fileSize=None, fileCount=RING_FILES):
+        self._disk, self._log = disk, log
+        self._fileSize, self._fileCount = fileSize or RING_FILE_SIZE, fileCount
+        self.table = {}
+        self._places = {}
+        self._liveBytes = Counter()
+        self._laps = deque()
+        self._offset = LAP_SIZE
+        self._number = 0
+        self._syncedNumber = 0
+        self._waiting = deque()
+        self._waitingBytes = 0
+        self._writing = False
+        self.broken = None
+        self.syncCount = 0
+        self.commitCount = 0
+        self._recover()
+
+    # --- recovery ---
+
+    def _fileName(self, lap):
+        return f"ring.{lap % self._fileCount:03d}"
+
+    def _recover(self):
+        fileNames = [f"ring.{index:03d}" for index in range(self._fileCount)]
+        existing = set(self._disk.names())
+        contents = {name: self._disk.read(name) for name in fileNames if name in existing}
+        heads = self._readHeads(contents)
+        for name in fileNames:
+            if name not in contents:
+                self._disk.create(name, self._fileSize)
+        if not heads:
+            self._refuseLostHead(contents, 0)
+            self._openLap(0)
+            self._disk.syncNow([self._fileName(0)])
+            return
+        torn = self._replayAll(heads, contents)
+        self._refuseLostHead(contents, self._laps[-1] + 1)
+        if torn:
+            self._log.event("ringTornTail", file=self._fileName(self._laps[-1]), offset=self._offset)
+            self._disk.write(self._fileName(self._laps[-1]), self._offset, bytes(self._fileSize - self._offset))
+        # A process that died without a power cut left writes that look whole but may not last yet.
+        self._disk.syncNow(fileNames)
+        self._syncedNumber = self._number
+
+    def _readHeads(self, contents):
+        heads = {}
+        for name, data in contents.items():
+            if len(data) != self._fileSize:
+                raise RingDamaged(f"{name} has {len(data)} bytes, the env says {self._fileSize}")
+            mark, version, lap, firstNumber, syncedNumber = LAP.unpack_from(data)
+            if mark != LAP_MARK or data[LAP.size:LAP_SIZE] != struct.pack("<I", zlib.crc32(data[:LAP.size])):
+                continue
+            if version != RING_VERSION:
+                raise RingError(f"{name} has ring version {version}, this program reads {RING_VERSION}")
+            heads[lap] = (firstNumber, syncedNumber)
+        return heads
+
+    def _replayAll(self, heads, contents):
+        """Applies all whole records in order; returns whether a torn tail must be wiped."""
+        oldest = min(heads)
+        self._number = heads[oldest][0] - 1
+        torn = False
+        for lap in range(oldest, max(heads) + 1):
+            firstNumber, syncedNumber = heads.get(lap, (None, 0))
+            if firstNumber is not None and syncedNumber > self._number:
+                raise RingDamaged(f"record {self._number + 1} cannot be read, though lap {lap} says it was synced")
+            if firstNumber != self._number + 1:
+                torn = True
+            data = contents[self._fileName(lap)]
+            if torn:
+                self._refuseSynced(data, lap, LAP_SIZE)
+                self._disk.write(self._fileName(lap), 0, bytes(LAP_SIZE))
+                continue
+            self._laps.append(lap)
+            self._replay(lap, data)
+        return torn or any(contents[self._fileName(self._laps[-1])][self._offset:])
+
+    def _replay(self, lap, data):
+        self._offset = LAP_SIZE
+        while (record := _readRecord(data, lap, self._offset)) and record[0] == self._number + 1:
+            self._number, _, batch, self._offset = record
+            for key, value in _unpackBatch(batch):
+                self._apply(lap, key, value)
+        self._refuseSynced(data, lap, self._offset)
+
+    def _refuseSynced(self, data, lap, offset):
+        for number, syncedNumber, _, _ in _recordsAfter(data, lap, offset):
+            if syncedNumber > self._number:
+                raise RingDamaged(f"record {self._number + 1} in {self._fileName(lap)} at byte {offset} cannot be "
+                                  f"read, though record {number} says it was synced")
+
+    def _refuseLostHead(self, contents, lap):
+        """A lap whose header is unreadable, but which holds records that were synced."""
+        self._refuseSynced(contents.get(self._fileName(lap), b""), lap, 0)
+
+    def _apply(self, lap, key, value):
+        size = ENTRY.size + len(key.encode()) + len(value or b"")
+        oldLap, oldSize = self._places.get(key, (lap, 0))
+        self._liveBytes[oldLap] -= oldSize
+        self._places[key] = (lap, size)
+        self._liveBytes[lap] += size
+        if value is None:
+            self.table.pop(key, None)
+            return
+        self.table[key] = value
+
+    # --- writing ---
+
+    def _openLap(self, lap):
+        self._disk.write(self._fileName(lap), 0, _packLap(lap, self._number + 1, self._syncedNumber))
+        self._laps.append(lap)
+        self._offset = LAP_SIZE
+
+    def liveBytes(self):
+        return sum(self._liveBytes.values())
+
+    def capacity(self):
+        """What may be live at once: half of the files outside the reserve, so that reclaiming ends."""
+        return (self._fileCount - RING_RESERVE_FILES) * (self._fileSize - LAP_SIZE) // 2
+
+    def commit(self, entries):
+        """Writes these (key, value or None) pairs as one; fires when they are on the disk."""
+        if self.broken is not None:
+            return defer.fail(RingError(f"the ring has failed: {self.broken}"))
+        packed = [(key, value, _packEntry(key, value)) for key, value in entries]
+        size = sum(len(pack) for _, _, pack in packed)
+        if size + 2 * RECORD.size > self._fileSize - LAP_SIZE:
+            return defer.fail(RingFull(f"{size} bytes do not fit into one file of the ring"))
+        growth = sum(len(pack) - self._places.get(key, (0, 0))[1] for key, _, pack in packed)
+        if growth > 0 and self.liveBytes() + self._waitingBytes + growth > self.capacity():
+            return defer.fail(RingFull(f"{self.liveBytes()} bytes are live of {self.capacity()}"))
+        fired = defer.Deferred()
+        self._waiting.append((packed, size, fired))
+        self._waitingBytes += size
+        self.commitCount += 1
+        if not self._writing:
+            self._writing = True
+            spawn(self._writeAll(), self._log)
+        return fired
+
+    async def _writeAll(self):
+        while self._waiting:
+            batch = [self._waiting.popleft() for _ in range(min(RING_BATCH, len(self._waiting)))]
+            try:
+                await self._writeBatch(batch)
+            except Exception as error:  # a disk that failed once is not trusted again
+                self.broken = error
+                self._log.event("ringFailed", error=repr(error))
+                batch += self._waiting
+                self._waiting.clear()
+            for _, size, fired in batch:
+                self._waitingBytes -= size
+                if self.broken is None:
+                    fired.callback(None)
+                    continue
+                fired.errback(RingError(f"the disk failed: {self.broken}"))
+        self._writing = False
+
+    async def _writeBatch(self, batch):
+        touched = set()
+        for packed, size, _ in batch:
+            await self._makeRoom(size + RECORD.size, touched)
+            self._append(packed, touched)
+        await self._sync(touched)
+        if not self._waiting and self._offset + RECORD.size <= self._fileSize:
+            self._append([], touched)
+
+    async def _sync(self, touched):
+        number, names = self._number, sorted(touched)
+        touched.clear()
+        await self._disk.sync(names)
+        self.syncCount += 1
+        self._syncedNumber = max(self._syncedNumber, number)
+
+    def _append(self, packed, touched):
+        lap = self._laps[-1]
+        data = _packRecord(lap, self._number + 1, self._syncedNumber, b"".join(pack for _, _, pack in packed))
+        self._disk.write(self._fileName(lap), self._offset, data)
+        touched.add(self._fileName(lap))
+        self._number += 1
+        self._offset += len(data)
+        for key, value, _ in packed:
+            self._apply(lap, key, value)
+
+    async def _makeRoom(self, size, touched):
+        if self._offset + size <= self._fileSize:
+            return
+        self._nextLap(touched)
+        while self._fileCount - len(self._laps) < RING_RESERVE_FILES:
+            await self._reclaim(touched)
+            if self._offset + size > self._fileSize:
+                self._nextLap(touched)
+
+    def _nextLap(self, touched):
+        if len(self._laps) >= self._fileCount:
+            raise RingFull("no free file is left in the ring")
+        self._openLap(self._laps[-1] + 1)
+        touched.add(self._fileName(self._laps[-1]))
+
+    async def _reclaim(self, touched):
+        """Writes the live entries of the oldest lap again at the head and frees the lap."""
+        oldest = self._laps[0]
+        for key in [key for key, (lap, _) in self._places.items() if lap == oldest]:
+            if key not in self.table:
+                self._places.pop(key)
+                continue
+            pack = _packEntry(key, self.table[key])
+            if self._offset + RECORD.size + len(pack) > self._fileSize:
+                self._nextLap(touched)
+            self._append([(key, self.table[key], pack)], touched)
+        # The copies must be on the disk before the only other place of these entries may be written over.
+        touched.add(self._fileName(self._laps[-1]))
+        await self._sync(touched)
+        self._laps.popleft()
+        self._liveBytes.pop(oldest, None)
--- /dev/null
+++ b/packages/oakstore/oakstore/__init__.py
@@ -0,0 +1,1 @@
+"""Retained program lines on the store machines."""
--- /dev/null
+++ b/packages/oakstore/oakstore/lines.py
@@ -0,0 +1,101 @@
+"""The gate's side of lines: the paper's client. It reads from a quorum, reduces the replies with sync,
+keeps the context, and writes with that context. Values are sets of turns; siblings merge by union."""
+import json
+
+from oakbase.checks import packJson
+from oakbase.constants import CALL_TIME, LINE_TURNS, STORE_CALL_TIME
+from oakbase.tasks import firstOf, sleep
+from oakbase.verdict import CannotTell, Conflict, Fenced, Gone, NoAnswer, OakError, Verdict
+from oakcohort.members import LIVE
+from oakcohort.rendezvous import ranked
+from oakdvv.clock import syncVersions
+from oakdvv.context import toContext
+from oakstore.store import QUORUM, storeSet
+from oakstore.table import fromState
+
+RETRY_PAUSE = 0.1  # s; between rounds over the stores while one of them changes condition
+
+
+class Line:
+    """What a quorum said. Invariant: `turns` is the union over all siblings that `context` stands for."""
+
+    def __init__(self, versions):
+        self.context = toContext(frozenset(versions))
+        self.siblings = len(versions)
+        self.turns = {turnId: turn for value in versions.values()
+                      for turnId, turn in json.loads(value)["turns"].items()}
+
+    def pathTo(self, turnId):
+        """The turns from the root to this one, in order."""
+        path = []
+        while turnId is not None:
+            if turnId not in self.turns:
+                raise Gone(f"turn {turnId} is not kept")
+            path.append(self.turns[turnId])
+            turnId = self.turns[turnId]["parent"]
+        return path[::-1]
+
+
+class LineClient:
+    def __init__(self, node):
+        self._node = node
+
+    def _members(self):
+        epoch, members = storeSet(self._node.board)
+        if len(members) < QUORUM:
+            raise CannotTell("the store set is not known here yet", retryAfter=1)
+        return epoch, members
+
+    async def get(self, key, timeLeft):
+        """The line as a covering quorum has it. CannotTell if too few stores that may speak answered."""
+        endsAt = self._node.reactor.seconds() + timeLeft
+        while True:
+            epoch, members = self._members()
+            reached, states = await firstOf(
+                [self._getFrom(peer, key, epoch) for peer in members.values()], len(members) - QUORUM + 1)
+            if reached:
+                versions = {}
+                for state in states:
+                    versions = syncVersions(versions, fromState(state))
+                return Line(versions)
+            if self._node.reactor.seconds() + RETRY_PAUSE >= endsAt:
+                raise CannotTell("too few stores answered to say what is kept", retryAfter=1)
+            await sleep(self._node.reactor, RETRY_PAUSE)
+
+    async def _getFrom(self, peer, key, epoch):
+        state = await self._node.net.call(peer, "lineGet", STORE_CALL_TIME, key=key)
+        if state.storeEpoch != epoch:
+            raise Fenced(f"store epoch {state.storeEpoch} is not {epoch}")
+        if not state.covers:
+            raise CannotTell("this store may not speak yet")
+        return state
+
+    async def keep(self, key, line, turnId, turn, timeLeft):
+        """Writes the union and the new turn with the context of the read. Returns once a quorum has it on
+        disk. A try whose outcome is not known is made again elsewhere: at worst that leaves two siblings
+        with the same turn, which the next write supersedes."""
+        if turnId in line.turns and line.turns[turnId] != turn:
+            raise Conflict(f"turn {turnId} is on this line already")
+        if len(line.turns) >= LINE_TURNS:
+            raise Conflict(f"a line holds at most {LINE_TURNS} turns")
+        value = packJson({"turns": line.turns | {turnId: turn}})
+        reactor = self._node.reactor
+        endsAt = reactor.seconds() + timeLeft
+        unsure = False
+        while reactor.seconds() < endsAt:
+            epoch, members = self._members()
+            order = sorted(ranked(members, key), key=lambda nodeId: self._node.members.condition(nodeId) != LIVE)
+            for nodeId in order:
+                remaining = min(CALL_TIME, endsAt - reactor.seconds())
+                if remaining <= 0:
+                    break
+                try:
+                    return await self._node.net.call(
+                        members[nodeId], "linePut", remaining, key=key, context=line.context, value=value,
+                        storeEpoch=epoch)
+                except OakError as error:
+                    unsure = unsure or error.verdict is not Verdict.NO
+                    self._node.log.event("putFailed", store=nodeId, reason=error.reason)
+            await sleep(reactor, RETRY_PAUSE)
+        raise NoAnswer("no quorum of stores said that it keeps the turn",
+                       Verdict.MAYBE if unsure else Verdict.NO)
--- /dev/null
+++ b/packages/oakstore/oakstore/table.py
@@ -0,0 +1,128 @@
+"""The lines that one store keeps: clocks and values, on its disk.
+
+The paper's replica node: `S_r` is the set of clocks of a line's row, and every change of it is a sync.
+A row's events are numbered under a clock id of its own, minted when the row is made. A store that has let
+a line go is, for that line, like a node that lost its disk: when it meets the line again it comes as a
+new id, and no number is ever used twice.
+"""
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from oakbase.checks import packJson
+from oakbase.constants import LINE_KEPT, STORE_INBOX, STORE_OWNERS
+from oakbase.inbox import TableOwner
+from oakcohort.rendezvous import slotOf
+from oakdvv.clock import Clock, syncVersions, update
+from oakdvv.context import clockToRow
+from oakwire.codec import idl, pack, unpack
+
+ROW = "l/"
+BIRTHS = "births"
+
+
+@dataclass
+class LineRow:
+    """Invariants: `versions` (clock -> value) is on the disk, holds no clock below another, and its clocks
+    together form a downset; `clockId` has numbered events of this row and of no other, ever."""
+
+    clockId: str
+    versions: dict
+    touchedAt: float
+
+    def digest(self):
+        rows = sorted(clockToRow(clock) for clock in self.versions)
+        return blake2b(packJson(rows), digest_size=12).hexdigest()
+
+
+def toState(versions, covers=False, storeEpoch=0, age=0.0):
+    return idl.LineState(covers=covers, storeEpoch=storeEpoch, ageMs=int(age * 1000), versions=[
+        idl.Version(value=value, clock=[idl.Part(nodeId=nodeId, ceiling=m, dot=n or 0)
+                                        for nodeId, (m, n) in clock.entries.items()])
+        for clock, value in versions.items()])
+
+
+def fromState(state):
+    return {Clock({part.nodeId: (part.ceiling, part.dot) if part.dot else part.ceiling
+                   for part in version.clock}): version.value for version in state.versions or []}
+
+
+class LineTable:
+    def __init__(self, node, ring):
+        self._reactor, self._nodeId, self._ring = node.reactor, node.nodeId, ring
+        self.rows = {}
+        self._births = int(ring.table.get(BIRTHS, b"0"))
+        self._owners = [TableOwner(STORE_INBOX, f"lines{index}", node.log) for index in range(STORE_OWNERS)]
+        for name, data in ring.table.items():
+            if name.startswith(ROW):
+                clockId, _, state = data.partition(b"\0")
+                self.rows[name[len(ROW):]] = LineRow(
+                    clockId.decode(), fromState(unpack(idl.LineState, state)), self._reactor.seconds())
+
+    def stop(self):
+        for owner in self._owners:
+            owner.stop()
+
+    def _do(self, command, key, *arguments):
+        return self._owners[slotOf(key, STORE_OWNERS)].do(command, key, *arguments)
+
+    # --- commands ---
+
+    def put(self, key, contextSet, value):
+        """The paper's put at the coordinator: update, then sync, then the disk. Gives the result of the sync
+        and the new clock."""
+        return self._do(self._put, key, contextSet, value)
+
+    async def _put(self, key, contextSet, value):
+        row, extra = self._rowFor(key)
+        clock = update(contextSet, row.versions.keys(), row.clockId)
+        await self._keep(key, row, syncVersions(row.versions, {clock: value}), extra, 0.0)
+        return dict(row.versions), clock
+
+    def merge(self, key, versions, age):
+        """The receiving side of replication, hand-over and anti-entropy: a sync with what is here."""
+        return self._do(self._merge, key, versions, age)
+
+    async def _merge(self, key, versions, age):
+        if age >= LINE_KEPT:
+            return
+        row, extra = self._rowFor(key)
+        merged = syncVersions(row.versions, versions)
+        if merged.keys() != row.versions.keys():
+            await self._keep(key, row, merged, extra, age)
+
+    def letGo(self, key):
+        return self._do(self._letGo, key)
+
+    async def _letGo(self, key):
+        row = self.rows.get(key)
+        if row is not None and self._reactor.seconds() - row.touchedAt >= LINE_KEPT:
+            await self._ring.commit([(ROW + key, None)])
+            del self.rows[key]
+
+    def _rowFor(self, key):
+        if key in self.rows:
+            return self.rows[key], []
+        self._births += 1
+        # The count is on the disk in the same commit that first uses the id.
+        return LineRow(f"{self._nodeId}#{self._births}", {}, 0.0), [(BIRTHS, b"%d" % self._births)]
+
+    async def _keep(self, key, row, versions, extra, age):
+        data = row.clockId.encode() + b"\0" + pack(toState(versions))
+        await self._ring.commit([*extra, (ROW + key, data)])
+        row.versions = versions
+        row.touchedAt = max(row.touchedAt, self._reactor.seconds() - age)
+        self.rows[key] = row
+
+    # --- reading ---
+
+    def versions(self, key):
+        return self.rows[key].versions if key in self.rows else {}
+
+    def age(self, key):
+        return self._reactor.seconds() - self.rows[key].touchedAt if key in self.rows else 0.0
+
+    def keysAfter(self, after, most):
+        return sorted(key for key in self.rows if key > after)[:most]
+
+    def old(self):
+        return [key for key in self.rows if self.age(key) >= LINE_KEPT]
--- /dev/null
+++ b/packages/oakwire/oakwire/__init__.py
@@ -0,0 +1,1 @@
+"""Framed Thrift connections between the system's own processes."""
--- /dev/null
+++ b/packages/oakwire/oakwire/net.py
@@ -0,0 +1,264 @@
+"""Framed connections between the system's own processes, and calls over them.
+
+The dialling side calls, the listening side answers. Both say hello first; who belongs to another
+cluster, speaks another wire version or sends what is no frame is closed and logged.
+"""
+import itertools
+import json
+
+from twisted.internet import defer, protocol
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.protocols.basic import Int32StringReceiver
+
+from oakbase.constants import (ACCEPT_LIMIT, CALL_TIME, CONNECT_TIME, FRAME_LIMIT, HELLO_TIME, PEER_IN_FLIGHT,
+                               RECONNECT_PAUSE, WIRE_VERSION)
+from oakbase.env import splitAddress
+from oakbase.tasks import spawn
+from oakbase.verdict import (Fenced, NoAnswer, OakError, Overloaded, TimeSpent, Unknown, Unreachable,
+                             errorFrom)
+from oakwire.codec import argumentsClass, idl, pack, resultClass, unpack
+
+OPEN_METHODS = frozenset(["pull"])  # what one may ask that is not a member yet
+
+
+class Connection(Int32StringReceiver):
+    """Invariants: nothing but a hello is read before the peer's hello; `_inFlight` holds exactly the
+    calls that were written and not answered; once lost, it is empty and stays so."""
+
+    MAX_LENGTH = FRAME_LIMIT
+
+    def __init__(self, net):
+        self._net = net
+        self._inFlight = {}
+        self._running = 0
+        self._callIds = itertools.count(1)
+        self._helloCall = None
+        self.peer = None
+        self.ready = defer.Deferred()
+
+    def connectionMade(self):
+        self.transport.setTcpNoDelay(True)
+        self._helloCall = self._net.reactor.callLater(HELLO_TIME, self._drop, "noHello")
+        self._net.connections.add(self)
+        self.sendString(pack(self._net.hello()))
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        self.connected = 0  # the base class leaves it set
+        self._net.connections.discard(self)
+        if self._helloCall is not None and self._helloCall.active():
+            self._helloCall.cancel()
+        if not self.ready.called:
+            self.ready.errback(Unreachable("connection closed before hello"))
+        waiting, self._inFlight = self._inFlight, {}
+        for answer, timer, _ in waiting.values():
+            timer.cancel()
+            answer.errback(NoAnswer("connection lost before the answer"))
+
+    def lengthLimitExceeded(self, length):
+        self._drop("frameTooLong", length=length)
+
+    def _drop(self, why, **pairs):
+        self._net.log.event("peerClosed", why=why, peer=self.peer.nodeId if self.peer else
+                            self.transport.getPeer().host, **pairs)
+        self.transport.abortConnection()
+
+    def stringReceived(self, data):
+        try:
+            if self.peer is None:
+                self._meet(unpack(idl.Hello, data))
+                return
+            frame = unpack(idl.Frame, data)
+            if frame.method:
+                self._serve(frame)
+                return
+            self._answered(frame)
+        except OakError as error:
+            self._drop("badFrame", reason=error.reason)
+
+    def _meet(self, hello):
+        self._helloCall.cancel()
+        if hello.wireVersion != WIRE_VERSION:
+            self._drop("wireVersion", theirs=hello.wireVersion, ours=WIRE_VERSION)
+            return
+        if hello.clusterId and self._net.clusterId and hello.clusterId != self._net.clusterId:
+            self._drop("otherCluster", theirs=hello.clusterId)
+            return
+        self.peer = hello
+        if not self.ready.called:
+            self.ready.callback(self)
+
+    # --- calling ---
+
+    def call(self, method, timeLeft, arguments):
+        if not self.connected:
+            return defer.fail(Unreachable("connection is closed"))
+        if len(self._inFlight) >= PEER_IN_FLIGHT:
+            return defer.fail(Overloaded("too many calls wait on this peer"))
+        body = pack(argumentsClass(method)(**arguments))
+        callId, answer = next(self._callIds), defer.Deferred()
+        timer = self._net.reactor.callLater(timeLeft, self._timedOut, callId)
+        self._inFlight[callId] = (answer, timer, method)
+        self._net.callCounts[method] = self._net.callCounts.get(method, 0) + 1
+        self.sendString(pack(idl.Frame(callId=callId, method=method, timeLeftMs=int(timeLeft * 1000), body=body)))
+        return answer
+
+    def _timedOut(self, callId):
+        answer, _, method = self._inFlight.pop(callId)
+        answer.errback(NoAnswer(f"no answer to {method} in time"))
+
+    def _answered(self, frame):
+        answer, timer, method = self._inFlight.pop(frame.callId, (None, None, None))
+        if answer is None:
+            return  # it came after its time
+        timer.cancel()
+        if frame.error:
+            answer.errback(errorFrom(frame.error, frame.reason, frame.verdict,
+                                     json.loads(frame.detail) if frame.detail else None))
+            return
+        answer.callback(unpack(resultClass(method), frame.body).success)
+
+    # --- serving ---
+
+    def _serve(self, frame):
+        if self._running >= PEER_IN_FLIGHT:
+            self._answerError(frame, Overloaded("too many calls from this peer"))
+            return
+        self._running += 1
+        spawn(self._run(frame), self._net.log)
+
+    async def _run(self, frame):
+        try:
+            if frame.method not in OPEN_METHODS and self.peer.clusterId != self._net.clusterId:
+                raise Fenced("not a member of this cluster")
+            arguments = argumentsClass(frame.method)
+            if arguments is None or frame.method not in self._net.handlers:
+                raise Unknown(f"no method {frame.method} here")
+            received = unpack(arguments, frame.body)
+            result = await self._net.handlers[frame.method](self.peer, received)
+            self._answer(idl.Frame(callId=frame.callId, body=pack(resultClass(frame.method)(success=result))))
+        except OakError as error:
+            self._answerError(frame, error)
+        except Exception as error:
+            self._net.log.event("callCrashed", method=frame.method, error=repr(error))
+            self._answerError(frame, OakError(f"{frame.method} crashed"))
+        finally:
+            self._running -= 1
+
+    def _answerError(self, frame, error):
+        self._answer(idl.Frame(callId=frame.callId, error=error.code, reason=error.reason,
+                               verdict=error.verdict.value,
+                               detail=json.dumps(error.detail) if error.detail is not None else None))
+
+    def _answer(self, frame):
+        if self.connected:
+            self.sendString(pack(frame))
+
+
+class _Acceptor(protocol.Factory):
+    noisy = False
+
+    def __init__(self, net):
+        self._net = net
+
+    def buildProtocol(self, address):
+        if len(self._net.connections) >= ACCEPT_LIMIT:
+            self._net.log.event("peerRefused", why="tooMany", peer=address.host)
+            return None
+        return Connection(self._net)
+
+
+class _Dialler(protocol.Factory):
+    noisy = False
+
+    def __init__(self, net):
+        self._net = net
+
+    def buildProtocol(self, _address):
+        return Connection(self._net)
+
+
+class Net:
+    """All peer connections of one node. `_links` holds at most one dialled connection for an address,
+    as the Deferred of a Connection; a dead one is replaced by the next call."""
+
+    def __init__(self, reactor, nodeId, kind, address, clusterId, log):
+        self.reactor, self.nodeId, self.kind, self.address, self.log = reactor, nodeId, kind, address, log
+        self.clusterId = clusterId or ""
+        self.handlers = {}
+        self.connections = set()
+        self.callCounts = {}
+        self._links = {}
+        self._resting = {}
+        self._port = None
+
+    def hello(self):
+        return idl.Hello(wireVersion=WIRE_VERSION, clusterId=self.clusterId, nodeId=self.nodeId, kind=self.kind)
+
+    def handle(self, method, handler):
+        """`handler(peer, arguments)` is a coroutine function; what it returns is the answer."""
+        self.handlers[method] = handler
+
+    def listen(self):
+        host, port = splitAddress(self.address)
+        self._port = self.reactor.listenTCP(port, _Acceptor(self), interface=host)
+
+    def joinCluster(self, clusterId):
+        """From now on a member; old connections said otherwise and are closed."""
+        self.clusterId = clusterId
+        self._hangUp()
+
+    def _hangUp(self):
+        self._links.clear()
+        for connection in list(self.connections):
+            connection.transport.abortConnection()
+
+    async def stop(self):
+        if self._port is not None:
+            await defer.maybeDeferred(self._port.stopListening)
+        self._hangUp()
+
+    async def call(self, address, method, timeLeft=CALL_TIME, **arguments):
+        if timeLeft <= 0:
+            raise TimeSpent("no time left for the call")
+        if address == self.address:
+            return await self._callSelf(method, arguments)
+        connection = await self._link(address)
+        return await connection.call(method, timeLeft, arguments)
+
+    async def _callSelf(self, method, arguments):
+        if method not in self.handlers:
+            raise Unknown(f"no method {method} here")
+        return await self.handlers[method](self.hello(), argumentsClass(method)(**arguments))
+
+    async def _link(self, address):
+        link = self._links.get(address)
+        if link is None or (link.called and not getattr(link.result, "connected", False)):
+            if self.reactor.seconds() < self._resting.get(address, 0.0):
+                raise Unreachable(f"{address} did not answer just now")
+            link = self._links[address] = defer.Deferred()
+            spawn(self._dial(address, link), self.log)
+        waiting = defer.Deferred()
+
+        def passOn(result):
+            waiting.callback(result)
+            return result
+        link.addCallback(passOn)
+        connection = await waiting
+        if isinstance(connection, OakError):
+            raise Unreachable(connection.reason)
+        return connection
+
+    async def _dial(self, address, link):
+        host, port = splitAddress(address)
+        endpoint = TCP4ClientEndpoint(self.reactor, host, port, timeout=CONNECT_TIME,
+                                      bindAddress=(splitAddress(self.address)[0], 0))
+        try:
+            connection = await endpoint.connect(_Dialler(self))
+            await connection.ready
+        except Exception as error:
+            self._resting[address] = self.reactor.seconds() + RECONNECT_PAUSE
+            if self._links.get(address) is link:
+                del self._links[address]
+            link.callback(Unreachable(f"{address} cannot be reached: {error}"))
+            return
+        link.callback(connection)
--- /dev/null
+++ b/packages/oakwire/oakwire/oak.thrift
@@ -0,0 +1,72 @@
+// What oakramp's processes say to each other. Fields are only ever added, never renumbered.
+
+struct Hello {
+  1: i32 wireVersion
+  2: string clusterId     // empty: not a member yet, asks to be told
+  3: string nodeId
+  4: string kind          // control, store, gate, tool
+}
+
+struct Frame {
+  1: i64 callId
+  2: string method        // set in a call
+  3: i32 timeLeftMs       // set in a call: after this nobody waits for the answer
+  4: binary body          // arguments or result
+  5: string error         // set in an answer that failed: code of the error
+  6: string reason
+  7: string verdict
+  8: string detail        // JSON
+}
+
+// --- news: any node, any source -------------------------------------------------
+
+struct Seen { 1: string source  2: i64 version }
+struct Item { 1: string name  2: i64 version  3: binary value }   // no value: removed
+struct Image {
+  1: string source
+  2: i64 version
+  3: bool whole           // the items are all there are, not a delta
+  4: list<Item> items
+  5: i32 ageMs            // since the source last confirmed this version
+}
+struct News { 1: list<Image> images  2: string clusterId }
+
+// --- control: the disks' side ---------------------------------------------------
+
+struct Entry { 1: string key  2: binary value }                   // no value: removed
+struct Promise {
+  1: bool granted
+  2: i64 promisedEpoch
+  3: string promisedOwner
+  4: i64 imageEpoch
+  5: i64 sequence
+  6: list<Entry> entries
+  7: i64 endedEpoch       // the owner of this epoch said that its term is over
+}
+struct SlotEpoch { 1: i32 slot  2: i64 epoch }
+struct Taken { 1: bool taken  2: bool needsImage  3: i64 promisedEpoch }
+
+// --- lines -----------------------------------------------------------------------
+
+struct Part { 1: string nodeId  2: i64 ceiling  3: i64 dot }       // dot 0: none
+struct Version { 1: list<Part> clock  2: binary value }
+struct LineState {
+  1: list<Version> versions
+  2: bool covers          // this store may speak about what is missing
+  3: i64 storeEpoch
+  4: i32 ageMs            // since the line last changed
+}
+struct LineDigest { 1: string key  2: string digest }
+
+service Node {
+  News pull(1: list<Seen> seen)
+  string ownerCall(1: string key, 2: string command, 3: string argumentsJson)
+  Promise prepare(1: i32 slot, 2: i64 epoch, 3: string owner, 4: i64 rosterVersion)
+  Taken accept(1: i32 slot, 2: i64 epoch, 3: string owner, 4: i64 rosterVersion, 5: i64 sequence, 6: bool whole, 7: list<Entry> entries)
+  list<SlotEpoch> confirm(1: list<SlotEpoch> terms, 2: string owner, 3: i64 rosterVersion)
+  i64 release(1: i32 slot)
+  LineState lineGet(1: string key)
+  string linePut(1: string key, 2: string context, 3: binary value, 4: i64 storeEpoch)
+  bool lineKeep(1: string key, 2: LineState state, 3: string sender)
+  list<LineDigest> lineDigests(1: string after, 2: i32 most)
+}
