--- a/packages/oakdvv/oakdvv/context.py
+++ b/packages/oakdvv/oakdvv/context.py
@@ -25,7 +25,7 @@
 def fromContext(text):
     if not text:
         return frozenset()
-    try:
-        return frozenset(clockFromRow(row) for row in json.loads(base64.urlsafe_b64decode(text)))
-    except (TypeError, AttributeError) as error:
-        raise ValueError("no context") from error
+    rows = json.loads(base64.urlsafe_b64decode(text))
+    if not isinstance(rows, list):
+        raise ValueError("no context")
+    return frozenset(clockFromRow(row) for row in rows)
--- a/packages/oakgate/oakgate/carry.py
+++ b/packages/oakgate/oakgate/carry.py
@@ -12,9 +12,9 @@
         self._node, self._bindings, self._placer = node, bindings, placer
         self._client, self._metrics = webClient, metrics
 
-    async def carry(self, request, send):
+    async def carry(self, request, mayRepeat, send):
         """Places the request, and calls `send(replica, lastCheck)`; on a no it goes on to another replica, on
-        a maybe only if the binding says that the request may be repeated and nothing has reached the caller."""
+        a maybe only if the request may be repeated."""
         tried = set()
         for attempt in range(FRONT_TRIES):
             replica = await self._placeFresh(request, tried)
@@ -25,18 +25,16 @@
                 if error.verdict is Verdict.NO:
                     self._placer.refused(replica)
                 self._metrics.count("carry_failed", verdict=error.verdict.value)
-                if attempt == FRONT_TRIES - 1 or not self._mayRetry(request, error):
+                if attempt == FRONT_TRIES - 1 or not self._mayRetry(request, mayRepeat, error):
                     raise
                 self._node.log.event("carryRetried", replica=replica.row["id"], reason=error.reason,
                                      verdict=error.verdict.value)
             finally:
                 self._placer.release(replica)
 
-    def _mayRetry(self, request, error):
-        if error.verdict is Verdict.NO:
-            return True
-        return bool(request.binding.get("repeatable")) and not request.fields.get("begun") \
-            and self._node.reactor.seconds() < request.waitUntil and not request.call.isGone
+    def _mayRetry(self, request, mayRepeat, error):
+        return error.verdict is Verdict.NO or (
+            mayRepeat and self._node.reactor.seconds() < request.waitUntil and not request.call.isGone)
 
     async def _placeFresh(self, request, tried):
         """A replica under a blueprint that is surely current. News that came while it waited counts."""
--- a/packages/oakgate/oakgate/plain.py
+++ b/packages/oakgate/oakgate/plain.py
@@ -68,8 +68,9 @@
 
     async def _carry(self, request):
         asked = {"run": request.admission, "key": request.body["key"], "body": request.body["body"]}
-        return await self._carrier.carry(request, lambda replica, lastCheck: self._send(
-            request, asked, replica, lastCheck))
+        return await self._carrier.carry(
+            request, bool(request.binding.get("repeatable")),
+            lambda replica, lastCheck: self._send(request, asked, replica, lastCheck))
 
     async def _send(self, request, asked, replica, lastCheck):
         status, data = await self._gate.webClient.data(
--- a/packages/oakgate/oakgate/turns.py
+++ b/packages/oakgate/oakgate/turns.py
@@ -103,22 +103,12 @@
             return
         try:
             await onward(request)
-        except OakError as error:
-            outcome = "broken" if request.left and error.verdict is not Verdict.NO else "never"
-            self._settleLater(request, outcome, self._unitsOf(request, outcome))
-            raise
-        except BaseException:
-            self._settleLater(request, "broken", fields["reserve"])
+        except BaseException as error:
+            # What a run that broke off has put out, perhaps unseen, is not known: all of it counts as spent.
+            never = not request.left or (isinstance(error, OakError) and error.verdict is Verdict.NO)
+            self._settleLater(request, *(("never", 0) if never else ("broken", fields["reserve"])))
             raise
 
-    def _unitsOf(self, request, outcome):
-        """What a turn that broke off may have put out: what was seen, or all that was reserved if the
-        replica may have gone on where nobody saw it."""
-        if outcome == "never":
-            return 0
-        reader = request.fields.get("reader")
-        return reader.units if reader is not None else request.fields["reserve"]
-
     def _settle(self, request, outcome, units):
         fields = request.fields
         return self._owners.call(fields["budgetKey"], "settle", {
@@ -165,7 +155,8 @@
             "maxOutput": fields["reserve"]}
         if request.binding.get("adapter"):
             asked["adapter"] = request.binding["adapter"]
-        await self._carrier.carry(request, lambda replica, lastCheck: self._stream(
+        # Never a second run under one reservation: two might put out twice what was reserved.
+        await self._carrier.carry(request, False, lambda replica, lastCheck: self._stream(
             request, asked, replica, lastCheck))
 
     async def _stream(self, request, asked, replica, lastCheck):
@@ -186,7 +177,6 @@
             request.call.gone.addCallback(lambda _: lines.abort())
         try:
             while (piece := await reader.next(request.endsAt)) is not None:
-                fields["begun"] = True
                 fields["stream"].piece(*piece)
         except OakError as error:
             if request.call.isGone:
--- /dev/null
+++ b/packages/oaklab/oaklab/simnet.py
@@ -0,0 +1,372 @@
+"""A simulated reactor for each machine, on one simulated time and network.
+
+A machine can be frozen (its calls wait), killed (its peers see their connections close) or cut off the power
+(its peers see nothing). Links can be cut in one direction or both, and slow; as with TCP, what was sent over
+a cut link arrives once it heals, unless one end has gone in between.
+"""
+import heapq
+import itertools
+
+from twisted.internet import error, interfaces
+from twisted.internet.address import IPv4Address
+from twisted.internet.base import DelayedCall
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+RESEND = 0.3  # s; a sender tries a cut link again after this
+
+
+class SimTime:
+    """Invariant: calls run in the order of their time, and of their making where times are equal."""
+
+    def __init__(self):
+        self.now = 0.0
+        self._heap = []
+        self._order = itertools.count()
+
+    def schedule(self, delay, host, function, *arguments, **named):
+        call = DelayedCall(self.now + max(0.0, delay), function, arguments, named,
+                           lambda _call: None, lambda _call: None, lambda: self.now)
+        heapq.heappush(self._heap, (call.time, next(self._order), call, host, host and host.incarnation))
+        return call
+
+    def push(self, call, host, incarnation):
+        heapq.heappush(self._heap, (self.now, next(self._order), call, host, incarnation))
+
+    def advanceTo(self, end):
+        while self._heap and self._heap[0][0] <= end:
+            at, _, call, host, incarnation = heapq.heappop(self._heap)
+            if call.cancelled or (host is not None and host.incarnation != incarnation):
+                continue
+            due = call.getTime()
+            if due > at:  # it was put off meanwhile
+                heapq.heappush(self._heap, (due, next(self._order), call, host, incarnation))
+                continue
+            self.now = max(self.now, at)
+            if host is not None and host.frozen:
+                host.waitingCalls.append(call)
+                continue
+            call.called = 1
+            call.func(*call.args, **call.kw)
+        self.now = end
+
+
+class SimNetwork:
+    """Who can reach whom. `cuts` holds (from, to) pairs of addresses; `delays` adds to a link's time."""
+
+    def __init__(self, time, random, low=0.0002, high=0.002):
+        self.time, self.random = time, random
+        self._low, self._high = low, high
+        self.cuts = set()
+        self.delays = {}
+        self.hosts = {}
+        self.sent = 0
+
+    def delay(self, fromHost, toHost):
+        return self.random.uniform(self._low, self._high) + self.delays.get((fromHost, toHost), 0.0)
+
+    def cut(self, some, others, bothWays=True):
+        for one in some:
+            for other in others:
+                if one != other:
+                    self.cuts.add((one, other))
+                    if bothWays:
+                        self.cuts.add((other, one))
+
+    def heal(self):
+        self.cuts.clear()
+        self.delays.clear()
+
+
+class SimHost:
+    """A machine: `incarnation` rises whenever its process ends, which drops all that was scheduled for it."""
+
+    def __init__(self, network, address):
+        self.network, self.address = network, address
+        self.incarnation = 0
+        self.up = True
+        self.frozen = False
+        self.waitingCalls = []
+        self.listeners = {}
+        self.ports = itertools.count(20000)
+        self.transports = set()
+        network.hosts[address] = self
+
+    def freeze(self):
+        self.frozen = True
+
+    def thaw(self):
+        self.frozen = False
+        waiting, self.waitingCalls = self.waitingCalls, []
+        for call in waiting:
+            if not call.cancelled:
+                self.network.time.push(call, self, self.incarnation)
+
+    def end(self, powerCut):
+        """The process is gone. Its kernel closes the connections, unless the power went too."""
+        transports, self.transports = self.transports, set()
+        self.incarnation += 1
+        self.frozen, self.waitingCalls, self.listeners = False, [], {}
+        self.up = not powerCut
+        for transport in transports:
+            transport.closed = True
+            if not powerCut:
+                transport.sendClose(error.ConnectionLost("peer process ended"))
+
+
+@implementer(interfaces.IReactorTime, interfaces.IReactorTCP)
+class SimReactor:
+    def __init__(self, host):
+        self._host, self._time = host, host.network.time
+
+    def seconds(self):
+        return self._time.now
+
+    def callLater(self, delay, function, *arguments, **named):
+        return self._time.schedule(delay, self._host, function, *arguments, **named)
+
+    def getDelayedCalls(self):
+        return []
+
+    def callFromThread(self, function, *arguments, **named):
+        self.callLater(0, function, *arguments, **named)
+
+    def listenTCP(self, port, factory, backlog=50, interface=""):
+        if port in self._host.listeners:
+            raise error.CannotListenError(interface, port, "in use")
+        factory.doStart()
+        self._host.listeners[port] = factory
+        return SimPort(self._host, port, factory)
+
+    def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):
+        return SimConnector(self._host, host, port, factory, timeout)
+
+
+@implementer(interfaces.IListeningPort)
+class SimPort:
+    def __init__(self, host, port, factory):
+        self._host, self._port, self._factory = host, port, factory
+
+    def stopListening(self):
+        if self._host.listeners.pop(self._port, None) is not None:
+            self._factory.doStop()
+
+    def getHost(self):
+        return IPv4Address("TCP", self._host.address, self._port)
+
+
+@implementer(interfaces.IConnector)
+class SimConnector:
+    def __init__(self, host, address, port, factory, timeout):
+        self._host, self._address, self._port, self._factory = host, address, port, factory
+        self.state = "connecting"
+        self.transport = None
+        factory.doStart()
+        factory.startedConnecting(self)
+        time = host.network.time
+        self._timeout = time.schedule(timeout, host, self._fail, error.TimeoutError("no answer to connecting"))
+        time.schedule(host.network.delay(host.address, address), None, self._arrive, host.incarnation)
+
+    def _arrive(self, incarnation):
+        """The first packet reaches the other machine, if nothing is in the way."""
+        network = self._host.network
+        target = network.hosts.get(self._address)
+        pair = self._host.address, self._address
+        if self.state != "connecting" or self._host.incarnation != incarnation:
+            return
+        if pair in network.cuts or pair[::-1] in network.cuts or target is None or not target.up:
+            network.time.schedule(RESEND, None, self._arrive, incarnation)
+            return
+        back = network.delay(self._address, self._host.address)
+        listener = target.listeners.get(self._port)
+        if listener is None:
+            network.time.schedule(back, self._host, self._fail, error.ConnectionRefusedError("nobody listens"))
+            return
+        ours = SimTransport(self._host, next(self._host.ports), self._address, self._port)
+        theirs = SimTransport(target, self._port, self._host.address, ours.localPort)
+        ours.other, theirs.other = theirs, ours
+        network.time.schedule(0, target, theirs.open, listener)
+        network.time.schedule(back, self._host, self._connected, ours)
+
+    def _connected(self, transport):
+        if self.state != "connecting":
+            transport.abortConnection()
+            return
+        self._timeout.cancel()
+        self.state = "connected"
+        self.transport = transport
+        transport.whenLost = self._lost
+        transport.open(self._factory)
+
+    def _fail(self, why):
+        if self.state != "connecting":
+            return
+        self.state = "disconnected"
+        if self._timeout.active():
+            self._timeout.cancel()
+        self._factory.clientConnectionFailed(self, Failure(why))
+        self._factory.doStop()
+
+    def _lost(self, why):
+        self.state = "disconnected"
+        self._factory.clientConnectionLost(self, Failure(why))
+        self._factory.doStop()
+
+    def stopConnecting(self):
+        self._fail(error.UserError())
+
+    def disconnect(self):
+        if self.state == "connecting":
+            self.stopConnecting()
+        elif self.transport is not None:
+            self.transport.loseConnection()
+
+    def getDestination(self):
+        return IPv4Address("TCP", self._address, self._port)
+
+
+@implementer(interfaces.ITCPTransport, interfaces.IPushProducer, interfaces.IConsumer)
+class SimTransport:
+    """One end of a connection. Invariants: what is written arrives in order or not at all; after `closed`
+    nothing more is sent or handed up, and the protocol has been told once."""
+
+    def __init__(self, host, localPort, peerAddress, peerPort):
+        self.host, self.localPort, self._peer = host, localPort, (peerAddress, peerPort)
+        self.other = self.protocol = self.whenLost = self._producer = None
+        self.closed = self._closing = self._paused = False
+        self.disconnecting = False
+        self.connected = True
+        self._arrived = []
+        self._lastArrival = 0.0
+
+    # --- opening and arriving ---
+
+    def open(self, factory):
+        if self.closed:
+            return
+        self.host.transports.add(self)
+        self.protocol = factory.buildProtocol(IPv4Address("TCP", *self._peer))
+        if self.protocol is None:
+            self.abortConnection()
+            return
+        self.protocol.makeConnection(self)
+        self._hand()
+
+    def _send(self, what):
+        network = self.host.network
+        due = max(self._lastArrival, network.time.now + network.delay(self.host.address, self._peer[0]))
+        self._lastArrival = due
+        network.sent += 1
+        network.time.schedule(due - network.time.now, None, self._arriveAt, what)
+
+    def _arriveAt(self, what):
+        """Runs for the network; the other machine takes it when it is up and not frozen."""
+        network, other = self.host.network, self.other
+        if (self.host.address, self._peer[0]) in network.cuts:
+            network.time.schedule(RESEND, None, self._arriveAt, what)
+            return
+        target = other.host
+        if other.closed or not target.up:
+            if target.up and not self.closed and not isinstance(what, Exception):
+                # Nobody has that connection any more: its kernel says so.
+                network.time.schedule(network.delay(target.address, self.host.address), self.host,
+                                      self._finish, error.ConnectionLost("reset by peer"))
+            return
+        network.time.schedule(0, target, other.take, what)
+
+    def take(self, what):
+        if self.closed:
+            return
+        self._arrived.append(what)
+        self._hand()
+
+    def _hand(self):
+        while self._arrived and not self._paused and not self.closed and self.protocol is not None:
+            what = self._arrived.pop(0)
+            if isinstance(what, Exception):
+                self._finish(what)
+                return
+            self.protocol.dataReceived(what)
+
+    # --- sending ---
+
+    def write(self, data):
+        if not self.closed and not self._closing and data:
+            self._send(bytes(data))
+
+    def writeSequence(self, parts):
+        self.write(b"".join(parts))
+
+    def loseConnection(self):
+        if self.closed or self._closing:
+            return
+        self.disconnecting = True
+        if self._producer is None:
+            self._closing = True
+            self._send(error.ConnectionDone())
+            self.host.network.time.schedule(0, self.host, self._finish, error.ConnectionDone())
+
+    def abortConnection(self):
+        if not self.closed:
+            self._closing = True
+            self.sendClose(error.ConnectionLost("aborted by peer"))
+            self._finish(error.ConnectionAborted())
+
+    def sendClose(self, why):
+        self._send(why)
+
+    def _finish(self, why):
+        if self.closed:
+            return
+        self.closed, self.connected = True, False
+        self.host.transports.discard(self)
+        if self._producer is not None:
+            self._producer.stopProducing()
+            self._producer = None
+        if self.protocol is not None:
+            self.protocol.connectionLost(Failure(why))
+        if self.whenLost is not None:
+            self.whenLost(why)
+
+    # --- the rest of the interfaces ---
+
+    def registerProducer(self, producer, streaming):
+        self._producer = producer
+        if self.closed:
+            producer.stopProducing()
+
+    def unregisterProducer(self):
+        self._producer = None
+        if self.disconnecting:
+            self.loseConnection()
+
+    def pauseProducing(self):
+        self._paused = True
+
+    def resumeProducing(self):
+        self._paused = False
+        self.host.network.time.schedule(0, self.host, self._hand)
+
+    def stopProducing(self):
+        self.loseConnection()
+
+    def loseWriteConnection(self):
+        self.loseConnection()
+
+    def getPeer(self):
+        return IPv4Address("TCP", *self._peer)
+
+    def getHost(self):
+        return IPv4Address("TCP", self.host.address, self.localPort)
+
+    def setTcpNoDelay(self, enabled):
+        pass
+
+    def setTcpKeepAlive(self, enabled):
+        pass
+
+    def getTcpNoDelay(self):
+        return True
+
+    def getTcpKeepAlive(self):
+        return False
