--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -9,7 +9,7 @@
 from oakbase.constants import (CALL_TIME, CLAIM_SWEEP, CONTROL_BATCH, CONTROL_INBOX, ENTRY_LIMIT, SLOTS,
                                TAKEOVER_LOOK, TERM, TERM_RENEW)
 from oakbase.inbox import Inbox
-from oakbase.tasks import Repeater, firstOf, sleep, spawn
+from oakbase.tasks import Repeater, firstOf, sleep, spawn, within
 from oakbase.verdict import CannotTell, NoAnswer, NotOwner, OakError, TooLarge, Verdict
 from oakcohort.members import LIVE
 from oakcohort.rendezvous import ranked, slotOf
@@ -78,6 +78,7 @@
         self.entries, self._sequence = entries, sequence
         self._inbox = Inbox(CONTROL_INBOX, f"slot{slot}")
         self.termUntil = 0.0
+        self.confirmed = defer.Deferred()
         self.ended = False
         self.idle = True
         self.marks = {}
@@ -86,6 +87,11 @@
     def serve(self):
         self._task = spawn(self._run(), self._owners.log)
 
+    def lengthen(self, until):
+        self.termUntil = max(self.termUntil, until)
+        if not self.confirmed.called:
+            self.confirmed.callback(None)
+
     def holdsTerm(self):
         return not self.ended and self._owners.reactor.seconds() < self.termUntil
 
@@ -227,26 +233,28 @@
     # --- terms ---
 
     async def _renew(self):
-        owners = dict(self.held)
+        """Starts one round of confirmations; the answers lengthen the terms as they come in, so that a slow
+        voter holds up neither the others nor the next round."""
+        now = self.reactor.seconds()
+        for slot, owner in list(self.held.items()):
+            if now > owner.termUntil + TERM:
+                self.log.event("termLost", slot=slot, epoch=owner.epoch)
+                owner.end()
+        self._confirm(dict(self.held))
+
+    def _confirm(self, owners):
         if not owners:
             return
-        askedAt = self.reactor.seconds()
-        confirmed = dict.fromkeys(owners, 0)
+        askedAt, counts = self.reactor.seconds(), dict.fromkeys(owners, 0)
         terms = [idl.SlotEpoch(slot=slot, epoch=owner.epoch) for slot, owner in owners.items()]
 
         async def ask(answer):
             for term in await answer:
-                confirmed[term.slot] += 1
-                if confirmed[term.slot] == self._majority():
-                    owner = owners[term.slot]
-                    owner.termUntil = max(owner.termUntil, askedAt + TERM)
-        reached, _ = await firstOf(map(ask, self._askVoters("confirm", terms=terms)), self._majority())
-        if not reached:
-            self.log.event("termsNotConfirmed", slots=len(owners))
-        for slot, owner in owners.items():
-            if self.reactor.seconds() > owner.termUntil + TERM and not owner.ended:
-                self.log.event("termLost", slot=slot, epoch=owner.epoch)
-                owner.end()
+                counts[term.slot] += 1
+                if counts[term.slot] == self._majority():
+                    owners[term.slot].lengthen(askedAt + TERM)
+        for answer in self._askVoters("confirm", terms=terms):
+            spawn(ask(answer))
 
     # --- taking over ---
 
@@ -297,8 +305,9 @@
         believed = self.believedOwner(slot)
         epoch = max(self._seenEpochs.get(slot, 0), believed[0] if believed else 0, releasedEpoch or 0) + 1
         self._seenEpochs[slot] = epoch
-        reached, promises = await firstOf(map(
-            self._granted, self._askVoters("prepare", slot=slot, epoch=epoch)), self._majority())
+        reached, promises = await firstOf([
+            self._granted(slot, answer) for answer in self._askVoters("prepare", slot=slot, epoch=epoch)
+        ], self._majority())
         if not reached:
             raise CannotTell(f"no majority promised epoch {epoch}")
         preparedAt = self.reactor.seconds()
@@ -310,18 +319,18 @@
             raise CannotTell(f"the image of epoch {epoch} did not reach a majority")
         if formerEpoch and formerEpoch != releasedEpoch:
             await sleep(self.reactor, preparedAt + TERM - self.reactor.seconds())
+        self._confirm({slot: owner})
+        await within(self.reactor, TERM, owner.confirmed,
+                     CannotTell(f"epoch {epoch} was not confirmed"))
         self.held[slot] = owner
-        await self._renew()
-        if not owner.holdsTerm():
-            owner.end()
-            raise CannotTell(f"epoch {epoch} was not confirmed")
         owner.serve()
         self.publish(owner, entries)
         self.log.event("slotTaken", slot=slot, epoch=epoch, entries=len(entries), released=releasedEpoch or "no")
 
-    async def _granted(self, answer):
+    async def _granted(self, slot, answer):
         promise = await answer
         if not promise.granted:
+            self._seenEpochs[slot] = max(self._seenEpochs.get(slot, 0), promise.promisedEpoch)
             raise CannotTell(f"epoch {promise.promisedEpoch} is promised already")
         return promise
 
--- a/packages/oaklab/oaklab/plan.py
+++ b/packages/oaklab/oaklab/plan.py
@@ -70,5 +70,6 @@
     return {"bindings": bindings, "programs": {"defaultLimit": 200, "maxLimit": 100000}, "share": 1}
 
 
+MARKERS = [f"{partner}-plan-{number}" for partner in ("dalatech", "nile") for number in range(200)]
 PARTNERS = ("dalatech", "nile")
 PLAIN_NAMES = {"dalatech": "results", "nile": "notices"}
--- a/packages/oaknews/oaknews/board.py
+++ b/packages/oaknews/oaknews/board.py
@@ -103,7 +103,7 @@
 
     def _imageFor(self, source, version):
         image = self.images[source]
-        whole = version < image.base
+        whole = version < image.base or version < 0
         items = [idl.Item(name=name, version=itemVersion, value=value)
                  for name, (itemVersion, value) in image.items.items()
                  if (value is not None if whole else itemVersion > version)]
@@ -111,6 +111,9 @@
         return idl.Image(source=source, version=image.version, whole=whole, items=items,
                          ageMs=AGE_LIMIT if age > AGE_LIMIT / 1000 else int(age * 1000) + 1)
 
+    def wholeImage(self, source):
+        return self._imageFor(source, -1)
+
     def merge(self, news, askedAt):
         for received in news:
             if received.source in self._ownSources:
--- a/packages/oaknews/oaknews/puller.py
+++ b/packages/oaknews/oaknews/puller.py
@@ -45,7 +45,12 @@
         except (ValueError, TypeError) as error:
             self._log.event("memberUnreadable", source=source, error=repr(error))
 
-    async def _servePull(self, _peer, arguments):
+    async def _servePull(self, peer, arguments):
+        """Answers with what the puller lacks. Its own row counts as a sign of life from now on; that is good
+        enough for its condition, and rows of nodes are all that is taken from a puller."""
+        me = arguments.me
+        if me is not None and me.source.startswith(f"{NODE_SOURCE}{peer.nodeId}/") and peer.clusterId:
+            self._board.merge([me], self._reactor.seconds())
         return idl.News(images=self._board.newsFor(arguments.seen or []), clusterId=self._net.clusterId)
 
     def start(self):
@@ -87,7 +92,8 @@
         self._pulling.add(address)
         try:
             askedAt = self._reactor.seconds()
-            news = await self._net.call(address, "pull", PULL_TIME, seen=self._board.seen())
+            news = await self._net.call(address, "pull", PULL_TIME, seen=self._board.seen(),
+                                            me=self._board.wholeImage(self._source))
             if news.clusterId and not self._net.clusterId:
                 self._identity.joinCluster(news.clusterId)
                 self._net.joinCluster(news.clusterId)
--- a/packages/oakwire/oakwire/oak.thrift
+++ b/packages/oakwire/oakwire/oak.thrift
@@ -59,7 +59,7 @@
 struct LineDigest { 1: string key  2: string digest }
 
 service Node {
-  News pull(1: list<Seen> seen)
+  News pull(1: list<Seen> seen, 2: Image me)   // me: the puller's own row, so that it is known by whom it asks
   string ownerCall(1: string key, 2: string command, 3: string argumentsJson)
   Promise prepare(1: i32 slot, 2: i64 epoch, 3: string owner, 4: i64 rosterVersion)
   Taken accept(1: i32 slot, 2: i64 epoch, 3: string owner, 4: i64 rosterVersion, 5: i64 sequence, 6: bool whole, 7: list<Entry> entries)
