--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -6,8 +6,8 @@
 from twisted.internet import defer
 
 from oakbase.checks import packJson
-from oakbase.constants import (CALL_TIME, CLAIM_SWEEP, CONTROL_BATCH, CONTROL_INBOX, ENTRY_LIMIT, SLOTS,
-                               TAKEOVER_LOOK, TERM, TERM_RENEW)
+from oakbase.constants import (CALL_TIME, CLAIM_SWEEP, CONDITION_AGE, CONTROL_BATCH, CONTROL_INBOX, ENTRY_LIMIT,
+                               SLOTS, TAKEOVER_LOOK, TERM, TERM_RENEW)
 from oakbase.inbox import Inbox
 from oakbase.tasks import Repeater, firstOf, sleep, spawn, within
 from oakbase.verdict import CannotTell, NoAnswer, NotOwner, OakError, TooLarge, Verdict
@@ -169,6 +169,7 @@
         self.held = {}
         self._taking = set()
         self._seenEpochs = {}
+        self._startedAt = node.reactor.seconds()
         self.pollTimes = {}
         self._tasks = [Repeater(node.reactor, pause, roundFunction, node.log) for pause, roundFunction in (
             (TAKEOVER_LOOK, self._look), (TERM_RENEW, self._renew), (CLAIM_SWEEP, self._sweep))]
@@ -265,14 +266,25 @@
     async def _look(self):
         if self._voter.roster is None or self._node.nodeId not in self._voter.roster["members"]:
             return
-        liveIds = self._liveRoster()
-        if len(liveIds) < self._majority() or self._node.nodeId not in liveIds:
+        # Only who has answers from a majority may disturb an owner: one that is heard but hears nobody would
+        # end every term with its prepares.
+        if sum(map(self._node.puller.answersLately, self._rosterAddresses())) < self._majority():
             return
+        liveIds = self._liveRoster()
         for slot in range(SLOTS):
-            if slot in self.held or slot in self._taking or ranked(liveIds, f"slot{slot}")[0] != self._node.nodeId:
-                continue
-            self._taking.add(slot)
-            spawn(self._takeOver(slot, liveIds), self.log)
+            if slot not in self.held and slot not in self._taking and self._isForMe(slot, liveIds):
+                self._taking.add(slot)
+                spawn(self._takeOver(slot, liveIds), self.log)
+
+    def _isForMe(self, slot, liveIds):
+        """The slot is for the first live one named for it. If that one is seen to live, but the slot stays
+        without an owner (a cut may part it from the voters only), the next ones step in, each a term later."""
+        order = ranked(liveIds, f"slot{slot}")
+        if self._node.nodeId not in order:
+            return False
+        place = order.index(self._node.nodeId)
+        ownerless = min(self._node.board.age(f"{SLOT_SOURCE}{slot}"), self.reactor.seconds() - self._startedAt)
+        return place == 0 or ownerless > CONDITION_AGE + place * TERM
 
     def believedOwner(self, slot):
         """(epoch, nodeId, address) of the slot's newest owner that this node has heard of, or None."""
@@ -359,7 +371,7 @@
         self._node.board.setItems(source, owner.epoch, {
             "owner": packJson([owner.epoch, self._node.nodeId, self._node.net.address])})
         view = View(owner.entries, None)
-        for published in {publishedBy(key) for key in changes} - {None}:
+        for published in sorted({publishedBy(key) for key in changes} - {None}):
             controller = CONTROLLERS.find(published.partition("/")[0])
             version, values = controller.image(view, published)
             self._node.board.publish(published, lambda published=published: self._vouchFor(owner, published))
--- a/packages/oakgate/oakgate/carry.py
+++ b/packages/oakgate/oakgate/carry.py
@@ -1,7 +1,7 @@
 """Placing and carrying, shared by turns and plain calls."""
 import json
 
-from oakbase.constants import FRONT_TRIES
+from oakbase.constants import CARRY_TRIES
 from oakbase.tasks import within
 from oakbase.verdict import Broken, NoAnswer, OakError, Overloaded, TimeSpent, Verdict
 from oakgate.placer import Wish, prefixOf
@@ -15,47 +15,47 @@
     async def carry(self, request, mayRepeat, send):
         """Places the request, and calls `send(replica, lastCheck)`; on a no it goes on to another replica, on
         a maybe only if the request may be repeated."""
-        tried = set()
-        for attempt in range(FRONT_TRIES):
-            replica = await self._placeFresh(request, tried)
+        for attempt in range(CARRY_TRIES):
+            replica = await self._placeFresh(request)
+            placedAt = self._node.reactor.seconds()
             try:
                 return await send(replica, lambda: self._lastCheck(request, replica))
             except OakError as error:
-                tried.add(replica.row["id"])
                 if error.verdict is Verdict.NO:
                     self._placer.refused(replica)
                 self._metrics.count("carry_failed", verdict=error.verdict.value)
-                if attempt == FRONT_TRIES - 1 or not self._mayRetry(request, mayRepeat, error):
+                if attempt == CARRY_TRIES - 1 or not self._mayRetry(request, mayRepeat, error):
                     raise
                 self._node.log.event("carryRetried", replica=replica.row["id"], reason=error.reason,
                                      verdict=error.verdict.value)
             finally:
-                self._placer.release(replica)
+                self._placer.release(replica, placedAt)
 
     def _mayRetry(self, request, mayRepeat, error):
         return error.verdict is Verdict.NO or (
             mayRepeat and self._node.reactor.seconds() < request.waitUntil and not request.call.isGone)
 
-    async def _placeFresh(self, request, tried):
+    async def _placeFresh(self, request):
         """A replica under a blueprint that is surely current. News that came while it waited counts."""
         while True:
             binding = request.binding
             replica = await self._placer.place(Wish(
                 request.partner, binding["pool"], binding["urgency"], request.waitUntil,
                 request.fields.get("lineKey", ""), prefixOf(request.fields.get("start", "")),
-                binding.get("adapter"), binding.get("modelWeights"), tried))
+                binding.get("adapter"), binding.get("modelWeights")))
+            placedAt = self._node.reactor.seconds()
             try:
                 await self._bindings.waitFresh(request.partner, request.waitUntil)
                 if request.call.isGone:
                     raise TimeSpent("the caller went away")
                 request.binding = self._bindings.find(request.partner, request.bindingName, request.kind)
             except OakError:
-                self._placer.release(replica)
+                self._placer.release(replica, placedAt)
                 raise
             if request.binding == binding and replica.row["state"] == "ready" \
                     and replica.row["id"] in self._placer.replicas:
                 return replica
-            self._placer.release(replica)
+            self._placer.release(replica, placedAt)
             request.remaining(self._node.reactor.seconds())
 
     def _lastCheck(self, request, replica):
--- a/packages/oakgate/oakgate/placer.py
+++ b/packages/oakgate/oakgate/placer.py
@@ -1,12 +1,13 @@
 """Placing: which replica serves which request, and who goes first when none has room."""
 import heapq
 import itertools
-from dataclasses import dataclass, field
+import math
+from dataclasses import dataclass
 
 from twisted.internet import defer
 
-from oakbase.constants import (DESCRIBE_PAUSE, DESCRIBE_TIME, GATE_REPLICA_IN_FLIGHT, PLACE_INBOX,
-                               PREFIX_CHARACTERS, RETRY_AFTER, WEIGHT_BOUND)
+from oakbase.constants import (CONTENDED_SHARE, DESCRIBE_PAUSE, DESCRIBE_TIME, GATE_REPLICA_IN_FLIGHT,
+                               PLACE_INBOX, PREFIX_CHARACTERS, REFUSED_PAUSE, RETRY_AFTER, WEIGHT_BOUND)
 from oakbase.tasks import Repeater, spawn, within
 from oakbase.verdict import OakError, Overloaded, TimeSpent, Unknown
 from oakcohort.rendezvous import ranked
@@ -25,17 +26,21 @@
     running: int = 0
     ownRunning: int = 0
     ownThen: int = 0
+    gates: int = 1
     describedAt: float = float("-inf")
     adapters: tuple = ()
     modelWeights: str = ""
-    refusedAt: float = float("-inf")
+    refusedUntil: float = float("-inf")
 
     def weight(self):
         """Share of the capacity in use, as well as this gate can tell."""
         return max(self.running + self.ownRunning - self.ownThen, self.ownRunning) / self.capacity
 
-    def hasRoom(self):
-        return self.weight() < 1 and self.ownRunning < GATE_REPLICA_IN_FLIGHT
+    def hasRoom(self, now):
+        """Near its capacity, a replica is shared evenly by the gates: no one who came first keeps it all."""
+        contended = self.running >= CONTENDED_SHARE * self.capacity
+        most = math.ceil(self.capacity / self.gates) if contended else GATE_REPLICA_IN_FLIGHT
+        return self.weight() < 1 and self.ownRunning < most and now >= self.refusedUntil
 
 
 @dataclass
@@ -50,7 +55,6 @@
     prefix: str = ""
     adapter: str | None = None
     modelWeights: str | None = None
-    tried: set = field(default_factory=set)
 
 
 class Placer:
@@ -66,6 +70,7 @@
         self.replicas = {}
         self._waiting = {}
         self._served = {}
+        self._holdTimes = {}
         self._order = itertools.count()
         self._describing = set()
         self._repeater = Repeater(node.reactor, DESCRIBE_PAUSE, self._describeAll, node.log)
@@ -81,7 +86,7 @@
 
     def _refresh(self):
         rows = self._bindings.replicas()
-        for replicaId in self.replicas.keys() - rows.keys():
+        for replicaId in sorted(self.replicas.keys() - rows.keys()):
             del self.replicas[replicaId]
         for replicaId, row in rows.items():
             if replicaId not in self.replicas:
@@ -91,6 +96,7 @@
         self._dispatchAll()
 
     async def _describeAll(self):
+        self._giveUpHopeless()
         for replica in list(self.replicas.values()):
             if replica.row["id"] not in self._describing:
                 spawn(self._describe(replica), self._node.log)
@@ -111,6 +117,7 @@
                 self._node.log.event("describeUnreadable", replica=replicaId)
                 return
             replica.running, replica.capacity, replica.ownThen = load["running"], load["capacity"], own
+            replica.gates = max(1, len(self._node.members.live("gate")))
             replica.adapters = tuple(map(str, said.get("adapters") or ()))
             replica.modelWeights = str(said.get("weights", ""))
             replica.describedAt = self._reactor.seconds()
@@ -125,10 +132,9 @@
     def _candidates(self, wish):
         pool = [replica for replica in self.replicas.values() if replica.row["pool"] == wish.pool]
         ready = [replica for replica in pool if replica.row["state"] == "ready"]
-        fitting = [replica for replica in ready
-                   if (wish.adapter is None or wish.adapter in replica.adapters)
-                   and (wish.modelWeights is None or wish.modelWeights == replica.modelWeights)]
-        return [replica for replica in fitting if replica.row["id"] not in wish.tried], len(ready)
+        return [replica for replica in ready
+                if (wish.adapter is None or wish.adapter in replica.adapters)
+                and (wish.modelWeights is None or wish.modelWeights == replica.modelWeights)], len(ready)
 
     def _place(self, wish):
         """The replica for this wish now, or None if none has room.
@@ -137,9 +143,8 @@
         there the line's earlier turns, or at least the common start, are in the cache."""
         candidates, _ = self._candidates(wish)
         now = self._reactor.seconds()
-        roomy = [replica for replica in candidates if replica.hasRoom()]
-        sound = [replica for replica in roomy if now - replica.describedAt < DESCRIBED_AGE
-                 and now - replica.refusedAt > DESCRIBE_PAUSE] or roomy
+        roomy = [replica for replica in candidates if replica.hasRoom(now)]
+        sound = [replica for replica in roomy if now - replica.describedAt < DESCRIBED_AGE] or roomy
         if not sound:
             return None
         if not wish.lineKey:
@@ -158,8 +163,6 @@
     async def place(self, wish):
         """A replica with one place taken on it; the caller must release it. Raises with verdict no."""
         candidates, readyCount = self._candidates(wish)
-        if not candidates and readyCount and wish.tried:
-            raise Overloaded("every fitting replica said no", retryAfter=RETRY_AFTER)
         if not candidates and readyCount:
             described = [replica for replica in self.replicas.values() if replica.row["pool"] == wish.pool
                          and replica.describedAt > float("-inf")]
@@ -168,6 +171,8 @@
         heap = self._waiting.setdefault((wish.pool, wish.partner), [])
         if len(heap) >= PLACE_INBOX:
             raise Overloaded("too many requests wait for a replica", retryAfter=RETRY_AFTER)
+        ahead = sum(entry[:2] <= (URGENCY[wish.urgency], wish.endsAt) for entry in heap)
+        self._refuseHopeless(wish, ahead)
         if not heap:
             self._startLevel(wish.pool, wish.partner)
         waiter = defer.Deferred(lambda _: None)
@@ -181,6 +186,37 @@
                 entry for entry in self._waiting[wish.pool, wish.partner] if entry[4] is not waiter]
             heapq.heapify(heap)
 
+    # --- giving up in time ---
+
+    def _expectedWait(self, pool, ahead):
+        """Seconds until this gate has given room to `ahead` more of one partner, by what its requests hold
+        their places for; 0 while that is not known or there is room."""
+        rows = [replica for replica in self.replicas.values() if replica.row["pool"] == pool]
+        own = sum(replica.ownRunning for replica in rows)
+        now = self._reactor.seconds()
+        if not own or pool not in self._holdTimes or any(replica.hasRoom(now) for replica in rows):
+            return 0.0
+        partners = sum(1 for (waitingPool, _), heap in self._waiting.items() if waitingPool == pool and heap)
+        return (ahead + 1) * max(1, partners) * self._holdTimes[pool] / own
+
+    def _refuseHopeless(self, wish, ahead):
+        """Raises if the wish cannot be met in time: its caller is told now, and when to come back."""
+        expected = self._expectedWait(wish.pool, ahead)
+        if self._reactor.seconds() + expected > wish.endsAt:
+            self._metrics.count("given_up")
+            raise Overloaded(f"about {expected:.0f} s of requests wait already",
+                             retryAfter=max(RETRY_AFTER, min(60, round(expected))))
+
+    def _giveUpHopeless(self):
+        """The same look at those that wait: how long places are held may be known only now."""
+        for heap in list(self._waiting.values()):
+            for ahead, entry in enumerate(sorted(heap)):
+                try:
+                    self._refuseHopeless(entry[3], ahead)
+                except Overloaded as error:
+                    if not entry[4].called:
+                        entry[4].errback(error)
+
     def _startLevel(self, pool, partner):
         level = min((self._served.get((pool, other), 0.0) for (otherPool, other), heap in self._waiting.items()
                      if otherPool == pool and heap), default=None)
@@ -188,7 +224,7 @@
             self._served[pool, partner] = max(self._served.get((pool, partner), 0.0), level)
 
     def _dispatchAll(self):
-        for pool in {pool for pool, _ in self._waiting}:
+        for pool in dict.fromkeys(pool for pool, _ in self._waiting):
             self._dispatch(pool)
 
     def _dispatch(self, pool):
@@ -219,13 +255,18 @@
                 continue
             entry[4].callback(replica)
 
-    def release(self, replica):
+    def release(self, replica, placedAt):
         replica.ownRunning -= 1
-        self._dispatch(replica.row["pool"])
+        pool = replica.row["pool"]
+        held = self._reactor.seconds() - placedAt
+        if replica.refusedUntil < placedAt:
+            self._holdTimes[pool] = 0.9 * self._holdTimes.get(pool, held) + 0.1 * held
+        self._dispatch(pool)
 
     def refused(self, replica):
-        """The replica said no, or could not be reached: others go first for a while."""
-        replica.refusedAt = self._reactor.seconds()
+        """The replica said no, or could not be reached: it counts as full for a moment."""
+        replica.refusedUntil = self._reactor.seconds() + REFUSED_PAUSE
+        self._reactor.callLater(REFUSED_PAUSE, self._dispatch, replica.row["pool"])
 
     def waitingCount(self):
         return sum(map(len, self._waiting.values()))
--- a/packages/oakgate/oakgate/request.py
+++ b/packages/oakgate/oakgate/request.py
@@ -3,7 +3,7 @@
 from hashlib import blake2b
 
 from oakbase.checks import packJson
-from oakbase.constants import TIME_LEFT_DEFAULT
+from oakbase.constants import RUN_SHARE, TIME_LEFT_DEFAULT
 from oakbase.verdict import TimeSpent
 
 
@@ -29,8 +29,9 @@
 
     def bound(self, binding):
         self.binding = binding
-        self.endsAt = self.askedAt + (self.timeLeft or TIME_LEFT_DEFAULT)
-        self.waitUntil = min(self.endsAt, self.askedAt + binding["maxWaitSeconds"])
+        whole = self.timeLeft or TIME_LEFT_DEFAULT
+        self.endsAt = self.askedAt + whole
+        self.waitUntil = self.askedAt + min(whole * (1 - RUN_SHARE), binding["maxWaitSeconds"])
 
     def remaining(self, now):
         """Seconds in which it may still be carried."""
--- a/packages/oaklab/oaklab/simnet.py
+++ b/packages/oaklab/oaklab/simnet.py
@@ -94,7 +94,7 @@
         self.waitingCalls = []
         self.listeners = {}
         self.ports = itertools.count(20000)
-        self.transports = set()
+        self.transports = {}
         network.hosts[address] = self
 
     def freeze(self):
@@ -109,7 +109,7 @@
 
     def end(self, powerCut):
         """The process is gone. Its kernel closes the connections, unless the power went too."""
-        transports, self.transports = self.transports, set()
+        transports, self.transports = self.transports, {}
         self.network.time.graves.append((transports, self.waitingCalls, self.listeners))
         self.incarnation += 1
         self.frozen, self.waitingCalls, self.listeners = False, [], {}
@@ -250,7 +250,7 @@
     def open(self, factory):
         if self.closed:
             return
-        self.host.transports.add(self)
+        self.host.transports[self] = None
         self.protocol = factory.buildProtocol(IPv4Address("TCP", *self._peer))
         if self.protocol is None:
             self.abortConnection()
@@ -325,7 +325,7 @@
         if self.closed:
             return
         self.closed, self.connected = True, False
-        self.host.transports.discard(self)
+        self.host.transports.pop(self, None)
         if self._producer is not None:
             self._producer.stopProducing()
             self._producer = None
--- a/packages/oaknews/oaknews/puller.py
+++ b/packages/oaknews/oaknews/puller.py
@@ -1,7 +1,7 @@
 """The task that pulls news from each cohort member, and the node's own row among the members."""
 import json
 
-from oakbase.constants import PULL_PAUSE, PULL_TIME
+from oakbase.constants import CONDITION_AGE, PULL_PAUSE, PULL_TIME
 from oakbase.tasks import Repeater, settled, sleep, spawn
 from oakbase.verdict import OakError
 from oakcohort.members import Member
@@ -19,6 +19,7 @@
         self._source = f"{NODE_SOURCE}{me.nodeId}/{me.boot}"
         self._version = 0
         self._pulling = set()
+        self._answeredAt = {}
         self._rounds = 0
         self._repeater = None
         board.publish(self._source, reactor.seconds)
@@ -99,11 +100,17 @@
                 self._net.joinCluster(news.clusterId)
                 self._log.event("joinedCluster", clusterId=news.clusterId, through=address)
             self._board.merge(news.images or [], askedAt)
+            self._answeredAt[address] = askedAt
         except OakError as error:
             self._log.event("pullFailed", address=address, reason=error.reason)
         finally:
             self._pulling.discard(address)
 
+    def answersLately(self, address):
+        """Whether this address has itself answered; what others say of it does not count."""
+        return (address == self._me.peer
+                or self._reactor.seconds() - self._answeredAt.get(address, float("-inf")) < CONDITION_AGE)
+
     async def pullNow(self):
         """One pull from every cohort member, for a request that waits for fresh news."""
         await settled([self._pullFrom(member.peer) for member in self._members.cohort(self._me.kind)
--- a/packages/oakwire/oakwire/net.py
+++ b/packages/oakwire/oakwire/net.py
@@ -39,12 +39,12 @@
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
         self._helloCall = self._net.reactor.callLater(HELLO_TIME, self._drop, "noHello")
-        self._net.connections.add(self)
+        self._net.connections[self] = None
         self.sendString(pack(self._net.hello()))
 
     def connectionLost(self, reason=protocol.connectionDone):
         self.connected = 0  # the base class leaves it set
-        self._net.connections.discard(self)
+        self._net.connections.pop(self, None)
         if self._helloCall is not None and self._helloCall.active():
             self._helloCall.cancel()
         if not self.ready.called:
@@ -187,7 +187,7 @@
         self.reactor, self.nodeId, self.kind, self.address, self.log = reactor, nodeId, kind, address, log
         self.clusterId = clusterId or ""
         self.handlers = {}
-        self.connections = set()
+        self.connections = {}
         self.callCounts = {}
         self._links = {}
         self._resting = {}
