--- /dev/null
+++ b/packages/oaklab/oaklab/realtrial.py
@@ -0,0 +1,68 @@
+"""A trial on a real fleet: callers in the brief's mix, checked against the stand-ins' record."""
+import random
+import time
+
+from oakbase.fetch import WebClient
+from oakbase.tasks import settled, sleep
+from oakctl.asking import ask
+from oaklab.caller import Caller, Operator, View
+from oaklab.checker import check
+from oaklab.plan import PARTNERS, PLAIN_NAMES, PLATFORM, blueprintOf
+from oaklab.standin import Record
+
+
+class RealTrial:
+    """Invariant: `view` and the stand-ins' record use the same clock, the machine's monotonic one."""
+
+    def __init__(self, reactor, fleet, seed):
+        self.reactor, self.fleet = reactor, fleet
+        self.view = View()
+        chooser, client = random.Random(seed), WebClient(reactor, "127.20.250.1")
+        self.caller = Caller(reactor, client, [machine.http for machine in fleet.ofKind("gate")], chooser, self.view)
+        self.operator = Operator(reactor, WebClient(reactor, "127.20.251.1"),
+                                 [machine.http for machine in fleet.ofKind("control")], chooser, self.view)
+
+    async def load(self, seconds, callers):
+        until = self.reactor.seconds() + seconds
+        await settled([self.caller.mix(PARTNERS[index % 2], PLAIN_NAMES[PARTNERS[index % 2]], until)
+                       for index in range(callers)])
+
+    async def changePlans(self, seconds, pause=3.0):
+        """Each partner's operator sends a marked plan every few seconds."""
+        until, number = self.reactor.seconds() + seconds, 1
+        while self.reactor.seconds() < until:
+            for partner in PARTNERS:
+                current = await self.operator.readPlan(partner)
+                if current is not None:
+                    marker = f"{partner}-plan-{number}"
+                    await self.operator.putPlan(partner, current["version"], blueprintOf(partner, marker), marker)
+            number += 1
+            await sleep(self.reactor, pause)
+
+    async def readBack(self):
+        for partner in PARTNERS:
+            current = await self.operator.readPlan(partner)
+            if current is not None:
+                self.view.readBack[partner] = (current["version"],
+                                               current["blueprint"]["bindings"]["chat"].get("adapter"))
+
+    def record(self):
+        said = ask(PLATFORM, "GET", "/lab/record", timeLeft=60)[1]
+        return Record.fromJson({"runs": said["runs"], "leavingSince": said["leavingSince"]}), said["cache"]
+
+    def report(self):
+        """Rule by rule: what was checked, how many violations, the first few of them."""
+        record, cache = self.record()
+        return check(self.view, record), cache
+
+
+def rollingRestart(trial, pause=1.0):
+    """Stops every daemon in the planned way, one after another, and starts it again. Runs on a thread."""
+    fleet, codes = trial.fleet, []
+    for machine in fleet.machines:
+        codes.append((machine.name, fleet.stop(machine.name)))
+        fleet.start(machine.name)
+        fleet.waitFor(f"{machine.name} being ready", lambda machine=machine: ask(
+            machine.http, "GET", "/condition")[1].get("condition") == "ready")
+        time.sleep(pause)
+    return codes
--- a/packages/oakwire/oakwire/net.py
+++ b/packages/oakwire/oakwire/net.py
@@ -14,7 +14,7 @@
                                RECONNECT_PAUSE, WIRE_VERSION)
 from oakbase.env import splitAddress
 from oakbase.tasks import spawn
-from oakbase.verdict import (Fenced, NoAnswer, OakError, Overloaded, TimeSpent, Unknown, Unreachable,
+from oakbase.verdict import (BadRequest, Fenced, NoAnswer, OakError, Overloaded, TimeSpent, Unknown, Unreachable,
                              errorFrom)
 from oakwire.codec import argumentsClass, idl, pack, resultClass, unpack
 
@@ -68,6 +68,8 @@
                 self._meet(unpack(idl.Hello, data))
                 return
             frame = unpack(idl.Frame, data)
+            if frame.callId is None:
+                raise BadRequest("a frame without a call id")
             if frame.method:
                 self._serve(frame)
                 return
--- /dev/null
+++ b/tests/test_api.py
@@ -0,0 +1,138 @@
+"""What callers and operators are told, above all about bad input. One simulated fleet serves all of it."""
+import unittest
+
+from oaklab.plan import blueprintOf
+from oaklab.simfleet import SimFleet
+
+
+class ApiTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = SimFleet(5).bringUp()
+        cls.gate = cls.fleet["gate0"].machine.http
+        cls.control = cls.fleet["control0"].machine.http
+
+    @classmethod
+    def tearDownClass(cls):
+        crashes = [line for line in cls.fleet.lines if "rashed" in line]
+        assert not crashes, crashes
+
+    def ask(self, method, address, path, value=None):
+        return self.fleet.until(self.fleet.caller._client.json(method, address, path, value, 15), 30)
+
+    def refused(self, expected, *request, error=None):
+        status, said = self.ask(*request)
+        self.assertEqual((status, said.get("verdict")), (expected, "no"), said)
+        if error:
+            self.assertEqual(said["error"], error, said)
+        return said
+
+    def open(self, program, limit=100):
+        self.assertEqual(self.ask("POST", self.gate, "/v1/dalatech/programs",
+                                  {"program": program, "limit": limit})[0], 201)
+
+    def testPrograms(self):
+        path = "/v1/dalatech/programs"
+        self.open("a")
+        self.open("a")
+        self.refused(409, "POST", self.gate, path, {"program": "a", "limit": 7}, error="conflict")
+        self.refused(400, "POST", self.gate, path, {"program": "b", "limit": 0})
+        self.refused(400, "POST", self.gate, path, {"program": "b", "limit": -5})
+        self.refused(400, "POST", self.gate, path, {"program": "b", "limit": True})
+        self.refused(400, "POST", self.gate, path, {"program": "b", "limit": 10 ** 9})
+        self.refused(400, "POST", self.gate, path, {"program": "b/c"})
+        self.refused(400, "POST", self.gate, path, {"limit": 3})
+        self.refused(404, "POST", self.gate, "/v1/nobody/programs", {"program": "b"}, error="unknown")
+        self.refused(404, "GET", self.gate, f"{path}/nothing", None)
+        self.assertEqual(self.ask("GET", self.gate, f"{path}/a")[1],
+                         {"program": "a", "limit": 100, "spent": 0, "reserved": 0, "open": 0})
+
+    def testTurns(self):
+        self.open("t")
+        path = "/v1/dalatech/programs/t/lines/l/turns"
+        good = {"turnId": "t1", "binding": "chat", "after": None, "input": "x"}
+        for changes in ({"turnId": ""}, {"turnId": "a b"}, {"binding": 3}, {"after": 5}, {"input": ""}, {"input": ["x"]},
+                        {"timeLeft": 0}, {"timeLeft": "soon"}, {"maxOutput": 0}, {"extra": 1}):
+            said = self.refused(400, "POST", self.gate, path, good | changes, error="badRequest")
+            self.assertTrue(said["detail"][0].startswith(next(iter(changes)) + ":"), said)
+        self.refused(404, "POST", self.gate, path, good | {"binding": "nothing"})
+        self.refused(400, "POST", self.gate, path, good | {"binding": "results"})
+        self.refused(404, "POST", self.gate, "/v1/dalatech/programs/none/lines/l/turns", good)
+        self.refused(410, "POST", self.gate, path, good | {"turnId": "t2", "after": "none"}, error="gone")
+        self.assertEqual(self.ask("GET", self.gate, "/v1/dalatech/programs/t")[1]["open"], 0)
+        self.assertEqual(self.fleet.record.runs, [run for run in self.fleet.record.runs if run.kind != "turn"])
+
+    def testPlain(self):
+        path = "/v1/nile/plain/notices"
+        for value in ({}, {"body": 3}, {"body": {}, "key": ""}, {"body": {}, "key": "a/b"}, {"body": {}, "x": 1}):
+            self.refused(400, "POST", self.gate, path, value)
+        self.refused(404, "POST", self.gate, "/v1/nile/plain/nothing", {"body": {}})
+        self.refused(400, "POST", self.gate, "/v1/nile/plain/chat", {"body": {}})
+        self.assertEqual(self.ask("POST", self.gate, path, {"body": {"a": 1}, "key": "k"})[0], 200)
+        self.refused(409, "POST", self.gate, path, {"body": {"a": 2}, "key": "k"}, error="conflict")
+        status, said = self.ask("POST", self.gate, path, {"body": {"a": 1}, "key": "k"})
+        self.assertEqual((status, said["kept"]), (200, True))
+
+    def testBodies(self):
+        client = self.fleet.caller._client
+        self.refused(404, "POST", self.gate, "/v2/x", {})
+        self.refused(400, "DELETE", self.gate, "/condition", None)
+        for data, expected in ((b"{", 400), (b"[]", 400), (b"\xff\xfe", 400), (b"[" * 100000, 400),
+                               (b'{"x":"' + b"y" * (1 << 20) + b'"}', 413)):
+            self.assertEqual(self.raw(client, data), expected, data[:20])
+        self.assertEqual(self.ask("GET", self.gate, "/condition")[1]["condition"], "ready")
+
+    def raw(self, client, data):
+        from oakbase import fetch
+        kept = fetch.packJson
+        fetch.packJson = lambda value: data
+        try:
+            return self.fleet.until(client.data("POST", self.gate, "/v1/dalatech/programs", {}, 10), 20)[0]
+        finally:
+            fetch.packJson = kept
+
+    def testOperators(self):
+        path = "/v1/blueprints/nile"
+        bad = blueprintOf("nile", "nile-plan-9")
+        bad["bindings"]["chat"]["pool"] = "no pool"
+        said = self.refused(422, "PUT", self.control, path, {"changeId": "x1", "basedOn": 1, "blueprint": bad})
+        self.assertEqual(said["detail"][0].partition(":")[0], "bindings.chat.pool")
+        said = self.refused(409, "PUT", self.control, path,
+                            {"changeId": "x2", "basedOn": 0, "blueprint": blueprintOf("nile")}, error="lost")
+        self.assertEqual(said["detail"], {"version": 1})
+        for value in ({"basedOn": 1}, {"changeId": "x3", "basedOn": 1}, {"changeId": "x", "basedOn": "1"},
+                      {"changeId": "x3", "basedOn": 1, "blueprint": {}, "change": "setShare"}):
+            self.refused(400, "PUT", self.control, path, value)
+        self.refused(404, "POST", self.control, path + "/changes",
+                     {"changeId": "x4", "basedOn": 1, "change": "paint", "arguments": {}})
+        self.refused(422, "POST", self.control, path + "/changes",
+                     {"changeId": "x5", "basedOn": 1, "change": "removeBinding", "arguments": {"name": "none"}})
+        self.refused(404, "GET", self.control, path + "?version=9", None)
+        self.refused(400, "GET", self.control, path + "?version=x", None)
+        self.refused(404, "GET", self.control, "/v1/blueprints/nobody", None)
+        self.refused(404, "POST", self.control, "/v1/replicas/none/leaving", {})
+        self.assertEqual(self.ask("GET", self.control, path)[1]["version"], 1, "nothing of this took effect")
+        change = {"changeId": "y1", "basedOn": 1, "change": "setShare", "arguments": {"share": 3}}
+        for _ in range(2):
+            self.assertEqual(self.ask("POST", self.control, path + "/changes", change),
+                             (200, {"outcome": "accepted", "version": 2}))
+        self.assertEqual(self.ask("GET", self.control, path + "/changes/y1")[1]["version"], 2)
+        self.assertEqual(self.ask("GET", self.control, path + "/changes/y2")[1]["outcome"], "notAccepted")
+        self.assertEqual(self.ask("GET", self.control, path)[1]["blueprint"]["share"], 3)
+
+    def testInitDoesNotTouchAMember(self):
+        self.refused(400, "POST", self.control, "/v1/init", {"clusterId": "other"})
+        nodeId = self.fleet["control0"].node.node.nodeId
+        self.refused(409, "POST", self.control, "/v1/init",
+                     {"clusterId": "other", "roster": {nodeId: self.fleet["control0"].machine.peer}})
+
+    def testLists(self):
+        self.assertEqual(len(self.ask("GET", self.control, "/v1/nodes")[1]["nodes"]), 10)
+        self.assertEqual(len(self.ask("GET", self.control, "/v1/replicas")[1]["replicas"]), 8)
+        self.assertEqual({row["condition"] for row in self.ask("GET", self.control, "/v1/stores")[1]["members"]},
+                         {"live"})
+        self.assertTrue(all(row["owner"] for row in self.ask("GET", self.control, "/v1/slots")[1]["slots"]))
+        for name in ("gate0", "store0", "control0"):
+            text = self.fleet.until(self.fleet.caller._client.data(
+                "GET", self.fleet[name].machine.http, "/metrics", None, 5))[1].decode()
+            self.assertIn("oak_", text)
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,221 @@
+"""The parts by themselves: env, blueprints, wire, structure of the workspace."""
+import os
+import random
+import re
+import struct
+import subprocess
+import sys
+import time
+import unittest
+
+from twisted.internet import defer, protocol
+
+from oakbase import constants
+from oakbase.env import COMMON_ENV, CONTROL_ENV, checkEnv
+from oakbase.logline import LogLine
+from oakbase.tasks import monotonicReactor
+from oakbase.verdict import ERROR_CLASSES, EnvError, OakError, Verdict, errorFrom
+from oakcontrol.blueprint import blueprintFaults
+from oaklab.plan import SIZES, blueprintOf, envOf, machinesOf
+from oaklab.simnet import SimHost, SimNetwork, SimReactor, SimTime
+from oakwire.codec import idl, pack
+from oakwire.net import Net
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+ORDER = ["oakbase", "oakwire", "oakring", "oakdvv", "oakcohort", "oaknews", "oakcontrol", "oakstore", "oakgate",
+         "oakctl", "oaklab"]
+
+
+class Structure(unittest.TestCase):
+    def sources(self, package):
+        folder = os.path.join(ROOT, "packages", package, package)
+        for name in sorted(os.listdir(folder)):
+            if name.endswith(".py"):
+                with open(os.path.join(folder, name), encoding="utf-8") as file:
+                    yield name, file.read()
+
+    def testDependenciesRunOneWay(self):
+        self.assertEqual(sorted(os.listdir(os.path.join(ROOT, "packages"))), sorted(ORDER))
+        for place, package in enumerate(ORDER):
+            for name, text in self.sources(package):
+                used = set(re.findall(r"^\s*(?:from|import) (oak\w+)", text, re.M))
+                self.assertLessEqual(used, set(ORDER[:place + 1]), f"{package}/{name}")
+
+    def testClocksKnowNothingOfOakramp(self):
+        for name, text in self.sources("oakdvv"):
+            self.assertEqual(set(re.findall(r"^from (oak\w+)", text, re.M)) - {"oakdvv"}, set(), name)
+
+    def testDaemonsStartNoProcess(self):
+        for package in ORDER[:-2]:
+            for name, text in self.sources(package):
+                self.assertIsNone(re.search(r"subprocess|os\.fork|spawnProcess|multiprocessing", text), name)
+
+    def testConstantsBearUnitAndReason(self):
+        with open(constants.__file__, encoding="utf-8") as file:
+            lines = [line for line in file if re.match(r"[A-Z_]+ = ", line)]
+        self.assertGreater(len(lines), 50)
+        for line in lines:
+            self.assertRegex(line, r"  # .+;.+", line)
+
+
+class Errors(unittest.TestCase):
+    def testErrorsCrossTheWire(self):
+        for code, errorClass in ERROR_CLASSES.items():
+            error = errorFrom(code, "why", "maybe", {"a": 1})
+            self.assertIs(type(error), errorClass)
+            self.assertIs(error.verdict, Verdict.MAYBE)
+
+    def testUnknownErrorIsNeverNo(self):
+        self.assertIs(OakError("x").verdict, Verdict.MAYBE)
+        self.assertIs(type(errorFrom("fromTheFuture", "x", "maybe")), OakError)
+
+
+class Env(unittest.TestCase):
+    GOOD = {"machine": "m", "zone": "z", "peer": "127.0.0.1:1", "http": "127.0.0.1:2", "seeds": ["127.0.0.1:1"]}
+
+    def faults(self, rules=COMMON_ENV, **changes):
+        with self.assertRaises(EnvError) as caught:
+            checkEnv(rules, {key: value for key, value in (self.GOOD | changes).items() if value is not ...})
+        return caught.exception.detail
+
+    def testGood(self):
+        self.assertEqual(checkEnv(COMMON_ENV, self.GOOD)["machine"], "m")
+        for machine in machinesOf(SIZES["brief"]):
+            checkEnv(CONTROL_ENV if machine.kind != "gate" else COMMON_ENV, envOf(machine, machinesOf(SIZES["brief"]), "f"))
+
+    def testEachFaultHasItsLine(self):
+        faults = self.faults(peer="nowhere:1", seeds=["127.0.0.1:1"] * 4, zone=..., colour="red")
+        self.assertEqual(len(faults), 4, faults)
+        for word in ("peer: must be IP:PORT", "seeds: must be one to three", "zone: is missing", "colour: is not a known"):
+            self.assertTrue(any(word in fault for fault in faults), word)
+        self.assertTrue(self.faults(machine="no spaces here"))
+        self.assertTrue(self.faults(http="127.0.0.1:99999"))
+
+    def testDaemonEndsWithCode2(self):
+        program = os.path.join(os.path.dirname(sys.executable), "oakgated")
+        done = subprocess.run([program, "--machine", "m", "--peer", "x"], capture_output=True, text=True, check=False)
+        self.assertEqual(done.returncode, 2)
+        self.assertIn("oakgated: peer: must be IP:PORT", done.stderr)
+        self.assertIn("oakgated: zone: is missing", done.stderr)
+
+
+class Blueprints(unittest.TestCase):
+    def testGood(self):
+        self.assertEqual(blueprintFaults(blueprintOf("dalatech")), [])
+
+    def testPathOfEachFault(self):
+        blueprint = blueprintOf("dalatech")
+        blueprint["bindings"]["chat"]["urgency"] = "very"
+        blueprint["bindings"]["chat"]["maxWaitSeconds"] = -1
+        blueprint["bindings"]["ask"].pop("pool")
+        blueprint["bindings"]["bad name"] = {}
+        blueprint["bindings"]["results"]["maxOutput"] = 3
+        blueprint["programs"] = {"defaultLimit": 0, "maxLimit": True}
+        faults = blueprintFaults(blueprint)
+        for path in ("bindings.chat.urgency", "bindings.chat.maxWaitSeconds", "bindings.ask.pool", "bindings.bad name",
+                     "bindings.results.maxOutput", "programs.defaultLimit", "programs.maxLimit"):
+            self.assertTrue(any(fault.startswith(path + ":") for fault in faults), (path, faults))
+
+    def testOtherTypes(self):
+        for blueprint in ([], "x", {}, {"bindings": [], "programs": {}}, {"bindings": {"a": 3}, "programs": {}}):
+            self.assertTrue(blueprintFaults(blueprint), blueprint)
+
+
+class Wire(unittest.TestCase):
+    """A listening node and a raw connection to it, on simulated time and network."""
+
+    def setUp(self):
+        self.time, self.lines, self.got = SimTime(), [], []
+        network = SimNetwork(self.time, random.Random(1))
+        self.reactor = SimReactor(SimHost(network, "127.0.0.1"))
+        self.client = SimReactor(SimHost(network, "127.0.0.2"))
+        self.net = Net(self.reactor, "n1", "control", "127.0.0.1:1", "c1", LogLine(self.lines.append))
+        self.net.handle("release", self.release)
+        self.net.listen()
+
+    async def release(self, _peer, arguments):
+        return arguments.slot + 1
+
+    def send(self, *frames, raw=b""):
+        test = self
+
+        class Raw(protocol.Protocol):
+            closed = False
+
+            def connectionMade(self):
+                for frame in frames:
+                    data = pack(frame)
+                    self.transport.write(struct.pack("!I", len(data)) + data)
+                self.transport.write(raw)
+
+            def dataReceived(self, data):
+                test.got.append(data)
+
+            def connectionLost(self, reason=None):
+                Raw.closed = True
+        factory = protocol.ClientFactory()
+        factory.protocol = Raw
+        self.client.connectTCP("127.0.0.1", 1, factory)
+        self.time.advanceTo(self.time.now + 1.0)
+        return Raw
+
+    def hello(self, **changes):
+        return idl.Hello(**({"wireVersion": constants.WIRE_VERSION, "clusterId": "c1", "nodeId": "n2",
+                             "kind": "gate"} | changes))
+
+    def stillServes(self):
+        other = Net(self.client, "n3", "gate", "127.0.0.2:1", "c1", LogLine(self.lines.append))
+        answer = []
+        defer.ensureDeferred(other.call("127.0.0.1:1", "release", slot=4)).addBoth(answer.append)
+        self.time.advanceTo(self.time.now + 1.0)
+        self.assertEqual(answer, [5])
+
+    def testRefusedPeersAreClosedAndLogged(self):
+        for frames, raw, why in (
+                ([self.hello(clusterId="other")], b"", "otherCluster"),
+                ([self.hello(wireVersion=99)], b"", "wireVersion"),
+                ([self.hello()], struct.pack("!I", constants.FRAME_LIMIT + 1) + b"x", "frameTooLong"),
+                ([self.hello()], struct.pack("!I", 9) + b"\xff" * 9, "badFrame"),
+                ([], b"GET / HTTP/1.1\r\n\r\n", "frameTooLong"),
+                ([], struct.pack("!I", 5) + b"\x0b\x00\x01\x7f\xff", "wireVersion")):
+            self.assertTrue(self.send(*frames, raw=raw).closed, why)
+            self.assertIn(f"why={why}", self.lines[-1])
+        self.stillServes()
+
+    def testSilentPeerIsClosed(self):
+        raw = self.send()
+        self.assertFalse(raw.closed)
+        self.time.advanceTo(self.time.now + constants.HELLO_TIME)
+        self.assertTrue(raw.closed)
+
+    def testNonMemberMayOnlyPull(self):
+        self.send(self.hello(clusterId=""), idl.Frame(callId=1, method="release", timeLeftMs=1000, body=b"\0"))
+        self.assertIn(b"not a member", b"".join(self.got))
+
+    def testVerdictOfALostCall(self):
+        other = Net(self.client, "n3", "gate", "127.0.0.2:1", "c1", LogLine(self.lines.append))
+        outcomes = []
+        defer.ensureDeferred(other.call("127.0.0.1:7", "release", slot=1)).addErrback(
+            lambda failure: outcomes.append(failure.value.verdict))
+        self.time.advanceTo(self.time.now + 2.0)
+        self.assertEqual(outcomes, [Verdict.NO], "nobody listens there: nothing left")
+        self.reactor._host.freeze()
+        defer.ensureDeferred(other.call("127.0.0.1:1", "release", slot=1)).addErrback(
+            lambda failure: outcomes.append(failure.value.verdict))
+        self.time.advanceTo(self.time.now + 10.0)
+        self.assertEqual(outcomes, [Verdict.NO] * 2, "it never said hello, so the call never left")
+        self.reactor._host.thaw()
+        self.time.advanceTo(self.time.now + 1.0)
+        self.stillServes()
+        defer.ensureDeferred(other.call("127.0.0.1:1", "release", slot=1))
+        self.time.advanceTo(self.time.now + 1.0)
+        self.reactor._host.freeze()
+        defer.ensureDeferred(other.call("127.0.0.1:1", "release", slot=1)).addErrback(
+            lambda failure: outcomes.append(failure.value.verdict))
+        self.time.advanceTo(self.time.now + 10.0)
+        self.assertEqual(outcomes[2:], [Verdict.MAYBE], "the call left and was not answered")
+
+
+class Time(unittest.TestCase):
+    def testReactorTimeIsMonotonic(self):
+        self.assertIs(monotonicReactor().seconds, time.monotonic)
