--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -87,4 +87,6 @@
 REFUSED_PAUSE = 0.25        # s; a replica that said no counts as full this long
 CARRY_TRIES = 32            # carries; of one request, as long as each is answered with no and time is left
 RUN_SHARE = 0.2             # share of a request's time kept for its run; placed later it would only break off
+IDLE_CALLER_TIME = 65       # s; a caller's connection without a request is closed after this
+QUIET_TIME = 0.5            # s; a stopping process waits this long for requests already on their way
 STOP_TIME = 60.0            # s; a planned stop waits this long for what runs
--- a/packages/oakbase/oakbase/web.py
+++ b/packages/oakbase/oakbase/web.py
@@ -1,11 +1,12 @@
 """JSON over HTTP with twisted.web: routes, body limits, errors with their verdict."""
 from twisted.internet import defer
+from twisted.protocols import policies
 from twisted.web import resource, server
 
 from oakbase.checks import packJson, parseJson
-from oakbase.constants import BODY_LIMIT
+from oakbase.constants import BODY_LIMIT, IDLE_CALLER_TIME, QUIET_TIME
 from oakbase.env import splitAddress
-from oakbase.tasks import spawn
+from oakbase.tasks import sleep, spawn
 from oakbase.verdict import BadRequest, OakError, Overloaded, TooLarge, Unknown, Verdict
 
 
@@ -82,29 +83,36 @@
         self._reactor, self._address, self._log, self._limit = reactor, address, log, limit
         self._routes = []
         self.running = 0
-        self._idle = []
         self._port = None
         self.stopping = False
-        self.site = server.Site(self, requestFactory=_Request, reactor=reactor)
+        self.site = server.Site(self, requestFactory=_Request, reactor=reactor, timeout=IDLE_CALLER_TIME)
         self.site.noisy = False
         self.site.displayTracebacks = False
+        self._connections = policies.WrappingFactory(self.site)
+        self._connections.noisy = False
 
     def route(self, method, path, handler):
         self._routes.append((method.encode(), path.strip("/").split("/"), handler))
 
     def listen(self):
         host, port = splitAddress(self._address)
-        self._port = self._reactor.listenTCP(port, self.site, interface=host)
+        self._port = self._reactor.listenTCP(port, self._connections, interface=host)
 
     async def stop(self):
-        """Takes no new connection, and returns once everything under way is answered."""
+        """Takes no new connection and cuts none off: returns once everything under way is answered, also what
+        was sent on a connection that was open already."""
         self.stopping = True
         if self._port is not None:
+            self._port.doRead()  # whoever waits to be accepted is let in; closing would reset them
             await defer.maybeDeferred(self._port.stopListening)
-        if self.running:
-            idle = defer.Deferred()
-            self._idle.append(idle)
-            await idle
+        quietSince = self._reactor.seconds()
+        while self._reactor.seconds() - quietSince < QUIET_TIME and self._connections.protocols:
+            await sleep(self._reactor, QUIET_TIME / 10)
+            if self.running:
+                quietSince = self._reactor.seconds()
+        for connection in list(self._connections.protocols):
+            connection.loseConnection()
+        await sleep(self._reactor, QUIET_TIME / 10)
 
     def _find(self, request):
         try:
@@ -147,7 +155,3 @@
             call.replyError(OakError("internal fault", verdict=Verdict.MAYBE))
         finally:
             self.running -= 1
-            if not self.running:
-                for idle in self._idle:
-                    idle.callback(None)
-                self._idle.clear()
--- a/packages/oaklab/oaklab/main.py
+++ b/packages/oaklab/oaklab/main.py
@@ -14,6 +14,7 @@
 from oakbase.tasks import monotonicReactor, settled
 from oaklab.checker import cutOff
 from oaklab.fleet import Fleet
+from oaklab.measure import MEASURES
 from oaklab.plan import MARKERS, PLATFORM, SIZES, replicaRows
 from oaklab.realtrial import RealTrial, rollingRestart
 from oaklab.standin import buildStandins
@@ -93,7 +94,7 @@
         await deferToThread(fleet.bringUp)
         click.echo("fleet is up")
         since = reactor.seconds()
-        works = [trial.load(seconds, callers), trial.changePlans(seconds)]
+        works = [trial.load(seconds, callers), trial.changePlans(seconds), trial.replicasLeave(seconds / 2)]
         works += [deferToThread(EVENTS[event], trial, outcome)] if event != "none" else []
         for ok, error in await settled(works):
             if not ok:
@@ -179,5 +180,17 @@
     sys.exit(1 if failed else 0)
 
 
+@main.command()
+@click.argument("names", nargs=-1)
+@click.option("--seed", default=1, show_default=True)
+def measure(names, seed):
+    """Measurements on the simulated fleet; all of them if none is named."""
+    for name in names or MEASURES.names():
+        function = MEASURES.find(name)
+        click.echo(f"{name}: {' '.join(function.__doc__.split())}")
+        for what, value in function(seed).items():
+            click.echo(f"    {what}: {value}")
+
+
 if __name__ == "__main__":
     main()
--- a/packages/oaklab/oaklab/realtrial.py
+++ b/packages/oaklab/oaklab/realtrial.py
@@ -2,6 +2,8 @@
 import random
 import time
 
+from twisted.internet.threads import deferToThread
+
 from oakbase.fetch import WebClient
 from oakbase.tasks import settled, sleep
 from oakctl.asking import ask
@@ -39,6 +41,12 @@
             number += 1
             await sleep(self.reactor, pause)
 
+    async def replicasLeave(self, delay):
+        """After a while the platform says of one model replica of each partner that it is leaving."""
+        await sleep(self.reactor, delay)
+        for partner in PARTNERS:
+            await deferToThread(ask, PLATFORM, "POST", f"/lab/leave/{partner}-model-0", {})
+
     async def readBack(self):
         for partner in PARTNERS:
             current = await self.operator.readPlan(partner)
--- a/packages/oaklab/oaklab/simnet.py
+++ b/packages/oaklab/oaklab/simnet.py
@@ -153,6 +153,9 @@
     def __init__(self, host, port, factory):
         self._host, self._port, self._factory = host, port, factory
 
+    def doRead(self):
+        """Accepting what waits; here nothing ever waits to be accepted."""
+
     def stopListening(self):
         if self._host.listeners.pop(self._port, None) is not None:
             self._factory.doStop()
