--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -32,6 +32,10 @@
 REPLICA_AGE = 2.5           # s; the rule allows 3 s, the rest covers the carry itself
 FRESH_POLL = 0.02           # s; how often a request waiting for fresh news looks again
 
+SEED_AGE = 30.0             # s; a seed without an answer for so long is reported; each is asked every few seconds
+CLOCK_LOOK = 5.0            # s; how often the wall clock is compared with the monotonic one
+CLOCK_JUMP = 0.5            # s; a larger difference between two looks is reported as a jump
+
 # --- owned keys --------------------------------------------------------------
 SLOTS = 32                  # slots; several for each of five owners, few enough to take over at once
 TERM = 1.2                  # s; an owner serves this long after asking a majority
--- a/packages/oakcontrol/oakcontrol/admin.py
+++ b/packages/oakcontrol/oakcontrol/admin.py
@@ -96,7 +96,7 @@
         return await self._ask(STORES_KEY, "set", call.json(), CHANGE_TIME)
 
     async def _condition(self, _call):
-        owners, node = self._control.owners, self._node
-        return 200, {"condition": "ready" if owners.held else "waiting", "nodeId": node.nodeId, "peer": node.net.address,
-                     "clusterId": node.net.clusterId, "slots": len(owners.held),
-                     "disk": "failed" if self._control.ring.broken else "well"}
+        owners, voter = self._control.owners, self._control.voter
+        return 200, self._node.condition() | {
+            "condition": "ready" if owners.held else "waiting", "slots": len(owners.held),
+            "roster": voter.roster, "disk": self._control.ring.condition()}
--- a/packages/oakcontrol/oakcontrol/control.py
+++ b/packages/oakcontrol/oakcontrol/control.py
@@ -1,6 +1,7 @@
 """A control node put together."""
-from oakbase.constants import SLOTS
-from oakbase.constants import ACCEPT_INBOX
+import time
+
+from oakbase.constants import ACCEPT_INBOX, SLOTS
 from oakbase.metrics import Metrics
 from oakbase.web import Web
 from oakcontrol import blueprint, budget, claim, places  # noqa: F401  each enters its controller
@@ -22,9 +23,9 @@
 class ControlNode:
     slotCount = SLOTS
 
-    def __init__(self, reactor, env, disk, random, sink):
-        self.node = Node(reactor, "control", env, random, sink, disk)
-        self.ring = Ring(disk, self.node.log, env.get("ringFileSize"))
+    def __init__(self, reactor, env, disk, random, sink, wall=time.time):
+        self.node = Node(reactor, "control", env, random, sink, disk, wall)
+        self.ring = Ring(disk, self.node.log, env.get("ringFileSize"), seconds=reactor.seconds)
         self.voter = Voter(self.node, self.ring)
         self.client = OwnerClient(self.node)
         self.owners = Owners(self.node, self.voter)
--- /dev/null
+++ b/packages/oakctl/oakctl/doctor.py
@@ -0,0 +1,192 @@
+"""oakctl doctor: looks for common faults, and says for each what it comes from and what to do next."""
+from collections import Counter
+from dataclasses import dataclass, field
+
+from oakbase.registry import Registry
+
+CHECKS = Registry("check")
+WARNING, FAULT = "warning", "fault"
+EXIT_CODES = {WARNING: 3, FAULT: 4}
+SLOW_SYNC = 0.1     # s; a sync this slow is felt in every turn
+FULL_SHARE = 0.8    # share of a ring's capacity
+OWNERLESS = 5.0     # s; a take-over is over by then
+
+
+@dataclass(frozen=True)
+class Finding:
+    level: str
+    check: str
+    what: str
+    cause: str
+    next: str
+
+
+@dataclass
+class Survey:
+    """What one look at the fleet gave. `nodes` are rows of /v1/nodes; `conditions` maps a node id to its
+    /condition, or to the reason why there is none: refused (nobody listens) or silent (no answer in time)."""
+
+    nodes: list = field(default_factory=list)
+    conditions: dict = field(default_factory=dict)
+    slots: list = field(default_factory=list)
+    stores: dict = field(default_factory=dict)
+    replicas: dict = field(default_factory=dict)
+    blueprints: dict = field(default_factory=dict)
+
+    def machine(self, nodeId):
+        return next((row["machine"] for row in self.nodes if row["nodeId"] == nodeId), nodeId)
+
+    def answered(self, kind=None):
+        return [said for said in self.conditions.values()
+                if isinstance(said, dict) and kind in (None, said["kind"])]
+
+
+def takeSurvey(askControl, askNode):
+    """`askControl(path)` gives a control node's answer; `askNode(address)` a node's /condition or a reason."""
+    survey = Survey(askControl("/v1/nodes")["nodes"])
+    survey.conditions = {row["nodeId"]: askNode(row["http"]) for row in survey.nodes}
+    survey.slots = askControl("/v1/slots")["slots"]
+    survey.stores = askControl("/v1/stores")
+    survey.replicas = askControl("/v1/replicas")["replicas"]
+    partners = sorted({partner for said in survey.answered("gate") for partner in said["partners"]})
+    survey.blueprints = {partner: askControl(f"/v1/blueprints/{partner}")["blueprint"] for partner in partners}
+    return survey
+
+
+def examine(survey):
+    return [finding for name in CHECKS.names() for finding in CHECKS.find(name)(survey)]
+
+
+def worstCode(findings):
+    return max((EXIT_CODES[finding.level] for finding in findings), default=0)
+
+
+@CHECKS.enter("nodes")
+def _nodes(survey):
+    for nodeId, said in survey.conditions.items():
+        if said == "refused":
+            yield Finding(FAULT, "nodes", f"{survey.machine(nodeId)} is down", "its process has ended",
+                          "start it; with its data folder it is the same node")
+        if said == "silent":
+            yield Finding(FAULT, "nodes", f"{survey.machine(nodeId)} does not answer", "frozen, overloaded or cut off",
+                          "look at the machine; kill the process if it is stuck and start it again")
+
+
+@CHECKS.enter("seeds")
+def _seeds(survey):
+    bad = Counter(seed for said in survey.answered() for seed, answers in said["seeds"].items() if not answers)
+    for seed, count in sorted(bad.items()):
+        yield Finding(WARNING, "seeds", f"seed {seed} answers none of {count} nodes", "that machine is gone or moved",
+                      "put a living control node into the settings before the next restart")
+
+
+@CHECKS.enter("clocks")
+def _clocks(survey):
+    for said in survey.answered():
+        if said["clock"]["jumps"]:
+            yield Finding(WARNING, "clocks", f"{said['machine']}'s wall clock jumped {said['clock']['jumps']} times, last "
+                          f"by {said['clock']['lastJump']} s", "time service or a suspended machine",
+                          "nothing here depends on it but the times in logs; look at the time service")
+
+
+@CHECKS.enter("disks")
+def _disks(survey):
+    for said in survey.answered():
+        disk = said.get("disk")
+        if disk is None:
+            continue
+        if disk["broken"]:
+            yield Finding(FAULT, "disks", f"{said['machine']}'s disk failed: {disk['broken']}", "the disk, or it is full",
+                          "replace the machine by an empty one; do not reuse the folder")
+        if disk["syncSeconds"] > SLOW_SYNC:
+            yield Finding(WARNING, "disks", f"{said['machine']}'s syncs take {disk['syncSeconds']} s", "a slow disk",
+                          "others carry the load meanwhile; replace the disk if it lasts")
+        if disk["liveBytes"] > FULL_SHARE * disk["capacity"]:
+            yield Finding(WARNING, "disks", f"{said['machine']}'s ring is {disk['liveBytes'] / disk['capacity']:.0%} full",
+                          "more state than the ring was made for", "make a node with a larger ringFileSize")
+
+
+@CHECKS.enter("slots")
+def _slots(survey):
+    bad = [row["slot"] for row in survey.slots if row["owner"] is None or row["age"] > OWNERLESS]
+    if bad:
+        yield Finding(FAULT, "slots", f"{len(bad)} slots have no confirmed owner: {bad[:8]}",
+                      "no majority of the roster's disks answers, or a take-over is under way",
+                      "start the missing control nodes; look again in 5 s")
+
+
+@CHECKS.enter("roster")
+def _roster(survey):
+    rosters = [said["roster"] for said in survey.answered("control") if said.get("roster")]
+    if not rosters:
+        return
+    members = max(rosters, key=lambda roster: roster["version"])["members"]
+    alive = [nodeId for nodeId in members if isinstance(survey.conditions.get(nodeId), dict)]
+    spare = len(alive) - (len(members) // 2 + 1)
+    if len(alive) < len(members):
+        yield Finding(FAULT if spare <= 0 else WARNING, "roster", f"{len(alive)} of {len(members)} voters answer, {spare} "
+                      "may still be lost", "control nodes are down or lost their disks",
+                      "start them, or replace a lost one: oakctl roster replace")
+
+
+@CHECKS.enter("stores")
+def _stores(survey):
+    members = survey.stores.get("members", [])
+    alive = [row for row in members if isinstance(survey.conditions.get(row["nodeId"]), dict)]
+    if len(alive) < len(members):
+        spare = len(alive) - (len(members) // 2 + 1)
+        yield Finding(FAULT if spare < 0 else WARNING, "stores", f"{len(alive)} of {len(members)} stores answer, {spare} "
+                      "may still be lost", "a store is down or lost its disk",
+                      "start it, or bring an empty one in its place: oakctl store replace")
+    for row in alive:
+        if not survey.conditions[row["nodeId"]]["covers"]:
+            yield Finding(WARNING, "stores", f"{survey.machine(row['nodeId'])} does not have all lines yet",
+                          "it joined or came back empty and is copying", "wait; look at its lines in oakctl stores")
+
+
+@CHECKS.enter("hints")
+def _hints(survey):
+    for said in survey.answered("store"):
+        for nodeId, count in said["hints"].items():
+            yield Finding(WARNING, "hints", f"{said['machine']} keeps {count} lines for {survey.machine(nodeId)}",
+                          "that store was away or slow", "they are handed over once it answers; start it if it is down")
+
+
+@CHECKS.enter("copies")
+def _copies(survey):
+    counts = {said["machine"]: said["lines"] for said in survey.answered("store")
+              if said["nodeId"] in {row["nodeId"] for row in survey.stores.get("members", [])}}
+    if counts and max(counts.values()) > 1.1 * min(counts.values()) + 10:
+        yield Finding(WARNING, "copies", f"stores keep different counts of lines: {counts}", "one lacks copies",
+                      "anti-entropy brings them within minutes; look at hints and disks if not")
+
+
+@CHECKS.enter("news")
+def _news(survey):
+    for said in survey.answered("gate"):
+        for partner, why in said["stale"].items():
+            yield Finding(FAULT, "news", f"{said['machine']} serves nothing for {partner}: {why}",
+                          "it is cut off from the control nodes, or the slot has no owner",
+                          "look at the findings on slots and seeds, and at the network of that machine")
+
+
+@CHECKS.enter("versions")
+def _versions(survey):
+    releases = Counter(said["release"] for said in survey.answered())
+    if len(releases) > 1:
+        yield Finding(WARNING, "versions", f"releases differ: {dict(releases)}", "a roll-out is under way",
+                      "finish it; two adjacent releases work together")
+
+
+@CHECKS.enter("bindings")
+def _bindings(survey):
+    ready = Counter(row["pool"] for row in survey.replicas.values() if row["state"] == "ready")
+    for partner, blueprint in survey.blueprints.items():
+        pools = {}
+        for name, binding in blueprint["bindings"].items():
+            if not ready[binding["pool"]]:
+                pools.setdefault(binding["pool"], []).append(name)
+        for pool, names in sorted(pools.items()):
+            yield Finding(FAULT, "bindings", f"{partner}: {len(names)} bindings ({', '.join(names[:3])}) name pool {pool}, which "
+                          "has no ready replica", "a misspelt pool, or all its replicas left",
+                          "change the bindings, or have the platform list replicas for the pool")
--- a/packages/oakctl/oakctl/main.py
+++ b/packages/oakctl/oakctl/main.py
@@ -7,6 +7,7 @@
 import click
 
 from oakctl.asking import ADDRESS_TYPE, Refusal, ask, askFirst, show
+from oakctl.doctor import CHECKS, examine, takeSurvey, worstCode
 
 INIT_TIME = 30  # s; nodes that were just started need a few rounds of news to meet
 
@@ -193,5 +194,31 @@
     show(askFirst(_controls(context), "POST", f"/v1/replicas/{replica}/leaving", {}, onMaybe="oakctl replicas"))
 
 
+def _conditionOrReason(address):
+    try:
+        status, answer = ask(address, "GET", "/condition", timeLeft=3.0)
+        return answer if status == 200 else "silent"
+    except ConnectionRefusedError:
+        return "refused"
+    except OSError:
+        return "silent"
+
+
+@main.command()
+@click.option("--json", "asJson", is_flag=True, help="Print the findings as JSON.")
+@click.pass_context
+def doctor(context, asJson):
+    """Looks for common faults. Exit code: 0 all well, 3 worth a look, 4 a fault."""
+    controls = _controls(context)
+    findings = examine(takeSurvey(lambda path: askFirst(controls, "GET", path), _conditionOrReason))
+    if asJson:
+        show([vars(finding) for finding in findings])
+    for finding in findings if not asJson else ():
+        click.echo(f"{finding.level}: {finding.what}\n    cause: {finding.cause}\n    next:  {finding.next}")
+    if not findings:
+        click.echo(f"all well: {', '.join(CHECKS.names())}")
+    sys.exit(worstCode(findings))
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/packages/oakgate/oakgate/gate.py
+++ b/packages/oakgate/oakgate/gate.py
@@ -1,4 +1,6 @@
 """A gate put together: callers' HTTP in front, filters behind it, no disk."""
+import time
+
 from oakbase.constants import ACCEPT_INBOX, SETTLE_TIME
 from oakbase.fetch import WebClient
 from oakbase.metrics import Metrics
@@ -18,8 +20,8 @@
 class GateNode:
     """Invariant: `_background` holds every settling that is not confirmed yet; a planned stop waits for it."""
 
-    def __init__(self, reactor, env, _disk, random, sink):
-        self.node = Node(reactor, "gate", env, random, sink)
+    def __init__(self, reactor, env, _disk, random, sink, wall=time.time):
+        self.node = Node(reactor, "gate", env, random, sink, None, wall)
         self.metrics = Metrics()
         self.webClient = WebClient(reactor, env["http"].rpartition(":")[0])
         self.owners = OwnerClient(self.node)
@@ -59,11 +61,10 @@
                           if source.startswith("blueprint/"))
         stale = {partner: why for partner in partners if (why := self.bindings.staleness(partner))}
         ready = bool(partners) and not stale and not self.web.stopping
-        return 200, {"condition": "ready" if ready else "waiting", "nodeId": self.node.nodeId, "peer": self.node.net.address,
-                     "clusterId": self.node.net.clusterId, "partners": {
-                         partner: {"version": self.node.board.images[f"blueprint/{partner}"].version,
-                                   "age": round(min(self.node.board.age(f"blueprint/{partner}"), 1e9), 3)}
-                         for partner in partners}, "stale": stale}
+        return 200, self.node.condition() | {"condition": "ready" if ready else "waiting", "partners": {
+            partner: {"version": self.node.board.images[f"blueprint/{partner}"].version,
+                      "age": round(min(self.node.board.age(f"blueprint/{partner}"), 1e9), 3)}
+            for partner in partners}, "stale": stale}
 
     def start(self):
         self.node.start()
--- a/packages/oaklab/oaklab/trial.py
+++ b/packages/oaklab/oaklab/trial.py
@@ -142,6 +142,13 @@
     fleet.mark(one.name, "healed")
 
 
+@FAULTS.enter("clockJumps")
+async def _clockJumps(fleet):
+    one = fleet.random.choice(list(fleet.byName.values()))
+    fleet.mark(one.name, "wall clock jumps")
+    one.wallOffset += fleet.random.choice((-86400.0, -30.0, 30.0, 3600.0))
+
+
 @FAULTS.enter("replicaLeaves")
 async def _replicaLeaves(fleet):
     ready = [name for name, row in fleet.platform.rows.items() if row["state"] == "ready"]
--- a/packages/oaknews/oaknews/node.py
+++ b/packages/oaknews/oaknews/node.py
@@ -1,6 +1,10 @@
 """What every daemon is made of: identity, peer connections, members and news. The programs and the
 simulator compose their nodes from here."""
+import time
+
+from oakbase.constants import CLOCK_JUMP, CLOCK_LOOK, SEED_AGE, WIRE_VERSION
 from oakbase.logline import LogLine
+from oakbase.tasks import Repeater
 from oakcohort.identity import Identity
 from oakcohort.members import Member, Members
 from oaknews.board import Board
@@ -10,8 +14,27 @@
 RELEASE = "0.1.0"
 
 
+class WallClock:
+    """Watches the wall clock against the monotonic one. It decides nothing; it is for the operator's eyes."""
+
+    def __init__(self, reactor, log, wall):
+        self._reactor, self._log, self._wall = reactor, log, wall
+        self._offset = wall() - reactor.seconds()
+        self.jumps = 0
+        self.lastJump = 0.0
+        self.repeater = Repeater(reactor, CLOCK_LOOK, self._look, log)
+
+    async def _look(self):
+        offset = self._wall() - self._reactor.seconds()
+        if abs(offset - self._offset) > CLOCK_JUMP:
+            self.jumps += 1
+            self.lastJump = offset - self._offset
+            self._log.event("wallClockJumped", seconds=self.lastJump)
+        self._offset = offset
+
+
 class Node:
-    def __init__(self, reactor, kind, env, random, sink, disk=None):
+    def __init__(self, reactor, kind, env, random, sink, disk=None, wall=time.time):
         self.reactor, self.kind, self.env, self.random, self.disk = reactor, kind, env, random, disk
         self.identity = Identity(env["machine"], random, disk, env.get("clusterId"))
         self.nodeId = self.identity.nodeId
@@ -24,14 +47,26 @@
         self.puller = Puller(reactor, self.net, self.board, self.members, self.identity, me, env["seeds"],
                              random, self.log)
 
+        self.wallClock = WallClock(reactor, self.log, wall)
+
+    def condition(self):
+        """What every daemon says of itself, whatever else it says."""
+        return {"nodeId": self.nodeId, "machine": self.env["machine"], "kind": self.kind, "zone": self.env["zone"],
+                "peer": self.net.address, "clusterId": self.net.clusterId, "release": RELEASE,
+                "wireVersion": WIRE_VERSION,
+                "seeds": {seed: self.puller.answersLately(seed, SEED_AGE) for seed in self.env["seeds"]},
+                "clock": {"jumps": self.wallClock.jumps, "lastJump": round(self.wallClock.lastJump, 3)}}
+
     def start(self):
         self.net.listen()
+        self.wallClock.repeater.start()
         self.puller.start()
         self.log.event("nodeUp", id=self.nodeId, peer=self.env["peer"], http=self.env["http"],
                        cluster=self.identity.clusterId or "none", newIdentity=self.identity.isNew)
 
     async def stop(self):
         self.puller.stop()
+        self.wallClock.repeater.stop()
         await self.net.stop()
         if self.disk is not None:
             self.disk.close()
--- a/packages/oaknews/oaknews/puller.py
+++ b/packages/oaknews/oaknews/puller.py
@@ -74,7 +74,8 @@
         others = [address for address in {*self._seeds, *self._identity.addresses} - addresses
                   if address != self._me.peer]
         if others and (not addresses or self._rounds % 5 == 0):
-            addresses |= set(others) if not addresses else {self._random.choice(sorted(others))}
+            # In turn, so that each seed is asked often enough to tell whether it answers.
+            addresses |= set(others) if not addresses else {sorted(others)[self._rounds // 5 % len(others)]}
         for address in sorted(addresses - self._pulling):
             spawn(self._pullFrom(address), self._log)
 
@@ -106,10 +107,10 @@
         finally:
             self._pulling.discard(address)
 
-    def answersLately(self, address):
+    def answersLately(self, address, lately=CONDITION_AGE):
         """Whether this address has itself answered; what others say of it does not count."""
         return (address == self._me.peer
-                or self._reactor.seconds() - self._answeredAt.get(address, float("-inf")) < CONDITION_AGE)
+                or self._reactor.seconds() - self._answeredAt.get(address, float("-inf")) < lately)
 
     async def pullNow(self):
         """One pull from every cohort member, for a request that waits for fresh news."""
--- a/packages/oakring/oakring/ring.py
+++ b/packages/oakring/oakring/ring.py
@@ -15,6 +15,7 @@
 each sync an empty record is written without a sync of its own, so that even the last commit is named.
 """
 import struct
+import time
 import zlib
 from collections import Counter, deque
 
@@ -94,8 +95,8 @@
     - records are numbered without gaps from the first number of the oldest lap on.
     """
 
-    def __init__(self, disk, log, fileSize=None, fileCount=RING_FILES):
-        self._disk, self._log = disk, log
+    def __init__(self, disk, log, fileSize=None, fileCount=RING_FILES, seconds=time.monotonic):
+        self._disk, self._log, self._seconds = disk, log, seconds
         self._fileSize, self._fileCount = fileSize or RING_FILE_SIZE, fileCount
         self.table = {}
         self._places = {}
@@ -109,6 +110,7 @@
         self._writing = False
         self.broken = None
         self.syncCount = 0
+        self.syncTime = 0.0
         self.commitCount = 0
         self._recover()
 
@@ -216,6 +218,10 @@
         fits into are less than half, so reclaiming always comes to an end."""
         return (self._fileCount - RING_RESERVE_FILES) * (self._fileSize - LAP_SIZE) // 3
 
+    def condition(self):
+        return {"broken": str(self.broken) if self.broken else None, "syncSeconds": round(self.syncTime, 4),
+                "liveBytes": self.liveBytes(), "capacity": self.capacity()}
+
     def commit(self, entries):
         """Writes these (key, value or None) pairs as one; fires when they are on the disk."""
         if self.broken is not None:
@@ -266,7 +272,9 @@
     async def _sync(self, touched):
         number, names = self._number, sorted(touched)
         touched.clear()
+        startedAt = self._seconds()
         await self._disk.sync(names)
+        self.syncTime = 0.8 * self.syncTime + 0.2 * (self._seconds() - startedAt)
         self.syncCount += 1
         self._syncedNumber = max(self._syncedNumber, number)
 
--- a/packages/oakstore/oakstore/store.py
+++ b/packages/oakstore/oakstore/store.py
@@ -1,5 +1,6 @@
 """A store node: coordinates puts, keeps replicas, hands over what others missed, and sweeps."""
 import json
+import time
 from collections import OrderedDict
 
 from oakbase.constants import (ACCEPT_INBOX, HINT_LIMIT, LINE_KEPT, LINE_SIZE, STORE_CALL_TIME, STORE_COPIES,
@@ -57,8 +58,11 @@
         _, members = storeSet(self._node.board)
         return {nodeId: peer for nodeId, peer in members.items() if nodeId != self._node.nodeId}
 
+    def hintsByMember(self):
+        return {nodeId: len(hints) for nodeId, hints in self._hints.items() if hints}
+
     def hintCount(self):
-        return sum(map(len, self._hints.values()))
+        return sum(self.hintsByMember().values())
 
     # --- calls ---
 
@@ -166,9 +170,9 @@
 
 
 class StoreNode:
-    def __init__(self, reactor, env, disk, random, sink):
-        self.node = Node(reactor, "store", env, random, sink, disk)
-        self.ring = Ring(disk, self.node.log, env.get("ringFileSize"))
+    def __init__(self, reactor, env, disk, random, sink, wall=time.time):
+        self.node = Node(reactor, "store", env, random, sink, disk, wall)
+        self.ring = Ring(disk, self.node.log, env.get("ringFileSize"), seconds=reactor.seconds)
         self.store = Store(self.node, self.ring)
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
         self.web.route("GET", "/condition", self._condition)
@@ -183,10 +187,10 @@
     async def _condition(self, _call):
         epoch, members = storeSet(self.node.board)
         isMember = self.node.nodeId in members
-        return 200, {"condition": "ready" if isMember and self.store.covers else "waiting",
-                     "nodeId": self.node.nodeId, "peer": self.node.net.address, "clusterId": self.node.net.clusterId, "storeEpoch": epoch,
-                     "covers": self.store.covers, "lines": len(self.store.table.rows),
-                     "hints": self.store.hintCount(), "disk": "failed" if self.ring.broken else "well"}
+        return 200, self.node.condition() | {
+            "condition": "ready" if isMember and self.store.covers else "waiting", "storeEpoch": epoch,
+            "covers": self.store.covers, "lines": len(self.store.table.rows), "hints": self.store.hintsByMember(),
+            "disk": self.ring.condition()}
 
     def start(self):
         self.node.start()
--- /dev/null
+++ b/tests/test_doctor.py
@@ -0,0 +1,92 @@
+"""The doctor finds each planted fault, and nothing on a healthy fleet."""
+import copy
+import unittest
+
+from oakbase.verdict import OakError
+from oakctl.doctor import CHECKS, examine, takeSurvey, worstCode
+from oaklab.simfleet import SimFleet
+
+
+def surveyOf(fleet):
+    def ask(address, path):
+        status, said = fleet.until(fleet.operator._client.json("GET", address, path, None, 3))
+        assert status == 200, said
+        return said
+
+    def askNode(address):
+        try:
+            return ask(address, "/condition")
+        except OakError as error:
+            return "refused" if error.code == "unreachable" else "silent"
+    return takeSurvey(lambda path: ask(fleet["control1"].machine.http, path), askNode)
+
+
+class Doctor(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = SimFleet(2).bringUp()
+        cls.fleet.run(8.0)
+        cls.healthy = surveyOf(cls.fleet)
+
+    def found(self, plant):
+        survey = copy.deepcopy(self.healthy)
+        plant(survey)
+        return examine(survey)
+
+    def first(self, survey, kind):
+        return survey.answered(kind)[0]
+
+    def testHealthy(self):
+        self.assertEqual(examine(self.healthy), [])
+
+    def testEachPlantedFault(self):
+        def unreachable(survey):
+            survey.conditions[self.first(survey, "gate")["nodeId"]] = "refused"
+
+        def frozen(survey):
+            survey.conditions[self.first(survey, "gate")["nodeId"]] = "silent"
+
+        def set_(kind, *path, to):
+            def plant(survey):
+                place = self.first(survey, kind)
+                for name in path[:-1]:
+                    place = place[name]
+                place[path[-1]] = to
+            return plant
+        storeId = self.healthy.stores["members"][0]["nodeId"]
+        planted = [
+            ("nodes", 4, unreachable), ("nodes", 4, frozen),
+            ("seeds", 3, set_("gate", "seeds", "1.2.3.4:5", to=False)),
+            ("clocks", 3, set_("store", "clock", "jumps", to=2)),
+            ("disks", 3, set_("store", "disk", "syncSeconds", to=0.7)),
+            ("disks", 4, set_("control", "disk", "broken", to="I/O error")),
+            ("disks", 3, set_("store", "disk", "liveBytes", to=10 ** 9)),
+            ("slots", 4, lambda survey: survey.slots[3].update(owner=None)),
+            ("slots", 4, lambda survey: survey.slots[3].update(age=9.0)),
+            ("roster", 4, lambda survey: [survey.conditions.update({said["nodeId"]: "refused"})
+                                          for said in survey.answered("control")[:2]]),
+            ("stores", 4, lambda survey: survey.conditions.update({storeId: "refused"})),
+            ("stores", 3, lambda survey: survey.conditions[storeId].update(covers=False)),
+            ("hints", 3, set_("store", "hints", storeId, to=7)),
+            ("copies", 3, lambda survey: survey.conditions[storeId].update(lines=500)),
+            ("news", 4, set_("gate", "stale", "nile", to="the blueprint's news is too old")),
+            ("versions", 3, set_("gate", "release", to="0.2.0")),
+            ("bindings", 4, lambda survey: survey.blueprints["nile"]["bindings"]["chat"].update(pool="nowhere")),
+        ]
+        self.assertEqual({name for name, _, _ in planted}, set(CHECKS.names()))
+        for name, code, plant in planted:
+            findings = self.found(plant)
+            self.assertIn(name, {finding.check for finding in findings}, name)
+            self.assertEqual(worstCode(findings), code, (name, findings))
+
+    def testOnAFleetWithFaults(self):
+        fleet = SimFleet(3).bringUp()
+        fleet["gate0"].kill()
+        fleet["control4"].freeze()
+        fleet["store2"].kill()
+        fleet.run(3.0)
+        fleet.until(fleet.caller.openProgram("nile", "p", 100))
+        self.assertTrue(fleet.until(fleet.caller.turn("nile", "p", "l", None, "x")).ended())
+        fleet.run(6.0)
+        found = {finding.check for finding in examine(surveyOf(fleet))}
+        self.assertEqual(found, {"nodes", "roster", "stores", "hints"})
