--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -56,10 +56,11 @@
 TURN_MARKS_KEPT = 4096      # turn ids; remembered outcomes of one program, far above a day of turns
 
 # --- stores ------------------------------------------------------------------
-STORE_COPIES = 3            # stores; each line is on all three, any one may be lost
 STORE_OWNERS = 16           # table owners in a store; lines are spread over them by hash
 STORE_INBOX = 256           # commands; waiting for one table owner of a store
 STORE_CALL_TIME = 1.0       # s; a store that takes longer is passed over for its fellows
+STORES_PAUSE = 1.0          # s; how often the owner of the store set looks whether a replacement can go on
+SWEEP_PAGES = 20            # pages; taken from one member in one round by a store that is still copying
 STORE_SWEEP = 1.0           # s; pause between rounds of hand-over and anti-entropy
 SWEEP_HINTS = 64            # lines; handed over to one member in one round, so that others get their turn
 SWEEP_KEYS = 256            # lines; compared in one anti-entropy message
--- a/packages/oakcontrol/oakcontrol/admin.py
+++ b/packages/oakcontrol/oakcontrol/admin.py
@@ -5,7 +5,8 @@
 from oakbase.verdict import BadRequest, Conflict, Refused
 from schema import And
 
-from oakcontrol.places import REPLICAS_KEY, STORES_KEY
+from oakcontrol.places import REPLICAS_KEY
+from oakcontrol.storeset import STORES_KEY, storesShown
 
 READ_TIME = 2 * CALL_TIME   # s; an owner may change once while an operator reads
 CHANGE_TIME = 4 * CALL_TIME  # s; a change outlasts one take-over before it is answered with maybe
@@ -26,6 +27,8 @@
         web.route("POST", "/v1/replicas/{id}/leaving", self._markLeaving)
         web.route("GET", "/v1/stores", self._stores)
         web.route("PUT", "/v1/stores", self._setStores)
+        web.route("POST", "/v1/stores/replace", self._replaceStore)
+        web.route("POST", "/v1/stores/cancel", self._cancelStore)
         web.route("GET", "/condition", self._condition)
 
     async def _init(self, call):
@@ -87,14 +90,18 @@
         return await self._ask(REPLICAS_KEY, "markLeaving", {"id": call.names["id"]}, CHANGE_TIME)
 
     async def _stores(self, _call):
-        status, stores = await self._ask(STORES_KEY, "read", {})
-        members = self._node.members
-        return status, {"epoch": stores["version"], "members": [
-            row | {"condition": members.condition(row["nodeId"])} for row in stores["members"]]}
+        status, record = await self._ask(STORES_KEY, "read", {})
+        return status, await storesShown(self._node, record)
 
     async def _setStores(self, call):
         return await self._ask(STORES_KEY, "set", call.json(), CHANGE_TIME)
 
+    async def _replaceStore(self, call):
+        return await self._ask(STORES_KEY, "replace", call.json(), CHANGE_TIME)
+
+    async def _cancelStore(self, call):
+        return await self._ask(STORES_KEY, "cancel", call.json(), CHANGE_TIME)
+
     async def _condition(self, _call):
         owners, voter = self._control.owners, self._control.voter
         return 200, self._node.condition() | {
--- a/packages/oakcontrol/oakcontrol/control.py
+++ b/packages/oakcontrol/oakcontrol/control.py
@@ -4,11 +4,12 @@
 from oakbase.constants import ACCEPT_INBOX, SLOTS
 from oakbase.metrics import Metrics
 from oakbase.web import Web
-from oakcontrol import blueprint, budget, claim, places  # noqa: F401  each enters its controller
+from oakcontrol import blueprint, budget, claim, places, storeset  # noqa: F401  each enters its controller
 from oakcontrol.admin import Admin
 from oakcontrol.client import OwnerClient
 from oakcontrol.owner import Owners
 from oakcontrol.platform import PlatformWatch
+from oakcontrol.storeset import StoreSetWatch
 from oakcontrol.voter import Voter
 from oaknews.node import Node
 from oakring.ring import Ring
@@ -30,6 +31,7 @@
         self.client = OwnerClient(self.node)
         self.owners = Owners(self.node, self.voter)
         self.platform = PlatformWatch(self.node, self.owners, env["platform"]) if env.get("platform") else None
+        self.storeWatch = StoreSetWatch(self.node, self.owners)
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
         self.metrics = Metrics()
         serveMetrics(self.web, self.metrics)
@@ -44,6 +46,7 @@
     def start(self):
         self.node.start()
         self.owners.start()
+        self.storeWatch.start()
         self.web.listen()
         if self.platform:
             self.platform.start()
@@ -52,6 +55,7 @@
         await self.node.puller.sayLeaving()
         if self.platform:
             self.platform.stop()
+        self.storeWatch.stop()
         await self.web.stop()
         await self.owners.stop()
         self.voter.stop()
--- a/packages/oakcontrol/oakcontrol/places.py
+++ b/packages/oakcontrol/oakcontrol/places.py
@@ -1,17 +1,15 @@
-"""Two published keys: the replicas that the platform lists, and the set of stores."""
-from schema import And
-
-from oakbase.checks import NAME, checkFields, oneOf, packJson, whole
+"""The published key `replicas`: what the platform lists."""
+from oakbase.checks import NAME, checkFields, oneOf, packJson
 from oakbase.env import ADDRESS
-from oakbase.verdict import BadRequest, Lost, Unknown
+from oakbase.verdict import BadRequest, Unknown
 from oakcontrol.controllers import CONTROLLERS, Controller
 
-REPLICAS_KEY, STORES_KEY = "replicas", "storeset"
+REPLICAS_KEY = "replicas"
 REPLICA = {"id": NAME, "address": ADDRESS, "pool": NAME, "state": oneOf("ready", "leaving")}
 
 
-def _versioned(view, key, name, empty):
-    return view.get(key) or {"version": 0, name: empty}
+def _state(view, key):
+    return view.get(key) or {"version": 0, "replicas": {}}
 
 
 # replicas. Invariant: a replica once known to be leaving stays so until the list has dropped it.
@@ -20,7 +18,7 @@
     checkFields({"replicas": list}, arguments)
     for row in arguments["replicas"]:
         checkFields(REPLICA, row)
-    state = _versioned(view, key, "replicas", {})
+    state = _state(view, key)
     replicas = {row["id"]: row for row in arguments["replicas"]}
     if len(replicas) != len(arguments["replicas"]):
         raise BadRequest("a replica is listed twice")
@@ -34,7 +32,7 @@
 
 def _markLeaving(view, key, arguments):
     checkFields({"id": NAME}, arguments)
-    state = _versioned(view, key, "replicas", {})
+    state = _state(view, key)
     row = state["replicas"].get(arguments["id"])
     if row is None:
         raise Unknown(f"no replica {arguments['id']} is listed")
@@ -45,45 +43,13 @@
 
 
 def _readReplicas(view, key, _arguments):
-    return _versioned(view, key, "replicas", {})
+    return _state(view, key)
 
 
 def _imageReplicas(view, key):
-    state = _versioned(view, key, "replicas", {})
+    state = _state(view, key)
     return state["version"], {name: packJson(row) for name, row in state["replicas"].items()}
 
 
 CONTROLLERS.enter(REPLICAS_KEY)(Controller(
     {"setList": _setList, "markLeaving": _markLeaving, "read": _readReplicas}, image=_imageReplicas))
-
-
-# storeset. Invariant: `version` is the store epoch; it rises with every change of the members.
-
-STORE = {"nodeId": NAME, "peer": ADDRESS}
-
-
-def _setStores(view, key, arguments):
-    checkFields({"basedOn": whole(0, 1 << 53), "members": And(list, len, error="must name stores")}, arguments)
-    for member in arguments["members"]:
-        checkFields(STORE, member)
-    state = _versioned(view, key, "members", [])
-    if state["members"] == arguments["members"]:
-        return state
-    if arguments["basedOn"] != state["version"]:
-        raise Lost(f"built on epoch {arguments['basedOn']}, the newest is {state['version']}",
-                   detail={"version": state["version"]})
-    state = {"version": state["version"] + 1, "members": arguments["members"]}
-    view.put(key, state)
-    return state
-
-
-def _readStores(view, key, _arguments):
-    return _versioned(view, key, "members", [])
-
-
-def _imageStores(view, key):
-    state = _versioned(view, key, "members", [])
-    return state["version"], {"members": packJson(state["members"])}
-
-
-CONTROLLERS.enter(STORES_KEY)(Controller({"set": _setStores, "read": _readStores}, image=_imageStores))
--- a/packages/oakctl/oakctl/main.py
+++ b/packages/oakctl/oakctl/main.py
@@ -182,7 +182,7 @@
 
 _listing("nodes", "/v1/nodes", "Lists all nodes with their condition.")
 _listing("slots", "/v1/slots", "Lists the slots of the control state and who owns them.")
-_listing("stores", "/v1/stores", "Lists the store set with its epoch and conditions.")
+_listing("stores", "/v1/stores", "Shows the store set, its epoch and phase, and each store's progress.")
 _listing("replicas", "/v1/replicas", "Lists the replicas as the platform listed them.")
 
 
@@ -194,6 +194,53 @@
     show(askFirst(_controls(context), "POST", f"/v1/replicas/{replica}/leaving", {}, onMaybe="oakctl replicas"))
 
 
+@main.group()
+def store():
+    """The store set: put an empty store in another's place, watch it, call it off."""
+
+
+def _storeId(rows, name):
+    """A store by its machine's name or node id."""
+    found = [row for row in rows if name in (row["nodeId"], row["machine"])]
+    if not found:
+        raise Refusal(f"no: there is no store {name}; known: {', '.join(sorted(row['machine'] for row in rows))}")
+    if len(found) > 1:
+        raise Refusal(f"no: {name} stands for {', '.join(row['nodeId'] for row in found)}; give the node id")
+    return found[0]
+
+
+@store.command("replace")
+@click.argument("leaving")
+@click.argument("joining")
+@click.pass_context
+def replaceStore(context, leaving, joining):
+    """Empties the store LEAVING (also one that is lost) and puts the empty store JOINING in its place.
+
+    Both by machine name or node id. Goes on by itself; see `oakctl stores` for its progress.
+    """
+    controls = _controls(context)
+    nodes = [row for row in askFirst(controls, "GET", "/v1/nodes")["nodes"] if row["kind"] == "store"]
+    record = askFirst(controls, "GET", "/v1/stores")
+    memberIds = {row["nodeId"] for row in record["members"]}
+    byId = {row["nodeId"]: row for row in nodes}
+    members = [byId.get(nodeId, {"nodeId": nodeId, "machine": nodeId.partition(".")[0]}) for nodeId in memberIds]
+    newcomer = _storeId([row for row in nodes if row["nodeId"] not in memberIds], joining)
+    answer = askFirst(controls, "POST", "/v1/stores/replace", {
+        "basedOn": record["version"], "leaving": _storeId(members, leaving)["nodeId"],
+        "joining": {"nodeId": newcomer["nodeId"], "peer": newcomer["peer"]}}, onMaybe="oakctl stores")
+    click.echo(f"epoch {answer['version']}: {answer['phase']}; watch it with: oakctl stores")
+
+
+@store.command("cancel")
+@click.pass_context
+def cancelStore(context):
+    """Calls a replacement off, as long as the newcomer is only copying."""
+    controls = _controls(context)
+    record = askFirst(controls, "GET", "/v1/stores")
+    answer = askFirst(controls, "POST", "/v1/stores/cancel", {"basedOn": record["version"]}, onMaybe="oakctl stores")
+    click.echo(f"epoch {answer['version']}: {answer['phase']}")
+
+
 def _conditionOrReason(address):
     try:
         status, answer = ask(address, "GET", "/condition", timeLeft=3.0)
--- a/packages/oakstore/oakstore/lines.py
+++ b/packages/oakstore/oakstore/lines.py
@@ -8,9 +8,9 @@
 from oakbase.verdict import CannotTell, Conflict, Fenced, Gone, NoAnswer, OakError, Verdict
 from oakcohort.members import LIVE
 from oakcohort.rendezvous import ranked
+from oakcontrol.storeset import StoreSet, majority
 from oakdvv.clock import syncVersions
 from oakdvv.context import toContext
-from oakstore.store import QUORUM, storeSet
 from oakstore.table import fromState
 
 RETRY_PAUSE = 0.1  # s; between rounds over the stores while one of them changes condition
@@ -40,19 +40,19 @@
     def __init__(self, node):
         self._node = node
 
-    def _members(self):
-        epoch, members = storeSet(self._node.board)
-        if len(members) < QUORUM:
+    def _stores(self):
+        stores = StoreSet.fromBoard(self._node.board)
+        if not stores.epoch:
             raise CannotTell("the store set is not known here yet", retryAfter=1)
-        return epoch, members
+        return stores
 
     async def get(self, key, timeLeft):
         """The line as a covering quorum has it. CannotTell if too few stores that may speak answered."""
         endsAt = self._node.reactor.seconds() + timeLeft
         while True:
-            epoch, members = self._members()
-            reached, states = await firstOf(
-                [self._getFrom(peer, key, epoch) for peer in members.values()], len(members) - QUORUM + 1)
+            stores = self._stores()
+            reached, states = await firstOf([self._getFrom(row["peer"], key, stores.epoch)
+                                             for row in stores.readers.values()], majority(stores.readers))
             if reached:
                 versions = {}
                 for state in states:
@@ -83,16 +83,16 @@
         endsAt = reactor.seconds() + timeLeft
         unsure = False
         while reactor.seconds() < endsAt:
-            epoch, members = self._members()
-            order = sorted(ranked(members, key), key=lambda nodeId: self._node.members.condition(nodeId) != LIVE)
+            stores = self._stores()
+            order = sorted(ranked(stores.readers, key), key=lambda nodeId: self._node.members.condition(nodeId) != LIVE)
             for nodeId in order:
                 remaining = min(CALL_TIME, endsAt - reactor.seconds())
                 if remaining <= 0:
                     break
                 try:
                     return await self._node.net.call(
-                        members[nodeId], "linePut", remaining, key=key, context=line.context, value=value,
-                        storeEpoch=epoch)
+                        stores.readers[nodeId]["peer"], "linePut", remaining, key=key, context=line.context, value=value,
+                        storeEpoch=stores.epoch)
                 except OakError as error:
                     unsure = unsure or error.verdict is not Verdict.NO
                     self._node.log.event("putFailed", store=nodeId, reason=error.reason)
--- a/packages/oakstore/oakstore/store.py
+++ b/packages/oakstore/oakstore/store.py
@@ -3,48 +3,44 @@
 import time
 from collections import OrderedDict
 
-from oakbase.constants import (ACCEPT_INBOX, HINT_LIMIT, LINE_KEPT, LINE_SIZE, STORE_CALL_TIME, STORE_COPIES,
-                               STORE_SWEEP, SWEEP_HINTS, SWEEP_KEYS)
+from twisted.internet import defer
+
+from oakbase.constants import (ACCEPT_INBOX, HINT_LIMIT, LINE_KEPT, LINE_SIZE, STORE_CALL_TIME, STORE_SWEEP,
+                               SWEEP_HINTS, SWEEP_KEYS, SWEEP_PAGES)
 from oakbase.metrics import Metrics
-from oakbase.tasks import Repeater, firstOf
+from oakbase.tasks import Repeater, spawn
 from oakbase.verdict import BadRequest, Fenced, NoAnswer, OakError, TooLarge
 from oakbase.web import Web
 from oakcohort.members import LIVE
 from oakcontrol.control import serveMetrics
-from oakcontrol.places import STORES_KEY
+from oakcontrol.storeset import STORES_KEY, StoreSet, majority
 from oakdvv.context import fromContext, toContext
 from oaknews.node import Node
 from oakring.ring import Ring
 from oakstore.table import LineTable, fromState, toState
 from oakwire.codec import idl
 
-QUORUM = STORE_COPIES // 2 + 1
 COVERS = "covers"
 
 
-def storeSet(board):
-    """(epoch, {nodeId: peer}) as the news has it."""
-    image = board.images.get(STORES_KEY)
-    rows = board.values(STORES_KEY)
-    return (image.version if image else 0), {
-        row["nodeId"]: row["peer"] for row in json.loads(rows.get("members", b"[]"))}
-
-
 class Store:
     """Invariants: `_hints[member]` names lines whose newest state that member may lack; a name leaves it
     only when the member has said that it keeps the line, or when the bound pushes it out, after which
-    anti-entropy finds it. `covers` is on the disk before this store speaks about what is missing."""
+    anti-entropy finds it. `_coversSince` is on the disk before this store speaks about what is missing, and
+    is the epoch in which it began to copy: a store that left the set and came again copies again."""
 
     def __init__(self, node, ring):
         self._node, self._ring, self._log = node, ring, node.log
         self.table = LineTable(node, ring)
-        self.covers = COVERS in ring.table
+        self._coversSince = int(ring.table.get(COVERS, b"0"))
         self._hints = {}
-        self._passFrom, self._coveredFrom = {}, set()
+        self._passEpoch, self._passFrom, self._coveredFrom = 0, {}, set()
+        self.stores = StoreSet.fromBoard(node.board)
+        node.board.watch(STORES_KEY, self._storesMoved)
         self.metrics = Metrics()
         self._sweeper = Repeater(node.reactor, STORE_SWEEP, self._sweep, node.log)
         for method, handler in (("lineGet", self._get), ("linePut", self._put), ("lineKeep", self._keep),
-                                ("lineDigests", self._digests)):
+                                ("lineDigests", self._digests), ("storeStatus", self._status)):
             node.net.handle(method, handler)
 
     def start(self):
@@ -54,9 +50,20 @@
         self._sweeper.stop()
         self.table.stop()
 
+    def _storesMoved(self, _source):
+        self.stores = StoreSet.fromBoard(self._node.board)
+        self.table.prune(self.stores.pruned)
+
+    @property
+    def isMember(self):
+        return self._node.nodeId in self.stores.everyone
+
+    @property
+    def covers(self):
+        return self.isMember and self._coversSince == self.stores.since(self._node.nodeId)
+
     def _others(self):
-        _, members = storeSet(self._node.board)
-        return {nodeId: peer for nodeId, peer in members.items() if nodeId != self._node.nodeId}
+        return {nodeId: row["peer"] for nodeId, row in self.stores.everyone.items() if nodeId != self._node.nodeId}
 
     def hintsByMember(self):
         return {nodeId: len(hints) for nodeId, hints in self._hints.items() if hints}
@@ -67,14 +74,19 @@
     # --- calls ---
 
     async def _get(self, _peer, arguments):
-        epoch, _ = storeSet(self._node.board)
         self.metrics.count("line_gets")
-        return toState(self.table.versions(arguments.key), self.covers, epoch, self.table.age(arguments.key))
+        return toState(self.table.versions(arguments.key), self.covers, self.stores.epoch,
+                       self.table.age(arguments.key))
+
+    def _checkEpoch(self, epoch):
+        if epoch != self.stores.epoch:
+            raise Fenced(f"store epoch {epoch} is not {self.stores.epoch}", detail={"storeEpoch": self.stores.epoch})
 
     async def _put(self, _peer, arguments):
-        epoch, members = storeSet(self._node.board)
-        if arguments.storeEpoch != epoch or self._node.nodeId not in members:
-            raise Fenced(f"store epoch {arguments.storeEpoch} is not {epoch}", detail={"storeEpoch": epoch})
+        stores = self.stores
+        self._checkEpoch(arguments.storeEpoch)
+        if not self.isMember:
+            raise Fenced("this store is not in the set")
         if len(arguments.value) > LINE_SIZE:
             raise TooLarge(f"a line of {len(arguments.value)} bytes is over {LINE_SIZE}")
         try:
@@ -83,15 +95,30 @@
             raise BadRequest(f"no context: {error}") from error
         versions, clock = await self.table.put(arguments.key, contextSet, arguments.value)
         self.metrics.count("line_puts")
-        await self._replicate(arguments.key, versions, epoch)
+        await self._replicate(arguments.key, versions, stores)
         return toContext(frozenset([clock]))
 
-    async def _replicate(self, key, versions, epoch):
-        state = toState(versions, storeEpoch=epoch)
-        reached, _ = await firstOf([self._give(nodeId, peer, key, state) for nodeId, peer in self._others().items()],
-                                   QUORUM - 1)
-        if not reached:
-            raise NoAnswer("the line did not reach a quorum of stores; it may still be kept")
+    def _replicate(self, key, versions, stores):
+        """Fires once a write quorum of that epoch keeps the versions."""
+        state, outcome = toState(versions, storeEpoch=stores.epoch), defer.Deferred()
+        kept, pending = {self._node.nodeId}, self._others()
+
+        async def give(nodeId, peer):
+            try:
+                await self._give(nodeId, peer, key, state)
+                kept.add(nodeId)
+            except OakError as error:
+                self._log.event("replicationFailed", member=nodeId, reason=error.reason)
+            del pending[nodeId]
+            if outcome.called:
+                return
+            if stores.isWritten(kept):
+                outcome.callback(None)
+            elif not stores.isWritten(kept | pending.keys()):
+                outcome.errback(NoAnswer("the line did not reach a quorum of stores; it may still be kept"))
+        for nodeId, peer in list(pending.items()):
+            spawn(give(nodeId, peer), self._log)
+        return outcome
 
     async def _give(self, nodeId, peer, key, state):
         hints = self._hints.setdefault(nodeId, OrderedDict())
@@ -106,67 +133,82 @@
             hints.pop(key, None)
 
     async def _keep(self, _peer, arguments):
-        epoch, members = storeSet(self._node.board)
-        if arguments.state.storeEpoch < epoch or arguments.sender not in members:
-            raise Fenced(f"store epoch {arguments.state.storeEpoch} is past", detail={"storeEpoch": epoch})
+        self._checkEpoch(arguments.state.storeEpoch)
+        if arguments.sender not in self.stores.everyone:
+            raise Fenced(f"{arguments.sender} is not in the store set")
         await self.table.merge(arguments.key, fromState(arguments.state), arguments.state.ageMs / 1000)
         self.metrics.count("line_keeps")
         return True
 
+    async def _status(self, _peer, _arguments):
+        return json.dumps({"epoch": self.stores.epoch, "covers": self.covers, "lines": len(self.table.rows),
+                           "hints": self.hintsByMember(), "dots": self.table.dots()})
+
     async def _digests(self, _peer, arguments):
-        return [idl.LineDigest(key=key, digest=self.table.rows[key].digest())
-                for key in self.table.keysAfter(arguments.after, min(arguments.most, SWEEP_KEYS))]
+        keys = self.table.keysAfter(arguments.after, min(arguments.most, SWEEP_KEYS))
+        return idl.DigestPage(storeEpoch=self.stores.epoch, digests=[
+            idl.LineDigest(key=key, digest=self.table.rows[key].digest()) for key in keys])
 
     # --- sweeping ---
 
     async def _sweep(self):
-        epoch, members = storeSet(self._node.board)
-        if self._node.nodeId not in members:
+        if not self.isMember:
             return
-        if epoch == 1 and not self.covers:
-            await self._cover()  # no line is older than the first set, so nothing can be missing
+        since = self.stores.since(self._node.nodeId)
+        if self._passEpoch != since:
+            # Only what was read since then counts: before, writes went on that were not sent here.
+            self._passEpoch, self._passFrom, self._coveredFrom = since, {}, set()
+        if since == 1 and not self.covers:
+            await self._cover(since)  # no line is older than the first set, so nothing can be missing
         for key in self.table.old():
             await self.table.letGo(key)
         for nodeId, peer in self._others().items():
             if self._node.members.condition(nodeId) != LIVE:
                 continue
             try:
-                await self._handOver(nodeId, peer, epoch)
-                await self._compare(nodeId, peer)
+                await self._handOver(nodeId, peer)
+                for _ in range(1 if self.covers else SWEEP_PAGES):
+                    await self._compare(nodeId, peer)
             except OakError as error:
                 self._log.event("sweepFailed", member=nodeId, reason=error.reason)
-
-    async def _cover(self):
-        await self._ring.commit([(COVERS, b"1")])
-        self.covers = True
-        self._log.event("storeCovers")
-
-    async def _handOver(self, nodeId, peer, epoch):
+        # Every write quorum of the old set has a member among so many of them.
+        needed = len(self.stores.members) - majority(self.stores.members) + 1
+        if not self.covers and self._passEpoch == since and len(
+                self._coveredFrom & self.stores.members.keys()) >= needed:
+            await self._cover(since)
+
+    async def _cover(self, since):
+        await self._ring.commit([(COVERS, b"%d" % since)])
+        self._coversSince = since
+        self._log.event("storeCovers", since=since, lines=len(self.table.rows))
+
+    async def _handOver(self, nodeId, peer):
         for key in list(self._hints.get(nodeId, ()))[:SWEEP_HINTS]:
             if self.table.age(key) >= LINE_KEPT or key not in self.table.rows:
                 del self._hints[nodeId][key]
                 continue
-            state = toState(self.table.versions(key), storeEpoch=epoch, age=self.table.age(key))
+            state = toState(self.table.versions(key), storeEpoch=self.stores.epoch, age=self.table.age(key))
             await self._give(nodeId, peer, key, state)
             self.metrics.count("lines_handed_over")
 
     async def _compare(self, nodeId, peer):
         """One page of anti-entropy: takes from the member what it has and this store has not."""
         after = self._passFrom.get(nodeId, "")
-        page = await self._node.net.call(peer, "lineDigests", STORE_CALL_TIME, after=after, most=SWEEP_KEYS)
-        for one in page or []:
+        answer = await self._node.net.call(peer, "lineDigests", STORE_CALL_TIME, after=after, most=SWEEP_KEYS)
+        # A member in our epoch sends us what it writes from now on; one in an older epoch does not.
+        self._checkEpoch(answer.storeEpoch)
+        page = answer.digests or []
+        for one in page:
             if one.key in self.table.rows and self.table.rows[one.key].digest() == one.digest:
                 continue
             state = await self._node.net.call(peer, "lineGet", STORE_CALL_TIME, key=one.key)
+            self._checkEpoch(state.storeEpoch)
             if state.versions:
                 await self.table.merge(one.key, fromState(state), state.ageMs / 1000)
                 self.metrics.count("lines_synced")
-        self._passFrom[nodeId] = page[-1].key if page and len(page) == SWEEP_KEYS else ""
+        self._passFrom[nodeId] = page[-1].key if len(page) == SWEEP_KEYS else ""
         if not self._passFrom[nodeId]:
             self._coveredFrom.add(nodeId)
-        needed = len(self._others()) + 1 - QUORUM + 1
-        if not self.covers and len(self._coveredFrom & self._others().keys()) >= needed:
-            await self._cover()
 
 
 class StoreNode:
@@ -185,10 +227,8 @@
             self.store.metrics.gauge(name, ask)
 
     async def _condition(self, _call):
-        epoch, members = storeSet(self.node.board)
-        isMember = self.node.nodeId in members
         return 200, self.node.condition() | {
-            "condition": "ready" if isMember and self.store.covers else "waiting", "storeEpoch": epoch,
+            "condition": "ready" if self.store.covers else "waiting", "storeEpoch": self.store.stores.epoch,
             "covers": self.store.covers, "lines": len(self.store.table.rows), "hints": self.store.hintsByMember(),
             "disk": self.ring.condition()}
 
--- a/packages/oakstore/oakstore/table.py
+++ b/packages/oakstore/oakstore/table.py
@@ -46,8 +46,17 @@
                    for part in version.clock}): version.value for version in state.versions or []}
 
 
+def storeOf(clockId):
+    """The store that numbers events under this clock id."""
+    return clockId.partition("#")[0]
+
+
 class LineTable:
+    """`pruned` holds ids of retired stores that number no version any more; their entries are dropped from every
+    clock that comes in, and from every row."""
+
     def __init__(self, node, ring):
+        self.pruned = frozenset()
         self._reactor, self._nodeId, self._ring = node.reactor, node.nodeId, ring
         self.rows = {}
         self._births = int(ring.table.get(BIRTHS, b"0"))
@@ -65,6 +74,25 @@
     def _do(self, command, key, *arguments):
         return self._owners[slotOf(key, STORE_OWNERS)].do(command, key, *arguments)
 
+    def _strip(self, clock):
+        if not any(storeOf(clockId) in self.pruned for clockId in clock.entries):
+            return clock
+        return Clock({clockId: m if n is None else (m, n) for clockId, (m, n) in clock.entries.items()
+                      if n is not None or storeOf(clockId) not in self.pruned})
+
+    def prune(self, storeIds):
+        """From now on these ids tell nothing. Rows on the disk are stripped when they are next written; until
+        then each start strips them again."""
+        if storeIds <= self.pruned:
+            return
+        self.pruned |= storeIds
+        for row in self.rows.values():
+            stripped = {self._strip(clock): value for clock, value in row.versions.items()}
+            row.versions = syncVersions(stripped, stripped)
+
+    def dots(self):
+        return sorted({storeOf(clock.dot()[0]) for row in self.rows.values() for clock in row.versions})
+
     # --- commands ---
 
     def put(self, key, contextSet, value):
@@ -74,6 +102,7 @@
 
     async def _put(self, key, contextSet, value):
         row, extra = self._rowFor(key)
+        contextSet = frozenset(map(self._strip, contextSet))
         clock = update(contextSet, row.versions.keys(), row.clockId)
         await self._keep(key, row, syncVersions(row.versions, {clock: value}), extra, 0.0)
         return dict(row.versions), clock
@@ -86,7 +115,7 @@
         if age >= LINE_KEPT:
             return
         row, extra = self._rowFor(key)
-        merged = syncVersions(row.versions, versions)
+        merged = syncVersions(row.versions, {self._strip(clock): value for clock, value in versions.items()})
         if merged.keys() != row.versions.keys():
             await self._keep(key, row, merged, extra, age)
 
--- a/packages/oakwire/oakwire/oak.thrift
+++ b/packages/oakwire/oakwire/oak.thrift
@@ -57,6 +57,7 @@
   4: i32 ageMs            // since the line last changed
 }
 struct LineDigest { 1: string key  2: string digest }
+struct DigestPage { 1: list<LineDigest> digests  2: i64 storeEpoch }
 
 service Node {
   News pull(1: list<Seen> seen, 2: Image me)   // me: the puller's own row, so that it is known by whom it asks
@@ -68,5 +69,6 @@
   LineState lineGet(1: string key)
   string linePut(1: string key, 2: string context, 3: binary value, 4: i64 storeEpoch)
   bool lineKeep(1: string key, 2: LineState state, 3: string sender)
-  list<LineDigest> lineDigests(1: string after, 2: i32 most)
+  string storeStatus()    // JSON: epoch, covers, lines, ids that number a version kept here
+  DigestPage lineDigests(1: string after, 2: i32 most)
 }
--- /dev/null
+++ b/tests/test_stores.py
@@ -0,0 +1,311 @@
+"""Stores replaced, emptied, lost and pruned. One column a node; time runs down."""
+import random
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from oakbase.logline import LogLine
+from oakdvv.clock import Clock, leq
+from oaklab.simdisk import SimDisk
+from oaklab.simfleet import SimFleet
+from oaklab.simnet import SimHost, SimNetwork, SimReactor, SimTime
+from oakring.ring import Ring
+from oakstore.table import LineTable, storeOf
+
+
+class TableRig:
+    """One store's table on a simulated disk, without a fleet."""
+
+    def __init__(self, nodeId, time=None):
+        self.time = time or SimTime()
+        self.host = SimHost(SimNetwork(self.time, random.Random(1)), "127.0.0.1")
+        self.disk = SimDisk(self.time, random.Random(2))
+        self.disk.attach(self.host)
+        self.reactor, self.nodeId, self.log = SimReactor(self.host), nodeId, LogLine(lambda line: None)
+        self.table = LineTable(self, Ring(self.disk, self.log, 1 << 16))
+
+    def do(self, deferred):
+        outcome = []
+        deferred.addBoth(outcome.append)
+        self.time.advanceTo(self.time.now + 0.1)
+        if hasattr(outcome[0], "raiseException"):
+            outcome[0].raiseException()
+        return outcome[0]
+
+    def put(self, context, value, key="k"):
+        return self.do(self.table.put(key, frozenset(context), value))[1]
+
+    def take(self, other, key="k"):
+        self.do(self.table.merge(key, dict(other.table.versions(key)), 0.0))
+
+    def values(self, key="k"):
+        return sorted(self.table.versions(key).values())
+
+
+class Tables(unittest.TestCase):
+    def testCounterIsNotReusedAfterLettingGo(self):
+        """
+        a                               b
+        put x ------------------------> {x}
+        lets the line go
+        put y, with no context
+        <------------------------------ {x}: y and x are siblings, neither is taken for the other
+        """
+        time = SimTime()
+        a, b = TableRig("a", time), TableRig("b", time)
+        a.put([], b"x")
+        b.take(a)
+        time.advanceTo(time.now + 10000)
+        a.do(a.table.letGo("k"))
+        self.assertEqual(a.values(), [])
+        a.put([], b"y")
+        a.take(b)
+        self.assertEqual(a.values(), [b"x", b"y"])
+
+    def testLateContextOfTheOldSet(self):
+        """
+        r (retired)     a                         b
+        put x --------> {x}   ------------------> {x}
+                        put y on x -------------> {y}
+                        r pruned                  r pruned
+                        put z on the old read of {x}: z is a sibling of y, x stays superseded
+        """
+        r, a, b = TableRig("r"), TableRig("a"), TableRig("b")
+        x = r.put([], b"x")
+        a.take(r)
+        b.take(a)
+        y = a.put([x], b"y")
+        b.take(a)
+        for one in (a, b):
+            one.table.prune(frozenset(["r"]))
+        a.put([y], b"z")
+        self.assertEqual(a.values(), [b"z"], "the context that a gate kept from before counts as it did")
+        b.take(a)
+        self.assertEqual(b.values(), [b"z"])
+        self.assertFalse([clock for clock in b.table.versions("k") for clockId in clock.entries
+                          if storeOf(clockId) == "r"])
+
+    def testUnprunedReplicaDoesNotResurrect(self):
+        """
+        a                             b
+        {y}, with r's entry           {y}, with r's entry
+        r pruned; put z on y          not pruned yet
+        <---------------------------- {y}: stays superseded
+        """
+        r, a, b = TableRig("r"), TableRig("a"), TableRig("b")
+        x = r.put([], b"x")
+        a.take(r)
+        y = a.put([x], b"y")
+        b.take(a)
+        a.table.prune(frozenset(["r"]))
+        a.put([y], b"z")
+        a.take(b)
+        self.assertEqual(a.values(), [b"z"])
+
+    @settings(derandomize=True, max_examples=120, deadline=None, database=None)
+    @given(st.lists(st.tuples(st.sampled_from(["put", "take", "read", "replace", "prune"]), st.integers(0, 2),
+                              st.integers(0, 2), st.integers(0, 9)), max_size=30))
+    def testReplacedAtRandomEqualsCausalHistories(self, steps):
+        """Stores put, sync and are replaced; an id is pruned once no row anywhere is numbered by it."""
+        rigs = [TableRig(name) for name in "abc"]
+        histories = [{} for _ in rigs]          # what the table should hold: value -> causal history
+        contexts = [(frozenset(), frozenset())]
+        retired, minted = set(), 0
+
+        def sync(left, right):
+            both = left | right
+            return {value: history for value, history in both.items()
+                    if not any(history < other for other in both.values())}
+        for step, one, other, pick in steps:
+            if step == "read":
+                contexts.append((frozenset(rigs[one].table.versions("k")),
+                                 frozenset().union(*histories[one].values())))
+            elif step == "put":
+                clocks, history = contexts[pick % len(contexts)]
+                minted += 1
+                value = b"%d" % minted
+                rigs[one].put(clocks, value)
+                histories[one] = sync(histories[one], {value: history | {value}})
+            elif step == "take":
+                rigs[one].take(rigs[other])
+                histories[one] = sync(histories[one], histories[other])
+            elif step == "replace":
+                # The newcomer copies from the two that stay, as covering asks for.
+                retired.add(rigs[one].nodeId)
+                rigs[one] = TableRig(f"n{minted}x{len(retired)}")
+                histories[one] = {}
+                for stays in {0, 1, 2} - {one}:
+                    rigs[one].take(rigs[stays])
+                    histories[one] = sync(histories[one], histories[stays])
+            else:
+                used = {storeId for rig in rigs for storeId in rig.table.dots()}
+                for rig in rigs:
+                    rig.table.prune(frozenset(retired - used))
+            for rig, expected in zip(rigs, histories):
+                self.assertEqual(set(rig.values()), set(expected))
+
+
+class Replacing(unittest.TestCase):
+    def setUp(self):
+        self.fleet = SimFleet(4).bringUp()
+
+    def tearDown(self):
+        self.assertEqual(self.fleet.violations(), {}, self.fleet.timeline())
+        self.assertEqual([line for line in self.fleet.lines if "rashed" in line], [])
+
+    def ask(self, method, path, value=None):
+        return self.fleet.until(self.fleet.operator.ask(method, path, value), 60)
+
+    def newcomer(self, number=3):
+        one = self.fleet.add("store", number)
+        one.start()
+        self.fleet.waitFor("the newcomer being known", lambda: any(
+            row["machine"] == one.name and row["condition"] == "live"
+            for row in self.ask("GET", "/v1/nodes")[1]["nodes"]))
+        self.fleet.run(1.0)  # for the other control nodes to hear of it too
+        return one
+
+    def replace(self, leavingId, joining):
+        record = self.ask("GET", "/v1/stores")[1]
+        return self.ask("POST", "/v1/stores/replace", {
+            "basedOn": record["version"], "leaving": leavingId,
+            "joining": {"nodeId": joining.node.node.nodeId, "peer": joining.machine.peer}})
+
+    def phase(self):
+        return self.ask("GET", "/v1/stores")[1]["phase"]
+
+    def waitStable(self, limit=60.0):
+        self.fleet.waitFor("the replacement", lambda: self.phase() == "stable", limit)
+
+    def lines(self, count):
+        fleet = self.fleet
+        fleet.until(fleet.caller.openProgram("nile", "p", 100000))
+        return [fleet.until(fleet.caller.turn("nile", "p", f"l{index}", None, "first")) for index in range(count)]
+
+    def goOn(self, asked):
+        fleet = self.fleet
+        after = fleet.until(fleet.caller.turn("nile", "p", asked.line, asked.body["turnId"], "on", attempts=20), 60)
+        self.assertTrue(after.ended())
+
+    def testEmptiedUnderLoad(self):
+        """
+        store0       store1       store2       store3
+                                               empty, joins, copies; load all the while
+        leaves                                 votes
+        ended        ended                     serves what only the other two had
+        """
+        fleet = self.fleet
+        asked = self.lines(10)
+        new, old = self.newcomer(), fleet["store0"]
+        fleet.startMix(8, callers=4)
+        status, said = self.replace(old.node.node.nodeId, new)
+        self.assertEqual((status, said["phase"]), (200, "joining"))
+        self.waitStable()
+        fleet.run(20.0)
+        self.assertIn(new.node.node.nodeId, [row["nodeId"] for row in self.ask("GET", "/v1/stores")[1]["members"]])
+        old.kill()
+        fleet["store1"].kill()
+        fleet.run(3.0)
+        for one in asked:
+            self.goOn(one)
+        fleet["store1"].start()
+
+    def testLostDisk(self):
+        """
+        store0                     store1, store2
+        power cut, disk lost
+        back empty: a new id,      go on
+        no vote
+        replaces its former self: copies, votes
+        """
+        fleet = self.fleet
+        asked = self.lines(5)
+        formerId = fleet["store0"].node.node.nodeId
+        fleet["store0"].powerCut()
+        fleet["store0"].loseDisk()
+        fleet["store0"].start()
+        fleet.run(4.0)
+        self.assertNotEqual(fleet["store0"].node.node.nodeId, formerId)
+        self.assertFalse(fleet["store0"].node.store.covers)
+        self.assertEqual(self.replace(formerId, fleet["store0"])[0], 200)
+        self.waitStable()
+        fleet["store1"].kill()
+        fleet.run(3.0)
+        for one in asked:
+            self.goOn(one)
+
+    def testCrashAnywhereResumes(self):
+        """
+        owner of the set    store3 (joins)    store0 (leaves)
+        killed in joining   killed, back      power cut, back
+        """
+        from oakcontrol.storeset import SLOT
+        fleet = self.fleet
+        asked = self.lines(5)
+        new = self.newcomer()
+        self.assertEqual(self.replace(fleet["store0"].node.node.nodeId, new)[0], 200)
+        owner = next(one for one in fleet.ofKind("control") if SLOT in one.node.owners.held)
+        owner.kill()
+        new.kill()
+        fleet["store0"].powerCut()
+        fleet.run(2.0)
+        new.start()
+        fleet.run(1.0)
+        fleet["store0"].start()
+        self.waitStable()
+        owner.start()
+        fleet.run(3.0)
+        for one in asked:
+            self.goOn(one)
+
+    def testRefusals(self):
+        fleet = self.fleet
+        new = self.newcomer()
+        ids = [one.node.node.nodeId for one in fleet.ofKind("store")]
+        self.assertEqual(self.replace("store9", new)[0], 404)
+        self.assertEqual(self.replace(ids[0], fleet["store1"])[1]["verdict"], "no")
+        self.assertEqual(self.replace(ids[0], fleet["gate0"])[1]["verdict"], "no")
+        fleet["store1"].kill()
+        fleet.run(3.0)
+        status, said = self.replace(ids[0], new)
+        self.assertEqual((status, said["verdict"]), (400, "no"))
+        self.assertIn("too few copies", said["reason"])
+        fleet["store1"].start()
+        fleet.run(3.0)
+        new.freeze()
+        self.assertEqual(self.replace(ids[0], new)[0], 200)
+        self.assertEqual(self.replace(ids[1], new)[0], 409, "one replacement at a time")
+        fleet.run(2.0)
+        record = self.ask("GET", "/v1/stores")[1]
+        status, said = self.ask("POST", "/v1/stores/cancel", {"basedOn": record["version"]})
+        self.assertEqual((status, said["phase"]), (200, "stable"))
+        new.thaw()
+        fleet.run(3.0)
+        self.assertFalse(new.node.store.covers, "what left the set and missed writes does not speak")
+
+    def testRetiredIdsArePruned(self):
+        fleet = self.fleet
+        asked = self.lines(4)
+        old, new = fleet["store0"], self.newcomer()
+        oldId = old.node.node.nodeId
+        self.replace(oldId, new)
+        self.waitStable()
+        for one in asked:
+            self.goOn(one)
+        fleet.waitFor("pruning", lambda: oldId in self.ask("GET", "/v1/stores")[1]["pruned"], 60)
+        fleet.run(2.0)
+        for one in fleet.ofKind("store"):
+            if one is not old:
+                self.assertFalse([clock for row in one.node.store.table.rows.values() for clock in row.versions
+                                  if any(storeOf(clockId) == oldId for clockId in clock.entries)])
+
+
+class Clocks(unittest.TestCase):
+    def testStrippingKeepsTheOrder(self):
+        """Without a version numbered by r, dropping r's entries changes no comparison."""
+        x, y = Clock({"r": 3, "a": (0, 1)}), Clock({"r": 3, "a": (1, 2)})
+        z = Clock({"r": 3, "b": (0, 1)})
+        bare = [Clock({name: (m, n) if n else m for name, (m, n) in clock.entries.items() if name != "r"})
+                for clock in (x, y, z)]
+        self.assertEqual([[leq(one, other) for other in (x, y, z)] for one in (x, y, z)],
+                         [[leq(one, other) for other in bare] for one in bare])
