--- a/packages/oakbase/oakbase/tasks.py
+++ b/packages/oakbase/oakbase/tasks.py
@@ -79,25 +79,26 @@
     return [(ok, value if ok else value.value) for ok, value in pairs]
 
 
-def firstOf(awaitables, enough):
-    """Fires with the list of answers once `enough` of them are in, or with an error list once that is
-    out of reach. Later answers are left to finish by themselves."""
-    works = [one if isinstance(one, defer.Deferred) else defer.ensureDeferred(one) for one in awaitables]
-    outcome, answers, errors = defer.Deferred(), [], []
-
-    def answered(answer):
-        answers.append(answer)
-        if len(answers) == enough and not outcome.called:
-            outcome.callback((True, list(answers)))
-
-    def failed(failure):
-        errors.append(failure.value)
-        if len(errors) > len(works) - enough and not outcome.called:
-            outcome.callback((False, list(errors)))
-    if enough > len(works):
-        outcome.callback((False, []))
-    for work in works:
-        work.addCallbacks(answered, failed)
+def quorumOf(works, isEnough):
+    """`works` maps names to awaitables. Fires with (True, answers by name) once those that answered are enough,
+    or with (False, errors by name) once they can no longer be. Later answers are left to finish."""
+    outcome, answers, errors, pending = defer.Deferred(), {}, {}, set(works)
+
+    def settle(result, name, rows):
+        rows[name] = result
+        pending.discard(name)
+        if outcome.called:
+            return
+        if isEnough(answers.keys()):
+            outcome.callback((True, dict(answers)))
+        elif not isEnough(answers.keys() | pending):
+            outcome.callback((False, dict(errors)))
+    for name, one in works.items():
+        work = one if isinstance(one, defer.Deferred) else defer.ensureDeferred(one)
+        work.addCallbacks(settle, lambda failure, name: settle(failure.value, name, errors),
+                          callbackArgs=(name, answers), errbackArgs=(name,))
+    if not works and not outcome.called:
+        outcome.callback((False, {}))
     return outcome
 
 
--- a/packages/oakcontrol/oakcontrol/admin.py
+++ b/packages/oakcontrol/oakcontrol/admin.py
@@ -6,6 +6,7 @@
 from schema import And
 
 from oakcontrol.places import REPLICAS_KEY
+from oakcontrol.roster import ROSTER_KEY
 from oakcontrol.storeset import STORES_KEY, storesShown
 
 READ_TIME = 2 * CALL_TIME   # s; an owner may change once while an operator reads
@@ -27,6 +28,8 @@
         web.route("POST", "/v1/replicas/{id}/leaving", self._markLeaving)
         web.route("GET", "/v1/stores", self._stores)
         web.route("PUT", "/v1/stores", self._setStores)
+        web.route("GET", "/v1/roster", self._roster)
+        web.route("POST", "/v1/roster/replace", self._replaceMember)
         web.route("POST", "/v1/stores/replace", self._replaceStore)
         web.route("POST", "/v1/stores/cancel", self._cancelStore)
         web.route("GET", "/condition", self._condition)
@@ -36,10 +39,11 @@
             map(NAME.validate, roster)) and all(map(ADDRESS.validate, roster.values())),
             error="must be an odd number of node ids with their addresses")}, call.json())
         voter = self._control.voter
-        roster = {"version": 1, "members": body["roster"]}
+        roster = {"version": 1, "members": body["roster"], "next": None}
         if self._node.nodeId not in body["roster"]:
             raise Refused("this node is not named in the roster")
-        if voter.roster is not None and (voter.roster, self._node.identity.clusterId) != (roster, body["clusterId"]):
+        if voter.roster is not None and (voter.roster.record, self._node.identity.clusterId) != (
+                roster, body["clusterId"]):
             raise Conflict("this node belongs to a cluster already", detail={"clusterId": self._node.net.clusterId})
         if voter.roster is None:
             # The roster first: a node with a roster and no cluster id takes part in nothing yet.
@@ -102,8 +106,17 @@
     async def _cancelStore(self, call):
         return await self._ask(STORES_KEY, "cancel", call.json(), CHANGE_TIME)
 
+    async def _roster(self, _call):
+        status, record = await self._ask(ROSTER_KEY, "read", {})
+        members = self._node.members
+        return status, record | {"conditions": {nodeId: members.condition(nodeId)
+                                                for nodeId in record["members"] | (record["next"] or {})}}
+
+    async def _replaceMember(self, call):
+        return await self._ask(ROSTER_KEY, "replace", call.json(), CHANGE_TIME)
+
     async def _condition(self, _call):
         owners, voter = self._control.owners, self._control.voter
         return 200, self._node.condition() | {
             "condition": "ready" if owners.held else "waiting", "slots": len(owners.held),
-            "roster": voter.roster, "disk": self._control.ring.condition()}
+            "roster": voter.roster and voter.roster.record, "disk": self._control.ring.condition()}
--- a/packages/oakcontrol/oakcontrol/control.py
+++ b/packages/oakcontrol/oakcontrol/control.py
@@ -4,11 +4,12 @@
 from oakbase.constants import ACCEPT_INBOX, SLOTS
 from oakbase.metrics import Metrics
 from oakbase.web import Web
-from oakcontrol import blueprint, budget, claim, places, storeset  # noqa: F401  each enters its controller
+from oakcontrol import blueprint, budget, claim, places, roster, storeset  # noqa: F401  each enters its controller
 from oakcontrol.admin import Admin
 from oakcontrol.client import OwnerClient
-from oakcontrol.owner import Owners
+from oakcontrol.owner import Owners, slotOfKey
 from oakcontrol.platform import PlatformWatch
+from oakcontrol.roster import ROSTER_KEY, RosterWatch
 from oakcontrol.storeset import StoreSetWatch
 from oakcontrol.voter import Voter
 from oaknews.node import Node
@@ -31,6 +32,7 @@
         self.client = OwnerClient(self.node)
         self.owners = Owners(self.node, self.voter)
         self.platform = PlatformWatch(self.node, self.owners, env["platform"]) if env.get("platform") else None
+        self.rosterWatch = RosterWatch(self.node, self.voter, self.owners, slotOfKey(ROSTER_KEY))
         self.storeWatch = StoreSetWatch(self.node, self.owners)
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
         self.metrics = Metrics()
@@ -47,6 +49,7 @@
         self.node.start()
         self.owners.start()
         self.storeWatch.start()
+        self.rosterWatch.start()
         self.web.listen()
         if self.platform:
             self.platform.start()
@@ -58,5 +61,6 @@
         self.storeWatch.stop()
         await self.web.stop()
         await self.owners.stop()
+        self.rosterWatch.stop()
         self.voter.stop()
         await self.node.stop()
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -9,14 +9,15 @@
 from oakbase.constants import (CALL_TIME, CLAIM_SWEEP, CONDITION_AGE, CONTROL_BATCH, CONTROL_INBOX, ENTRY_LIMIT,
                                SLOTS, TAKEOVER_LOOK, TERM, TERM_RENEW)
 from oakbase.inbox import Inbox
-from oakbase.tasks import Repeater, firstOf, sleep, spawn, within
-from oakbase.verdict import CannotTell, NoAnswer, NotOwner, OakError, TooLarge, Verdict
+from oakbase.tasks import Repeater, quorumOf, sleep, spawn, within
+from oakbase.verdict import CannotTell, Fenced, NoAnswer, NotOwner, OakError, TooLarge, Verdict
 from oakcohort.members import LIVE
 from oakcohort.rendezvous import ranked, slotOf
 from oakcontrol.controllers import CONTROLLERS, publishedBy, sweepsFor
 from oakwire.codec import idl
 
 SLOT_SOURCE = "slot/"
+ROSTER_BITS = 20  # bits; of a slot source's version, below the epoch: rosters change far less often than that
 PACK_FROM = 4096  # bytes; below this an entry is not worth compressing
 
 
@@ -78,6 +79,7 @@
         self.entries, self._sequence = entries, sequence
         self._inbox = Inbox(CONTROL_INBOX, f"slot{slot}")
         self.termUntil = 0.0
+        self.rosterVersion = 0
         self.confirmed = defer.Deferred()
         self.ended = False
         self.idle = True
@@ -100,7 +102,7 @@
             return
         self.ended = True
         self._owners.retract(self)
-        for _, _, _, answer in self._inbox.takeReady(CONTROL_INBOX):
+        for _, _, _, answer in filter(None, self._inbox.takeReady(CONTROL_INBOX)):
             answer.errback(NotOwner("this slot is changing hands"))
         if self._task is not None and self.idle:
             self._task.cancel()
@@ -119,7 +121,14 @@
             self.idle = False
             await self._work([first, *self._inbox.takeReady(CONTROL_BATCH - 1)])
 
+    def writeAgain(self):
+        """Asks for the image to be brought to the majorities of the present roster."""
+        if len(self._inbox) < CONTROL_INBOX:
+            self._inbox.put(None)
+
     async def _work(self, batch):
+        writeAgain = None in batch
+        batch = [entry for entry in batch if entry is not None]
         view, outcomes = View(self.entries, self._owners.contextFor(self)), []
         for key, command, arguments, answer in batch:
             inner = view.nested()
@@ -134,16 +143,16 @@
                 continue
             view.fold(inner)
             outcomes.append((answer, result))
-        fault = await self._keep(dict(view.changes()))
+        fault = await self._keep(dict(view.changes()), writeAgain)
         for answer, outcome in outcomes:
             if fault is not None or isinstance(outcome, OakError):
                 answer.errback(fault or outcome)
                 continue
             answer.callback(outcome)
 
-    async def _keep(self, changes):
+    async def _keep(self, changes, writeAgain):
         """None once the changes are on a majority and the term still holds; else what to tell all callers."""
-        if changes:
+        if changes or writeAgain:
             self._sequence += 1
             entries = self.entries | changes
             if not await self._owners.replicate(self, self._sequence, changes, entries):
@@ -193,41 +202,51 @@
         self._tasks[1].stop()
 
     def contextFor(self, owner):
-        return Context(self.reactor.seconds(), self._node.members, owner.marks)
+        return Context(self.reactor.seconds(), self._node.members, owner.marks, self._voter.roster)
 
     # --- the majority ---
 
-    def _rosterAddresses(self):
-        """Where each voter is; one that nobody has seen is not asked."""
-        roster = self._voter.roster["members"]
-        rows = {nodeId: self._node.members.find(nodeId) for nodeId in roster}
-        return [member.peer if member else roster[nodeId] for nodeId, member in rows.items()]
-
-    def _majority(self):
-        return len(self._voter.roster["members"]) // 2 + 1
+    def _voterAddresses(self):
+        """Where each voter is, by its own word if it has been heard of."""
+        known = {nodeId: self._node.members.find(nodeId) for nodeId in self._voter.roster.everyone}
+        return {nodeId: known[nodeId].peer if known[nodeId] else peer
+                for nodeId, peer in self._voter.roster.everyone.items()}
 
     def _askVoters(self, method, **arguments):
-        return [self._node.net.call(address, method, CALL_TIME, rosterVersion=self._voter.roster["version"],
-                                    owner=self._node.nodeId, **arguments) for address in self._rosterAddresses()]
+        return {nodeId: self._node.net.call(address, method, CALL_TIME, rosterVersion=self._voter.roster.version,
+                                            owner=self._node.nodeId, **arguments)
+                for nodeId, address in self._voterAddresses().items()}
 
     async def replicate(self, owner, sequence, changes, entries):
-        """Whether a majority has this change. A voter that lacks something before it gets the whole image."""
-        asks = [self._giveChange(address, owner, sequence, changes, entries) for address in self._rosterAddresses()]
-        reached, _ = await firstOf(asks, self._majority())
-        return reached
-
-    async def _giveChange(self, address, owner, sequence, changes, entries):
-        taken = await self._accept(address, owner, sequence, False, changes)
+        """Whether a majority has this change, all under one roster. While voters pass from one roster to the
+        next, the same change is offered again: who has it says so."""
+        endsAt = self.reactor.seconds() + CALL_TIME
+        while True:
+            roster = self._voter.roster
+            reached, errors = await quorumOf(
+                {nodeId: self._giveChange(address, roster.version, owner, sequence, changes, entries)
+                 for nodeId, address in self._voterAddresses().items()}, roster.isQuorum)
+            if reached:
+                owner.rosterVersion = roster.version
+                return True
+            moving = any(isinstance(error, Fenced) and error.detail for error in errors.values())
+            if owner.ended or not moving or self.reactor.seconds() >= endsAt:
+                return False
+            await sleep(self.reactor, TERM_RENEW / 4)
+
+    async def _giveChange(self, address, rosterVersion, owner, sequence, changes, entries):
+        """A voter that lacks something before the change gets the whole image."""
+        taken = await self._accept(address, rosterVersion, owner, sequence, False, changes)
         if taken.needsImage:
-            taken = await self._accept(address, owner, sequence, True, entries)
+            taken = await self._accept(address, rosterVersion, owner, sequence, True, entries)
         if not taken.taken:
             self._seenEpochs[owner.slot] = max(self._seenEpochs.get(owner.slot, 0), taken.promisedEpoch or 0)
             raise CannotTell("the voter has promised a later epoch")
 
-    def _accept(self, address, owner, sequence, whole, entries):
+    def _accept(self, address, rosterVersion, owner, sequence, whole, entries):
         return self._node.net.call(
             address, "accept", CALL_TIME, slot=owner.slot, epoch=owner.epoch, owner=self._node.nodeId,
-            rosterVersion=self._voter.roster["version"], sequence=sequence, whole=whole,
+            rosterVersion=rosterVersion, sequence=sequence, whole=whole,
             entries=[idl.Entry(key=key, value=value) for key, value in entries.items()
                      if value is not None or not whole])
 
@@ -242,33 +261,44 @@
                 self.log.event("termLost", slot=slot, epoch=owner.epoch)
                 owner.end()
         self._confirm(dict(self.held))
+        for owner in self.held.values():
+            if owner.rosterVersion < self._voter.roster.version:
+                owner.writeAgain()
 
     def _confirm(self, owners):
         if not owners:
             return
-        askedAt, counts = self.reactor.seconds(), dict.fromkeys(owners, 0)
+        askedAt, roster = self.reactor.seconds(), self._voter.roster
+        confirmedBy = {slot: set() for slot in owners}
         terms = [idl.SlotEpoch(slot=slot, epoch=owner.epoch) for slot, owner in owners.items()]
 
-        async def ask(answer):
+        async def ask(nodeId, answer):
             for term in await answer:
-                counts[term.slot] += 1
-                if counts[term.slot] == self._majority():
+                confirmedBy[term.slot].add(nodeId)
+                if roster.isQuorum(confirmedBy[term.slot]):
                     owners[term.slot].lengthen(askedAt + TERM)
-        for answer in self._askVoters("confirm", terms=terms):
-            spawn(ask(answer))
+        for nodeId, answer in self._askVoters("confirm", terms=terms).items():
+            spawn(ask(nodeId, answer))
 
     # --- taking over ---
 
     def _liveRoster(self):
-        return [nodeId for nodeId in self._voter.roster["members"]
+        return [nodeId for nodeId in self._voter.roster.named
                 if self._node.members.condition(nodeId) == LIVE]
 
     async def _look(self):
-        if self._voter.roster is None or self._node.nodeId not in self._voter.roster["members"]:
+        roster = self._voter.roster
+        if roster is None:
+            return
+        if self._node.nodeId not in roster.everyone:
+            for owner in list(self.held.values()):
+                owner.end()
             return
         # Only who has answers from a majority may disturb an owner: one that is heard but hears nobody would
         # end every term with its prepares.
-        if sum(map(self._node.puller.answersLately, self._rosterAddresses())) < self._majority():
+        answering = {nodeId for nodeId, address in self._voterAddresses().items()
+                     if self._node.puller.answersLately(address)}
+        if not roster.isQuorum(answering):
             return
         liveIds = self._liveRoster()
         for slot in range(SLOTS):
@@ -303,7 +333,7 @@
 
     async def _askRelease(self, slot, liveIds):
         believed = self.believedOwner(slot)
-        if believed is None or believed[1] not in self._voter.roster["members"] or believed[1] == self._node.nodeId:
+        if believed is None or believed[1] not in self._voter.roster.everyone or believed[1] == self._node.nodeId:
             return None
         if self._node.members.condition(believed[1]) not in (LIVE, "leaving"):
             return None
@@ -317,11 +347,13 @@
         believed = self.believedOwner(slot)
         epoch = max(self._seenEpochs.get(slot, 0), believed[0] if believed else 0, releasedEpoch or 0) + 1
         self._seenEpochs[slot] = epoch
-        reached, promises = await firstOf([
-            self._granted(slot, answer) for answer in self._askVoters("prepare", slot=slot, epoch=epoch)
-        ], self._majority())
+        reached, answers = await quorumOf(
+            {nodeId: self._granted(slot, answer)
+             for nodeId, answer in self._askVoters("prepare", slot=slot, epoch=epoch).items()},
+            self._voter.roster.isQuorum)
         if not reached:
-            raise CannotTell(f"no majority promised epoch {epoch}: {'; '.join({str(error) for error in promises})}")
+            raise CannotTell(f"no majority promised epoch {epoch}: {'; '.join(sorted(set(map(str, answers.values()))))}")
+        promises = answers.values()
         preparedAt = self.reactor.seconds()
         newest = max(promises, key=lambda promise: (promise.imageEpoch, promise.sequence))
         formerEpoch = max(promise.promisedEpoch for promise in promises)
@@ -368,8 +400,9 @@
     def publish(self, owner, changes):
         source = f"{SLOT_SOURCE}{owner.slot}"
         self._node.board.publish(source, lambda: self._vouch(owner))
-        self._node.board.setItems(source, owner.epoch, {
-            "owner": packJson([owner.epoch, self._node.nodeId, self._node.net.address])})
+        self._node.board.setItems(source, (owner.epoch << ROSTER_BITS) + owner.rosterVersion, {
+            "owner": packJson([owner.epoch, self._node.nodeId, self._node.net.address]),
+            "roster": packJson(owner.rosterVersion)})
         view = View(owner.entries, None)
         for published in sorted({publishedBy(key) for key in changes} - {None}):
             controller = CONTROLLERS.find(published.partition("/")[0])
@@ -412,8 +445,8 @@
     """What a command may look at besides entries: the owner's monotonic time, the members, and marks,
     which live only as long as this ownership: key -> time since which the key counts."""
 
-    def __init__(self, now, members, marks):
-        self.now, self.members, self.marks = now, members, marks
+    def __init__(self, now, members, marks, roster):
+        self.now, self.members, self.marks, self.roster = now, members, marks, roster
 
     def ageOf(self, key):
         return self.now - self.marks.setdefault(key, self.now)
--- a/packages/oakcontrol/oakcontrol/voter.py
+++ b/packages/oakcontrol/oakcontrol/voter.py
@@ -9,6 +9,7 @@
 from oakbase.constants import CONTROL_INBOX, SLOTS
 from oakbase.inbox import TableOwner
 from oakbase.verdict import Fenced
+from oakcontrol.roster import Roster
 from oakwire.codec import idl
 
 
@@ -33,13 +34,14 @@
     def __init__(self, node, ring):
         self._nodeId, self._ring = node.nodeId, ring
         self._log = node.log
-        self.roster = json.loads(ring.table["roster"]) if "roster" in ring.table else None
+        self.roster = Roster(json.loads(ring.table["roster"])) if "roster" in ring.table else None
         self._tables = {slot: SlotTable() for slot in range(SLOTS)}
         self._owners = {slot: TableOwner(CONTROL_INBOX, f"voter{slot}", node.log) for slot in range(SLOTS)}
         self._load()
         node.net.handle("prepare", self._queued(self._prepare))
         node.net.handle("accept", self._queued(self._accept))
         node.net.handle("confirm", self._confirm)
+        node.net.handle("rosterVersion", self._rosterVersion)
 
     def _load(self):
         for key, value in self._ring.table.items():
@@ -55,9 +57,15 @@
         for owner in self._owners.values():
             owner.stop()
 
-    async def setRoster(self, roster):
-        await self._ring.commit([("roster", packJson(roster))])
-        self.roster = roster
+    async def setRoster(self, record):
+        """A newer roster, on the disk before anything is answered under it."""
+        if self.roster is None or record["version"] > self.roster.version:
+            await self._ring.commit([("roster", packJson(record))])
+            self.roster = Roster(record)
+            self._log.event("rosterSet", version=self.roster.version, members=len(self.roster.everyone))
+
+    async def _rosterVersion(self, _peer, _arguments):
+        return self.roster.version if self.roster else 0
 
     def _queued(self, command):
         async def handler(peer, arguments):
@@ -69,11 +77,12 @@
     def _checkRoster(self, peer, version):
         if self._ring.broken is not None:
             raise Fenced("this node's disk has failed")
-        if self.roster is None or self._nodeId not in self.roster["members"]:
+        if self.roster is None or self._nodeId not in self.roster.everyone:
             raise Fenced("this node has no vote")
-        if version != self.roster["version"]:
-            raise Fenced(f"roster version {version} is not {self.roster['version']}")
-        if peer.nodeId not in self.roster["members"]:
+        if version != self.roster.version:
+            raise Fenced(f"roster version {version} is not {self.roster.version}",
+                         detail={"roster": self.roster.version})
+        if peer.nodeId not in self.roster.everyone:
             raise Fenced(f"{peer.nodeId} is not in the roster")
 
     async def _prepare(self, table, peer, arguments):
--- a/packages/oakctl/oakctl/main.py
+++ b/packages/oakctl/oakctl/main.py
@@ -199,11 +199,11 @@
     """The store set: put an empty store in another's place, watch it, call it off."""
 
 
-def _storeId(rows, name):
-    """A store by its machine's name or node id."""
+def _named(rows, name):
+    """A node by its machine's name or node id."""
     found = [row for row in rows if name in (row["nodeId"], row["machine"])]
     if not found:
-        raise Refusal(f"no: there is no store {name}; known: {', '.join(sorted(row['machine'] for row in rows))}")
+        raise Refusal(f"no: there is no such node as {name}; known: {', '.join(sorted(row['machine'] for row in rows))}")
     if len(found) > 1:
         raise Refusal(f"no: {name} stands for {', '.join(row['nodeId'] for row in found)}; give the node id")
     return found[0]
@@ -218,17 +218,46 @@
 
     Both by machine name or node id. Goes on by itself; see `oakctl stores` for its progress.
     """
+    _replace(context, "store", "/v1/stores", leaving, joining, "oakctl stores")
+
+
+def _replace(context, kind, path, leaving, joining, watchWith):
     controls = _controls(context)
-    nodes = [row for row in askFirst(controls, "GET", "/v1/nodes")["nodes"] if row["kind"] == "store"]
-    record = askFirst(controls, "GET", "/v1/stores")
-    memberIds = {row["nodeId"] for row in record["members"]}
+    nodes = [row for row in askFirst(controls, "GET", "/v1/nodes")["nodes"] if row["kind"] == kind]
+    record = askFirst(controls, "GET", path)
+    # A map of addresses in the roster, a list of rows in the store set.
+    memberIds = [row if isinstance(row, str) else row["nodeId"] for row in record["members"]]
     byId = {row["nodeId"]: row for row in nodes}
     members = [byId.get(nodeId, {"nodeId": nodeId, "machine": nodeId.partition(".")[0]}) for nodeId in memberIds]
-    newcomer = _storeId([row for row in nodes if row["nodeId"] not in memberIds], joining)
-    answer = askFirst(controls, "POST", "/v1/stores/replace", {
-        "basedOn": record["version"], "leaving": _storeId(members, leaving)["nodeId"],
-        "joining": {"nodeId": newcomer["nodeId"], "peer": newcomer["peer"]}}, onMaybe="oakctl stores")
-    click.echo(f"epoch {answer['version']}: {answer['phase']}; watch it with: oakctl stores")
+    newcomer = _named([row for row in nodes if row["nodeId"] not in memberIds and row["condition"] == "live"], joining)
+    answer = askFirst(controls, "POST", f"{path}/replace", {
+        "basedOn": record["version"], "leaving": _named(members, leaving)["nodeId"],
+        "joining": {"nodeId": newcomer["nodeId"], "peer": newcomer["peer"]}}, onMaybe=watchWith)
+    click.echo(f"version {answer['version']}: {leaving} is being replaced by {joining}; watch it with: {watchWith}")
+
+
+@main.group()
+def roster():
+    """The control nodes whose disks vote."""
+
+
+@roster.command("show")
+@click.pass_context
+def showRoster(context):
+    """Shows the roster, its version, and a replacement under way (`next`)."""
+    show(askFirst(_controls(context), "GET", "/v1/roster"))
+
+
+@roster.command("replace")
+@click.argument("leaving")
+@click.argument("joining")
+@click.pass_context
+def replaceMember(context, leaving, joining):
+    """Puts the empty control node JOINING in the place of LEAVING (also one that is lost).
+
+    Both by machine name or node id. Goes on by itself; see `oakctl roster show`.
+    """
+    _replace(context, "control", "/v1/roster", leaving, joining, "oakctl roster show")
 
 
 @store.command("cancel")
--- a/packages/oakstore/oakstore/lines.py
+++ b/packages/oakstore/oakstore/lines.py
@@ -4,7 +4,7 @@
 
 from oakbase.checks import packJson
 from oakbase.constants import CALL_TIME, LINE_TURNS, STORE_CALL_TIME
-from oakbase.tasks import firstOf, sleep
+from oakbase.tasks import quorumOf, sleep
 from oakbase.verdict import CannotTell, Conflict, Fenced, Gone, NoAnswer, OakError, Verdict
 from oakcohort.members import LIVE
 from oakcohort.rendezvous import ranked
@@ -51,11 +51,12 @@
         endsAt = self._node.reactor.seconds() + timeLeft
         while True:
             stores = self._stores()
-            reached, states = await firstOf([self._getFrom(row["peer"], key, stores.epoch)
-                                             for row in stores.readers.values()], majority(stores.readers))
+            reached, states = await quorumOf(
+                {nodeId: self._getFrom(row["peer"], key, stores.epoch) for nodeId, row in stores.readers.items()},
+                lambda nodeIds: len(nodeIds) >= majority(stores.readers))
             if reached:
                 versions = {}
-                for state in states:
+                for state in states.values():
                     versions = syncVersions(versions, fromState(state))
                 return Line(versions)
             if self._node.reactor.seconds() + RETRY_PAUSE >= endsAt:
--- a/packages/oakstore/oakstore/store.py
+++ b/packages/oakstore/oakstore/store.py
@@ -3,12 +3,10 @@
 import time
 from collections import OrderedDict
 
-from twisted.internet import defer
-
 from oakbase.constants import (ACCEPT_INBOX, HINT_LIMIT, LINE_KEPT, LINE_SIZE, STORE_CALL_TIME, STORE_SWEEP,
                                SWEEP_HINTS, SWEEP_KEYS, SWEEP_PAGES)
 from oakbase.metrics import Metrics
-from oakbase.tasks import Repeater, spawn
+from oakbase.tasks import Repeater, quorumOf
 from oakbase.verdict import BadRequest, Fenced, NoAnswer, OakError, TooLarge
 from oakbase.web import Web
 from oakcohort.members import LIVE
@@ -98,27 +96,15 @@
         await self._replicate(arguments.key, versions, stores)
         return toContext(frozenset([clock]))
 
-    def _replicate(self, key, versions, stores):
-        """Fires once a write quorum of that epoch keeps the versions."""
-        state, outcome = toState(versions, storeEpoch=stores.epoch), defer.Deferred()
-        kept, pending = {self._node.nodeId}, self._others()
-
-        async def give(nodeId, peer):
-            try:
-                await self._give(nodeId, peer, key, state)
-                kept.add(nodeId)
-            except OakError as error:
-                self._log.event("replicationFailed", member=nodeId, reason=error.reason)
-            del pending[nodeId]
-            if outcome.called:
-                return
-            if stores.isWritten(kept):
-                outcome.callback(None)
-            elif not stores.isWritten(kept | pending.keys()):
-                outcome.errback(NoAnswer("the line did not reach a quorum of stores; it may still be kept"))
-        for nodeId, peer in list(pending.items()):
-            spawn(give(nodeId, peer), self._log)
-        return outcome
+    async def _replicate(self, key, versions, stores):
+        """Returns once a write quorum of that epoch keeps the versions."""
+        state = toState(versions, storeEpoch=stores.epoch)
+        reached, errors = await quorumOf(
+            {nodeId: self._give(nodeId, peer, key, state) for nodeId, peer in self._others().items()},
+            lambda nodeIds: stores.isWritten(nodeIds | {self._node.nodeId}))
+        if not reached:
+            raise NoAnswer("the line did not reach a quorum of stores, it may still be kept: "
+                           + "; ".join(sorted(map(str, errors.values()))))
 
     async def _give(self, nodeId, peer, key, state):
         hints = self._hints.setdefault(nodeId, OrderedDict())
--- a/packages/oakwire/oakwire/oak.thrift
+++ b/packages/oakwire/oakwire/oak.thrift
@@ -66,6 +66,7 @@
   Taken accept(1: i32 slot, 2: i64 epoch, 3: string owner, 4: i64 rosterVersion, 5: i64 sequence, 6: bool whole, 7: list<Entry> entries)
   list<SlotEpoch> confirm(1: list<SlotEpoch> terms, 2: string owner, 3: i64 rosterVersion)
   i64 release(1: i32 slot)
+  i64 rosterVersion()     // under which this voter answers now
   LineState lineGet(1: string key)
   string linePut(1: string key, 2: string context, 3: binary value, 4: i64 storeEpoch)
   bool lineKeep(1: string key, 2: LineState state, 3: string sender)
