--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -24,6 +24,7 @@
 
 # --- cohort and news ---------------------------------------------------------
 COHORT_SIZE = 4             # members; each node pulls from this many, so three losses still leave one
+GONE_LIMIT = 256            # items; removed ones that an image remembers, so that deltas can name them
 PULL_PAUSE = 0.2            # s; two hops of it stay well below every freshness bound
 PULL_TIME = 0.8             # s; a member that does not answer a pull in this time counts as silent
 CONDITION_AGE = 2.0         # s; a node whose newest sign of life is older counts as dead
@@ -40,6 +41,7 @@
 SLOTS = 32                  # slots; several for each of five owners, few enough to take over at once
 TERM = 1.2                  # s; an owner serves this long after asking a majority
 TERM_RENEW = 0.4            # s; three renewals fit into a term, so that one may be lost
+STEP_IN_TIME = 3.0          # s; one candidate's turn at a slot without owner, time for a take-over and its term
 TAKEOVER_LOOK = 0.25        # s; how often a control node compares owned slots with the live members
 CONTROL_INBOX = 1024        # commands; a slot with more waiting answers that it is overloaded
 CONTROL_BATCH = 64          # commands; one majority write covers this many at most
@@ -66,6 +68,8 @@
 SWEEP_KEYS = 256            # lines; compared in one anti-entropy message
 HINT_LIMIT = 20000          # lines; beyond this anti-entropy alone finds what a missing store lacks
 LINE_KEPT = 900.0           # s; well over the rule's minute after the last turn finished
+LINE_KEPT_FULL = 150.0      # s; the same when the ring is nearly full, still over twice the rule's minute
+FULL_SHARE = 0.7            # share of a ring's capacity; from here on a store lets lines go sooner
 LINE_TURNS = 512            # turns; a long session has about seven
 LINE_SIZE = 4 << 20         # bytes; below the frame limit with room for its clocks
 
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -7,7 +7,7 @@
 
 from oakbase.checks import packJson
 from oakbase.constants import (CALL_TIME, CLAIM_SWEEP, CONDITION_AGE, CONTROL_BATCH, CONTROL_INBOX, ENTRY_LIMIT,
-                               SLOTS, TAKEOVER_LOOK, TERM, TERM_RENEW)
+                               SLOTS, STEP_IN_TIME, TAKEOVER_LOOK, TERM, TERM_RENEW)
 from oakbase.inbox import Inbox
 from oakbase.tasks import Repeater, quorumOf, sleep, spawn, within
 from oakbase.verdict import CannotTell, Fenced, NoAnswer, NotOwner, OakError, TooLarge, Verdict
@@ -314,7 +314,8 @@
             return False
         place = order.index(self._node.nodeId)
         ownerless = min(self._node.board.age(f"{SLOT_SOURCE}{slot}"), self.reactor.seconds() - self._startedAt)
-        return place == 0 or ownerless > CONDITION_AGE + place * TERM
+        late = ownerless - CONDITION_AGE - TERM
+        return place == (0 if late <= 0 else (1 + int(late / STEP_IN_TIME)) % len(order))
 
     def believedOwner(self, slot):
         """(epoch, nodeId, address) of the slot's newest owner that this node has heard of, or None."""
--- a/packages/oaklab/oaklab/measure.py
+++ b/packages/oaklab/oaklab/measure.py
@@ -121,6 +121,72 @@
     return {"seconds, median and longest": (round(sorted(delays)[10], 3), round(max(delays), 3))}
 
 
+def _untilAlike(fleet, stores):
+    """Seconds until these stores keep the same lines, and the bytes that stores sent meanwhile."""
+    before, beganAt = sum(fleet.network.bytesFrom[one.host.address] for one in fleet.ofKind("store")), fleet.time.now
+
+    def alike():
+        rows = [{key: row.digest() for key, row in one.node.store.table.rows.items()} for one in stores]
+        return rows[0] == rows[1] == rows[2]
+    took = fleet.waitFor("all copies agreeing", alike, 120) - beganAt
+    quietFrom, quietAt = sum(fleet.network.bytesFrom[one.host.address] for one in fleet.ofKind("store")), fleet.time.now
+    fleet.run(5.0)  # what the same stores send anyway, for news
+    rate = (sum(fleet.network.bytesFrom[one.host.address] for one in fleet.ofKind("store")) - quietFrom) / (
+        fleet.time.now - quietAt)
+    return round(took, 2), round((quietFrom - before - rate * took) / 1024)
+
+
+@MEASURES.enter("repair")
+def repair(seed=1):
+    """300 lines are kept; one store is away while 30 more come; until all copies agree: seconds and KiB sent above
+    the stores' usual news. With its disk, by hints; with its disk, but its fellows restarted and so without hints,
+    by anti-entropy; with an empty disk, a full copy."""
+    results = {}
+    for name in ("back with its disk, hints", "back with its disk, no hints", "empty disk, full copy"):
+        fleet = SimFleet(seed, ringFileSize=1 << 20, pieceTime=0.0).bringUp()
+
+        async def keep(first, count):
+            await fleet.caller.openProgram("nile", "p", 100000)
+            for index in range(first, first + count, 10):
+                await settled([fleet.caller.turn("nile", "p", f"l{one}", None, "a question of some length " * 20)
+                               for one in range(index, index + 10)])
+        fleet.until(keep(0, 300), 200)
+        away = fleet["store0"]
+        away.kill()
+        fleet.until(keep(300, 30), 200)
+        formerId = away.node.node.nodeId
+        if name == "empty disk, full copy":
+            away.loseDisk()
+        if name == "back with its disk, no hints":
+            for other in ("store1", "store2"):
+                fleet[other].kill()
+                fleet[other].start()
+        away.start()
+        if name == "empty disk, full copy":
+            fleet.run(4.0)
+            fleet.until(fleet.operator.ask("POST", "/v1/stores/replace", {
+                "basedOn": 1, "leaving": formerId,
+                "joining": {"nodeId": away.node.node.nodeId, "peer": away.machine.peer}}), 30)
+        results[name] = dict(zip(("seconds", "KiB"), _untilAlike(fleet, fleet.ofKind("store"))))
+    return results
+
+
+@MEASURES.enter("growth")
+def growth(seed=1):
+    """Fleets of 16 to 128 nodes, quiet: pulls and KiB sent by a node in a second."""
+    results = {}
+    for nodes in (16, 32, 64, 128):
+        fleet = SimFleet(seed, Size(nodes - 8, 3, 5, (("dalatech-model", "model", 1), ("dalatech-results", "plain", 1),
+                                                      ("nile-model", "model", 1), ("nile-notices", "plain", 1)))).bringUp()
+        fleet.run(3.0)
+        pulls, sent = _callCounts(fleet)["pull"], sum(fleet.network.bytesFrom.values())
+        fleet.run(4.0)
+        results[f"{nodes} nodes"] = {
+            "pulls": round((_callCounts(fleet)["pull"] - pulls) / 4 / nodes, 1),
+            "KiB": round((sum(fleet.network.bytesFrom.values()) - sent) / 4 / nodes / 1024, 1)}
+    return results
+
+
 @MEASURES.enter("outage")
 def outage(seed=1):
     """Power cut everywhere at once: seconds until each partner's next turn is served, over 5 runs."""
--- a/packages/oaklab/oaklab/simnet.py
+++ b/packages/oaklab/oaklab/simnet.py
@@ -6,6 +6,7 @@
 """
 import heapq
 import itertools
+from collections import Counter
 
 from twisted.internet import error, interfaces
 from twisted.internet.address import IPv4Address
@@ -66,6 +67,7 @@
         self.delays = {}
         self.hosts = {}
         self.sent = 0
+        self.bytesFrom = Counter()
 
     def delay(self, fromHost, toHost):
         return self.random.uniform(self._low, self._high) + self.delays.get((fromHost, toHost), 0.0)
@@ -266,6 +268,7 @@
         due = max(self._lastArrival, network.time.now + network.delay(self.host.address, self._peer[0]))
         self._lastArrival = due
         network.sent += 1
+        network.bytesFrom[self.host.address] += 0 if isinstance(what, Exception) else len(what)
         network.time.schedule(due - network.time.now, None, self._arriveAt, what)
 
     def _arriveAt(self, what):
--- a/packages/oaknews/oaknews/board.py
+++ b/packages/oaknews/oaknews/board.py
@@ -7,6 +7,7 @@
 """
 from dataclasses import dataclass, field
 
+from oakbase.constants import GONE_LIMIT
 from oakwire.codec import idl
 
 AGE_LIMIT = 2 ** 31 - 1  # ms, the largest age that fits the wire's field
@@ -54,6 +55,10 @@
         if not image.version:
             image.base = version
         image.items |= {name: (version, value) for name, value in changed.items()}
+        if sum(value is None for _, value in image.items.values()) > GONE_LIMIT:
+            # Whoever is further back gets the whole image instead.
+            image.items = {name: item for name, item in image.items.items() if item[1] is not None}
+            image.base = version
         image.version = version
         self._tell(source)
 
--- a/packages/oakstore/oakstore/table.py
+++ b/packages/oakstore/oakstore/table.py
@@ -9,7 +9,7 @@
 from hashlib import blake2b
 
 from oakbase.checks import packJson
-from oakbase.constants import LINE_KEPT, STORE_INBOX, STORE_OWNERS
+from oakbase.constants import FULL_SHARE, LINE_KEPT, LINE_KEPT_FULL, STORE_INBOX, STORE_OWNERS
 from oakbase.inbox import TableOwner
 from oakcohort.rendezvous import slotOf
 from oakdvv.clock import Clock, syncVersions, update
@@ -112,7 +112,7 @@
         return self._do(self._merge, key, versions, age)
 
     async def _merge(self, key, versions, age):
-        if age >= LINE_KEPT:
+        if age >= self.keptFor():
             return
         row, extra = self._rowFor(key)
         merged = syncVersions(row.versions, {self._strip(clock): value for clock, value in versions.items()})
@@ -124,7 +124,7 @@
 
     async def _letGo(self, key):
         row = self.rows.get(key)
-        if row is not None and self._reactor.seconds() - row.touchedAt >= LINE_KEPT:
+        if row is not None and self._reactor.seconds() - row.touchedAt >= self.keptFor():
             await self._ring.commit([(ROW + key, None)])
             del self.rows[key]
 
@@ -153,5 +153,10 @@
     def keysAfter(self, after, most):
         return sorted(key for key in self.rows if key > after)[:most]
 
+    def keptFor(self):
+        """Seconds; less when the ring fills up, but always well over the rule's minute."""
+        return LINE_KEPT if self._ring.liveBytes() < FULL_SHARE * self._ring.capacity() else LINE_KEPT_FULL
+
     def old(self):
-        return [key for key in self.rows if self.age(key) >= LINE_KEPT]
+        kept = self.keptFor()
+        return sorted((key for key in self.rows if self.age(key) >= kept), key=self.age, reverse=True)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -300,6 +300,27 @@
         asked = self.turn()
         self.assertEqual(self.runsOf(asked)[0].body["adapter"], "dalatech-plan-2")
 
+    def testCandidatesDoNotDuel(self):
+        """
+        control0 | control1 | control2 | control3 | control4     each cut from the others, seen by gates and stores
+        all terms end; nobody can take over
+                                healed
+        every slot has an owner soon: those who may step in take turns, and do not end each other's tries
+        """
+        for seed in range(4):
+            fleet = SimFleet(seed).bringUp()
+            core = [one.host.address for one in fleet.ofKind("control")]
+            fleet.network.cut(core, core)
+            fleet.run(15.0)
+            fleet.network.heal()
+            for one in fleet.ofKind("control"):
+                one.disk.syncTime = 0.05
+            healedAt = fleet.time.now
+            fleet.waitFor("owners of all slots", lambda: len(
+                [owner for one in fleet.ofKind("control") for owner in one.node.owners.held.values()
+                 if owner.holdsTerm()]) == 32, 60)
+            self.assertLess(fleet.time.now - healedAt, 12.0, f"seed {seed}")
+
     def testNoTwoTermsAtOnce(self):
         """
         owner A (live, serving)          B
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -18,6 +18,7 @@
 from oakcontrol.blueprint import blueprintFaults
 from oaklab.plan import SIZES, blueprintOf, envOf, machinesOf
 from oaklab.simnet import SimHost, SimNetwork, SimReactor, SimTime
+from oaknews.board import Board
 from oakwire.codec import idl, pack
 from oakwire.net import Net
 
@@ -219,3 +220,54 @@
 class Time(unittest.TestCase):
     def testReactorTimeIsMonotonic(self):
         self.assertIs(monotonicReactor().seconds, time.monotonic)
+
+
+class News(unittest.TestCase):
+    def testDeltasAndRemovals(self):
+        """
+        source          relay                 late puller (stands at version 1)
+        v1 a b    --->  v1 a b
+        v2 -a     --->  v2
+        v3.. 300 items come and go; what was removed is forgotten
+                        v302            --->  gets the whole image: nothing that was removed stays
+        """
+        clock = SimTime()
+        reactor = SimReactor(SimHost(SimNetwork(clock, random.Random(1)), "127.0.0.1"))
+        source, relay, late = Board(reactor), Board(reactor), Board(reactor)
+        source.publish("s", reactor.seconds)
+
+        def pull(to, by):
+            by.merge(to.newsFor(by.seen()), reactor.seconds())
+        source.setItems("s", 1, {"a": b"1", "b": b"2"})
+        pull(source, relay)
+        pull(relay, late)
+        source.setItems("s", 2, {"b": b"2"})
+        delta = source.newsFor(relay.seen())[0]
+        self.assertEqual([(item.name, item.value) for item in delta.items], [("a", None)])
+        pull(source, relay)
+        self.assertEqual(relay.values("s"), {"b": b"2"})
+        for version in range(3, 303):
+            source.setItems("s", version, {"b": b"2", f"x{version}": b"3"})
+        pull(source, relay)
+        pull(relay, late)
+        self.assertEqual(late.values("s"), {"b": b"2", "x302": b"3"})
+        self.assertLess(len(source.images["s"].items), 2 * constants.GONE_LIMIT)
+
+    def testAgesAreOnlyOverstated(self):
+        clock = SimTime()
+        reactor = SimReactor(SimHost(SimNetwork(clock, random.Random(1)), "127.0.0.1"))
+        source, gate = Board(reactor), Board(reactor)
+        vouches = [True]
+        source.publish("s", lambda: reactor.seconds() if vouches[0] else None)
+        source.setItems("s", 1, {"a": b"1"})
+        askedAt = reactor.seconds()
+        clock.advanceTo(3.0)
+        news = source.newsFor([])
+        vouches[0] = False
+        clock.advanceTo(5.0)  # the answer took long, or the gate was frozen
+        gate.merge(news, askedAt)
+        self.assertGreaterEqual(gate.age("s"), 5.0)
+        clock.advanceTo(9.0)
+        askedAt = reactor.seconds()
+        gate.merge(source.newsFor(gate.seen()), askedAt)
+        self.assertGreaterEqual(gate.age("s"), 6.0, "a source without a term vouches for nothing newer")
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -63,6 +63,20 @@
         a.take(b)
         self.assertEqual(a.values(), [b"x", b"y"])
 
+    def testFullRingLetsLinesGoSooner(self):
+        """
+        ring nearly full: lines older than 150 s go, younger ones stay; with room: all stay for 15 minutes
+        """
+        rig = TableRig("a")
+        rig.put([], bytes(1000), "small")
+        rig.time.advanceTo(rig.time.now + 200)
+        self.assertEqual(rig.table.old(), [])
+        for index in range(100):
+            rig.put([], bytes(1000), f"k{index}")
+        self.assertEqual(rig.table.old(), ["small"])
+        rig.time.advanceTo(rig.time.now + 160)
+        self.assertEqual(len(rig.table.old()), 101)
+
     def testLateContextOfTheOldSet(self):
         """
         r (retired)     a                         b
