--- a/packages/oakgate/oakgate/turns.py
+++ b/packages/oakgate/oakgate/turns.py
@@ -1,10 +1,11 @@
 """The filters of a turn: bind, admit, recall, then place and carry, retain, settle."""
 from schema import And, Optional, Or
+from twisted.internet.defer import ensureDeferred
 
 from oakbase.checks import NAME, checkFields, seconds, whole
 from oakbase.constants import (CALL_TIME, PIECE_LIMIT, SETTLE_TIME, SETTLE_WAIT, TIME_LEFT_LIMIT, UNITS_LIMIT)
 from oakbase.fetch import BodyLines
-from oakbase.tasks import shielded, within
+from oakbase.tasks import settled, shielded, within
 from oakbase.verdict import (BadRequest, BudgetEmpty, Broken, Conflict, Gone, NoAnswer, OakError, Overloaded,
                              TimeSpent, Verdict)
 from oakgate.carry import refusalOf
@@ -86,6 +87,9 @@
     async def _admit(self, request, onward):
         """Reserves what the turn may put out; whatever happens after, the reservation is settled."""
         fields = request.fields
+        # The line is read meanwhile: neither needs the other, and both are needed before the turn can go on.
+        fields["recalling"] = ensureDeferred(settled([
+            self._lines.get(fields["lineKey"], request.remaining(self._reactor.seconds()))]))
         answered = self._owners.call(fields["budgetKey"], "admit", {
             "turn": fields["turnKey"], "print": fields["print"], "reserve": fields["reserve"],
             "admission": request.admission, "gate": self._node.nodeId,
@@ -120,7 +124,9 @@
 
     async def _recall(self, request, onward):
         fields, body = request.fields, request.body
-        line = await self._lines.get(fields["lineKey"], request.remaining(self._reactor.seconds()))
+        [(isRead, line)] = await fields["recalling"]
+        if not isRead:
+            raise line
         if body["turnId"] in line.turns:
             raise Conflict("a turn with this id is on the line already")
         fields["line"] = line
@@ -129,17 +135,18 @@
         await onward(request)
 
     async def _retain(self, request, onward):
-        """Keeps the finished turn and settles it, and only then lets the caller see the closing event."""
+        """Keeps the finished turn and settles it, and only after both lets the caller see the closing event."""
         fields, body = request.fields, request.body
         await onward(request)
         reader = fields["reader"]
         turn = {"parent": body["after"], "input": body["input"], "pieces": reader.pieces, "run": fields["run"],
                 "print": fields["print"]}
+        # What came out is known now, whatever becomes of the turn; so the settling need not wait for the stores.
+        settling = self._settleLater(request, "done", reader.units)
         try:
             await self._lines.keep(fields["lineKey"], fields["line"], body["turnId"], turn, SETTLE_TIME)
         except OakError as error:
             raise Broken(f"the turn ran, but is not surely kept: {error.reason}") from error
-        settling = self._settleLater(request, "done", reader.units)
         try:
             await within(self._reactor, SETTLE_WAIT, shielded(settling))
         except OakError as error:
