--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -52,7 +52,6 @@
 PLATFORM_TIME = 1.0         # s; a platform that takes longer counts as out of reach this round
 PLATFORM_LIMIT = 1 << 20    # bytes; a list of thousands of replicas fits
 BLUEPRINTS_KEPT = 500       # versions; a day of changes every three minutes can be read back
-CHANGES_KEPT = 1000         # change ids; a retry finds its outcome for at least as long as the day
 CLAIM_KEPT = 150.0          # s; twice the rule's minute with margin, counted by the owner
 CLAIM_ANSWER_LIMIT = 64 << 10   # bytes; larger answers are not kept, only the fact that they were given
 CLAIM_SWEEP = 5.0           # s; how often an owner looks for claims past their time
--- a/packages/oakcontrol/oakcontrol/budget.py
+++ b/packages/oakcontrol/oakcontrol/budget.py
@@ -9,7 +9,7 @@
 
 from oakbase.checks import NAME, checkFields, whole
 from oakbase.constants import TURN_MARKS_KEPT, UNITS_LIMIT
-from oakbase.verdict import Conflict, InProgress, Refused, Unknown, Verdict
+from oakbase.verdict import Conflict, InProgress, Refused, Unknown
 from oakcohort.members import SILENT
 from oakcontrol.controllers import CONTROLLERS, Controller
 
@@ -46,7 +46,7 @@
     checkFields({"limit": whole(1, UNITS_LIMIT)}, arguments)
     program = view.get(key)
     if program is None:
-        program = {"limit": arguments["limit"], "spent": 0, "open": {}, "marks": 0}
+        program = {"limit": arguments["limit"], "spent": 0, "open": {}, "marks": 0, "forgotten": 0}
         view.put(key, program)
     if program["limit"] != arguments["limit"]:
         raise Conflict(f"the program is open already, with a limit of {program['limit']}")
@@ -124,12 +124,14 @@
     for turn in [turn for turn, row in program["open"].items() if members.find(row["gate"]) is None]:
         if view.context.ageOf(f"{key}#gone/{turn}") > 0:
             _giveUp(view, key, program, turn)
-    markKeys = view.keys(f"{key}#turn/")
-    if len(markKeys) <= TURN_MARKS_KEPT:
+    # Numbers only rise, so the count of marks need not be looked up while it cannot be over the bound.
+    if program["marks"] - program["forgotten"] <= TURN_MARKS_KEPT:
         return
-    numbered = sorted((view.get(markKey)["number"], markKey) for markKey in markKeys)
+    numbered = sorted((view.get(markKey)["number"], markKey) for markKey in view.keys(f"{key}#turn/"))
     for _, markKey in numbered[:len(numbered) - TURN_MARKS_KEPT]:
         view.put(markKey, None)
+    program["forgotten"] = program["marks"] - TURN_MARKS_KEPT
+    view.put(key, program)
 
 
 CONTROLLERS.enter("budget")(Controller(
--- a/packages/oakstore/oakstore/lines.py
+++ b/packages/oakstore/oakstore/lines.py
@@ -21,7 +21,6 @@
 
     def __init__(self, versions):
         self.context = toContext(frozenset(versions))
-        self.siblings = len(versions)
         self.turns = {turnId: turn for value in versions.values()
                       for turnId, turn in json.loads(value)["turns"].items()}
 
