--- a/packages/oaklab/oaklab/trial.py
+++ b/packages/oaklab/oaklab/trial.py
@@ -180,6 +180,31 @@
     fleet.mark(one.name, "healed")
 
 
+@FAULTS.enter("linkFlaps")
+async def _linkFlaps(fleet):
+    """One link, in one direction, goes and comes."""
+    one, other = fleet.random.sample(list(fleet.byName.values()), 2)
+    fleet.mark(one.name, f"flapping to {other.name}")
+    pair = one.host.address, other.host.address
+    for _ in range(6):
+        fleet.network.cuts.add(pair)
+        await sleep(fleet.operatorReactor, fleet.random.uniform(0.1, 1.5))
+        fleet.network.cuts.discard(pair)
+        await sleep(fleet.operatorReactor, fleet.random.uniform(0.1, 1.0))
+    fleet.mark(one.name, "link well")
+
+
+@FAULTS.enter("linkSlow")
+async def _linkSlow(fleet):
+    """Every message between two machines takes long."""
+    one, other = fleet.random.sample(list(fleet.byName.values()), 2)
+    fleet.mark(one.name, f"slow to {other.name}")
+    pair = one.host.address, other.host.address
+    fleet.network.delays[pair] = fleet.random.uniform(0.1, 1.5)
+    await sleep(fleet.operatorReactor, fleet.random.uniform(2.0, 8.0))
+    fleet.network.delays.pop(pair, None)
+
+
 @FAULTS.enter("clockJumps")
 async def _clockJumps(fleet):
     one = fleet.random.choice(list(fleet.byName.values()))
--- a/packages/oaknews/oaknews/board.py
+++ b/packages/oaknews/oaknews/board.py
@@ -102,9 +102,20 @@
         return [idl.Seen(source=source, version=image.version) for source, image in self.images.items()]
 
     def newsFor(self, seen):
-        known = {one.source: one.version for one in seen}
-        return [self._imageFor(source, known.get(source, 0)) for source, image in self.images.items()
-                if image.version >= known.get(source, 0)]
+        """What the puller lacks; of what it has in its newest version, only the place in its list and the age."""
+        places = {one.source: place for place, one in enumerate(seen)}
+        images, ages = [], []
+        for source, image in self.images.items():
+            version = seen[places[source]].version if source in places else 0
+            if image.version > version or source not in places:
+                images.append(self._imageFor(source, version))
+            elif image.version == version:
+                ages.append(idl.Age(place=places[source], ageMs=self._ageMs(source)))
+        return idl.News(images=images, ages=ages)
+
+    def _ageMs(self, source):
+        age = self.age(source)
+        return AGE_LIMIT if age > AGE_LIMIT / 1000 else int(age * 1000) + 1
 
     def _imageFor(self, source, version):
         image = self.images[source]
@@ -112,15 +123,22 @@
         items = [idl.Item(name=name, version=itemVersion, value=value)
                  for name, (itemVersion, value) in image.items.items()
                  if (value is not None if whole else itemVersion > version)]
-        age = self.age(source)
-        return idl.Image(source=source, version=image.version, whole=whole, items=items,
-                         ageMs=AGE_LIMIT if age > AGE_LIMIT / 1000 else int(age * 1000) + 1)
+        return idl.Image(source=source, version=image.version, whole=whole, items=items, ageMs=self._ageMs(source))
 
     def wholeImage(self, source):
         return self._imageFor(source, -1)
 
-    def merge(self, news, askedAt):
-        for received in news:
+    def merge(self, news, seen, askedAt):
+        """Takes in what came for the list `seen` that was sent at monotonic time `askedAt`."""
+        self.mergeImages(news.images or [], askedAt)
+        for one in news.ages or []:
+            known = seen[one.place] if 0 <= one.place < len(seen) else None
+            image = self.images.get(known.source) if known else None
+            if image is not None and image.version == known.version and known.source not in self._ownSources:
+                image.confirmedAt = max(image.confirmedAt, askedAt - one.ageMs / 1000)
+
+    def mergeImages(self, images, askedAt):
+        for received in images:
             if received.source in self._ownSources:
                 continue
             image = self.images.setdefault(received.source, Image())
--- a/packages/oaknews/oaknews/puller.py
+++ b/packages/oaknews/oaknews/puller.py
@@ -51,8 +51,10 @@
         enough for its condition, and rows of nodes are all that is taken from a puller."""
         me = arguments.me
         if me is not None and me.source.startswith(f"{NODE_SOURCE}{peer.nodeId}/") and peer.clusterId:
-            self._board.merge([me], self._reactor.seconds())
-        return idl.News(images=self._board.newsFor(arguments.seen or []), clusterId=self._net.clusterId)
+            self._board.mergeImages([me], self._reactor.seconds())
+        news = self._board.newsFor(arguments.seen or [])
+        news.clusterId = self._net.clusterId
+        return news
 
     def start(self):
         self._repeater = Repeater(self._reactor, PULL_PAUSE, self._round, self._log).start()
@@ -93,14 +95,14 @@
     async def _pullFrom(self, address):
         self._pulling.add(address)
         try:
-            askedAt = self._reactor.seconds()
-            news = await self._net.call(address, "pull", PULL_TIME, seen=self._board.seen(),
+            askedAt, seen = self._reactor.seconds(), self._board.seen()
+            news = await self._net.call(address, "pull", PULL_TIME, seen=seen,
                                             me=self._board.wholeImage(self._source))
             if news.clusterId and not self._net.clusterId:
                 self._identity.joinCluster(news.clusterId)
                 self._net.joinCluster(news.clusterId)
                 self._log.event("joinedCluster", clusterId=news.clusterId, through=address)
-            self._board.merge(news.images or [], askedAt)
+            self._board.merge(news, seen, askedAt)
             self._answeredAt[address] = askedAt
         except OakError as error:
             self._log.event("pullFailed", address=address, reason=error.reason)
--- a/packages/oakwire/oakwire/oak.thrift
+++ b/packages/oakwire/oakwire/oak.thrift
@@ -29,7 +29,8 @@
   4: list<Item> items
   5: i32 ageMs            // since the source last confirmed this version
 }
-struct News { 1: list<Image> images  2: string clusterId }
+struct Age { 1: i32 place  2: i32 ageMs }    // of the source at this place of the puller's list, if it has not moved
+struct News { 1: list<Image> images  2: string clusterId  3: list<Age> ages }
 
 // --- control: the disks' side ---------------------------------------------------
 
