--- a/packages/oakcontrol/oakcontrol/control.py
+++ b/packages/oakcontrol/oakcontrol/control.py
@@ -7,9 +7,9 @@
 from oakcontrol import blueprint, budget, claim, places, roster, storeset  # noqa: F401  each enters its controller
 from oakcontrol.admin import Admin
 from oakcontrol.client import OwnerClient
-from oakcontrol.owner import Owners, slotOfKey
+from oakcontrol.owner import Owners
 from oakcontrol.platform import PlatformWatch
-from oakcontrol.roster import ROSTER_KEY, RosterWatch
+from oakcontrol.roster import RosterWatch
 from oakcontrol.storeset import StoreSetWatch
 from oakcontrol.voter import Voter
 from oaknews.node import Node
@@ -32,7 +32,7 @@
         self.client = OwnerClient(self.node)
         self.owners = Owners(self.node, self.voter)
         self.platform = PlatformWatch(self.node, self.owners, env["platform"]) if env.get("platform") else None
-        self.rosterWatch = RosterWatch(self.node, self.voter, self.owners, slotOfKey(ROSTER_KEY))
+        self.rosterWatch = RosterWatch(self.node, self.voter, self.owners)
         self.storeWatch = StoreSetWatch(self.node, self.owners)
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
         self.metrics = Metrics()
--- a/packages/oakcontrol/oakcontrol/roster.py
+++ b/packages/oakcontrol/oakcontrol/roster.py
@@ -16,10 +16,11 @@
 from oakbase.checks import NAME, checkFields, packJson, whole
 from oakbase.constants import CALL_TIME, SLOTS, STORES_PAUSE
 from oakbase.env import ADDRESS
-from oakbase.tasks import Repeater, settled
+from oakbase.tasks import settled
 from oakbase.verdict import Conflict, Lost, Refused, Unknown
 from oakcohort.members import LIVE
 from oakcontrol.controllers import CONTROLLERS, Controller
+from oakcontrol.duty import Duty
 
 ROSTER_KEY = "roster"
 MEMBER = {"nodeId": NAME, "peer": ADDRESS}
@@ -91,25 +92,22 @@
     {"read": lambda view, key, arguments: _record(view), "replace": _replace, "advance": _advance}, image=_image))
 
 
-class RosterWatch:
-    """Follows the published roster, and, on the owner of the key, moves a change on."""
+class RosterWatch(Duty):
+    """Follows the published roster, on every control node; on the owner of the key, moves a change on."""
 
-    def __init__(self, node, voter, owners, slot):
-        self._node, self._voter, self._owners, self._slot = node, voter, owners, slot
-        self._repeater = Repeater(node.reactor, STORES_PAUSE / 4, self._round, node.log)
-
-    def start(self):
-        self._repeater.start()
-
-    def stop(self):
-        self._repeater.stop()
+    def __init__(self, node, voter, owners):
+        super().__init__(node, owners, ROSTER_KEY, STORES_PAUSE / 4)
+        self._voter = voter
 
     async def _round(self):
         rows = self._node.board.values(ROSTER_KEY)
         if "record" in rows:
             await self._voter.setRoster(json.loads(rows["record"]))
-        roster, owner = self._voter.roster, self._owners.held.get(self._slot)
-        if owner is None or roster is None or roster.next is None:
+        await super()._round()
+
+    async def _work(self, owner):
+        roster = self._voter.roster
+        if roster is None or roster.next is None:
             return
         if all(self._slotRoster(slot) >= roster.version for slot in range(SLOTS)) \
                 and roster.isQuorum(await self._standingIn(roster)):
--- a/packages/oakcontrol/oakcontrol/storeset.py
+++ b/packages/oakcontrol/oakcontrol/storeset.py
@@ -22,14 +22,13 @@
 from oakbase.checks import NAME, checkFields, packJson, whole
 from oakbase.constants import CALL_TIME, STORES_PAUSE
 from oakbase.env import ADDRESS
-from oakbase.tasks import Repeater, settled
+from oakbase.tasks import settled
 from oakbase.verdict import Conflict, Lost, OakError, Refused, Unknown
 from oakcohort.members import LIVE
 from oakcontrol.controllers import CONTROLLERS, Controller
-from oakcontrol.owner import slotOfKey
+from oakcontrol.duty import Duty
 
 STORES_KEY = "storeset"
-SLOT = slotOfKey(STORES_KEY)
 STORE = {"nodeId": NAME, "peer": ADDRESS}
 STABLE, JOINING, MOVING = "stable", "joining", "moving"
 EMPTY = {"version": 0, "phase": STABLE, "members": [], "joining": None, "leaving": None, "retired": [], "pruned": []}
@@ -161,25 +160,13 @@
      "advance": _advance, "prune": _prune}, image=_image))
 
 
-class StoreSetWatch:
-    """The duty of moving a replacement on. Its holder is the owner of the key, its state is in the key, and
-    what a former holder still asks for is built on an old version: so a crash anywhere resumes."""
+class StoreSetWatch(Duty):
+    """Moves a replacement on. Its state is in the key, so a crash anywhere resumes."""
 
     def __init__(self, node, owners):
-        self._node, self._owners = node, owners
-        self.statuses = {}
-        self._repeater = Repeater(node.reactor, STORES_PAUSE, self._round, node.log)
+        super().__init__(node, owners, STORES_KEY, STORES_PAUSE)
 
-    def start(self):
-        self._repeater.start()
-
-    def stop(self):
-        self._repeater.stop()
-
-    async def _round(self):
-        owner = self._owners.held.get(SLOT)
-        if owner is None:
-            return
+    async def _work(self, owner):
         record = await owner.do(STORES_KEY, "read", {})
         prunable = [nodeId for nodeId in record["retired"] if nodeId not in record["pruned"]]
         if record["phase"] == STABLE and not prunable:
--- a/packages/oaknews/oaknews/puller.py
+++ b/packages/oaknews/oaknews/puller.py
@@ -5,7 +5,6 @@
 from oakbase.tasks import Repeater, settled, sleep, spawn
 from oakbase.verdict import OakError
 from oakcohort.members import Member
-from oakwire.codec import idl
 
 NODE_SOURCE = "node/"
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -483,6 +483,20 @@
         self.assertTrue(asked.ended())
         self.assertEqual(len(self.runsOf(asked)), 1)
 
+    def testOneBadRowHidesNoOther(self):
+        """
+        platform: a row without an address, one that is no object, one listed twice; the rest is served and leaves
+        """
+        fleet = self.bringUp()
+        fleet.platform.rows["bad"] = {"id": "bad", "pool": "dalatech-model", "state": "ready"}
+        fleet.platform.rows["worse"] = "what is this"
+        fleet.platform.rows["twice"] = dict(fleet.platform.rows["nile-model-1"])
+        fleet.platform.leave("dalatech-model-0")
+        fleet.run(5.0)
+        self.open()
+        asked = self.turn()
+        self.assertEqual([run.replica for run in self.runsOf(asked)], ["dalatech-model-1"])
+
     def testLeavingReplicaFinishesAndGetsNoMore(self):
         fleet = self.bringUp(pieceTime=0.5)
         self.open()
