--- a/packages/oakgate/oakgate/placer.py
+++ b/packages/oakgate/oakgate/placer.py
@@ -239,13 +239,13 @@
                 return
             _, partner = min(partners)
             heap = self._waiting[pool, partner]
-            entry = next((entry for entry in sorted(heap) if self._place(entry[3]) is not None), None)
+            placed = ((entry, self._place(entry[3])) for entry in sorted(heap))
+            entry, replica = next((pair for pair in placed if pair[1] is not None), (None, None))
             if entry is None:
                 blocked.add(partner)
                 continue
             heap.remove(entry)
             heapq.heapify(heap)
-            replica = self._place(entry[3])
             replica.ownRunning += 1
             self._served[pool, partner] = (self._served.get((pool, partner), 0.0)
                                            + 1 / self._bindings.share(partner))
