--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -53,6 +53,8 @@
 PLATFORM_LIMIT = 1 << 20    # bytes; a list of thousands of replicas fits
 BLUEPRINTS_KEPT = 500       # versions; a day of changes every three minutes can be read back
 CLAIM_KEPT = 150.0          # s; twice the rule's minute with margin, counted by the owner
+CLAIM_LEAVE = 60.0          # s; a keyed call leaves within this of its claim or never, so that the claim outlives the rule's
+                            # minute after it: CLAIM_KEPT - CLAIM_LEAVE is above a minute
 CLAIM_ANSWER_LIMIT = 64 << 10   # bytes; larger answers are not kept, only the fact that they were given
 CLAIM_SWEEP = 5.0           # s; how often an owner looks for claims past their time
 TURN_MARKS_KEPT = 4096      # turn ids; remembered outcomes of one program, far above a day of turns
--- a/packages/oakgate/oakgate/carry.py
+++ b/packages/oakgate/oakgate/carry.py
@@ -67,8 +67,7 @@
             raise Overloaded("the replica is leaving", retryAfter=1)
         if self._bindings.find(request.partner, request.bindingName, request.kind) != request.binding:
             raise Overloaded("the binding was replaced", retryAfter=1)
-        if self._node.reactor.seconds() >= request.endsAt:
-            raise TimeSpent("no time is left")
+        request.remaining(self._node.reactor.seconds())
         request.left = True
 
 
--- a/packages/oakgate/oakgate/plain.py
+++ b/packages/oakgate/oakgate/plain.py
@@ -4,7 +4,7 @@
 from schema import Optional, Or
 
 from oakbase.checks import NAME, checkFields, packJson, seconds
-from oakbase.constants import CALL_TIME, CLAIM_ANSWER_LIMIT, SETTLE_TIME, TIME_LEFT_LIMIT
+from oakbase.constants import CALL_TIME, CLAIM_ANSWER_LIMIT, CLAIM_LEAVE, SETTLE_TIME, TIME_LEFT_LIMIT
 from oakbase.verdict import Broken, Conflict, NoAnswer, OakError, Overloaded, TimeSpent, Verdict
 from oakgate.request import Request, chain, printOf
 
@@ -48,6 +48,8 @@
 
         def later(command, **more):
             self._gate.background(self._owners.call(claimKey, command, pairs | more, SETTLE_TIME))
+        # The owner counts from when it hears of the claim, so this is the earlier of the two.
+        request.leaveBy = self._reactor.seconds() + CLAIM_LEAVE
         try:
             claimed = await self._owners.call(claimKey, "claim", pairs, request.remaining(self._reactor.seconds()))
         except NoAnswer as error:
@@ -68,9 +70,10 @@
 
     async def _carry(self, request):
         asked = {"run": request.admission, "key": request.body["key"], "body": request.body["body"]}
+        # A key wins over the binding: what may have run under it is not carried again.
+        mayRepeat = request.body["key"] is None and bool(request.binding.get("repeatable"))
         return await self._carrier.carry(
-            request, bool(request.binding.get("repeatable")),
-            lambda replica, lastCheck: self._send(request, asked, replica, lastCheck))
+            request, mayRepeat, lambda replica, lastCheck: self._send(request, asked, replica, lastCheck))
 
     async def _send(self, request, asked, replica, lastCheck):
         status, data = await self._gate.webClient.data(
--- a/packages/oakgate/oakgate/request.py
+++ b/packages/oakgate/oakgate/request.py
@@ -9,9 +9,10 @@
 
 @dataclass
 class Request:
-    """Until `waitUntil` it may wait to be carried (the binding's bound), until `endsAt` it may run (the
-    caller's). Invariants: `waitUntil` <= `endsAt`; `admission` is new for each request that a gate takes in, so that what one try asked
-    for can be told from another's; `left` turns true before the first byte may reach a replica."""
+    """Until `waitUntil` it may wait to be carried (the binding's bound, and `leaveBy`, after which what was
+    reserved or claimed for it may be forgotten), until `endsAt` it may run (the caller's). Invariants: `waitUntil`
+    <= `endsAt`; `admission` is new for each request that a gate takes in, so that what one try asked for can be
+    told from another's; `left` turns true before the first byte may reach a replica."""
 
     call: object
     partner: str
@@ -23,7 +24,7 @@
     timeLeft: float | None = None
     binding: dict = None
     endsAt: float = 0.0
-    waitUntil: float = 0.0
+    leaveBy: float = float("inf")
     left: bool = False
     fields: dict = field(default_factory=dict)
 
@@ -31,7 +32,11 @@
         self.binding = binding
         whole = self.timeLeft or TIME_LEFT_DEFAULT
         self.endsAt = self.askedAt + whole
-        self.waitUntil = self.askedAt + min(whole * (1 - RUN_SHARE), binding["maxWaitSeconds"])
+
+    @property
+    def waitUntil(self):
+        whole = self.endsAt - self.askedAt
+        return min(self.askedAt + min(whole * (1 - RUN_SHARE), self.binding["maxWaitSeconds"]), self.leaveBy)
 
     def remaining(self, now):
         """Seconds in which it may still be carried."""
--- a/packages/oaklab/oaklab/standin.py
+++ b/packages/oaklab/oaklab/standin.py
@@ -146,6 +146,9 @@
         if fault == "silent":
             await call.gone
             return
+        if fault == "close":
+            call.request.channel.loseConnection()
+            return
         call.reply(200, {"run": body["run"], "answer": run.answer})
 
 
