--- a/packages/oakbase/oakbase/verdict.py
+++ b/packages/oakbase/oakbase/verdict.py
@@ -84,6 +84,13 @@
     code = "invalid"
 
 
+class Rebound(Refused):
+    """The plan replaced what a request was admitted under: it takes its place again under the new one."""
+
+    status = 503
+    code = "rebound"
+
+
 class BudgetEmpty(Refused):
     status = 402
     code = "budgetEmpty"
--- a/packages/oakcontrol/oakcontrol/budget.py
+++ b/packages/oakcontrol/oakcontrol/budget.py
@@ -111,6 +111,9 @@
         program["spent"] += arguments["units"] - mark["units"]  # the gate was only frozen
     elif row or mark or arguments["outcome"] != "never":
         return _shown(program)  # settled before
+    if arguments["outcome"] == "never" and mark and mark["state"] != "never":
+        view.put(key, program)  # what an earlier admission of the turn did stays known
+        return _shown(program)
     _setMark(view, key, program, turn, state=arguments["outcome"], print=arguments["print"],
              admission=arguments["admission"], units=arguments["units"])
     view.put(key, program)
--- a/packages/oakgate/oakgate/carry.py
+++ b/packages/oakgate/oakgate/carry.py
@@ -3,7 +3,7 @@
 
 from oakbase.constants import CARRY_TRIES
 from oakbase.tasks import within
-from oakbase.verdict import Broken, NoAnswer, OakError, Overloaded, TimeSpent, Verdict
+from oakbase.verdict import Broken, NoAnswer, OakError, Overloaded, Rebound, TimeSpent, Verdict
 from oakgate.placer import Wish, prefixOf
 
 
@@ -14,7 +14,7 @@
 
     async def carry(self, request, mayRepeat, send):
         """Places the request, and calls `send(replica, lastCheck)`; on a no it goes on to another replica, on
-        a maybe only if the request may be repeated."""
+        a maybe only if `mayRepeat()` says that the request may be repeated."""
         for attempt in range(CARRY_TRIES):
             replica = await self._placeFresh(request)
             placedAt = self._node.reactor.seconds()
@@ -33,30 +33,39 @@
 
     def _mayRetry(self, request, mayRepeat, error):
         return error.verdict is Verdict.NO or (
-            mayRepeat and self._node.reactor.seconds() < request.waitUntil and not request.call.isGone)
+            mayRepeat() and self._node.reactor.seconds() < request.waitUntil and not request.call.isGone)
+
+    def _current(self, request):
+        return self._bindings.find(request.partner, request.bindingName, request.kind)
 
     async def _placeFresh(self, request):
-        """A replica under a blueprint that is surely current. News that came while it waited counts."""
+        """A replica under a blueprint that is surely current. News that came while it waited counts, and while
+        it waits it follows the plan: to another pool, another urgency, another bound."""
         while True:
-            binding = request.binding
-            replica = await self._placer.place(Wish(
-                request.partner, binding["pool"], binding["urgency"], request.waitUntil,
-                request.fields.get("lineKey", ""), prefixOf(request.fields.get("start", "")),
-                binding.get("adapter"), binding.get("modelWeights")))
+            binding = self._current(request)
+            request.bound(binding)
+            request.remaining(self._node.reactor.seconds())
+            try:
+                replica = await self._placer.place(Wish(
+                    request.partner, binding["pool"], binding["urgency"], request.waitUntil,
+                    lambda binding=binding: self._current(request) == binding,
+                    request.fields.get("lineKey", ""), prefixOf(request.fields.get("start", "")),
+                    binding.get("adapter"), binding.get("modelWeights")))
+            except Rebound:
+                continue
             placedAt = self._node.reactor.seconds()
             try:
                 await self._bindings.waitFresh(request.partner, request.waitUntil)
                 if request.call.isGone:
                     raise TimeSpent("the caller went away")
-                request.binding = self._bindings.find(request.partner, request.bindingName, request.kind)
+                current = self._current(request)
             except OakError:
                 self._placer.release(replica, placedAt)
                 raise
-            if request.binding == binding and replica.row["state"] == "ready" \
+            if current == binding and replica.row["state"] == "ready" \
                     and replica.row["id"] in self._placer.replicas:
                 return replica
             self._placer.release(replica, placedAt)
-            request.remaining(self._node.reactor.seconds())
 
     def _lastCheck(self, request, replica):
         """Run with the connection made and nothing written: the rules hold at the moment of writing."""
@@ -65,7 +74,7 @@
             raise Overloaded(why, retryAfter=1)
         if replica.row["state"] != "ready" or replica.row["id"] not in self._placer.replicas:
             raise Overloaded("the replica is leaving", retryAfter=1)
-        if self._bindings.find(request.partner, request.bindingName, request.kind) != request.binding:
+        if self._current(request) != request.binding:
             raise Overloaded("the binding was replaced", retryAfter=1)
         request.remaining(self._node.reactor.seconds())
         request.left = True
--- a/packages/oakgate/oakgate/gate.py
+++ b/packages/oakgate/oakgate/gate.py
@@ -50,11 +50,15 @@
         return f"{self.node.random.getrandbits(128):032x}"
 
     def background(self, coroutine):
-        """Goes on after the caller has its answer; gives a Deferred that others may wait for."""
+        """Goes on after the caller has its answer; gives a Deferred that others may wait for: of the result, or
+        of None if it failed."""
         task = spawn(coroutine, self.node.log)
         self._background.add(task)
-        task.addBoth(lambda _: self._background.discard(task))
-        return task
+
+        def ended(result):
+            self._background.discard(task)
+            return result
+        return task.addBoth(ended)
 
     async def _condition(self, _call):
         partners = sorted(source.partition("/")[2] for source in self.node.board.images
--- a/packages/oakgate/oakgate/placer.py
+++ b/packages/oakgate/oakgate/placer.py
@@ -9,7 +9,7 @@
 from oakbase.constants import (CONTENDED_SHARE, DESCRIBE_PAUSE, DESCRIBE_TIME, GATE_REPLICA_IN_FLIGHT,
                                PLACE_INBOX, PREFIX_CHARACTERS, REFUSED_PAUSE, RETRY_AFTER, WEIGHT_BOUND)
 from oakbase.tasks import Repeater, spawn, within
-from oakbase.verdict import OakError, Overloaded, TimeSpent, Unknown
+from oakbase.verdict import OakError, Overloaded, Rebound, TimeSpent, Unknown
 from oakcohort.rendezvous import ranked
 
 URGENCY = {"urgent": 0, "normal": 1, "patient": 2}
@@ -45,12 +45,13 @@
 
 @dataclass
 class Wish:
-    """What a request needs of its replica."""
+    """What a request needs of its replica. `isCurrent` tells whether its plan still says the same."""
 
     partner: str
     pool: str
     urgency: str
     endsAt: float
+    isCurrent: object
     lineKey: str = ""
     prefix: str = ""
     adapter: str | None = None
@@ -75,6 +76,7 @@
         self._describing = set()
         self._repeater = Repeater(node.reactor, DESCRIBE_PAUSE, self._describeAll, node.log)
         node.board.watch("replicas", lambda _source: self._refresh())
+        node.board.watch("blueprint/", self._planMoved)
 
     def start(self):
         self._repeater.start()
@@ -217,6 +219,17 @@
                     if not entry[4].called:
                         entry[4].errback(error)
 
+    def _planMoved(self, source):
+        """Whoever waits under what the plan no longer says goes and waits anew."""
+        partner = source.partition("/")[2]
+        for entry in [entry for (_, other), heap in self._waiting.items() if other == partner for entry in heap]:
+            try:
+                isCurrent = entry[3].isCurrent()
+            except OakError:
+                isCurrent = False  # the binding is gone; that is what it will be told
+            if not isCurrent and not entry[4].called:
+                entry[4].errback(Rebound("the plan changed"))
+
     def _startLevel(self, pool, partner):
         level = min((self._served.get((pool, other), 0.0) for (otherPool, other), heap in self._waiting.items()
                      if otherPool == pool and heap), default=None)
--- a/packages/oakgate/oakgate/plain.py
+++ b/packages/oakgate/oakgate/plain.py
@@ -71,11 +71,12 @@
     async def _carry(self, request):
         asked = {"run": request.admission, "key": request.body["key"], "body": request.body["body"]}
         # A key wins over the binding: what may have run under it is not carried again.
-        mayRepeat = request.body["key"] is None and bool(request.binding.get("repeatable"))
         return await self._carrier.carry(
-            request, mayRepeat, lambda replica, lastCheck: self._send(request, asked, replica, lastCheck))
+            request, lambda: request.body["key"] is None and bool(request.binding.get("repeatable")),
+            lambda replica, lastCheck: self._send(request, asked, replica, lastCheck))
 
     async def _send(self, request, asked, replica, lastCheck):
+        asked = asked | request.adapter()
         status, data = await self._gate.webClient.data(
             "POST", replica.row["address"], "/call", asked, request.endsAt - self._reactor.seconds(),
             lastCheck=lastCheck)
--- a/packages/oakgate/oakgate/request.py
+++ b/packages/oakgate/oakgate/request.py
@@ -4,15 +4,16 @@
 
 from oakbase.checks import packJson
 from oakbase.constants import RUN_SHARE, TIME_LEFT_DEFAULT
-from oakbase.verdict import TimeSpent
+from oakbase.verdict import Rebound, TimeSpent
 
 
 @dataclass
 class Request:
     """Until `waitUntil` it may wait to be carried (the binding's bound, and `leaveBy`, after which what was
     reserved or claimed for it may be forgotten), until `endsAt` it may run (the caller's). Invariants: `waitUntil`
-    <= `endsAt`; `admission` is new for each request that a gate takes in, so that what one try asked for can be
-    told from another's; `left` turns true before the first byte may reach a replica."""
+    <= `endsAt`; all that a plan decides is read from `binding` when it is needed; `admittedUnder` are the terms of
+    the binding for which the budget's owner admitted the turn, None before; `admission` is new for each time that a gate asks to be let in, so that what one try asked
+    for can be told from another's; `left` turns true before the first byte may reach a replica."""
 
     call: object
     partner: str
@@ -23,16 +24,23 @@
     askedAt: float
     timeLeft: float | None = None
     binding: dict = None
+    admittedUnder: tuple = None
     endsAt: float = 0.0
     leaveBy: float = float("inf")
     left: bool = False
     fields: dict = field(default_factory=dict)
 
     def bound(self, binding):
+        if self.admittedUnder not in (None, termsOf(binding)):
+            raise Rebound("the plan changed what this turn was admitted under")
         self.binding = binding
         whole = self.timeLeft or TIME_LEFT_DEFAULT
         self.endsAt = self.askedAt + whole
 
+    def adapter(self):
+        """The field of a carried request that names the adapter, if the binding does."""
+        return {"adapter": self.binding["adapter"]} if self.binding.get("adapter") else {}
+
     @property
     def waitUntil(self):
         whole = self.endsAt - self.askedAt
@@ -45,6 +53,11 @@
         return self.waitUntil - now
 
 
+def termsOf(binding):
+    """What an admission depends on."""
+    return binding.get("maxOutput"), bool(binding.get("repeatable"))
+
+
 def printOf(value):
     """What tells one request from another under the same id."""
     return blake2b(packJson(value), digest_size=16).hexdigest()
--- a/packages/oakgate/oakgate/turns.py
+++ b/packages/oakgate/oakgate/turns.py
@@ -7,9 +7,9 @@
 from oakbase.fetch import BodyLines
 from oakbase.tasks import settled, shielded, within
 from oakbase.verdict import (BadRequest, BudgetEmpty, Broken, Conflict, Gone, NoAnswer, OakError, Overloaded,
-                             TimeSpent, Verdict)
+                             Rebound, TimeSpent, Verdict)
 from oakgate.carry import refusalOf
-from oakgate.request import Request, chain, printOf
+from oakgate.request import Request, chain, printOf, termsOf
 from oakgate.stream import CallerStream, RunReader
 
 TURN = {
@@ -66,7 +66,7 @@
         stream = CallerStream(call)
         request.fields["stream"] = stream
         try:
-            await self._run(request)
+            await self._runBound(request)
         except OakError as error:
             self._gate.metrics.count("turns", outcome=error.code)
             if not stream.begun:
@@ -75,6 +75,16 @@
             return
         self._gate.metrics.count("turns", outcome="done")
 
+    async def _runBound(self, request):
+        """Through the chain; again from its start when a new plan changed the terms of the admission."""
+        while True:
+            try:
+                await self._run(request)
+                return
+            except Rebound:
+                self._gate.metrics.count("turns_rebound")
+                request.admission, request.admittedUnder = self._gate.mintId(), None
+
     async def _bind(self, request, onward):
         await self._bindings.waitFresh(request.partner, self._reactor.seconds() + CALL_TIME)
         request.bound(self._bindings.find(request.partner, request.bindingName, request.kind))
@@ -105,8 +115,14 @@
         if state != "admitted":
             await self._replayKept(request, state)
             return
+        request.admittedUnder = termsOf(request.binding)
         try:
             await onward(request)
+        except Rebound:
+            taken = self._settleLater(request, "never", 0)
+            if await within(self._reactor, request.remaining(self._reactor.seconds()), shielded(taken)) is None:
+                raise TimeSpent("the budget's owner did not answer", retryAfter=1) from None
+            raise
         except BaseException as error:
             # What a run that broke off has put out, perhaps unseen, is not known: all of it counts as spent.
             never = not request.left or (isinstance(error, OakError) and error.verdict is Verdict.NO)
@@ -161,14 +177,13 @@
                         for turn in fields["path"]],
             "maxOutput": fields["reserve"]}
         # Never a second run under one reservation: two might put out twice what was reserved.
-        await self._carrier.carry(request, False, lambda replica, lastCheck: self._stream(
+        await self._carrier.carry(request, lambda: False, lambda replica, lastCheck: self._stream(
             request, asked, replica, lastCheck))
 
     async def _stream(self, request, asked, replica, lastCheck):
         fields = request.fields
-        if request.binding.get("adapter"):
-            # Only now: while it waited, a newer blueprint may have replaced the binding.
-            asked = asked | {"adapter": request.binding["adapter"]}
+        # Only now: while it waited, a newer blueprint may have replaced the binding.
+        asked = asked | request.adapter()
         # Each carry is a run of its own, so pieces of two runs can never pass for one.
         fields["run"] = run = self._gate.mintId()
         fields["stream"].useRun(run)
--- a/packages/oaklab/oaklab/caller.py
+++ b/packages/oaklab/oaklab/caller.py
@@ -57,6 +57,7 @@
     doneAt: float = 0.0
     outcome: str = "maybe"  # accepted, refused, maybe
     version: int = 0
+    maxOutput: int = 0  # of its model bindings, if they bear the marker: a second mark
 
 
 class View:
@@ -253,6 +254,8 @@
 
     async def putPlan(self, partner, basedOn, blueprint, marker, changeId=None):
         sent = PlanSent(partner, changeId or f"c{self._random.getrandbits(64):x}", marker, self._reactor.seconds())
+        sent.maxOutput = next((binding["maxOutput"] for binding in blueprint["bindings"].values()
+                               if binding["kind"] == "model" and binding.get("adapter") == marker), 0)
         self._view.plans.append(sent)
         status, said = await self.ask("PUT", f"/v1/blueprints/{partner}",
                                       {"changeId": sent.changeId, "basedOn": basedOn, "blueprint": blueprint})
