--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -42,7 +42,8 @@
 SLOTS = 32                  # slots; several for each of five owners, few enough to take over at once
 TERM = 1.2                  # s; an owner serves this long after asking a majority
 TERM_RENEW = 0.4            # s; three renewals fit into a term, so that one may be lost
-STEP_IN_TIME = 3.0          # s; one candidate's turn at a slot without owner, time for a take-over and its term
+STEP_IN_TIME = 3.0          # s; one candidate's turn at a slot without owner, the first one's too: time for a look,
+                            # the wait for the former term, and the news of it to get round
 TAKEOVER_LOOK = 0.25        # s; how often a control node compares owned slots with the live members
 CONTROL_INBOX = 1024        # commands; a slot with more waiting answers that it is overloaded
 CONTROL_BATCH = 64          # commands; one majority write covers this many at most
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -308,13 +308,14 @@
 
     def _isForMe(self, slot, liveIds):
         """The slot is for the first live one named for it. If that one is seen to live, but the slot stays
-        without an owner (a cut may part it from the voters only), the next ones step in, each a term later."""
+        without an owner (a cut may part it from the voters only), the next ones step in, one after another; the
+        first of them only after the one named first has had its own turn."""
         order = ranked(liveIds, f"slot{slot}")
         if self._node.nodeId not in order:
             return False
         place = order.index(self._node.nodeId)
         ownerless = min(self._node.board.age(f"{SLOT_SOURCE}{slot}"), self.reactor.seconds() - self._startedAt)
-        late = ownerless - CONDITION_AGE - TERM
+        late = ownerless - CONDITION_AGE - STEP_IN_TIME
         return place == (0 if late <= 0 else (1 + int(late / STEP_IN_TIME)) % len(order))
 
     def believedOwner(self, slot):
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -321,6 +321,19 @@
                  if owner.holdsTerm()]) == 32, 60)
             self.assertLess(fleet.time.now - healedAt, 12.0, f"seed {seed}")
 
+    def testEachSlotOfAFrozenOwnerIsTakenOnce(self):
+        """
+        control4          the others
+        frozen            its slots are taken over, each by one and once, as soon as its terms must have ended
+        """
+        fleet = self.bringUp()
+        held, frozenAt = set(fleet["control4"].node.owners.held), fleet.time.now
+        fleet["control4"].freeze()
+        fleet.run(9.0)
+        taken = [line.split() for line in fleet.lines if "event=slotTaken" in line and float(line.split()[0]) > frozenAt]
+        self.assertEqual(sorted(int(words[4].partition("=")[2]) for words in taken), sorted(held))
+        self.assertLess(max(float(words[0]) for words in taken) - frozenAt, 4.0)
+
     def testNoTwoTermsAtOnce(self):
         """
         owner A (live, serving)          B
