--- a/packages/oakcontrol/oakcontrol/blueprint.py
+++ b/packages/oakcontrol/oakcontrol/blueprint.py
@@ -1,11 +1,14 @@
 """Blueprints: one for each partner, changed whole or by a named change built on a version."""
+import json
+
 from schema import And, Optional
 
 from oakbase.checks import NAME, checkFields, faultsOf, isName, oneOf, packJson, seconds, whole
-from oakbase.constants import BLUEPRINTS_KEPT, TIME_LEFT_LIMIT, UNITS_LIMIT
+from oakbase.constants import BLUEPRINTS_KEPT, SLOTS, TIME_LEFT_LIMIT, UNITS_LIMIT
 from oakbase.registry import Registry
 from oakbase.verdict import BadRequest, Invalid, Lost, Unknown
-from oakcontrol.controllers import CONTROLLERS, Controller
+from oakcohort.rendezvous import slotOf
+from oakcontrol.controllers import CONTROLLERS, SLOT_SOURCE, Controller
 
 BINDING = {
     "kind": oneOf("model", "plain"),
@@ -180,6 +183,17 @@
         {"outcome": "notAccepted", "version": _head(view, key)["version"]}
 
 
+def newsOf(board, partner):
+    """The newest that this node has heard of a partner's blueprint: its age, and all of it but the bindings, or
+    None. That a partner has none is known by the owner of the slot it would be in."""
+    source = f"blueprint/{partner}"
+    image = board.images.get(source)
+    if image is None:
+        return board.age(f"{SLOT_SOURCE}{slotOf(source, SLOTS)}"), None
+    _, rest = image.items.get("rest", (0, None))
+    return board.age(source), rest and json.loads(rest)
+
+
 def _image(view, key):
     head = _head(view, key)
     if not head["version"]:
--- a/packages/oakcontrol/oakcontrol/budget.py
+++ b/packages/oakcontrol/oakcontrol/budget.py
@@ -5,12 +5,13 @@
 most one open reservation. A mark, once there, is the turn's final answer for its admission:
 done and broken ran, refused and never did not, vanished may have.
 """
-from schema import And
+from schema import And, Or
 
 from oakbase.checks import NAME, checkFields, whole
-from oakbase.constants import TURN_MARKS_KEPT, UNITS_LIMIT
-from oakbase.verdict import Conflict, InProgress, Refused, Unknown
+from oakbase.constants import BLUEPRINT_AGE, TURN_MARKS_KEPT, UNITS_LIMIT
+from oakbase.verdict import BadRequest, CannotTell, Conflict, InProgress, Refused, Unknown
 from oakcohort.members import SILENT
+from oakcontrol.blueprint import newsOf
 from oakcontrol.controllers import CONTROLLERS, Controller
 
 
@@ -42,13 +43,30 @@
             "open": len(program["open"])}
 
 
+def _rulesOf(view, key):
+    partner = key.split("/")[1]
+    age, rest = newsOf(view.context.board, partner)
+    if age > BLUEPRINT_AGE:
+        raise CannotTell("the blueprint's news is too old, so the program was not opened", retryAfter=1)
+    if rest is None:
+        raise Unknown(f"no partner {partner}")
+    return rest["programs"]
+
+
 def _open(view, key, arguments):
-    checkFields({"limit": whole(1, UNITS_LIMIT)}, arguments)
-    program = view.get(key)
+    """A program that is there already is shown; else it takes its limit, or the plan's, within the plan's bound.
+    The plan is looked at here, in the order of commands, so that the limit is of no older plan than the news of
+    this node are old."""
+    checkFields({"limit": Or(None, whole(1, UNITS_LIMIT))}, arguments)
+    program, limit = view.get(key), arguments["limit"]
     if program is None:
-        program = {"limit": arguments["limit"], "spent": 0, "open": {}, "marks": 0, "forgotten": 0}
+        rules = _rulesOf(view, key)
+        limit = limit or rules["defaultLimit"]
+        if limit > rules["maxLimit"]:
+            raise BadRequest(f"limit is above the plan's {rules['maxLimit']}")
+        program = {"limit": limit, "spent": 0, "open": {}, "marks": 0, "forgotten": 0}
         view.put(key, program)
-    if program["limit"] != arguments["limit"]:
+    if limit not in (None, program["limit"]):
         raise Conflict(f"the program is open already, with a limit of {program['limit']}")
     return _shown(program)
 
--- a/packages/oakcontrol/oakcontrol/client.py
+++ b/packages/oakcontrol/oakcontrol/client.py
@@ -5,7 +5,8 @@
 from oakbase.constants import CALL_TIME, OWNER_TRIES_PAUSE
 from oakbase.tasks import sleep
 from oakbase.verdict import CannotTell, NoAnswer, NotOwner, OakError, Verdict
-from oakcontrol.owner import SLOT_SOURCE, slotOfKey
+from oakcontrol.controllers import SLOT_SOURCE
+from oakcontrol.owner import slotOfKey
 
 
 class OwnerClient:
@@ -25,11 +26,12 @@
         known; CannotTell if no owner could be asked at all."""
         reactor, slot = self._node.reactor, slotOfKey(key)
         endsAt = reactor.seconds() + timeLeft
-        text, unsure, hint, tried = packJson(arguments).decode(), None, None, set()
+        text, unsure, hint, tried, silent = packJson(arguments).decode(), None, None, set(), set()
         while reactor.seconds() < endsAt:
             address = hint or self._believed(slot)
-            if address is None or address in tried:
-                address = self._anyControl(tried)
+            if address is None or address in tried | silent:
+                # One that did not answer may have ended: whoever takes its slots over is asked instead.
+                address = self._anyControl(tried | silent) or self._anyControl(tried)
             hint = None
             if address is not None:
                 tried.add(address)
@@ -39,12 +41,13 @@
                         key=key, command=command, argumentsJson=text)
                     return json.loads(answer)
                 except NotOwner as error:
-                    hint = error.detail if error.detail not in tried else None
+                    hint = error.detail if error.detail not in tried | silent else None
                 except OakError as error:
                     if error.code not in ("noAnswer", "unreachable", "overloaded", "timeSpent"):
                         raise
                     if error.verdict is not Verdict.NO:
                         unsure = error
+                        silent.add(address)
             if hint is None:
                 await sleep(reactor, OWNER_TRIES_PAUSE)
                 if address is None or len(tried) > 2:
--- a/packages/oakcontrol/oakcontrol/controllers.py
+++ b/packages/oakcontrol/oakcontrol/controllers.py
@@ -7,6 +7,7 @@
 from oakbase.verdict import Unknown
 
 CONTROLLERS = Registry("controller")
+SLOT_SOURCE = "slot/"  # before a slot's number: the news source that names its owner
 
 
 class Controller:
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -13,10 +13,9 @@
 from oakbase.verdict import CannotTell, Fenced, NoAnswer, NotOwner, OakError, TooLarge, Verdict
 from oakcohort.members import LIVE
 from oakcohort.rendezvous import ranked, slotOf
-from oakcontrol.controllers import CONTROLLERS, publishedBy, sweepsFor
+from oakcontrol.controllers import CONTROLLERS, SLOT_SOURCE, publishedBy, sweepsFor
 from oakwire.codec import idl
 
-SLOT_SOURCE = "slot/"
 ROSTER_BITS = 20  # bits; of a slot source's version, below the epoch: rosters change far less often than that
 PACK_FROM = 4096  # bytes; below this an entry is not worth compressing
 
@@ -202,7 +201,7 @@
         self._tasks[1].stop()
 
     def contextFor(self, owner):
-        return Context(self.reactor.seconds(), self._node.members, owner.marks, self._voter.roster)
+        return Context(self.reactor.seconds(), self._node.members, owner.marks, self._voter.roster, self._node.board)
 
     # --- the majority ---
 
@@ -444,11 +443,11 @@
 
 
 class Context:
-    """What a command may look at besides entries: the owner's monotonic time, the members, and marks,
-    which live only as long as this ownership: key -> time since which the key counts."""
+    """What a command may look at besides entries: the owner's monotonic time, the members, the news that this
+    node has, and marks, which live only as long as this ownership: key -> time since which the key counts."""
 
-    def __init__(self, now, members, marks, roster):
-        self.now, self.members, self.marks, self.roster = now, members, marks, roster
+    def __init__(self, now, members, marks, roster, board):
+        self.now, self.members, self.marks, self.roster, self.board = now, members, marks, roster, board
 
     def ageOf(self, key):
         return self.now - self.marks.setdefault(key, self.now)
--- a/packages/oakgate/oakgate/bindings.py
+++ b/packages/oakgate/oakgate/bindings.py
@@ -3,11 +3,10 @@
 
 from cachetools import LRUCache
 
-from oakbase.constants import BLUEPRINT_AGE, FRESH_POLL, REPLICA_AGE, SLOTS
+from oakbase.constants import BLUEPRINT_AGE, FRESH_POLL, REPLICA_AGE
 from oakbase.tasks import sleep, spawn
 from oakbase.verdict import BadRequest, CannotTell, Unknown
-from oakcohort.rendezvous import slotOf
-from oakcontrol.owner import SLOT_SOURCE
+from oakcontrol.blueprint import newsOf
 from oakcontrol.places import REPLICAS_KEY
 
 
@@ -34,16 +33,14 @@
     def share(self, partner):
         return (self._rest(partner) or {}).get("share", 1)
 
-    def programs(self, partner):
-        rest = self._rest(partner)
-        if rest is None:
+    def _mustBeKnown(self, partner):
+        if self._rest(partner) is None:
             raise Unknown(f"no partner {partner}")
-        return rest["programs"]
 
     def find(self, partner, name, kind):
         binding = self._item(f"blueprint/{partner}", f"binding/{name}")
         if binding is None:
-            self.programs(partner)
+            self._mustBeKnown(partner)
             raise Unknown(f"no binding {name}")
         if binding["kind"] != kind:
             raise BadRequest(f"binding {name} is for {binding['kind']} requests")
@@ -56,15 +53,9 @@
 
     # --- ages ---
 
-    def _blueprintAge(self, partner):
-        source = f"blueprint/{partner}"
-        # A partner without any blueprint is known to be so by the owner of the slot it would be in.
-        return self._board.age(source if source in self._board.images
-                               else f"{SLOT_SOURCE}{slotOf(source, SLOTS)}")
-
     def staleness(self, partner):
         """Why a request of this partner may not be carried now, or None."""
-        if self._blueprintAge(partner) > BLUEPRINT_AGE:
+        if newsOf(self._board, partner)[0] > BLUEPRINT_AGE:
             return "the blueprint's news is too old"
         if self._board.age(REPLICAS_KEY) > REPLICA_AGE:
             return "the replicas' news is too old"
--- a/packages/oakgate/oakgate/turns.py
+++ b/packages/oakgate/oakgate/turns.py
@@ -6,7 +6,7 @@
 from oakbase.constants import (CALL_TIME, PIECE_LIMIT, SETTLE_TIME, SETTLE_WAIT, TIME_LEFT_LIMIT, UNITS_LIMIT)
 from oakbase.fetch import BodyLines
 from oakbase.tasks import settled, shielded, within
-from oakbase.verdict import (BadRequest, BudgetEmpty, Broken, Conflict, Gone, NoAnswer, OakError, Overloaded,
+from oakbase.verdict import (BudgetEmpty, Broken, Conflict, Gone, NoAnswer, OakError, Overloaded,
                              Rebound, TimeSpent, Verdict)
 from oakgate.carry import refusalOf
 from oakgate.request import Request, chain, printOf, termsOf
@@ -35,12 +35,9 @@
     async def openProgram(self, call):
         partner = call.names["partner"]
         body = checkFields(PROGRAM, call.json())
-        await self._bindings.waitFresh(partner, self._reactor.seconds() + CALL_TIME)
-        rules = self._bindings.programs(partner)
-        limit = body["limit"] or rules["defaultLimit"]
-        if limit > rules["maxLimit"]:
-            raise BadRequest(f"limit is above the plan's {rules['maxLimit']}")
-        shown = await self._owners.call(f"budget/{partner}/{body['program']}", "open", {"limit": limit},
+        checkFields({"partner": NAME}, {"partner": partner})
+        # The plan's limits are the owner's to look up: what this gate knows may be old when the command gets there.
+        shown = await self._owners.call(f"budget/{partner}/{body['program']}", "open", {"limit": body["limit"]},
                                         2 * CALL_TIME)
         return 201, {"program": body["program"]} | shown
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -718,6 +718,59 @@
             fleet.run(1.0)
             self.assertEqual((self.budget()["open"], self.budget()["reserved"]), (0, 0))
 
+    def testProgramIsOpenedUnderTheCurrentPlan(self):
+        """
+        caller            gate                     budget's owner      next owner      operator
+        open p -------->  plan 1 is fresh          frozen
+                          asks --------------- X                                       plan 2: other limits
+                          asks again ------------------------------>   opens it under plan 2
+        """
+        fleet = self.bringUp()
+        owner = self.ownerOf("budget/dalatech/p1")
+        self.assertIsNot(owner, self.ownerOf("blueprint/dalatech"))
+        owner.freeze()
+        fleet.run(0.9)
+
+        def open(program, **limit):
+            return spawn(fleet.caller._client.json("POST", self.gate("gate0"), "/v1/dalatech/programs",
+                                                   {"program": program} | limit, 20), fleet.labLog)
+        # Two programs of one slot: one takes the plan's limit, the other asks for more than plan 2 allows.
+        twin = next(f"q{number}" for number in range(10000)
+                    if slotOfKey(f"budget/dalatech/q{number}") == slotOfKey("budget/dalatech/p1"))
+        works = [open("p1"), open(twin, limit=100000)]
+        fleet.run(0.1)
+        plan = blueprintOf("dalatech", "dalatech-plan-2")
+        plan["programs"] = {"defaultLimit": 7, "maxLimit": 70}
+        self.assertEqual(fleet.until(fleet.operator.putPlan("dalatech", 1, plan, "dalatech-plan-2")).outcome, "accepted")
+        acceptedAt = fleet.time.now
+        answers = [answer for _, answer in fleet.until(settled(works), 60)]
+        self.assertGreater(fleet.time.now, acceptedAt + 2.0, "the schedule did not come near the fault")
+        self.assertEqual([(status, said.get("limit"), said.get("verdict")) for status, said in answers],
+                         [(201, 7, None), (400, None, "no")])
+
+    def testProgramIsNotOpenedUnderOldNews(self):
+        """
+        budget's owner                 blueprint's owner     operator
+        all news are kept from it -X-                        plan 2: other limits
+        open p: told no, not opened under plan 1
+        """
+        fleet = self.bringUp()
+        board = self.ownerOf("budget/dalatech/p1").node.node.board
+        merge = board.merge
+
+        def mergeOthers(news, seen, askedAt):
+            news.images = [image for image in news.images or [] if not image.source.startswith("blueprint/")]
+            news.ages = [age for age in news.ages or [] if not seen[age.place].source.startswith("blueprint/")]
+            merge(news, seen, askedAt)
+        board.merge = mergeOthers
+        plan = blueprintOf("dalatech", "dalatech-plan-2")
+        plan["programs"] = {"defaultLimit": 7, "maxLimit": 70}
+        self.assertEqual(fleet.until(fleet.operator.putPlan("dalatech", 1, plan, "dalatech-plan-2")).outcome, "accepted")
+        fleet.run(2.1)
+        status, said = fleet.until(fleet.caller._client.json(
+            "POST", self.gate("gate0"), "/v1/dalatech/programs", {"program": "p1"}, 20))
+        self.assertEqual((status, said.get("error"), said.get("verdict")), (503, "cannotTell", "no"))
+
     def testWaitingRequestsFollowThePlanToAnotherPool(self):
         """
         gate0                                            platform
