--- a/packages/oakbase/oakbase/verdict.py
+++ b/packages/oakbase/oakbase/verdict.py
@@ -120,6 +120,13 @@
     code = "unreachable"
 
 
+class PlatformAway(Refused):
+    """The platform's list could not be read from here."""
+
+    status = 502
+    code = "platformAway"
+
+
 class NotOwner(Refused):
     """This node does not own the key; `detail` names the believed owner's address, if any."""
 
--- a/packages/oakcontrol/oakcontrol/control.py
+++ b/packages/oakcontrol/oakcontrol/control.py
@@ -31,7 +31,7 @@
         self.voter = Voter(self.node, self.ring)
         self.client = OwnerClient(self.node)
         self.owners = Owners(self.node, self.voter)
-        self.platform = PlatformWatch(self.node, self.owners, env["platform"]) if env.get("platform") else None
+        self.platform = PlatformWatch(self.node, self.owners, self.voter, env["platform"]) if env.get("platform") else None
         self.rosterWatch = RosterWatch(self.node, self.voter, self.owners)
         self.storeWatch = StoreSetWatch(self.node, self.owners)
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -205,7 +205,7 @@
 
     # --- the majority ---
 
-    def _voterAddresses(self):
+    def voterAddresses(self):
         """Where each voter is, by its own word if it has been heard of."""
         known = {nodeId: self._node.members.find(nodeId) for nodeId in self._voter.roster.everyone}
         return {nodeId: known[nodeId].peer if known[nodeId] else peer
@@ -214,7 +214,7 @@
     def _askVoters(self, method, **arguments):
         return {nodeId: self._node.net.call(address, method, CALL_TIME, rosterVersion=self._voter.roster.version,
                                             owner=self._node.nodeId, **arguments)
-                for nodeId, address in self._voterAddresses().items()}
+                for nodeId, address in self.voterAddresses().items()}
 
     async def replicate(self, owner, sequence, changes, entries):
         """Whether a majority has this change, all under one roster. While voters pass from one roster to the
@@ -224,7 +224,7 @@
             roster = self._voter.roster
             reached, errors = await quorumOf(
                 {nodeId: self._giveChange(address, roster.version, owner, sequence, changes, entries)
-                 for nodeId, address in self._voterAddresses().items()}, roster.isQuorum)
+                 for nodeId, address in self.voterAddresses().items()}, roster.isQuorum)
             if reached:
                 owner.rosterVersion = roster.version
                 return True
@@ -295,7 +295,7 @@
             return
         # Only who has answers from a majority may disturb an owner: one that is heard but hears nobody would
         # end every term with its prepares.
-        answering = {nodeId for nodeId, address in self._voterAddresses().items()
+        answering = {nodeId for nodeId, address in self.voterAddresses().items()
                      if self._node.puller.answersLately(address)}
         if not roster.isQuorum(answering):
             return
--- a/packages/oakcontrol/oakcontrol/platform.py
+++ b/packages/oakcontrol/oakcontrol/platform.py
@@ -1,23 +1,35 @@
-"""The duty of watching the platform's list, held by the owner of the key `replicas`."""
-from oakbase.checks import faultsOf
-from oakbase.constants import PLATFORM_LIMIT, PLATFORM_PAUSE, PLATFORM_TIME
+"""The duty of watching the platform's list, held by the owner of the key `replicas`.
+
+That this node cannot reach the platform says nothing: others may, and what the platform then tells them of a
+leaving replica is known. So the owner asks the roster to look too. One list that anybody has read is taken. Only
+when a majority of the roster itself says that it cannot reach the platform, the round counts as finished without
+a list: then nobody can know better, and the platform's outage does not become everybody's. Otherwise the news of
+the replicas grow old, and gates carry nothing that depends on them.
+"""
+import json
+
+from twisted.internet.defer import ensureDeferred
+
+from oakbase.checks import faultsOf, packJson
+from oakbase.constants import PLATFORM_CALL, PLATFORM_HEDGE, PLATFORM_LIMIT, PLATFORM_PAUSE, PLATFORM_TIME
 from oakbase.fetch import WebClient
-from oakbase.verdict import OakError
+from oakbase.tasks import quorumOf, shielded, within
+from oakbase.verdict import CannotTell, OakError, PlatformAway
 from oakcontrol.duty import Duty
 from oakcontrol.places import REPLICA, REPLICAS_KEY
 
 
 class PlatformWatch(Duty):
-    """`owners.pollTimes[replicas]` is when the last finished round began. A platform that does not answer
-    cannot have told anybody that a replica leaves, so such a round counts as finished too."""
+    """Invariant: `owners.pollTimes[replicas]` is when the last finished round began."""
 
-    def __init__(self, node, owners, address):
+    def __init__(self, node, owners, voter, address):
         super().__init__(node, owners, REPLICAS_KEY, PLATFORM_PAUSE)
-        self._address = address
+        self._voter, self._address = voter, address
         self._client = WebClient(node.reactor, node.env["http"].rpartition(":")[0])
         self._reachable = True
         self._unreadable = 0
         owners.pollTimes[REPLICAS_KEY] = float("-inf")
+        node.net.handle("platformList", self._serveList)
 
     async def _work(self, owner):
         askedAt = self._node.reactor.seconds()
@@ -37,6 +49,31 @@
         return list(good.values())
 
     async def _list(self):
+        """The platform's rows, read by whoever reaches it; None if a majority of the roster cannot."""
+        own = ensureDeferred(self._read())
+        try:
+            if self._reachable:
+                return await within(self._node.reactor, PLATFORM_HEDGE, shielded(own))
+        except OakError:
+            pass
+        roster = self._voter.roster
+        works = {nodeId: self._ask(address) for nodeId, address in self._owners.voterAddresses().items()
+                 if nodeId != self._node.nodeId}
+        reached, said = await quorumOf(works | {self._node.nodeId: own}, lambda nodeIds: len(nodeIds) > 0)
+        if reached:
+            return next(iter(said.values()))
+        away = {nodeId for nodeId, error in said.items() if isinstance(error, PlatformAway)}
+        if roster.isQuorum(away):
+            return None
+        raise CannotTell(f"only {len(away)} of the roster say that they cannot reach the platform")
+
+    async def _ask(self, address):
+        return json.loads(await self._node.net.call(address, "platformList", PLATFORM_CALL))
+
+    async def _serveList(self, _peer, _arguments):
+        return packJson(await self._read()).decode()
+
+    async def _read(self):
         try:
             status, answer = await self._client.json("GET", self._address, "/replicas", None, PLATFORM_TIME,
                                                      PLATFORM_LIMIT)
@@ -46,4 +83,6 @@
         if self._reachable != (not reason):
             self._reachable = not reason
             self._node.log.event("platformReachable" if self._reachable else "platformUnreachable", reason=reason)
-        return None if reason else answer["replicas"]
+        if reason:
+            raise PlatformAway(f"the platform cannot be read from here: {reason}")
+        return answer["replicas"]
--- a/packages/oakwire/oakwire/oak.thrift
+++ b/packages/oakwire/oakwire/oak.thrift
@@ -68,6 +68,7 @@
   list<SlotEpoch> confirm(1: list<SlotEpoch> terms, 2: string owner, 3: i64 rosterVersion)
   i64 release(1: i32 slot)
   i64 rosterVersion()     // under which this voter answers now
+  string platformList()   // JSON: the platform's rows as this node reads them; or the error platformAway
   LineState lineGet(1: string key)
   string linePut(1: string key, 2: string context, 3: binary value, 4: i64 storeEpoch)
   bool lineKeep(1: string key, 2: LineState state, 3: string sender)
