--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -60,7 +60,7 @@
                             # minute after it: CLAIM_KEPT - CLAIM_LEAVE is above a minute
 CLAIM_ANSWER_LIMIT = 64 << 10   # bytes; larger answers are not kept, only the fact that they were given
 CLAIM_SWEEP = 5.0           # s; how often an owner looks for claims past their time
-TURN_MARKS_KEPT = 4096      # turn ids; remembered outcomes of one program, far above a day of turns
+TURNS_LIMIT = 4096          # turn ids of one program, all remembered as long as it is open; far above a day of turns
 
 # --- stores ------------------------------------------------------------------
 STORE_OWNERS = 16           # table owners in a store; lines are spread over them by hash
--- a/packages/oakcontrol/oakcontrol/budget.py
+++ b/packages/oakcontrol/oakcontrol/budget.py
@@ -2,15 +2,19 @@
 
 Invariants of budget/P/G: a turn is admitted only while spent + all open reservations < limit, and reserves
 the most it can put out; so the program puts out at most its limit and one turn more. Each turn has at
-most one open reservation. A mark, once there, is the turn's final answer for its admission:
-done and broken ran, refused and never did not, vanished may have.
+most one open reservation. A mark, once there, stays as long as the program, and a program has at most TURNS_LIMIT of
+them; it says what became of the turn: done and broken ran, refused and never did not, vanished may have.
+
+A mark also keeps, in `back`, the highest number of an admission that each gate has taken back: a gate numbers its
+admissions, so one that was taken back and comes in late is told from one that is new, whatever came in between.
 """
 from schema import And, Or
 
 from oakbase.checks import NAME, checkFields, whole
-from oakbase.constants import BLUEPRINT_AGE, TURN_MARKS_KEPT, UNITS_LIMIT
+from oakbase.constants import BLUEPRINT_AGE, TURNS_LIMIT, UNITS_LIMIT
 from oakbase.verdict import BadRequest, CannotTell, Conflict, InProgress, Refused, Unknown
 from oakcohort.members import SILENT
+from oakcontrol.admission import NUMBER, isBack, noteBack
 from oakcontrol.blueprint import newsOf
 from oakcontrol.controllers import CONTROLLERS, Controller
 
@@ -29,9 +33,20 @@
     return f"{key}#turn/{turn}"
 
 
-def _setMark(view, key, program, turn, **mark):
-    program["marks"] += 1
-    view.put(_markKey(key, turn), mark | {"number": program["marks"]})
+def _setMark(view, key, turn, **mark):
+    former = view.get(_markKey(key, turn)) or {}
+    view.put(_markKey(key, turn), {"back": former.get("back", {})} | mark)
+
+
+def _takeBack(view, key, program, turn, arguments):
+    """Notes that this admission will not be carried; what an earlier one of the turn did stays known."""
+    mark = view.get(_markKey(key, turn))
+    if mark is None and turn not in program["open"]:
+        if program["turns"] >= TURNS_LIMIT:
+            return  # a late admission of a turn that has no mark is refused for that already
+        program["turns"] += 1
+    mark = mark or {"state": "never", "print": arguments["print"], "admission": arguments["admission"], "units": 0}
+    view.put(_markKey(key, turn), mark | {"back": noteBack(view, mark, arguments)})
 
 
 def _reserved(program):
@@ -64,7 +79,7 @@
         limit = limit or rules["defaultLimit"]
         if limit > rules["maxLimit"]:
             raise BadRequest(f"limit is above the plan's {rules['maxLimit']}")
-        program = {"limit": limit, "spent": 0, "open": {}, "marks": 0, "forgotten": 0}
+        program = {"limit": limit, "spent": 0, "open": {}, "turns": 0}
         view.put(key, program)
     if limit not in (None, program["limit"]):
         raise Conflict(f"the program is open already, with a limit of {program['limit']}")
@@ -79,16 +94,18 @@
     """The gate of this reservation is gone: what it reserved counts as spent."""
     row = program["open"].pop(turn)
     program["spent"] += row["reserve"]
-    _setMark(view, key, program, turn, state="vanished", print=row["print"], admission=row["admission"],
+    _setMark(view, key, turn, state="vanished", print=row["print"], admission=row["admission"],
              units=row["reserve"])
     view.put(key, program)
 
 
 def _admit(view, key, arguments):
     checkFields({"turn": TURN, "print": str, "reserve": whole(1, UNITS_LIMIT), "admission": NAME, "gate": NAME,
-                 "repeatable": bool}, arguments)
+                 "number": NUMBER, "repeatable": bool}, arguments)
     program, turn = _program(view, key), arguments["turn"]
-    row = program["open"].get(turn)
+    row, mark = program["open"].get(turn), view.get(_markKey(key, turn))
+    if isBack(mark, arguments):
+        raise Refused("this admission was taken back before it came in")
     if row and row["admission"] == arguments["admission"]:
         return {"state": "admitted", "reserve": row["reserve"]}
     if row and row["print"] != arguments["print"]:
@@ -97,7 +114,7 @@
         raise InProgress("this turn is running", retryAfter=1)
     if row:
         _giveUp(view, key, program, turn)
-    mark = view.get(_markKey(key, turn))
+        mark = view.get(_markKey(key, turn))
     if mark and mark["state"] != "never":
         if mark["print"] != arguments["print"]:
             raise Conflict("this turn id was used for another request")
@@ -105,10 +122,11 @@
             return {"state": mark["state"]}
         if not arguments["repeatable"]:
             return {"state": mark["state"]}
-    if mark and mark["state"] == "never" and mark["admission"] == arguments["admission"]:
-        raise Refused("this admission was taken back before it came in")
+    if mark is None and program["turns"] >= TURNS_LIMIT:
+        raise Conflict(f"a program has at most {TURNS_LIMIT} turns; open another one")
+    program["turns"] += mark is None
     if program["spent"] + _reserved(program) >= program["limit"]:
-        _setMark(view, key, program, turn, state="refused", print=arguments["print"],
+        _setMark(view, key, turn, state="refused", print=arguments["print"],
                  admission=arguments["admission"], units=0)
         view.put(key, program)
         return {"state": "refused"}
@@ -118,8 +136,8 @@
 
 
 def _settle(view, key, arguments):
-    checkFields({"turn": TURN, "print": str, "admission": NAME, "units": whole(0, UNITS_LIMIT),
-                 "outcome": lambda text: text in ("done", "broken", "never")}, arguments)
+    checkFields({"turn": TURN, "print": str, "admission": NAME, "gate": NAME, "number": NUMBER,
+                 "units": whole(0, UNITS_LIMIT), "outcome": lambda text: text in ("done", "broken", "never")}, arguments)
     program, turn = _program(view, key), arguments["turn"]
     row, mark = program["open"].get(turn), view.get(_markKey(key, turn))
     if row and row["admission"] == arguments["admission"]:
@@ -127,32 +145,25 @@
         program["spent"] += arguments["units"]
     elif mark and mark["admission"] == arguments["admission"] and mark["state"] == "vanished":
         program["spent"] += arguments["units"] - mark["units"]  # the gate was only frozen
-    elif row or mark or arguments["outcome"] != "never":
+    elif arguments["outcome"] != "never":
         return _shown(program)  # settled before
-    if arguments["outcome"] == "never" and mark and mark["state"] != "never":
-        view.put(key, program)  # what an earlier admission of the turn did stays known
+    if arguments["outcome"] == "never":
+        _takeBack(view, key, program, turn, arguments)
+        view.put(key, program)
         return _shown(program)
-    _setMark(view, key, program, turn, state=arguments["outcome"], print=arguments["print"],
+    _setMark(view, key, turn, state=arguments["outcome"], print=arguments["print"],
              admission=arguments["admission"], units=arguments["units"])
     view.put(key, program)
     return _shown(program)
 
 
 def _sweep(view, key, _arguments):
-    """Gives up reservations of gates that are long gone, and forgets the oldest marks past the bound."""
+    """Gives up reservations of gates that are long gone."""
     program = _program(view, key)
     members = view.context.members
     for turn in [turn for turn, row in program["open"].items() if members.find(row["gate"]) is None]:
         if view.context.ageOf(f"{key}#gone/{turn}") > 0:
             _giveUp(view, key, program, turn)
-    # Numbers only rise, so the count of marks need not be looked up while it cannot be over the bound.
-    if program["marks"] - program["forgotten"] <= TURN_MARKS_KEPT:
-        return
-    numbered = sorted((view.get(markKey)["number"], markKey) for markKey in view.keys(f"{key}#turn/"))
-    for _, markKey in numbered[:len(numbered) - TURN_MARKS_KEPT]:
-        view.put(markKey, None)
-    program["forgotten"] = program["marks"] - TURN_MARKS_KEPT
-    view.put(key, program)
 
 
 CONTROLLERS.enter("budget")(Controller(
--- a/packages/oakcontrol/oakcontrol/claim.py
+++ b/packages/oakcontrol/oakcontrol/claim.py
@@ -1,7 +1,7 @@
 """Claims: a plain request with a key runs at most once.
 
 Invariants of claim/P/K: one claim holds the key at a time; `done` keeps its answer, if it is small
-enough; an entry is let go only when this owner has counted CLAIM_KEPT seconds since its last change or
+enough; `back` tells admissions that were taken back from later ones (oakcontrol/admission.py); an entry is let go only when this owner has counted CLAIM_KEPT seconds since its last change or
 since it took the slot over, whichever is later.
 """
 from schema import Optional, Or
@@ -9,43 +9,49 @@
 from oakbase.checks import NAME, checkFields
 from oakbase.constants import CLAIM_KEPT
 from oakbase.verdict import Conflict, InProgress, Refused
+from oakcontrol.admission import NUMBER, isBack, noteBack
 from oakcontrol.controllers import CONTROLLERS, Controller
 
 
-def _set(view, key, claim):
-    view.put(key, claim)
+ADMISSION = {"print": str, "admission": NAME, "gate": NAME, "number": NUMBER}
+
+
+def _set(view, key, former, **claim):
+    view.put(key, {"back": (former or {}).get("back", {})} | claim)
     view.context.touch(key)
 
 
 def _claim(view, key, arguments):
-    checkFields({"print": str, "admission": NAME}, arguments)
+    checkFields(ADMISSION, arguments)
     claim = view.get(key)
+    if isBack(claim, arguments):
+        raise Refused("this claim was taken back before it came in")
     if claim and claim["state"] != "free" and claim["print"] != arguments["print"]:
         raise Conflict("this key is in use for another body")
-    if claim and claim["state"] == "free" and claim["admission"] == arguments["admission"]:
-        raise Refused("this claim was taken back before it came in")
     if claim and claim["state"] == "done":
         return {"state": "done", "answer": claim["answer"]}
     if claim and claim["state"] == "claimed" and claim["admission"] != arguments["admission"]:
         raise InProgress("this key is claimed; its request runs now or may have run", retryAfter=1)
-    _set(view, key, {"state": "claimed", "print": arguments["print"], "admission": arguments["admission"]})
+    _set(view, key, claim, state="claimed", print=arguments["print"], admission=arguments["admission"])
     return {"state": "claimed"}
 
 
 def _finish(view, key, arguments):
-    checkFields({"admission": NAME, "print": str, Optional("answer"): Or(None, dict)}, arguments)
+    checkFields(ADMISSION | {Optional("answer"): Or(None, dict)}, arguments)
     claim = view.get(key)
     if claim and claim["state"] == "claimed" and claim["admission"] == arguments["admission"]:
-        _set(view, key, claim | {"state": "done", "answer": arguments.get("answer")})
+        _set(view, key, claim, **(claim | {"state": "done", "answer": arguments.get("answer")}))
     return {}
 
 
 def _free(view, key, arguments):
     """The request never left: the key may be claimed again, but not by this admission come late."""
-    checkFields({"admission": NAME, "print": str}, arguments)
+    checkFields(ADMISSION, arguments)
     claim = view.get(key)
     if claim is None or claim["admission"] == arguments["admission"]:
-        _set(view, key, {"state": "free", "print": arguments["print"], "admission": arguments["admission"]})
+        claim = {"state": "free", "print": arguments["print"], "admission": arguments["admission"],
+                 "back": (claim or {}).get("back", {})}
+    _set(view, key, claim, **(claim | {"back": noteBack(view, claim, arguments)}))
     return {}
 
 
--- a/packages/oakgate/oakgate/gate.py
+++ b/packages/oakgate/oakgate/gate.py
@@ -1,4 +1,5 @@
 """A gate put together: callers' HTTP in front, filters behind it, no disk."""
+import itertools
 import time
 
 from oakbase.constants import ACCEPT_INBOX, SETTLE_TIME
@@ -31,6 +32,7 @@
         self.carrier = Carrier(self.node, self.bindings, self.placer, self.webClient, self.metrics)
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
         self._background = set()
+        self._numbers = itertools.count(1)
         turns, plain = Turns(self), Plain(self)
         for method, path, handler in (
                 ("POST", "/v1/{partner}/programs", turns.openProgram),
@@ -49,6 +51,10 @@
     def mintId(self):
         return f"{self.node.random.getrandbits(128):032x}"
 
+    def admission(self):
+        """A new admission: its id, and the number by which it is told from this gate's earlier and later ones."""
+        return {"admission": self.mintId(), "gate": self.node.nodeId, "number": next(self._numbers)}
+
     def background(self, coroutine):
         """Goes on after the caller has its answer; gives a Deferred that others may wait for: of the result, or
         of None if it failed."""
--- a/packages/oakgate/oakgate/plain.py
+++ b/packages/oakgate/oakgate/plain.py
@@ -21,7 +21,7 @@
     async def post(self, call):
         names = checkFields({"partner": NAME, "binding": NAME}, call.names)
         body = checkFields(PLAIN, call.json())
-        request = Request(call, names["partner"], names["binding"], "plain", body, self._gate.mintId(),
+        request = Request(call, names["partner"], names["binding"], "plain", body, self._gate.admission(),
                           self._reactor.seconds(), body["timeLeft"])
         try:
             answer = await self._run(request)
@@ -44,7 +44,7 @@
         if key is None:
             return {"answer": await onward(request)}
         claimKey = f"claim/{request.partner}/{key}"
-        pairs = {"admission": request.admission, "print": printOf([request.bindingName, request.body["body"]])}
+        pairs = request.admission | {"print": printOf([request.bindingName, request.body["body"]])}
 
         def later(command, **more):
             self._gate.background(self._owners.call(claimKey, command, pairs | more, SETTLE_TIME))
@@ -69,7 +69,7 @@
         return {"answer": answer}
 
     async def _carry(self, request):
-        asked = {"run": request.admission, "key": request.body["key"], "body": request.body["body"]}
+        asked = {"run": request.admission["admission"], "key": request.body["key"], "body": request.body["body"]}
         # A key wins over the binding: what may have run under it is not carried again.
         return await self._carrier.carry(
             request, lambda: request.body["key"] is None and bool(request.binding.get("repeatable")),
@@ -90,6 +90,6 @@
             raise Overloaded(f"the replica refused with {status}", retryAfter=1)
         if status != 200:
             raise Broken(f"the replica answered {status}", Verdict.MAYBE)
-        if said.get("run") != request.admission or not isinstance(said.get("answer"), dict):
+        if said.get("run") != request.admission["admission"] or not isinstance(said.get("answer"), dict):
             raise Broken("the replica gave an answer to another request", Verdict.MAYBE)
         return said["answer"]
--- a/packages/oakgate/oakgate/request.py
+++ b/packages/oakgate/oakgate/request.py
@@ -20,7 +20,7 @@
     bindingName: str
     kind: str
     body: dict
-    admission: str
+    admission: dict
     askedAt: float
     timeLeft: float | None = None
     binding: dict = None
--- a/packages/oakgate/oakgate/turns.py
+++ b/packages/oakgate/oakgate/turns.py
@@ -52,7 +52,7 @@
     async def postTurn(self, call):
         names = checkFields({"partner": NAME, "program": NAME, "line": NAME}, call.names)
         body = checkFields(TURN, call.json())
-        request = Request(call, names["partner"], body["binding"], "model", body, self._gate.mintId(),
+        request = Request(call, names["partner"], body["binding"], "model", body, self._gate.admission(),
                           self._reactor.seconds(), body["timeLeft"])
         request.fields |= {
             "budgetKey": f"budget/{names['partner']}/{names['program']}",
@@ -80,7 +80,7 @@
                 return
             except Rebound:
                 self._gate.metrics.count("turns_rebound")
-                request.admission, request.admittedUnder = self._gate.mintId(), None
+                request.admission, request.admittedUnder = self._gate.admission(), None
 
     async def _bind(self, request, onward):
         await self._bindings.waitFresh(request.partner, self._reactor.seconds() + CALL_TIME)
@@ -97,10 +97,8 @@
         # The line is read meanwhile: neither needs the other, and both are needed before the turn can go on.
         fields["recalling"] = ensureDeferred(settled([
             self._lines.get(fields["lineKey"], request.remaining(self._reactor.seconds()))]))
-        answered = self._owners.call(fields["budgetKey"], "admit", {
-            "turn": fields["turnKey"], "print": fields["print"], "reserve": fields["reserve"],
-            "admission": request.admission, "gate": self._node.nodeId,
-            "repeatable": bool(request.binding.get("repeatable"))}, request.remaining(self._reactor.seconds()))
+        answered = self._owners.call(fields["budgetKey"], "admit", request.admission | {
+            "turn": fields["turnKey"], "print": fields["print"], "reserve": fields["reserve"], "repeatable": bool(request.binding.get("repeatable"))}, request.remaining(self._reactor.seconds()))
         try:
             state = (await answered)["state"]
         except NoAnswer as error:
@@ -128,9 +126,8 @@
 
     def _settle(self, request, outcome, units):
         fields = request.fields
-        return self._owners.call(fields["budgetKey"], "settle", {
-            "turn": fields["turnKey"], "print": fields["print"], "admission": request.admission,
-            "units": units, "outcome": outcome}, SETTLE_TIME)
+        return self._owners.call(fields["budgetKey"], "settle", request.admission | {
+            "turn": fields["turnKey"], "print": fields["print"], "units": units, "outcome": outcome}, SETTLE_TIME)
 
     def _settleLater(self, request, outcome, units):
         return self._gate.background(self._settle(request, outcome, units))
