--- a/packages/oakgate/oakgate/carry.py
+++ b/packages/oakgate/oakgate/carry.py
@@ -15,8 +15,12 @@
     async def carry(self, request, mayRepeat, send):
         """Places the request, and calls `send(replica, lastCheck)`; on a no it goes on to another replica, on
         a maybe only if `mayRepeat()` says that the request may be repeated."""
+        unsure = None
         for attempt in range(CARRY_TRIES):
-            replica = await self._placeFresh(request)
+            try:
+                replica = await self._placeFresh(request)
+            except OakError as error:
+                raise _atLeast(unsure, error) from None
             placedAt = self._node.reactor.seconds()
             try:
                 return await send(replica, lambda: self._lastCheck(request, replica))
@@ -25,9 +29,11 @@
                     self._placer.refused(replica)
                 self._metrics.count("carry_failed", verdict=error.verdict.value)
                 if attempt == CARRY_TRIES - 1 or not self._mayRetry(request, mayRepeat, error):
-                    raise
+                    raise _atLeast(unsure, error) from error
+                if error.verdict is not Verdict.NO:
+                    unsure = error
                 self._node.log.event("carryRetried", replica=replica.row["id"], reason=error.reason,
-                                     verdict=error.verdict.value)
+                                     request=request.body["request"], verdict=error.verdict.value)
             finally:
                 self._placer.release(replica, placedAt)
 
@@ -80,6 +86,11 @@
         request.left = True
 
 
+def _atLeast(unsure, error):
+    """A try that may have run is not unsaid by a later one that did not."""
+    return unsure if unsure is not None and error.verdict is Verdict.NO else error
+
+
 async def refusalOf(reactor, response, lines, timeLeft):
     """The error for an answer that is not 200. No only if the replica itself says so."""
     said = {}
--- a/packages/oakgate/oakgate/plain.py
+++ b/packages/oakgate/oakgate/plain.py
@@ -9,7 +9,7 @@
 from oakgate.request import Request, chain, printOf
 
 PLAIN = {Optional("key"): Or(None, NAME, error="must be a name"), "body": dict,
-         Optional("timeLeft"): seconds(0.05, TIME_LEFT_LIMIT)}
+         Optional("timeLeft"): seconds(0.05, TIME_LEFT_LIMIT), Optional("request"): NAME}
 
 
 class Plain:
@@ -76,7 +76,7 @@
             lambda replica, lastCheck: self._send(request, asked, replica, lastCheck))
 
     async def _send(self, request, asked, replica, lastCheck):
-        asked = asked | request.adapter()
+        asked = asked | request.marks()
         status, data = await self._gate.webClient.data(
             "POST", replica.row["address"], "/call", asked, request.endsAt - self._reactor.seconds(),
             lastCheck=lastCheck)
--- a/packages/oakgate/oakgate/request.py
+++ b/packages/oakgate/oakgate/request.py
@@ -37,9 +37,11 @@
         whole = self.timeLeft or TIME_LEFT_DEFAULT
         self.endsAt = self.askedAt + whole
 
-    def adapter(self):
-        """The field of a carried request that names the adapter, if the binding does."""
-        return {"adapter": self.binding["adapter"]} if self.binding.get("adapter") else {}
+    def marks(self):
+        """What a carried request says besides its content: the binding's adapter, and the caller's own name for this
+        try, by which its way can be followed."""
+        named = {"adapter": self.binding.get("adapter"), "request": self.body["request"]}
+        return {name: value for name, value in named.items() if value is not None}
 
     @property
     def waitUntil(self):
--- a/packages/oakgate/oakgate/turns.py
+++ b/packages/oakgate/oakgate/turns.py
@@ -19,6 +19,7 @@
     "input": And(str, len, error="must be a text that is not empty"),
     Optional("timeLeft"): seconds(0.05, TIME_LEFT_LIMIT),
     Optional("maxOutput"): whole(1, 1 << 20),
+    Optional("request"): NAME,
 }
 PROGRAM = {"program": NAME, Optional("limit"): whole(1, UNITS_LIMIT)}
 
@@ -177,7 +178,7 @@
     async def _stream(self, request, asked, replica, lastCheck):
         fields = request.fields
         # Only now: while it waited, a newer blueprint may have replaced the binding.
-        asked = asked | request.adapter()
+        asked = asked | request.marks()
         # Each carry is a run of its own, so pieces of two runs can never pass for one.
         fields["run"] = run = self._gate.mintId()
         fields["stream"].useRun(run)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -535,6 +535,23 @@
         self.assertEqual({attempt.verdict for attempt in asked.attempts}, {"maybe"})
         self.assertEqual(len(self.runsOf(asked)), 1)
 
+    def testMaybeIsNotUnsaidByALaterNo(self):
+        """
+        caller              gate                       replica 0              replica 1
+        repeatable call ->  carried ---------------->  does the work,
+                                                       breaks off
+                            carried again --------------------------------->  refuses, and again, until
+                            maybe: the first may have run                     the time is spent
+        """
+        fleet = self.bringUp()
+        replicas = [fleet.platform.replicas[f"nile-notices-{number}"] for number in (0, 1)]
+        for replica in replicas:
+            replica.faults += ["close"] + ["refuse"] * 100
+        asked = fleet.until(fleet.caller.plain("nile", "notices-read", {"ping": 1}, repeatable=True, attempts=1,
+                                               timeLeft=3), 120)
+        self.assertGreater(len(self.runsOf(asked)), 0)
+        self.assertEqual(asked.attempts[0].verdict, "maybe")
+
     def testKeyWinsOverRepeatableBinding(self):
         """
         caller             gate                       replica 0            replica 1
