--- a/packages/oakcohort/oakcohort/identity.py
+++ b/packages/oakcohort/oakcohort/identity.py
@@ -38,6 +38,12 @@
 
     def learn(self, addresses):
         """Addresses that answered, so that the seeds in the env may all be swapped one day."""
-        if sorted(addresses) != self.addresses:
-            self.addresses = sorted(addresses)
+        former = self.addresses
+        if sorted(addresses) == former:
+            return
+        self.addresses = sorted(addresses)
+        try:
             self._keep()
+        except OSError:
+            self.addresses = former  # tried again at the next call
+            raise
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -1,6 +1,5 @@
 """The owner's side of owned keys: taking a slot over, holding its term, working through its commands."""
 import json
-import zlib
 from collections import ChainMap
 from itertools import takewhile
 
@@ -8,34 +7,20 @@
 from twisted.internet import defer
 
 from oakbase.checks import packJson
-from oakbase.constants import (CALL_TIME, CONDITION_AGE, CONTROL_BATCH, CONTROL_INBOX, ENTRY_LIMIT, IMAGE_PART,
+from oakbase.constants import (CALL_TIME, CONDITION_AGE, CONTROL_BATCH, CONTROL_INBOX, IMAGE_PART,
                                OWNER_SWEEP, OWNER_SWEEP_KEYS, SLOTS, STEP_IN_TIME, TAKEOVER_LOOK, TERM, TERM_RENEW)
 from oakbase.inbox import Inbox
 from oakbase.tasks import Repeater, quorumOf, settled, sleep, spawn, within
-from oakbase.verdict import CannotTell, Fenced, NoAnswer, NotOwner, OakError, RingFull, TooLarge, Verdict
+from oakbase.verdict import CannotTell, Fenced, NoAnswer, NotOwner, OakError, RingFull, Verdict
 from oakcohort.members import LIVE
 from oakcohort.rendezvous import ranked
 from oakcontrol.controllers import CONTROLLERS, SLOT_SOURCE, publishedBy, sweepsFor
-from oakcontrol.slots import inParts, slotOfKey
+from oakcontrol.slots import inParts, packEntry, slotOfKey, unpackEntry
 from oakwire.codec import idl
 
 AFTER_ROWS = "$"  # sorts after the '#' of a key's own rows, and before every character of a name
 FULL_RETRY = 60  # s; old things go in the order of minutes
 ROSTER_BITS = 20  # bits; of a slot source's version, below the epoch: rosters change far less often than that
-PACK_FROM = 4096  # bytes; below this an entry is not worth compressing
-
-
-def packEntry(value):
-    if value is None:
-        return None
-    data = packJson(value)
-    if len(data) > ENTRY_LIMIT:
-        raise TooLarge(f"{len(data)} bytes in one entry of the control state")
-    return b"z" + zlib.compress(data) if len(data) > PACK_FROM else b"j" + data
-
-
-def unpackEntry(data):
-    return json.loads(zlib.decompress(data[1:]) if data[:1] == b"z" else data[1:])
 
 
 class View:
--- a/packages/oakcontrol/oakcontrol/slots.py
+++ b/packages/oakcontrol/oakcontrol/slots.py
@@ -1,8 +1,14 @@
-"""Slots of the control state: which one a key is in, and long images of one in parts."""
-from oakbase.constants import SLOTS
+"""Slots of the control state: which one a key is in, how an entry is packed, and long images in parts."""
+import json
+import zlib
+
+from oakbase.checks import packJson
+from oakbase.constants import ENTRY_LIMIT, SLOTS
+from oakbase.verdict import TooLarge
 from oakcohort.rendezvous import slotOf
 
 ENTRY_COST = 64  # bytes; what an entry takes besides its key and value, in messages and on the disk, at most
+PACK_FROM = 4096  # bytes; below this an entry is not worth compressing
 
 
 def slotOfKey(key):
@@ -21,3 +27,16 @@
         part.append((key, value))
         size += length
     yield part
+
+
+def packEntry(value):
+    if value is None:
+        return None
+    data = packJson(value)
+    if len(data) > ENTRY_LIMIT:
+        raise TooLarge(f"{len(data)} bytes in one entry of the control state")
+    return b"z" + zlib.compress(data) if len(data) > PACK_FROM else b"j" + data
+
+
+def unpackEntry(data):
+    return json.loads(zlib.decompress(data[1:]) if data[:1] == b"z" else data[1:])
--- a/packages/oakgate/oakgate/gate.py
+++ b/packages/oakgate/oakgate/gate.py
@@ -19,7 +19,7 @@
 
 
 class GateNode:
-    """Invariant: `_background` holds every settling that is not confirmed yet; a planned stop waits for it."""
+    """Invariant: `settling` holds every settling that is not confirmed yet; a planned stop waits for it."""
 
     def __init__(self, reactor, env, _disk, random, sink, wall=time.time):
         self.node = Node(reactor, "gate", env, random, sink, None, wall)
@@ -31,7 +31,7 @@
         self.placer = Placer(self.node, self.bindings, self.webClient, self.metrics)
         self.carrier = Carrier(self.node, self.bindings, self.placer, self.webClient, self.metrics)
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
-        self._background = set()
+        self.settling = set()
         self._numbers = itertools.count(1)
         turns, plain = Turns(self), Plain(self)
         for method, path, handler in (
@@ -44,7 +44,7 @@
         serveMetrics(self.web, self.metrics)
         for name, ask in (("requests_running", lambda: self.web.running),
                           ("requests_waiting", self.placer.waitingCount),
-                          ("settling", lambda: len(self._background)),
+                          ("settling", lambda: len(self.settling)),
                           ("members_live", lambda: len(self.node.members.live()))):
             self.metrics.gauge(name, ask)
 
@@ -59,10 +59,10 @@
         """Goes on after the caller has its answer; gives a Deferred that others may wait for: of the result, or
         of None if it failed."""
         task = spawn(coroutine, self.node.log)
-        self._background.add(task)
+        self.settling.add(task)
 
         def ended(result):
-            self._background.discard(task)
+            self.settling.discard(task)
             return result
         return task.addBoth(ended)
 
@@ -85,7 +85,7 @@
         await self.node.puller.sayLeaving()
         await self.web.stop()
         for _ in range(int(SETTLE_TIME)):
-            if not self._background:
+            if not self.settling:
                 break
             await sleep(self.node.reactor, 1.0)
         self.placer.stop()
--- a/packages/oakgate/oakgate/placer.py
+++ b/packages/oakgate/oakgate/placer.py
@@ -136,7 +136,7 @@
         ready = [replica for replica in pool if replica.row["state"] == "ready"]
         return [replica for replica in ready
                 if (wish.adapter is None or wish.adapter in replica.adapters)
-                and (wish.modelWeights is None or wish.modelWeights == replica.modelWeights)], len(ready)
+                and (wish.modelWeights is None or wish.modelWeights == replica.modelWeights)], ready
 
     def _place(self, wish):
         """The replica for this wish now, or None if none has room.
@@ -164,11 +164,10 @@
 
     async def place(self, wish):
         """A replica with one place taken on it; the caller must release it. Raises with verdict no."""
-        candidates, readyCount = self._candidates(wish)
-        if not candidates and readyCount:
-            described = [replica for replica in self.replicas.values() if replica.row["pool"] == wish.pool
-                         and replica.describedAt > float("-inf")]
-            if described:
+        candidates, ready = self._candidates(wish)
+        if not candidates and ready:
+            # One that has not described itself yet may have what is asked for.
+            if all(replica.describedAt > float("-inf") for replica in ready):
                 raise Unknown("no replica of the pool has these weights and adapters")
         heap = self._waiting.setdefault((wish.pool, wish.partner), [])
         if len(heap) >= PLACE_INBOX:
--- a/packages/oaklab/oaklab/caller.py
+++ b/packages/oaklab/oaklab/caller.py
@@ -81,6 +81,9 @@
     def mint(self, prefix):
         return f"{prefix}{self._random.getrandbits(64):016x}"
 
+    def useGate(self, address):
+        self._gates.append(address)
+
     def pickGate(self):
         return self._random.choice(self._gates)
 
@@ -246,6 +249,12 @@
         self._reactor, self._client, self._controls = reactor, webClient, list(controls)
         self._random, self._view = random, view
 
+    def useControl(self, address):
+        self._controls.append(address)
+
+    def leaveControl(self, address):
+        self._controls.remove(address)
+
     async def ask(self, method, path, value=None, timeLeft=12):
         """The first answer of any control node that is not about who owns what."""
         last = None
--- a/packages/oaklab/oaklab/simnet.py
+++ b/packages/oaklab/oaklab/simnet.py
@@ -58,12 +58,14 @@
 
 
 class SimNetwork:
-    """Who can reach whom. `cuts` holds (from, to) pairs of addresses; `delays` adds to a link's time."""
+    """Who can reach whom. `cuts` holds (from, to) pairs of addresses; `delays` adds to a link's time. Invariant: a
+    pair that several hold cut is in `cuts` until the last has let it go."""
 
     def __init__(self, time, random, low=0.0002, high=0.002):
         self.time, self.random = time, random
         self._low, self._high = low, high
         self.cuts = set()
+        self._holds = Counter()
         self.delays = {}
         self.hosts = {}
         self.sent = 0
@@ -80,7 +82,16 @@
                     if bothWays:
                         self.cuts.add((other, one))
 
+    def hold(self, pairs):
+        self._holds.update(pairs)
+        self.cuts |= set(pairs)
+
+    def letGo(self, pairs):
+        self._holds.subtract(pairs)
+        self.cuts -= {pair for pair in pairs if not self._holds[pair]}
+
     def heal(self):
+        self._holds.clear()
         self.cuts.clear()
         self.delays.clear()
 
--- a/packages/oaknews/oaknews/puller.py
+++ b/packages/oaknews/oaknews/puller.py
@@ -88,8 +88,14 @@
         for source in [source for source in self._board.images if source.rpartition("/")[2] in forgotten]:
             self._board.drop(source)
         if self._net.clusterId:
-            self._identity.learn({member.peer for member in self._members.live("control")}
-                                 or set(self._identity.addresses))
+            self._learn({member.peer for member in self._members.live("control")} or set(self._identity.addresses))
+
+    def _learn(self, addresses):
+        """Addresses are for the next start; a disk that does not take them must not stop the news."""
+        try:
+            self._identity.learn(addresses)
+        except OSError as error:
+            self._log.event("addressesNotKept", error=repr(error))
 
     async def _pullFrom(self, address):
         self._pulling.add(address)
--- a/packages/oakstore/oakstore/store.py
+++ b/packages/oakstore/oakstore/store.py
@@ -2,6 +2,7 @@
 import json
 import time
 from collections import OrderedDict
+from itertools import islice
 
 from oakbase.constants import (ACCEPT_INBOX, HINT_LIMIT, LINE_KEPT, LINE_SIZE, STORE_CALL_TIME, STORE_SWEEP,
                                SWEEP_HINTS, SWEEP_KEYS, SWEEP_PAGES)
@@ -50,6 +51,8 @@
 
     def _storesMoved(self, _source):
         self.stores = StoreSet.fromBoard(self._node.board)
+        # Nobody is handed anything any more who has left the set; come back, it copies.
+        self._hints = {nodeId: hints for nodeId, hints in self._hints.items() if nodeId in self.stores.everyone}
         self.table.prune(self.stores.pruned)
 
     @property
@@ -107,7 +110,8 @@
                            + "; ".join(sorted(map(str, errors.values()))))
 
     async def _give(self, nodeId, peer, key, state):
-        hints = self._hints.setdefault(nodeId, OrderedDict())
+        # Of a set that is past, a member may have left meanwhile: then this is a list that nobody keeps.
+        hints = self._hints.setdefault(nodeId, OrderedDict()) if nodeId in self.stores.everyone else OrderedDict()
         # Noted before it is sent: a crash of neither side may lose what the other lacks.
         hints[key] = None
         hints.move_to_end(key)
@@ -169,9 +173,9 @@
         self._log.event("storeCovers", since=since, lines=len(self.table.rows))
 
     async def _handOver(self, nodeId, peer):
-        for key in list(self._hints.get(nodeId, ()))[:SWEEP_HINTS]:
+        for key in list(islice(self._hints.get(nodeId, ()), SWEEP_HINTS)):
             if self.table.age(key) >= LINE_KEPT or key not in self.table.rows:
-                del self._hints[nodeId][key]
+                self._hints.get(nodeId, {}).pop(key, None)
                 continue
             state = toState(self.table.versions(key), storeEpoch=self.stores.epoch, age=self.table.age(key))
             await self._give(nodeId, peer, key, state)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -4,9 +4,10 @@
 from oakbase.tasks import settled, sleep, spawn
 from oakcontrol.slots import slotOfKey
 from oaklab.caller import Asked
+from oaklab.faults import sendPlan
 from oaklab.plan import PARTNERS, PLATFORM, Size, blueprintOf
 from oaklab.simfleet import SMALL, SimFleet
-from oaklab.trial import sendPlan, totalOutage
+from oaklab.trial import totalOutage
 
 
 class FleetTest(unittest.TestCase):
@@ -535,6 +536,25 @@
         self.assertEqual({attempt.verdict for attempt in asked.attempts}, {"maybe"})
         self.assertEqual(len(self.runsOf(asked)), 1)
 
+    def testReplicaNotDescribedYetMayHaveTheAdapter(self):
+        """
+        replica 0 (leaving)     gate0                            replica 1 (ready)
+        describes itself ---->  started again             X      cannot describe itself yet
+                                turn: waits, is not told that there is no such adapter
+        """
+        fleet = self.bringUp()
+        self.open()
+        fleet.platform.leave("dalatech-model-0")
+        fleet["gate0"].kill()
+        away = [(fleet["gate0"].host.address, fleet.platform.replicas["dalatech-model-1"].address.partition(":")[0])]
+        fleet.network.hold(away)
+        fleet["gate0"].start()
+        fleet.run(3.0)
+        asked = self.begin("dalatech", "p1", "l1", None, "x", gate=self.gate("gate0"), attempts=1)
+        fleet.run(2.0)
+        fleet.network.letGo(away)
+        self.assertTrue(fleet.until(asked, 40).ended())
+
     def testMaybeIsNotUnsaidByALaterNo(self):
         """
         caller              gate                       replica 0              replica 1
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -3,8 +3,9 @@
 
 from oakbase.tasks import sleep, spawn
 from oakcontrol.slots import slotOfKey
+from oaklab.faults import sendPlan
 from oaklab.simfleet import SimFleet
-from oaklab.trial import sendPlan, totalOutage
+from oaklab.trial import totalOutage
 
 
 class RosterTest(unittest.TestCase):
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -226,6 +226,39 @@
             self.goOn(one)
         fleet["store1"].start()
 
+    def testNothingIsKeptForARetiredStore(self):
+        """
+        store0       store1, store2            store3
+        killed       note what it misses
+        leaves                                 takes its place
+                     forget it
+        """
+        fleet = self.fleet
+        self.lines(1)
+        oldId = fleet["store0"].node.node.nodeId
+        fleet["store0"].kill()
+        self.lines(6)
+        self.assertEqual(sum(one.node.store.hintCount() for one in fleet.ofKind("store") if one.running), 6)
+        self.assertEqual(self.replace(oldId, self.newcomer())[0], 200)
+        self.waitStable()
+        fleet.run(5.0)
+        self.assertEqual([one.node.store.hintsByMember() for one in fleet.ofKind("store") if one.running], [{}] * 3)
+
+    def testFailedDiskDoesNotStopTheNews(self):
+        """
+        store2                       control0
+        disk takes no more writes
+                                     killed: addresses change, which store2 cannot write down
+        still hears of plans
+        """
+        fleet = self.fleet
+        fleet["store2"].disk.failing = True
+        fleet["control0"].kill()
+        fleet.run(4.0)
+        board = fleet["store2"].node.node.board
+        self.assertLess(board.age("blueprint/nile"), 1.5)
+        self.assertTrue(any("addressesNotKept" in line for line in fleet.lines))
+
     def testLostDisk(self):
         """
         store0                     store1, store2
