--- a/packages/oakcontrol/oakcontrol/client.py
+++ b/packages/oakcontrol/oakcontrol/client.py
@@ -2,7 +2,7 @@
 import json
 
 from oakbase.checks import packJson
-from oakbase.constants import CALL_TIME, OWNER_TRIES_PAUSE
+from oakbase.constants import CALL_TIME, OWNER_TRIES_PAUSE, SETTLE_TIME, TERM
 from oakbase.tasks import sleep
 from oakbase.verdict import CannotTell, NoAnswer, NotOwner, OakError, Verdict
 from oakcontrol.controllers import SLOT_SOURCE
@@ -21,16 +21,25 @@
         addresses = sorted({member.peer for member in self._node.members.live("control")} - tried)
         return self._node.random.choice(addresses) if addresses else None
 
+    async def callUntilDone(self, key, command, arguments):
+        """The same for a command that must come through, as long as this process lives: its copies do no harm."""
+        while True:
+            try:
+                return await self.call(key, command, arguments, SETTLE_TIME)
+            except (NoAnswer, CannotTell) as error:
+                self._node.log.event("commandLate", key=key, command=command, reason=error.reason)
+
     async def call(self, key, command, arguments, timeLeft):
         """The owner's answer. Raises what the owner said; NoAnswer if an ask left and its outcome is not
         known; CannotTell if no owner could be asked at all."""
         reactor, slot = self._node.reactor, slotOfKey(key)
         endsAt = reactor.seconds() + timeLeft
-        text, unsure, hint, tried, silent = packJson(arguments).decode(), None, None, set(), set()
+        text, unsure, hint, tried, silentUntil = packJson(arguments).decode(), None, None, set(), {}
         while reactor.seconds() < endsAt:
             address = hint or self._believed(slot)
+            # One that did not answer may have ended: for a while whoever takes its slots over is asked instead.
+            silent = {one for one, until in silentUntil.items() if reactor.seconds() < until}
             if address is None or address in tried | silent:
-                # One that did not answer may have ended: whoever takes its slots over is asked instead.
                 address = self._anyControl(tried | silent) or self._anyControl(tried)
             hint = None
             if address is not None:
@@ -47,7 +56,7 @@
                         raise
                     if error.verdict is not Verdict.NO:
                         unsure = error
-                        silent.add(address)
+                        silentUntil[address] = reactor.seconds() + TERM
             if hint is None:
                 await sleep(reactor, OWNER_TRIES_PAUSE)
                 if address is None or len(tried) > 2:
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -7,7 +7,7 @@
 from twisted.internet import defer
 
 from oakbase.checks import packJson
-from oakbase.constants import (CALL_TIME, CONDITION_AGE, CONTROL_BATCH, CONTROL_INBOX, IMAGE_PART,
+from oakbase.constants import (CALL_TIME, CONDITION_AGE, CONTROL_BATCH, CONTROL_INBOX, FULL_RETRY, IMAGE_PART,
                                OWNER_SWEEP, OWNER_SWEEP_KEYS, SLOTS, STEP_IN_TIME, TAKEOVER_LOOK, TERM, TERM_RENEW)
 from oakbase.inbox import Inbox
 from oakbase.tasks import Repeater, quorumOf, settled, sleep, spawn, within
@@ -19,7 +19,6 @@
 from oakwire.codec import idl
 
 AFTER_ROWS = "$"  # sorts after the '#' of a key's own rows, and before every character of a name
-FULL_RETRY = 60  # s; old things go in the order of minutes
 ROSTER_BITS = 20  # bits; of a slot source's version, below the epoch: rosters change far less often than that
 
 
--- a/packages/oakgate/oakgate/gate.py
+++ b/packages/oakgate/oakgate/gate.py
@@ -2,10 +2,11 @@
 import itertools
 import time
 
-from oakbase.constants import ACCEPT_INBOX, SETTLE_TIME
+from oakbase.constants import ACCEPT_INBOX, RETRY_AFTER, SETTLE_INBOX, SETTLE_TIME
 from oakbase.fetch import WebClient
 from oakbase.metrics import Metrics
 from oakbase.tasks import sleep, spawn
+from oakbase.verdict import Overloaded
 from oakbase.web import Web
 from oakcontrol.client import OwnerClient
 from oakcontrol.control import serveMetrics
@@ -19,7 +20,8 @@
 
 
 class GateNode:
-    """Invariant: `settling` holds every settling that is not confirmed yet; a planned stop waits for it."""
+    """Invariant: `settling` holds every settling that is not confirmed yet, each tried until it is; at SETTLE_INBOX of
+    them nothing more is admitted. A planned stop waits for them a while; what is open then, its owner gives up."""
 
     def __init__(self, reactor, env, _disk, random, sink, wall=time.time):
         self.node = Node(reactor, "gate", env, random, sink, None, wall)
@@ -55,6 +57,10 @@
         """A new admission: its id, and the number by which it is told from this gate's earlier and later ones."""
         return {"admission": self.mintId(), "gate": self.node.nodeId, "number": next(self._numbers)}
 
+    def checkSettling(self):
+        if len(self.settling) >= SETTLE_INBOX:
+            raise Overloaded("too much waits to be settled", retryAfter=RETRY_AFTER)
+
     def background(self, coroutine):
         """Goes on after the caller has its answer; gives a Deferred that others may wait for: of the result, or
         of None if it failed."""
--- a/packages/oakgate/oakgate/plain.py
+++ b/packages/oakgate/oakgate/plain.py
@@ -4,7 +4,7 @@
 from schema import Optional, Or
 
 from oakbase.checks import NAME, checkFields, packJson, seconds
-from oakbase.constants import CALL_TIME, CLAIM_ANSWER_LIMIT, CLAIM_LEAVE, SETTLE_TIME, TIME_LEFT_LIMIT
+from oakbase.constants import CALL_TIME, CLAIM_ANSWER_LIMIT, CLAIM_LEAVE, TIME_LEFT_LIMIT
 from oakbase.verdict import Broken, Conflict, NoAnswer, OakError, Overloaded, TimeSpent, Verdict
 from oakgate.request import Request, chain, printOf
 
@@ -43,11 +43,12 @@
         key = request.body["key"]
         if key is None:
             return {"answer": await onward(request)}
+        self._gate.checkSettling()
         claimKey = f"claim/{request.partner}/{key}"
         pairs = request.admission | {"print": printOf([request.bindingName, request.body["body"]])}
 
         def later(command, **more):
-            self._gate.background(self._owners.call(claimKey, command, pairs | more, SETTLE_TIME))
+            self._gate.background(self._owners.callUntilDone(claimKey, command, pairs | more))
         # The owner counts from when it hears of the claim, so this is the earlier of the two.
         request.leaveBy = self._reactor.seconds() + CLAIM_LEAVE
         try:
--- a/packages/oakgate/oakgate/turns.py
+++ b/packages/oakgate/oakgate/turns.py
@@ -3,7 +3,7 @@
 from twisted.internet.defer import ensureDeferred
 
 from oakbase.checks import NAME, checkFields, seconds, whole
-from oakbase.constants import (CALL_TIME, PIECE_LIMIT, SETTLE_TIME, SETTLE_WAIT, TIME_LEFT_LIMIT, UNITS_LIMIT)
+from oakbase.constants import (CALL_TIME, FULL_RETRY, PIECE_LIMIT, SETTLE_TIME, SETTLE_WAIT, TIME_LEFT_LIMIT, UNITS_LIMIT)
 from oakbase.fetch import BodyLines
 from oakbase.tasks import settled, shielded, within
 from oakbase.verdict import (BudgetEmpty, Broken, Conflict, Gone, NoAnswer, OakError, Overloaded,
@@ -88,6 +88,7 @@
         request.bound(self._bindings.find(request.partner, request.bindingName, request.kind))
         if not self._placer.hasInboxRoom(request.partner, request.binding["pool"]):
             raise Overloaded("too many requests wait for a replica", retryAfter=1)
+        self._gate.checkSettling()
         reserve = request.binding["maxOutput"]
         request.fields["reserve"] = min(reserve, request.body["maxOutput"] or reserve)
         await onward(request)
@@ -127,8 +128,8 @@
 
     def _settle(self, request, outcome, units):
         fields = request.fields
-        return self._owners.call(fields["budgetKey"], "settle", request.admission | {
-            "turn": fields["turnKey"], "print": fields["print"], "units": units, "outcome": outcome}, SETTLE_TIME)
+        return self._owners.callUntilDone(fields["budgetKey"], "settle", request.admission | {
+            "turn": fields["turnKey"], "print": fields["print"], "units": units, "outcome": outcome})
 
     def _settleLater(self, request, outcome, units):
         return self._gate.background(self._settle(request, outcome, units))
@@ -138,6 +139,9 @@
         [(isRead, line)] = await fields["recalling"]
         if not isRead:
             raise line
+        if line.isFull:
+            # Before it runs: afterwards it could only be told that its turn ran and is not kept.
+            raise Overloaded("the stores have no room for more until old lines go", retryAfter=FULL_RETRY)
         if body["turnId"] in line.turns:
             raise Conflict("a turn with this id is on the line already")
         fields["line"] = line
--- a/packages/oakstore/oakstore/lines.py
+++ b/packages/oakstore/oakstore/lines.py
@@ -17,9 +17,11 @@
 
 
 class Line:
-    """What a quorum said. Invariant: `turns` is the union over all siblings that `context` stands for."""
+    """What a quorum said. Invariant: `turns` is the union over all siblings that `context` stands for. `isFull` if
+    so many of the stores have no room that a longer line may not be kept."""
 
-    def __init__(self, versions):
+    def __init__(self, versions, isFull=False):
+        self.isFull = isFull
         self.context = toContext(frozenset(versions))
         self.turns = {turnId: turn for value in versions.values()
                       for turnId, turn in json.loads(value)["turns"].items()}
@@ -57,7 +59,7 @@
                 versions = {}
                 for state in states.values():
                     versions = syncVersions(versions, fromState(state))
-                return Line(versions)
+                return Line(versions, sum(bool(state.full) for state in states.values()) > len(states) // 2)
             if self._node.reactor.seconds() + RETRY_PAUSE >= endsAt:
                 raise CannotTell("too few stores answered to say what is kept", retryAfter=1)
             await sleep(self._node.reactor, RETRY_PAUSE)
--- a/packages/oakstore/oakstore/store.py
+++ b/packages/oakstore/oakstore/store.py
@@ -77,7 +77,7 @@
     async def _get(self, _peer, arguments):
         self.metrics.count("line_gets")
         return toState(self.table.versions(arguments.key), self.covers, self.stores.epoch,
-                       self.table.age(arguments.key))
+                       self.table.age(arguments.key), self.table.isFull())
 
     def _checkEpoch(self, epoch):
         if epoch != self.stores.epoch:
--- a/packages/oakstore/oakstore/table.py
+++ b/packages/oakstore/oakstore/table.py
@@ -9,7 +9,7 @@
 from hashlib import blake2b
 
 from oakbase.checks import packJson
-from oakbase.constants import FULL_SHARE, LINE_KEPT, LINE_KEPT_FULL, STORE_INBOX, STORE_OWNERS
+from oakbase.constants import FULL_SHARE, LINE_KEPT, LINE_KEPT_FULL, STORE_FULL, STORE_INBOX, STORE_OWNERS
 from oakbase.inbox import TableOwner
 from oakcohort.rendezvous import slotOf
 from oakdvv.clock import Clock, syncVersions, update
@@ -34,8 +34,8 @@
         return blake2b(packJson(rows), digest_size=12).hexdigest()
 
 
-def toState(versions, covers=False, storeEpoch=0, age=0.0):
-    return idl.LineState(covers=covers, storeEpoch=storeEpoch, ageMs=int(age * 1000), versions=[
+def toState(versions, covers=False, storeEpoch=0, age=0.0, full=False):
+    return idl.LineState(covers=covers, full=full, storeEpoch=storeEpoch, ageMs=int(age * 1000), versions=[
         idl.Version(value=value, clock=[idl.Part(nodeId=nodeId, ceiling=m, dot=n or 0)
                                         for nodeId, (m, n) in clock.entries.items()])
         for clock, value in versions.items()])
@@ -157,6 +157,9 @@
         """Seconds; less when the ring fills up, but always well over the rule's minute."""
         return LINE_KEPT if self._ring.liveBytes() < FULL_SHARE * self._ring.capacity() else LINE_KEPT_FULL
 
+    def isFull(self):
+        return self._ring.liveBytes() > STORE_FULL * self._ring.capacity()
+
     def old(self):
         kept = self.keptFor()
         return sorted((key for key in self.rows if self.age(key) >= kept), key=self.age, reverse=True)
--- a/packages/oakwire/oakwire/oak.thrift
+++ b/packages/oakwire/oakwire/oak.thrift
@@ -57,6 +57,7 @@
   2: bool covers          // this store may speak about what is missing
   3: i64 storeEpoch
   4: i32 ageMs            // since the line last changed
+  5: bool full            // this store has no room for longer lines
 }
 struct LineDigest { 1: string key  2: string digest }
 struct DigestPage { 1: list<LineDigest> digests  2: i64 storeEpoch }
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -468,6 +468,31 @@
         asked = self.turn("nowhere", attempts=1)
         self.assertEqual((asked.attempts[0].status, asked.attempts[0].error), (410, "gone"))
 
+    def testFullStoresAreSaidBeforeTheRun(self):
+        """
+        store0, store1, store2      gate                     replica
+        rings are full              turn: no, come later     gets nothing
+        one has room again ...      and a second: turn ->    runs, is kept
+        """
+        fleet = self.bringUp(ringFileSize=1 << 16)
+        self.open()
+        first = self.turn()
+
+        async def fill(one):
+            number = 0
+            while not one.node.store.table.isFull():
+                number += 1
+                await one.node.store.table.put(f"nile/fill{number}/l", frozenset(), bytes(2000))
+        stores = fleet.ofKind("store")
+        for one in stores:
+            fleet.until(fill(one), 100.0)
+        asked = self.turn(first.body["turnId"], "no room", attempts=1)
+        self.assertEqual((asked.attempts[0].status, asked.attempts[0].verdict), (503, "no"))
+        self.assertEqual(self.runsOf(asked), [])
+        for one in stores[:2]:
+            one.node.store.table.isFull = lambda: False
+        self.assertTrue(self.turn(first.body["turnId"], "room").ended())
+
     def testForksKeepTheirPaths(self):
         """
         gate0: t2a after t1      gate1: t2b after t1, at the same time
@@ -715,6 +740,56 @@
         self.assertTrue(second.ended())
         self.assertEqual(self.budget()["spent"], spent + second.ended().events[-1]["units"])
 
+    def testSettledThoughTheOwnerStartsAgain(self):
+        """
+        gate                               budget's owner
+        turn runs
+        settles -------------------------> X  its answer does not get out
+                                           killed, started again, takes its slot back
+        asks it again -------------------> settled
+        """
+        fleet = self.bringUp(pieceTime=0.2)
+        self.open()
+        asked = self.begin("dalatech", "p1", "l1", None, "abc", gate=self.gate("gate0"))
+        fleet.run(0.5)
+        owner = self.ownerOf("budget/dalatech/p1")
+        away = [(owner.host.address, fleet["gate0"].host.address)]
+        fleet.network.hold(away)
+        fleet.run(1.5)
+        self.assertTrue(fleet["gate0"].node.settling)
+        owner.kill()
+        fleet.network.letGo(away)
+        fleet.run(0.5)
+        owner.start()
+        self.assertTrue(fleet.until(asked, 30).ended())
+        fleet.run(4.0)
+        self.assertEqual((self.budget()["open"], len(fleet["gate0"].node.settling)), (0, 0))
+
+    def testSettledHoweverLongItTakes(self):
+        """
+        gate              core
+        turn runs         cut off for 40 s, longer than one call goes on
+        settles  ---- X
+                          power cut, back: what was on its way is lost
+                          healed: settled
+        """
+        fleet = self.bringUp(pieceTime=0.3)
+        self.open()
+        asked = self.begin("dalatech", "p1", "l1", None, "abc", gate=self.gate("gate0"), attempts=1)
+        fleet.run(0.7)
+        core = [one.host.address for one in fleet.ofKind("control")]
+        fleet.network.cut([fleet["gate0"].host.address], core)
+        self.assertTrue(fleet.until(asked, 30).ended())
+        fleet.run(40.0)
+        self.assertEqual(self.budget()["open"], 1)
+        for one in fleet.ofKind("control"):
+            one.powerCut()
+            one.start()
+        fleet.run(5.0)
+        fleet.network.heal()
+        fleet.run(10.0)
+        self.assertEqual((self.budget()["open"], len(fleet["gate0"].node.settling)), (0, 0))
+
     def testKeyedCallsRunOnce(self):
         fleet = self.bringUp()
         asked = fleet.until(fleet.caller.plain("dalatech", "results", {"time": "1:02:03"}, "k1"))
--- /dev/null
+++ b/tests/test_outages.py
@@ -0,0 +1,17 @@
+"""Everything goes at once. Within 12 s both partners are served everything again, through every gate."""
+import unittest
+
+from oaklab.outages import OUTAGES, runOutage
+from oaklab.trial import SERVED_TIME
+
+
+class Outages(unittest.TestCase):
+    def testServedAgainInTime(self):
+        for name in OUTAGES.names():
+            with self.subTest(outage=name):
+                fleet, took, late = runOutage(name, 8)
+                self.assertEqual(late, [], fleet.timeline())
+                self.assertLess(took, SERVED_TIME)
+                fleet.run(10.0)
+                self.assertEqual(fleet.violations(), {}, fleet.timeline())
+                self.assertEqual([line for line in fleet.lines if "rashed" in line], [])
