--- a/packages/oakcontrol/oakcontrol/blueprint.py
+++ b/packages/oakcontrol/oakcontrol/blueprint.py
@@ -205,4 +205,5 @@
         f"binding/{name}": packJson(binding) for name, binding in blueprint["bindings"].items()}
 
 
-CONTROLLERS.enter("blueprint")(Controller({"put": _put, "read": _read, "outcome": _outcome}, image=_image, growing=("put",)))
+CONTROLLERS.enter("blueprint")(Controller(
+    {"put": _put, "read": _read, "outcome": _outcome}, image=_image, growing=("put",)))
--- a/packages/oakcontrol/oakcontrol/budget.py
+++ b/packages/oakcontrol/oakcontrol/budget.py
@@ -82,8 +82,8 @@
 
 
 def _shown(program):
-    return {"state": "ending" if program.get("ending") else "open", "limit": program["limit"], "spent": program["spent"], "reserved": _reserved(program),
-            "open": len(program["open"])}
+    return {"state": "ending" if program.get("ending") else "open", "limit": program["limit"],
+            "spent": program["spent"], "reserved": _reserved(program), "open": len(program["open"])}
 
 
 def _rulesOf(view, key):
@@ -169,7 +169,8 @@
 
 def _settle(view, key, arguments):
     checkFields({"turn": TURN, "print": str, "admission": NAME, "gate": NAME, "number": NUMBER,
-                 "units": whole(0, UNITS_LIMIT), "outcome": lambda text: text in ("done", "broken", "never")}, arguments)
+                 "units": whole(0, UNITS_LIMIT), "outcome": lambda text: text in ("done", "broken", "never")},
+                arguments)
     if view.get(key) is None and _hasEnded(view, key):
         return {"state": "ended"}
     view.context.touch(key)
--- a/packages/oakcontrol/oakcontrol/claim.py
+++ b/packages/oakcontrol/oakcontrol/claim.py
@@ -1,8 +1,8 @@
 """Claims: a plain request with a key runs at most once.
 
 Invariants of claim/P/K: one claim holds the key at a time; `done` keeps its answer, if it is small
-enough; `back` tells admissions that were taken back from later ones (oakcontrol/admission.py); an entry is let go only when this owner has counted CLAIM_KEPT seconds since its last change or
-since it took the slot over, whichever is later.
+enough; `back` tells admissions that were taken back from later ones (oakcontrol/admission.py); an entry is let go only
+when this owner has counted CLAIM_KEPT seconds since its last change or since it took the slot over, whichever is later.
 """
 from schema import Optional, Or
 
--- a/packages/oakgate/oakgate/turns.py
+++ b/packages/oakgate/oakgate/turns.py
@@ -3,7 +3,8 @@
 from twisted.internet.defer import ensureDeferred
 
 from oakbase.checks import NAME, checkFields, seconds, whole
-from oakbase.constants import (CALL_TIME, FULL_RETRY, PIECE_LIMIT, SETTLE_TIME, SETTLE_WAIT, TIME_LEFT_LIMIT, UNITS_LIMIT)
+from oakbase.constants import (CALL_TIME, FULL_RETRY, PIECE_LIMIT, SETTLE_TIME, SETTLE_WAIT, TIME_LEFT_LIMIT,
+                               UNITS_LIMIT)
 from oakbase.fetch import BodyLines
 from oakbase.tasks import settled, shielded, within
 from oakbase.verdict import (BudgetEmpty, Broken, Conflict, Gone, NoAnswer, OakError, Overloaded,
@@ -105,7 +106,8 @@
         fields["recalling"] = ensureDeferred(settled([
             self._lines.get(fields["lineKey"], request.remaining(self._reactor.seconds()))]))
         answered = self._owners.call(fields["budgetKey"], "admit", request.admission | {
-            "turn": fields["turnKey"], "print": fields["print"], "reserve": fields["reserve"], "repeatable": bool(request.binding.get("repeatable"))}, request.remaining(self._reactor.seconds()))
+            "turn": fields["turnKey"], "print": fields["print"], "reserve": fields["reserve"],
+            "repeatable": bool(request.binding.get("repeatable"))}, request.remaining(self._reactor.seconds()))
         try:
             state = (await answered)["state"]
         except NoAnswer as error:
--- a/packages/oaklab/oaklab/measure.py
+++ b/packages/oaklab/oaklab/measure.py
@@ -6,6 +6,7 @@
 from oaklab.outages import OUTAGES, runOutage
 from oaklab.plan import Size, blueprintOf
 from oaklab.simfleet import SimFleet
+from oaklab.work import ownerWork, storeWork
 from oakwire.codec import idl, pack
 
 MEASURES = Registry("measure")
@@ -224,6 +225,13 @@
     return results
 
 
+@MEASURES.enter("kept")
+def kept(seed=1):
+    """Functions called for one step, by how many lines a store keeps and how many programs a slot does."""
+    return {f"{lines} lines": storeWork(lines) for lines in (1000, 100000)} | {
+        f"{programs} programs": ownerWork(programs) for programs in (100, 10000)}
+
+
 @MEASURES.enter("outage")
 def outage(seed=1):
     """Seconds after everything is back until everything was served through every gate, by kind of outage."""
--- a/packages/oakstore/oakstore/table.py
+++ b/packages/oakstore/oakstore/table.py
@@ -5,11 +5,15 @@
 a line go is, for that line, like a node that lost its disk: when it meets the line again it comes as a
 new id, and no number is ever used twice.
 """
+from collections import Counter
 from dataclasses import dataclass
 from hashlib import blake2b
+from itertools import islice
+
+from sortedcontainers import SortedDict, SortedList
 
 from oakbase.checks import packJson
-from oakbase.constants import FULL_SHARE, LINE_KEPT, LINE_KEPT_FULL, STORE_FULL, STORE_INBOX, STORE_OWNERS
+from oakbase.constants import FULL_SHARE, LINE_KEPT, LINE_KEPT_FULL, STORE_FULL, STORE_INBOX, STORE_OWNERS, SWEEP_KEYS
 from oakbase.inbox import TableOwner
 from oakcohort.rendezvous import slotOf
 from oakdvv.clock import Clock, syncVersions, update
@@ -51,21 +55,41 @@
     return clockId.partition("#")[0]
 
 
+def dotsOf(versions):
+    return [storeOf(clock.dot()[0]) for clock in versions]
+
+
 class LineTable:
     """`pruned` holds ids of retired stores that number no version any more; their entries are dropped from every
-    clock that comes in, and from every row."""
+    clock that comes in, and from every row.
+
+    Invariants: `rows` is in the order of its keys, `_touches` holds (touchedAt, key) of each row in order, and
+    `_dots` counts the versions that each store numbers. So a page of keys, the oldest lines and the ids in use are
+    found without a walk over all rows."""
 
     def __init__(self, node, ring):
         self.pruned = frozenset()
         self._reactor, self._nodeId, self._ring = node.reactor, node.nodeId, ring
-        self.rows = {}
+        self.rows = SortedDict()
+        self._touches, self._dots = SortedList(), Counter()
         self._births = int(ring.table.get(BIRTHS, b"0"))
         self._owners = [TableOwner(STORE_INBOX, f"lines{index}", node.log) for index in range(STORE_OWNERS)]
         for name, data in ring.table.items():
             if name.startswith(ROW):
                 clockId, _, state = data.partition(b"\0")
-                self.rows[name[len(ROW):]] = LineRow(
-                    clockId.decode(), fromState(unpack(idl.LineState, state)), self._reactor.seconds())
+                self._enter(name[len(ROW):], LineRow(
+                    clockId.decode(), fromState(unpack(idl.LineState, state)), self._reactor.seconds()))
+
+    def _enter(self, key, row):
+        self.rows[key] = row
+        self._touches.add((row.touchedAt, key))
+        self._dots.update(dotsOf(row.versions))
+
+    def _leave(self, key):
+        row = self.rows.pop(key, None)
+        if row is not None:
+            self._touches.remove((row.touchedAt, key))
+            self._dots.subtract(dotsOf(row.versions))
 
     def stop(self):
         for owner in self._owners:
@@ -86,12 +110,15 @@
         if storeIds <= self.pruned:
             return
         self.pruned |= storeIds
+        # A walk over all rows, once for each store that was replaced.
         for row in self.rows.values():
             stripped = {self._strip(clock): value for clock, value in row.versions.items()}
+            self._dots.subtract(dotsOf(row.versions))
             row.versions = syncVersions(stripped, stripped)
+            self._dots.update(dotsOf(row.versions))
 
     def dots(self):
-        return sorted({storeOf(clock.dot()[0]) for row in self.rows.values() for clock in row.versions})
+        return sorted(storeId for storeId, count in self._dots.items() if count)
 
     # --- commands ---
 
@@ -126,7 +153,7 @@
         row = self.rows.get(key)
         if row is not None and self._reactor.seconds() - row.touchedAt >= self.keptFor():
             await self._ring.commit([(ROW + key, None)])
-            del self.rows[key]
+            self._leave(key)
 
     def _rowFor(self, key):
         if key in self.rows:
@@ -138,9 +165,10 @@
     async def _keep(self, key, row, versions, extra, age):
         data = row.clockId.encode() + b"\0" + pack(toState(versions))
         await self._ring.commit([*extra, (ROW + key, data)])
+        self._leave(key)
         row.versions = versions
         row.touchedAt = max(row.touchedAt, self._reactor.seconds() - age)
-        self.rows[key] = row
+        self._enter(key, row)
 
     # --- reading ---
 
@@ -151,7 +179,7 @@
         return self._reactor.seconds() - self.rows[key].touchedAt if key in self.rows else 0.0
 
     def keysAfter(self, after, most):
-        return sorted(key for key in self.rows if key > after)[:most]
+        return list(islice(self.rows.irange(after, inclusive=(False, False)), most))
 
     def keptFor(self):
         """Seconds; less when the ring fills up, but always well over the rule's minute."""
@@ -161,5 +189,6 @@
         return self._ring.liveBytes() > STORE_FULL * self._ring.capacity()
 
     def old(self):
-        kept = self.keptFor()
-        return sorted((key for key in self.rows if self.age(key) >= kept), key=self.age, reverse=True)
+        """The lines past their time, the oldest first; a page of them."""
+        until = self._reactor.seconds() - self.keptFor()
+        return [key for touchedAt, key in islice(self._touches, SWEEP_KEYS) if touchedAt <= until]
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -10,6 +10,7 @@
 from oakdvv.clock import Clock, leq
 from oaklab.simdisk import SimDisk
 from oaklab.simfleet import SimFleet
+from oaklab.work import ownerWork, storeWork
 from oaklab.simnet import SimHost, SimNetwork, SimReactor, SimTime
 from oakring.ring import Ring
 from oakstore.table import LineTable, storeOf
@@ -161,6 +162,15 @@
                 self.assertEqual(set(rig.values()), set(expected))
 
 
+class Work(unittest.TestCase):
+    def testDoesNotGrowWithWhatIsKept(self):
+        """Functions called, not time: a hundred times as many lines or programs cost no step noticeably more."""
+        for work, few, many in ((storeWork, 1000, 20000), (ownerWork, 100, 10000)):
+            little, much = work(few), work(many)
+            for step, count in little.items():
+                self.assertLess(much[step], 1.5 * count + 20, (step, little, much))
+
+
 class Replacing(unittest.TestCase):
     def setUp(self):
         self.fleet = SimFleet(4).bringUp()
