--- a/packages/oakcontrol/oakcontrol/blueprint.py
+++ b/packages/oakcontrol/oakcontrol/blueprint.py
@@ -9,6 +9,7 @@
 from oakbase.verdict import BadRequest, Invalid, Lost, Unknown
 from oakcohort.rendezvous import slotOf
 from oakcontrol.controllers import CONTROLLERS, SLOT_SOURCE, Controller
+from oakcontrol.places import REPLICAS_KEY
 
 BINDING = {
     "kind": oneOf("model", "plain"),
@@ -28,6 +29,7 @@
     "programs": And(dict, error="must be an object"),
     Optional("share"): whole(1, 100),
 }
+WARNINGS = 20  # of one kind; that an answer names
 BASE_EVERY = 64  # changes; between two whole blueprints, so that reading one back replays few changes
 
 
@@ -143,15 +145,27 @@
     faults = blueprintFaults(blueprint)
     if faults:
         raise Invalid("; ".join(faults[:20]), detail=faults[:200])
-    version = head["version"] + 1
+    version, former = head["version"] + 1, head
     isBase = "blueprint" in asked or version - head["base"] >= BASE_EVERY
     row = {"whole": blueprint} if isBase else {"change": asked["change"], "arguments": asked.get("arguments") or {}}
     view.put(_versionKey(key, version), row | {"changeId": arguments["changeId"]})
     view.put(f"{key}#c/{arguments['changeId']}", {"version": version})
     head = {"version": version, "base": version if isBase else head["base"], "first": head["first"] or 1}
     view.put(key, _pruned(view, key, head))
+    former = _current(view, key, former) if former["version"] else {"bindings": {}}
     view.context.marks[f"memo/{key}"] = (version, blueprint)
-    return {"outcome": "accepted", "version": version}
+    return {"outcome": "accepted", "version": version, "warnings": _warnings(view, former, blueprint)}
+
+
+def _warnings(view, former, blueprint):
+    """What the plan may not have meant. It is the operator's to decide, so it is said, not refused."""
+    image = view.context.board.images.get(REPLICAS_KEY)
+    rows = [json.loads(value) for _, value in image.items.values() if value is not None] if image else []
+    pools = {row["pool"] for row in rows if row["state"] == "ready"}
+    gone = sorted(former["bindings"].keys() - blueprint["bindings"].keys())
+    return [f"bindings.{name}.pool: {binding['pool']} has no ready replica"
+            for name, binding in sorted(blueprint["bindings"].items()) if binding["pool"] not in pools][:WARNINGS] + [
+        f"bindings.{name}: is gone; requests that name it are refused" for name in gone][:WARNINGS]
 
 
 def _pruned(view, key, head):
--- a/packages/oakcontrol/oakcontrol/client.py
+++ b/packages/oakcontrol/oakcontrol/client.py
@@ -30,8 +30,8 @@
                 self._node.log.event("commandLate", key=key, command=command, reason=error.reason)
 
     async def call(self, key, command, arguments, timeLeft):
-        """The owner's answer. Raises what the owner said; NoAnswer if an ask left and its outcome is not
-        known; CannotTell if no owner could be asked at all."""
+        """The owner's answer. Raises what the owner said, if it was asked once; NoAnswer if an ask left and its
+        outcome is not known; CannotTell if no owner could be asked at all."""
         reactor, slot = self._node.reactor, slotOfKey(key)
         endsAt = reactor.seconds() + timeLeft
         text, unsure, hint, tried, silentUntil = packJson(arguments).decode(), None, None, set(), {}
@@ -53,7 +53,9 @@
                     hint = error.detail if error.detail not in tried | silent else None
                 except OakError as error:
                     if error.code not in ("noAnswer", "unreachable", "overloaded", "timeSpent"):
-                        raise
+                        # What an earlier ask did, or may still do, is not unsaid by the answer to a later one.
+                        raise error if unsure is None else NoAnswer(
+                            f"an earlier try may have come through; now: {error.reason}") from None
                     if error.verdict is not Verdict.NO:
                         unsure = error
                         silentUntil[address] = reactor.seconds() + TERM
--- a/packages/oakctl/oakctl/asking.py
+++ b/packages/oakctl/oakctl/asking.py
@@ -50,15 +50,16 @@
             status, answer = ask(address, method, path, value)
         except OSError as error:
             faults.append(f"{address}: {error}")
-            unsure = True
+            # Refused, nothing left; and a read leaves nothing behind.
+            unsure = unsure or (method != "GET" and not isinstance(error, ConnectionRefusedError))
             continue
         if status < 400:
             return answer
         faults.append(f"{address}: {answer.get('reason', status)}")
-        if answer.get("error") not in ("notOwner", "cannotTell", "noAnswer", "overloaded"):
+        if answer.get("error") not in ("notOwner", "cannotTell", "noAnswer", "overloaded") and not unsure:
             lines = answer.get("detail") if isinstance(answer.get("detail"), list) else []
             raise Refusal("\n  ".join([f"no: {answer.get('reason', status)}", *map(str, lines)]))
-        unsure = unsure or answer.get("verdict") != "no"
+        unsure = unsure or (method != "GET" and answer.get("verdict") != "no")
     if unsure and onMaybe:
         raise Refusal(f"the outcome is unknown ({'; '.join(faults)}). Find out with: {onMaybe}")
     raise Refusal(f"no control node could answer: {'; '.join(faults)}")
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -4,7 +4,7 @@
 from oakbase.tasks import settled, sleep, spawn
 from oakcontrol.slots import slotOfKey
 from oaklab.caller import Asked
-from oaklab.faults import sendPlan
+from oaklab.faults import replace, sendPlan
 from oaklab.plan import PARTNERS, PLATFORM, Size, blueprintOf
 from oaklab.simfleet import SMALL, SimFleet
 from oaklab.trial import totalOutage
@@ -252,6 +252,27 @@
         self.assertEqual(self.cutOff(since), [], fleet.timeline())
         self.assertGreater(len(fleet.served()), 50)
 
+    def testPlannedChangesCutNothingOff(self):
+        """
+        operators: plans, a store emptied to a spare, a control node replaced by a spare, both old ones stopped
+        long streams and keyed calls are in flight all the while, and all of them end
+        """
+        fleet = self.bringUp(pieceTime=0.4)
+        fleet.planCount, since = 1, fleet.time.now
+        fleet.startMix(40, callers=6)
+        works = [spawn(sendPlan(fleet, partner), fleet.labLog) for partner in PARTNERS]
+        for kind, number in (("store", 3), ("control", 5)):
+            old, spare = fleet[f"{kind}1"], fleet.add(kind, number)
+            spare.start()
+            fleet.run(3.0)
+            fleet.until(replace(fleet, kind, old.node.node.nodeId, spare), 60.0)
+            works += [spawn(sendPlan(fleet, partner), fleet.labLog) for partner in PARTNERS]
+            fleet.until(old.stop(), 30.0)
+        fleet.until(settled(works), 30.0)
+        fleet.run(max(0.0, since + 60.0 - fleet.time.now))
+        self.assertEqual(self.cutOff(since), [], fleet.timeline())
+        self.assertGreater(len(fleet.served()), 50)
+
     def cutOff(self, since):
         from oaklab.checker import cutOff
         return cutOff(self.fleet.view, since, self.fleet.time.now)
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings, strategies as st
 
 from oakbase.logline import LogLine
+from oakbase.tasks import spawn
 from oakcontrol.slots import slotOfKey
 from oakdvv.clock import Clock, leq
 from oaklab.simdisk import SimDisk
@@ -342,6 +343,35 @@
                                               timeLeft=4), 30)
         self.assertEqual(after.attempts[0].error, "cannotTell")
 
+    def testLostYesIsNotFollowedByANo(self):
+        """
+        operator        control node            owner of the set
+        cancel ------>  asks -----------------> called off
+                        X <-------------------- yes is lost
+                        asks again -----------> there is nothing to call off
+                <-----  unknown, not no
+        """
+        fleet = self.fleet
+        new = self.newcomer()
+        new.freeze()
+        self.assertEqual(self.replace(fleet["store0"].node.node.nodeId, new)[0], 200)
+        owner = next(one for one in fleet.ofKind("control") if slotOfKey("storeset") in one.node.owners.held)
+        asker = next(one for one in fleet.ofKind("control") if one is not owner)
+        epoch = self.ask("GET", "/v1/stores")[1]["version"]
+        away = [(owner.host.address, asker.host.address)]
+        fleet.network.hold(away)
+        asked = spawn(fleet.operator._client.json("POST", asker.machine.http, "/v1/stores/cancel", {"basedOn": epoch}, 20),
+                      fleet.labLog)
+        fleet.run(2.01)
+        for one in fleet.ofKind("control"):
+            for connection in list(one.node.node.net.connections):
+                connection.transport.abortConnection()  # so that the yes is lost for good
+        fleet.network.letGo(away)
+        status, said = fleet.until(asked, 30)
+        self.assertEqual((status, said["verdict"]), (502, "maybe"), said)
+        self.assertEqual(self.phase(), "stable")
+        new.thaw()
+
     def testIdInUseIsNotPruned(self):
         """A line that nobody goes on with still has its version numbered by the store that left."""
         fleet = self.fleet
