--- a/packages/oaklab/oaklab/caller.py
+++ b/packages/oaklab/oaklab/caller.py
@@ -25,8 +25,8 @@
     error: str = ""
     events: list = field(default_factory=list)
     answer: dict | None = None
-    firstAt: float = 0.0    # of its first piece
     request: str = ""   # names this try, at the replica too
+    firstAt: float = 0.0    # of its first piece
 
 
 @dataclass
