--- a/packages/oaklab/oaklab/measure.py
+++ b/packages/oaklab/oaklab/measure.py
@@ -5,9 +5,9 @@
 from oakbase.registry import Registry
 from oakbase.tasks import settled, sleep, spawn
 from oaklab.outages import OUTAGES, runOutage
-from oaklab.plan import Size, blueprintOf
+from oaklab.plan import PARTNERS, Size, blueprintOf
 from oaklab.simfleet import SimFleet
-from oaklab.work import ownerWork, storeWork
+from oaklab.work import loadingTime, ownerWork, storeWork
 from oakwire.codec import idl, pack
 
 MEASURES = Registry("measure")
@@ -271,6 +271,50 @@
     return results
 
 
+@MEASURES.enter("loading")
+def loading(seed=1):
+    """Seconds of this machine's processor, not simulated ones, in which a start reads what is kept."""
+    store, control = loadingTime(100000, 10000)
+    return {"a store with 100 000 lines": store, "a control node with 10 000 programs, a turn each": control}
+
+
+@MEASURES.enter("partners")
+def partners(seed=1):
+    """Nile's urgent keyed calls, ten a second for 15 s, alone and beside a crowd of 400 of Dalatech's turns; and those
+    of a Nile whose plan shares Dalatech's model pool: its turns, one a second."""
+    results = {}
+    for name, crowd in (("alone", 0), ("beside a crowd", 400)):
+        fleet = SimFleet(seed, capacity=8, pieceTime=0.2, ringFileSize=1 << 20).bringUp()
+        shared = blueprintOf("nile", "nile-plan-2")
+        shared["bindings"]["chat"]["pool"] = "dalatech-model"
+        fleet.until(fleet.operator.putPlan("nile", 1, shared, "nile-plan-2"))
+        for partner in PARTNERS:
+            fleet.until(fleet.caller.openProgram(partner, "p", 100000))
+        works = [spawn(fleet.caller.turn("dalatech", "p", f"c{index}", None, "crowd", attempts=1, timeLeft=20),
+                       fleet.labLog) for index in range(crowd)]
+
+        async def steady():
+            for index in range(150):
+                works.append(spawn(fleet.caller.plain("nile", "notices", {"n": index}, f"k{index}", attempts=1),
+                                   fleet.labLog))
+                if index % 10 == 0:
+                    works.append(spawn(fleet.caller.turn("nile", "p", f"l{index}", None, "mine", attempts=1,
+                                                         timeLeft=20), fleet.labLog))
+                await sleep(fleet.callerReactor, 0.1)
+        fleet.until(steady(), 60)
+        fleet.until(settled(works), 100)
+        for kind in ("plain", "turn"):
+            tries = [asked.attempts[0] for asked in fleet.view.asked if (asked.partner, asked.kind) == ("nile", kind)]
+            ended = [one.doneAt - one.askedAt for one in tries if one.outcome == "end"]
+            results[f"{name}, nile's {kind}s"] = {
+                "ms (median, 99th)": (_percentile(ended, 0.5), _percentile(ended, 0.99)),
+                "refused": len(tries) - len(ended)}
+        crowded = [asked.attempts[0] for asked in fleet.view.asked if asked.partner == "dalatech"]
+        results[f"{name}, dalatech's turns"] = {"served": sum(one.outcome == "end" for one in crowded),
+                                                "refused": sum(one.verdict == "no" for one in crowded)}
+    return results
+
+
 @MEASURES.enter("kept")
 def kept(seed=1):
     """Functions called for one step, by how many lines a store keeps and how many programs a slot does."""
--- a/packages/oaklab/oaklab/work.py
+++ b/packages/oaklab/oaklab/work.py
@@ -1,6 +1,8 @@
 """Counted work: how many functions run for one step, whatever the machine does meanwhile, by how much is kept."""
 import random
 import sys
+from time import process_time
+from types import SimpleNamespace
 
 from sortedcontainers import SortedDict
 
@@ -8,12 +10,14 @@
 from oakcontrol import budget  # noqa: F401  it enters its controller
 from oakcontrol.controllers import CONTROLLERS
 from oakcontrol.owner import Context, SlotOwner, View
-from oakcontrol.slots import packEntry
+from oakcontrol.slots import packEntry, slotOfKey
+from oakcontrol.voter import Voter, entryKey
 from oakdvv.clock import Clock
 from oaklab.simdisk import SimDisk
 from oaklab.simnet import SimHost, SimNetwork, SimReactor, SimTime
 from oakring.ring import Ring
-from oakstore.table import LineRow, LineTable
+from oakstore.table import LineRow, LineTable, toState
+from oakwire.codec import pack
 
 ENDPOINT = "127.0.0.1"
 
@@ -87,3 +91,32 @@
             CONTROLLERS.find("budget").run(view, "budget/p/g000050", command, admission | more)
             owner._apply(view.changes())
     return {"turn": callsOf(turn), "sweep": callsOf(lambda: owner.nextRoots(32))}
+
+
+def loadingTime(lines, programs):
+    """Seconds of this machine's processor in which a store and a control node read what they keep, at a start."""
+    def filled(pairs):
+        time = SimTime()
+        host = SimHost(SimNetwork(time, random.Random(1)), ENDPOINT)
+        disk = SimDisk(time, random.Random(2))
+        disk.attach(host)
+        ring = Ring(disk, LogLine(lambda line: None))
+        for first in range(0, len(pairs), 500):
+            ring.commit(pairs[first:first + 500])
+            time.advanceTo(time.now + 0.1)
+        return disk, host
+
+    def timed(build, pairs):
+        disk, host = filled(pairs)
+        node = SimpleNamespace(reactor=SimReactor(host), nodeId="a", log=LogLine(lambda line: None),
+                               net=SimpleNamespace(handle=lambda *_: None))
+        startedAt = process_time()
+        build(node, Ring(disk, node.log))
+        return round(process_time() - startedAt, 2)
+    state = pack(toState({Clock({"a#1": (0, 1)}): bytes(100)}))
+    program = packEntry({"limit": 100, "spent": 0, "open": {}, "turns": 1})
+    mark = packEntry({"state": "done", "back": {}, "print": "x" * 32, "admission": "a" * 32, "units": 3})
+    entries = [pair for number in range(programs) for key in [f"budget/p/g{number}"] for pair in (
+        (entryKey(slotOfKey(key), 0, key), program), (entryKey(slotOfKey(key), 0, f"{key}#turn/l/t"), mark))]
+    return (timed(LineTable, [(f"l/p/g{number}/l", b"a#1\0" + state) for number in range(lines)]),
+            timed(Voter, entries))
