--- a/packages/oakring/oakring/ring.py
+++ b/packages/oakring/oakring/ring.py
@@ -124,6 +124,10 @@
         existing = set(self._disk.names())
         contents = {name: self._disk.read(name) for name in fileNames if name in existing}
         heads = self._readHeads(contents)
+        # All files are made before the first lap is begun, so one that is missing later was lost.
+        missing = [name for name in fileNames if name not in contents]
+        if heads and missing:
+            raise RingDamaged(f"{', '.join(missing)} of the ring is missing")
         for name in fileNames:
             if name not in contents:
                 self._disk.create(name, self._fileSize)
@@ -151,6 +155,8 @@
                 continue
             if version != RING_VERSION:
                 raise RingError(f"{name} has ring version {version}, this program reads {RING_VERSION}")
+            if self._fileName(lap) != name:
+                raise RingDamaged(f"{name} holds lap {lap}, which belongs into {self._fileName(lap)}: files were swapped")
             heads[lap] = (firstNumber, syncedNumber)
         return heads
 
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -113,6 +113,33 @@
         with self.assertRaises(RingDamaged):
             rig.open()
 
+    def testSwappedOrMissingFilesAreNotSilent(self):
+        """Whatever two files of a ring change places, are cut short or are gone: everything is there, or it is said."""
+        for broken in ("swapped", "short", "gone"):
+            outcomes = set()
+            for one in range(8):
+                for other in range(one + 1, 8) if broken == "swapped" else [one]:
+                    rig = Rig()
+                    for number in range(60):
+                        rig.commitNow((f"k{number}", bytes(150)))
+                    kept = dict(rig.ring.table)
+                    rig.powerCut()
+                    names = f"ring.{one:03d}", f"ring.{other:03d}"
+                    for files in (rig.disk._files, rig.disk._durable):
+                        if broken == "swapped":
+                            files[names[0]], files[names[1]] = files[names[1]], files[names[0]]
+                        elif broken == "short":
+                            del files[names[0]][-100:]
+                        else:
+                            del files[names[0]]
+                    try:
+                        rig.open()
+                        outcomes.add("whole")
+                        self.assertEqual(rig.ring.table, kept, (broken, names))
+                    except RingDamaged:
+                        outcomes.add("said")
+            self.assertIn("said", outcomes, broken)
+
     def testRoundAndRound(self):
         """Far more is written than the ring holds; the live part stays, also over restarts."""
         rig = Rig(7)
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -372,6 +372,19 @@
         self.assertEqual(self.phase(), "stable")
         new.thaw()
 
+    def testSpareOfAnotherClusterIsRefused(self):
+        """Its disk says that it belongs elsewhere: nobody speaks with it, and it takes nobody's place."""
+        fleet = self.fleet
+        spare = fleet.add("store", 3)
+        spare.disk.replace("identity", json.dumps({"nodeId": "store3.0f", "clusterId": "another", "addresses": []}).encode())
+        spare.start()
+        fleet.run(4.0)
+        self.assertTrue(any("event=peerClosed" in line and "otherCluster" in line for line in fleet.lines))
+        status, said = self.replace(fleet["store0"].node.node.nodeId, spare)
+        self.assertEqual((status, said["verdict"]), (400, "no"))
+        self.assertIn("not a live store of this cluster", said["reason"])
+        self.assertEqual(self.phase(), "stable")
+
     def testIdInUseIsNotPruned(self):
         """A line that nobody goes on with still has its version numbered by the store that left."""
         fleet = self.fleet
