--- a/packages/oakcontrol/oakcontrol/admin.py
+++ b/packages/oakcontrol/oakcontrol/admin.py
@@ -131,4 +131,5 @@
         owners, voter = self._control.owners, self._control.voter
         return 200, self._node.condition() | {
             "condition": "ready" if owners.held else "waiting", "slots": len(owners.held),
+            "platform": self._control.platform and self._control.platform.reachable,
             "roster": voter.roster and voter.roster.record, "disk": self._control.ring.condition()}
--- a/packages/oakcontrol/oakcontrol/platform.py
+++ b/packages/oakcontrol/oakcontrol/platform.py
@@ -20,13 +20,14 @@
 
 
 class PlatformWatch(Duty):
-    """Invariant: `owners.pollTimes[replicas]` is when the last finished round began."""
+    """Invariant: `owners.pollTimes[replicas]` is when the last finished round began. `reachable` is what this node's
+    own last look found; only the owner, and whom it asks, looks."""
 
     def __init__(self, node, owners, voter, address):
         super().__init__(node, owners, REPLICAS_KEY, PLATFORM_PAUSE)
         self._voter, self._address = voter, address
         self._client = WebClient(node.reactor, node.env["http"].rpartition(":")[0])
-        self._reachable = True
+        self.reachable = True
         self._unreadable = 0
         owners.pollTimes[REPLICAS_KEY] = float("-inf")
         node.net.handle("platformList", self._serveList)
@@ -52,7 +53,7 @@
         """The platform's rows, read by whoever reaches it; None if a majority of the roster cannot."""
         own = ensureDeferred(self._read())
         try:
-            if self._reachable:
+            if self.reachable:
                 return await within(self._node.reactor, PLATFORM_HEDGE, shielded(own))
         except OakError:
             pass
@@ -80,9 +81,9 @@
             reason = "" if status == 200 and isinstance(answer.get("replicas"), list) else f"status {status}"
         except OakError as error:
             reason = error.reason
-        if self._reachable != (not reason):
-            self._reachable = not reason
-            self._node.log.event("platformReachable" if self._reachable else "platformUnreachable", reason=reason)
+        if self.reachable != (not reason):
+            self.reachable = not reason
+            self._node.log.event("platformReachable" if self.reachable else "platformUnreachable", reason=reason)
         if reason:
             raise PlatformAway(f"the platform cannot be read from here: {reason}")
         return answer["replicas"]
--- a/packages/oakctl/oakctl/doctor.py
+++ b/packages/oakctl/oakctl/doctor.py
@@ -129,6 +129,18 @@
                       "start them, or replace a lost one: oakctl roster replace")
 
 
+@CHECKS.enter("platform")
+def _platform(survey):
+    for said in survey.answered("control"):
+        if said["platform"] is None:
+            yield Finding(WARNING, "platform", f"{said['machine']} does not know the platform", "its settings lack `platform`",
+                          "give all control nodes the platform's address, and start this one again")
+        elif not said["platform"]:
+            yield Finding(WARNING, "platform", f"{said['machine']} could not read the platform's list", "the platform is "
+                          "down, or this node is cut off from it; others look for it meanwhile",
+                          "look at the platform, and at the network of that machine")
+
+
 @CHECKS.enter("stores")
 def _stores(survey):
     members = survey.stores.get("members", [])
--- a/packages/oaklab/oaklab/main.py
+++ b/packages/oaklab/oaklab/main.py
@@ -3,6 +3,7 @@
 import signal
 import sys
 import time
+from collections import Counter
 from functools import partial
 
 import click
@@ -170,18 +171,24 @@
 @click.option("--timelines/--no-timelines", default=True, help="Print the timeline of a seed that failed.")
 def search(seeds, first, seconds, day, timelines):
     """Simulated trials of random overlapping faults, one for each seed, on all cores."""
-    failed = 0
+    failed, caused, near, unserved = 0, Counter(), Counter(), 0.0
     with multiprocessing.Pool() as pool:
         run = partial(runDay, day) if day else partial(runTrial, loadTime=seconds)
         for outcome in pool.imap(run, range(first, first + seeds)):
             bad = bool(outcome.violations or outcome.crashes)
             failed += bad
+            caused.update(outcome.caused)
+            near.update(outcome.near)
+            unserved = max(unserved, outcome.unserved)
             click.echo(f"seed {outcome.seed}: {outcome.asked} asked, {outcome.ended} served, "
                        f"{'FAILED' if bad else 'no violation'}")
             if bad:
                 click.echo(f"  {outcome.violations} {outcome.crashes[:2]}")
             if bad and timelines:
                 click.echo(outcome.timeline)
+    click.echo("faults: " + ", ".join(f"{name} {count}" for name, count in sorted(caused.items())))
+    click.echo("cases near the fault: " + ", ".join(f"{name} {count}" for name, count in sorted(near.items())))
+    click.echo(f"longest that a partner's steady calls went unserved: {unserved:.1f} s")
     click.echo(f"{seeds} seeds, {failed} failed")
     sys.exit(1 if failed else 0)
 
