--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -115,3 +115,23 @@
 IDLE_CALLER_TIME = 65       # s; a caller's connection without a request is closed after this
 QUIET_TIME = 0.5            # s; a stopping process waits this long for requests already on their way
 STOP_TIME = 60.0            # s; a planned stop waits this long for what runs
+
+# --- raw requests ------------------------------------------------------------
+LOAD_AGE = 1.0              # s; what a replica told of its load counts for so long, several of its requests
+AFFINITY_SLACK = 0.2        # share of a replica's slots; by so much more room others must have before a program leaves the
+                            # replica that has its prompts: reading them again costs about as much as so many neighbours
+BALANCER_QUEUE = 512        # requests; waiting for room at one service in one gate
+SHED_PAUSE = 0.05           # s; a replica that turned a request away is full for about one short request
+EJECT_AFTER = 3             # failures in a row; single ones happen to sound replicas
+EJECT_PAUSE = 0.5           # s; first time without requests of a failing replica, doubled with each further failure
+EJECT_LONGEST = 8.0         # s; a replaced or restarted one must not be left out for long
+RETRY_AFTER_LEAST = 0.2     # s; what a caller is told who was refused early: a few short requests' time
+PATIENCE_SHARE = 0.5        # share of the time left; a request waits for room so long, the rest is for its run
+ANSWER_HELD = 256 << 10     # bytes; of an answer gathered before any of it is passed on, so that a cut one may be tried again
+RELAY_BOUND = 512           # requests; at a time in one gate, several times what its replicas take
+SETTLE_PAUSE = 0.05         # s; settlings of one program wait so long for one another, well under the users' bound
+READY_DRAIN = 2.5           # s; a stopping gate says so and still serves: callers' entry asks each second and needs two misses
+REFUSAL_LIMIT = 64 << 10    # bytes; of a replica's refusal, read to its end so that its connection may be kept
+TURN_OUTPUT_LIMIT = 4 << 20  # bytes; of one turn's output as it is kept
+STOP_MARGIN = 0.5           # s; a stop ends this long before the grace given by the env, so that it is never cut off
+ENV_LOOK = 1.0              # s; how often a changed settings file is looked for; a look is one call of the system
--- /dev/null
+++ b/packages/oakgate/oakgate/balancer.py
@@ -0,0 +1,212 @@
+"""Which replica a raw request goes to, and who waits when none has room.
+
+Nothing is probed: a replica's load is what its last answer told, corrected by what this gate has begun and ended
+since. A request with an affinity (its program) keeps to the replica that rendezvous hashing names for it, in the
+gate's own zone first, since its earlier prompts are cached there; it leaves that replica only when others have
+clearly more room.
+"""
+import heapq
+import itertools
+import json
+import math
+from collections import Counter
+from dataclasses import dataclass
+
+from twisted.internet import defer
+
+from oakbase.constants import (AFFINITY_SLACK, BALANCER_QUEUE, EJECT_AFTER, EJECT_LONGEST, EJECT_PAUSE, LOAD_AGE,
+                               RETRY_AFTER_LEAST, SHED_PAUSE)
+from oakbase.tasks import within
+from oakbase.verdict import Overloaded, TimeSpent
+from oakcohort.rendezvous import score
+from oakcontrol.places import REPLICAS_KEY
+
+
+@dataclass
+class Instance:
+    """One life of a replica as this gate sees it. Invariants: `own` counts this gate's requests between acquire
+    and release; `told` is the load of the newest answer, which came at `told_at` when `own_then` were ours."""
+
+    row: dict
+    own: int = 0
+    told: int = 0
+    told_slots: int = 0
+    told_at: float = float("-inf")
+    own_then: int = 0
+    failures: int = 0
+    closed_until: float = float("-inf")
+
+    @property
+    def is_ready(self):
+        return self.row["state"] == "ready"
+
+    def slots(self, default):
+        return self.told_slots or self.row.get("slots") or default
+
+    def load(self, now):
+        """Requests that the replica has, as well as this gate can tell."""
+        if now - self.told_at > LOAD_AGE:
+            return self.own
+        return max(self.own, self.told - self.own_then + self.own)
+
+
+@dataclass(frozen=True)
+class Wish:
+    """What a request needs of its replica. `rank` 0 goes first; `patience_until` is when it gives up waiting."""
+
+    service: str
+    default_slots: int
+    rank: int
+    patience_until: float
+    affinity: str = ""
+    excluded: frozenset = frozenset()
+
+
+class Balancer:
+    """Invariants: `instances` has a row for each listed replica, by id; `_waiting[service]` is a heap of who waits for
+    room there, first by rank, then by patience."""
+
+    def __init__(self, node, log):
+        self._node, self._reactor, self._log = node, node.reactor, log
+        self._zone = node.env["zone"]
+        self.instances = {}
+        self._by_service = {}
+        self._waiting = {}
+        self._order = itertools.count()
+        self._scores = {}
+        self.on_gone = None
+        node.board.watch(REPLICAS_KEY, self._refresh)
+
+    # --- the table ---
+
+    def _refresh(self, _source):
+        rows = {name: json.loads(value) for name, value in self._node.board.values(REPLICAS_KEY).items()}
+        for gone_id in self.instances.keys() - rows.keys():
+            del self.instances[gone_id]
+            if self.on_gone:
+                self.on_gone(gone_id)
+        for replica_id, row in rows.items():
+            self.instances.setdefault(replica_id, Instance(row)).row = row
+        self._by_service = {}
+        for instance in self.instances.values():
+            self._by_service.setdefault(instance.row["pool"], []).append(instance)
+        self._scores.clear()
+        for service in list(self._waiting):
+            self._wake(service)
+
+    def is_ready(self, instance):
+        return instance.is_ready and self.instances.get(instance.row["id"]) is instance
+
+    def known(self, service):
+        return [one for one in self._by_service.get(service, ()) if one.is_ready]
+
+    def waiting_count(self):
+        return sum(map(len, self._waiting.values()))
+
+    # --- choosing ---
+
+    def _score(self, replica_id, key):
+        pair = replica_id, key
+        if pair not in self._scores:
+            if len(self._scores) > 50000:
+                self._scores.clear()
+            self._scores[pair] = score(replica_id, key)
+        return self._scores[pair]
+
+    def _choose(self, wish):
+        now = self._reactor.seconds()
+        ready = [one for one in self.known(wish.service) if one.row["id"] not in wish.excluded]
+        usable = [one for one in ready if now >= one.closed_until]
+        loads = {one.row["id"]: one.load(now) for one in usable}
+        roomy = [one for one in usable if loads[one.row["id"]] < one.slots(wish.default_slots)]
+        if not roomy:
+            return None
+        least = min(loads[one.row["id"]] / one.slots(wish.default_slots) for one in roomy)
+        if wish.affinity:
+            # Named over all that are listed, so that a full or failing one does not move the others' programs.
+            named = max(ready, key=lambda one: (one.row.get("zone") == self._zone, self._score(one.row["id"], wish.affinity)))
+            if named in roomy and loads[named.row["id"]] / named.slots(wish.default_slots) <= least + AFFINITY_SLACK:
+                return named
+            return max(roomy, key=lambda one: (
+                -math.floor(loads[one.row["id"]] / one.slots(wish.default_slots) / AFFINITY_SLACK),
+                one.row.get("zone") == self._zone, self._score(one.row["id"], wish.affinity)))
+        near = [one for one in roomy if loads[one.row["id"]] / one.slots(wish.default_slots) <= least + 1e-9]
+        return self._node.random.choice([one for one in near if one.row.get("zone") == self._zone] or near)
+
+    async def acquire(self, wish):
+        """A replica with one place taken on it, which the caller must release. Raises with verdict no."""
+        if not self._waiting.get(wish.service) and (instance := self._choose(wish)) is not None:
+            instance.own += 1
+            return instance
+        if not [one for one in self.known(wish.service) if one.row["id"] not in wish.excluded]:
+            raise Overloaded(f"no replica of {wish.service} is left to ask", retryAfter=RETRY_AFTER_LEAST)
+        heap = self._waiting.setdefault(wish.service, [])
+        if len(heap) >= BALANCER_QUEUE:
+            raise Overloaded("too many requests wait for a replica", retryAfter=RETRY_AFTER_LEAST)
+        waiter = defer.Deferred(lambda _: None)
+        entry = (wish.rank, wish.patience_until, next(self._order), wish, waiter)
+        heapq.heappush(heap, entry)
+        self._wake(wish.service)
+        timer = self._reactor.callLater(SHED_PAUSE, self._wake, wish.service)
+        try:
+            return await within(self._reactor, wish.patience_until - self._reactor.seconds(), waiter, TimeSpent(
+                "no replica had room in time", retryAfter=RETRY_AFTER_LEAST))
+        finally:
+            if timer.active():
+                timer.cancel()
+            if entry in heap:
+                heap.remove(entry)
+                heapq.heapify(heap)
+
+    def _wake(self, service):
+        """Gives room to those who wait, in order, as far as it goes."""
+        heap = self._waiting.get(service, [])
+        while heap:
+            entry = heap[0]
+            waiter = entry[4]
+            if waiter.called:
+                heapq.heappop(heap)
+                continue
+            instance = self._choose(entry[3])
+            if instance is None:
+                return
+            heapq.heappop(heap)
+            instance.own += 1
+            waiter.callback(instance)
+
+    # --- what came of it ---
+
+    def release(self, instance):
+        instance.own -= 1
+        self._wake(instance.row["pool"])
+
+    def told(self, instance, load):
+        """The replica said how much it has: (running, waiting, slots), the asked request among them."""
+        running, waiting, slots = load
+        instance.told, instance.told_slots = running + waiting, slots
+        instance.told_at, instance.own_then = self._reactor.seconds(), instance.own
+
+    def shed(self, instance):
+        """It turned a request away, so it counts as full for a moment."""
+        instance.closed_until = max(instance.closed_until, self._reactor.seconds() + SHED_PAUSE)
+
+    def succeeded(self, instance):
+        instance.failures = 0
+
+    def failed(self, instance, at_once=False):
+        """One that fails again and again gets nothing for a while, unless most of its service is closed already."""
+        instance.failures += 1
+        if instance.failures < EJECT_AFTER and not at_once:
+            return
+        now = self._reactor.seconds()
+        fellows = self.known(instance.row["pool"])
+        closed = sum(now < one.closed_until for one in fellows)
+        if 2 * (closed + 1) > len(fellows) and not at_once:
+            return
+        pause = min(EJECT_LONGEST, EJECT_PAUSE * 2 ** max(0, instance.failures - EJECT_AFTER))
+        instance.closed_until = now + pause
+        self._log.event("replicaEjected", replica=instance.row["id"], failures=instance.failures, seconds=pause)
+
+    def shown(self):
+        """Counts for the condition page."""
+        return dict(Counter(one.row["pool"] for one in self.instances.values() if one.is_ready))
--- a/packages/oakgate/oakgate/plain.py
+++ b/packages/oakgate/oakgate/plain.py
@@ -43,7 +43,7 @@
         key = request.body["key"]
         if key is None:
             return {"answer": await onward(request)}
-        self._gate.checkSettling()
+        self._gate.check_settling()
         claimKey = f"claim/{request.partner}/{key}"
         pairs = request.admission | {"print": printOf([request.bindingName, request.body["body"]])}
 
--- /dev/null
+++ b/packages/oakgate/oakgate/relay_node.py
@@ -0,0 +1,95 @@
+"""A gate for raw requests put together: the relay in front of replicas, readiness, no disk."""
+import time
+
+from oakbase.constants import (ACCEPT_INBOX, READY_DRAIN, REPLICA_AGE, RELAY_BOUND, RETRY_AFTER_LEAST, SETTLE_TIME)
+from oakbase.tasks import sleep
+from oakbase.verdict import CannotTell, Overloaded
+from oakbase.web import Web
+from oakcontrol.control import serveMetrics
+from oakcontrol.places import REPLICAS_KEY
+from oakgate.balancer import Balancer
+from oakgate.base import GateBase
+from oakgate.relay import Relay
+from oakgate.routing import Router
+from oakrelay.front import Front
+from oakrelay.upstream import Upstreams
+from oakstore.turns import TurnClient
+
+LEAVING_MARGIN = 0.1    # share of the bound for leaving replicas; kept for the way from here to the replica
+STOP_MARGIN = 1.0       # s; of the grace, kept for settling and the end of the process
+
+
+class RelayNode(GateBase):
+    """Invariant: while `stopping`, it calls itself not ready but serves whoever still comes."""
+
+    def __init__(self, reactor, env, _disk, random, sink, wall=time.time, dialect=None):
+        super().__init__(reactor, env, random, sink, wall)
+        self._env, self._dialect, self.stopping = env, dialect, False
+        bounds = env.get("bounds") or {}
+        self._leaving_s = bounds["leaving_s"] * (1 - LEAVING_MARGIN) if "leaving_s" in bounds else REPLICA_AGE
+        self._grace_s = bounds.get("grace_s", SETTLE_TIME)
+        self.router = Router(self.node, dialect)
+        self.balancer = Balancer(self.node, self.node.log)
+        self.upstreams = Upstreams(reactor, env["relay"].rpartition(":")[0], self.node.log)
+        self.balancer.on_gone = self.upstreams.close_instance
+        self.relay = Relay(self, dialect, self.router, self.balancer, self.upstreams, TurnClient(self.node))
+        self.front = Front(reactor, env["relay"], self.relay.handle, lambda: self.router.limits, self.node.log,
+                           RELAY_BOUND)
+        self.front.refuse = self._refuse
+        self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
+        self.ready_web = Web(reactor, env["ready"], self.node.log, ACCEPT_INBOX)
+        self.ready_web.route("GET", dialect.ready_path, self._ready)
+        self.web.route("GET", "/condition", self._condition)
+        serveMetrics(self.web, self.metrics)
+        for name, ask in (("requests_running", lambda: self.front.running),
+                          ("requests_waiting", self.balancer.waiting_count),
+                          ("settling", lambda: len(self.settling)),
+                          ("members_live", lambda: len(self.node.members.live()))):
+            self.metrics.gauge(name, ask)
+
+    def _refuse(self, exchange):
+        error = Overloaded("too many requests are under way here", retryAfter=RETRY_AFTER_LEAST)
+        request = self._dialect.request_of(exchange.method, exchange.target, exchange.headers)
+        exchange.reply(*self._dialect.refusal(error, request))
+
+    def replicas_staleness(self):
+        """Why nothing may be sent to a replica now, or None."""
+        if self.node.board.age(REPLICAS_KEY) > self._leaving_s:
+            return "the replicas' news is too old"
+        return None
+
+    def why_not_ready(self):
+        if self.stopping:
+            return "stopping"
+        return self.router.staleness() or self.replicas_staleness()
+
+    async def _ready(self, _call):
+        why = self.why_not_ready()
+        if why is not None:
+            raise CannotTell(why)
+        return 200, {"condition": "ready"}
+
+    async def _condition(self, _call):
+        why = self.why_not_ready()
+        return 200, self.node.condition() | {
+            "condition": why or "ready", "routing": self.router.version, "replicas": self.balancer.shown(),
+            "waiting": self.balancer.waiting_count(), "running": self.front.running}
+
+    def start(self):
+        self.node.start()
+        self.web.listen()
+        self.ready_web.listen()
+        self.front.listen()
+
+    async def stop(self):
+        """Says that it is not ready, serves on until callers come no more, and ends what is under way."""
+        ends_at = self.node.reactor.seconds() + self._grace_s - STOP_MARGIN
+        self.stopping = True
+        self.front.stopping = True
+        await self.node.puller.sayLeaving()
+        await sleep(self.node.reactor, READY_DRAIN)
+        await self.front.stop(max(0.5, ends_at - self.node.reactor.seconds()))
+        await self.wait_settled(STOP_MARGIN)
+        for web in (self.ready_web, self.web):
+            await web.stop()
+        await self.node.stop()
--- a/packages/oakgate/oakgate/turns.py
+++ b/packages/oakgate/oakgate/turns.py
@@ -94,7 +94,7 @@
         request.bound(self._bindings.find(request.partner, request.bindingName, request.kind))
         if not self._placer.hasInboxRoom(request.partner, request.binding["pool"]):
             raise Overloaded("too many requests wait for a replica", retryAfter=1)
-        self._gate.checkSettling()
+        self._gate.check_settling()
         reserve = request.binding["maxOutput"]
         request.fields["reserve"] = min(reserve, request.body["maxOutput"] or reserve)
         await onward(request)
