--- a/packages/oakbase/oakbase/env.py
+++ b/packages/oakbase/oakbase/env.py
@@ -29,6 +29,25 @@
 
 ADDRESS = And(str, isAddress, error="must be IP:PORT")
 
+POSITIVE = And(lambda number: type(number) in (int, float) and number >= 0, error="must be a number, 0 or more")
+FLAG = And(bool, error="must be true or false")
+
+
+def numbers(*names):
+    """An object that holds these numbers and no others, each of them optional."""
+    return And(dict, lambda pairs: pairs.keys() <= set(names) and all(
+        type(number) in (int, float) and number >= 0 for number in pairs.values()),
+        error=f"must be an object of numbers, of {', '.join(names)}")
+
+
+# Bounds in seconds that hold where the fleet runs. What each is for: how old a gate's routing table may be (calm, and
+# while the core is unsettled), how far it may go back, how long a leaving replica may get requests, how long a planned
+# stop may take, how long a repeated key finds the first answer, how soon traffic is served after a closing fault, how
+# soon a machine that came back counts, and so on.
+BOUNDS = numbers("routing_age_s", "routing_stretch_s", "routing_back_s", "leaving_s", "grace_s", "loss_slack_s",
+                 "claim_window_s", "recover_s", "rejoin_s", "settle_s", "contact_s", "ack_s", "transit_s",
+                 "address_reuse_s", "seed_lag_s", "last_aim_s")
+RESOURCES = numbers("memory_mb", "descriptors", "disk_mb", "link_mbps")
 COMMON_ENV = {
     "machine": NAME,
     "zone": NAME,
@@ -36,12 +55,29 @@
     "http": ADDRESS,
     "seeds": And([ADDRESS], lambda seeds: 1 <= len(seeds) <= 3, error="must be one to three IP:PORT"),
     Optional("clusterId"): Or(None, NAME, error="must be a name"),
+    Optional("selfForming"): FLAG,
+    Optional("firstStart"): FLAG,
+    Optional("countsAsLoss"): FLAG,
+    Optional("toleratedLosses"): whole(1, 1 << 16),
+    Optional("toleratedZones"): whole(0, 1 << 16),
+    Optional("zones"): [NAME],
+    Optional("bounds"): BOUNDS,
+    Optional("resources"): RESOURCES,
 }
+GATE_ENV = COMMON_ENV | {Optional("relay"): ADDRESS, Optional("ready"): ADDRESS}
 DISK_ENV = COMMON_ENV | {
     "folder": And(str, len, error="must be a folder's path"),
     Optional("ringFileSize"): whole(1 << 16, 1 << 30),
 }
-CONTROL_ENV = DISK_ENV | {Optional("platform"): ADDRESS}
+CONTROL_ENV = DISK_ENV | {
+    Optional("platform"): ADDRESS,
+    Optional("platformRate"): POSITIVE,
+    Optional("platformLagS"): POSITIVE,
+    Optional("operator"): ADDRESS,
+}
+# What has a flag of its own; the rest is told in the file only.
+FLAGS = {"machine": str, "zone": str, "peer": str, "http": str, "seeds": str, "clusterId": str, "folder": str,
+         "ringFileSize": int, "relay": str, "ready": str, "platform": str, "operator": str}
 
 
 def checkEnv(rules, pairs):
@@ -68,10 +104,10 @@
     """The env of this program from its command line; ends with code 2 and a line for each fault."""
     parser = argparse.ArgumentParser(prog=program, description=description)
     parser.add_argument("--env", metavar="FILE", help="settings file, a JSON object")
-    for key in rules:
-        name = getattr(key, "schema", key)
-        parser.add_argument(f"--{name}", nargs="+" if name == "seeds" else None,
-                            type=int if name == "ringFileSize" else str, help=f"overrides {name} of the file")
+    for name in (getattr(key, "schema", key) for key in rules):
+        if name in FLAGS:
+            parser.add_argument(f"--{name}", nargs="+" if name == "seeds" else None, type=FLAGS[name],
+                                help=f"overrides {name} of the file")
     flagPairs = vars(parser.parse_args())
     filePath = flagPairs.pop("env")
     try:
--- a/packages/oaknews/oaknews/program.py
+++ b/packages/oaknews/oaknews/program.py
@@ -1,35 +1,95 @@
 """The shell of every daemon: env, disk, signals, graceful stop, exit code."""
+import os
 import random
 import signal
 import sys
 
 from twisted.internet.error import CannotListenError
 
-from oakbase.constants import STOP_TIME
+from oakbase.constants import ENV_LOOK, STOP_MARGIN, STOP_TIME
 from oakbase.env import envOfDaemon
 from oakbase.logline import stderrSink
-from oakbase.tasks import monotonicReactor, spawn, within
-from oakbase.verdict import OakError
+from oakbase.tasks import Repeater, monotonicReactor, spawn, within
+from oakbase.verdict import EnvError, OakError
 from oakring.disk import FolderDisk
 
 
 def runDaemon(program, rules, description, build):
     """`build(reactor, env, disk, random, sink)` gives a node with start() and a coroutine stop()."""
-    env = envOfDaemon(program, rules, description)
+    run_node(program, envOfDaemon(program, rules, description), build)
+
+
+def run_from(program, source, build):
+    """The same with an env from `source`, which has a `path` and a read() that raises EnvError with every fault."""
+    try:
+        env = source.read()
+    except EnvError as error:
+        for fault in error.detail:
+            print(f"{program}: {fault}", file=sys.stderr)
+        sys.exit(2)
+    run_node(program, env, build, source)
+
+
+class EnvWatch:
+    """Follows an env that may change while the node runs, with or without a signal.
+
+    Invariant: `env` is the newest that could be read; one that cannot be read changes nothing and is told once."""
+
+    def __init__(self, node, source, env, stat=os.stat):
+        self._node, self._source, self._stat, self.env = node, source, stat, env
+        self._seen = self._stamp()
+        self._faults = None
+
+    def _stamp(self):
+        try:
+            found = self._stat(self._source.path)
+        except OSError:
+            return None
+        return found.st_mtime_ns, found.st_size, found.st_ino
+
+    async def look(self):
+        if self._stamp() != self._seen:
+            self.read_again()
+
+    def read_again(self):
+        self._seen = self._stamp()
+        log = self._node.node.log
+        try:
+            env = self._source.read()
+        except EnvError as error:
+            if error.detail != self._faults:
+                log.event("envUnreadable", faults="; ".join(error.detail))
+            self._faults = error.detail
+            return
+        self._faults = None
+        if env == self.env:
+            return
+        changed = sorted(name for name in env.keys() | self.env.keys() if env.get(name) != self.env.get(name))
+        self.env = env
+        log.event("envChanged", changed=",".join(changed))
+        taking = getattr(self._node, "settings_changed", None)
+        if taking is not None:
+            taking(env)
+
+
+def run_node(program, env, build, source=None):
+    """Runs the node of this env until it is told to stop; `source` is read again when it has changed."""
     reactor = monotonicReactor()
     sink = stderrSink()
     try:
-        disk = FolderDisk(reactor, env["folder"]) if "folder" in env else None
+        disk = FolderDisk(reactor, env["folder"]) if env.get("folder") else None
         node = build(reactor, env, disk, random.SystemRandom(), sink)
         node.start()
     except (OakError, OSError, CannotListenError) as error:
         print(f"{program}: cannot start: {error}", file=sys.stderr)
         sys.exit(1)
     stops = []
+    grace = (env.get("bounds") or {}).get("grace_s")
+    stop_time = STOP_TIME if grace is None else max(grace - STOP_MARGIN, grace / 2)
 
     async def stop():
         try:
-            await within(reactor, STOP_TIME, node.stop())
+            await within(reactor, stop_time, node.stop())
         finally:
             reactor.stop()
 
@@ -42,4 +102,9 @@
         reactor.callFromThread(spawn, stop(), node.node.log)
     reactor.callWhenRunning(lambda: [signal.signal(number, onSignal)
                                      for number in (signal.SIGTERM, signal.SIGINT)])
+    if source is not None:
+        watch = EnvWatch(node, source, env)
+        Repeater(reactor, ENV_LOOK, watch.look, node.node.log).start()
+        reactor.callWhenRunning(signal.signal, signal.SIGHUP,
+                                lambda *_: reactor.callFromThread(watch.read_again))
     reactor.run()
