--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -51,14 +51,36 @@
 CONTROL_FULL = 0.7          # share of a ring's capacity; from here on nothing new is opened, admitted or claimed
 SLOT_FULL = 0.25            # share of a ring's capacity; one slot may take it, so that its image fits a second time
 CONTROL_BATCH = 64          # commands; one majority write covers this many at most
+ROSTER_PAUSE = 0.25         # s; how often control nodes look at the roster: a small part of what mending it takes
+ROSTER_MOVING_PAUSE = 0.05  # s; the same for who moves a change of the roster on, while it is under way
+ROSTER_MOST = 9             # members; four may be lost at once, and more voters only make each change dearer
+ROSTER_ANSWERED = 1.0       # s; who joins must have answered within this: several pulls, of which one may be lost
+ROSTER_PATIENCE = 3.0       # s; a member without a sign of life for this long gives its place to an outsider: longer than
+                            # a restart with its disk takes, shorter than until the next loss may come
 OWNER_TRIES_PAUSE = 0.1     # s; between asking for an owner again while a slot is changing hands
 ENTRY_LIMIT = 4 << 20       # bytes; a plan of some thousand bindings fits
 PLATFORM_PAUSE = 0.4        # s; with two looks and the news' path this keeps a leaving replica inside its bound
 PLATFORM_TIME = 0.7         # s; a platform that takes longer counts as out of reach of the node that asked
 PLATFORM_HEDGE = 0.3        # s; after this the others are asked to look too
 PLATFORM_CALL = 0.8         # s; another node's look at the platform, with its way
-PLATFORM_LIMIT = 1 << 20    # bytes; a list of thousands of replicas fits
+PLATFORM_LIMIT = 1 << 20    # bytes; a list, or a page of one, of thousands of replicas fits
+PLATFORM_BOUND_SHARE = 1 / 3  # share of the bound for leaving replicas; one look in each third leaves the rest to the news
+PLATFORM_PAUSE_MOST = 1.0   # s; from look to look however wide the bound, as new replicas are wanted too
+PLATFORM_TICKS = 5          # ticks; of one pause, so that a new owner looks soon and a look is late by little
+PLATFORM_RATE_SHARE = 0.5   # share of the platform's rate that looks of one owner use; others look too now and then
+PLATFORM_BACKOFF = 0.05     # s; first pause after "too often", doubled and drawn out at random
+PLATFORM_PAGES = 2000       # pages; a list of more does not end
 BLUEPRINTS_KEPT = 500       # versions; a day of changes every three minutes can be read back
+CHANGES_REMEMBERED = 512    # changes; of the routing whose exact repeats are known: far more than come within a repeat's time
+OPERATOR_LIMIT = 5 << 20    # bytes; a body from the operator: a document of 4 MiB with room for what is around it
+OPERATOR_TIME = 4.0         # s; a take-over fits; an operator asks elsewhere after a second, and its repeats do no harm
+OPERATOR_RETRY = 0.2        # s; what an operator is told to wait: a slot changes hands in a few of these
+ROUTING_AGE = 1.5           # s; as for blueprints, unless the deployment's bounds say otherwise
+ROUTING_STRETCH = 3.5       # s; a take-over: for so long more the routing may be old while the control nodes are unsettled
+ALLOWANCE_KEPT = 900.0      # s; after its last turn a program's row goes: a program is over within minutes, and well above
+                            # the ten minutes that nothing here outlasts
+ALLOWANCE_CLOSED = 64       # turns; of one program that are remembered after their end, so that late copies do nothing
+ALLOWANCE_OPEN = 512        # turns; of one program at a time, far above what one program has under way
 CLAIM_KEPT = 150.0          # s; twice the rule's minute with margin, counted by the owner
 CLAIM_LEAVE = 60.0          # s; a keyed call leaves within this of its claim or never, so that the claim outlives the rule's
                             # minute after it: CLAIM_KEPT - CLAIM_LEAVE is above a minute
@@ -84,6 +106,12 @@
 LINE_KEPT_FULL = 150.0      # s; the same when the ring is nearly full, still over twice the rule's minute
 STORE_FULL = 0.9            # share of a ring's capacity; from here on gates begin no turn that this store would have to keep
 FULL_SHARE = 0.7            # share of a ring's capacity; from here on a store lets lines go sooner
+RECALL_KEPT = 30.0          # s; a turn that was just read is kept for the turn that goes on from it to be kept too
+RECORD_KEPT_MOST = 900.0    # s; a turn's record is kept for at most this without word of it, as lines are
+RETAIN_MARGIN = 15.0        # s; added to what a turn is to be kept: for the way of the request that goes on from it
+RECORDS_DROPPED = 512       # records; let go in one round at most, so that others get their turn
+RECORD_PAGE = 512 << 10     # bytes; of records in one message, far below the frame limit, a few milliseconds of work
+RECALL_HEDGE = 0.04         # s; a store that takes longer to answer a read is no longer waited for alone
 LINE_TURNS = 512            # turns; a long session has about seven
 LINE_SIZE = 4 << 20         # bytes; below the frame limit with room for its clocks
 
@@ -135,3 +163,17 @@
 TURN_OUTPUT_LIMIT = 4 << 20  # bytes; of one turn's output as it is kept
 STOP_MARGIN = 0.5           # s; a stop ends this long before the grace given by the env, so that it is never cut off
 ENV_LOOK = 1.0              # s; how often a changed settings file is looked for; a look is one call of the system
+
+# --- relay -------------------------------------------------------------------
+CHUNK_LINE_LIMIT = 1024     # bytes; a chunk's size line with its extensions, as Twisted bounds it too
+TRAILER_LIMIT = 16 << 10    # bytes; trailers are read and dropped
+EAGER_LIMIT = 16 << 10      # bytes; read ahead of a caller's next requests while one is being answered
+BODIES_LIMIT = 64 << 20     # bytes; of all callers' half-read bodies together, so that slow senders cannot fill memory
+LINGER_TIME = 2.0           # s; a caller that still sends after its answer is read on so long, that no reset overtakes the answer
+PEER_SILENCE = 5.0          # s; bytes unacknowledged for so long mean that the peer's machine or the way to it is gone
+PEER_PROBE = 2              # s; a connection on which an answer is awaited is probed after so much silence, and as often
+ANSWER_HEAD_LIMIT = 64 << 10    # bytes; a replica's header block; larger ones are no answer
+PIECES_LIMIT = 64 << 10     # bytes; of one answer's body held for a caller that reads slowly, then the replica is held up
+KEPT_MARGIN = 0.4           # s; before a replica's own time for an idle connection is over it is used no more: the way there
+                            # and a busy process on either side take theirs
+KEPT_UNTOLD = 0.4           # s; a replica that tells no time may close an idle connection before a second is over
--- a/packages/oakstore/oakstore/store.py
+++ b/packages/oakstore/oakstore/store.py
@@ -4,11 +4,11 @@
 from collections import OrderedDict
 from itertools import islice
 
-from oakbase.constants import (ACCEPT_INBOX, HINT_LIMIT, LINE_KEPT, LINE_SIZE, STORE_CALL_TIME, STORE_SWEEP,
-                               SWEEP_HINTS, SWEEP_KEYS, SWEEP_PAGES)
+from oakbase.constants import (ACCEPT_INBOX, HINT_LIMIT, LINE_KEPT, LINE_SIZE, RECORD_PAGE, STORE_CALL_TIME,
+                               STORE_SWEEP, SWEEP_HINTS, SWEEP_KEYS, SWEEP_PAGES)
 from oakbase.metrics import Metrics
 from oakbase.tasks import Repeater, quorumOf
-from oakbase.verdict import BadRequest, Fenced, NoAnswer, OakError, TooLarge
+from oakbase.verdict import BadRequest, CannotTell, Fenced, NoAnswer, OakError, TooLarge
 from oakbase.web import Web
 from oakcohort.members import LIVE
 from oakcontrol.control import serveMetrics
@@ -16,7 +16,8 @@
 from oakdvv.context import fromContext, toContext
 from oaknews.node import Node
 from oakring.ring import Ring
-from oakstore.table import LineTable, fromState, toState
+from oakstore.records import read_header
+from oakstore.table import TURN_LINE, LineTable, fromState, toState
 from oakwire.codec import idl
 
 COVERS = "covers"
@@ -39,7 +40,10 @@
         self.metrics = Metrics()
         self._sweeper = Repeater(node.reactor, STORE_SWEEP, self._sweep, node.log)
         for method, handler in (("lineGet", self._get), ("linePut", self._put), ("lineKeep", self._keep),
-                                ("lineDigests", self._digests), ("storeStatus", self._status)):
+                                ("lineDigests", self._digests), ("storeStatus", self._status),
+                                ("turnRecall", self._turnRecall), ("turnRetain", self._turnRetain),
+                                ("turnKeep", self._turnKeep), ("lineTurns", self._lineTurns),
+                                ("turnChains", self._turnChains), ("turnOffer", self._turnOffer), ("turnRecords", self._turnRecords)):
             node.net.handle(method, handler)
 
     def start(self):
@@ -102,14 +106,21 @@
     async def _replicate(self, key, versions, stores):
         """Returns once a write quorum of that epoch keeps the versions."""
         state = toState(versions, storeEpoch=stores.epoch)
+        await self._replicateTo(stores, key, lambda nodeId, peer: self._give(nodeId, peer, key, state))
+
+    async def _replicateTo(self, stores, key, give):
         reached, errors = await quorumOf(
-            {nodeId: self._give(nodeId, peer, key, state) for nodeId, peer in self._others().items()},
+            {nodeId: give(nodeId, peer) for nodeId, peer in self._others().items()},
             lambda nodeIds: stores.isWritten(nodeIds | {self._node.nodeId}))
         if not reached:
             raise NoAnswer("the line did not reach a quorum of stores, it may still be kept: "
                            + "; ".join(sorted(map(str, errors.values()))))
 
     async def _give(self, nodeId, peer, key, state):
+        await self._giveNoted(nodeId, key, state, lambda: self._node.net.call(
+            peer, "lineKeep", STORE_CALL_TIME, key=key, state=state, sender=self._node.nodeId))
+
+    async def _giveNoted(self, nodeId, key, state, give):
         # Of a set that is past, a member may have left meanwhile: then this is a list that nobody keeps.
         hints = self._hints.setdefault(nodeId, OrderedDict()) if nodeId in self.stores.everyone else OrderedDict()
         # Noted before it is sent: a crash of neither side may lose what the other lacks.
@@ -117,8 +128,7 @@
         hints.move_to_end(key)
         if len(hints) > HINT_LIMIT:
             hints.popitem(last=False)
-        await self._node.net.call(peer, "lineKeep", STORE_CALL_TIME, key=key, state=state,
-                                  sender=self._node.nodeId)
+        await give()
         if self.table.versions(key).keys() <= fromState(state).keys():
             hints.pop(key, None)
 
@@ -130,6 +140,122 @@
         self.metrics.count("line_keeps")
         return True
 
+    # --- turns: the versions are sets of turn ids, the records lie beside them ---
+
+    async def _turnRecall(self, _peer, arguments):
+        """What this store knows of a turn. Asked with bodies, it gives the chain's records from this turn up to the
+        oldest, or as many as fit one page."""
+        self.metrics.count("turn_recalls")
+        table, records, turnId = self.table, self.table.records, arguments.turnId
+        key = table.lineOf(turnId)
+        ids, missing = records.chain(turnId)
+        isWhole = missing is None
+        if isWhole:
+            records.touch(turnId)
+        return idl.TurnState(
+            known=key is not None, whole=isWhole, lineKey=key,
+            line=toState(table.versions(key) if key else {}, self.covers, self.stores.epoch, 0.0, table.isFull()),
+            records=self._page(ids) if arguments.bodies else None)
+
+    def _page(self, turnIds):
+        """The records of these turns, as many from the front on as fit a page, one at least."""
+        page, size = [], 0
+        for turnId in turnIds:
+            packed = self.table.records.packed(turnId)
+            size += len(packed)
+            if page and size > RECORD_PAGE:
+                break
+            page.append(packed)
+        return page
+
+    async def _turnRetain(self, _peer, arguments):
+        stores = self.stores
+        self._checkEpoch(arguments.storeEpoch)
+        if not self.isMember:
+            raise Fenced("this store is not in the set")
+        if len(arguments.value) > LINE_SIZE:
+            raise TooLarge(f"the turns of a line take {len(arguments.value)} bytes, over {LINE_SIZE}")
+        try:
+            contextSet = fromContext(arguments.context)
+        except ValueError as error:
+            raise BadRequest(f"no context: {error}") from error
+        header = read_header(arguments.record)
+        await self._bringChain(header.parent, self._others().items())
+        versions, clock = await self.table.put(arguments.key, contextSet, arguments.value,
+                                               [(arguments.record, header.keep_s)])
+        self.metrics.count("turn_retains")
+        state = toState(versions, storeEpoch=stores.epoch)
+        await self._replicateTo(stores, arguments.key, lambda nodeId, peer: self._giveTurn(
+            nodeId, peer, arguments.key, state, [arguments.record], [header.keep_s]))
+        return toContext(frozenset([clock]))
+
+    async def _bringChain(self, turnId, peers):
+        """Returns once this turn and all its ancestors are on the disk here; what is missing is asked of these
+        stores in turn. Who goes on from a turn keeps its chain too."""
+        records = self.table.records
+        for nodeId, peer in peers:
+            if records.chain(turnId)[1] is None:
+                break
+            try:
+                await self._pull(peer, await self._chainsAt(peer, [records.chain(turnId)[1]]))
+            except OakError as error:
+                self._log.event("chainNotBrought", member=nodeId, reason=error.reason)
+        missing = records.chain(turnId)[1]
+        if missing is not None:
+            raise CannotTell(f"turn {missing} of the chain is not here", retryAfter=1)
+        if turnId is not None:
+            records.touch(turnId)
+
+    async def _chainsAt(self, peer, turnIds):
+        return await self._node.net.call(peer, "turnChains", STORE_CALL_TIME, turnIds=turnIds)
+
+    async def _pull(self, peer, turnIds):
+        """Takes the records of these turns that are not here from this store, a page at a time."""
+        wanted = [turnId for turnId in turnIds if turnId not in self.table.records]
+        while wanted:
+            page = await self._node.net.call(peer, "turnRecords", STORE_CALL_TIME, turnIds=wanted)
+            if not page.records:
+                return
+            await self.table.keepRecords(list(zip(page.records, (ms / 1000 for ms in page.leftMs))))
+            self.metrics.count("records_pulled", len(page.records))
+            brought = {read_header(packed).turn_id for packed in page.records}
+            wanted = [turnId for turnId in wanted if turnId not in brought]
+
+    async def _giveTurn(self, nodeId, peer, key, state, records, lefts):
+        await self._giveNoted(nodeId, key, state, lambda: self._node.net.call(
+            peer, "turnKeep", STORE_CALL_TIME, key=key, state=state, sender=self._node.nodeId, records=records,
+            leftMs=[int(left * 1000) for left in lefts]))
+
+    async def _turnKeep(self, _peer, arguments):
+        """Says yes only when the versions, the records and their whole chains are on the disk here."""
+        self._checkEpoch(arguments.state.storeEpoch)
+        if arguments.sender not in self.stores.everyone:
+            raise Fenced(f"{arguments.sender} is not in the store set")
+        records = list(zip(arguments.records or [], (ms / 1000 for ms in arguments.leftMs or [])))
+        await self.table.merge(arguments.key, fromState(arguments.state), arguments.state.ageMs / 1000, records)
+        sender = [(arguments.sender, self.stores.everyone[arguments.sender]["peer"])]
+        for packed, _ in records:
+            await self._bringChain(read_header(packed).turn_id, sender)
+        self.metrics.count("turn_keeps")
+        return True
+
+    async def _lineTurns(self, _peer, arguments):
+        records = self.table.records
+        return idl.LinePage(storeEpoch=self.stores.epoch, lines=[
+            idl.LineTurns(key=key, line=toState(self.table.versions(key), age=self.table.age(key)), turns=[
+                idl.TurnAge(turnId=turnId, leftMs=int(1000 * records.left(turnId)))
+                for turnId in records.on_line(key)])
+            for key in arguments.keys[:SWEEP_KEYS] if key in self.table.rows])
+
+    async def _turnChains(self, _peer, arguments):
+        return self.table.records.closure(arguments.turnIds)
+
+    async def _turnRecords(self, _peer, arguments):
+        records = self.table.records
+        page = self._page([turnId for turnId in arguments.turnIds if turnId in records])
+        return idl.RecordPage(storeEpoch=self.stores.epoch, records=page, leftMs=[
+            int(1000 * records.left(read_header(packed).turn_id)) for packed in page])
+
     async def _status(self, _peer, _arguments):
         return json.dumps({"epoch": self.stores.epoch, "covers": self.covers, "lines": len(self.table.rows),
                            "hints": self.hintsByMember(), "dots": self.table.dots()})
@@ -137,7 +263,7 @@
     async def _digests(self, _peer, arguments):
         keys = self.table.keysAfter(arguments.after, min(arguments.most, SWEEP_KEYS))
         return idl.DigestPage(storeEpoch=self.stores.epoch, digests=[
-            idl.LineDigest(key=key, digest=self.table.rows[key].digest()) for key in keys])
+            idl.LineDigest(key=key, digest=self.table.digest(key)) for key in keys])
 
     # --- sweeping ---
 
@@ -150,6 +276,7 @@
             self._passEpoch, self._passFrom, self._coveredFrom = since, {}, set()
         if since == 1 and not self.covers:
             await self._cover(since)  # no line is older than the first set, so nothing can be missing
+        await self.table.dropRecords()
         for key in self.table.old():
             await self.table.letGo(key)
         for nodeId, peer in self._others().items():
@@ -178,9 +305,47 @@
                 self._hints.get(nodeId, {}).pop(key, None)
                 continue
             state = toState(self.table.versions(key), storeEpoch=self.stores.epoch, age=self.table.age(key))
-            await self._give(nodeId, peer, key, state)
+            if key.startswith(TURN_LINE):
+                await self._handOverTurns(nodeId, peer, key, state)
+            else:
+                await self._give(nodeId, peer, key, state)
             self.metrics.count("lines_handed_over")
 
+    async def _handOverTurns(self, nodeId, peer, key, state):
+        """The member says which of the line's turns it wants by taking their chains from here."""
+        await self._giveNoted(nodeId, key, state, lambda: self._node.net.call(
+            peer, "turnOffer", STORE_CALL_TIME, key=key, state=state, sender=self._node.nodeId,
+            turnIds=sorted(self.table.records.on_line(key))))
+
+    async def _turnOffer(self, _peer, arguments):
+        self._checkEpoch(arguments.state.storeEpoch)
+        if arguments.sender not in self.stores.everyone:
+            raise Fenced(f"{arguments.sender} is not in the store set")
+        await self._takeTurns(self.stores.everyone[arguments.sender]["peer"], arguments.turnIds or [])
+        await self.table.merge(arguments.key, fromState(arguments.state), arguments.state.ageMs / 1000)
+        self.metrics.count("turn_keeps")
+        return True
+
+    async def _takeTurns(self, peer, turnIds):
+        """Takes those of these turns with their chains from this store that are neither here nor were let go here."""
+        records = self.table.records
+        wanted = [turnId for turnId in turnIds if turnId not in records and not records.was_dropped(turnId)]
+        if wanted:
+            await self._pull(peer, await self._chainsAt(peer, wanted))
+
+    async def _compareTurns(self, peer, keys):
+        """Of lines of turns that differ: first the records, then the versions that name them."""
+        page = await self._node.net.call(peer, "lineTurns", STORE_CALL_TIME, keys=keys)
+        self._checkEpoch(page.storeEpoch)
+        for one in page.lines or []:
+            for turn in one.turns or []:
+                self.table.records.shorten(turn.turnId, turn.leftMs / 1000)
+        await self._takeTurns(peer, [turn.turnId for one in page.lines or [] for turn in one.turns or []])
+        for one in page.lines or []:
+            if one.turns or one.key in self.table.rows:
+                await self.table.merge(one.key, fromState(one.line), one.line.ageMs / 1000)
+                self.metrics.count("lines_synced")
+
     async def _compare(self, nodeId, peer):
         """One page of anti-entropy: takes from the member what it has and this store has not."""
         after = self._passFrom.get(nodeId, "")
@@ -188,8 +353,13 @@
         # A member in our epoch sends us what it writes from now on; one in an older epoch does not.
         self._checkEpoch(answer.storeEpoch)
         page = answer.digests or []
+        differing = [one.key for one in page
+                     if one.key not in self.table.rows or self.table.digest(one.key) != one.digest]
+        turnKeys = [key for key in differing if key.startswith(TURN_LINE)]
+        if turnKeys:
+            await self._compareTurns(peer, turnKeys)
         for one in page:
-            if one.key in self.table.rows and self.table.rows[one.key].digest() == one.digest:
+            if one.key not in differing or one.key.startswith(TURN_LINE):
                 continue
             state = await self._node.net.call(peer, "lineGet", STORE_CALL_TIME, key=one.key)
             self._checkEpoch(state.storeEpoch)
--- a/packages/oakstore/oakstore/table.py
+++ b/packages/oakstore/oakstore/table.py
@@ -5,6 +5,7 @@
 a line go is, for that line, like a node that lost its disk: when it meets the line again it comes as a
 new id, and no number is ever used twice.
 """
+import json
 from collections import Counter
 from dataclasses import dataclass
 from hashlib import blake2b
@@ -18,9 +19,11 @@
 from oakcohort.rendezvous import slotOf
 from oakdvv.clock import Clock, syncVersions, update
 from oakdvv.context import clockToRow
+from oakstore.records import RECORD_ROW, RecordTable
 from oakwire.codec import idl, pack, unpack
 
 ROW = "l/"
+TURN_LINE = "~"  # before the key of a line whose versions are sets of turn ids, with the records beside them
 BIRTHS = "births"
 
 
@@ -33,9 +36,9 @@
     versions: dict
     touchedAt: float
 
-    def digest(self):
+    def digest(self, turnIds=()):
         rows = sorted(clockToRow(clock) for clock in self.versions)
-        return blake2b(packJson(rows), digest_size=12).hexdigest()
+        return blake2b(packJson([rows, sorted(turnIds)] if turnIds else rows), digest_size=12).hexdigest()
 
 
 def toState(versions, covers=False, storeEpoch=0, age=0.0, full=False):
@@ -50,6 +53,16 @@
                    for part in version.clock}): version.value for version in state.versions or []}
 
 
+def packTurns(turns):
+    """The value of a version of a line of turns: the id of each turn with its parent's."""
+    return packJson(turns)
+
+
+def turnsIn(versions):
+    """The union over all siblings: a turn's id stands for one turn with one parent."""
+    return {turnId: parent for value in versions.values() for turnId, parent in json.loads(value).items()}
+
+
 def storeOf(clockId):
     """The store that numbers events under this clock id."""
     return clockId.partition("#")[0]
@@ -65,13 +78,16 @@
 
     Invariants: `rows` is in the order of its keys, `_touches` holds (touchedAt, key) of each row in order, and
     `_dots` counts the versions that each store numbers. So a page of keys, the oldest lines and the ids in use are
-    found without a walk over all rows."""
+    found without a walk over all rows. `_lineOf` names for each turn of a row the row's key, but for turns whose
+    record was dropped here since their time was over."""
 
     def __init__(self, node, ring):
         self.pruned = frozenset()
         self._reactor, self._nodeId, self._ring = node.reactor, node.nodeId, ring
         self.rows = SortedDict()
         self._touches, self._dots = SortedList(), Counter()
+        self.records = RecordTable(node.reactor, ring)
+        self._lineOf = {}
         self._births = int(ring.table.get(BIRTHS, b"0"))
         self._owners = [TableOwner(STORE_INBOX, f"lines{index}", node.log) for index in range(STORE_OWNERS)]
         for name, data in ring.table.items():
@@ -79,6 +95,16 @@
                 clockId, _, state = data.partition(b"\0")
                 self._enter(name[len(ROW):], LineRow(
                     clockId.decode(), fromState(unpack(idl.LineState, state)), self._reactor.seconds()))
+                self._index(name[len(ROW):], self.rows[name[len(ROW):]].versions)
+
+    def _index(self, key, versions):
+        if key.startswith(TURN_LINE):
+            self._lineOf.update((turnId, key) for turnId in turnsIn(versions) if not self.records.was_dropped(turnId))
+
+    def _unindex(self, key, versions):
+        if key.startswith(TURN_LINE):
+            for turnId in [turnId for turnId in turnsIn(versions) if self._lineOf.get(turnId) == key]:
+                del self._lineOf[turnId]
 
     def _enter(self, key, row):
         self.rows[key] = row
@@ -122,38 +148,76 @@
 
     # --- commands ---
 
-    def put(self, key, contextSet, value):
+    def put(self, key, contextSet, value, records=()):
         """The paper's put at the coordinator: update, then sync, then the disk. Gives the result of the sync
-        and the new clock."""
-        return self._do(self._put, key, contextSet, value)
+        and the new clock. `records` are (packed, seconds to keep) pairs that go to the disk with it."""
+        return self._do(self._put, key, contextSet, value, records)
 
-    async def _put(self, key, contextSet, value):
+    async def _put(self, key, contextSet, value, records):
         row, extra = self._rowFor(key)
         contextSet = frozenset(map(self._strip, contextSet))
         clock = update(contextSet, row.versions.keys(), row.clockId)
-        await self._keep(key, row, syncVersions(row.versions, {clock: value}), extra, 0.0)
+        await self._keep(key, row, syncVersions(row.versions, {clock: value}), extra, 0.0, records)
         return dict(row.versions), clock
 
-    def merge(self, key, versions, age):
+    def merge(self, key, versions, age, records=()):
         """The receiving side of replication, hand-over and anti-entropy: a sync with what is here."""
-        return self._do(self._merge, key, versions, age)
+        return self._do(self._merge, key, versions, age, records)
 
-    async def _merge(self, key, versions, age):
-        if age >= self.keptFor():
+    async def _merge(self, key, versions, age, records):
+        if age >= self.keptFor() and not key.startswith(TURN_LINE):
             return
         row, extra = self._rowFor(key)
         merged = syncVersions(row.versions, {self._strip(clock): value for clock, value in versions.items()})
         if merged.keys() != row.versions.keys():
-            await self._keep(key, row, merged, extra, age)
+            await self._keep(key, row, merged, extra, age, records)
+            return
+        await self.keepRecords(records)
+
+    async def keepRecords(self, records):
+        """Records alone, as ancestors from other lines are; of what is here already, only the time is new."""
+        entries = self.records.entries(packed for packed, _ in records)
+        if entries:
+            await self._ring.commit(entries)
+        self._enterRecords(records)
+
+    def _enterRecords(self, records):
+        for packed, left in records:
+            self.records.enter(packed, left)
+
+    async def dropRecords(self):
+        """Lets records go whose time is over, and lines that have none left."""
+        ended, lines = self.records.take_ended()
+        if not ended:
+            return
+        for turnId in ended:
+            self._lineOf.pop(turnId, None)
+        await self._ring.commit([(RECORD_ROW + turnId, None) for turnId in ended])
+        for key in lines:
+            await self._do(self._dropLine, key)
+
+    async def _dropLine(self, key):
+        if key in self.rows and not self.records.on_line(key):
+            await self._remove(key)
+
+    async def _remove(self, key):
+        await self._ring.commit([(ROW + key, None)])
+        self._unindex(key, self.rows[key].versions)
+        self._leave(key)
 
     def letGo(self, key):
         return self._do(self._letGo, key)
 
     async def _letGo(self, key):
         row = self.rows.get(key)
-        if row is not None and self._reactor.seconds() - row.touchedAt >= self.keptFor():
-            await self._ring.commit([(ROW + key, None)])
+        if row is None or self._reactor.seconds() - row.touchedAt < self.keptFor():
+            return
+        if self.records.on_line(key):
             self._leave(key)
+            row.touchedAt = self._reactor.seconds()  # it goes with the last of its records
+            self._enter(key, row)
+            return
+        await self._remove(key)
 
     def _rowFor(self, key):
         if key in self.rows:
@@ -162,13 +226,15 @@
         # The count is on the disk in the same commit that first uses the id.
         return LineRow(f"{self._nodeId}#{self._births}", {}, 0.0), [(BIRTHS, b"%d" % self._births)]
 
-    async def _keep(self, key, row, versions, extra, age):
+    async def _keep(self, key, row, versions, extra, age, records=()):
         data = row.clockId.encode() + b"\0" + pack(toState(versions))
-        await self._ring.commit([*extra, (ROW + key, data)])
+        await self._ring.commit([*extra, (ROW + key, data), *self.records.entries(packed for packed, _ in records)])
         self._leave(key)
+        self._index(key, {clock: value for clock, value in versions.items() if clock not in row.versions})
         row.versions = versions
         row.touchedAt = max(row.touchedAt, self._reactor.seconds() - age)
         self._enter(key, row)
+        self._enterRecords(records)
 
     # --- reading ---
 
@@ -178,6 +244,13 @@
     def age(self, key):
         return self._reactor.seconds() - self.rows[key].touchedAt if key in self.rows else 0.0
 
+    def digest(self, key):
+        return self.rows[key].digest(self.records.on_line(key))
+
+    def lineOf(self, turnId):
+        """The key of the line that this turn is on, as far as this store knows."""
+        return self.records.line_of(turnId) or self._lineOf.get(turnId)
+
     def keysAfter(self, after, most):
         return list(islice(self.rows.irange(after, inclusive=(False, False)), most))
 
--- a/packages/oakwire/oakwire/oak.thrift
+++ b/packages/oakwire/oakwire/oak.thrift
@@ -43,6 +43,7 @@
   5: i64 sequence
   6: list<Entry> entries
   7: i64 endedEpoch       // the owner of this epoch said that its term is over
+  8: i64 unconfirmedMs    // for how long at least this voter has confirmed no earlier epoch
 }
 struct ImagePart { 1: list<Entry> entries  2: bool more }
 struct SlotEpoch { 1: i32 slot  2: i64 epoch }
@@ -62,6 +63,19 @@
 struct LineDigest { 1: string key  2: string digest }
 struct DigestPage { 1: list<LineDigest> digests  2: i64 storeEpoch }
 
+// A turn's record travels packed (oakstore/records.py): its bodies are bytes that no store looks into.
+struct TurnState {
+  1: bool known           // the turn is on a line here, or its record is here
+  2: bool whole           // its record and those of all its ancestors are here
+  3: string lineKey
+  4: LineState line       // covers, storeEpoch and the line's versions
+  5: list<binary> records // asked with bodies: the newest first, up to the oldest that is here and fits
+}
+struct TurnAge { 1: string turnId  2: i32 leftMs }                 // how much longer it is kept; 0: kept no longer
+struct LineTurns { 1: string key  2: LineState line  3: list<TurnAge> turns }
+struct LinePage { 1: list<LineTurns> lines  2: i64 storeEpoch }
+struct RecordPage { 1: list<binary> records  2: list<i32> leftMs  3: i64 storeEpoch }
+
 service Node {
   News pull(1: list<Seen> seen, 2: Image me)   // me: the puller's own row, so that it is known by whom it asks
   string ownerCall(1: string key, 2: string command, 3: string argumentsJson)
@@ -79,4 +93,11 @@
   bool lineKeep(1: string key, 2: LineState state, 3: string sender)
   string storeStatus()    // JSON: epoch, covers, lines, ids that number a version kept here
   DigestPage lineDigests(1: string after, 2: i32 most)
+  TurnState turnRecall(1: string turnId, 2: bool bodies)
+  string turnRetain(1: string key, 2: string context, 3: binary value, 4: i64 storeEpoch, 5: binary record)
+  bool turnKeep(1: string key, 2: LineState state, 3: string sender, 4: list<binary> records, 5: list<i32> leftMs)
+  bool turnOffer(1: string key, 2: LineState state, 3: string sender, 4: list<string> turnIds)
+  LinePage lineTurns(1: list<string> keys)          // what differs: versions, and which turns' records are here
+  list<string> turnChains(1: list<string> turnIds)  // these and all their ancestors whose records are here
+  RecordPage turnRecords(1: list<string> turnIds)   // as many as fit a page, in the order asked
 }
