--- /dev/null
+++ b/packages/oakrelay/oakrelay/framing.py
@@ -0,0 +1,136 @@
+"""How HTTP/1.1 messages are framed: header blocks and chunked bodies, for callers and replicas alike.
+
+twisted.web.http's own helpers (`_parseRequestLine`, `_ChunkedTransferDecoder`) read the same grammar byte by byte in
+Python. A gate has one slow core, so the grammar is held in compiled patterns here; the tests hold the decoder
+against Twisted's. Everything is strict: what two readers could take in two ways is refused, for a request that ends
+elsewhere than the replica thinks is one that nobody sent.
+"""
+import re
+
+from twisted.web.http import RESPONSES
+
+from oakbase.constants import CHUNK_LINE_LIMIT
+
+TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+_FIELD = re.compile(rb"^(" + TOKEN + rb"):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*)\r\n", re.M)
+_CHUNK = re.compile(rb"([0-9a-fA-F]{1,15})(?:;[\t\x20-\x7e\x80-\xff]*)?\r\n")
+BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
+
+# Fields that concern one connection only, and those that tell how a body is framed on it.
+HOP_BY_HOP = frozenset((
+    b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te", b"trailer",
+    b"transfer-encoding", b"upgrade", b"content-length", b"expect"))
+_STATUS_LINES = {}
+
+
+class Malformed(ValueError):
+    """Bytes that are no HTTP/1.1, or that could be read in two ways."""
+
+
+def status_line(status):
+    line = _STATUS_LINES.get(status)
+    if line is None:
+        phrase = RESPONSES.get(status, b"Unknown")
+        line = _STATUS_LINES[status] = b"HTTP/1.1 %d %b\r\n" % (status, phrase)
+    return line
+
+
+def parse_fields(block):
+    """(end-to-end fields as they came, the values of the others by lower-case name) of lines that each end in CR LF."""
+    found = _FIELD.findall(block)
+    if len(found) != block.count(b"\n"):
+        raise Malformed("a header line is malformed")
+    fields, own = [], {}
+    for name, value in found:
+        lowered = name.lower()
+        if lowered in HOP_BY_HOP:
+            own.setdefault(lowered, []).append(value.strip(b" \t"))
+        else:
+            fields.append((name, value.rstrip(b" \t")))
+    if b"connection" in own:
+        named = {token.strip(b" \t").lower() for value in own[b"connection"] for token in value.split(b",")}
+        own[b"connection"] = named
+        named = named - {b"close", b"keep-alive", b"host", b""}
+        if named:
+            fields = [field for field in fields if field[0].lower() not in named]
+    return fields, own
+
+
+def body_length(own):
+    """The length told, None if chunked, or -1 if neither is told."""
+    lengths, codings = own.get(b"content-length"), own.get(b"transfer-encoding")
+    if codings is not None:
+        if lengths is not None:
+            raise Malformed("both a length and a transfer coding")
+        if len(codings) != 1 or codings[0].lower() != b"chunked":
+            raise Malformed("a transfer coding other than chunked")
+        return None
+    if lengths is None:
+        return -1
+    if len(lengths) != 1 or not lengths[0].isdigit() or len(lengths[0]) > 15:
+        raise Malformed("a length that is not one number")
+    return int(lengths[0])
+
+
+def join_head(first_line, fields, last):
+    """A header block; a value with a line break in it would be another header, or another message."""
+    head = b"%b%b%b\r\n" % (first_line, b"".join([b"%b: %b\r\n" % field for field in fields]), last)
+    lines = len(fields) + last.count(b"\n") + 2
+    if head.count(b"\n") != lines or head.count(b"\r") != lines:
+        raise Malformed("a line break inside a header")
+    return head
+
+
+class ChunkedDecoder:
+    """Invariant: `rest` is what has not been taken yet; once `done`, it is what came after the body."""
+
+    __slots__ = ("rest", "done", "_left", "_state", "_trailers", "_trailer_limit")
+    SIZE, DATA, DATA_END, TRAILER = range(4)
+
+    def __init__(self, trailer_limit):
+        self.rest, self.done = b"", False
+        self._left, self._state, self._trailers, self._trailer_limit = 0, self.SIZE, 0, trailer_limit
+
+    def feed(self, data):
+        """The pieces of the body in `data`."""
+        if self.rest:
+            data = self.rest + data
+        at, size, state, pieces = 0, len(data), self._state, []
+        while not self.done:
+            if state == self.SIZE:
+                match = _CHUNK.match(data, at, at + CHUNK_LINE_LIMIT)
+                if match is None:
+                    if size - at >= CHUNK_LINE_LIMIT or data.find(b"\n", at) >= 0:
+                        raise Malformed("a chunk's size line is malformed")
+                    break
+                at, self._left = match.end(), int(match[1], 16)
+                state = self.DATA if self._left else self.TRAILER
+            elif state == self.DATA:
+                if size - at < self._left:
+                    if at < size:
+                        pieces.append(data[at:])
+                        self._left -= size - at
+                        at = size
+                    break
+                pieces.append(data[at:at + self._left])
+                at += self._left
+                state = self.DATA_END
+            elif state == self.DATA_END:
+                if not data.startswith(b"\r\n", at):
+                    if size - at >= 2 or (size > at and not data.startswith(b"\r", at)):
+                        raise Malformed("a chunk is longer than its size")
+                    break
+                at += 2
+                state = self.SIZE
+            else:
+                end = data.find(b"\r\n", at)
+                if self._trailers + (size if end < 0 else end) - at > self._trailer_limit:
+                    raise Malformed("trailers are too long")
+                if end < 0:
+                    break
+                self._trailers += end + 2 - at
+                self.done = end == at
+                at = end + 2
+        self._state = state
+        self.rest = data[at:] if at < size else b""
+        return pieces
--- /dev/null
+++ b/packages/oakrelay/oakrelay/front.py
@@ -0,0 +1,508 @@
+"""Callers' side: whole requests read, answers written as they come.
+
+twisted.web's HTTPChannel and Request parse cookies and forms, keep bodies in files, accept more than one reading of a
+length, and cost a gate's slow core several times what the work needs. So this is a protocol of its own over the
+strict grammar in framing.py. One request at a time is read from a connection; the next one waits in its buffer until
+the answer is out.
+"""
+from twisted.internet import defer, protocol
+
+from oakbase.constants import BODIES_LIMIT, EAGER_LIMIT, LINGER_TIME, QUIET_TIME, TRAILER_LIMIT
+from oakbase.env import splitAddress
+from oakbase.tasks import sleep
+from oakrelay.framing import BARE_LINE_FEED, ChunkedDecoder, Malformed, body_length, join_head, parse_fields, status_line
+from oakrelay.framing import HOP_BY_HOP, TOKEN
+from oakrelay.sockets import is_quiet, send_now, set_options
+
+import re
+
+_REQUEST_LINE = re.compile(rb"(" + TOKEN + rb") (/[\x21-\x7e]*) HTTP/1\.1\r\n")
+_HOST = re.compile(rb"([^\s:/?#@\[\],]+|\[[0-9A-Fa-f:.]+\])(?::[0-9]*)?")
+_BODILESS = frozenset((204, 304))
+
+
+class Exchange:
+    """One request, read whole, and its answer. Invariant: an answer looks complete only after `finish`; what is
+    written after the caller has gone is dropped."""
+
+    __slots__ = ("method", "target", "path", "host", "headers", "body", "received_at", "is_gone", "begun", "finished",
+                 "_caller", "_index", "_gone", "_head", "_left", "_chunked", "_silent", "_flushing")
+
+    def __init__(self, caller, method, target, host, headers):
+        self._caller = caller
+        self.method, self.target, self.host, self.headers = method, target, host, headers
+        self.path = target.partition(b"?")[0].decode("ascii")
+        self.body, self.received_at = b"", None
+        self.is_gone = self.begun = self.finished = False
+        self._index = self._gone = self._head = self._left = self._flushing = None
+        self._chunked = self._silent = False
+
+    def header(self, name):
+        """The value of a header, or None; of one that came several times, the values joined by commas."""
+        if self._index is None:
+            self._index = {}
+            for key, value in self.headers:
+                key = key.lower()
+                self._index[key] = self._index[key] + b", " + value if key in self._index else value
+        value = self._index.get(name.lower().encode("latin-1"))
+        return None if value is None else value.decode("latin-1")
+
+    @property
+    def gone(self):
+        """Fires when the caller's connection is lost or closed before the answer is finished."""
+        if self._gone is None:
+            self._gone = defer.Deferred()
+            if self.is_gone:
+                self._gone.callback(None)
+        return self._gone
+
+    @property
+    def is_full(self):
+        """Whether more is waiting for the caller than its connection takes."""
+        return self._caller.full and not self.is_gone
+
+    def start(self, status, headers, length):
+        """The head of the answer; with `length` None the body is chunked. It leaves with the first bytes of the
+        body if they come in the same turn."""
+        if self.begun:
+            raise RuntimeError("the answer has begun already")
+        fields = [field for field in headers if field[0].lower() not in HOP_BY_HOP]
+        self._silent = self.method == "HEAD" or status in _BODILESS
+        self._left = length
+        self._chunked = length is None and not self._silent
+        framing = b"Transfer-Encoding: chunked\r\n" if self._chunked else \
+            b"Content-Length: %d\r\n" % length if length is not None and status != 204 else b""
+        self._head = join_head(status_line(status), fields, framing + self._caller.persistence())
+        self.begun = True
+        if not self.is_gone:
+            self._flushing = self._caller.front.reactor.callLater(0, self._flush)
+
+    def write(self, data):
+        if data and not self.is_gone:
+            self._send(self._framed(data))
+
+    def finish(self, data=b""):
+        if self.finished or self.is_gone:
+            return
+        framed = self._framed(data) if data else b""
+        if self._left and not self._silent:
+            self.abort()
+            raise RuntimeError("the answer is shorter than was told")
+        self._send(framed + b"0\r\n\r\n" if self._chunked else framed)
+        self.finished = True
+        self._caller.answered()
+
+    def abort(self):
+        """Closes the connection, so that the answer cannot look complete."""
+        if not self.finished and not self.is_gone:
+            self._caller.cut_off()
+
+    def reply(self, status, headers, body):
+        self.start(status, headers, len(body))
+        self.finish(body)
+
+    async def wait_writable(self):
+        """Returns once the caller has taken most of what was written, or has gone."""
+        while self.is_full:
+            await self._caller.writable()
+
+    def _framed(self, data):
+        if not self.begun or self.finished:
+            raise RuntimeError("the answer is not open")
+        if self._silent:
+            return b""
+        if self._chunked:
+            return b"%x\r\n%b\r\n" % (len(data), data)
+        self._left -= len(data)
+        if self._left < 0:
+            self.abort()
+            raise RuntimeError("the answer is longer than was told")
+        return data
+
+    def _send(self, data):
+        if self._head is not None:
+            data, self._head = self._head + data, None
+            if self._flushing.active():
+                self._flushing.cancel()
+        if data:
+            send_now(self._caller.transport, data)
+
+    def _flush(self):
+        if self._head is not None and not self.is_gone:
+            self._send(b"")
+
+    def lost(self):
+        self.is_gone = True
+        if self._flushing is not None and self._flushing.active():
+            self._flushing.cancel()
+        if self._gone is not None:
+            self._gone.callback(None)
+
+
+class Caller(protocol.Protocol):
+    """One caller's connection. Invariants: `exchange` is the request being answered, `_reading` the one whose body
+    is being read; never both. Once `_closing`, nothing more is read as a request.
+
+    One timer serves all waits: `_due` says when the present one is over, and a timer that fires early is set anew."""
+
+    def __init__(self, front):
+        self.front = front
+        self.exchange = self._reading = None
+        self.full = False
+        self._buffer, self._scanned = b"", 0
+        self._parts = self._decoder = None
+        self._left = self._size = 0
+        self._limits = None
+        self._due = self._timer = None
+        self._advancing = self._closing = self._paused = False
+        self._last = False
+        self._writers = []
+
+    # --- the connection ---
+
+    def connectionMade(self):
+        set_options(self.transport, probes=False)
+        self.transport.registerProducer(self, True)
+        self.front.callers[self] = None
+        self._wait_idle()
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        self._closing = True
+        self.front.callers.pop(self, None)
+        self._drop_body()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            exchange.lost()
+        self._wake_writers()
+
+    def pauseProducing(self):
+        """The transport's buffer is full."""
+        self.full = True
+        self._wait(self.front.reactor.seconds() + self.front.limits().idle_s)
+
+    def resumeProducing(self):
+        self.full = False
+        if self.exchange is not None:
+            self._due = None
+        self._wake_writers()
+
+    def stopProducing(self):
+        """The transport is lost, and says so by itself."""
+
+    def writable(self):
+        waiting = defer.Deferred()
+        self._writers.append(waiting)
+        return waiting
+
+    def _wake_writers(self):
+        writers, self._writers = self._writers, []
+        for waiting in writers:
+            if not waiting.called:
+                waiting.callback(None)
+
+    # --- time ---
+
+    def _wait(self, due):
+        self._due = due
+        if self._timer is not None:
+            if self._timer.getTime() <= due:
+                return
+            self._timer.cancel()
+        self._timer = self.front.reactor.callLater(max(0.0, due - self.front.reactor.seconds()), self._on_timer)
+
+    def _wait_idle(self):
+        self._limits = None
+        self._wait(self.front.reactor.seconds() + self.front.limits().idle_s)
+
+    def _on_timer(self):
+        self._timer = None
+        if self._due is None:
+            return
+        if self.front.reactor.seconds() < self._due:
+            self._wait(self._due)
+            return
+        self._due = None
+        if self._closing or self.exchange is not None:
+            self.transport.abortConnection()  # it does not take what it is sent
+        elif self._reading is not None or self._buffer:
+            self._refuse(408)
+        else:
+            self.close_idle()
+
+    # --- reading ---
+
+    def dataReceived(self, data):
+        if self._closing:
+            return
+        if self._reading is not None:
+            self._take_body(data)
+            if self._reading is None:
+                self._advance()
+            return
+        self._buffer = self._buffer + data if self._buffer else data
+        if self.exchange is None:
+            self._advance()
+        elif len(self._buffer) > EAGER_LIMIT and not self._paused:
+            self._paused = True
+            self.transport.pauseProducing()
+
+    def _advance(self):
+        if self._advancing:
+            return
+        self._advancing = True
+        try:
+            while self._buffer and self.exchange is None and self._reading is None and not self._closing:
+                if not self._read_head():
+                    break
+        except Malformed as fault:
+            self.front.log.event("requestMalformed", reason=str(fault))
+            self._refuse(400)
+        finally:
+            self._advancing = False
+        if self._paused and self.exchange is None and not self._closing:
+            self._paused = False
+            self.transport.resumeProducing()
+
+    def _read_head(self):
+        """Whether a whole head was taken from the buffer."""
+        if self._limits is None:
+            self._limits = self.front.limits()
+            self._head_due = self.front.reactor.seconds() + self._limits.header_s
+        buffer, limit = self._buffer, self._limits.header_bytes
+        if buffer.startswith(b"\r\n"):  # an empty line before a request is no fault
+            self._buffer = buffer = buffer.lstrip(b"\r\n") if len(buffer) < limit else buffer
+            self._scanned = 0
+            if not buffer:
+                self._wait_idle()
+                return False
+        end = buffer.find(b"\r\n\r\n", max(0, self._scanned - 3))
+        if end < 0 or end + 4 > limit:
+            if BARE_LINE_FEED.search(buffer, max(0, self._scanned - 1), limit):
+                raise Malformed("a line that ends without a carriage return")
+            self._scanned = len(buffer)
+            if end >= 0 or len(buffer) >= limit:
+                self._refuse(431)
+                return False
+            self._wait(self._head_due)
+            return False
+        self._buffer, self._scanned = buffer[end + 4:], 0
+        self._take_head(buffer[:end + 2])
+        return True
+
+    def _take_head(self, head):
+        line = _REQUEST_LINE.match(head)
+        if line is None:
+            raise Malformed("the request line")
+        fields, own = parse_fields(head[line.end():])
+        length = body_length(own)
+        hosts = [value for name, value in fields if name.lower() == b"host"]
+        host = _HOST.fullmatch(hosts[0]) if len(hosts) == 1 else None
+        if host is None:
+            raise Malformed("not exactly one proper Host")
+        exchange = Exchange(self, line[1].decode("ascii"), line[2], host[1].decode("latin-1").lower(), fields)
+        self._last = b"close" in own.get(b"connection", ())
+        if length is not None and length > self._limits.body_bytes:
+            self._refuse(413)
+            return
+        if length is not None and length <= 0:
+            self._begin(exchange)
+            return
+        if length is not None and len(self._buffer) >= length:
+            exchange.body, self._buffer = self._buffer[:length], self._buffer[length:]
+            self._begin(exchange)
+            return
+        if self.front.body_bytes > self.front.bodies_limit:
+            self._refuse(503)
+            return
+        self._reading, self._parts, self._size = exchange, [], 0
+        self._left, self._decoder = length, ChunkedDecoder(TRAILER_LIMIT) if length is None else None
+        data, self._buffer = self._buffer, b""
+        if not data and b"100-continue" in [value.lower() for value in own.get(b"expect", ())]:
+            send_now(self.transport, b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._take_body(data)
+
+    def _take_body(self, data):
+        self._wait(self.front.reactor.seconds() + self._limits.idle_s)
+        if self._decoder is None:
+            pieces = [data[:self._left]]
+            self._left -= len(pieces[0])
+            done, rest = not self._left, data[len(pieces[0]):]
+        else:
+            try:
+                pieces = self._decoder.feed(data)
+            except Malformed as fault:
+                self.front.log.event("requestMalformed", reason=str(fault))
+                self._refuse(400)
+                return
+            done, rest = self._decoder.done, self._decoder.rest
+        size = sum(map(len, pieces))
+        self._size += size
+        self.front.body_bytes += size
+        self._parts += pieces
+        if self._size > self._limits.body_bytes:
+            self._refuse(413)
+            return
+        if done:
+            exchange = self._reading
+            exchange.body, self._buffer = b"".join(self._parts), rest
+            self._drop_body()
+            self._begin(exchange)
+
+    def _drop_body(self):
+        self.front.body_bytes -= self._size
+        self._reading = self._parts = self._decoder = None
+        self._size = 0
+
+    # --- answering ---
+
+    def _begin(self, exchange):
+        self._due = None
+        self.exchange = exchange
+        exchange.received_at = self.front.reactor.seconds()
+        self.front.begin(exchange)
+
+    def persistence(self):
+        """What the answer's head says of the connection."""
+        self._last = self._last or self.front.stopping and not self._buffer
+        if self._last:
+            return b"Connection: close\r\n"
+        return b"Keep-Alive: timeout=%d\r\n" % max(1, int(self.front.limits().idle_s) - 1)
+
+    def answered(self):
+        self.exchange = None
+        if self._last:
+            self._close(linger=bool(self._buffer) or self._paused)
+            return
+        if self._buffer:
+            self._limits = None
+            self._advance()
+            return
+        self._wait_idle()
+
+    def cut_off(self):
+        """What was written still leaves, but the answer stays without its end."""
+        exchange, self.exchange = self.exchange, None
+        self._close(linger=False)
+        exchange.lost()
+
+    def _refuse(self, status):
+        """An answer of the protocol itself, to what did not become a request; nothing after it is read."""
+        self.front.refused[status] = self.front.refused.get(status, 0) + 1
+        self._drop_body()
+        if not self._closing:
+            send_now(self.transport, b"%bContent-Length: 0\r\nConnection: close\r\n\r\n" % status_line(status))
+            self._close(linger=True)
+
+    def _close(self, linger):
+        """With `linger` the caller's rest is read and dropped for a while: closing with unread bytes would reset the
+        connection and could take the answer with it."""
+        self._closing = True
+        self._buffer = b""
+        self.transport.unregisterProducer()
+        self._wait(self.front.reactor.seconds() + LINGER_TIME)
+        if linger:
+            if self._paused:
+                self._paused = False
+                self.transport.resumeProducing()
+            self.transport.loseWriteConnection()
+            return
+        self.transport.loseConnection()
+
+    @property
+    def is_idle(self):
+        return self.exchange is None and self._reading is None and not self._buffer and not self._closing
+
+    def close_idle(self):
+        """Closes a connection between two requests, unless one has just come."""
+        if not self.is_idle:
+            return
+        if not is_quiet(self.transport):
+            self.transport.doRead()
+            if not self.is_idle:
+                return
+        if not self._closing:
+            self._close(linger=False)
+
+
+class _Callers(protocol.Factory):
+    noisy = False
+
+    def __init__(self, front):
+        self._front = front
+
+    def buildProtocol(self, _address):
+        return Caller(self._front)
+
+
+class Front:
+    """The listening side of a gate. `handler(exchange)` is a coroutine function that answers; `limits()` gives
+    header_bytes, body_bytes, header_s and idle_s as they are now; above `bound` requests at a time `refuse(exchange)`
+    answers, and `on_crash(exchange, error)` where the handler failed before it began an answer."""
+
+    def __init__(self, reactor, address, handler, limits, log, bound, refuse=None, on_crash=None,
+                 bodies_limit=BODIES_LIMIT):
+        self.reactor, self.address, self.handler, self.limits, self.log = reactor, address, handler, limits, log
+        self.bound, self.bodies_limit = bound, bodies_limit
+        self._refuse = refuse or (lambda exchange: exchange.reply(503, [(b"Retry-After", b"1")], b""))
+        self._on_crash = on_crash or (lambda exchange, error: exchange.reply(500, [], b""))
+        self.callers = {}
+        self.refused = {}
+        self.running = 0
+        self.body_bytes = 0
+        self.stopping = False
+        self._port = None
+
+    def listen(self):
+        host, port = splitAddress(self.address)
+        self._port = self.reactor.listenTCP(port, _Callers(self), backlog=1024, interface=host)
+
+    def begin(self, exchange):
+        if self.running >= self.bound:
+            self._refuse(exchange)
+            return
+        self.running += 1
+        defer.ensureDeferred(self._run(exchange))
+
+    async def _run(self, exchange):
+        try:
+            await self.handler(exchange)
+            if not exchange.finished and not exchange.is_gone:
+                raise RuntimeError("the handler gave no whole answer")
+        except Exception as error:
+            self._crashed(exchange, error)
+        finally:
+            self.running -= 1
+
+    def _crashed(self, exchange, error):
+        self.log.event("exchangeCrashed", path=exchange.path, error=repr(error))
+        if exchange.finished or exchange.is_gone:
+            return
+        if exchange.begun:
+            exchange.abort()
+            return
+        try:
+            self._on_crash(exchange, error)
+        except Exception as second:
+            self.log.event("exchangeCrashed", path=exchange.path, error=repr(second))
+            exchange.abort()
+
+    async def stop(self, grace_s):
+        """Returns once every request under way is answered or the grace is over. Whoever waits to be accepted is let
+        in; a kept connection is closed once it has been quiet for a while."""
+        self.stopping = True
+        ends_at = self.reactor.seconds() + grace_s
+        if self._port is not None:
+            self._port.doRead()  # closing would reset those who wait to be accepted
+            await defer.maybeDeferred(self._port.stopListening)
+            self._port = None
+        quiet_since = self.reactor.seconds()
+        while (self.callers or self.running) and self.reactor.seconds() < ends_at:
+            if self.reactor.seconds() - quiet_since >= QUIET_TIME:
+                for caller in [caller for caller in self.callers if caller.is_idle]:
+                    caller.close_idle()
+            await sleep(self.reactor, QUIET_TIME / 10)
+        for caller in list(self.callers):
+            caller.transport.abortConnection()
