--- a/packages/oakcontrol/oakcontrol/places.py
+++ b/packages/oakcontrol/oakcontrol/places.py
@@ -1,32 +1,65 @@
 """The published key `replicas`: what the platform lists."""
-from oakbase.checks import NAME, checkFields, oneOf, packJson
+from schema import Optional, Or
+
+from oakbase.checks import NAME, checkFields, faultsOf, oneOf, packJson, whole
+from oakbase.constants import NAME_LIMIT
 from oakbase.env import ADDRESS
 from oakbase.verdict import BadRequest, Unknown
 from oakcontrol.controllers import CONTROLLERS, Controller
 
 REPLICAS_KEY = "replicas"
-REPLICA = {"id": NAME, "address": ADDRESS, "pool": NAME, "state": oneOf("ready", "leaving")}
+LABEL = Or(None, lambda text: isinstance(text, str) and len(text) <= NAME_LIMIT,
+           error=f"must be a text of at most {NAME_LIMIT} characters")
+REPLICA = {
+    "id": NAME, "address": ADDRESS, "pool": NAME, "state": oneOf("ready", "leaving"),
+    Optional("zone"): LABEL,
+    Optional("slots"): Or(None, whole(1, 1 << 31), error="must be a whole number above 0"),
+    Optional("cold_s"): Or(None, lambda number: type(number) in (int, float) and number >= 0,
+                           error="must be a number of seconds"),
+    Optional("version_label"): LABEL,
+}
+NEEDED = [key for key in REPLICA if not isinstance(key, Optional)]
+BESIDES = [key.schema for key in REPLICA if isinstance(key, Optional)]
+
+
+def readable(row):
+    """The row with what is known of a replica, or None if that does not say what it is. What is only told besides
+    and cannot be read is left out."""
+    row = {name: row[name] for name in (*NEEDED, *BESIDES) if row.get(name) is not None}
+    faulty = {fault.partition(":")[0] for fault in faultsOf(REPLICA, row)}
+    return None if faulty & set(NEEDED) else {name: value for name, value in row.items() if name not in faulty}
 
 
 def _state(view, key):
     return view.get(key) or {"version": 0, "replicas": {}}
 
 
-# replicas. Invariant: a replica once known to be leaving stays so until the list has dropped it.
+# replicas. Invariants: a replica once known to be leaving stays so until the list has dropped it; how long it is cold
+# stands as it was first told until it is over, so that the time that passes is not news.
+
+def _stands(row, former):
+    if former is None:
+        return row
+    if former["state"] == "leaving":
+        row = row | {"state": "leaving"}
+    if row.get("cold_s") and former.get("cold_s"):
+        row = row | {"cold_s": former["cold_s"]}
+    return row
+
 
 def _setList(view, key, arguments):
     checkFields({"replicas": list}, arguments)
-    for row in arguments["replicas"]:
-        checkFields(REPLICA, row)
     state = _state(view, key)
-    replicas = {row["id"]: row for row in arguments["replicas"]}
+    former = state["replicas"]
+    replicas = {row["id"]: _stands(row, former.get(row["id"])) for row in arguments["replicas"]}
     if len(replicas) != len(arguments["replicas"]):
         raise BadRequest("a replica is listed twice")
+    if replicas == former:
+        return {"version": state["version"]}
     for replicaId, row in replicas.items():
-        if state["replicas"].get(replicaId, row)["state"] == "leaving":
-            replicas[replicaId] = row | {"state": "leaving"}
-    if replicas != state["replicas"]:
-        view.put(key, {"version": state["version"] + 1, "replicas": replicas})
+        if row != former.get(replicaId):
+            checkFields(REPLICA, row)
+    view.put(key, {"version": state["version"] + 1, "replicas": replicas})
     return {"version": state["version"]}
 
 
--- a/packages/oakcontrol/oakcontrol/platform.py
+++ b/packages/oakcontrol/oakcontrol/platform.py
@@ -5,56 +5,153 @@
 when a majority of the roster itself says that it cannot reach the platform, the round counts as finished without
 a list: then nobody can know better, and the platform's outage does not become everybody's. Otherwise the news of
 the replicas grow old, and gates carry nothing that depends on them.
+
+A look costs a call for each page of the list, and the platform takes so many a second from the whole fleet. So looks
+are as far apart as the bound for leaving replicas allows, and further if the list is long for the rate; a platform
+that says "too often" is there, and is asked again within the round.
 """
 import json
+from collections import Counter
 
 from twisted.internet.defer import ensureDeferred
 
-from oakbase.checks import faultsOf, packJson
-from oakbase.constants import PLATFORM_CALL, PLATFORM_HEDGE, PLATFORM_LIMIT, PLATFORM_PAUSE, PLATFORM_TIME
+from oakbase.checks import packJson, parseJson
+from oakbase.constants import (PLATFORM_BACKOFF, PLATFORM_BOUND_SHARE, PLATFORM_CALL, PLATFORM_HEDGE, PLATFORM_LIMIT,
+                               PLATFORM_PAGES, PLATFORM_PAUSE, PLATFORM_PAUSE_MOST, PLATFORM_RATE_SHARE,
+                               PLATFORM_TICKS, PLATFORM_TIME)
 from oakbase.fetch import WebClient
-from oakbase.tasks import quorumOf, shielded, within
+from oakbase.tasks import quorumOf, shielded, sleep, within
 from oakbase.verdict import CannotTell, OakError, PlatformAway
 from oakcontrol.duty import Duty
-from oakcontrol.places import REPLICA, REPLICAS_KEY
+from oakcontrol.places import REPLICAS_KEY, readable
+
+TOO_OFTEN = 429
+STATES = ("ready", "leaving")
+
+
+class PlainList:
+    """The product's own form of the list: one page."""
+
+    @staticmethod
+    def list_target(_token):
+        return "/replicas"
+
+    @staticmethod
+    def rows_of(body):
+        rows = parseJson(body, PLATFORM_LIMIT, "list").get("replicas")
+        if not isinstance(rows, list):
+            raise PlatformAway("the list has no replicas")
+        return rows, None
+
+
+class RowReader:
+    """Makes the list's rows safe to take in. Invariant: each oddity is told when it begins or changes, not at each look."""
+
+    def __init__(self, log):
+        self._log = log
+        self._known = {}
+        self._told = {}
+
+    def read(self, rows):
+        """A row for each replica that can be made out. One bad row must not hide what the others say."""
+        odd = {"unreadable": [], "unknownState": [], "twice": [], "sharedAddress": []}
+        known, good = {}, {}
+        for row in rows:
+            name = str(row.get("id")) if isinstance(row, dict) else "?"
+            raw, read = self._known.get(name, (None, None))
+            if raw != row or raw is None:
+                read = self._read(row)
+            if read is None:
+                odd["unreadable"].append(name)
+                continue
+            known[name] = (row, read)
+            if row.get("state") not in STATES:
+                odd["unknownState"].append(name)
+            if name in good:
+                odd["twice"].append(name)
+                read = read if read["state"] == "leaving" else good[name]
+            good[name] = read
+        pools = {(row["address"], row["pool"]) for row in good.values()}
+        shared = Counter(address for address, _ in pools)
+        odd["sharedAddress"] = [address for address, count in shared.items() if count > 1]
+        self._known = known
+        self._tell(odd)
+        return list(good.values())
+
+    @staticmethod
+    def _read(row):
+        if not isinstance(row, dict):
+            return None
+        # What is not known to be ready gets nothing new.
+        state = row.get("state")
+        return readable(row | {"state": "leaving"} if state is not None and state not in STATES else row)
+
+    def _tell(self, odd):
+        for why, names in odd.items():
+            names = sorted(names)
+            if names != self._told.get(why, []):
+                self._log.event("platformRows", why=why, rows=len(names), first=",".join(names[:4]))
+            self._told[why] = names
 
 
 class PlatformWatch(Duty):
     """Invariant: `owners.pollTimes[replicas]` is when the last finished round began. `reachable` is what this node's
     own last look found; only the owner, and whom it asks, looks."""
 
-    def __init__(self, node, owners, voter, address):
-        super().__init__(node, owners, REPLICAS_KEY, PLATFORM_PAUSE)
+    def __init__(self, node, owners, voter, address, dialect=None):
+        bounds = node.env.get("bounds") or {}
+        self._pause = (min(PLATFORM_PAUSE_MOST, bounds["leaving_s"] * PLATFORM_BOUND_SHARE) if "leaving_s" in bounds
+                       else PLATFORM_PAUSE)
+        super().__init__(node, owners, REPLICAS_KEY, self._pause / PLATFORM_TICKS)
         self._voter, self._address = voter, address
+        self._list_form = dialect or PlainList
         self._client = WebClient(node.reactor, node.env["http"].rpartition(":")[0])
+        self._rows = RowReader(node.log)
         self.reachable = True
-        self._unreadable = 0
+        self._pages = 1
+        self._ids = frozenset()
+        self._due, self._due_for = float("-inf"), None
+        self.settings_changed(node.env)
         owners.pollTimes[REPLICAS_KEY] = float("-inf")
         node.net.handle("platformList", self._serveList)
 
+    def settings_changed(self, env):
+        """Takes what may change while the node runs."""
+        self._address = env.get("platform") or self._address
+        self._rate = env.get("platformRate")
+
+    def _page_pause(self):
+        """Seconds from one page to the next, so that a long list keeps to the fleet's share of the rate."""
+        return 1 / (self._rate * PLATFORM_RATE_SHARE) if self._rate else 0.0
+
+    def _paging_time(self):
+        return (self._pages - 1) * self._page_pause()
+
     async def _work(self, owner):
-        askedAt = self._node.reactor.seconds()
-        rows = await self._list()
-        if rows is not None:
-            await owner.do(REPLICAS_KEY, "setList", {"replicas": self._readable(rows)})
+        now = self._node.reactor.seconds()
+        if owner is self._due_for and now < self._due:
+            return
+        tick = self._pause / PLATFORM_TICKS
+        self._due_for, self._due = owner, now + max(self._pause, self._pages * self._page_pause()) - tick
+        try:
+            rows = await self._list()
+            if rows is not None:
+                await owner.do(REPLICAS_KEY, "setList", {"replicas": self._rows.read(rows)})
+        except OakError:
+            self._due = self._node.reactor.seconds() + tick
+            raise
         if not owner.ended:
-            self._owners.pollTimes[REPLICAS_KEY] = askedAt
-
-    def _readable(self, rows):
-        """The rows that say what a replica is. One bad row must not hide what the others say."""
-        rows = [{name: row.get(name) for name in REPLICA} if isinstance(row, dict) else {} for row in rows]
-        good = {row["id"]: row for row in rows if not faultsOf(REPLICA, row)}
-        if len(rows) - len(good) != self._unreadable:
-            self._unreadable = len(rows) - len(good)
-            self._node.log.event("platformRowsUnreadable", rows=self._unreadable)
-        return list(good.values())
+            self._owners.pollTimes[REPLICAS_KEY] = now
 
     async def _list(self):
         """The platform's rows, read by whoever reaches it; None if a majority of the roster cannot."""
         own = ensureDeferred(self._read())
         try:
             if self.reachable:
-                return await within(self._node.reactor, PLATFORM_HEDGE, shielded(own))
+                return await within(self._node.reactor, PLATFORM_HEDGE + self._paging_time(), shielded(own))
+        except CannotTell:
+            own.addErrback(lambda _: None)
+            raise  # it was asked too often, so the others need not ask too
         except OakError:
             pass
         roster = self._voter.roster
@@ -69,16 +166,19 @@
         raise CannotTell(f"only {len(away)} of the roster say that they cannot reach the platform")
 
     async def _ask(self, address):
-        return json.loads(await self._node.net.call(address, "platformList", PLATFORM_CALL))
+        return json.loads(await self._node.net.call(address, "platformList", PLATFORM_CALL + self._paging_time()))
 
     async def _serveList(self, _peer, _arguments):
         return packJson(await self._read()).decode()
 
+    # --- reading ---
+
     async def _read(self):
         try:
-            status, answer = await self._client.json("GET", self._address, "/replicas", None, PLATFORM_TIME,
-                                                     PLATFORM_LIMIT)
-            reason = "" if status == 200 and isinstance(answer.get("replicas"), list) else f"status {status}"
+            rows = await self._pages_of_list()
+            reason = ""
+        except CannotTell:
+            raise  # it is there, and said that it was asked too often
         except OakError as error:
             reason = error.reason
         if self.reachable != (not reason):
@@ -86,4 +186,51 @@
             self._node.log.event("platformReachable" if self.reachable else "platformUnreachable", reason=reason)
         if reason:
             raise PlatformAway(f"the platform cannot be read from here: {reason}")
-        return answer["replicas"]
+        return rows
+
+    async def _pages_of_list(self):
+        """All rows. Between two pages of a list that changes an entry may slip through; so if one is missing that was
+        there before, a long list is read once more before that is believed."""
+        rows, pages = await self._read_pages()
+        ids = frozenset(self._ids_of(rows))
+        if pages > 1 and not self._ids <= ids:
+            again, pages = await self._read_pages()
+            missing = ids - frozenset(self._ids_of(again))
+            rows = again + [row for row in rows if isinstance(row, dict) and row.get("id") in missing]
+            ids = frozenset(self._ids_of(again))
+        self._ids, self._pages = ids, pages
+        return rows
+
+    @staticmethod
+    def _ids_of(rows):
+        return (row["id"] for row in rows if isinstance(row, dict) and isinstance(row.get("id"), str))
+
+    async def _read_pages(self):
+        rows, token, seen = [], None, set()
+        while True:
+            page, token = await self._page(token)
+            rows += page
+            if token is None:
+                return rows, len(seen) + 1
+            if token in seen or len(seen) >= PLATFORM_PAGES:
+                raise PlatformAway("the list does not end")
+            seen.add(token)
+            await sleep(self._node.reactor, self._page_pause())
+
+    async def _page(self, token):
+        """One page. The platform may say that it was asked too often: then it is asked again while that can still
+        keep the news fresh, each time after twice the pause."""
+        reactor = self._node.reactor
+        ends_at, backoff = reactor.seconds() + self._pause, PLATFORM_BACKOFF
+        while True:
+            status, body = await self._client.data("GET", self._address, self._list_form.list_target(token), None,
+                                                   PLATFORM_TIME, PLATFORM_LIMIT)
+            if status == 200:
+                return self._list_form.rows_of(body)
+            if status != TOO_OFTEN:
+                raise PlatformAway(f"status {status}")
+            pause = backoff * (1 + self._node.random.random())
+            if reactor.seconds() + pause > ends_at:
+                raise CannotTell("the platform says that it is asked too often")
+            await sleep(reactor, pause)
+            backoff *= 2
