--- a/packages/oakbase/oakbase/web.py
+++ b/packages/oakbase/oakbase/web.py
@@ -1,4 +1,6 @@
 """JSON over HTTP with twisted.web: routes, body limits, errors with their verdict."""
+from io import BytesIO
+
 from twisted.internet import defer
 from twisted.protocols import policies
 from twisted.web import resource, server
@@ -13,23 +15,23 @@
 class _Request(server.Request):
     """Refuses a body that is too large while it arrives, before it fills memory or disk."""
 
+    bodyLimit = BODY_LIMIT
     _arrived = 0
 
     def gotLength(self, length):
-        if length is not None and length > BODY_LIMIT:
+        if length is not None and length > self.bodyLimit:
             self._refuse()
-            length = 0
-        super().gotLength(length)
+        self.content = BytesIO()  # the limit bounds it, so it needs no file
 
     def handleContentChunk(self, data):
         self._arrived += len(data)
-        if self._arrived > BODY_LIMIT:
+        if self._arrived > self.bodyLimit:
             self._refuse()
             return
         super().handleContentChunk(data)
 
     def _refuse(self):
-        body = packJson(TooLarge(f"body is over {BODY_LIMIT} bytes").toJson()) + b"\n"
+        body = packJson(TooLarge(f"body is over {self.bodyLimit} bytes").toJson()) + b"\n"
         self.channel.transport.write(
             b"HTTP/1.1 413 Request Entity Too Large\r\nContent-Type: application/json\r\nConnection: close\r\n"
             b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
@@ -64,7 +66,7 @@
         self.request.setHeader(b"content-type", b"text/plain" if isinstance(value, bytes) else b"application/json")
         self.request.setHeader(b"content-length", b"%d" % len(body))
         if retryAfter is not None:
-            self.request.setHeader(b"retry-after", b"%d" % retryAfter)
+            self.request.setHeader(b"retry-after", b"%g" % retryAfter)
         self.request.write(body)
         self.request.finish()
 
@@ -78,14 +80,15 @@
 
     isLeaf = True
 
-    def __init__(self, reactor, address, log, limit):
+    def __init__(self, reactor, address, log, limit, bodyLimit=BODY_LIMIT):
         super().__init__()
         self._reactor, self._address, self._log, self._limit = reactor, address, log, limit
         self._routes = []
         self.running = 0
         self._port = None
         self.stopping = False
-        self.site = server.Site(self, requestFactory=_Request, reactor=reactor, timeout=IDLE_CALLER_TIME)
+        self.site = server.Site(self, requestFactory=type("Request", (_Request,), {"bodyLimit": bodyLimit}),
+                                reactor=reactor, timeout=IDLE_CALLER_TIME)
         self.site.noisy = False
         self.site.displayTracebacks = False
         self._connections = policies.WrappingFactory(self.site)
--- a/packages/oakcontrol/oakcontrol/control.py
+++ b/packages/oakcontrol/oakcontrol/control.py
@@ -3,10 +3,13 @@
 
 from oakbase.constants import ACCEPT_INBOX, SLOTS
 from oakbase.metrics import Metrics
+from oakbase.tasks import settled
 from oakbase.web import Web
-from oakcontrol import blueprint, budget, claim, places, roster, storeset  # noqa: F401  each enters its controller
+from oakcontrol import (  # noqa: F401  each enters its controller
+    allowance, blueprint, budget, claim, places, roster, routing, storeset)
 from oakcontrol.admin import Admin
 from oakcontrol.client import OwnerClient
+from oakcontrol.operator import Operator
 from oakcontrol.owner import Owners
 from oakcontrol.platform import PlatformWatch
 from oakcontrol.roster import RosterWatch
@@ -25,7 +28,7 @@
 class ControlNode:
     slotCount = SLOTS
 
-    def __init__(self, reactor, env, disk, random, sink, wall=time.time):
+    def __init__(self, reactor, env, disk, random, sink, wall=time.time, dialect=None):
         self.node = Node(reactor, "control", env, random, sink, disk, wall)
         self.ring = Ring(disk, self.node.log, env.get("ringFileSize"), seconds=reactor.seconds)
         self.voter = Voter(self.node, self.ring)
@@ -35,6 +38,7 @@
         self.rosterWatch = RosterWatch(self.node, self.voter, self.owners)
         self.storeWatch = StoreSetWatch(self.node, self.owners)
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
+        self.operator = Operator(self, dialect) if dialect is not None and env.get("operator") else None
         self.metrics = Metrics()
         serveMetrics(self.web, self.metrics)
         Admin(self)
@@ -51,6 +55,8 @@
         self.storeWatch.start()
         self.rosterWatch.start()
         self.web.listen()
+        if self.operator:
+            self.operator.listen()
         if self.platform:
             self.platform.start()
 
@@ -59,7 +65,7 @@
         if self.platform:
             self.platform.stop()
         self.storeWatch.stop()
-        await self.web.stop()
+        await settled([web.stop() for web in (self.web, self.operator) if web])
         await self.owners.stop()
         self.rosterWatch.stop()
         self.voter.stop()
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -34,6 +34,10 @@
         value = self._layers.get(key)
         return None if value is None else unpackEntry(value)
 
+    def packed(self, key):
+        """The entry as it is kept, for who passes it on or compares it as it is."""
+        return self._layers.get(key)
+
     def put(self, key, value):
         self._layers.maps[0][key] = packEntry(value)
 
@@ -221,7 +225,8 @@
         self._tasks[1].stop()
 
     def contextFor(self, owner):
-        return Context(self.reactor.seconds(), self._node.members, owner.marks, self._voter.roster, self._node.board)
+        return Context(self.reactor.seconds(), self._node.members, owner.marks, self._voter.roster, self._node.board,
+                       self._node.env.get("bounds"))
 
     # --- the majority ---
 
@@ -500,10 +505,12 @@
 
 class Context:
     """What a command may look at besides entries: the owner's monotonic time, the members, the news that this
-    node has, and marks, which live only as long as this ownership: key -> time since which the key counts."""
+    node has, the deployment's bounds, and marks, which live only as long as this ownership: key -> time since which the
+    key counts."""
 
-    def __init__(self, now, members, marks, roster, board):
+    def __init__(self, now, members, marks, roster, board, bounds=None):
         self.now, self.members, self.marks, self.roster, self.board = now, members, marks, roster, board
+        self.bounds = bounds or {}
 
     def ageOf(self, key):
         return self.now - self.marks.setdefault(key, self.now)
--- /dev/null
+++ b/packages/oakcontrol/oakcontrol/routing.py
@@ -0,0 +1,261 @@
+"""The key `routing`: the operator's one configuration, changed by compare-and-set on its version.
+
+The document is the operator's own and opaque here; what it means is the dialect's to say. It is kept in pieces, so
+that a change costs what changed, on the disks and in the news: a piece for each named item of a top-level list, one for
+the order of each such list, and one for all the rest.
+
+Entries of `routing`:  itself: {version, lists, taken};  #piece/<name>: a piece;  #taken/<fingerprint>: the version that
+this exact change made;  #turn/<n>: the fingerprint in this place of a ring of CHANGES_REMEMBERED places.
+Invariants: `version` rises with every change; `lists` are the top-level lists kept by items, and each has its order;
+`taken` counts the changes, and the fingerprints of the last CHANGES_REMEMBERED of them are known.
+
+A change that is asked for again by its fingerprint was taken or not, whatever came after it: the first to build on a
+version makes that version past, so of two different changes one is lost, and what was lost can never be taken later.
+"""
+from urllib.parse import quote, unquote
+
+from schema import Optional
+
+from oakbase.checks import NAME, checkFields, whole
+from oakbase.constants import CHANGES_REMEMBERED
+from oakbase.verdict import Invalid, Lost
+from oakcontrol.controllers import CONTROLLERS, Controller
+from oakcontrol.slots import packEntry, unpackEntry
+
+ROUTING_KEY = "routing"
+VERSION = whole(0, 1 << 53)
+REST = "rest"
+ORDER = "order:"  # before a list's name; never part of a quoted name
+VERSION_PIECE = "version"  # only in the news
+FAULTS_TOLD = 50  # of one document, in an answer
+
+
+# --- documents and their pieces -------------------------------------------------
+
+def _quoted(name):
+    return quote(name, safe="", errors="surrogatepass")
+
+
+def is_named_list(value):
+    """Whether this is a list of objects, each with a name of its own."""
+    if not isinstance(value, list) or not all(isinstance(item, dict) for item in value):
+        return False
+    names = [item.get("name") for item in value]
+    return all(isinstance(name, str) for name in names) and len(set(names)) == len(names)
+
+
+def _item_piece(list_name, name):
+    return f"{_quoted(list_name)}/{_quoted(name)}"
+
+
+def pieces_of(document):
+    """Piece name -> value. Names are unambiguous: only an item's has a slash, only an order's a colon."""
+    lists = {name: value for name, value in document.items() if is_named_list(value)}
+    pieces = {REST: {name: value for name, value in document.items() if name not in lists}}
+    pieces |= {f"{ORDER}{_quoted(list_name)}": [item["name"] for item in items]
+               for list_name, items in lists.items()}
+    return pieces | {_item_piece(list_name, item["name"]): item
+                     for list_name, items in lists.items() for item in items}
+
+
+def document_of(pieces):
+    """The document that these pieces were made of."""
+    orders = {unquote(name.removeprefix(ORDER), errors="surrogatepass"): names
+              for name, names in pieces.items() if name.startswith(ORDER)}
+    return pieces[REST] | {list_name: [pieces[_item_piece(list_name, name)] for name in names]
+                           for list_name, names in orders.items()}
+
+
+def document_from(values):
+    """(version, document) of the published items, as a board has them; (0, None) without any."""
+    if VERSION_PIECE not in values:
+        return 0, None
+    pieces = {name: unpackEntry(value) for name, value in values.items()}
+    return pieces[VERSION_PIECE], document_of(pieces)
+
+
+# --- patches ----------------------------------------------------------------------
+
+def apply_patch(document, upsert, remove):
+    """The document with these items added, replaced or removed by name; replaced ones keep their places.
+
+    Refused is what cannot be read as named items, or says two things of one name. A list that is not there yet begins
+    with what is added to it, and the removal of what is not there has nothing to do: neither is among the faults of a
+    configuration, and the result is checked as a whole by whoever knows its terms."""
+    faults = [fault for part, changes in (("upsert", upsert), ("remove", remove))
+              for fault in _patch_faults(document, part, changes)]
+    if faults:
+        raise Invalid("; ".join(faults[:FAULTS_TOLD]), detail=faults[:FAULTS_TOLD])
+    added = {list_name: {item["name"]: item for item in items} for list_name, items in upsert.items()}
+    faults = [f"{list_name}: {name} is both to be there and to be removed"
+              for list_name, names in remove.items() for name in names if name in added.get(list_name, ())]
+    if faults:
+        raise Invalid("; ".join(faults[:FAULTS_TOLD]), detail=faults[:FAULTS_TOLD])
+    changed = {}
+    for list_name in sorted(upsert.keys() | (remove.keys() & document.keys())):
+        gone = set(remove.get(list_name, ()))
+        items = {item["name"]: item for item in document.get(list_name, ()) if item["name"] not in gone}
+        changed[list_name] = list((items | added.get(list_name, {})).values())
+    return document | changed
+
+
+def _patch_faults(document, part, changes):
+    if not isinstance(changes, dict):
+        return [f"{part}: must be an object of lists"]
+    faults = [f"{list_name}: is no list of named items" for list_name in changes
+              if list_name in document and not is_named_list(document[list_name])]
+    if part == "upsert":
+        return faults + [f"upsert.{list_name}: must be a list of items, each with a name of its own"
+                         for list_name, items in changes.items() if not is_named_list(items)]
+    return faults + [f"remove.{list_name}: must be a list of names" for list_name, names in changes.items()
+                     if not isinstance(names, list) or not all(isinstance(name, str) for name in names)]
+
+
+# --- the table in the product's terms ----------------------------------------------
+
+def table_faults(table):
+    """What makes a routing table invalid, whatever terms it was written in."""
+    seen, faults = {}, []
+    for route in table["routes"]:
+        name, place = route["name"], (host_of(route["host"]), route["path_prefix"])
+        if place in seen:
+            faults.append(f"{name}: shares host and prefix with {seen[place]}")
+        seen.setdefault(place, name)
+        faults += [f"{name}: names {service}, which is no service" for service, _ in route["backends"]
+                   if service not in table["services"]]
+        if any(weight < 0 for _, weight in route["backends"]):
+            faults.append(f"{name}: has a weight below 0")
+        if not sum(weight for _, weight in route["backends"]) > 0:
+            faults.append(f"{name}: its weights add up to nothing")
+        if not route["timeout_s"] > 0:
+            faults.append(f"{name}: has no time")
+    return faults
+
+
+def check_table(table):
+    faults = table_faults(table)
+    if faults:
+        raise Invalid("; ".join(faults[:FAULTS_TOLD]), detail=faults[:FAULTS_TOLD])
+    return table
+
+
+def host_of(authority):
+    """A host as routes are found by it: without port, in lower case."""
+    host, separator, port = authority.rpartition(":")
+    return (host if separator and port.isdigit() else authority.removesuffix(":")).lower()
+
+
+# --- the owned key -----------------------------------------------------------------
+
+def _head(view):
+    return view.get(ROUTING_KEY) or {"version": 0, "lists": [], "taken": 0}
+
+
+def _row(piece):
+    return f"{ROUTING_KEY}#piece/{piece}"
+
+
+def _taken_row(fingerprint):
+    return f"{ROUTING_KEY}#taken/{fingerprint}"
+
+
+def _piece_names(view, head):
+    """The names of all pieces, by what the entries themselves say: changes of one batch see each other's."""
+    if not head["version"]:
+        return []
+    orders = {list_name: view.get(_row(f"{ORDER}{_quoted(list_name)}")) for list_name in head["lists"]}
+    return [REST, *(f"{ORDER}{_quoted(list_name)}" for list_name in orders),
+            *(_item_piece(list_name, name) for list_name, names in orders.items() for name in names)]
+
+
+def _read(view, _key, arguments):
+    """The newest version, and its document unless the asker knows it."""
+    checkFields({Optional("known"): VERSION}, arguments)
+    head = _head(view)
+    if head["version"] in (0, arguments.get("known")):
+        return {"version": head["version"]}
+    pieces = {piece: view.get(_row(piece)) for piece in _piece_names(view, head)}
+    return {"version": head["version"], "document": document_of(pieces)}
+
+
+def _known(view, fingerprint):
+    """The version that this exact change made, or None."""
+    return view.get(_taken_row(fingerprint))
+
+
+def _check_base(head, arguments):
+    if arguments["based_on"] != head["version"]:
+        raise Lost(f"built on version {arguments['based_on']}, the newest is {head['version']}",
+                   detail={"version": head["version"]})
+
+
+def _check_version(head, arguments):
+    if arguments["version"] <= head["version"]:
+        fault = f"version {arguments['version']} is not above {head['version']}"
+        raise Invalid(fault, detail=[fault])
+
+
+CHANGE = {"based_on": VERSION, "version": whole(1, 1 << 53), "fingerprint": NAME}
+
+
+def _put(view, _key, arguments):
+    """A whole document."""
+    checkFields(CHANGE | {"document": dict}, arguments)
+    known = _known(view, arguments["fingerprint"])
+    if known is not None:
+        return {"version": known}
+    head = _head(view)
+    _check_base(head, arguments)
+    _check_version(head, arguments)
+    former = dict.fromkeys(_piece_names(view, head))
+    return _take(view, head, arguments, former | pieces_of(arguments["document"]))
+
+
+def _change(view, _key, arguments):
+    """Only the pieces that differ from the version built on; None removes one."""
+    checkFields(CHANGE | {"pieces": dict}, arguments)
+    known = _known(view, arguments["fingerprint"])
+    if known is not None:
+        return {"version": known}
+    head = _head(view)
+    _check_base(head, arguments)
+    _check_version(head, arguments)
+    return _take(view, head, arguments, arguments["pieces"])
+
+
+def _take(view, head, arguments, changed):
+    for piece, value in changed.items():
+        if view.packed(_row(piece)) != packEntry(value):
+            view.put(_row(piece), value)
+    orders = {unquote(piece.removeprefix(ORDER), errors="surrogatepass"): value is not None
+              for piece, value in changed.items() if piece.startswith(ORDER)}
+    lists = sorted({*head["lists"], *orders} - {name for name, stays in orders.items() if not stays})
+    turn = f"{ROUTING_KEY}#turn/{head['taken'] % CHANGES_REMEMBERED}"
+    forgotten = view.get(turn)
+    if forgotten is not None:
+        view.put(_taken_row(forgotten), None)
+    view.put(turn, arguments["fingerprint"])
+    view.put(_taken_row(arguments["fingerprint"]), arguments["version"])
+    view.put(ROUTING_KEY, {"version": arguments["version"], "lists": lists, "taken": head["taken"] + 1})
+    return {"version": arguments["version"]}
+
+
+def _outcome(view, _key, arguments):
+    """What became of a change that is built on another version than the newest. It changes nothing."""
+    checkFields({"based_on": VERSION, "fingerprint": NAME}, arguments)
+    known = _known(view, arguments["fingerprint"])
+    if known is None:
+        head = _head(view)
+        raise Lost(f"built on version {arguments['based_on']}, the newest is {head['version']}",
+                   detail={"version": head["version"]})
+    return {"version": known}
+
+
+def _image(view, _key):
+    head = _head(view)
+    values = {piece: view.packed(_row(piece)) for piece in _piece_names(view, head)}
+    return head["version"], values and values | {VERSION_PIECE: packEntry(head["version"])}
+
+
+CONTROLLERS.enter(ROUTING_KEY)(Controller(
+    {"read": _read, "put": _put, "change": _change, "outcome": _outcome}, image=_image, growing=("put", "change")))
--- /dev/null
+++ b/packages/oakgate/oakgate/routing.py
@@ -0,0 +1,113 @@
+"""Which service a request is for: the gate's routing table, rebuilt from the news whenever its version moves."""
+from bisect import bisect_right
+from dataclasses import dataclass, field
+from itertools import accumulate
+
+from oakbase.constants import ROUTING_AGE, ROUTING_STRETCH
+from oakbase.verdict import OakError
+from oakcontrol.routing import ROUTING_KEY, VERSION_PIECE, document_of, host_of
+from oakcontrol.slots import unpackEntry
+
+
+@dataclass(frozen=True)
+class Route:
+    """One route in the product's terms. Invariant: some backend has a weight above 0."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str               # safe, unsafe, tracked, stream
+    timeout_s: float
+    target_s: float
+    priority: int           # 0 goes first
+    backends: tuple         # of (service, weight)
+    max_attempts: int = 1
+    retained: bool = False
+    retain_s: float = 0.0
+    resumable: bool = False
+    gap_target_s: float | None = None
+    pinned: bool = False
+    _weighted: tuple = field(init=False, repr=False, compare=False, default=())
+
+    def __post_init__(self):
+        weighted = [(service, weight) for service, weight in self.backends if weight > 0]
+        object.__setattr__(self, "backends", tuple(map(tuple, self.backends)))
+        object.__setattr__(self, "_weighted", (tuple(service for service, _ in weighted),
+                                               tuple(accumulate(weight for _, weight in weighted))))
+
+    def pick_service(self, number):
+        """The service that this number in [0, 1) falls to, in proportion to the weights."""
+        services, bounds = self._weighted
+        return services[min(bisect_right(bounds, number * bounds[-1]), len(services) - 1)]
+
+
+class _Host:
+    """The routes of one host, found by their prefixes, which end with a slash."""
+
+    def __init__(self, routes):
+        self._by_prefix = {route.path_prefix: route for route in routes}
+        self._longest = max(map(len, self._by_prefix))
+
+    def find(self, path):
+        end = path.rfind("/", 0, self._longest)
+        while end >= 0:
+            route = self._by_prefix.get(path[:end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+class Router:
+    """Invariants: `version` never falls within one life; routes, services and limits are of that version, whole."""
+
+    def __init__(self, node, dialect):
+        self._node, self._board, self._dialect = node, node.board, dialect
+        bounds = node.env.get("bounds") or {}
+        self._longest_age = bounds.get("routing_age_s", ROUTING_AGE) + bounds.get("routing_stretch_s", ROUTING_STRETCH)
+        self._unpacked = {}
+        self._hosts = {}
+        self._unreadable = None
+        self.version, self.routes, self.services, self.limits = 0, {}, {}, {}
+        node.board.watch(ROUTING_KEY, self._moved)
+        self._moved(ROUTING_KEY)
+
+    def _moved(self, source):
+        values = self._board.values(ROUTING_KEY) if source == ROUTING_KEY else {}
+        if VERSION_PIECE not in values or unpackEntry(values[VERSION_PIECE]) <= self.version:
+            return
+        # What has not changed is not read again.
+        self._unpacked = {name: former if (former := self._unpacked.get(name)) and former[0] == value
+                          else (value, unpackEntry(value)) for name, value in values.items()}
+        pieces = {name: piece for name, (_, piece) in self._unpacked.items()}
+        try:
+            self._take(pieces[VERSION_PIECE], self._dialect.routing_of(document_of(pieces)))
+        except (OakError, LookupError, TypeError, ValueError) as error:
+            # Nothing may be carried by an older table, so nothing is carried at all.
+            self._unreadable = pieces[VERSION_PIECE]
+            self._node.log.event("routingUnreadable", version=self._unreadable, error=repr(error))
+
+    def _take(self, version, table):
+        routes = {row["name"]: Route(**row) for row in table["routes"]}
+        by_host = {}
+        for route in routes.values():
+            by_host.setdefault(host_of(route.host), []).append(route)
+        self._hosts = {host: _Host(of_host) for host, of_host in by_host.items()}
+        self.version, self.routes, self.services, self.limits = version, routes, table["services"], table["limits"]
+        self._unreadable = None
+        self._node.log.event("routingInForce", version=version, routes=len(routes))
+
+    def find(self, host, path):
+        """The route of a request by its host and path, or None."""
+        routes = self._hosts.get(host_of(host))
+        return None if routes is None else routes.find(path.partition("?")[0])
+
+    def staleness(self):
+        """Why no request may be carried by this table now, or None."""
+        if self._unreadable is not None:
+            return f"version {self._unreadable} of the routing cannot be read here"
+        if not self.version:
+            return "no routing is known yet"
+        if self._board.age(ROUTING_KEY) > self._longest_age:
+            return "the routing's news is too old"
+        return None
