--- a/packages/oakgate/oakgate/relay.py
+++ b/packages/oakgate/oakgate/relay.py
@@ -166,7 +166,7 @@
                                base64.b64decode(kept["body"]))
 
     def _body_limit(self):
-        return max(ANSWER_HELD, self._router.limits.body_bytes)
+        return max(ANSWER_HELD, self._gate.limits().body_bytes)
 
     async def _gather(self, passage, answer, instance):
         """The answer, whole if it is small: a small one that is cut off was not passed on and may be asked again."""
@@ -309,7 +309,7 @@
         answer = await self._upstreams.send(
             row["address"], row["id"], exchange.method, exchange.target, headers, passage.body, remaining,
             last_check=lambda: self._last_check(passage, instance),
-            expect=(self._dialect.echo_header, passage.request.try_id.encode()), max_connections=most)
+            expect=(self._dialect.echo_header.decode(), passage.request.try_id), max_connections=most)
         said = self._dialect.answer_of(answer.status, answer.headers)
         if said.load is not None:
             self._balancer.told(instance, said.load)
--- a/packages/oakgate/oakgate/relay_node.py
+++ b/packages/oakgate/oakgate/relay_node.py
@@ -1,7 +1,8 @@
 """A gate for raw requests put together: the relay in front of replicas, readiness, no disk."""
 import time
+from dataclasses import dataclass
 
-from oakbase.constants import (ACCEPT_INBOX, READY_DRAIN, REPLICA_AGE, RELAY_BOUND, RETRY_AFTER_LEAST, SETTLE_TIME)
+from oakbase.constants import (ACCEPT_INBOX, BODY_LIMIT, IDLE_CALLER_TIME, READY_DRAIN, REPLICA_AGE, RELAY_BOUND, RETRY_AFTER_LEAST, SETTLE_TIME)
 from oakbase.tasks import sleep
 from oakbase.verdict import CannotTell, Overloaded
 from oakbase.web import Web
@@ -15,6 +16,16 @@
 from oakrelay.upstream import Upstreams
 from oakstore.turns import TurnClient
 
+@dataclass(frozen=True)
+class Limits:
+    """What a caller may send, and how long it may take; these until the routing says more."""
+
+    header_bytes: int = 16 << 10
+    body_bytes: int = BODY_LIMIT
+    header_s: float = 3.0
+    idle_s: float = IDLE_CALLER_TIME
+
+
 LEAVING_MARGIN = 0.1    # share of the bound for leaving replicas; kept for the way from here to the replica
 STOP_MARGIN = 1.0       # s; of the grace, kept for settling and the end of the process
 
@@ -33,9 +44,9 @@
         self.upstreams = Upstreams(reactor, env["relay"].rpartition(":")[0], self.node.log)
         self.balancer.on_gone = self.upstreams.close_instance
         self.relay = Relay(self, dialect, self.router, self.balancer, self.upstreams, TurnClient(self.node))
-        self.front = Front(reactor, env["relay"], self.relay.handle, lambda: self.router.limits, self.node.log,
-                           RELAY_BOUND)
-        self.front.refuse = self._refuse
+        self._limits = (0, Limits())
+        self.front = Front(reactor, env["relay"], self.relay.handle, self.limits, self.node.log, RELAY_BOUND,
+                           self._refuse)
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
         self.ready_web = Web(reactor, env["ready"], self.node.log, ACCEPT_INBOX)
         self.ready_web.route("GET", dialect.ready_path, self._ready)
@@ -47,6 +58,12 @@
                           ("members_live", lambda: len(self.node.members.live()))):
             self.metrics.gauge(name, ask)
 
+    def limits(self):
+        """Those of the routing in force."""
+        if self._limits[0] != self.router.version:
+            self._limits = (self.router.version, Limits(**self.router.limits))
+        return self._limits[1]
+
     def _refuse(self, exchange):
         error = Overloaded("too many requests are under way here", retryAfter=RETRY_AFTER_LEAST)
         request = self._dialect.request_of(exchange.method, exchange.target, exchange.headers)
