--- a/packages/oakcontrol/oakcontrol/storeset.py
+++ b/packages/oakcontrol/oakcontrol/storeset.py
@@ -11,19 +11,29 @@
 of the new members say that they stand in its epoch: then no quorum of the phase before can come about any
 more. Reads of a phase meet the writes of its neighbours, and neighbours are all that can be at work at once.
 
+A joining may be given up for another one, in one step: both read 2 of A B C and write 2 of A B C, so they may be at
+work at once. Once moving, the change goes on without the one that joins, if it must: it is then a member that has
+to be replaced.
+
+In a cluster that forms itself, the owner of the key also mends the set. A store that lost its disk comes back where
+it was under a new id and takes its former self's place; a machine that is to be emptied, and a member that stays
+silent, give theirs to a spare: a live store that is not in the set.
+
 Invariants: `version` rises with every change; `since` is the epoch in which a member began to copy (1: it was
 there before any line); an id in `retired` is never a member again; an id in `pruned` is retired, and no
-version anywhere is numbered by it.
+version anywhere is numbered by it; no store of a machine in `emptied` joins, and once none is in a stable set, every
+line is on a write quorum of other machines: the one that joined has copied from so many that it met every quorum.
 """
 import json
 
-from schema import And
+from schema import And, Optional
 
 from oakbase.checks import NAME, checkFields, packJson, whole
-from oakbase.constants import CALL_TIME, STORES_PAUSE
+from oakbase.constants import (CALL_TIME, CONDITION_AGE, MEMBER_ANSWERED, PRUNE_PAUSE, STORES_ASK, STORES_FIRST_WAIT, STORES_LOOK,
+                               STORES_MOVING_PAUSE, STORES_PATIENCE)
 from oakbase.env import ADDRESS
-from oakbase.tasks import settled
-from oakbase.verdict import Conflict, Lost, OakError, Refused, Unknown
+from oakbase.tasks import quorumOf, settled, sleep
+from oakbase.verdict import CannotTell, Conflict, Fenced, Lost, OakError, Refused, Unknown
 from oakcohort.members import LIVE
 from oakcontrol.controllers import CONTROLLERS, Controller
 from oakcontrol.duty import Duty
@@ -32,6 +42,13 @@
 STORE = {"nodeId": NAME, "peer": ADDRESS}
 STABLE, JOINING, MOVING = "stable", "joining", "moving"
 EMPTY = {"version": 0, "phase": STABLE, "members": [], "joining": None, "leaving": None, "retired": [], "pruned": []}
+LOSSES = whole(1, 1 << 16)
+
+
+def machineOf(members, nodeId):
+    """By the node's own word, or by its id, which begins with it."""
+    member = members.find(nodeId)
+    return member.machine if member else nodeId.rpartition(".")[0]
 
 
 class StoreSet:
@@ -84,8 +101,9 @@
 
 def _set(view, _key, arguments):
     """The first set, of stores that are all empty."""
-    checkFields({"basedOn": whole(0, 1 << 53), "members": And(list, lambda rows: len(rows) % 2 == 1,
-                                                              error="must name an odd number of stores")}, arguments)
+    checkFields({"basedOn": whole(0, 1 << 53), Optional("losses"): LOSSES,
+                 "members": And(list, lambda rows: len(rows) % 2 == 1,
+                                error="must name an odd number of stores")}, arguments)
     for member in arguments["members"]:
         checkFields(STORE, member)
     record, members = _record(view), [row | {"since": 1} for row in arguments["members"]]
@@ -93,7 +111,8 @@
         return record
     if record["version"]:
         raise Conflict("there is a store set already; change it by replacing one store at a time")
-    return _put(view, record, members=members)
+    # How many losses it is to bear, which also says how many stores there have to be.
+    return _put(view, record, members=members, losses=arguments.get("losses") or max(1, len(members) // 2))
 
 
 def _replace(view, _key, arguments):
@@ -113,12 +132,71 @@
     fewer = [nodeId for nodeId in ids if nodeId != leaving and members.condition(nodeId) != LIVE]
     if fewer:
         raise Refused(f"{', '.join(fewer)} is not live; without {leaving} too few copies would be left")
+    return _beginJoining(view, record, leaving, joining)
+
+
+def _beginJoining(view, record, leaving, joining):
+    members = view.context.members
     newcomer = members.find(joining["nodeId"])
     if newcomer is None or newcomer.kind != "store" or members.condition(joining["nodeId"]) != LIVE:
         raise Refused(f"{joining['nodeId']} is not a live store of this cluster")
+    if newcomer.machine in record.get("emptied", ()):
+        raise Refused(f"{newcomer.machine} is being emptied, or was")
     return _put(view, record, phase=JOINING, leaving=leaving, joining=joining | {"since": record["version"] + 1})
 
 
+def _mend(view, _key, arguments):
+    """The same for the watch: while others are silent too, and in the place of a joining that cannot go on or is
+    less pressing."""
+    checkFields({"basedOn": whole(0, 1 << 53), "leaving": NAME, "joining": STORE}, arguments)
+    record = _record(view)
+    leaving, joining = arguments["leaving"], arguments["joining"]
+    ids = [row["nodeId"] for row in record["members"]]
+    _checkVersion(record, arguments["basedOn"])
+    if record["phase"] == MOVING:
+        raise Conflict("the set is moving")
+    if leaving not in ids or joining["nodeId"] in ids or joining["nodeId"] in record["retired"]:
+        raise Refused(f"{joining['nodeId']} cannot take the place of {leaving}")
+    return _beginJoining(view, record, leaving, joining)
+
+
+def _retire(view, _key, arguments):
+    """From now on the machine is to be emptied; a spare takes its place in the set."""
+    checkFields({"machine": NAME}, arguments)
+    record, machine = _record(view), arguments["machine"]
+    emptied = record.get("emptied", [])
+    if machine not in emptied:
+        _checkKnown(view, record, machine)
+        # One that is silent for a moment is counted on to come back.
+        left = {member.machine for member, age in view.context.members.newest().values()
+                if member.kind == "store" and age <= STORES_PATIENCE and member.nodeId not in record["retired"]}
+        left -= {machine, *emptied}
+        needed = 2 * record.get("losses", 1) + 1
+        if len(left) < needed:
+            raise Conflict(f"{len(left)} live stores would be left, {needed} are needed")
+        record = _put(view, record, emptied=[*emptied, machine])
+    return _retired(view, _key, arguments)
+
+
+def _checkKnown(view, record, machine):
+    members = view.context.members
+    if machine in record.get("emptied", ()) or machine in {
+            machineOf(members, nodeId) for nodeId in StoreSet(record).everyone}:
+        return
+    if not any(member.machine == machine and member.kind == "store" for member, _ in members.newest().values()):
+        raise Unknown(f"no store machine {machine} is known")
+
+
+def _retired(view, _key, arguments):
+    """`delivered` once the machine may be taken away with its disk."""
+    checkFields({"machine": NAME}, arguments)
+    record, machine = _record(view), arguments["machine"]
+    _checkKnown(view, record, machine)
+    isIn = machine in {machineOf(view.context.members, nodeId) for nodeId in StoreSet(record).everyone}
+    isEmptied = machine in record.get("emptied", ()) and not isIn
+    return {"state": "delivered" if isEmptied else "in_service"}
+
+
 def _cancel(view, _key, arguments):
     checkFields({"basedOn": whole(0, 1 << 53)}, arguments)
     record = _record(view)
@@ -156,45 +234,207 @@
 
 
 CONTROLLERS.enter(STORES_KEY)(Controller(
-    {"set": _set, "read": lambda view, key, arguments: _record(view), "replace": _replace, "cancel": _cancel,
-     "advance": _advance, "prune": _prune}, image=_image))
+    {"set": _set, "read": lambda view, key, arguments: _record(view), "replace": _replace, "mend": _mend,
+     "cancel": _cancel, "advance": _advance, "prune": _prune, "retire": _retire, "retired": _retired}, image=_image))
 
 
-class StoreSetWatch(Duty):
-    """Moves a replacement on. Its state is in the key, so a crash anywhere resumes."""
+def spreadOver(zones, stores, count):
+    """So many of these stores, from as many zones as there are."""
+    ranks = {}
+    for one in sorted(stores, key=lambda one: one.nodeId):
+        ranks[one.nodeId] = len([other for other in ranks if zones[other] == one.zone])
+        zones = zones | {one.nodeId: one.zone}
+    return sorted(stores, key=lambda one: (ranks[one.nodeId], one.nodeId))[:count]
+
 
-    def __init__(self, node, owners):
-        super().__init__(node, owners, STORES_KEY, STORES_PAUSE)
+class StoreSetWatch(Duty):
+    """Moves a replacement on and, if the cluster forms itself, begins those that the set needs. Its state is in the
+    key, so a crash anywhere resumes.
+
+    Invariant: `_silentSince` holds the stores that this node has seen no sign of since then, in rounds without a
+    gap: one that was frozen itself has watched nobody meanwhile."""
+
+    def __init__(self, node, owners, mends=False, losses=1):
+        super().__init__(node, owners, STORES_KEY, STORES_LOOK)
+        self._mends, self._losses = mends, losses
+        self._silentSince, self._watchedAt, self._firstSeenAt = {}, float("-inf"), None
+        self._prunedAt = float("-inf")
+
+    async def _round(self):
+        if self._mends:
+            self._watchStores(StoreSet.fromBoard(self._node.board))
+        await super()._round()
+
+    def _watchStores(self, stores):
+        now = self._node.reactor.seconds()
+        if now - self._watchedAt > MEMBER_ANSWERED:
+            self._silentSince = {}
+        self._watchedAt = now
+        self._silentSince = {nodeId: self._silentSince.get(nodeId, now) for nodeId, row in stores.everyone.items()
+                             if not self._isHere(nodeId, row)}
+        if self._firstSeenAt is None and self._node.members.live("store"):
+            self._firstSeenAt = now
+
+    def _isHere(self, nodeId, row):
+        return self._node.members.condition(nodeId) == LIVE and self._heirOf(nodeId, row) is None
+
+    def _isLost(self, nodeId):
+        since = self._silentSince.get(nodeId)
+        return since is not None and self._node.reactor.seconds() - since >= STORES_PATIENCE - CONDITION_AGE
+
+    def _heirOf(self, nodeId, row):
+        """Who came back in this store's place without its disk: at its address, or, once it is silent, on a machine
+        of its name. The former id has ended for ever."""
+        members = self._node.members
+        successor = members.successorOf(nodeId, row["peer"])
+        if successor is not None:
+            return successor if successor.kind == "store" else None
+        if members.condition(nodeId) == LIVE:
+            return None
+        machine = machineOf(members, nodeId)
+        return next((one for one in members.live("store") if one.machine == machine and one.nodeId != nodeId), None)
 
     async def _work(self, owner):
         record = await owner.do(STORES_KEY, "read", {})
+        if self._mends and not record["version"]:
+            await self._form(owner)
+            return
+        if self._mends and record["phase"] != MOVING:
+            record = await self._mend(owner, record)
+        while record["phase"] != STABLE and owner.holdsTerm():
+            moved = await self._moveOn(owner, record)
+            if moved is not None:
+                record = moved
+                continue
+            await sleep(self._node.reactor, STORES_MOVING_PAUSE)
+            if self._mends and record["phase"] != MOVING:
+                record = await self._mend(owner, await owner.do(STORES_KEY, "read", {}))
+            else:
+                record = await owner.do(STORES_KEY, "read", {})
         prunable = [nodeId for nodeId in record["retired"] if nodeId not in record["pruned"]]
-        if record["phase"] == STABLE and not prunable:
+        if record["phase"] == STABLE and prunable and self._node.reactor.seconds() - self._prunedAt >= PRUNE_PAUSE:
+            self._prunedAt = self._node.reactor.seconds()
+            await self._mayPrune(owner, record, prunable)
+
+    # --- forming and mending ---
+
+    async def _form(self, owner):
+        """The first set: as many stores as the losses ask for; fewer, if no more have come for a while."""
+        live, wanted = self._node.members.live("store"), 2 * self._losses + 1
+        waited = self._firstSeenAt is not None and self._node.reactor.seconds() - self._firstSeenAt >= STORES_FIRST_WAIT
+        if len(live) < wanted and not (waited and live):
             return
-        stores = StoreSet(record)
-        statuses = await self._ask(stores)
-        current = {nodeId for nodeId, said in statuses.items() if said["epoch"] == stores.epoch}
+        chosen = spreadOver({}, live, min(wanted, len(live) - (len(live) + 1) % 2))
+        record = await owner.do(STORES_KEY, "set", {"basedOn": 0, "losses": self._losses, "members": [
+            {"nodeId": one.nodeId, "peer": one.peer} for one in chosen]})
+        self._node.log.event("storeSetFormed", members=",".join(row["nodeId"] for row in record["members"]))
+        await self._tell(record)
+
+    async def _mend(self, owner, record):
+        """Begins the most pressing replacement, if it is not under way."""
+        wanted = self._wanted(record)
+        if wanted is None:
+            return record
+        if wanted == "cancel":
+            record = await owner.do(STORES_KEY, "cancel", {"basedOn": record["version"]})
+        else:
+            leaving, joining = wanted
+            record = await owner.do(STORES_KEY, "mend", {
+                "basedOn": record["version"], "leaving": leaving,
+                "joining": {"nodeId": joining.nodeId, "peer": joining.peer}})
+        self._node.log.event("storeSetMended", epoch=record["version"], leaving=record["leaving"] or "",
+                             joining=(record["joining"] or {}).get("nodeId", ""))
+        await self._tell(record)
+        return record
+
+    def _wanted(self, record):
+        """(leaving id, joining member) of a replacement to begin now, "cancel", or None."""
+        stores, emptied = StoreSet(record), record.get("emptied", ())
+        heirs = {nodeId: heir for nodeId, row in stores.members.items()
+                 for heir in [self._heirOf(nodeId, row)] if heir is not None and heir.machine not in emptied
+                 and heir.nodeId not in stores.everyone}
+        spares = self._spares(record, stores, heirs)
+        leaving, joining = record["leaving"], record["joining"]
+        if joining is not None:
+            heir = self._heirOf(joining["nodeId"], joining)
+            isLost = heir is not None or self._isLost(joining["nodeId"])
+            if heirs and leaving not in heirs and not self._isGone(leaving, stores):
+                return next(iter(heirs.items()))
+            if not isLost:
+                return None
+            if heir is not None and heir in [*spares, *heirs.values()]:
+                return leaving, heir
+            if leaving in heirs:
+                return leaving, heirs[leaving]
+            if spares:
+                return leaving, self._nearest(spares, leaving)
+            isStaying = self._isHere(leaving, stores.members[leaving]) \
+                and machineOf(self._node.members, leaving) not in emptied
+            return "cancel" if isStaying else None
+        if heirs:
+            return next(iter(heirs.items()))
+        here = [nodeId for nodeId, row in stores.members.items() if self._isHere(nodeId, row)]
+        for nodeId in stores.members:
+            isOrdered = machineOf(self._node.members, nodeId) in emptied
+            if (isOrdered or self._isLost(nodeId)) and spares and len({*here} - {nodeId}) >= len(stores.members) // 2:
+                return nodeId, self._nearest(spares, nodeId)
+        return None
+
+    def _isGone(self, nodeId, stores):
+        return self._heirOf(nodeId, stores.members[nodeId]) is not None or self._isLost(nodeId)
+
+    def _spares(self, record, stores, heirs):
+        taken = {heir.nodeId for heir in heirs.values()} | stores.everyone.keys() | set(record["retired"])
+        return [one for one in self._node.members.live("store")
+                if one.nodeId not in taken and one.machine not in record.get("emptied", ())]
+
+    def _nearest(self, spares, nodeId):
+        """In the zone of the one that leaves, if there is one: so the zones keep their copies."""
+        former = self._node.members.find(nodeId)
+        return min(spares, key=lambda one: (former is None or one.zone != former.zone, one.nodeId))
+
+    # --- moving on ---
+
+    async def _moveOn(self, owner, record):
+        """The record of the next phase, or None if it is too early for it."""
+        if not await self._tell(record):
+            return None
+        record = await owner.do(STORES_KEY, "advance", {"basedOn": record["version"]})
+        self._node.log.event("storeSetMoved", epoch=record["version"], phase=record["phase"])
         if record["phase"] == STABLE:
-            await self._mayPrune(owner, stores, statuses, current, prunable)
-            return
-        copied = record["phase"] == MOVING or statuses.get(record["joining"]["nodeId"], {}).get("covers")
-        if copied and stores.isWritten(current):
-            record = await owner.do(STORES_KEY, "advance", {"basedOn": stores.epoch})
-            self._node.log.event("storeSetMoved", epoch=record["version"], phase=record["phase"])
+            await self._tell(record)
+        return record
 
-    async def _ask(self, stores):
-        async def ask(nodeId, row):
-            return nodeId, json.loads(await self._node.net.call(row["peer"], "storeStatus", CALL_TIME))
-        answers = await settled([ask(nodeId, row) for nodeId, row in stores.everyone.items()])
-        return {nodeId: said for ok, answer in answers if ok for nodeId, said in [answer]}
+    async def _tell(self, record):
+        """Tells the stores of this version of the set. Whether so many of them stand in it that no quorum of the
+        version before can come about, and who joins has copied, if it has to."""
+        stores, text = StoreSet(record), packJson(record).decode()
+        copying = record["joining"]["nodeId"] if record["phase"] == JOINING else None
 
-    async def _mayPrune(self, owner, stores, statuses, current, prunable):
+        async def ask(nodeId, row):
+            said = await self._status(nodeId, row, text)
+            if said["epoch"] != stores.epoch or (nodeId == copying and not said["covers"]):
+                raise CannotTell(f"{nodeId} is not so far")
+        isMoved, _ = await quorumOf(
+            {nodeId: ask(nodeId, row) for nodeId, row in stores.everyone.items()},
+            lambda nodeIds: stores.isWritten(nodeIds) and (copying is None or copying in nodeIds))
+        return isMoved
+
+    async def _status(self, nodeId, row, told=None):
+        said = json.loads(await self._node.net.call(row["peer"], "storeStatus", STORES_ASK, record=told))
+        if said["nodeId"] != nodeId:
+            raise Fenced(f"{row['peer']} is {said['nodeId']} now, not {nodeId}")
+        return said
+
+    async def _mayPrune(self, owner, record, prunable):
         """A retired id's entries tell nothing once no version is numbered by it: a version lies below another
         exactly if its own dot does. All members must say so in this epoch; the next epoch shuts out what is
         still on its way from before."""
-        if current != stores.members.keys():
+        stores = StoreSet(record)
+        answers = await settled([self._status(nodeId, row) for nodeId, row in stores.members.items()])
+        if not all(ok and said["epoch"] == stores.epoch for ok, said in answers):
             return
-        used = {storeId for said in statuses.values() for storeId in said["dots"]}
+        used = {storeId for _, said in answers for storeId in said["dots"]}
         ids = [nodeId for nodeId in prunable if nodeId not in used]
         if ids:
             await owner.do(STORES_KEY, "prune", {"basedOn": stores.epoch, "ids": ids})
--- a/packages/oakstore/oakstore/store.py
+++ b/packages/oakstore/oakstore/store.py
@@ -4,8 +4,11 @@
 from collections import OrderedDict
 from itertools import islice
 
+from twisted.internet import defer
+
+from oakbase.checks import packJson
 from oakbase.constants import (ACCEPT_INBOX, HINT_LIMIT, LINE_KEPT, LINE_SIZE, RECORD_PAGE, STORE_CALL_TIME,
-                               STORE_SWEEP, SWEEP_HINTS, SWEEP_KEYS, SWEEP_PAGES)
+                               STORE_COPY_PAUSE, STORE_SWEEP, SWEEP_HINTS, SWEEP_KEYS, SWEEP_PAGES)
 from oakbase.metrics import Metrics
 from oakbase.tasks import Repeater, quorumOf
 from oakbase.verdict import BadRequest, CannotTell, Fenced, NoAnswer, OakError, TooLarge
@@ -38,7 +41,8 @@
         self.stores = StoreSet.fromBoard(node.board)
         node.board.watch(STORES_KEY, self._storesMoved)
         self.metrics = Metrics()
-        self._sweeper = Repeater(node.reactor, STORE_SWEEP, self._sweep, node.log)
+        self._sweeper = Repeater(node.reactor, 0.0, self._waitAndSweep, node.log)
+        self._wake = defer.Deferred()
         for method, handler in (("lineGet", self._get), ("linePut", self._put), ("lineKeep", self._keep),
                                 ("lineDigests", self._digests), ("storeStatus", self._status),
                                 ("turnRecall", self._turnRecall), ("turnRetain", self._turnRetain),
@@ -58,6 +62,7 @@
         # Nobody is handed anything any more who has left the set; come back, it copies.
         self._hints = {nodeId: hints for nodeId, hints in self._hints.items() if nodeId in self.stores.everyone}
         self.table.prune(self.stores.pruned)
+        self._sweepSoon()
 
     @property
     def isMember(self):
@@ -83,9 +88,15 @@
         return toState(self.table.versions(arguments.key), self.covers, self.stores.epoch,
                        self.table.age(arguments.key), self.table.isFull())
 
+    def _adopt(self, record):
+        """A version of the set that was confirmed, told before the news of it came."""
+        if record["version"] > self.stores.epoch:
+            self._node.board.setItems(STORES_KEY, record["version"], {"set": packJson(record)})
+
     def _checkEpoch(self, epoch):
         if epoch != self.stores.epoch:
-            raise Fenced(f"store epoch {epoch} is not {self.stores.epoch}", detail={"storeEpoch": self.stores.epoch})
+            raise Fenced(f"store epoch {epoch} is not {self.stores.epoch}",
+                         detail={"storeEpoch": self.stores.epoch, "set": self.stores.record})
 
     async def _put(self, _peer, arguments):
         stores = self.stores
@@ -256,8 +267,10 @@
         return idl.RecordPage(storeEpoch=self.stores.epoch, records=page, leftMs=[
             int(1000 * records.left(read_header(packed).turn_id)) for packed in page])
 
-    async def _status(self, _peer, _arguments):
-        return json.dumps({"epoch": self.stores.epoch, "covers": self.covers, "lines": len(self.table.rows),
+    async def _status(self, _peer, arguments):
+        if arguments.record:
+            self._adopt(json.loads(arguments.record))
+        return json.dumps({"nodeId": self._node.nodeId, "epoch": self.stores.epoch, "covers": self.covers, "lines": len(self.table.rows),
                            "hints": self.hintsByMember(), "dots": self.table.dots()})
 
     async def _digests(self, _peer, arguments):
@@ -267,6 +280,21 @@
 
     # --- sweeping ---
 
+    def _sweepSoon(self):
+        if not self._wake.called:
+            self._wake.callback(None)
+
+    async def _waitAndSweep(self):
+        pause = STORE_SWEEP if self.covers or not self.isMember else STORE_COPY_PAUSE
+        timer = self._node.reactor.callLater(pause, self._sweepSoon)
+        try:
+            await self._wake
+        finally:
+            if timer.active():
+                timer.cancel()
+        self._wake = defer.Deferred()
+        await self._sweep()
+
     async def _sweep(self):
         if not self.isMember:
             return
--- a/packages/oakstore/oakstore/turns.py
+++ b/packages/oakstore/oakstore/turns.py
@@ -3,17 +3,19 @@
 As the paper's client, it reads a line, keeps the read's context and writes with it. A version's value is the set of
 the line's turns; siblings merge by union, so none is dropped. The records themselves never change, and travel once.
 """
-from oakbase.constants import CALL_TIME, LINE_TURNS, RECALL_HEDGE, RETAIN_MARGIN, STORE_CALL_TIME
+from twisted.internet import defer
+
+from oakbase.checks import packJson
+from oakbase.constants import LINE_TURNS, RECALL_HEDGE, RETAIN_HEDGE, RETAIN_MARGIN, STORE_CALL_TIME
 from oakbase.tasks import sleep, spawn
-from oakbase.verdict import CannotTell, Conflict, Fenced, Gone, NoAnswer, OakError, TimeSpent, Verdict
+from oakbase.verdict import CannotTell, Conflict, Fenced, Gone, NoAnswer, OakError, Verdict
 from oakcohort.members import LIVE
 from oakcohort.rendezvous import ranked
-from oakcontrol.storeset import StoreSet, majority
+from oakcontrol.storeset import STORES_KEY, StoreSet, majority
 from oakdvv.clock import syncVersions
 from oakdvv.context import toContext
 from oakstore.records import pack_record, read_bodies, read_header
 from oakstore.table import TURN_LINE, fromState, packTurns, turnsIn
-from twisted.internet import defer
 
 RETRY_PAUSE = 0.05  # s; between rounds over the stores while one of them changes condition
 
@@ -136,47 +138,58 @@
             state.known for state in read.states.values())
 
     async def _read(self, stores, turn_id, ends_at):
-        """Asks the first store for the records, and the next one whenever an answer is not enough or is late. All
-        that it takes is one store that has the whole chain: records do not change."""
+        """All that it takes is one store that has the whole chain: records do not change."""
         read = _Read(turn_id)
-        waiting, order = {}, self._order(stores.everyone, turn_id)
-        done = defer.Deferred()
 
-        async def ask(node_id, first_id):
+        async def ask(node_id, time_left):
+            read.note(node_id, await self._node.net.call(
+                stores.everyone[node_id]["peer"], "turnRecall", time_left, turnId=turn_id, bodies=True))
+        await self._ask_in_turn(self._order(stores.everyone, turn_id), ask, RECALL_HEDGE, ends_at,
+                                lambda: read.chain()[1] is None or self._is_gone(read, stores))
+        if read.records:
+            await self._fill(read, stores, ends_at)
+        return read
+
+    async def _ask_in_turn(self, node_ids, ask, hedge, ends_at, is_enough):
+        """Asks these stores, each when the one before has failed, is late by `hedge`, or its answer is not enough.
+        Returns once it is enough, all have answered, or the time is over; late answers are left to finish."""
+        waiting, order = {}, list(node_ids)
+        answered = None
+
+        async def ask_one(node_id):
             try:
-                read.note(node_id, await self._node.net.call(
-                    stores.everyone[node_id]["peer"], "turnRecall",
-                    min(STORE_CALL_TIME, ends_at - self._reactor.seconds()), turnId=first_id, bodies=True))
+                await ask(node_id, min(STORE_CALL_TIME, ends_at - self._reactor.seconds()))
                 self._slow.pop(node_id, None)
             except OakError as error:
-                self._node.log.event("recallFailed", store=node_id, reason=error.reason)
-            waiting.pop(node_id, None)
-            if not done.called:
-                done.callback(None)
-        while self._reactor.seconds() < ends_at:
-            done = defer.Deferred()
-            missing = read.chain()[1]
-            if missing is None or self._is_gone(read, stores):
-                break
+                self._node.log.event("storeFailed", store=node_id, reason=error.reason)
+                self._adopt(error)
+            del waiting[node_id]
+            if not answered.called:
+                answered.callback(None)
+        while not is_enough() and (order or waiting) and self._reactor.seconds() < ends_at:
+            answered = defer.Deferred()
             if order:
-                node_id = order.pop(0)
-                waiting[node_id] = self._reactor.seconds()
-                spawn(ask(node_id, turn_id), self._node.log)
-            elif not waiting:
-                await self._fill(read, stores, ends_at)
-                break
-            if not done.called:
-                await self._hedged(done, RECALL_HEDGE if order else ends_at - self._reactor.seconds())
-            for node_id, asked_at in waiting.items():
-                if self._reactor.seconds() - asked_at >= RECALL_HEDGE:
-                    self._slow[node_id] = self._reactor.seconds() + STORE_CALL_TIME
-        return read
-
-    async def _hedged(self, done, seconds):
-        timer = self._reactor.callLater(max(0.0, seconds), lambda: done.called or done.callback(None))
-        await done
-        if timer.active():
-            timer.cancel()
+                waiting[order[0]] = self._reactor.seconds()
+                spawn(ask_one(order.pop(0)), self._node.log)
+            until = min(ends_at, self._reactor.seconds() + hedge) if order else ends_at
+            timer = self._reactor.callLater(max(0.0, until - self._reactor.seconds()), self._late, answered, waiting, hedge)
+            await answered
+            if timer.active():
+                timer.cancel()
+
+    def _late(self, answered, waiting, hedge):
+        now = self._reactor.seconds()
+        for node_id, asked_at in waiting.items():
+            if now - asked_at >= hedge:
+                self._slow[node_id] = now + STORE_CALL_TIME
+        if not answered.called:
+            answered.callback(None)
+
+    def _adopt(self, error):
+        """A store that stands in a later version of the set tells it along with its no."""
+        record = error.detail.get("set") if isinstance(error, Fenced) and isinstance(error.detail, dict) else None
+        if record is not None and record["version"] > StoreSet.fromBoard(self._node.board).epoch:
+            self._node.board.setItems(STORES_KEY, record["version"], {"set": packJson(record)})
 
     async def _fill(self, read, stores, ends_at):
         """Takes what a chain still lacks from whichever store has it, page by page."""
@@ -207,19 +220,21 @@
         value = packTurns(turns | {record.turn_id: record.parent})
         packed = pack_record(record.turn_id, record.parent, key, keep_s + RETAIN_MARGIN, record.input, record.output)
         context = recalled.context if is_same else ""
-        ends_at, unsure = self._reactor.seconds() + time_left, False
+        ends_at, answers, errors = self._reactor.seconds() + time_left, [], []
         while self._reactor.seconds() < ends_at:
             stores = self._stores()
-            for node_id in self._order(stores.readers, key):
-                remaining = min(CALL_TIME, ends_at - self._reactor.seconds())
-                if remaining <= 0:
-                    break
+
+            async def ask(node_id, call_time):
                 try:
-                    return await self._node.net.call(
-                        stores.readers[node_id]["peer"], "turnRetain", remaining, key=key, context=context,
-                        value=value, storeEpoch=stores.epoch, record=packed)
+                    answers.append(await self._node.net.call(
+                        stores.readers[node_id]["peer"], "turnRetain", call_time, key=key, context=context,
+                        value=value, storeEpoch=stores.epoch, record=packed))
                 except OakError as error:
-                    unsure = unsure or error.verdict is not Verdict.NO
-                    self._node.log.event("retainFailed", store=node_id, reason=error.reason)
+                    errors.append(error)
+                    raise
+            await self._ask_in_turn(self._order(stores.readers, key), ask, RETAIN_HEDGE, ends_at, lambda: answers)
+            if answers:
+                return answers[0]
             await sleep(self._reactor, RETRY_PAUSE)
-        raise NoAnswer("no quorum of stores said that it keeps the turn", Verdict.MAYBE if unsure else Verdict.NO)
+        isNo = all(error.verdict is Verdict.NO for error in errors)
+        raise NoAnswer("no quorum of stores said that it keeps the turn", Verdict.NO if isNo else Verdict.MAYBE)
--- a/packages/oakwire/oakwire/oak.thrift
+++ b/packages/oakwire/oakwire/oak.thrift
@@ -91,7 +91,7 @@
   LineState lineGet(1: string key)
   string linePut(1: string key, 2: string context, 3: binary value, 4: i64 storeEpoch)
   bool lineKeep(1: string key, 2: LineState state, 3: string sender)
-  string storeStatus()    // JSON: epoch, covers, lines, ids that number a version kept here
+  string storeStatus(1: string record)    // record: the newest of the set. JSON: epoch, covers, lines, ids that number a version kept here
   DigestPage lineDigests(1: string after, 2: i32 most)
   TurnState turnRecall(1: string turnId, 2: bool bodies)
   string turnRetain(1: string key, 2: string context, 3: binary value, 4: i64 storeEpoch, 5: binary record)
