--- a/packages/oakrelay/oakrelay/front.py
+++ b/packages/oakrelay/oakrelay/front.py
@@ -5,19 +5,20 @@
 strict grammar in framing.py. One request at a time is read from a connection; the next one waits in its buffer until
 the answer is out.
 """
+import re
+
 from twisted.internet import defer, protocol
 
-from oakbase.constants import BODIES_LIMIT, EAGER_LIMIT, LINGER_TIME, QUIET_TIME, TRAILER_LIMIT
+from oakbase.constants import BODIES_LIMIT, CALLERS_LIMIT, EAGER_LIMIT, LINGER_TIME, QUIET_TIME, TRAILER_LIMIT
 from oakbase.env import splitAddress
 from oakbase.tasks import sleep
-from oakrelay.framing import BARE_LINE_FEED, ChunkedDecoder, Malformed, body_length, join_head, parse_fields, status_line
-from oakrelay.framing import HOP_BY_HOP, TOKEN
-from oakrelay.sockets import is_quiet, send_now, set_options
-
-import re
+from oakrelay.framing import BARE_LINE_FEED, HOP_BY_HOP, TOKEN, ChunkedDecoder, Malformed
+from oakrelay.framing import body_length, join_head, parse_fields, status_line
+from oakrelay.sockets import read_now, send_now, set_options
 
 _REQUEST_LINE = re.compile(rb"(" + TOKEN + rb") (/[\x21-\x7e]*) HTTP/1\.1\r\n")
 _HOST = re.compile(rb"([^\s:/?#@\[\],]+|\[[0-9A-Fa-f:.]+\])(?::[0-9]*)?")
+_EMPTY_LINES = re.compile(rb"(?:\r\n)+")
 _BODILESS = frozenset((204, 304))
 
 
@@ -163,8 +164,8 @@
     def connectionMade(self):
         set_options(self.transport, probes=False)
         self.transport.registerProducer(self, True)
-        self.front.callers[self] = None
         self._wait_idle()
+        self.front.admit(self)
 
     def connectionLost(self, reason=protocol.connectionDone):
         self._closing = True
@@ -262,9 +263,6 @@
             self._refuse(400)
         finally:
             self._advancing = False
-        if self._paused and self.exchange is None and not self._closing:
-            self._paused = False
-            self.transport.resumeProducing()
 
     def _read_head(self):
         """Whether a whole head was taken from the buffer."""
@@ -272,8 +270,8 @@
             self._limits = self.front.limits()
             self._head_due = self.front.reactor.seconds() + self._limits.header_s
         buffer, limit = self._buffer, self._limits.header_bytes
-        if buffer.startswith(b"\r\n"):  # an empty line before a request is no fault
-            self._buffer = buffer = buffer.lstrip(b"\r\n") if len(buffer) < limit else buffer
+        if buffer.startswith(b"\r\n"):  # empty lines before a request are no fault
+            self._buffer = buffer = buffer[_EMPTY_LINES.match(buffer).end():]
             self._scanned = 0
             if not buffer:
                 self._wait_idle()
@@ -379,8 +377,12 @@
         if self._buffer:
             self._limits = None
             self._advance()
-            return
-        self._wait_idle()
+        else:
+            self.front.touch(self)
+            self._wait_idle()
+        if self._paused and self.exchange is None and not self._closing:
+            self._paused = False
+            self.transport.resumeProducing()
 
     def cut_off(self):
         """What was written still leaves, but the answer stays without its end."""
@@ -419,11 +421,8 @@
         """Closes a connection between two requests, unless one has just come."""
         if not self.is_idle:
             return
-        if not is_quiet(self.transport):
-            self.transport.doRead()
-            if not self.is_idle:
-                return
-        if not self._closing:
+        read_now(self.transport)
+        if self.is_idle:
             self._close(linger=False)
 
 
@@ -438,14 +437,15 @@
 
 
 class Front:
-    """The listening side of a gate. `handler(exchange)` is a coroutine function that answers; `limits()` gives
+    """The listening side of a gate. Invariant: `callers` holds every open connection, those idle longest before the
+    others that are idle. `handler(exchange)` is a coroutine function that answers; `limits()` gives
     header_bytes, body_bytes, header_s and idle_s as they are now; above `bound` requests at a time `refuse(exchange)`
     answers, and `on_crash(exchange, error)` where the handler failed before it began an answer."""
 
     def __init__(self, reactor, address, handler, limits, log, bound, refuse=None, on_crash=None,
-                 bodies_limit=BODIES_LIMIT):
+                 bodies_limit=BODIES_LIMIT, callers_limit=CALLERS_LIMIT):
         self.reactor, self.address, self.handler, self.limits, self.log = reactor, address, handler, limits, log
-        self.bound, self.bodies_limit = bound, bodies_limit
+        self.bound, self.bodies_limit, self.callers_limit = bound, bodies_limit, callers_limit
         self._refuse = refuse or (lambda exchange: exchange.reply(503, [(b"Retry-After", b"1")], b""))
         self._on_crash = on_crash or (lambda exchange, error: exchange.reply(500, [], b""))
         self.callers = {}
@@ -459,9 +459,28 @@
         host, port = splitAddress(self.address)
         self._port = self.reactor.listenTCP(port, _Callers(self), backlog=1024, interface=host)
 
+    def admit(self, caller):
+        """Above the limit of connections the one that has been idle longest makes room, or the new one goes."""
+        self.callers[caller] = None
+        if len(self.callers) > self.callers_limit:
+            self.log.event("callersLimit", connections=len(self.callers))
+            idlest = next(one for one in self.callers if one.is_idle)  # the new one is idle too
+            if idlest is caller:
+                caller.transport.abortConnection()
+                return
+            idlest.close_idle()
+
+    def touch(self, caller):
+        """Keeps callers in the order in which they became idle."""
+        del self.callers[caller]
+        self.callers[caller] = None
+
     def begin(self, exchange):
         if self.running >= self.bound:
-            self._refuse(exchange)
+            try:
+                self._refuse(exchange)
+            except Exception as error:
+                self._crashed(exchange, error)
             return
         self.running += 1
         defer.ensureDeferred(self._run(exchange))
@@ -495,7 +514,10 @@
         self.stopping = True
         ends_at = self.reactor.seconds() + grace_s
         if self._port is not None:
-            self._port.doRead()  # closing would reset those who wait to be accepted
+            known = -1
+            while known < len(self.callers):  # closing would reset those who wait to be accepted
+                known = len(self.callers)
+                self._port.doRead()
             await defer.maybeDeferred(self._port.stopListening)
             self._port = None
         quiet_since = self.reactor.seconds()
--- a/packages/oakrelay/oakrelay/sockets.py
+++ b/packages/oakrelay/oakrelay/sockets.py
@@ -15,14 +15,19 @@
     """A silent peer is noticed: by bytes it does not acknowledge, and with `probes` also while nothing is sent."""
     if not isinstance(transport, tcp.Connection):
         return
-    handle = transport.getHandle()
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(PEER_SILENCE * 1000))
+    handle, options = transport.getHandle(), [
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(PEER_SILENCE * 1000))]
     if probes:
-        handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PEER_PROBE)
-        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PEER_PROBE)
-        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, max(1, int(PEER_SILENCE / PEER_PROBE)))
+        options += [(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+                    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PEER_PROBE),
+                    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PEER_PROBE),
+                    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, max(1, int(PEER_SILENCE / PEER_PROBE)))]
+    for option in options:
+        try:
+            handle.setsockopt(*option)
+        except OSError:
+            pass  # the connection works without; a peer that has gone is told by what is read and written
 
 
 def is_quiet(transport):
@@ -38,6 +43,12 @@
     return False
 
 
+def read_now(transport):
+    """Takes what waits to be read, in this turn."""
+    if isinstance(transport, tcp.Connection) and transport.connected and not transport.disconnecting:
+        transport.doRead()
+
+
 def has_unsent(transport):
     return isinstance(transport, tcp.Connection) and bool(transport.dataBuffer or transport._tempDataLen)
 
