--- a/packages/oakcohort/oakcohort/identity.py
+++ b/packages/oakcohort/oakcohort/identity.py
@@ -1,5 +1,6 @@
 """Who a node is. A node id is minted when a data folder is empty and is on the disk before its first use;
-a node that lost its disk therefore comes back as somebody else."""
+a node that lost its disk therefore comes back as somebody else. Only founders have ids that are not random, and
+only on the first start of a whole cluster."""
 import json
 
 IDENTITY_FILE = "identity"
@@ -10,14 +11,19 @@
 
 
 class Identity:
-    """`nodeId`, `clusterId` (may be None) and learnt addresses, kept on the node's disk if it has one."""
+    """`nodeId`, `clusterId` (may be None) and learnt addresses, kept on the node's disk if it has one.
 
-    def __init__(self, machine, random, disk=None, clusterId=None):
+    Invariant: `founding` is what this node founds as long as that is not finished, and None ever after; while it is
+    set, `clusterId` is None."""
+
+    def __init__(self, machine, random, disk=None, clusterId=None, founding=None):
         self._disk = disk
         kept = self._read()
+        self.isNew = kept is None
         if kept is None:
-            kept = {"nodeId": mintNodeId(machine, random), "clusterId": clusterId, "addresses": []}
-        self.isNew = not (disk and IDENTITY_FILE in disk.names())
+            kept = {"nodeId": founding["nodeId"] if founding else mintNodeId(machine, random),
+                    "clusterId": None if founding else clusterId, "addresses": [], "founding": founding}
+        self.founding = kept.get("founding")
         self.nodeId, self.clusterId, self.addresses = kept["nodeId"], kept["clusterId"], kept["addresses"]
         if self.isNew:
             self._keep()
@@ -30,11 +36,20 @@
     def _keep(self):
         if self._disk is not None:
             self._disk.replace(IDENTITY_FILE, json.dumps({
-                "nodeId": self.nodeId, "clusterId": self.clusterId, "addresses": self.addresses}).encode())
+                "nodeId": self.nodeId, "clusterId": self.clusterId, "addresses": self.addresses,
+                "founding": self.founding}).encode())
 
-    def joinCluster(self, clusterId):
-        self.clusterId = clusterId
-        self._keep()
+    def joinCluster(self, clusterId, founded=False):
+        """A founder joins nothing but what it has founded."""
+        former = self.clusterId, self.founding
+        if self.founding is not None and not founded:
+            return
+        self.clusterId, self.founding = clusterId, None
+        try:
+            self._keep()
+        except OSError:
+            self.clusterId, self.founding = former  # tried again
+            raise
 
     def learn(self, addresses):
         """Addresses that answered, so that the seeds in the env may all be swapped one day."""
--- a/packages/oakcohort/oakcohort/members.py
+++ b/packages/oakcohort/oakcohort/members.py
@@ -64,6 +64,15 @@
             return SILENT
         return LEAVING if row[0].state == "leaving" else LIVE
 
+    def successorOf(self, nodeId, address):
+        """The live node that listens where this one did, or None. Two cannot listen at one address, so this one's
+        process has ended: `address` is where it was if nothing has been heard of it."""
+        newest = self.newest()
+        former, formerAge = newest.get(nodeId, (None, float("inf")))
+        address = former.peer if former else address
+        return next((member for member, age in newest.values() if member.peer == address and age < formerAge
+                     and member.nodeId != nodeId and age <= CONDITION_AGE and member.state == "up"), None)
+
     def live(self, kind=None):
         return [member for member, age in self.newest().values()
                 if age <= CONDITION_AGE and member.state == "up" and kind in (None, member.kind)]
--- a/packages/oakcontrol/oakcontrol/control.py
+++ b/packages/oakcontrol/oakcontrol/control.py
@@ -1,14 +1,16 @@
 """A control node put together."""
 import time
 
-from oakbase.constants import ACCEPT_INBOX, SLOTS
+from oakbase.constants import ACCEPT_INBOX, OWNER_TRIES_PAUSE, SLOTS
 from oakbase.metrics import Metrics
-from oakbase.tasks import settled
+from oakbase.tasks import settled, sleep, spawn
+from oakbase.verdict import OakError
 from oakbase.web import Web
 from oakcontrol import (  # noqa: F401  each enters its controller
     allowance, blueprint, budget, claim, places, roster, routing, storeset)
 from oakcontrol.admin import Admin
 from oakcontrol.client import OwnerClient
+from oakcontrol.founding import found, founding_of
 from oakcontrol.operator import Operator
 from oakcontrol.owner import Owners
 from oakcontrol.platform import PlatformWatch
@@ -29,14 +31,16 @@
     slotCount = SLOTS
 
     def __init__(self, reactor, env, disk, random, sink, wall=time.time, dialect=None):
-        self.node = Node(reactor, "control", env, random, sink, disk, wall)
+        self.node = Node(reactor, "control", env, random, sink, disk, wall, founding_of(env))
         self.ring = Ring(disk, self.node.log, env.get("ringFileSize"), seconds=reactor.seconds)
         self.voter = Voter(self.node, self.ring)
         self.client = OwnerClient(self.node)
         self.owners = Owners(self.node, self.voter)
-        self.platform = PlatformWatch(self.node, self.owners, self.voter, env["platform"]) if env.get("platform") else None
-        self.rosterWatch = RosterWatch(self.node, self.voter, self.owners)
-        self.storeWatch = StoreSetWatch(self.node, self.owners)
+        self.platform = (PlatformWatch(self.node, self.owners, self.voter, env["platform"], dialect)
+                         if env.get("platform") else None)
+        self.rosterWatch = RosterWatch(self.node, self.voter, self.owners, bool(env.get("selfForming")))
+        self.storeWatch = StoreSetWatch(self.node, self.owners, bool(env.get("selfForming")),
+                                        env.get("toleratedLosses") or 1)
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
         self.operator = Operator(self, dialect) if dialect is not None and env.get("operator") else None
         self.metrics = Metrics()
@@ -51,16 +55,30 @@
 
     def start(self):
         self.node.start()
-        self.owners.start()
-        self.storeWatch.start()
-        self.rosterWatch.start()
         self.web.listen()
         if self.operator:
             self.operator.listen()
+        self._starting = spawn(self._foundAndStart(), self.node.log)
+
+    async def _foundAndStart(self):
+        """Takes part in nothing before what it founds is on its disk."""
+        while self.node.identity.founding is not None:
+            try:
+                await found(self.node, self.voter)
+            except (OakError, OSError) as error:
+                self.node.log.event("foundingFailed", error=repr(error))
+                await sleep(self.node.reactor, OWNER_TRIES_PAUSE)
+        self._startDuties()
+
+    def _startDuties(self):
+        self.owners.start()
+        self.storeWatch.start()
+        self.rosterWatch.start()
         if self.platform:
             self.platform.start()
 
     async def stop(self):
+        self._starting.cancel()
         await self.node.puller.sayLeaving()
         if self.platform:
             self.platform.stop()
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -238,7 +238,7 @@
 
     def _askVoters(self, method, **arguments):
         return {nodeId: self._node.net.call(address, method, CALL_TIME, rosterVersion=self._voter.roster.version,
-                                            owner=self._node.nodeId, **arguments)
+                                            owner=self._node.nodeId, to=nodeId, **arguments)
                 for nodeId, address in self.voterAddresses().items()}
 
     def refuseFull(self, owner):
@@ -257,7 +257,7 @@
         while True:
             roster = self._voter.roster
             reached, errors = await quorumOf(
-                {nodeId: self._giveChange(address, roster.version, owner, sequence, changes, start)
+                {nodeId: self._giveChange((nodeId, address), roster.version, owner, sequence, changes, start)
                  for nodeId, address in self.voterAddresses().items()}, roster.isQuorum)
             if reached:
                 owner.rosterVersion = roster.version
@@ -267,31 +267,32 @@
                 return False
             await sleep(self.reactor, TERM_RENEW / 4)
 
-    async def _giveChange(self, address, rosterVersion, owner, sequence, changes, start):
+    async def _giveChange(self, voter, rosterVersion, owner, sequence, changes, start):
         """A voter that lacks something before the change gets the whole image. `start` names the image that a
         take-over begins with, by its epoch and sequence: who has it needs nothing more."""
-        taken = await self._accept(address, rosterVersion, owner, sequence, changes.items(),
+        taken = await self._accept(voter, rosterVersion, owner, sequence, changes.items(),
                                    fromEpoch=start[0], fromSequence=start[1])
         if taken.needsImage:
-            taken = await self._giveImage(address, rosterVersion, owner, *owner.imageWith(sequence, changes))
+            taken = await self._giveImage(voter, rosterVersion, owner, *owner.imageWith(sequence, changes))
         if not taken.taken:
             self._seenEpochs[owner.slot] = max(self._seenEpochs.get(owner.slot, 0), taken.promisedEpoch or 0)
             raise CannotTell("the voter has promised a later epoch")
 
-    async def _giveImage(self, address, rosterVersion, owner, sequence, entries):
+    async def _giveImage(self, voter, rosterVersion, owner, sequence, entries):
         *parts, last = inParts(entries.items(), IMAGE_PART)
         for part, pairs in enumerate(parts):
-            taken = await self._give("stage", address, rosterVersion, owner, sequence, pairs, part=part)
+            taken = await self._give("stage", voter, rosterVersion, owner, sequence, pairs, part=part)
             if not taken.taken:
                 return taken
-        return await self._accept(address, rosterVersion, owner, sequence, last, whole=True, parts=len(parts))
+        return await self._accept(voter, rosterVersion, owner, sequence, last, whole=True, parts=len(parts))
 
-    def _accept(self, address, rosterVersion, owner, sequence, pairs, whole=False, **more):
-        return self._give("accept", address, rosterVersion, owner, sequence, pairs, whole=whole, **more)
+    def _accept(self, voter, rosterVersion, owner, sequence, pairs, whole=False, **more):
+        return self._give("accept", voter, rosterVersion, owner, sequence, pairs, whole=whole, **more)
 
-    def _give(self, method, address, rosterVersion, owner, sequence, pairs, **more):
+    def _give(self, method, voter, rosterVersion, owner, sequence, pairs, **more):
+        nodeId, address = voter
         return self._node.net.call(
-            address, method, CALL_TIME, slot=owner.slot, epoch=owner.epoch, owner=self._node.nodeId,
+            address, method, CALL_TIME, to=nodeId, slot=owner.slot, epoch=owner.epoch, owner=self._node.nodeId,
             rosterVersion=rosterVersion, sequence=sequence,
             entries=[idl.Entry(key=key, value=value) for key, value in pairs], **more)
 
@@ -328,8 +329,9 @@
     # --- taking over ---
 
     def _liveRoster(self):
-        return [nodeId for nodeId in self._voter.roster.named
-                if self._node.members.condition(nodeId) == LIVE]
+        members = self._node.members
+        return [nodeId for nodeId, peer in self._voter.roster.named.items()
+                if members.condition(nodeId) == LIVE and members.successorOf(nodeId, peer) is None]
 
     async def _look(self):
         roster = self._voter.roster
@@ -409,7 +411,8 @@
         if not await self.replicate(owner, 1, {}, start):
             raise CannotTell(f"the image of epoch {epoch} did not reach a majority")
         if formerEpoch and formerEpoch != releasedEpoch:
-            await sleep(self.reactor, preparedAt + TERM - self.reactor.seconds())
+            unconfirmed = min(promise.unconfirmedMs or 0 for promise in answers.values()) / 1000
+            await sleep(self.reactor, preparedAt - unconfirmed + TERM - self.reactor.seconds())
         self._confirm({slot: owner})
         await within(self.reactor, TERM, owner.confirmed,
                      CannotTell(f"epoch {epoch} was not confirmed"))
@@ -424,7 +427,7 @@
         entries, more = SortedDict((entry.key, entry.value) for entry in given or []), given is None
         while more:
             part = await self._node.net.call(
-                self.voterAddresses()[nodeId], "imagePart", CALL_TIME, slot=slot, epoch=epoch, owner=self._node.nodeId,
+                self.voterAddresses()[nodeId], "imagePart", CALL_TIME, to=nodeId, slot=slot, epoch=epoch, owner=self._node.nodeId,
                 rosterVersion=self._voter.roster.version, after=entries.keys()[-1] if entries else "")
             entries.update((entry.key, entry.value) for entry in part.entries or [])
             more = part.more
--- a/packages/oakcontrol/oakcontrol/voter.py
+++ b/packages/oakcontrol/oakcontrol/voter.py
@@ -57,12 +57,14 @@
 
 class Voter:
     def __init__(self, node, ring):
-        self._nodeId, self._ring = node.nodeId, ring
+        self._nodeId, self._ring, self._seconds = node.nodeId, ring, node.reactor.seconds
         self._log = node.log
         self.roster = Roster(json.loads(ring.table["roster"])) if "roster" in ring.table else None
         self._tables = {slot: SlotTable() for slot in range(SLOTS)}
         self._owners = {slot: TableOwner(CONTROL_INBOX, f"voter{slot}", node.log) for slot in range(SLOTS)}
         self._staged = {}
+        self._confirmedAt = {}
+        self._countFromNow()
         self._load()
         for method, command in (("prepare", self._prepare), ("imagePart", self._imagePart), ("stage", self._stage),
                                 ("accept", self._accept)):
@@ -115,9 +117,17 @@
         """A newer roster, on the disk before anything is answered under it."""
         if self.roster is None or record["version"] > self.roster.version:
             await self._ring.commit([("roster", packJson(record))])
-            self.roster = Roster(record)
+            former, self.roster = self.roster, Roster(record)
+            if former is None or self.roster.version != former.version + 1 or self.roster.next is None:
+                self._countFromNow()
             self._log.event("rosterSet", version=self.roster.version, members=len(self.roster.everyone))
 
+    def _countFromNow(self):
+        """Confirmations count as given this instant. At a start, since what this voter confirmed before is forgotten;
+        and with a new roster, since others may have confirmed without this voter under the former ones. Only a step
+        to a joint roster needs nothing: its majorities meet those of the version before in that one's members."""
+        self._confirmedAt = dict.fromkeys(range(SLOTS), self._seconds())
+
     async def _rosterVersion(self, _peer, _arguments):
         return self.roster.version if self.roster else 0
 
@@ -149,7 +159,8 @@
         await self._write(arguments.slot, table, {}, promisedEpoch=arguments.epoch, promisedOwner=arguments.owner)
         entries = None if arguments.parts else [idl.Entry(key=key, value=value) for key, value in table.entries.items()]
         return idl.Promise(granted=True, promisedEpoch=earlier[0], promisedOwner=earlier[1],
-                           imageEpoch=table.imageEpoch, sequence=table.sequence, entries=entries)
+                           imageEpoch=table.imageEpoch, sequence=table.sequence, entries=entries,
+                           unconfirmedMs=int((self._seconds() - self._confirmedAt[arguments.slot]) * 1000))
 
     async def _imagePart(self, table, peer, arguments):
         """The image does not move while it is read: only a higher promise could change it, and that ends this."""
@@ -236,6 +247,8 @@
     async def _confirm(self, peer, arguments):
         """Which of these terms nobody has been promised past. The promise itself is on the disk already."""
         self._checkRoster(peer, arguments.rosterVersion)
-        return [term for term in arguments.terms or [] if 0 <= term.slot < SLOTS
-                and (self._tables[term.slot].promisedEpoch, self._tables[term.slot].promisedOwner)
-                == (term.epoch, arguments.owner)]
+        confirmed = [term for term in arguments.terms or [] if 0 <= term.slot < SLOTS
+                     and (self._tables[term.slot].promisedEpoch, self._tables[term.slot].promisedOwner)
+                     == (term.epoch, arguments.owner)]
+        self._confirmedAt.update(dict.fromkeys((term.slot for term in confirmed), self._seconds()))
+        return confirmed
--- a/packages/oaknews/oaknews/node.py
+++ b/packages/oaknews/oaknews/node.py
@@ -34,9 +34,9 @@
 
 
 class Node:
-    def __init__(self, reactor, kind, env, random, sink, disk=None, wall=time.time):
+    def __init__(self, reactor, kind, env, random, sink, disk=None, wall=time.time, founding=None):
         self.reactor, self.kind, self.env, self.random, self.disk = reactor, kind, env, random, disk
-        self.identity = Identity(env["machine"], random, disk, env.get("clusterId"))
+        self.identity = Identity(env["machine"], random, disk, env.get("clusterId"), founding)
         self.nodeId = self.identity.nodeId
         self.log = LogLine(sink, node=env["machine"], kind=kind)
         self.net = Net(reactor, self.nodeId, kind, env["peer"], self.identity.clusterId, self.log)
@@ -48,6 +48,18 @@
                              random, self.log)
 
         self.wallClock = WallClock(reactor, self.log, wall)
+        self._env_watchers = []
+
+    def watch_env(self, watcher):
+        """`watcher(env)` is called with each env that replaces the one before while the node runs."""
+        self._env_watchers.append(watcher)
+
+    def settings_changed(self, env):
+        """What can change at run time is taken; the rest holds from the next start on."""
+        self.env = env
+        self.puller.take_seeds(env["seeds"])
+        for watcher in self._env_watchers:
+            watcher(env)
 
     def condition(self):
         """What every daemon says of itself, whatever else it says."""
--- a/packages/oaknews/oaknews/puller.py
+++ b/packages/oaknews/oaknews/puller.py
@@ -103,7 +103,7 @@
             askedAt, seen = self._reactor.seconds(), self._board.seen()
             news = await self._net.call(address, "pull", PULL_TIME, seen=seen,
                                             me=self._board.wholeImage(self._source))
-            if news.clusterId and not self._net.clusterId:
+            if news.clusterId and not self._net.clusterId and self._identity.founding is None:
                 self._identity.joinCluster(news.clusterId)
                 self._net.joinCluster(news.clusterId)
                 self._log.event("joinedCluster", clusterId=news.clusterId, through=address)
@@ -119,6 +119,9 @@
         return (address == self._me.peer
                 or self._reactor.seconds() - self._answeredAt.get(address, float("-inf")) < lately)
 
+    def take_seeds(self, seeds):
+        self._seeds = list(seeds)
+
     async def pullNow(self):
         """One pull from every cohort member, for a request that waits for fresh news."""
         await settled([self._pullFrom(member.peer) for member in self._members.cohort(self._me.kind)
--- a/packages/oakwire/oakwire/net.py
+++ b/packages/oakwire/oakwire/net.py
@@ -221,14 +221,23 @@
             await defer.maybeDeferred(self._port.stopListening)
         self._hangUp()
 
-    async def call(self, address, method, timeLeft=CALL_TIME, **arguments):
+    async def call(self, address, method, timeLeft=CALL_TIME, to=None, **arguments):
+        """The answer of whoever is at this address, or of nobody but the node `to`: after a lost disk another one
+        listens where it did, and must not be taken for it."""
         if timeLeft <= 0:
             raise TimeSpent("no time left for the call")
         if address == self.address:
+            self._checkNode(address, to, self.nodeId)
             return await self._callSelf(method, arguments)
         connection = await self._link(address)
+        self._checkNode(address, to, connection.peer.nodeId)
         return await connection.call(method, timeLeft, arguments)
 
+    @staticmethod
+    def _checkNode(address, wanted, found):
+        if wanted not in (None, found):
+            raise Unreachable(f"{found} is at {address}, not {wanted}")
+
     async def _callSelf(self, method, arguments):
         if method not in self.handlers:
             raise Unknown(f"no method {method} here")
