--- a/packages/oakcontrol/oakcontrol/platform.py
+++ b/packages/oakcontrol/oakcontrol/platform.py
@@ -111,11 +111,12 @@
         self._pages = 1
         self._ids = frozenset()
         self._due, self._due_for = float("-inf"), None
-        self.settings_changed(node.env)
+        self._take_env(node.env)
+        node.watch_env(self._take_env)
         owners.pollTimes[REPLICAS_KEY] = float("-inf")
         node.net.handle("platformList", self._serveList)
 
-    def settings_changed(self, env):
+    def _take_env(self, env):
         """Takes what may change while the node runs."""
         self._address = env.get("platform") or self._address
         self._rate = env.get("platformRate")
--- a/packages/oaknews/oaknews/program.py
+++ b/packages/oaknews/oaknews/program.py
@@ -67,9 +67,7 @@
         changed = sorted(name for name in env.keys() | self.env.keys() if env.get(name) != self.env.get(name))
         self.env = env
         log.event("envChanged", changed=",".join(changed))
-        taking = getattr(self._node, "settings_changed", None)
-        if taking is not None:
-            taking(env)
+        self._node.node.settings_changed(env)
 
 
 def run_node(program, env, build, source=None):
