--- a/packages/oakrelay/oakrelay/upstream.py
+++ b/packages/oakrelay/oakrelay/upstream.py
@@ -14,11 +14,12 @@
 from oakbase.constants import ANSWER_HEAD_LIMIT, CONNECT_TIME, KEPT_MARGIN, KEPT_UNTOLD, PIECES_LIMIT, TRAILER_LIMIT
 from oakbase.env import splitAddress
 from oakbase.verdict import BadRequest, Broken, NoAnswer, TimeSpent, TooLarge, Unreachable, Verdict
-from oakrelay.framing import HOP_BY_HOP, ChunkedDecoder, Malformed, body_length, join_head, parse_fields
+from oakrelay.framing import HOP_BY_HOP, TOKEN, ChunkedDecoder, Malformed, body_length, join_head, parse_fields
 from oakrelay.sockets import has_unsent, is_quiet, send_now, set_options
 
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r\n")
 _TIMEOUT = re.compile(rb"timeout[ \t]*=[ \t]*([0-9]{1,9})")
+_METHOD = re.compile(TOKEN)
 _TARGET = re.compile(rb"/[\x21-\x7e]*")
 _WHOLE = object()
 
@@ -115,15 +116,16 @@
 
 
 class _Connection(protocol.Protocol):
-    """Invariants: `_head_waiting` is set from the first byte of a request to the head of its answer, `_answer` from
-    there to the answer's end; with neither the connection is idle, and whatever arrives then is nobody's."""
+    """Invariants: `ready` is set until the connection stands; `_head_waiting` from the first byte of a request to the
+    head of its answer, `_answer` from there to the answer's end. With none of them the connection is idle, and whatever
+    arrives then is nobody's."""
 
     def __init__(self, pool, address, instance_id):
         self._pool, self.address, self.instance_id = pool, address, instance_id
         self.is_open = True
         self.is_retired = False
         self.usable_until = 0.0
-        self.ready = None
+        self.ready = self.connector = None
         self._kept_for = KEPT_UNTOLD
         self._head_waiting = self._answer = self._decoder = None
         self._buffer, self._left = b"", 0
@@ -132,7 +134,7 @@
 
     @property
     def is_idle(self):
-        return self._head_waiting is None and self._answer is None
+        return self._head_waiting is None and self._answer is None and self.ready is None
 
     def connectionMade(self):
         set_options(self.transport, probes=True)
@@ -143,6 +145,10 @@
             return
         ready.callback(self)
 
+    def give_up_dialling(self, _ready):
+        self.ready = None
+        self.connector.disconnect()
+
     def connectionLost(self, reason=protocol.connectionDone):
         self._leave()
         answer = self._answer
@@ -364,12 +370,15 @@
         for connection in [connection for ones in self._open.values() for connection in ones
                            if connection.instance_id == instance_id]:
             connection.is_retired = True
-            if connection.is_idle and connection.ready is None:
+            if connection.is_idle:
                 connection.close()
 
     def stop(self):
         for connection in [connection for ones in self._open.values() for connection in ones]:
-            connection.drop("this process is stopping")
+            if connection.ready is not None:
+                connection.connector.disconnect()
+            else:
+                connection.drop("this process is stopping")
 
     # --- connections ---
 
@@ -393,14 +402,11 @@
         host, port = splitAddress(address)
         connection = _Connection(self, address, instance_id)
 
-        def give_up(_ready):
-            connection.ready = None
-            connector.disconnect()
-        connection.ready = ready = defer.Deferred(give_up)
+        connection.ready = ready = defer.Deferred(connection.give_up_dialling)
         self._open.setdefault(address, set()).add(connection)
         self.opened += 1
         try:
-            connector = self.reactor.connectTCP(
+            connection.connector = self.reactor.connectTCP(
                 host, port, _Dial(connection), timeout=min(time_left, CONNECT_TIME),
                 bindAddress=(self._bind_host, 0) if self._bind_host else None)
             return await ready
@@ -414,7 +420,7 @@
     def _close_other(self, address):
         """Makes room by closing an idle connection to the same address."""
         for connection in self._open[address]:
-            if connection.is_idle and connection.ready is None:
+            if connection.is_idle:
                 connection.close()
                 return True
         return False
@@ -444,7 +450,8 @@
     fields = [field for field in headers if field[0].lower() not in HOP_BY_HOP]
     if not any(field[0].lower() == b"host" for field in fields):
         fields.append((b"Host", address.encode("ascii")))
-    if not _TARGET.fullmatch(target):
-        raise Malformed("a target that cannot be sent")
+    verb = method.encode("latin-1", "replace")
+    if not _METHOD.fullmatch(verb) or not _TARGET.fullmatch(target):
+        raise Malformed("a method or target that cannot be sent")
     length = b"Content-Length: %d\r\n" % len(body) if body or method in ("POST", "PUT", "PATCH") else b""
-    return join_head(b"%b %b HTTP/1.1\r\n" % (method.encode("ascii"), target), fields, length) + body
+    return join_head(b"%b %b HTTP/1.1\r\n" % (verb, target), fields, length) + body
