--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -21,6 +21,8 @@
 # --- ring of files -----------------------------------------------------------
 RING_FILES = 8              # files; enough that reclaiming one frees space before the head meets it
 RING_FILE_SIZE = 16 << 20   # bytes; a small disk holds a ring of 128 MiB, a quarter of which may be live
+RING_COMMIT_SHARE = 4       # parts; a ring with its number of files given takes commits of at most a file's fourth, and so
+                            # has room for half of what its files hold
 RING_RESERVE_FILES = 2      # files; kept free so that reclaiming the tail always has room to copy
 RING_BATCH = 256            # commits; one sync covers this many at most, so that no commit waits long
 
@@ -104,7 +106,8 @@
                             # restart with its disk takes
 MEMBER_ANSWERED = 1.0       # s; a watch with a longer gap between two looks was frozen, and has watched nobody meanwhile
 PRUNE_PAUSE = 1.0           # s; how often the owner of the store set asks whether ids of retired stores are still in use
-SWEEP_PAGES = 20            # pages; taken from one member in one round by a store that is still copying
+SWEEP_BUCKETS = 64          # buckets of lines; their sums fit one small message, and one holds few lines
+COPY_PAGE_TURNS = 512       # turns; asked for in one message
 STORE_COPY_PAUSE = 0.1      # s; the same for a store that has not copied all yet
 STORE_SWEEP = 1.0           # s; pause between rounds of hand-over and anti-entropy
 SWEEP_HINTS = 64            # lines; handed over to one member in one round, so that others get their turn
--- a/packages/oaklab/oaklab/simdisk.py
+++ b/packages/oaklab/oaklab/simdisk.py
@@ -30,8 +30,11 @@
         self._check()
         self._files[name], self._durable[name] = bytearray(size), bytearray(size)
 
-    def read(self, name):
-        return bytes(self._files[name])
+    def size(self, name):
+        return len(self._files[name])
+
+    def read(self, name, most=-1):
+        return bytes(self._files[name][:most] if most >= 0 else self._files[name])
 
     def write(self, name, offset, data):
         self._check()
--- a/packages/oakring/oakring/disk.py
+++ b/packages/oakring/oakring/disk.py
@@ -39,9 +39,13 @@
         self._syncFolder()
         self._handles[name] = handle
 
-    def read(self, name):
+    def size(self, name):
+        return os.path.getsize(self._path(name))
+
+    def read(self, name, most=-1):
+        """The whole file, or its first bytes."""
         with open(self._path(name), "rb") as file:
-            return file.read()
+            return file.read(most)
 
     def write(self, name, offset, data):
         if name not in self._handles:
--- a/packages/oakring/oakring/ring.py
+++ b/packages/oakring/oakring/ring.py
@@ -95,9 +95,10 @@
     - records are numbered without gaps from the first number of the oldest lap on.
     """
 
-    def __init__(self, disk, log, fileSize=None, fileCount=RING_FILES, seconds=time.monotonic):
+    def __init__(self, disk, log, fileSize=None, fileCount=None, seconds=time.monotonic, commitShare=COMMIT_SHARE):
         self._disk, self._log, self._seconds = disk, log, seconds
-        self._fileSize, self._fileCount = fileSize or RING_FILE_SIZE, fileCount
+        self._fileSize, self._fileCount = fileSize or RING_FILE_SIZE, fileCount or RING_FILES
+        self._commitShare = commitShare
         self.table = {}
         self._places = {}
         self._liveBytes = Counter()
@@ -120,24 +121,23 @@
         return f"ring.{lap % self._fileCount:03d}"
 
     def _recover(self):
+        """Never holds more than one file's content at a time."""
         fileNames = [f"ring.{index:03d}" for index in range(self._fileCount)]
         existing = set(self._disk.names())
-        contents = {name: self._disk.read(name) for name in fileNames if name in existing}
-        heads = self._readHeads(contents)
+        heads = self._readHeads([name for name in fileNames if name in existing])
         # All files are made before the first lap is begun, so one that is missing later was lost.
-        missing = [name for name in fileNames if name not in contents]
+        missing = [name for name in fileNames if name not in existing]
         if heads and missing:
             raise RingDamaged(f"{', '.join(missing)} of the ring is missing")
-        for name in fileNames:
-            if name not in contents:
-                self._disk.create(name, self._fileSize)
+        for name in missing:
+            self._disk.create(name, self._fileSize)
         if not heads:
-            self._refuseLostHead(contents, 0)
+            self._refuseLostHead(0)
             self._openLap(0)
             self._disk.syncNow([self._fileName(0)])
             return
-        torn = self._replayAll(heads, contents)
-        self._refuseLostHead(contents, self._laps[-1] + 1)
+        torn = self._replayAll(heads)
+        self._refuseLostHead(self._laps[-1] + 1)
         if torn:
             self._log.event("ringTornTail", file=self._fileName(self._laps[-1]), offset=self._offset)
             self._disk.write(self._fileName(self._laps[-1]), self._offset, bytes(self._fileSize - self._offset))
@@ -145,11 +145,13 @@
         self._disk.syncNow(fileNames)
         self._syncedNumber = self._number
 
-    def _readHeads(self, contents):
+    def _readHeads(self, names):
         heads = {}
-        for name, data in contents.items():
-            if len(data) != self._fileSize:
-                raise RingDamaged(f"{name} has {len(data)} bytes, the env says {self._fileSize}")
+        for name in names:
+            size = self._disk.size(name)
+            if size != self._fileSize:
+                raise RingDamaged(f"{name} has {size} bytes, the env says {self._fileSize}")
+            data = self._disk.read(name, LAP_SIZE)
             mark, version, lap, firstNumber, syncedNumber = LAP.unpack_from(data)
             if mark != LAP_MARK or data[LAP.size:LAP_SIZE] != struct.pack("<I", zlib.crc32(data[:LAP.size])):
                 continue
@@ -160,25 +162,26 @@
             heads[lap] = (firstNumber, syncedNumber)
         return heads
 
-    def _replayAll(self, heads, contents):
+    def _replayAll(self, heads):
         """Applies all whole records in order; returns whether a torn tail must be wiped."""
         oldest = min(heads)
         self._number = heads[oldest][0] - 1
-        torn = False
+        torn = hasRest = False
         for lap in range(oldest, max(heads) + 1):
             firstNumber, syncedNumber = heads.get(lap, (None, 0))
             if firstNumber is not None and syncedNumber > self._number:
                 raise RingDamaged(f"record {self._number + 1} cannot be read, though lap {lap} says it was synced")
             if firstNumber != self._number + 1:
                 torn = True
-            data = contents[self._fileName(lap)]
+            data = self._disk.read(self._fileName(lap))
             if torn:
                 self._refuseSynced(data, lap, LAP_SIZE)
                 self._disk.write(self._fileName(lap), 0, bytes(LAP_SIZE))
                 continue
             self._laps.append(lap)
             self._replay(lap, data)
-        return torn or any(contents[self._fileName(self._laps[-1])][self._offset:])
+            hasRest = data.count(0, self._offset) < len(data) - self._offset
+        return torn or hasRest
 
     def _replay(self, lap, data):
         self._offset = LAP_SIZE
@@ -194,9 +197,9 @@
                 raise RingDamaged(f"record {self._number + 1} in {self._fileName(lap)} at byte {offset} cannot be "
                                   f"read, though record {number} says it was synced")
 
-    def _refuseLostHead(self, contents, lap):
+    def _refuseLostHead(self, lap):
         """A lap whose header is unreadable, but which holds records that were synced."""
-        self._refuseSynced(contents.get(self._fileName(lap), b""), lap, 0)
+        self._refuseSynced(self._disk.read(self._fileName(lap)), lap, 0)
 
     def _apply(self, lap, key, value):
         size = ENTRY.size + len(key.encode()) + len(value or b"")
@@ -220,9 +223,10 @@
         return sum(self._liveBytes.values())
 
     def capacity(self):
-        """What may be live at once: a third of the files outside the reserve. The ends of files that no record
-        fits into are less than half, so reclaiming always comes to an end."""
-        return (self._fileCount - RING_RESERVE_FILES) * (self._fileSize - LAP_SIZE) // 3
+        """What may be live at once: two thirds of what surely fits into the files outside the reserve. The ends of
+        files that no record fits into are less than one commit, so reclaiming always comes to an end."""
+        return ((self._fileCount - RING_RESERVE_FILES) * (self._fileSize - LAP_SIZE) * 2 * (self._commitShare - 1)
+                // (3 * self._commitShare))
 
     def condition(self):
         return {"broken": str(self.broken) if self.broken else None, "syncSeconds": round(self.syncTime, 4),
@@ -230,7 +234,7 @@
 
     def commitLimit(self):
         """Bytes of one commit's packed entries."""
-        return (self._fileSize - LAP_SIZE) // COMMIT_SHARE - 2 * RECORD.size
+        return (self._fileSize - LAP_SIZE) // self._commitShare - 2 * RECORD.size
 
     def commit(self, entries):
         """Writes these (key, value or None) pairs as one; fires when they are on the disk."""
--- /dev/null
+++ b/packages/oakstore/oakstore/anti_entropy.py
@@ -0,0 +1,192 @@
+"""Anti-entropy between stores: each takes from the others what it lacks.
+
+The lines of a store fall into buckets by their keys; a bucket's sum is that of its lines' digests. One small message
+compares all sums, so two stores that agree say no more. Of the buckets that differ, the lines' digests are compared,
+and of the lines that differ, versions and the ids of the turns whose records the other one keeps.
+
+A line's digest covers its clocks only. That a store lacks records of a line whose clocks it has is known to itself:
+its versions name turns that are neither here nor were let go. It asks each member for them until it has them, or all
+the others have said that they keep none.
+"""
+from twisted.internet import defer
+
+from oakbase.constants import COPY_PAGE_TURNS, RECORD_PAGE, STORE_CALL_TIME, SWEEP_KEYS
+from oakbase.verdict import Fenced, OakError
+from oakstore.records import read_header
+from oakstore.table import TURN_LINE, bucketOf, fromState, toState
+from oakwire.codec import idl
+
+
+class AntiEntropy:
+    def __init__(self, node, table, metrics, stores):
+        """`stores()` gives the store set as it stands here."""
+        self._node, self._net, self._table, self._records = node, node.net, table, table.records
+        self._metrics, self._stores = metrics, stores
+        for method, handler in (("lineDigests", self._serve_digests), ("lineSums", self._serve_sums), ("lineBuckets", self._serve_buckets),
+                                ("lineTurns", self._serve_line_turns), ("turnAges", self._serve_ages),
+                                ("turnChains", self._serve_chains), ("turnRecords", self._serve_records)):
+            node.net.handle(method, handler)
+
+    def _check_epoch(self, epoch):
+        if epoch != self._stores().epoch:
+            raise Fenced(f"store epoch {epoch} is not {self._stores().epoch}")
+
+    # --- what others ask ---
+
+    async def _serve_digests(self, _peer, arguments):
+        """For stores of the release before, which compare all lines."""
+        keys = self._table.keysAfter(arguments.after, min(arguments.most, SWEEP_KEYS))
+        return idl.DigestPage(storeEpoch=self._stores().epoch, digests=[
+            idl.LineDigest(key=key, digest=self._table.digestOf(key)) for key in keys])
+
+    async def _serve_sums(self, _peer, _arguments):
+        return idl.LineSums(storeEpoch=self._stores().epoch, sums=self._table.sums())
+
+    async def _serve_buckets(self, _peer, arguments):
+        page = self._table.digestsAfter(arguments.buckets, arguments.after, min(arguments.most, SWEEP_KEYS))
+        return idl.DigestPage(storeEpoch=self._stores().epoch,
+                              digests=[idl.LineDigest(key=key, digest=digest) for key, digest in page])
+
+    async def _serve_line_turns(self, _peer, arguments):
+        table, records = self._table, self._records
+        return idl.LinePage(storeEpoch=self._stores().epoch, lines=[
+            idl.LineTurns(key=key, line=toState(table.versions(key), age=table.age(key)), turns=[
+                idl.TurnAge(turnId=turn_id, leftMs=int(1000 * records.left(turn_id)))
+                for turn_id in records.on_line(key)])
+            for key in arguments.keys[:SWEEP_KEYS] if key in table.rows])
+
+    async def _serve_ages(self, _peer, arguments):
+        """For how much longer each of these turns is kept here: 0 if its time was over, -1 if it is not known."""
+        lefts = [self._records.left(turn_id) for turn_id in arguments.turnIds]
+        return [-1 if left is None else int(1000 * left) for left in lefts]
+
+    async def _serve_chains(self, _peer, arguments):
+        return self._records.closure(arguments.turnIds)
+
+    async def _serve_records(self, _peer, arguments):
+        page = self._records.page([turn_id for turn_id in arguments.turnIds if turn_id in self._records], RECORD_PAGE)
+        return idl.RecordPage(storeEpoch=self._stores().epoch, records=page, leftMs=[
+            int(1000 * self._records.left(read_header(packed).turn_id)) for packed in page])
+
+    # --- records ---
+
+    def _call(self, peer, method, **arguments):
+        return self._net.call(peer, method, STORE_CALL_TIME, **arguments)
+
+    async def pull(self, peer, turn_ids):
+        """Takes the records of these turns that are not here from this store; the next page is on its way while one
+        goes to the disk. Gives the ids of those that came."""
+        wanted, brought, keeping = [one for one in turn_ids if one not in self._records], [], defer.succeed(None)
+        while wanted:
+            asked, wanted = wanted[:COPY_PAGE_TURNS], wanted[COPY_PAGE_TURNS:]
+            page = await self._call(peer, "turnRecords", turnIds=asked)
+            if page.records:
+                ids = {read_header(packed).turn_id for packed in page.records}
+                # Those asked for before the last that came, and not given, are not kept there.
+                last = max(place for place, turn_id in enumerate(asked) if turn_id in ids)
+                wanted = asked[last + 1:] + wanted
+                brought += ids
+                await keeping
+                keeping = defer.ensureDeferred(self._table.keepRecords(
+                    list(zip(page.records, (ms / 1000 for ms in page.leftMs)))))
+                self._metrics.count("records_pulled", len(ids))
+        await keeping
+        return brought
+
+    async def pull_chains(self, peer, turn_ids):
+        """The same with all their ancestors."""
+        await self.pull(peer, await self._call(peer, "turnChains", turnIds=turn_ids))
+
+    async def take(self, peer, turn_ids):
+        """Takes those of these turns with their chains that are neither here nor were let go here."""
+        wanted = [one for one in turn_ids if one not in self._records and not self._records.was_dropped(one)]
+        if wanted:
+            await self.pull_chains(peer, wanted)
+
+    async def bring_chain(self, turn_id, peers):
+        """Whether this turn and all its ancestors are on the disk here now; what is missing is asked of these
+        (id, address) pairs in turn. Who goes on from a turn keeps its chain too."""
+        for node_id, peer in peers:
+            missing = self._records.chain(turn_id)[1]
+            if missing is None:
+                break
+            try:
+                await self.pull_chains(peer, [missing])
+            except OakError as error:
+                self._node.log.event("chainNotBrought", member=node_id, reason=error.reason)
+        if self._records.chain(turn_id)[1] is not None:
+            return False
+        if turn_id is not None:
+            self._records.touch(turn_id)
+        return True
+
+    # --- a round with one member ---
+
+    async def compare(self, node_id, peer):
+        """Takes from the member all that it has and this store has not. What it took in since it was asked for its
+        sums is not among it: that it sends to all members by itself."""
+        answer = await self._call(peer, "lineSums")
+        # A member in our epoch sends us what it writes from now on; one in an older epoch does not.
+        self._check_epoch(answer.storeEpoch)
+        buckets, after, pulled = self._table.differing(answer.sums), "", []
+        while buckets:
+            page = await self._call(peer, "lineBuckets", buckets=buckets, after=after, most=SWEEP_KEYS)
+            self._check_epoch(page.storeEpoch)
+            digests = page.digests or []
+            pulled += await self._take_lines(peer, [
+                one.key for one in digests if self._table.digestOf(one.key) != one.digest])
+            if len(digests) < SWEEP_KEYS:
+                await self._settle_alone(peer, buckets, {one.key for one in digests} if not after else None)
+                break
+            after = digests[-1].key
+            buckets = buckets[buckets.index(bucketOf(after)):]
+        await self._mend_chains(peer, pulled)
+        await self._ask_lacking(node_id, peer)
+
+    async def _take_lines(self, peer, keys):
+        """First the records, then the versions that name them."""
+        if not keys:
+            return []
+        page = await self._call(peer, "lineTurns", keys=keys)
+        self._check_epoch(page.storeEpoch)
+        lines = [one for one in page.lines or [] if not one.key.startswith(TURN_LINE) or one.turns
+                 or one.key in self._table.rows]
+        turns = [turn for one in lines for turn in one.turns or []]
+        for turn in turns:
+            self._records.shorten(turn.turnId, turn.leftMs / 1000)
+        pulled = await self.pull(peer, [turn.turnId for turn in turns if not self._records.was_dropped(turn.turnId)])
+        for one in lines:
+            await self._table.merge(one.key, fromState(one.line), one.line.ageMs / 1000)
+            self._metrics.count("lines_synced")
+        return pulled
+
+    async def _mend_chains(self, peer, pulled):
+        """Ancestors that were let go here while nobody had gone on from them, as far as was known here."""
+        missing = {self._records.chain(turn_id)[1] for turn_id in pulled} - {None}
+        if missing:
+            await self.pull_chains(peer, sorted(missing))
+
+    async def _settle_alone(self, peer, buckets, theirs):
+        """Lines that only this store still has, of these buckets: after a restart it does not know how long it has
+        had them. The member may have let their turns go."""
+        if theirs is None:
+            return
+        alone = [key for key, _ in self._table.digestsAfter(buckets, "", SWEEP_KEYS)
+                 if key.startswith(TURN_LINE) and key not in theirs]
+        turn_ids = [turn_id for key in alone for turn_id in self._records.on_line(key)][:COPY_PAGE_TURNS]
+        if turn_ids:
+            self._shorten(turn_ids, await self._call(peer, "turnAges", turnIds=turn_ids))
+
+    def _shorten(self, turn_ids, lefts):
+        for turn_id, left in zip(turn_ids, lefts):
+            if left >= 0:
+                self._records.shorten(turn_id, left / 1000)
+
+    async def _ask_lacking(self, node_id, peer):
+        lacking = self._table.lackingOf(node_id, COPY_PAGE_TURNS)
+        if not lacking:
+            return
+        lefts = await self._call(peer, "turnAges", turnIds=lacking)
+        await self.pull_chains(peer, [turn_id for turn_id, left in zip(lacking, lefts) if left > 0])
+        others = self._stores().everyone.keys() - {self._node.nodeId}
+        self._table.noteAbsent(node_id, [turn_id for turn_id, left in zip(lacking, lefts) if left <= 0], others)
--- a/packages/oakstore/oakstore/records.py
+++ b/packages/oakstore/oakstore/records.py
@@ -82,6 +82,17 @@
     def packed(self, turn_id):
         return self._ring.table[RECORD_ROW + turn_id]
 
+    def page(self, turn_ids, limit):
+        """The records of these turns, as many from the front on as fit the limit, one at least."""
+        page, size = [], 0
+        for turn_id in turn_ids:
+            packed = self.packed(turn_id)
+            size += len(packed)
+            if page and size > limit:
+                break
+            page.append(packed)
+        return page
+
     def line_of(self, turn_id):
         row = self._rows.get(turn_id)
         return row and row.line_key
@@ -124,6 +135,11 @@
                 turn_id = self._rows[turn_id].parent
         return list(found)
 
+    def note_dropped(self, turn_id):
+        """Nobody keeps it any more."""
+        if turn_id not in self._rows:
+            self._dropped.setdefault(turn_id, self._reactor.seconds())
+
     def touch(self, turn_id, seconds=RECALL_KEPT):
         """Keeps it, and so its chain, for at least so long."""
         row = self._rows.get(turn_id)
@@ -138,8 +154,10 @@
                 for header in [read_header(packed)] if header.turn_id not in self._rows]
 
     def enter(self, packed, left):
-        """A record is on the disk, and is kept for `left` seconds by what its sender knows."""
-        self._enter(read_header(packed), left)
+        """A record is on the disk, and is kept for `left` seconds by what its sender knows. Gives its turn's id."""
+        header = read_header(packed)
+        self._enter(header, left)
+        return header.turn_id
 
     def _enter(self, header, left):
         until = self._reactor.seconds() + min(left, RECORD_KEPT_MOST)
--- a/packages/oakstore/oakstore/store.py
+++ b/packages/oakstore/oakstore/store.py
@@ -7,8 +7,8 @@
 from twisted.internet import defer
 
 from oakbase.checks import packJson
-from oakbase.constants import (ACCEPT_INBOX, HINT_LIMIT, LINE_KEPT, LINE_SIZE, RECORD_PAGE, STORE_CALL_TIME,
-                               STORE_COPY_PAUSE, STORE_SWEEP, SWEEP_HINTS, SWEEP_KEYS, SWEEP_PAGES)
+from oakbase.constants import (ACCEPT_INBOX, HINT_LIMIT, LINE_KEPT, LINE_SIZE, RECORD_PAGE, RING_COMMIT_SHARE,
+                               STORE_CALL_TIME, STORE_COPY_PAUSE, STORE_SWEEP, SWEEP_HINTS)
 from oakbase.metrics import Metrics
 from oakbase.tasks import Repeater, quorumOf
 from oakbase.verdict import BadRequest, CannotTell, Fenced, NoAnswer, OakError, TooLarge
@@ -19,6 +19,7 @@
 from oakdvv.context import fromContext, toContext
 from oaknews.node import Node
 from oakring.ring import Ring
+from oakstore.anti_entropy import AntiEntropy
 from oakstore.records import read_header
 from oakstore.table import TURN_LINE, LineTable, fromState, toState
 from oakwire.codec import idl
@@ -37,17 +38,17 @@
         self.table = LineTable(node, ring)
         self._coversSince = int(ring.table.get(COVERS, b"0"))
         self._hints = {}
-        self._passEpoch, self._passFrom, self._coveredFrom = 0, {}, set()
+        self._passEpoch, self._coveredFrom = 0, set()
         self.stores = StoreSet.fromBoard(node.board)
         node.board.watch(STORES_KEY, self._storesMoved)
         self.metrics = Metrics()
+        self._antiEntropy = AntiEntropy(node, self.table, self.metrics, lambda: self.stores)
         self._sweeper = Repeater(node.reactor, 0.0, self._waitAndSweep, node.log)
         self._wake = defer.Deferred()
         for method, handler in (("lineGet", self._get), ("linePut", self._put), ("lineKeep", self._keep),
-                                ("lineDigests", self._digests), ("storeStatus", self._status),
-                                ("turnRecall", self._turnRecall), ("turnRetain", self._turnRetain),
-                                ("turnKeep", self._turnKeep), ("lineTurns", self._lineTurns),
-                                ("turnChains", self._turnChains), ("turnOffer", self._turnOffer), ("turnRecords", self._turnRecords)):
+                                ("storeStatus", self._status), ("turnRecall", self._turnRecall),
+                                ("turnRetain", self._turnRetain), ("turnKeep", self._turnKeep),
+                                ("turnOffer", self._turnOffer)):
             node.net.handle(method, handler)
 
     def start(self):
@@ -166,18 +167,7 @@
         return idl.TurnState(
             known=key is not None, whole=isWhole, lineKey=key,
             line=toState(table.versions(key) if key else {}, self.covers, self.stores.epoch, 0.0, table.isFull()),
-            records=self._page(ids) if arguments.bodies else None)
-
-    def _page(self, turnIds):
-        """The records of these turns, as many from the front on as fit a page, one at least."""
-        page, size = [], 0
-        for turnId in turnIds:
-            packed = self.table.records.packed(turnId)
-            size += len(packed)
-            if page and size > RECORD_PAGE:
-                break
-            page.append(packed)
-        return page
+            records=records.page(ids, RECORD_PAGE) if arguments.bodies else None)
 
     async def _turnRetain(self, _peer, arguments):
         stores = self.stores
@@ -201,36 +191,8 @@
         return toContext(frozenset([clock]))
 
     async def _bringChain(self, turnId, peers):
-        """Returns once this turn and all its ancestors are on the disk here; what is missing is asked of these
-        stores in turn. Who goes on from a turn keeps its chain too."""
-        records = self.table.records
-        for nodeId, peer in peers:
-            if records.chain(turnId)[1] is None:
-                break
-            try:
-                await self._pull(peer, await self._chainsAt(peer, [records.chain(turnId)[1]]))
-            except OakError as error:
-                self._log.event("chainNotBrought", member=nodeId, reason=error.reason)
-        missing = records.chain(turnId)[1]
-        if missing is not None:
-            raise CannotTell(f"turn {missing} of the chain is not here", retryAfter=1)
-        if turnId is not None:
-            records.touch(turnId)
-
-    async def _chainsAt(self, peer, turnIds):
-        return await self._node.net.call(peer, "turnChains", STORE_CALL_TIME, turnIds=turnIds)
-
-    async def _pull(self, peer, turnIds):
-        """Takes the records of these turns that are not here from this store, a page at a time."""
-        wanted = [turnId for turnId in turnIds if turnId not in self.table.records]
-        while wanted:
-            page = await self._node.net.call(peer, "turnRecords", STORE_CALL_TIME, turnIds=wanted)
-            if not page.records:
-                return
-            await self.table.keepRecords(list(zip(page.records, (ms / 1000 for ms in page.leftMs))))
-            self.metrics.count("records_pulled", len(page.records))
-            brought = {read_header(packed).turn_id for packed in page.records}
-            wanted = [turnId for turnId in wanted if turnId not in brought]
+        if not await self._antiEntropy.bring_chain(turnId, peers):
+            raise CannotTell(f"the chain of turn {turnId} is not here", retryAfter=1)
 
     async def _giveTurn(self, nodeId, peer, key, state, records, lefts):
         await self._giveNoted(nodeId, key, state, lambda: self._node.net.call(
@@ -250,34 +212,12 @@
         self.metrics.count("turn_keeps")
         return True
 
-    async def _lineTurns(self, _peer, arguments):
-        records = self.table.records
-        return idl.LinePage(storeEpoch=self.stores.epoch, lines=[
-            idl.LineTurns(key=key, line=toState(self.table.versions(key), age=self.table.age(key)), turns=[
-                idl.TurnAge(turnId=turnId, leftMs=int(1000 * records.left(turnId)))
-                for turnId in records.on_line(key)])
-            for key in arguments.keys[:SWEEP_KEYS] if key in self.table.rows])
-
-    async def _turnChains(self, _peer, arguments):
-        return self.table.records.closure(arguments.turnIds)
-
-    async def _turnRecords(self, _peer, arguments):
-        records = self.table.records
-        page = self._page([turnId for turnId in arguments.turnIds if turnId in records])
-        return idl.RecordPage(storeEpoch=self.stores.epoch, records=page, leftMs=[
-            int(1000 * records.left(read_header(packed).turn_id)) for packed in page])
-
     async def _status(self, _peer, arguments):
         if arguments.record:
             self._adopt(json.loads(arguments.record))
         return json.dumps({"nodeId": self._node.nodeId, "epoch": self.stores.epoch, "covers": self.covers, "lines": len(self.table.rows),
                            "hints": self.hintsByMember(), "dots": self.table.dots()})
 
-    async def _digests(self, _peer, arguments):
-        keys = self.table.keysAfter(arguments.after, min(arguments.most, SWEEP_KEYS))
-        return idl.DigestPage(storeEpoch=self.stores.epoch, digests=[
-            idl.LineDigest(key=key, digest=self.table.digest(key)) for key in keys])
-
     # --- sweeping ---
 
     def _sweepSoon(self):
@@ -301,7 +241,7 @@
         since = self.stores.since(self._node.nodeId)
         if self._passEpoch != since:
             # Only what was read since then counts: before, writes went on that were not sent here.
-            self._passEpoch, self._passFrom, self._coveredFrom = since, {}, set()
+            self._passEpoch, self._coveredFrom = since, set()
         if since == 1 and not self.covers:
             await self._cover(since)  # no line is older than the first set, so nothing can be missing
         await self.table.dropRecords()
@@ -312,14 +252,15 @@
                 continue
             try:
                 await self._handOver(nodeId, peer)
-                for _ in range(1 if self.covers else SWEEP_PAGES):
-                    await self._compare(nodeId, peer)
+                await self._antiEntropy.compare(nodeId, peer)
+                self._coveredFrom.add(nodeId)
             except OakError as error:
                 self._log.event("sweepFailed", member=nodeId, reason=error.reason)
         # Every write quorum of the old set has a member among so many of them.
         needed = len(self.stores.members) - majority(self.stores.members) + 1
-        if not self.covers and self._passEpoch == since and len(
-                self._coveredFrom & self.stores.members.keys()) >= needed:
+        copiedFrom = self._coveredFrom & self.stores.members.keys()
+        if (not self.covers and self._passEpoch == since and len(copiedFrom) >= needed
+                and not self.table.isLacking(copiedFrom)):
             await self._cover(since)
 
     async def _cover(self, since):
@@ -349,60 +290,17 @@
         self._checkEpoch(arguments.state.storeEpoch)
         if arguments.sender not in self.stores.everyone:
             raise Fenced(f"{arguments.sender} is not in the store set")
-        await self._takeTurns(self.stores.everyone[arguments.sender]["peer"], arguments.turnIds or [])
+        await self._antiEntropy.take(self.stores.everyone[arguments.sender]["peer"], arguments.turnIds or [])
         await self.table.merge(arguments.key, fromState(arguments.state), arguments.state.ageMs / 1000)
         self.metrics.count("turn_keeps")
         return True
 
-    async def _takeTurns(self, peer, turnIds):
-        """Takes those of these turns with their chains from this store that are neither here nor were let go here."""
-        records = self.table.records
-        wanted = [turnId for turnId in turnIds if turnId not in records and not records.was_dropped(turnId)]
-        if wanted:
-            await self._pull(peer, await self._chainsAt(peer, wanted))
-
-    async def _compareTurns(self, peer, keys):
-        """Of lines of turns that differ: first the records, then the versions that name them."""
-        page = await self._node.net.call(peer, "lineTurns", STORE_CALL_TIME, keys=keys)
-        self._checkEpoch(page.storeEpoch)
-        for one in page.lines or []:
-            for turn in one.turns or []:
-                self.table.records.shorten(turn.turnId, turn.leftMs / 1000)
-        await self._takeTurns(peer, [turn.turnId for one in page.lines or [] for turn in one.turns or []])
-        for one in page.lines or []:
-            if one.turns or one.key in self.table.rows:
-                await self.table.merge(one.key, fromState(one.line), one.line.ageMs / 1000)
-                self.metrics.count("lines_synced")
-
-    async def _compare(self, nodeId, peer):
-        """One page of anti-entropy: takes from the member what it has and this store has not."""
-        after = self._passFrom.get(nodeId, "")
-        answer = await self._node.net.call(peer, "lineDigests", STORE_CALL_TIME, after=after, most=SWEEP_KEYS)
-        # A member in our epoch sends us what it writes from now on; one in an older epoch does not.
-        self._checkEpoch(answer.storeEpoch)
-        page = answer.digests or []
-        differing = [one.key for one in page
-                     if one.key not in self.table.rows or self.table.digest(one.key) != one.digest]
-        turnKeys = [key for key in differing if key.startswith(TURN_LINE)]
-        if turnKeys:
-            await self._compareTurns(peer, turnKeys)
-        for one in page:
-            if one.key not in differing or one.key.startswith(TURN_LINE):
-                continue
-            state = await self._node.net.call(peer, "lineGet", STORE_CALL_TIME, key=one.key)
-            self._checkEpoch(state.storeEpoch)
-            if state.versions:
-                await self.table.merge(one.key, fromState(state), state.ageMs / 1000)
-                self.metrics.count("lines_synced")
-        self._passFrom[nodeId] = page[-1].key if len(page) == SWEEP_KEYS else ""
-        if not self._passFrom[nodeId]:
-            self._coveredFrom.add(nodeId)
-
 
 class StoreNode:
     def __init__(self, reactor, env, disk, random, sink, wall=time.time):
         self.node = Node(reactor, "store", env, random, sink, disk, wall)
-        self.ring = Ring(disk, self.node.log, env.get("ringFileSize"), seconds=reactor.seconds)
+        shares = {"fileCount": env["ringFiles"], "commitShare": RING_COMMIT_SHARE} if env.get("ringFiles") else {}
+        self.ring = Ring(disk, self.node.log, env.get("ringFileSize"), seconds=reactor.seconds, **shares)
         self.store = Store(self.node, self.ring)
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
         self.web.route("GET", "/condition", self._condition)
--- a/packages/oakstore/oakstore/table.py
+++ b/packages/oakstore/oakstore/table.py
@@ -6,6 +6,7 @@
 new id, and no number is ever used twice.
 """
 import json
+import zlib
 from collections import Counter
 from dataclasses import dataclass
 from hashlib import blake2b
@@ -14,7 +15,7 @@
 from sortedcontainers import SortedDict, SortedList
 
 from oakbase.checks import packJson
-from oakbase.constants import FULL_SHARE, LINE_KEPT, LINE_KEPT_FULL, STORE_FULL, STORE_INBOX, STORE_OWNERS, SWEEP_KEYS
+from oakbase.constants import FULL_SHARE, LINE_KEPT, LINE_KEPT_FULL, STORE_FULL, STORE_INBOX, STORE_OWNERS, SWEEP_BUCKETS, SWEEP_KEYS
 from oakbase.inbox import TableOwner
 from oakcohort.rendezvous import slotOf
 from oakdvv.clock import Clock, syncVersions, update
@@ -23,6 +24,7 @@
 from oakwire.codec import idl, pack, unpack
 
 ROW = "l/"
+SUM_SPAN = 1 << 62
 TURN_LINE = "~"  # before the key of a line whose versions are sets of turn ids, with the records beside them
 BIRTHS = "births"
 
@@ -36,9 +38,9 @@
     versions: dict
     touchedAt: float
 
-    def digest(self, turnIds=()):
+    def digest(self):
         rows = sorted(clockToRow(clock) for clock in self.versions)
-        return blake2b(packJson([rows, sorted(turnIds)] if turnIds else rows), digest_size=12).hexdigest()
+        return blake2b(packJson(rows), digest_size=12).hexdigest()
 
 
 def toState(versions, covers=False, storeEpoch=0, age=0.0, full=False):
@@ -63,6 +65,10 @@
     return {turnId: parent for value in versions.values() for turnId, parent in json.loads(value).items()}
 
 
+def bucketOf(key):
+    return zlib.crc32(key.encode()) % SWEEP_BUCKETS
+
+
 def storeOf(clockId):
     """The store that numbers events under this clock id."""
     return clockId.partition("#")[0]
@@ -79,7 +85,11 @@
     Invariants: `rows` is in the order of its keys, `_touches` holds (touchedAt, key) of each row in order, and
     `_dots` counts the versions that each store numbers. So a page of keys, the oldest lines and the ids in use are
     found without a walk over all rows. `_lineOf` names for each turn of a row the row's key, but for turns whose
-    record was dropped here since their time was over."""
+    record was dropped here since their time was over; `_lacking` names those of them without a record here, each with
+    the members that were asked for it in vain.
+
+    The digests of rows lie in `_buckets`, each in the order of keys, and `_sums` holds the sum of each bucket's; both
+    are brought up to date for the keys in `_stale` before they are read."""
 
     def __init__(self, node, ring):
         self.pruned = frozenset()
@@ -87,7 +97,9 @@
         self.rows = SortedDict()
         self._touches, self._dots = SortedList(), Counter()
         self.records = RecordTable(node.reactor, ring)
-        self._lineOf = {}
+        self._lineOf, self._lacking = {}, {}
+        self._buckets = [SortedDict() for _ in range(SWEEP_BUCKETS)]
+        self._sums, self._stale = [0] * SWEEP_BUCKETS, set()
         self._births = int(ring.table.get(BIRTHS, b"0"))
         self._owners = [TableOwner(STORE_INBOX, f"lines{index}", node.log) for index in range(STORE_OWNERS)]
         for name, data in ring.table.items():
@@ -99,21 +111,28 @@
 
     def _index(self, key, versions):
         if key.startswith(TURN_LINE):
-            self._lineOf.update((turnId, key) for turnId in turnsIn(versions) if not self.records.was_dropped(turnId))
+            kept = [turnId for turnId in turnsIn(versions) if not self.records.was_dropped(turnId)]
+            self._lineOf.update(dict.fromkeys(kept, key))
+            for turnId in kept:
+                if turnId not in self.records:
+                    self._lacking.setdefault(turnId, set())
 
     def _unindex(self, key, versions):
         if key.startswith(TURN_LINE):
             for turnId in [turnId for turnId in turnsIn(versions) if self._lineOf.get(turnId) == key]:
                 del self._lineOf[turnId]
+                self._lacking.pop(turnId, None)
 
     def _enter(self, key, row):
         self.rows[key] = row
+        self._stale.add(key)
         self._touches.add((row.touchedAt, key))
         self._dots.update(dotsOf(row.versions))
 
     def _leave(self, key):
         row = self.rows.pop(key, None)
         if row is not None:
+            self._stale.add(key)
             self._touches.remove((row.touchedAt, key))
             self._dots.subtract(dotsOf(row.versions))
 
@@ -137,6 +156,7 @@
             return
         self.pruned |= storeIds
         # A walk over all rows, once for each store that was replaced.
+        self._stale.update(self.rows)
         for row in self.rows.values():
             stripped = {self._strip(clock): value for clock, value in row.versions.items()}
             self._dots.subtract(dotsOf(row.versions))
@@ -167,6 +187,9 @@
     async def _merge(self, key, versions, age, records):
         if age >= self.keptFor() and not key.startswith(TURN_LINE):
             return
+        if key not in self.rows and not versions:
+            await self.keepRecords(records)
+            return
         row, extra = self._rowFor(key)
         merged = syncVersions(row.versions, {self._strip(clock): value for clock, value in versions.items()})
         if merged.keys() != row.versions.keys():
@@ -183,7 +206,7 @@
 
     def _enterRecords(self, records):
         for packed, left in records:
-            self.records.enter(packed, left)
+            self._lacking.pop(self.records.enter(packed, left), None)
 
     async def dropRecords(self):
         """Lets records go whose time is over, and lines that have none left."""
@@ -244,8 +267,59 @@
     def age(self, key):
         return self._reactor.seconds() - self.rows[key].touchedAt if key in self.rows else 0.0
 
-    def digest(self, key):
-        return self.rows[key].digest(self.records.on_line(key))
+    def _freshen(self):
+        for key in self._stale:
+            number = bucketOf(key)
+            former = self._buckets[number].pop(key, None)
+            self._sums[number] -= int(former, 16) if former else 0
+            if key in self.rows:
+                digest = self._buckets[number][key] = self.rows[key].digest()
+                self._sums[number] += int(digest, 16)
+        self._stale.clear()
+
+    def sums(self):
+        """Of the digests of each bucket's lines, as numbers that fit 64 bits."""
+        self._freshen()
+        return [total % SUM_SPAN for total in self._sums]
+
+    def differing(self, sums):
+        return [number for number, (ours, theirs) in enumerate(zip(self.sums(), sums)) if ours != theirs]
+
+    def digestsAfter(self, buckets, after, most):
+        """(key, digest) pairs of these buckets in order, from the first one's key `after` on; a page of them."""
+        self._freshen()
+        page = []
+        for place, number in enumerate(buckets):
+            bucket = self._buckets[number]
+            keys = bucket.irange(after, inclusive=(False, False)) if place == 0 else bucket.keys()
+            page += [(key, bucket[key]) for key in islice(keys, most - len(page))]
+            if len(page) == most:
+                break
+        return page
+
+    def digestOf(self, key):
+        self._freshen()
+        return self._buckets[bucketOf(key)].get(key)
+
+    def lackingOf(self, nodeId, most):
+        """Turns of lines here whose records are not here, and for which this member was not asked yet."""
+        return list(islice((turnId for turnId, asked in self._lacking.items() if nodeId not in asked), most))
+
+    def isLacking(self, nodeIds):
+        """Whether something is lacking for which one of these members was not asked yet."""
+        return any(nodeIds - asked for asked in self._lacking.values())
+
+    def noteAbsent(self, nodeId, turnIds, others):
+        """The member keeps none of these; what none of the others keeps was let go by all."""
+        for turnId in turnIds:
+            asked = self._lacking.get(turnId)
+            if asked is None:
+                continue
+            asked.add(nodeId)
+            if others <= asked:
+                del self._lacking[turnId]
+                self._lineOf.pop(turnId, None)
+                self.records.note_dropped(turnId)
 
     def lineOf(self, turnId):
         """The key of the line that this turn is on, as far as this store knows."""
--- a/packages/oakstore/oakstore/turns.py
+++ b/packages/oakstore/oakstore/turns.py
@@ -71,6 +71,10 @@
         for packed in state.records or []:
             self.records[read_header(packed).turn_id] = packed
 
+    def whole_at(self):
+        """A store that has the whole chain, or None; its records may still have to come in further pages."""
+        return next((node_id for node_id, state in self.states.items() if state.whole), None)
+
     def chain(self):
         """(packed records from the turn to the oldest one here, the id of the first missing or None)"""
         chain, turn_id = [], self.turn_id
@@ -145,7 +149,7 @@
             read.note(node_id, await self._node.net.call(
                 stores.everyone[node_id]["peer"], "turnRecall", time_left, turnId=turn_id, bodies=True))
         await self._ask_in_turn(self._order(stores.everyone, turn_id), ask, RECALL_HEDGE, ends_at,
-                                lambda: read.chain()[1] is None or self._is_gone(read, stores))
+                                lambda: read.whole_at() or self._is_gone(read, stores))
         if read.records:
             await self._fill(read, stores, ends_at)
         return read
@@ -193,7 +197,7 @@
 
     async def _fill(self, read, stores, ends_at):
         """Takes what a chain still lacks from whichever store has it, page by page."""
-        for node_id in self._order(stores.everyone, read.turn_id):
+        for node_id in self._order(stores.everyone, read.turn_id, read.whole_at()):
             while (missing := read.chain()[1]) is not None and missing != read.turn_id:
                 time_left = min(STORE_CALL_TIME, ends_at - self._reactor.seconds())
                 if time_left <= 0:
@@ -220,11 +224,13 @@
         value = packTurns(turns | {record.turn_id: record.parent})
         packed = pack_record(record.turn_id, record.parent, key, keep_s + RETAIN_MARGIN, record.input, record.output)
         context = recalled.context if is_same else ""
-        ends_at, answers, errors = self._reactor.seconds() + time_left, [], []
+        ends_at, answers, errors, asked = self._reactor.seconds() + time_left, [], [], 0
         while self._reactor.seconds() < ends_at:
             stores = self._stores()
 
             async def ask(node_id, call_time):
+                nonlocal asked
+                asked += 1
                 try:
                     answers.append(await self._node.net.call(
                         stores.readers[node_id]["peer"], "turnRetain", call_time, key=key, context=context,
@@ -236,5 +242,5 @@
             if answers:
                 return answers[0]
             await sleep(self._reactor, RETRY_PAUSE)
-        isNo = all(error.verdict is Verdict.NO for error in errors)
-        raise NoAnswer("no quorum of stores said that it keeps the turn", Verdict.NO if isNo else Verdict.MAYBE)
+        is_no = asked == len([error for error in errors if error.verdict is Verdict.NO])
+        raise NoAnswer("no quorum of stores said that it keeps the turn", Verdict.NO if is_no else Verdict.MAYBE)
--- a/packages/oakwire/oakwire/oak.thrift
+++ b/packages/oakwire/oakwire/oak.thrift
@@ -74,6 +74,7 @@
 struct TurnAge { 1: string turnId  2: i32 leftMs }                 // how much longer it is kept; 0: kept no longer
 struct LineTurns { 1: string key  2: LineState line  3: list<TurnAge> turns }
 struct LinePage { 1: list<LineTurns> lines  2: i64 storeEpoch }
+struct LineSums { 1: i64 storeEpoch  2: list<i64> sums }              // of the digests of each bucket's lines
 struct RecordPage { 1: list<binary> records  2: list<i32> leftMs  3: i64 storeEpoch }
 
 service Node {
@@ -97,7 +98,10 @@
   string turnRetain(1: string key, 2: string context, 3: binary value, 4: i64 storeEpoch, 5: binary record)
   bool turnKeep(1: string key, 2: LineState state, 3: string sender, 4: list<binary> records, 5: list<i32> leftMs)
   bool turnOffer(1: string key, 2: LineState state, 3: string sender, 4: list<string> turnIds)
+  LineSums lineSums()
+  DigestPage lineBuckets(1: list<i32> buckets, 2: string after, 3: i32 most)  // after: a key of the first of them
   LinePage lineTurns(1: list<string> keys)          // what differs: versions, and which turns' records are here
+  list<i32> turnAges(1: list<string> turnIds)       // ms for which each is kept; 0: its time was over; -1: not known
   list<string> turnChains(1: list<string> turnIds)  // these and all their ancestors whose records are here
   RecordPage turnRecords(1: list<string> turnIds)   // as many as fit a page, in the order asked
 }
