--- a/packages/oakcontrol/oakcontrol/claim.py
+++ b/packages/oakcontrol/oakcontrol/claim.py
@@ -2,7 +2,10 @@
 
 Invariants of claim/P/K: one claim holds the key at a time; `done` keeps its answer, if it is small
 enough; `back` tells admissions that were taken back from later ones (oakcontrol/admission.py); an entry is let go only
-when this owner has counted CLAIM_KEPT seconds since its last change or since it took the slot over, whichever is later.
+when this owner has counted the time below since its last change or since it took the slot over, whichever is later.
+
+A claim whose gate has vanished stays claimed: its request may have run, and nobody will ever know. So the key is in
+progress until the entry is let go, and never runs again within the window.
 """
 from schema import Optional, Or
 
@@ -55,9 +58,16 @@
     return {}
 
 
+def _keptFor(context):
+    """Seconds; at least twice the window in which a repeat must find the first, so that a repeat sent at its very end
+    and held up on its way still does."""
+    return max(CLAIM_KEPT, 2 * context.bounds.get("claim_window_s", 0))
+
+
 def _sweep(view, key, _arguments):
-    if view.context.ageOf(key) > CLAIM_KEPT:
+    if view.context.ageOf(key) > _keptFor(view.context):
         view.put(key, None)
+        view.context.marks.pop(key, None)
 
 
 CONTROLLERS.enter("claim")(Controller(
--- a/packages/oakcontrol/oakcontrol/operator.py
+++ b/packages/oakcontrol/oakcontrol/operator.py
@@ -22,7 +22,7 @@
 from oakbase.constants import ACCEPT_INBOX, FRAME_LIMIT, OPERATOR_LIMIT, OPERATOR_RETRY, OPERATOR_TIME
 from oakbase.verdict import BadRequest, CannotTell, Invalid, OakError, TooLarge, Unknown, Verdict
 from oakbase.web import Web
-from oakcontrol.routing import ROUTING_KEY, apply_patch, check_table, pieces_of
+from oakcontrol.routing import ROUTING_KEY, apply_patch, check_table, document_from, pieces_of
 from oakcontrol.storeset import STORES_KEY
 
 AGAIN = 503  # the status of whatever is to be asked for again
@@ -104,7 +104,11 @@
     # --- the configuration ---
 
     async def _newest(self):
-        """(version, document) as the owner has it inside its term; (0, None) before the first one."""
+        """(version, document) as the owner has it inside its term; (0, None) before the first one. The document comes
+        from this node's own news if they are as new as that."""
+        image = self._node.board.images.get(ROUTING_KEY)
+        if image is not None and image.version > self._known[0]:
+            self._known = document_from(self._node.board.values(ROUTING_KEY))
         known = self._known
         said = await self._ask(ROUTING_KEY, "read", {"known": known[0]})
         if said["version"] == known[0]:
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,331 @@
+"""The routing by itself: documents in pieces, patches, compare-and-set, and the gates' table."""
+import json
+import random
+import unittest
+from types import SimpleNamespace
+
+from hypothesis import given, settings, strategies as st
+from test_budgets import Rig
+
+from oakbase.checks import packJson
+from oakbase.constants import CHANGES_REMEMBERED
+from oakbase.logline import LogLine
+from oakbase.verdict import Invalid, Lost
+from oakcontrol.routing import (ROUTING_KEY, apply_patch, check_table, document_from, document_of, host_of, pieces_of,
+                                table_faults)
+from oakcontrol.controllers import CONTROLLERS
+from oakcontrol.owner import View
+from oakgate.routing import Route, Router
+from oaknews.board import Board
+
+DOCUMENT = {"number": 3, "ways": [{"name": "a", "to": 1}, {"name": "b/c", "to": 2}], "places": [{"name": "p"}],
+            "order": [{"name": "a"}], "none": [], "twice": [{"name": "x"}, {"name": "x"}], "plain": [1, 2],
+            "bounds": {"most": 2.5, "deep": {"name": [None, True, "é"]}}}
+
+NAMES = st.text(max_size=4)
+VALUES = st.recursive(st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False, allow_infinity=False)
+                      | st.text(max_size=5), lambda inner: st.lists(inner, max_size=3)
+                      | st.dictionaries(NAMES, inner, max_size=3), max_leaves=8)
+ITEMS = st.lists(st.builds(lambda name, rest: rest | {"name": name}, NAMES, st.dictionaries(NAMES, VALUES, max_size=2)),
+                 max_size=4)
+DOCUMENTS = st.dictionaries(st.sampled_from(["order", "rest", "version", "", "a:b", "a/b", "%2F", "é"]) | NAMES,
+                            VALUES | ITEMS, max_size=5)
+
+
+class RoutingRig(Rig):
+    def __init__(self):
+        super().__init__(ROUTING_KEY)
+
+    def put(self, based_on, version, document=None, fingerprint=None):
+        return self.tell("put", based_on=based_on, version=version, document={"number": version} if document is None else document,
+                         fingerprint=fingerprint or f"f{based_on}-{version}")
+
+    def read(self):
+        said = self.do("read")
+        return said["version"], said.get("document")
+
+    def published(self):
+        return CONTROLLERS.find(ROUTING_KEY).image(View(self.entries, None), ROUTING_KEY)
+
+
+class Documents(unittest.TestCase):
+    def test_pieces_and_back(self):
+        self.assertEqual(document_of(pieces_of(DOCUMENT)), DOCUMENT)
+        self.assertEqual(pieces_of(DOCUMENT)["order:ways"], ["a", "b/c"])
+
+    @settings(max_examples=300, deadline=None)
+    @given(DOCUMENTS)
+    def test_any_document_comes_back_as_it_was(self, document):
+        self.assertEqual(packJson(document_of(pieces_of(document))), packJson(document))
+
+    @settings(max_examples=150, deadline=None)
+    @given(st.lists(DOCUMENTS, min_size=1, max_size=4))
+    def test_any_row_of_documents_is_kept_and_published(self, documents):
+        rig = RoutingRig()
+        for number, document in enumerate(documents):
+            rig.put(number, number + 1, document)
+            self.assertEqual(packJson(rig.read()[1]), packJson(document))
+            version, values = rig.published()
+            self.assertEqual((version, packJson(document_from(values)[1])), (number + 1, packJson(document)))
+        kept = [key for key in rig.entries if key.startswith(f"{ROUTING_KEY}#piece/")]
+        self.assertEqual(len(kept), len(pieces_of(documents[-1])), "nothing of older versions is left")
+
+
+class Patches(unittest.TestCase):
+    def faults(self, upsert=None, remove=None):
+        with self.assertRaises(Invalid) as caught:
+            apply_patch(DOCUMENT, upsert or {}, remove or {})
+        return caught.exception.detail
+
+    def test_adds_replaces_and_removes_by_name(self):
+        changed = apply_patch(DOCUMENT, {"ways": [{"name": "d"}, {"name": "a", "to": 9}], "places": []},
+                              {"ways": ["b/c", "never there"], "places": ["p"]})
+        self.assertEqual(changed["ways"], [{"name": "a", "to": 9}, {"name": "d"}])
+        self.assertEqual(changed["places"], [])
+        self.assertEqual({name: value for name, value in changed.items() if name not in ("ways", "places")},
+                         {name: value for name, value in DOCUMENT.items() if name not in ("ways", "places")})
+
+    def test_lists_that_are_not_there_yet(self):
+        self.assertEqual(apply_patch({}, {"ways": [{"name": "a"}]}, {"places": ["p"]}), {"ways": [{"name": "a"}]})
+
+    def test_what_cannot_be_read_or_says_two_things(self):
+        for upsert in ({"ways": [{"to": 1}]}, {"ways": [{"name": 1}]}, {"ways": {"name": "a"}}, {"ways": ["a"]},
+                       {"ways": None}, {"ways": [{"name": "n"}, {"name": "n"}]}, {"bounds": []}, {"plain": []},
+                       {"twice": []}, {"number": []}, ["ways"]):
+            self.assertTrue(self.faults(upsert), upsert)
+        for remove in ({"ways": "a"}, {"ways": [1]}, {"ways": None}, {"bounds": ["most"]}, ["ways"]):
+            self.assertTrue(self.faults(remove=remove), remove)
+        self.assertTrue(self.faults({"ways": [{"name": "a"}]}, {"ways": ["a"]}))
+
+    def test_every_fault_is_named(self):
+        self.assertEqual(len(self.faults({"ways": ["a"], "bounds": []}, {"ways": "a"})), 3)
+
+
+def route(name="r", host="h.example", path_prefix="/a/", **more):
+    return {"name": name, "host": host, "path_prefix": path_prefix, "kind": "safe", "timeout_s": 1.0, "target_s": 0.1,
+            "priority": 0, "backends": [["s", 1]]} | more
+
+
+def table(*routes, services=("s",)):
+    return {"version": 1, "routes": list(routes), "services": {name: {} for name in services}, "limits": {}}
+
+
+class Tables(unittest.TestCase):
+    def test_faults(self):
+        for faulty in (table(route("x"), route("y")), table(route(), route("y", host="H.example:80")),
+                       table(route(backends=[["t", 1]])), table(route(backends=[])),
+                       table(route(backends=[["s", 0], ["t", 0]]), services=("s", "t")),
+                       table(route(backends=[["s", 3], ["t", -1]]), services=("s", "t")), table(route(timeout_s=0))):
+            self.assertEqual(len(table_faults(faulty)), 1, faulty)
+            self.assertRaises(Invalid, check_table, faulty)
+
+    def test_a_sound_one(self):
+        sound = table(route(), route("y", path_prefix="/a/b/"), route("z", host="other"),
+                      route("w", path_prefix="/c/", backends=[["s", 0], ["t", 5]]), services=("s", "t"))
+        self.assertIs(check_table(sound), sound)
+
+    def test_hosts(self):
+        for written, host in (("A.Example", "a.example"), ("a:80", "a"), ("a:", "a"), ("[::1]:80", "[::1]"),
+                              ("[::1]", "[::1]"), ("", "")):
+            self.assertEqual(host_of(written), host)
+
+
+class CompareAndSet(unittest.TestCase):
+    def test_versions_rise_in_uneven_steps(self):
+        rig = RoutingRig()
+        self.assertEqual(rig.read(), (0, None))
+        self.assertEqual([rig.put(0, 5), rig.put(5, 7), rig.put(7, 1000)],
+                         [{"version": 5}, {"version": 7}, {"version": 1000}])
+        self.assertEqual(rig.read(), (1000, {"number": 1000}))
+
+    def test_one_of_two_changes_on_a_version_wins(self):
+        rig = RoutingRig()
+        rig.put(0, 5)
+        self.assertEqual([rig.put(5, 7, fingerprint="a"), rig.put(5, 7, fingerprint="b"), rig.put(5, 9)],
+                         [{"version": 7}, "lost", "lost"])
+        self.assertEqual(rig.read()[0], 7)
+
+    def test_a_version_that_is_not_above(self):
+        rig = RoutingRig()
+        rig.put(0, 5)
+        self.assertEqual([rig.put(5, 5, fingerprint="x"), rig.put(5, 4), rig.put(0, 0)],
+                         ["invalid", "invalid", "badRequest"])
+        self.assertEqual(rig.put(9, 3), "lost")
+
+    def test_exact_repeats(self):
+        rig = RoutingRig()
+        rig.put(0, 5, fingerprint="first")
+        for number in range(CHANGES_REMEMBERED - 1):
+            rig.put(number + 5, number + 6)
+        self.assertEqual(rig.put(0, 5, fingerprint="first"), {"version": 5})
+        self.assertEqual(rig.tell("outcome", based_on=0, fingerprint="first"), {"version": 5})
+        newest = rig.read()[0]
+        rig.put(newest, newest + 1)
+        self.assertEqual(rig.put(0, 5, fingerprint="first"), "lost", "it came too long ago")
+        marks = [key for key in rig.entries if key.startswith(f"{ROUTING_KEY}#taken/")]
+        self.assertEqual(len(marks), CHANGES_REMEMBERED)
+
+    def test_outcome_of_what_was_not_taken(self):
+        rig = RoutingRig()
+        rig.put(0, 5)
+        before = dict(rig.entries)
+        self.assertEqual([rig.tell("outcome", based_on=based_on, fingerprint="x") for based_on in (0, 5, 9)], ["lost"] * 3)
+        self.assertEqual(rig.entries, before)
+
+    def test_a_change_of_pieces(self):
+        rig = RoutingRig()
+        rig.put(0, 5, DOCUMENT)
+        changed = DOCUMENT | {"ways": [{"name": "b/c", "to": 3}, {"name": "new"}], "number": 4}
+        pieces = {name: value for name, value in pieces_of(changed).items() if pieces_of(DOCUMENT).get(name) != value}
+        pieces["ways/a"] = None
+        before = dict(rig.entries)
+        self.assertEqual(rig.tell("change", based_on=5, version=6, pieces=pieces, fingerprint="c"), {"version": 6})
+        self.assertEqual(rig.read(), (6, changed))
+        moved = {key for key in rig.entries.keys() | before.keys() if rig.entries.get(key) != before.get(key)}
+        self.assertEqual({key for key in moved if "#piece/" in key}, {f"{ROUTING_KEY}#piece/{name}" for name in pieces})
+        self.assertEqual(rig.tell("change", based_on=5, version=8, pieces={}, fingerprint="d"), "lost")
+        self.assertEqual(rig.tell("change", based_on=5, version=6, pieces={}, fingerprint="c"), {"version": 6})
+
+    def test_changes_of_one_batch_see_each_other(self):
+        """Both are in before either is committed: nothing of the first's pieces may stay."""
+        rig = RoutingRig()
+        rig.put(0, 1, DOCUMENT)
+        view = View(rig.entries, None)
+        controller = CONTROLLERS.find(ROUTING_KEY)
+        for based_on, version, document in ((1, 2, {"fresh": [{"name": "x"}]}), (2, 3, {"number": 1})):
+            inner = view.nested()
+            controller.run(inner, ROUTING_KEY, "put", {"based_on": based_on, "version": version, "document": document,
+                                                       "fingerprint": f"f{version}"})
+            view.fold(inner)
+        rig.entries |= view.changes()
+        rig.entries = type(rig.entries)({key: value for key, value in rig.entries.items() if value is not None})
+        self.assertEqual(rig.read(), (3, {"number": 1}))
+        self.assertEqual([key for key in rig.entries if "#piece/" in key], [f"{ROUTING_KEY}#piece/rest"])
+
+    def test_a_document_of_four_megabytes(self):
+        rig, document = RoutingRig(), {"ways": [{"name": f"w{number}", "text": "x" * 400} for number in range(9500)]}
+        self.assertGreater(len(packJson(document)), 4_000_000)
+        self.assertEqual(rig.put(0, 1, document), {"version": 1})
+        self.assertEqual(rig.read(), (1, document))
+        self.assertEqual(rig.put(1, 2, {"text": "y" * 4_100_000}), {"version": 2})
+
+    def test_a_lost_change_tells_the_newest(self):
+        rig = RoutingRig()
+        rig.put(0, 5)
+        with self.assertRaises(Lost) as caught:
+            rig.do("put", based_on=0, version=9, document={}, fingerprint="z")
+        self.assertEqual((caught.exception.detail, caught.exception.verdict.value), ({"version": 5}, "no"))
+
+
+class PlainDialect:
+    """Documents that are tables already; `broken` ones cannot be read."""
+
+    def routing_of(self, document):
+        if "broken" in document:
+            raise Invalid("broken")
+        return document
+
+
+class RouterTest(unittest.TestCase):
+    BOUNDS = {"routing_age_s": 2.0, "routing_stretch_s": 5.0}
+
+    def setUp(self):
+        self.now, self.lines = 0.0, []
+        self.board = Board(self)
+        self.node = SimpleNamespace(board=self.board, env={"bounds": self.BOUNDS}, log=LogLine(self.lines.append))
+        self.rig = RoutingRig()
+        self.router = Router(self.node, PlainDialect())
+
+    def seconds(self):
+        return self.now
+
+    def publish(self, version, document):
+        self.rig.put(self.rig.read()[0], version, document)
+        self.board.publish(ROUTING_KEY, self.seconds)
+        self.board.setItems(ROUTING_KEY, *self.rig.published())
+
+    def found(self, host, path):
+        route = self.router.find(host, path)
+        return route and route.name
+
+    def test_longest_prefix_of_the_host(self):
+        self.publish(3, table(route("a", path_prefix="/a/"), route("ab", path_prefix="/a/b/"),
+                              route("long", path_prefix="/a/b/c/d/"), route("root", host="o", path_prefix="/")))
+        for host, path, name in (
+                ("h.example", "/a/x", "a"), ("H.EXAMPLE:8080", "/a/b/", "ab"), ("h.example", "/a/b", "a"),
+                ("h.example", "/a/b/c/x?y=/a/b/c/d/", "ab"), ("h.example", "/a/b/c/d/e/f", "long"),
+                ("h.example", "/a", None), ("h.example", "/b/a/", None), ("h.example", "/A/", None),
+                ("h.example", "a/", None), ("h.example", "", None), ("h.example", "/?/a/", None),
+                ("other", "/a/", None), ("o", "/any/thing", "root"), ("o", "*", None),
+                ("h.example", "//a/", None), ("h.example", "/a/" + "/" * 50000, "a")):
+            self.assertEqual(self.found(host, path), name, (host, path[:20]))
+        self.assertEqual((self.router.version, list(self.router.services)), (3, ["s"]))
+
+    def test_moves_with_the_version_only(self):
+        self.publish(3, table(route("a")))
+        first = self.router.find("h.example", "/a/")
+        self.board.setItems(ROUTING_KEY, 3, {})
+        self.assertIs(self.router.find("h.example", "/a/"), first)
+        self.publish(9, table(route("b")))
+        self.assertEqual((self.found("h.example", "/a/"), self.router.version), ("b", 9))
+
+    def test_never_goes_back(self):
+        self.publish(9, table(route("b")))
+        older = RoutingRig()
+        older.put(0, 4, table(route("old")))
+        self.board.images[ROUTING_KEY].items = {}
+        self.board.setItems(ROUTING_KEY, 10, older.published()[1])
+        self.assertEqual((self.router.version, self.found("h.example", "/a/")), (9, "b"))
+
+    def test_staleness(self):
+        self.assertIn("no routing", self.router.staleness())
+        self.publish(1, table(route()))
+        self.assertIsNone(self.router.staleness())
+        self.board.retract(ROUTING_KEY)
+        self.now += 7.0
+        self.assertIsNone(self.router.staleness())
+        self.now += 0.1
+        self.assertIn("too old", self.router.staleness())
+
+    def test_a_table_that_cannot_be_read_stops_the_gate(self):
+        self.publish(1, table(route()))
+        for version, document in ((2, {"broken": 1}), (3, {"routes": 7}), (4, table({"name": "x"}))):
+            self.publish(version, document)
+            self.assertIn(f"version {version}", self.router.staleness())
+            self.assertEqual(self.router.version, 1)
+        self.publish(5, table(route("better")))
+        self.assertIsNone(self.router.staleness())
+        self.assertEqual(self.found("h.example", "/a/"), "better")
+
+    def test_a_router_that_begins_late(self):
+        self.publish(3, table(route("a")))
+        self.assertEqual(Router(self.node, PlainDialect()).version, 3)
+
+    def test_services_by_weight(self):
+        one = Route(**route(backends=[["none", 0], ["a", 90], ["b", 10], ["last", 0]]))
+        self.assertEqual([one.pick_service(number) for number in (0.0, 0.899, 0.901, 1 - 1e-16)], ["a", "a", "b", "b"])
+        numbers = random.Random(1)
+        picked = [one.pick_service(numbers.random()) for _ in range(10000)]
+        self.assertAlmostEqual(picked.count("a") / 10000, 0.9, delta=0.02)
+        self.assertEqual(one.backends, (("none", 0), ("a", 90), ("b", 10), ("last", 0)))
+        with self.assertRaises(AttributeError):
+            one.name = "other"
+
+    def test_news_cost_what_changed(self):
+        """A gate that is one version behind gets the one item that moved."""
+        routes = [route(f"r{number}", path_prefix=f"/{number}/") for number in range(300)]
+        self.publish(1, table(*routes))
+        behind = Board(self)
+        behind.merge(self.board.newsFor([]), [], self.now)
+        self.publish(2, table(*routes[:-1], routes[-1] | {"timeout_s": 2.0}))
+        seen = behind.seen()
+        news = self.board.newsFor(seen)
+        self.assertEqual({item.name for item in news.images[0].items}, {"routes/r299", "version"})
+        behind.merge(news, seen, self.now)
+        self.assertEqual(document_from(behind.values(ROUTING_KEY))[1]["routes"][-1]["timeout_s"], 2.0)
+        self.assertEqual(json.loads(packJson(document_from(behind.values(ROUTING_KEY))[1])),
+                         json.loads(packJson(self.rig.read()[1])))
+
+
+if __name__ == "__main__":
+    unittest.main()
