--- a/packages/oaknews/oaknews/program.py
+++ b/packages/oaknews/oaknews/program.py
@@ -74,11 +74,16 @@
     """Runs the node of this env until it is told to stop; `source` is read again when it has changed."""
     reactor = monotonicReactor()
     sink = stderrSink()
+    disk = None
     try:
         disk = FolderDisk(reactor, env["folder"]) if env.get("folder") else None
         node = build(reactor, env, disk, random.SystemRandom(), sink)
         node.start()
-    except (OakError, OSError, CannotListenError) as error:
+    except BaseException as error:
+        if disk is not None:
+            disk.close()  # its thread would keep a process alive that serves nothing
+        if not isinstance(error, (OakError, OSError, CannotListenError)):
+            raise
         print(f"{program}: cannot start: {error}", file=sys.stderr)
         sys.exit(1)
     stops = []
--- a/packages/oaknews/oaknews/puller.py
+++ b/packages/oaknews/oaknews/puller.py
@@ -10,7 +10,8 @@
 
 
 class Puller:
-    """`_pulling` names the addresses with a pull under way: never two to one address."""
+    """`_pulling` names the addresses with a pull under way: never two to one address; `_silent` those whose last pull
+    failed: that is told when it begins and when it ends."""
 
     def __init__(self, reactor, net, board, members, identity, me, seeds, random, log):
         self._reactor, self._net, self._board, self._members = reactor, net, board, members
@@ -18,6 +19,7 @@
         self._source = f"{NODE_SOURCE}{me.nodeId}/{me.boot}"
         self._version = 0
         self._pulling = set()
+        self._silent = set()
         self._answeredAt = {}
         self._rounds = 0
         self._repeater = None
@@ -109,8 +111,13 @@
                 self._log.event("joinedCluster", clusterId=news.clusterId, through=address)
             self._board.merge(news, seen, askedAt)
             self._answeredAt[address] = askedAt
+            if address in self._silent:
+                self._silent.discard(address)
+                self._log.event("pullAnswered", address=address)
         except OakError as error:
-            self._log.event("pullFailed", address=address, reason=error.reason)
+            if address not in self._silent:
+                self._silent.add(address)
+                self._log.event("pullFailed", address=address, reason=error.reason)
         finally:
             self._pulling.discard(address)
 
