--- a/packages/oakrelay/oakrelay/front.py
+++ b/packages/oakrelay/oakrelay/front.py
@@ -85,7 +85,7 @@
     def finish(self, data=b""):
         if self.finished or self.is_gone:
             return
-        framed = self._framed(data) if data else b""
+        framed = self._framed(data)
         if self._left and not self._silent:
             self.abort()
             raise RuntimeError("the answer is shorter than was told")
@@ -110,7 +110,7 @@
     def _framed(self, data):
         if not self.begun or self.finished:
             raise RuntimeError("the answer is not open")
-        if self._silent:
+        if self._silent or not data:
             return b""
         if self._chunked:
             return b"%x\r\n%b\r\n" % (len(data), data)
@@ -228,10 +228,14 @@
         self._due = None
         if self._closing or self.exchange is not None:
             self.transport.abortConnection()  # it does not take what it is sent
-        elif self._reading is not None or self._buffer:
+            return
+        read_now(self.transport)  # what came while this process was busy or frozen came in time
+        if self._due is not None or self._closing or self.exchange is not None:
+            return
+        if self._reading is not None or self._buffer:
             self._refuse(408)
         else:
-            self.close_idle()
+            self._close(linger=False)
 
     # --- reading ---
 
@@ -308,13 +312,13 @@
         if length is not None and length <= 0:
             self._begin(exchange)
             return
+        if self.front.body_bytes > self.front.bodies_limit:
+            self._refuse(503)
+            return
         if length is not None and len(self._buffer) >= length:
             exchange.body, self._buffer = self._buffer[:length], self._buffer[length:]
             self._begin(exchange)
             return
-        if self.front.body_bytes > self.front.bodies_limit:
-            self._refuse(503)
-            return
         self._reading, self._parts, self._size = exchange, [], 0
         self._left, self._decoder = length, ChunkedDecoder(TRAILER_LIMIT) if length is None else None
         data, self._buffer = self._buffer, b""
@@ -367,7 +371,7 @@
         self._last = self._last or self.front.stopping and not self._buffer
         if self._last:
             return b"Connection: close\r\n"
-        return b"Keep-Alive: timeout=%d\r\n" % max(1, int(self.front.limits().idle_s) - 1)
+        return b"Keep-Alive: timeout=%d\r\n" % max(0, int(self.front.limits().idle_s) - 1)
 
     def answered(self):
         self.exchange = None
@@ -395,7 +399,8 @@
         self.front.refused[status] = self.front.refused.get(status, 0) + 1
         self._drop_body()
         if not self._closing:
-            send_now(self.transport, b"%bContent-Length: 0\r\nConnection: close\r\n\r\n" % status_line(status))
+            send_now(self.transport, b"%bContent-Length: 0\r\n%bConnection: close\r\n\r\n" % (
+                status_line(status), b"Retry-After: 1\r\n" if status == 503 else b""))
             self._close(linger=True)
 
     def _close(self, linger):
@@ -437,8 +442,8 @@
 
 
 class Front:
-    """The listening side of a gate. Invariant: `callers` holds every open connection, those idle longest before the
-    others that are idle. `handler(exchange)` is a coroutine function that answers; `limits()` gives
+    """The listening side of a gate. Invariants: `callers` holds every open connection, those idle longest before the
+    others that are idle; `body_bytes` counts the bodies being read and those of requests under way. `handler(exchange)` is a coroutine function that answers; `limits()` gives
     header_bytes, body_bytes, header_s and idle_s as they are now; above `bound` requests at a time `refuse(exchange)`
     answers, and `on_crash(exchange, error)` where the handler failed before it began an answer."""
 
@@ -483,6 +488,7 @@
                 self._crashed(exchange, error)
             return
         self.running += 1
+        self.body_bytes += len(exchange.body)
         defer.ensureDeferred(self._run(exchange))
 
     async def _run(self, exchange):
@@ -494,6 +500,7 @@
             self._crashed(exchange, error)
         finally:
             self.running -= 1
+            self.body_bytes -= len(exchange.body)
 
     def _crashed(self, exchange, error):
         self.log.event("exchangeCrashed", path=exchange.path, error=repr(error))
--- a/packages/oakrelay/oakrelay/upstream.py
+++ b/packages/oakrelay/oakrelay/upstream.py
@@ -58,11 +58,22 @@
         """Whether the answer has ended whole, and all of it was given out."""
         return self._outcome is _WHOLE and not self._pieces
 
-    async def next(self):
-        """What has arrived of the body, waiting for some; None once it ended whole."""
+    async def next(self, time_left=None):
+        """What has arrived of the body, waiting for some; None once it ended whole. A wait longer than `time_left`
+        raises NoAnswer and leaves the answer as it is."""
         if not self._pieces and self._outcome is None:
-            self._waiting = defer.Deferred()
-            await self._waiting
+            waiting = self._waiting = defer.Deferred()
+            if time_left is None:
+                await waiting
+            else:
+                timer = self._connection.call_later(time_left, self.wake)
+                try:
+                    await waiting
+                finally:
+                    if timer.active():
+                        timer.cancel()
+                if not self._pieces and self._outcome is None:
+                    raise NoAnswer("the answer stopped coming")
         if self._pieces:
             pieces, self._pieces, self._size = self._pieces, [], 0
             if self._paused and self._connection is not None:
@@ -136,6 +147,9 @@
     def is_idle(self):
         return self._head_waiting is None and self._answer is None and self.ready is None
 
+    def call_later(self, seconds, function):
+        return self._pool.reactor.callLater(max(0.0, seconds), function)
+
     def connectionMade(self):
         set_options(self.transport, probes=True)
         self.usable_until = self._pool.reactor.seconds() + KEPT_UNTOLD
--- a/tests/test_relay_upstream.py
+++ b/tests/test_relay_upstream.py
@@ -123,6 +123,22 @@
         self.assertEqual((piece.value, answer.is_spent), (b"a", True))
         self.assertIsNone(Outcome(answer.next()).value)
 
+    def test_a_stream_that_stops_coming(self):
+        outcome, replica = self.dialled()
+        replica.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
+        answer = outcome.value
+        piece = Outcome(answer.next(0.5))
+        self.reactor.advance(0.6)
+        self.failed(piece, NoAnswer, Verdict.MAYBE)
+        piece = Outcome(answer.next(0.5))
+        replica.feed(b"hel")
+        self.assertEqual((piece.value, self.reactor.getDelayedCalls()), (b"hel", []))
+        piece = Outcome(answer.next(0.5))
+        piece.task.cancel()
+        self.assertIsInstance(piece.error, defer.CancelledError)
+        replica.feed(b"lo")
+        self.assertEqual((Outcome(answer.next(0)).value, self.reactor.getDelayedCalls()), (b"lo", []))
+
     def test_statuses_that_go_before(self):
         outcome, replica = self.dialled()
         replica.feed(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 2")
