--- a/packages/oakcontrol/oakcontrol/operator.py
+++ b/packages/oakcontrol/oakcontrol/operator.py
@@ -19,7 +19,7 @@
 from hashlib import blake2b
 
 from oakbase.checks import packJson
-from oakbase.constants import ACCEPT_INBOX, FRAME_LIMIT, OPERATOR_LIMIT, OPERATOR_RETRY, OPERATOR_TIME
+from oakbase.constants import FRAME_LIMIT, OPERATOR_INBOX, OPERATOR_LIMIT, OPERATOR_RETRY, OPERATOR_TIME
 from oakbase.verdict import BadRequest, CannotTell, Invalid, OakError, TooLarge, Unknown, Verdict
 from oakbase.web import Web
 from oakcontrol.routing import ROUTING_KEY, apply_patch, check_table, document_from, pieces_of
@@ -71,7 +71,7 @@
     def __init__(self, control, dialect):
         self._node, self._client, self._dialect = control.node, control.client, dialect
         self._known = (0, None)
-        self.web = Web(self._node.reactor, self._node.env["operator"], self._node.log, ACCEPT_INBOX, OPERATOR_LIMIT)
+        self.web = Web(self._node.reactor, self._node.env["operator"], self._node.log, OPERATOR_INBOX, OPERATOR_LIMIT)
         for word, handler in (("replace", self._put), ("change", self._patch), ("read", self._read),
                               ("retire", self._retire), ("retire_state", self._retired)):
             self.web.route(*dialect.operator_routes[word], self._answering(handler))
--- a/packages/oakcontrol/oakcontrol/routing.py
+++ b/packages/oakcontrol/oakcontrol/routing.py
@@ -257,5 +257,6 @@
     return head["version"], values and values | {VERSION_PIECE: packEntry(head["version"])}
 
 
+# A change replaces what is there, so it is taken also when what adds up is refused for want of room.
 CONTROLLERS.enter(ROUTING_KEY)(Controller(
-    {"read": _read, "put": _put, "change": _change, "outcome": _outcome}, image=_image, growing=("put", "change")))
+    {"read": _read, "put": _put, "change": _change, "outcome": _outcome}, image=_image))
--- a/packages/oakgate/oakgate/routing.py
+++ b/packages/oakgate/oakgate/routing.py
@@ -4,8 +4,7 @@
 from itertools import accumulate
 
 from oakbase.constants import ROUTING_AGE, ROUTING_STRETCH
-from oakbase.verdict import OakError
-from oakcontrol.routing import ROUTING_KEY, VERSION_PIECE, document_of, host_of
+from oakcontrol.routing import ROUTING_KEY, document_of, host_of
 from oakcontrol.slots import unpackEntry
 
 
@@ -63,8 +62,6 @@
 
     def __init__(self, node, dialect):
         self._node, self._board, self._dialect = node, node.board, dialect
-        bounds = node.env.get("bounds") or {}
-        self._longest_age = bounds.get("routing_age_s", ROUTING_AGE) + bounds.get("routing_stretch_s", ROUTING_STRETCH)
         self._unpacked = {}
         self._hosts = {}
         self._unreadable = None
@@ -73,19 +70,21 @@
         self._moved(ROUTING_KEY)
 
     def _moved(self, source):
+        """Told by the board; what is wrong with a document must not stop its other news."""
         values = self._board.values(ROUTING_KEY) if source == ROUTING_KEY else {}
-        if VERSION_PIECE not in values or unpackEntry(values[VERSION_PIECE]) <= self.version:
+        version = self._board.images[ROUTING_KEY].version if values else 0
+        if version <= self.version:
             return
-        # What has not changed is not read again.
-        self._unpacked = {name: former if (former := self._unpacked.get(name)) and former[0] == value
-                          else (value, unpackEntry(value)) for name, value in values.items()}
-        pieces = {name: piece for name, (_, piece) in self._unpacked.items()}
         try:
-            self._take(pieces[VERSION_PIECE], self._dialect.routing_of(document_of(pieces)))
-        except (OakError, LookupError, TypeError, ValueError) as error:
+            # What has not changed is not read again.
+            self._unpacked = {name: former if (former := self._unpacked.get(name)) and former[0] == value
+                              else (value, unpackEntry(value)) for name, value in values.items()}
+            document = document_of({name: piece for name, (_, piece) in self._unpacked.items()})
+            self._take(version, self._dialect.routing_of(document))
+        except Exception as error:
             # Nothing may be carried by an older table, so nothing is carried at all.
-            self._unreadable = pieces[VERSION_PIECE]
-            self._node.log.event("routingUnreadable", version=self._unreadable, error=repr(error))
+            self._unreadable = version
+            self._node.log.event("routingUnreadable", version=version, error=repr(error))
 
     def _take(self, version, table):
         routes = {row["name"]: Route(**row) for row in table["routes"]}
@@ -108,6 +107,8 @@
             return f"version {self._unreadable} of the routing cannot be read here"
         if not self.version:
             return "no routing is known yet"
-        if self._board.age(ROUTING_KEY) > self._longest_age:
+        bounds = self._node.env.get("bounds") or {}
+        longest = bounds.get("routing_age_s", ROUTING_AGE) + bounds.get("routing_stretch_s", ROUTING_STRETCH)
+        if self._board.age(ROUTING_KEY) > longest:
             return "the routing's news is too old"
         return None
