--- a/packages/oakrelay/oakrelay/front.py
+++ b/packages/oakrelay/oakrelay/front.py
@@ -443,9 +443,11 @@
 
 class Front:
     """The listening side of a gate. Invariants: `callers` holds every open connection, those idle longest before the
-    others that are idle; `body_bytes` counts the bodies being read and those of requests under way. `handler(exchange)` is a coroutine function that answers; `limits()` gives
-    header_bytes, body_bytes, header_s and idle_s as they are now; above `bound` requests at a time `refuse(exchange)`
-    answers, and `on_crash(exchange, error)` where the handler failed before it began an answer."""
+    others that are idle; `body_bytes` counts the bodies being read and those of requests under way.
+
+    `handler(exchange)` is a coroutine function that answers; `limits()` gives header_bytes, body_bytes, header_s and
+    idle_s as they are now; above `bound` requests at a time `refuse(exchange)` answers, and
+    `on_crash(exchange, error)` where the handler failed before it began an answer."""
 
     def __init__(self, reactor, address, handler, limits, log, bound, refuse=None, on_crash=None,
                  bodies_limit=BODIES_LIMIT, callers_limit=CALLERS_LIMIT):
