--- a/packages/oakgate/oakgate/relay.py
+++ b/packages/oakgate/oakgate/relay.py
@@ -376,7 +376,7 @@
         per_event = self._tokens_per_event(passage)
         reserve = max(1, math.ceil((request.tokens_most or 1) / per_event)) * per_event
         self._gate.check_settling()
-        key = f"allowance/{request.program}"
+        key = "allowance/" + print_of(request.program.encode())
         try:
             state = (await self._owners.call(key, "admit", {
                 "turn": request.try_id, "reserve": reserve, "limit": request.budget, "gate": self._node.nodeId},
