--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -457,6 +457,8 @@
             self._node.board.retract(source)
 
     def publish(self, owner, changes):
+        if owner.ended:
+            return  # while the change was on its way: who speaks for a source takes no news of it from the next owner
         source = f"{SLOT_SOURCE}{owner.slot}"
         self._node.board.publish(source, lambda: self._vouch(owner))
         self._node.board.setItems(source, (owner.epoch << ROSTER_BITS) + owner.rosterVersion, {
