--- a/packages/oaklab/oaklab/main.py
+++ b/packages/oaklab/oaklab/main.py
@@ -1,4 +1,5 @@
 """oaklab: whole fleets on one machine, stand-ins, simulator."""
+import json
 import multiprocessing
 import signal
 import sys
@@ -13,11 +14,14 @@
 
 from oakbase.logline import LogLine, stderrSink
 from oakbase.tasks import monotonicReactor, settled
+from oakbase.verdict import Unknown
+from oaklab.capacity import SLOPES
 from oaklab.checker import cutOff
 from oaklab.fleet import Fleet
 from oaklab.measure import MEASURES
 from oaklab.plan import MARKERS, PLATFORM, SIZES, replicaRows
 from oaklab.realtrial import RealTrial, rollingRestart
+from oaklab.scale import Sizes, run_hollow, run_scale
 from oaklab.standin import buildStandins
 from oaklab.takeout import tryAll
 from oaklab.trial import DAYS, runDay, runTrial
@@ -197,14 +201,39 @@
 @click.argument("names", nargs=-1)
 @click.option("--seed", default=1, show_default=True)
 def measure(names, seed):
-    """Measurements on the simulated fleet; all of them if none is named."""
+    """Measurements on the simulated fleet; all of them if none is named. One slope alone: capacity.NAME."""
     for name in names or MEASURES.names():
-        function = MEASURES.find(name)
+        kind, _, slope = name.partition(".")
+        try:
+            function = SLOPES.find(slope) if kind == "capacity" and slope else MEASURES.find(name)
+        except Unknown as error:
+            raise click.ClickException(error.reason) from error
         click.echo(f"{name}: {' '.join(function.__doc__.split())}")
         for what, value in function(seed).items():
             click.echo(f"    {what}: {value}")
 
 
+@main.command()
+@click.option("--hollow", default=16, show_default=True, help="How many hollow nodes.")
+@click.option("--processes", default=1, show_default=True, help="How many processes they share.")
+@click.option("--controls", default=3, show_default=True, help="How many real control processes.")
+@click.option("--replicas", default=100, show_default=True, help="How many replicas are listed.")
+@click.option("--seconds", default=10.0, show_default=True, help="How long the quiet fleet is measured.")
+@click.option("--changes", default=5, show_default=True, help="How many changes of configuration are timed.")
+@click.option("--folder", default="scale-run", show_default=True, help="Where data folders and logs go.")
+def scale(hollow, processes, controls, replicas, seconds, changes, folder):
+    """Real control processes beside hollow nodes that speak the wire and carry no traffic."""
+    for what, value in run_scale(Sizes(hollow, processes, controls, replicas), folder, seconds, changes).items():
+        click.echo(f"{what}: {value}")
+
+
+@main.command(hidden=True)
+@click.argument("spec")
+def hollow(spec):
+    """One process of hollow nodes; `oaklab scale` starts it."""
+    run_hollow(json.loads(spec))
+
+
 @main.command()
 @click.argument("names", nargs=-1)
 @click.option("--root", default=".", show_default=True, type=click.Path(exists=True), help="The checkout.")
