--- a/packages/oaklab/oaklab/capacity.py
+++ b/packages/oaklab/oaklab/capacity.py
@@ -25,6 +25,7 @@
 from oakcontrol.controllers import CONTROLLERS
 from oakcontrol.owner import Context, SlotOwner, View
 from oakcontrol.places import REPLICAS_KEY
+from oakcontrol.routing import ROUTING_KEY, pieces_of
 from oakcontrol.slots import packEntry
 from oakcontrol.voter import entryKey
 from oaklab.measure import MEASURES, largeBlueprint
@@ -45,6 +46,7 @@
 KNOWN = (16, 128, 512, 1200)
 ROUTES = (10, 100, 1000, 5000)
 TENANTS = (10, 100, 1300)
+CONFIGURED = (10, 100, 1000, 13000)  # routes of the operator's document: ten for each of 1,300 tenants
 KEPT = (1000, 10000)
 QUIET = 2.0                     # simulated s
 FEW = (("dalatech-model", "model", 1), ("dalatech-results", "plain", 1), ("nile-model", "model", 1),
@@ -448,6 +450,36 @@
     return rows | {what: show_line(several, "for each binding") for what, several in points.items()}
 
 
+def _operator_document(routes):
+    """A document in no platform's terms: named routes and a tenth as many named services."""
+    return {"note": "x", "routes": [{
+        "name": f"route-{number:05d}", "host": f"tenant-{number // 10:04d}.example", "prefix": f"/p{number % 10}/",
+        "kind": "stream", "timeout": 4000, "target": 250, "rank": 1, "service": f"service-{number // 10:04d}", "tries": 2,
+        "kept": True, "keptFor": 600} for number in range(routes)], "services": [
+            {"name": f"service-{number:04d}", "health": "/health", "connections": 60, "slots": 16}
+            for number in range(-(-routes // 10))]}
+
+
+@SLOPES.enter("configuration")
+def configuration_slope(seed=1):
+    """The operator's document with 10 to 13,000 routes: its news, what a node holds of it, and what the change of one
+    costs. The gates' own reading of it, in the platform's terms, is not in it."""
+    rows, points = {}, {}
+    fleet = SimFleet(seed, Size(1, 1, 1, FEW))
+    fleet["gate0"].start()
+    for count in CONFIGURED:
+        entry, document = _OneEntry(fleet, ROUTING_KEY), _operator_document(count)
+        entry.run("put", {"based_on": 0, "version": 1, "fingerprint": "f1", "document": document})
+        changed = pieces_of({"routes": [document["routes"][7] | {"tries": 3}]})
+        changed = {name: value for name, value in changed.items() if "/" in name}
+        row = _published(fleet, entry, lambda entry=entry, changed=changed: entry.run("change", {
+            "based_on": 1, "version": 2, "fingerprint": "f2", "pieces": changed}))
+        rows[f"{count} routes"] = row
+        for what, value in row.items():
+            points.setdefault(what, []).append((count, value))
+    return rows | {what: show_line(several, "for each route") for what, several in points.items()}
+
+
 @SLOPES.enter("tenants")
 def tenants_slope(seed=1):
     """10 to 1,300 tenants with a blueprint of four bindings each: bytes of a pull in which nothing has moved and of its
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -96,6 +96,15 @@
         sizes = [rows[f"{count} nodes"]["pull B"] for count in capacity.KNOWN]
         self.assertEqual((sizes[2] - sizes[1]), 2 * (sizes[1] - sizes[0]))
 
+    def test_the_news_of_one_change_is_the_same_whatever_the_length(self):
+        self.addCleanup(setattr, capacity, "LISTED", capacity.LISTED)
+        self.addCleanup(setattr, capacity, "CONFIGURED", capacity.CONFIGURED)
+        capacity.LISTED, capacity.CONFIGURED = (10, 200), (10, 200)
+        for slope in (capacity.replicas_slope, capacity.configuration_slope):
+            rows = [row for row in slope().values() if isinstance(row, dict)]
+            self.assertEqual(rows[0]["news B of a change"], rows[1]["news B of a change"], slope.__name__)
+            self.assertGreater(rows[1]["whole news B"], 15 * rows[0]["whole news B"])
+
     def test_an_unknown_slope_is_refused_with_those_there_are(self):
         result = CliRunner().invoke(main, ["measure", "capacity.nothing"])
         self.assertEqual(result.exit_code, 1)
