--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -31,7 +31,7 @@
 GONE_LIMIT = 256            # items; removed ones that an image remembers, so that deltas can name them
 PULL_PAUSE = 0.2            # s; two hops of it stay well below every freshness bound
 PULL_TIME = 0.8             # s; a member that does not answer a pull in this time counts as silent
-CONDITION_AGE = 2.0         # s; a node whose newest sign of life is older counts as dead
+CONDITION_AGE = 1.5         # s; a node whose newest sign of life is older counts as dead: four pulls of two hops
 FORGET_AGE = 60.0           # s; a dead node's address is dropped from the table after this
 BLUEPRINT_AGE = 1.5         # s; the rule allows 2 s, the rest covers the carry itself
 REPLICA_AGE = 2.5           # s; the rule allows 3 s, the rest covers the carry itself
@@ -43,10 +43,12 @@
 
 # --- owned keys --------------------------------------------------------------
 SLOTS = 32                  # slots; several for each of five owners, few enough to take over at once
-TERM = 1.2                  # s; an owner serves this long after asking a majority
-TERM_RENEW = 0.4            # s; three renewals fit into a term, so that one may be lost
-STEP_IN_TIME = 3.0          # s; one candidate's turn at a slot without owner, the first one's too: time for a look,
+TERM = 0.8                  # s; an owner serves this long after asking a majority; answers take milliseconds
+TERM_RENEW = 0.25           # s; three renewals fit into a term, so that one may be lost
+STEP_IN_TIME = 1.5          # s; one candidate's turn at a slot without owner, the first one's too: time for a look,
                             # the wait for the former term, and the news of it to get round
+RELEASE_TIME = 0.4          # s; a former owner that does not give a slot up in this time has its term waited out
+OWNER_TRY_TIME = 0.7        # s; an owner that takes longer is asked again, or whoever took its slots over
 TAKEOVER_LOOK = 0.25        # s; how often a control node compares owned slots with the live members
 CONTROL_INBOX = 1024        # commands; a slot with more waiting answers that it is overloaded
 IMAGE_PART = 256 << 10      # bytes; one message of a slot's image, packed well within a term
@@ -57,6 +59,10 @@
 ROSTER_MOVING_PAUSE = 0.05  # s; the same for who moves a change of the roster on, while it is under way
 ROSTER_MOST = 9             # members; four may be lost at once, and more voters only make each change dearer
 ROSTER_ANSWERED = 1.0       # s; who joins must have answered within this: several pulls, of which one may be lost
+ROSTER_HEARD = 0.5          # s; a member that has not answered for this long may be gone: two pulls at least. As long as
+                            # one may be, its place is kept free for who comes, instead of adding to the members
+ROSTER_JOINING = 0.75       # s; a newcomer is watched for this long before it adds to the members: a bit longer than
+                            # ROSTER_HEARD, since it may have come for one that was lost at that moment
 ROSTER_PATIENCE = 3.0       # s; a member without a sign of life for this long gives its place to an outsider: longer than
                             # a restart with its disk takes, shorter than until the next loss may come
 OWNER_TRIES_PAUSE = 0.1     # s; between asking for an owner again while a slot is changing hands
@@ -117,6 +123,7 @@
 LINE_KEPT = 900.0           # s; well over the rule's minute after the last turn finished
 LINE_KEPT_FULL = 150.0      # s; the same when the ring is nearly full, still over twice the rule's minute
 STORE_FULL = 0.9            # share of a ring's capacity; from here on gates begin no turn that this store would have to keep
+FULL_KNOWN = 2.0            # s; so long a gate takes a store's word that it has no room
 FULL_SHARE = 0.7            # share of a ring's capacity; from here on a store lets lines go sooner
 RECALL_KEPT = 30.0          # s; a turn that was just read is kept for the turn that goes on from it to be kept too
 RECORD_KEPT_MOST = 900.0    # s; a turn's record is kept for at most this without word of it, as lines are
@@ -124,6 +131,7 @@
 RECORDS_DROPPED = 512       # records; let go in one round at most, so that others get their turn
 RECORD_PAGE = 512 << 10     # bytes; of records in one message, far below the frame limit, a few milliseconds of work
 RECALL_HEDGE = 0.04         # s; a store that takes longer to answer a read is no longer waited for alone
+LATE_TIMES = 4              # times; an answer that takes so much longer than usual is late
 RETAIN_HEDGE = 0.12         # s; the same for a write, which waits for two disks
 LINE_TURNS = 512            # turns; a long session has about seven
 LINE_SIZE = 4 << 20         # bytes; below the frame limit with room for its clocks
--- a/packages/oakdvv/oakdvv/clock.py
+++ b/packages/oakdvv/oakdvv/clock.py
@@ -55,8 +55,11 @@
 
 def leq(left, right):
     """Whether every component of `left` lies below some component of `right`."""
-    return all(nodeId in right.entries and componentLeq(component, right.entries[nodeId])
-               for nodeId, component in left.entries.items())
+    others = right.entries
+    for nodeId, component in left.entries.items():
+        if nodeId not in others or not componentLeq(component, others[nodeId]):
+            return False
+    return True
 
 
 def less(left, right):
--- a/packages/oakstore/oakstore/table.py
+++ b/packages/oakstore/oakstore/table.py
@@ -190,6 +190,9 @@
         if key not in self.rows and not versions:
             await self.keepRecords(records)
             return
+        if key in self.rows and versions.keys() <= self.rows[key].versions.keys():
+            await self.keepRecords(records)
+            return
         row, extra = self._rowFor(key)
         merged = syncVersions(row.versions, {self._strip(clock): value for clock, value in versions.items()})
         if merged.keys() != row.versions.keys():
--- a/packages/oakstore/oakstore/turns.py
+++ b/packages/oakstore/oakstore/turns.py
@@ -6,10 +6,10 @@
 from twisted.internet import defer
 
 from oakbase.checks import packJson
-from oakbase.constants import LINE_TURNS, RECALL_HEDGE, RETAIN_HEDGE, RETAIN_MARGIN, STORE_CALL_TIME
+from oakbase.constants import (CONDITION_AGE, FULL_KNOWN, LATE_TIMES, LINE_TURNS, RECALL_HEDGE, RETAIN_HEDGE, RETAIN_MARGIN,
+                               STORE_CALL_TIME)
 from oakbase.tasks import sleep, spawn
 from oakbase.verdict import CannotTell, Conflict, Fenced, Gone, NoAnswer, OakError, Verdict
-from oakcohort.members import LIVE
 from oakcohort.rendezvous import ranked
 from oakcontrol.storeset import STORES_KEY, StoreSet, majority
 from oakdvv.clock import syncVersions
@@ -18,6 +18,7 @@
 from oakstore.table import TURN_LINE, fromState, packTurns, turnsIn
 
 RETRY_PAUSE = 0.05  # s; between rounds over the stores while one of them changes condition
+HEDGES = {"recall": RECALL_HEDGE, "retain": RETAIN_HEDGE}
 
 
 class Record:
@@ -88,25 +89,40 @@
 
 
 class TurnClient:
-    """`_slow` maps stores that let a hedge pass to the time until which they are asked last."""
+    """`_slow` maps stores that let a hedge pass to the time until which they are asked last; `_full` those that said
+    that they have no room to the time of it; `_usual` is how long answers to each kind of call take of late."""
 
     def __init__(self, node):
         self._node, self._reactor = node, node.reactor
-        self._slow = {}
+        self._slow, self._full, self._usual = {}, {}, {}
+        self._stores = StoreSet.fromBoard(node.board)
+        node.board.watch(STORES_KEY, self._stores_moved)
 
-    def _stores(self):
-        stores = StoreSet.fromBoard(self._node.board)
-        if not stores.epoch:
-            raise CannotTell("the store set is not known here yet", retryAfter=1)
-        return stores
+    def _stores_moved(self, _source):
+        self._stores = StoreSet.fromBoard(self._node.board)
+
+    async def _known_stores(self, ends_at):
+        while not self._stores.epoch:
+            if self._reactor.seconds() + RETRY_PAUSE >= ends_at:
+                raise CannotTell("the store set is not known here yet", retryAfter=1)
+            await sleep(self._reactor, RETRY_PAUSE)
+        return self._stores
+
+    @property
+    def is_full(self):
+        """Whether most of the stores said lately that they have no room: what runs now might not be kept."""
+        now = self._reactor.seconds()
+        full = [node_id for node_id in self._stores.readers if now - self._full.get(node_id, float("-inf")) < FULL_KNOWN]
+        return len(full) >= majority(self._stores.readers)
 
     def _order(self, rows, key, first=None):
         """Whom to ask first: the live ones, of those the quick, of those the ones in our own zone."""
-        now = self._reactor.seconds()
+        now, newest = self._reactor.seconds(), self._node.members.newest()
 
         def place(node_id):
-            member = self._node.members.find(node_id)
-            return (self._node.members.condition(node_id) != LIVE, self._slow.get(node_id, 0.0) > now, node_id != first,
+            member, age = newest.get(node_id, (None, 0.0))
+            is_live = member is not None and age <= CONDITION_AGE and member.state == "up"
+            return (not is_live, self._slow.get(node_id, 0.0) > now, node_id != first,
                     member is None or member.zone != self._node.env["zone"])
         return sorted(ranked(rows, key), key=place)
 
@@ -117,7 +133,7 @@
         that is not sure, or if parts of the chain cannot be had."""
         ends_at = self._reactor.seconds() + time_left
         while True:
-            stores = self._stores()
+            stores = await self._known_stores(ends_at)
             read = await self._read(stores, turn_id, ends_at)
             chain, missing = read.chain()
             if missing is None:
@@ -146,25 +162,32 @@
         read = _Read(turn_id)
 
         async def ask(node_id, time_left):
-            read.note(node_id, await self._node.net.call(
-                stores.everyone[node_id]["peer"], "turnRecall", time_left, turnId=turn_id, bodies=True))
-        await self._ask_in_turn(self._order(stores.everyone, turn_id), ask, RECALL_HEDGE, ends_at,
+            state = await self._node.net.call(
+                stores.everyone[node_id]["peer"], "turnRecall", time_left, turnId=turn_id, bodies=True)
+            read.note(node_id, state)
+            if state.line.full:
+                self._full[node_id] = self._reactor.seconds()
+        await self._ask_in_turn(self._order(stores.everyone, turn_id), ask, "recall", ends_at,
                                 lambda: read.whole_at() or self._is_gone(read, stores))
         if read.records:
             await self._fill(read, stores, ends_at)
         return read
 
-    async def _ask_in_turn(self, node_ids, ask, hedge, ends_at, is_enough):
-        """Asks these stores, each when the one before has failed, is late by `hedge`, or its answer is not enough.
-        Returns once it is enough, all have answered, or the time is over; late answers are left to finish."""
-        waiting, order = {}, list(node_ids)
-        answered = None
+    async def _ask_in_turn(self, node_ids, ask, kind, ends_at, is_enough):
+        """Asks these stores, each when the one before has failed, is late, or its answer is not enough. Returns once
+        it is enough, all have answered, or the time is over; late answers are left to finish. What is late is
+        measured by what is usual, so that busy stores are not asked more than quick ones."""
+        waiting, order, answered = {}, list(node_ids), None
+        hedge = max(HEDGES[kind], LATE_TIMES * self._usual.get(kind, 0.0))
 
         async def ask_one(node_id):
             try:
                 await ask(node_id, min(STORE_CALL_TIME, ends_at - self._reactor.seconds()))
                 self._slow.pop(node_id, None)
+                took = self._reactor.seconds() - waiting[node_id]
+                self._usual[kind] = took + 0.9 * (self._usual.get(kind, took) - took)
             except OakError as error:
+                self._slow[node_id] = self._reactor.seconds() + STORE_CALL_TIME
                 self._node.log.event("storeFailed", store=node_id, reason=error.reason)
                 self._adopt(error)
             del waiting[node_id]
@@ -192,7 +215,7 @@
     def _adopt(self, error):
         """A store that stands in a later version of the set tells it along with its no."""
         record = error.detail.get("set") if isinstance(error, Fenced) and isinstance(error.detail, dict) else None
-        if record is not None and record["version"] > StoreSet.fromBoard(self._node.board).epoch:
+        if record is not None and record["version"] > self._stores.epoch:
             self._node.board.setItems(STORES_KEY, record["version"], {"set": packJson(record)})
 
     async def _fill(self, read, stores, ends_at):
@@ -226,7 +249,7 @@
         context = recalled.context if is_same else ""
         ends_at, answers, errors, asked = self._reactor.seconds() + time_left, [], [], 0
         while self._reactor.seconds() < ends_at:
-            stores = self._stores()
+            stores = await self._known_stores(ends_at)
 
             async def ask(node_id, call_time):
                 nonlocal asked
@@ -238,7 +261,7 @@
                 except OakError as error:
                     errors.append(error)
                     raise
-            await self._ask_in_turn(self._order(stores.readers, key), ask, RETAIN_HEDGE, ends_at, lambda: answers)
+            await self._ask_in_turn(self._order(stores.readers, key), ask, "retain", ends_at, lambda: answers)
             if answers:
                 return answers[0]
             await sleep(self._reactor, RETRY_PAUSE)
