--- a/packages/oakcohort/oakcohort/members.py
+++ b/packages/oakcohort/oakcohort/members.py
@@ -4,7 +4,7 @@
 from oakbase.constants import COHORT_SIZE, CONDITION_AGE, FORGET_AGE
 from oakcohort.rendezvous import named
 
-LIVE, SILENT, LEAVING = "live", "silent", "leaving"
+LIVE, SILENT, LEAVING, PARTED = "live", "silent", "leaving", "parted"
 
 
 @dataclass(frozen=True)
@@ -16,7 +16,7 @@
     machine: str
     peer: str
     http: str
-    state: str      # "up" or "leaving", by its own word
+    state: str      # "up", "leaving", or "parted" (heard, but hearing no majority of the roster), by its own word
     release: str
 
     @classmethod
@@ -62,7 +62,7 @@
         row = self.newest().get(nodeId)
         if row is None or row[1] > CONDITION_AGE:
             return SILENT
-        return LEAVING if row[0].state == "leaving" else LIVE
+        return {"up": LIVE, "leaving": LEAVING}.get(row[0].state, PARTED)
 
     def successorOf(self, nodeId, address):
         """The live node that listens where this one did, or None. Two cannot listen at one address, so this one's
--- a/packages/oakcontrol/oakcontrol/client.py
+++ b/packages/oakcontrol/oakcontrol/client.py
@@ -2,7 +2,7 @@
 import json
 
 from oakbase.checks import packJson
-from oakbase.constants import CALL_TIME, OWNER_TRIES_PAUSE, SETTLE_TIME, TERM
+from oakbase.constants import OWNER_TRIES_PAUSE, OWNER_TRY_TIME, SETTLE_TIME, TERM
 from oakbase.tasks import sleep
 from oakbase.verdict import CannotTell, NoAnswer, NotOwner, OakError, Verdict
 from oakcontrol.controllers import SLOT_SOURCE
@@ -46,7 +46,7 @@
                 tried.add(address)
                 try:
                     answer = await self._node.net.call(
-                        address, "ownerCall", min(CALL_TIME, endsAt - reactor.seconds()),
+                        address, "ownerCall", min(OWNER_TRY_TIME, endsAt - reactor.seconds()),
                         key=key, command=command, argumentsJson=text)
                     return json.loads(answer)
                 except NotOwner as error:
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -8,11 +8,12 @@
 
 from oakbase.checks import packJson
 from oakbase.constants import (CALL_TIME, CONDITION_AGE, CONTROL_BATCH, CONTROL_INBOX, FULL_RETRY, IMAGE_PART,
-                               OWNER_SWEEP, OWNER_SWEEP_KEYS, SLOTS, STEP_IN_TIME, TAKEOVER_LOOK, TERM, TERM_RENEW)
+                               OWNER_SWEEP, OWNER_SWEEP_KEYS, RELEASE_TIME, SLOTS, STEP_IN_TIME, TAKEOVER_LOOK, TERM,
+                               TERM_RENEW)
 from oakbase.inbox import Inbox
 from oakbase.tasks import Repeater, quorumOf, settled, sleep, spawn, within
 from oakbase.verdict import CannotTell, Fenced, NoAnswer, NotOwner, OakError, RingFull, Verdict
-from oakcohort.members import LIVE
+from oakcohort.members import LIVE, Member
 from oakcohort.rendezvous import ranked
 from oakcontrol.controllers import CONTROLLERS, SLOT_SOURCE, publishedBy, sweepsFor
 from oakcontrol.slots import inParts, packEntry, slotOfKey, unpackEntry
@@ -338,6 +339,7 @@
         if roster is None:
             return
         if self._node.nodeId not in roster.everyone:
+            self._sayParted(False)  # who has no vote needs no majority; while it says so, it would not be let in again
             for owner in list(self.held.values()):
                 owner.end()
             return
@@ -345,7 +347,9 @@
         # end every term with its prepares.
         answering = {nodeId for nodeId, address in self.voterAddresses().items()
                      if self._node.puller.answersLately(address)}
-        if not roster.isQuorum(answering):
+        isParted = not roster.isQuorum(answering)
+        self._sayParted(isParted)
+        if isParted:
             return
         liveIds = self._liveRoster()
         for slot in range(SLOTS):
@@ -353,6 +357,15 @@
                 self._taking.add(slot)
                 spawn(self._takeOver(slot, liveIds), self.log)
 
+    def _sayParted(self, isParted):
+        """A member that hears no majority says so, as far as it is still heard: slots are named for others at once,
+        without a turn of its own that it could not use."""
+        state, me = "parted" if isParted else "up", self._node.puller.me
+        isNew = self.reactor.seconds() - self._startedAt < CONDITION_AGE
+        if me.state not in (state, "leaving") and not (isParted and isNew):
+            self._node.puller.describe(Member(**(vars(me) | {"state": state})))
+            self.log.event("memberParted" if isParted else "memberRejoined")
+
     def _isForMe(self, slot, liveIds):
         """The slot is for the first live one named for it. If that one is seen to live, but the slot stays
         without an owner (a cut may part it from the voters only), the next ones step in, one after another; the
@@ -387,7 +400,7 @@
         if self._node.members.condition(believed[1]) not in (LIVE, "leaving"):
             return None
         try:
-            return await self._node.net.call(believed[2], "release", CALL_TIME, slot=slot)
+            return await self._node.net.call(believed[2], "release", RELEASE_TIME, slot=slot)
         except OakError as error:
             self.log.event("releaseUnanswered", slot=slot, owner=believed[1], reason=error.reason)
             return None
--- a/packages/oaklab/oaklab/simfleet.py
+++ b/packages/oaklab/oaklab/simfleet.py
@@ -3,10 +3,12 @@
 
 from twisted.internet import defer
 
+from oakbase.constants import SLOTS
 from oakbase.fetch import WebClient
 from oakbase.logline import LogLine
 from oakbase.tasks import spawn
 from oakcontrol.control import ControlNode
+from oakcontrol.storeset import StoreSet
 from oakgate.gate import GateNode
 from oaklab.caller import Caller, Operator, View
 from oaklab.checker import check
@@ -233,9 +235,21 @@
     def waitFormed(self, limit=10.0):
         return self.waitFor("the core forming", self.rosterOfAll, limit)
 
+    def slotsHeld(self):
+        """Slots that have an owner which holds its term."""
+        return {slot for one in self.ofKind("control") if one.running and not one.host.frozen
+                for slot, owner in one.node.owners.held.items() if owner.holdsTerm()}
+
+    @staticmethod
+    def _knowsAll(node):
+        """Whether the gate knows replicas and the store set, so that a turn that is sent now goes its way at once."""
+        return bool(node.placer.replicas) and StoreSet.fromBoard(node.node.board).epoch > 0
+
     def isReady(self):
+        if len(self.slotsHeld()) < SLOTS:
+            return False
         gates = [one for one in self.ofKind("gate") if one.running and not one.host.frozen]
-        return all(not one.node.bindings.staleness(partner) and one.node.placer.replicas
+        return all(not one.node.bindings.staleness(partner) and self._knowsAll(one.node)
                    for one in gates for partner in PARTNERS) and all(
             one.node.store.covers for one in self.ofKind("store") if one.running and one.node.store.isMember)
 
