--- a/packages/oakcontrol/oakcontrol/roster.py
+++ b/packages/oakcontrol/oakcontrol/roster.py
@@ -27,7 +27,8 @@
 from schema import And
 
 from oakbase.checks import NAME, checkFields, packJson, whole
-from oakbase.constants import (CALL_TIME, CONDITION_AGE, ROSTER_ANSWERED, ROSTER_MOST, ROSTER_MOVING_PAUSE, ROSTER_PATIENCE,
+from oakbase.constants import (CALL_TIME, CONDITION_AGE, ROSTER_ANSWERED, ROSTER_HEARD,
+                               ROSTER_JOINING, ROSTER_MOST, ROSTER_MOVING_PAUSE, ROSTER_PATIENCE,
                                ROSTER_PAUSE, SLOTS)
 from oakbase.env import ADDRESS
 from oakbase.tasks import quorumOf, sleep, spawn
@@ -127,29 +128,30 @@
      "reconfigure": _reconfigure, "advance": _advance}, image=_image))
 
 
-def mended(members, heirs, lost, awaited, outsiders, most=ROSTER_MOST):
+def mended(members, heirs, lost, awaited, outsiders, joining=(), most=ROSTER_MOST):
     """The members that the roster should have: `heirs` maps a member to who came back in its place, under a new id;
-    `lost` members give their places to `outsiders`; `awaited` are silent, but may be back in a moment, so as many
-    outsiders are held back to take their places instead of adding to them. Nodes are (id, address) pairs."""
+    `lost` members give their places to `outsiders`; those of them that are `joining` add to the members. `awaited`
+    members may be lost or back in a moment, so as many outsiders are held back to take their places instead. Nodes
+    are (id, address) pairs."""
     places, outsiders = dict(heirs), dict(outsiders)
     vacant = [nodeId for nodeId in lost if nodeId not in places]
     places |= {nodeId: outsiders.popitem() for nodeId in vacant[:len(outsiders)]}
     kept = dict(places.get(nodeId, (nodeId, peer)) for nodeId, peer in members.items())
     room = max(0, min(most - len(kept), len(outsiders) - len([one for one in awaited if one not in places])))
-    return kept | dict(sorted(outsiders.items())[:room])
+    return kept | dict([one for one in sorted(outsiders.items()) if one[0] in joining][:room])
 
 
 class RosterWatch(Duty):
     """Follows the published roster, on every control node; on the owner of the key, moves a change on and, if the
     cluster forms itself, begins those that mend it.
 
-    Invariant: `_silentSince` holds the members that this node has seen no sign of since then, in rounds without a
-    gap: one that was frozen itself has watched nobody meanwhile."""
+    Invariant: `_silentSince` holds the members that this node has seen no sign of since then, and `_newSince` the live
+    control nodes that are none, in rounds without a gap: one that was frozen itself has watched nobody meanwhile."""
 
     def __init__(self, node, voter, owners, mends=False):
         super().__init__(node, owners, ROSTER_KEY, ROSTER_PAUSE)
         self._voter, self._mends = voter, mends
-        self._silentSince = {}
+        self._silentSince, self._newSince = {}, {}
         self._watchedAt = float("-inf")
         node.board.watch(ROSTER_KEY, lambda _source: spawn(self._follow(), node.log))
 
@@ -190,8 +192,10 @@
     def _watchMembers(self, roster):
         now = self._node.reactor.seconds()
         if now - self._watchedAt > ROSTER_ANSWERED:
-            self._silentSince = {}
+            self._silentSince, self._newSince = {}, {}
         self._watchedAt = now
+        self._newSince = {member.nodeId: self._newSince.get(member.nodeId, now)
+                          for member in self._node.members.live("control") if member.nodeId not in roster.members}
         self._silentSince = {
             nodeId: self._silentSince.get(nodeId, now) for nodeId, peer in roster.members.items()
             if not self._isHere(nodeId, peer)}
@@ -211,7 +215,10 @@
         outsiders = [(nodeId, one.peer) for nodeId, one in sorted(newcomers.items()) if not {one.peer, one.machine} & taken]
         now = node.reactor.seconds()
         lost = [nodeId for nodeId, since in self._silentSince.items() if now - since >= ROSTER_PATIENCE - CONDITION_AGE]
-        wanted = mended(roster.members, heirs, lost, self._silentSince, outsiders)
+        awaited = [nodeId for nodeId, peer in roster.members.items()
+                   if nodeId not in here or not node.puller.answersLately(answering[nodeId].peer, ROSTER_HEARD)]
+        joining = {nodeId for nodeId, since in self._newSince.items() if now - since >= ROSTER_JOINING}
+        wanted = mended(roster.members, heirs, lost, awaited, outsiders, joining)
         if wanted == roster.members:
             return
         if not Roster({"version": 0, "members": roster.members, "next": wanted}).isQuorum(here | newcomers.keys()):
--- /dev/null
+++ b/tests/test_founding.py
@@ -0,0 +1,623 @@
+"""The core forms once from its seeds and mends its roster by itself. One column a control node."""
+import itertools
+import unittest
+
+from oakbase.constants import ROSTER_MOST, SLOTS, TERM
+from oakbase.tasks import spawn
+from oakbase.verdict import Unreachable
+from oakcontrol.founding import first_cluster_id, founder_id, founding_of
+from oakcontrol.roster import ROSTER_KEY, Roster, mended
+from oakcontrol.slots import slotOfKey
+from oaklab.faults import sendPlan
+from oaklab.plan import envOf
+from oaklab.simfleet import SMALL, SimFleet, SimMachine
+from oaklab.simnet import SimHost, SimNetwork, SimReactor, SimTime
+
+SYNC_S = 4.0  # s; after this the next disk may be lost
+STEP = 0.05   # s of simulated time; how often the owners of slots are looked at
+
+
+class PowerCut(Exception):
+    """The power goes in the midst of an operation of the disk."""
+
+
+class CuttingDisk:
+    """A machine's disk whose power goes at the `left`-th operation that lasts: just before it, or just after."""
+
+    def __init__(self, machine, left, after):
+        self.machine, self.left, self.after, self.cut = machine, left, after, False
+        disk = machine.disk
+        for name in ("replace", "create", "sync", "syncNow"):
+            setattr(disk, name, self._counted(getattr(disk, name)))
+
+    def _counted(self, operation):
+        def run(*arguments):
+            if self.cut:
+                raise PowerCut
+            self.left -= 1
+            if self.left > 0:
+                return operation(*arguments)
+            if self.after:
+                operation(*arguments)
+            self.cut = True
+            raise PowerCut
+        return run
+
+    def heal(self):
+        for name in ("replace", "create", "sync", "syncNow"):
+            delattr(self.machine.disk, name)
+
+
+class SelfForming(unittest.TestCase):
+    def fleet(self, seed, **options):
+        fleet = SimFleet(seed, self_forming=True, **options)
+        fleet.planCount = 1
+        self.addCleanup(self.check, fleet)
+        return fleet
+
+    def check(self, fleet):
+        clusters = {one.node.node.net.clusterId for one in fleet.byName.values()
+                    if one.running and one.node is not None} - {""}
+        self.assertEqual(len(clusters), 1, "two clusters")
+        self.assertEqual([line for line in fleet.lines if "rashed" in line and "PowerCut" not in line], [])
+        self.assertEqual(fleet.violations(), {}, fleet.timeline())
+
+    def one_owner(self, fleet):
+        """No slot has two owners inside their terms, frozen ones too."""
+        held = [slot for one in fleet.ofKind("control") if one.running and one.node is not None
+                for slot, owner in one.node.owners.held.items() if owner.holdsTerm()]
+        self.assertEqual(len(held), len(set(held)), "a slot has two owners")
+
+    def run_looking(self, fleet, seconds):
+        for _ in range(round(seconds / STEP)):
+            fleet.run(STEP)
+            self.one_owner(fleet)
+
+    def wait_looking(self, fleet, what, check, limit=15.0):
+        """How long it took."""
+        began = fleet.time.now
+
+        def looked():
+            self.one_owner(fleet)
+            return check()
+        return fleet.waitFor(what, looked, limit) - began
+
+    def wait_all(self, fleet, limit=15.0):
+        return self.wait_looking(fleet, "a roster of all", fleet.rosterOfAll, limit)
+
+    def control_ids(self, fleet):
+        return {one.name: one.node.node.nodeId for one in fleet.ofKind("control") if one.running}
+
+    def roster(self, fleet):
+        return max((one.node.voter.roster for one in fleet.ofKind("control") if one.running and one.node.voter.roster),
+                   key=lambda roster: roster.version)
+
+    def newcomer(self, fleet, number, seeds=()):
+        one = fleet.add("control", number)
+        one.seeds = list(seeds) or [other.machine.peer for other in fleet.ofKind("control") if other.running][:3]
+        one.start()
+        fleet.operator.useControl(one.machine.http)
+        return one
+
+    def wipe(self, fleet, name, down=0.8):
+        one = fleet[name]
+        one.powerCut()
+        one.loseDisk()
+        self.run_looking(fleet, down)
+        one.start()
+        return one
+
+    def put_plan(self, fleet):
+        """The version of an acknowledged plan."""
+        fleet.until(sendPlan(fleet, "dalatech"), 30)
+        return max(plan.version for plan in fleet.view.plans if plan.partner == "dalatech" and plan.outcome == "accepted")
+
+    def read_version(self, fleet):
+        return fleet.until(fleet.operator.readPlan("dalatech"), 30)["version"]
+
+
+class Founding(SelfForming):
+    def start(self, fleet, names, gap):
+        for name in names:
+            fleet[name].start()
+            self.run_looking(fleet, gap)
+
+    def test_any_order(self):
+        """
+        seed0   seed1   seed2   control3   control4
+        started in any order, 0.4 s apart: all five vote and all slots are served within 6 s
+        """
+        orders = list(itertools.permutations([f"control{number}" for number in range(5)]))
+        for seed, order in enumerate(orders[3::17]):
+            with self.subTest(order=order):
+                fleet = self.fleet(seed)
+                self.start(fleet, order, 0.4)
+                self.assertLess(fleet.time.now + self.wait_all(fleet), 6.0)
+                seeds = [fleet[f"control{number}"].machine.peer for number in range(3)]
+                self.assertEqual(fleet["control4"].node.node.net.clusterId, first_cluster_id(seeds))
+                self.assertEqual([fleet[f"control{number}"].node.node.nodeId for number in range(3)],
+                                 [founder_id(peer, seeds) for peer in seeds])
+
+    def test_all_at_once(self):
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                fleet = self.fleet(seed)
+                for one in fleet.byName.values():
+                    one.start()
+                self.assertLess(self.wait_all(fleet), 4.0)
+
+    def test_one_seed_late(self):
+        """
+        seed0   seed1   seed2         control3   control4
+        started at 0    -             started at 0         four vote; the third seed gives its place away
+                        at 6 s                             its first start is this one: it joins the others
+        """
+        fleet = self.fleet(1)
+        self.start(fleet, ("control3", "control0", "control4", "control1"), 0.0)
+        self.wait_all(fleet, 6.0)
+        self.run_looking(fleet, max(0.0, 6.0 - fleet.time.now))
+        late = fleet["control2"]
+        late.start()
+        self.assertLess(self.wait_all(fleet), 4.0)
+        self.assertTrue(late.node.node.nodeId.startswith("founder."))
+        self.assertEqual(len(self.roster(fleet).members), 5)
+
+    def test_one_seed_a_moment_late(self):
+        """The third seed comes 1 s late: the others hold its place."""
+        fleet = self.fleet(2)
+        self.start(fleet, ("control0", "control1", "control3", "control4"), 0.0)
+        self.run_looking(fleet, 1.0)
+        fleet["control2"].start()
+        self.assertLess(fleet.time.now + self.wait_all(fleet), 6.0)
+
+    def test_one_and_two_seeds(self):
+        for count in (1, 2):
+            with self.subTest(seeds=count):
+                fleet = self.fleet(count, size=SMALL.__class__(1, 3, count, SMALL.replicas))
+                fleet.bringUp()
+                self.assertEqual(len(self.roster(fleet).members), count)
+                version = self.put_plan(fleet)
+                for one in fleet.ofKind("control"):
+                    one.powerCut()
+                for one in fleet.ofKind("control"):
+                    one.start()
+                self.assertEqual(self.read_version(fleet), version)
+
+    def test_power_cut_at_each_step(self):
+        """
+        seed0 or seed1
+        power cut just before, just after its first, second, ... lasting write
+        started again, as on a first start or not
+        """
+        # 1: identity; 2 to 9: files of the ring; 10: their first lap; 11: first roster; 12: cluster id; 13: addresses
+        for (left, after), again in itertools.product(
+                ((1, False), (2, False), (9, False), (10, True), (11, False), (11, True), (12, False), (13, False),
+                 (13, True)), (True, False)):
+            with self.subTest(after=after, first_start_again=again, left=left):
+                fleet = self.fleet(left)
+                one = fleet[f"control{left % 2}"]
+                self.start(fleet, [other.name for other in fleet.ofKind("control") if other is not one], 0.0)
+                cutting = CuttingDisk(one, left, after)
+                try:
+                    one.start()
+                    fleet.run(0.5)
+                except PowerCut:
+                    pass
+                self.assertTrue(cutting.cut)
+                one.powerCut()
+                cutting.heal()
+                was_somebody = "identity" in one.disk.names()
+                fleet.first_start = again
+                one.start()
+                self.wait_all(fleet)
+                self.assertEqual(one.node.node.nodeId.startswith("founder."), was_somebody or again)
+                self.assertEqual(len(self.roster(fleet).members), 5)
+
+    def test_frozen_founder(self):
+        """
+        seed0                      seed1    seed2    control3    control4
+        frozen while it founds     form without it
+        thawed                     it holds what it founded, votes for nothing old, and joins
+        """
+        for writes in range(1, 4):
+            with self.subTest(writes=writes):
+                fleet = self.fleet(writes)
+                one = fleet["control0"]
+                kept = []
+                replace, sync = one.disk.replace, one.disk.sync
+
+                def counted(operation):
+                    def run(*arguments):
+                        kept.append(arguments)
+                        if len(kept) == writes:
+                            one.freeze()
+                        return operation(*arguments)
+                    return run
+                one.disk.replace, one.disk.sync = counted(replace), counted(sync)
+                self.start(fleet, [f"control{number}" for number in range(5)], 0.0)
+                self.run_looking(fleet, 0.1)
+                self.assertTrue(one.host.frozen)
+                self.wait_all(fleet)
+                one.thaw()
+                self.wait_all(fleet)
+                self.assertIn(one.node.node.nodeId, self.roster(fleet).members)
+
+    def test_disk_that_has_an_identity_founds_nothing(self):
+        """
+        control0
+        started on its own, learns of no cluster
+        again, as on a first start: still nobody's founder
+        """
+        fleet = SimFleet(1, self_forming=True)
+        one = fleet["control0"]
+        fleet.first_start = False
+        one.start()
+        fleet.run(2.0)
+        node_id = one.node.node.nodeId
+        one.powerCut()
+        fleet.first_start = True
+        one.start()
+        fleet.run(2.0)
+        self.assertEqual((one.node.node.nodeId, one.node.voter.roster, one.node.node.net.clusterId), (node_id, None, ""))
+
+    def test_who_founds(self):
+        fleet = SimFleet(1)
+        machines = [one.machine for one in fleet.ofKind("control")]
+        first = {"selfForming": True, "firstStart": True}
+        for machine, more, founds in ((machines[0], first, True), (machines[3], first, False),
+                                      (machines[0], first | {"firstStart": False}, False),
+                                      (machines[0], first | {"selfForming": False}, False), (machines[0], {}, False)):
+            with self.subTest(machine=machine.name, more=more):
+                self.assertEqual(founding_of(envOf(machine, machines) | more) is not None, founds)
+        env = envOf(machines[0], machines) | first
+        self.assertEqual(founding_of(env), founding_of(env | {"seeds": env["seeds"][::-1]}))
+
+    def test_members_founded_are_those_of_the_seeds(self):
+        fleet = SimFleet(1)
+        machines = [one.machine for one in fleet.ofKind("control")]
+        plans = [founding_of(envOf(machine, machines) | {"selfForming": True, "firstStart": True})
+                 for machine in machines[:3]]
+        self.assertEqual(len({plan["nodeId"] for plan in plans}), 3)
+        self.assertEqual({plan["nodeId"]: machine.peer for plan, machine in zip(plans, machines)},
+                         plans[0]["roster"]["members"])
+        self.assertTrue(all(plan["roster"] == plans[0]["roster"] for plan in plans))
+
+
+class Mending(SelfForming):
+    def up(self, seed, **options):
+        fleet = self.fleet(seed, **options).bringUp()
+        self.assertEqual(len(self.roster(fleet).members), 5)
+        return fleet
+
+    def test_each_wiped_in_turn(self):
+        """
+        control0    control1    control2    control3    control4
+        disk lost   a plan is acknowledged
+        votes       disk lost   a plan is acknowledged
+                    votes       disk lost ...
+        all five lost their disks in the end; the last plan is read back
+        """
+        for seed, down in ((1, 0.2), (2, 0.8), (3, 2.5)):
+            with self.subTest(seed=seed, down=down):
+                fleet = self.up(seed)
+                first = self.control_ids(fleet)
+                for number in range(5):
+                    one = self.wipe(fleet, f"control{number}", down)
+                    back_at = fleet.time.now
+                    version = self.put_plan(fleet)
+                    taken = fleet.time.now - back_at
+                    taken += self.wait_all(fleet, 4.0)
+                    self.assertLess(taken, SYNC_S)
+                    self.assertIn(one.node.node.nodeId, self.roster(fleet).members)
+                    self.run_looking(fleet, max(0.0, SYNC_S - taken))
+                self.assertFalse(set(first.values()) & set(self.control_ids(fleet).values()))
+                self.assertEqual(len(self.roster(fleet).members), 5)
+                for one in fleet.ofKind("control"):
+                    one.powerCut()
+                for one in fleet.ofKind("control"):
+                    one.start()
+                self.assertEqual(self.read_version(fleet), version)
+
+    def test_owner_of_the_roster_wiped(self):
+        """
+        owner of the roster
+        disk lost, back at once        another one takes the roster over, and mends it
+        """
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                fleet = self.up(seed)
+                owner = next(one for one in fleet.ofKind("control") if slotOfKey(ROSTER_KEY) in one.node.owners.held)
+                self.wipe(fleet, owner.name, 0.1)
+                self.assertLess(self.wait_all(fleet), SYNC_S)
+
+    def test_wiped_again_before_it_votes(self):
+        """
+        control1
+        disk lost, back, disk lost, back, each 0.4 s after the last
+        """
+        fleet = self.up(4)
+        for _ in range(4):
+            self.wipe(fleet, "control1", 0.4)
+            self.run_looking(fleet, 0.4)
+        self.wait_all(fleet)
+        self.assertEqual(len(self.roster(fleet).members), 5)
+
+    def test_wiped_founder_is_nobody_known(self):
+        """
+        seed0
+        power cut, disk lost
+        back as on a later start: a random id, no vote under the former one
+        """
+        fleet = self.up(5)
+        former = fleet["control0"].node.node.nodeId
+        one = self.wipe(fleet, "control0")
+        self.assertNotIn("founder", one.node.node.nodeId)
+        self.wait_all(fleet)
+        self.assertNotIn(former, self.roster(fleet).everyone)
+
+    def test_three_members_mend_too(self):
+        """Of three, each may be lost in turn."""
+        fleet = self.fleet(6, size=SMALL.__class__(1, 3, 3, SMALL.replicas)).bringUp()
+        for number in (2, 0, 1, 2):
+            self.wipe(fleet, f"control{number}")
+            back_at = fleet.time.now
+            self.assertLess(self.wait_all(fleet), SYNC_S)
+            version = self.put_plan(fleet)
+            self.run_looking(fleet, max(0.0, back_at + SYNC_S - fleet.time.now))
+        self.assertEqual(self.read_version(fleet), version)
+
+    def test_empty_machine_at_a_new_address(self):
+        """
+        control1                    control5 (new address)
+        gone for good               started empty, takes its place
+        """
+        fleet = self.up(7)
+        fleet["control1"].powerCut()
+        del fleet.byName["control1"]
+        new = self.newcomer(fleet, 5)
+        self.assertLess(self.wait_all(fleet), 6.0)
+        self.assertEqual(len(self.roster(fleet).members), 5)
+        self.assertIn(new.node.node.nodeId, self.roster(fleet).members)
+
+    def test_member_removed_for_good(self):
+        """
+        control1          control5
+        gone for good     -            it keeps its place: nobody can take it
+                          starts       takes it
+        """
+        fleet = self.up(8)
+        gone = fleet["control1"].node.node.nodeId
+        fleet["control1"].powerCut()
+        del fleet.byName["control1"]
+        self.run_looking(fleet, 70.0)
+        version = self.put_plan(fleet)
+        self.assertEqual((gone in self.roster(fleet).members, len(self.roster(fleet).members)), (True, 5))
+        self.newcomer(fleet, 5)
+        self.assertLess(self.wait_all(fleet), SYNC_S)
+        self.assertEqual(self.read_version(fleet), version)
+
+    def test_replaced_member_comes_back_with_its_disk(self):
+        """
+        control1                       control5
+        away for long                  takes its place
+        back with its disk: an outsider, joins again under its old id
+        """
+        fleet = self.up(9)
+        one = fleet["control1"]
+        node_id = one.node.node.nodeId
+        one.powerCut()
+        self.newcomer(fleet, 5)
+        self.wait_all(fleet)
+        self.assertNotIn(node_id, self.roster(fleet).members)
+        version = self.put_plan(fleet)
+        one.start()
+        self.wait_all(fleet)
+        self.assertEqual((len(self.roster(fleet).members), one.node.node.nodeId), (6, node_id))
+        for name in ("control0", "control2"):
+            fleet[name].kill()
+        self.assertEqual(self.read_version(fleet), version)
+
+    def test_silent_for_a_moment_keeps_its_place(self):
+        """
+        control1               control5
+        frozen 1 s             starts meanwhile: joins, takes nobody's place
+        """
+        fleet = self.up(10)
+        former = set(self.roster(fleet).members)
+        fleet["control1"].freeze()
+        self.newcomer(fleet, 5)
+        self.run_looking(fleet, 1.0)
+        fleet["control1"].thaw()
+        self.wait_all(fleet)
+        self.assertLess(former, set(self.roster(fleet).members))
+
+    def test_frozen_owner_of_the_roster_drops_nobody(self):
+        """
+        owner of the roster     control5
+        frozen                  starts, joins
+        thawed: sees all as silent for as long as it was away, and takes no place from them
+        """
+        fleet = self.up(11)
+        owner = next(one for one in fleet.ofKind("control") if slotOfKey(ROSTER_KEY) in one.node.owners.held)
+        former = set(self.roster(fleet).members)
+        owner.freeze()
+        self.run_looking(fleet, 1.9)
+        self.newcomer(fleet, 5)
+        self.run_looking(fleet, 0.2)
+        owner.thaw()
+        self.wait_all(fleet)
+        self.assertLess(former, set(self.roster(fleet).members))
+
+    def test_cut_core_takes_no_place_without_a_majority(self):
+        """
+        control0 control1 | control2 control3 control4
+        the two change nothing; the three drop nobody, since nobody else is there
+        """
+        fleet = self.up(12)
+        former = self.roster(fleet).record
+        some, others = ([fleet[f"control{number}"].machine.host for number in numbers] for numbers in ((0, 1), (2, 3, 4)))
+        fleet.network.cut(some, others)
+        self.run_looking(fleet, 10.0)
+        fleet.network.heal()
+        self.wait_all(fleet)
+        self.assertEqual(self.roster(fleet).record, former)
+
+    def test_no_more_than_the_most(self):
+        fleet = self.up(13)
+        for number in range(5, 12):
+            self.newcomer(fleet, number)
+        self.run_looking(fleet, 10.0)
+        self.assertEqual(len(self.roster(fleet).members), ROSTER_MOST)
+        version = self.roster(fleet).version
+        gone = next(one for one in fleet.ofKind("control") if one.node.node.nodeId in self.roster(fleet).members)
+        gone.kill()
+        self.run_looking(fleet, 8.0)
+        self.assertEqual(len(self.roster(fleet).members), ROSTER_MOST)
+        self.assertNotIn(gone.node.node.nodeId, self.roster(fleet).members)
+        self.assertGreater(self.roster(fleet).version, version)
+
+    def test_empty_disk_does_not_stand_for_its_former_self(self):
+        """
+        control0 control1 control2 | control3 control4
+                          disk lost, back under a new id at the same address
+                          to take its former self's place
+        from then on, two old members and an empty one are no majority of the old members
+        """
+        fleet = self.up(14)
+        self.wipe(fleet, "control2", 0.3)
+        fleet.waitFor("the joint version", lambda: self.roster(fleet).next is not None, 5.0)
+        some, others = ([fleet[f"control{number}"].machine.host for number in numbers] for numbers in ((0, 1, 2), (3, 4)))
+        fleet.network.cut(some, others)
+        self.run_looking(fleet, 2 * TERM)  # whatever was confirmed before is over
+        for one in ("control0", "control1", "control2"):
+            for owner in fleet[one].node.owners.held.values():
+                self.assertFalse(owner.holdsTerm())
+            roster = fleet[one].node.voter.roster
+            self.assertTrue(roster is None or roster.next is not None or len(roster.members) != 5
+                            or fleet["control2"].node.node.nodeId not in roster.members, "the change was finished")
+        fleet.network.heal()
+        self.wait_all(fleet)
+
+    def test_interrupted_at_each_moment(self):
+        """
+        control1 lost its disk and is back; the owner of the roster is killed 0.1 s, 0.2 s, ... later
+        the next owner goes on
+        """
+        for tenths in range(1, 14, 2):
+            with self.subTest(tenths=tenths):
+                fleet = self.up(tenths)
+                version = self.put_plan(fleet)
+                self.wipe(fleet, "control1", 0.8)
+                self.run_looking(fleet, tenths / 10)
+                owner = next((one for one in fleet.ofKind("control")
+                              if slotOfKey(ROSTER_KEY) in one.node.owners.held), fleet["control4"])
+                owner.kill()
+                self.run_looking(fleet, 0.5)
+                owner.start()
+                self.wait_all(fleet)
+                self.assertEqual(self.read_version(fleet), version)
+
+    def test_nothing_is_sent_in_a_lasting_state(self):
+        """Neither with all there nor with a member gone for good is there a call or a write for the roster's sake."""
+        fleet = self.up(15)
+
+        def counts():
+            return [(one.node.node.net.callCounts.get("rosterVersion", 0), one.node.voter.roster.version)
+                    for one in fleet.ofKind("control") if one.running]
+        self.run_looking(fleet, 5.0)
+        before = counts()
+        self.run_looking(fleet, 10.0)
+        self.assertEqual(counts(), before)
+        fleet["control1"].kill()
+        self.run_looking(fleet, 8.0)
+        before = counts()
+        self.run_looking(fleet, 10.0)
+        self.assertEqual(counts(), before)
+
+    def test_slots_of_a_killed_member_are_served_again(self):
+        """Its term is over when its silence is noticed, and voters know that it is."""
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                fleet = self.up(seed)
+                fleet["control1"].powerCut()
+                self.assertLess(self.wait_looking(fleet, "all slots served", fleet.slotsServed, 5.0), 3.0)
+
+    def test_given_slot_is_not_published_again(self):
+        """
+        control0 holds a slot and gives it away while a change of it is on its way
+        it hears of the next owner like everybody else
+        """
+        fleet = self.up(16)
+        one = fleet["control0"]
+        owner = next(iter(one.node.owners.held.values()))
+        owner.end()
+        one.node.owners.publish(owner, {})
+        slot = owner.slot
+        fleet.waitFor("the news of the next owner", lambda: one.node.owners.believedOwner(slot)[0] > owner.epoch, 6.0)
+
+    def test_calls_name_whom_they_are_for(self):
+        fleet = self.up(17)
+        net, other = fleet["control0"].node.node.net, fleet["control1"]
+        for address in (other.machine.peer, net.address):
+            with self.subTest(address=address), self.assertRaises(Unreachable):
+                fleet.until(net.call(address, "rosterVersion", to="somebody.else"))
+        self.assertGreater(fleet.until(net.call(other.machine.peer, "rosterVersion", to=other.node.node.nodeId)), 0)
+
+    def test_reconfigure_refuses(self):
+        fleet = self.up(18)
+        roster = self.roster(fleet)
+        client = fleet["control0"].node.client
+        fewer = dict(list(roster.members.items())[:4])
+        for arguments, fault in (
+                ({"basedOn": roster.version, "next": fewer}, "refused"),
+                ({"basedOn": roster.version, "next": roster.members | {"nobody": "127.0.0.9:1"}}, "refused"),
+                ({"basedOn": roster.version, "next": {}}, "badRequest"),
+                ({"basedOn": roster.version - 1, "next": roster.members | {
+                    fleet["gate0"].node.node.nodeId: fleet["gate0"].machine.peer}}, "lost")):
+            with self.subTest(arguments=arguments), self.assertRaises(Exception) as raised:
+                fleet.until(client.call(ROSTER_KEY, "reconfigure", arguments, 5.0))
+            self.assertEqual(raised.exception.code, fault)
+        same = {"basedOn": 0, "next": roster.members}
+        self.assertEqual(fleet.until(client.call(ROSTER_KEY, "reconfigure", same, 5.0))["version"], roster.version)
+
+
+class Members(unittest.TestCase):
+    """What the roster should be, from who is there."""
+
+    MEMBERS = {"a": "1", "b": "2", "c": "3"}
+
+    def test_whole_roster_stays(self):
+        self.assertEqual(mended(self.MEMBERS, {}, [], [], []), self.MEMBERS)
+
+    def test_outsiders_join_up_to_the_most(self):
+        joining = [(f"n{number}", str(number)) for number in range(9)]
+        self.assertEqual(mended(self.MEMBERS, {}, [], [], joining, dict(joining), most=5), self.MEMBERS | dict(joining[:2]))
+
+    def test_heir_takes_its_former_selfs_place(self):
+        self.assertEqual(mended(self.MEMBERS, {"b": ("b2", "2")}, ["b"], ["b"], []), {"a": "1", "b2": "2", "c": "3"})
+
+    def test_lost_member_gives_its_place_to_an_outsider(self):
+        self.assertEqual(mended(self.MEMBERS, {}, ["c"], ["c"], [("d", "4"), ("e", "5")], "de").keys(),
+                         {"a", "b", "d", "e"})
+
+    def test_outsider_is_held_back_for_who_may_be_back_in_a_moment(self):
+        self.assertEqual(mended(self.MEMBERS, {}, [], ["c"], [("d", "4")], "d"), self.MEMBERS)
+        self.assertEqual(mended(self.MEMBERS, {}, [], ["c"], [("d", "4"), ("e", "5")], "de").keys(),
+                         {"a", "b", "c", "d"})
+
+    def test_newcomer_that_was_just_seen_takes_a_place_but_does_not_add_to_them(self):
+        self.assertEqual(mended(self.MEMBERS, {}, [], [], [("d", "4")]), self.MEMBERS)
+        self.assertEqual(mended(self.MEMBERS, {}, ["c"], ["c"], [("d", "4")]).keys(), {"a", "b", "d"})
+
+    def test_lost_member_without_an_outsider_stays(self):
+        self.assertEqual(mended(self.MEMBERS, {}, ["c"], ["c"], []), self.MEMBERS)
+
+    def test_joint_version_needs_majorities_of_both(self):
+        joint = Roster({"version": 2, "members": self.MEMBERS, "next": {"b": "2", "c": "3", "d": "4", "e": "5", "f": "6"}})
+        for ids, enough in (("abc", False), ("bcd", True), ("def", False), ("adef", False), ("abdef", True)):
+            with self.subTest(ids=ids):
+                self.assertEqual(joint.isQuorum(set(ids)), enough)
+
+
+if __name__ == "__main__":
+    unittest.main()
