--- a/packages/oakstore/oakstore/anti_entropy.py
+++ b/packages/oakstore/oakstore/anti_entropy.py
@@ -11,6 +11,7 @@
 from twisted.internet import defer
 
 from oakbase.constants import COPY_PAGE_TURNS, RECORD_PAGE, STORE_CALL_TIME, SWEEP_KEYS
+from oakbase.tasks import settled
 from oakbase.verdict import Fenced, OakError
 from oakstore.records import read_header
 from oakstore.table import TURN_LINE, bucketOf, fromState, toState
@@ -149,15 +150,19 @@
             return []
         page = await self._call(peer, "lineTurns", keys=keys)
         self._check_epoch(page.storeEpoch)
-        lines = [one for one in page.lines or [] if not one.key.startswith(TURN_LINE) or one.turns
-                 or one.key in self._table.rows]
+        lines = page.lines or []
         turns = [turn for one in lines for turn in one.turns or []]
         for turn in turns:
             self._records.shorten(turn.turnId, turn.leftMs / 1000)
         pulled = await self.pull(peer, [turn.turnId for turn in turns if not self._records.was_dropped(turn.turnId)])
-        for one in lines:
-            await self._table.merge(one.key, fromState(one.line), one.line.ageMs / 1000)
-            self._metrics.count("lines_synced")
+        # A line of turns of which none is kept here any more is gone here.
+        lines = [one for one in lines if one.key in self._table.rows or not one.key.startswith(TURN_LINE)
+                 or any(turn.turnId in self._records for turn in one.turns or [])]
+        # Together, so that one sync of the disk covers many of them.
+        merged = await settled([self._table.merge(one.key, fromState(one.line), one.line.ageMs / 1000) for one in lines])
+        self._metrics.count("lines_synced", len(lines))
+        for error in [error for ok, error in merged if not ok]:
+            raise error
         return pulled
 
     async def _mend_chains(self, peer, pulled):
--- a/tests/test_store_forming.py
+++ b/tests/test_store_forming.py
@@ -12,6 +12,7 @@
 
 KEPT = 60       # s; for which turns are retained
 SYNC = 4.0      # s; after its return a store is a full member again within this
+RECOVER = 12.0  # s; after all machines lost their power
 SEEDS = 4
 SIZE = Size(2, 3, 3, ())
 RING_FILE_SIZE = 1 << 20  # bytes; for all that is kept in a minute
@@ -231,6 +232,34 @@
         rig.fleet["store0"].kill()
         rig.checkAll(self)
 
+    def testAllLosePowerAndOneItsDisk(self):
+        """
+        store1                 all other stores, the core
+        acknowledges
+        power cut, disk lost   power cut
+        back, empty            back
+        a full member          nothing is lost
+        """
+        for wait in (0.0, 2.0):
+            with self.subTest(wait):
+                rig = self.rig = Rig(26)
+                rig.load(5)
+                rig.fleet.run(5)
+                machines = rig.fleet.ofKind("store") + rig.fleet.ofKind("control")
+                for one in machines:
+                    one.powerCut()
+                rig.fleet["store1"].loseDisk()
+                rig.fleet.run(1)
+                for one in machines:
+                    if one.name != "store1":
+                        one.start()
+                rig.fleet.run(wait)
+                rig.fleet["store1"].start()
+                backAt = rig.fleet.time.now
+                rig.fleet.waitFor("its new id", lambda: rig.record()["retired"])
+                self.assertLess(rig.waitFull(STORES) - backAt, RECOVER)
+                rig.checkAll(self)
+
     def testSilentForAMomentKeepsItsPlace(self):
         rig = self.rig = Rig(25, spares=1)
         rig.fleet["store2"].freeze()
