--- /dev/null
+++ b/tests/test_balancer.py
@@ -0,0 +1,325 @@
+"""The gate's balancer by itself: which replica a request gets, who waits, and that no place is lost."""
+import json
+import random
+import unittest
+from types import SimpleNamespace
+
+from hypothesis import given, settings, strategies as st
+from twisted.internet import defer, task
+
+from oakbase.constants import BALANCER_QUEUE, EJECT_AFTER, EJECT_LONGEST, LOAD_AGE, SHED_PAUSE
+from oakbase.logline import LogLine
+from oakbase.verdict import OakError, Overloaded, TimeSpent, Verdict
+from oakcontrol.places import REPLICAS_KEY
+from oakgate.balancer import Balancer, Wish
+from oaknews.board import Board
+
+
+class Bench:
+    """A balancer on a clock, with a list of replicas that the test changes. `slots` is what each has."""
+
+    def __init__(self, replicas=3, slots=2, service="s", zone="za", seed=1, zones=("za", "zb", "zc")):
+        self.clock, self.lines = task.Clock(), []
+        self.board, self.version = Board(self.clock), 0
+        node = SimpleNamespace(reactor=self.clock, env={"zone": zone}, board=self.board, random=random.Random(seed))
+        self.balancer = Balancer(node, LogLine(self.lines.append))
+        self.gone = []
+        self.balancer.on_gone = self.gone.append
+        self.rows, self.slots = {}, slots
+        for number in range(replicas):
+            self.put(f"r{number}", service, zone=zones[number % len(zones)], publish=False)
+        self.publish()
+
+    def put(self, name, service="s", state="ready", zone="za", publish=True):
+        self.rows[name] = {"id": name, "address": f"10.0.0.{len(self.rows) + 1}:80", "pool": service, "state": state,
+                           "zone": zone, "slots": self.slots}
+        if publish:
+            self.publish()
+
+    def remove(self, name):
+        del self.rows[name]
+        self.publish()
+
+    def publish(self):
+        self.version += 1
+        self.board.setItems(REPLICAS_KEY, self.version, {name: json.dumps(row).encode() for name, row in self.rows.items()})
+
+    def wish(self, patience=10.0, rank=0, affinity="", excluded=(), service="s"):
+        return Wish(service, self.slots, rank, self.clock.seconds() + patience, affinity, frozenset(excluded))
+
+    def ask(self, *arguments, **more):
+        """The outcome of an acquire as a list: empty while it waits, then an instance or an error."""
+        outcome = []
+        defer.ensureDeferred(self.balancer.acquire(self.wish(*arguments, **more))).addBoth(
+            lambda result: outcome.append(getattr(result, "value", result)))
+        return outcome
+
+    def take(self, **more):
+        """An instance that is had at once."""
+        outcome = self.ask(**more)
+        assert outcome and not isinstance(outcome[0], Exception), outcome
+        return outcome[0]
+
+    def fill(self, name, service="s"):
+        """Takes all that this replica may be given, and gives the instances."""
+        instance, taken = self.balancer.instances[name], []
+        others = [other for other in self.rows if other != name]
+        while True:
+            outcome = self.ask(0.0, excluded=others, service=service)
+            self.clock.advance(0)
+            if not outcome or isinstance(outcome[0], Exception):
+                return taken
+            assert outcome[0] is instance
+            taken.append(instance)
+
+    def held(self):
+        return sum(one.own for one in self.balancer.instances.values())
+
+
+class Choosing(unittest.TestCase):
+    def test_spreads_over_the_least_loaded(self):
+        bench = Bench(replicas=3, slots=4)
+        taken = [bench.take() for _ in range(6)]
+        self.assertEqual({one.own for one in bench.balancer.instances.values()}, {2})
+        self.assertEqual(len(taken), 6)
+
+    def test_prefers_its_own_zone_where_loads_are_alike(self):
+        self.assertEqual({Bench(seed=seed).take().row["zone"] for seed in range(10)}, {"za"})
+
+    def test_goes_by_the_load_that_was_told_for_a_while(self):
+        bench = Bench(replicas=2, slots=4)
+        first = bench.balancer.instances["r0"]
+        bench.balancer.told(first, (3, 0, 4))
+        self.assertEqual([bench.take().row["id"] for _ in range(2)], ["r1", "r1"])
+        bench.clock.advance(LOAD_AGE + 0.1)
+        self.assertEqual(bench.take().row["id"], "r0")
+
+    def test_slots_are_those_that_the_replica_told(self):
+        bench = Bench(replicas=1, slots=1)
+        bench.balancer.told(bench.balancer.instances["r0"], (0, 0, 16))
+        taken = [bench.take() for _ in range(16)]
+        self.assertEqual(len(taken), 16)
+
+    def homes(self, bench, count=12):
+        """Program -> the replica that it goes to while nothing else is under way."""
+        names = {}
+        for number in range(count):
+            instance = bench.take(affinity=f"p{number}")
+            names[f"p{number}"] = instance.row["id"]
+            bench.balancer.release(instance)
+        return names
+
+    def test_a_program_keeps_its_replica(self):
+        bench = Bench(replicas=3, slots=8, zones=("za",))
+        names = self.homes(bench)
+        self.assertEqual(set(names.values()), {"r0", "r1", "r2"})
+        self.assertEqual(self.homes(bench), names)
+        bench.take()
+        self.assertEqual(self.homes(bench), names)
+
+    def test_a_program_leaves_a_replica_that_is_full(self):
+        bench = Bench(replicas=2, slots=2)
+        home = bench.take(affinity="p").row["id"]
+        bench.fill(home)
+        self.assertNotEqual(bench.take(affinity="p").row["id"], home)
+
+    def test_a_full_neighbour_moves_nobody_elses_program(self):
+        bench = Bench(replicas=3, slots=8, zones=("za",))
+        names = self.homes(bench)
+        bench.fill("r0")
+        now = self.homes(bench)
+        self.assertEqual({program: name for program, name in now.items() if names[program] != "r0"},
+                         {program: name for program, name in names.items() if name != "r0"})
+
+    def test_leaving_ones_get_nothing(self):
+        bench = Bench(replicas=2)
+        bench.put("r0", state="leaving")
+        self.assertEqual([bench.take().row["id"] for _ in range(2)], ["r1", "r1"])
+        self.assertFalse(bench.balancer.is_ready(bench.balancer.instances["r0"]))
+
+    def test_a_life_that_is_gone_is_not_ready(self):
+        bench = Bench()
+        instance = bench.take()
+        bench.remove(instance.row["id"])
+        self.assertFalse(bench.balancer.is_ready(instance))
+        self.assertEqual(bench.gone, [instance.row["id"]])
+        bench.balancer.release(instance)
+
+    def test_nobody_left_is_a_promise_at_once(self):
+        for bench, more in ((Bench(replicas=0), {}), (Bench(), {"excluded": ["r0", "r1", "r2"]}), (Bench(), {"service": "no"})):
+            error = bench.ask(**more)[0]
+            self.assertIsInstance(error, Overloaded)
+            self.assertIs(error.verdict, Verdict.NO)
+
+
+class Waiting(unittest.TestCase):
+    def test_rank_goes_first_then_patience(self):
+        bench = Bench(replicas=1, slots=1)
+        taken = bench.fill("r0")
+        order = []
+        for name, rank, patience in (("late", 1, 9.0), ("soon", 1, 3.0), ("first", 0, 9.0)):
+            defer.ensureDeferred(bench.balancer.acquire(bench.wish(patience, rank))).addCallback(
+                lambda instance, name=name: order.append((name, instance)))
+        for _ in range(3):
+            bench.balancer.release(taken.pop() if taken else order[-1][1])
+            bench.clock.advance(0.001)
+        self.assertEqual([name for name, _ in order][:3], ["first", "soon", "late"])
+
+    def test_patience_ends_with_a_promise_and_leaves_nothing(self):
+        bench = Bench(replicas=1, slots=1)
+        taken = bench.fill("r0")
+        outcome = bench.ask(0.5)
+        bench.clock.pump([0.1] * 6)
+        self.assertIsInstance(outcome[0], TimeSpent)
+        self.assertIs(outcome[0].verdict, Verdict.NO)
+        self.assertEqual((bench.balancer.waiting_count(), bench.held()), (0, len(taken)))
+
+    def test_who_waits_is_woken_by_a_newcomer(self):
+        bench = Bench(replicas=1, slots=1)
+        bench.fill("r0")
+        outcome = bench.ask()
+        bench.put("r9")
+        bench.clock.advance(0.001)
+        self.assertEqual(outcome[0].row["id"], "r9")
+
+    def test_who_waits_is_woken_when_a_shed_replica_is_tried_again(self):
+        bench = Bench(replicas=1)
+        bench.balancer.shed(bench.balancer.instances["r0"])
+        outcome = bench.ask()
+        self.assertEqual(outcome, [])
+        bench.clock.pump([SHED_PAUSE / 4] * 12)
+        self.assertEqual(outcome[0].row["id"], "r0")
+
+    def test_room_that_others_gave_back_shows_with_time(self):
+        bench = Bench(replicas=1, slots=1)
+        bench.balancer.told(bench.balancer.instances["r0"], (1, 4, 1))
+        outcome = bench.ask()
+        self.assertEqual(outcome, [])
+        bench.clock.pump([0.05] * int(LOAD_AGE / 0.05 + 4))
+        self.assertEqual([one.row["id"] for one in outcome], ["r0"])
+
+    def test_the_queue_is_bounded(self):
+        bench = Bench(replicas=1, slots=1)
+        bench.fill("r0")
+        outcomes = [bench.ask() for _ in range(BALANCER_QUEUE + 1)]
+        self.assertIsInstance(outcomes[-1][0], Overloaded)
+        self.assertEqual(bench.balancer.waiting_count(), BALANCER_QUEUE)
+
+    def test_who_excludes_the_free_one_holds_up_nobody(self):
+        """r0 is full, r1 is free; the first who waits has tried r1 already, the second has not."""
+        bench = Bench(replicas=2, slots=1)
+        bench.fill("r0")
+        first, second = bench.ask(excluded=["r1"]), bench.ask()
+        bench.clock.advance(SHED_PAUSE * 2)
+        self.assertEqual([first, [one.row["id"] for one in second]], [[], ["r1"]])
+
+    def test_who_gave_up_holds_no_place(self):
+        bench = Bench(replicas=1, slots=1)
+        taken = bench.fill("r0")
+        waiting = defer.ensureDeferred(bench.balancer.acquire(bench.wish()))
+        waiting.addErrback(lambda _: None)
+        waiting.cancel()
+        for instance in taken:
+            bench.balancer.release(instance)
+        bench.clock.advance(1.0)
+        self.assertEqual((bench.held(), bench.balancer.waiting_count()), (0, 0))
+
+
+class Failing(unittest.TestCase):
+    def test_failures_in_a_row_close_one_for_a_while(self):
+        bench = Bench(replicas=3)
+        one = bench.balancer.instances["r0"]
+        for _ in range(EJECT_AFTER):
+            bench.balancer.failed(one)
+        for _ in range(4):
+            self.assertNotEqual(bench.take().row["id"], "r0")
+        bench.clock.advance(EJECT_LONGEST + 0.1)
+        self.assertEqual(bench.take().row["id"], "r0")
+
+    def test_a_success_between_them_clears_it(self):
+        bench = Bench(replicas=3)
+        one = bench.balancer.instances["r0"]
+        for _ in range(3 * EJECT_AFTER):
+            bench.balancer.failed(one)
+            bench.balancer.succeeded(one)
+        self.assertEqual(bench.take().row["id"], "r0")
+
+    def test_not_all_are_closed_for_failing(self):
+        bench = Bench(replicas=3)
+        for one in bench.balancer.instances.values():
+            for _ in range(5 * EJECT_AFTER):
+                bench.balancer.failed(one)
+        self.assertTrue(bench.take())
+
+    def test_one_that_cannot_be_reached_is_closed_at_once(self):
+        bench = Bench(replicas=2)
+        bench.balancer.failed(bench.balancer.instances["r0"], at_once=True)
+        self.assertEqual([bench.take().row["id"] for _ in range(2)], ["r1", "r1"])
+
+
+STEPS = st.lists(st.one_of(
+    st.tuples(st.just("ask"), st.integers(0, 2), st.sampled_from([0.05, 0.5, 5.0]), st.sampled_from(["", "a", "b"]),
+              st.sets(st.sampled_from(["r0", "r1", "r2", "r3"]))),
+    st.tuples(st.just("release"), st.integers(0, 30)), st.tuples(st.just("advance"), st.sampled_from([0.01, 0.2, 2.0])),
+    st.tuples(st.just("told"), st.integers(0, 3), st.integers(0, 4)), st.tuples(st.just("shed"), st.integers(0, 3)),
+    st.tuples(st.just("failed"), st.integers(0, 3)), st.tuples(st.just("state"), st.integers(0, 3), st.booleans()),
+    st.tuples(st.just("gone"), st.integers(0, 3)), st.tuples(st.just("cancel"), st.integers(0, 10))), max_size=60)
+
+
+class AnySteps(unittest.TestCase):
+    @settings(max_examples=150, deadline=None)
+    @given(STEPS)
+    def test_places_are_counted_and_everybody_is_answered(self, steps):
+        bench, held, waiting = Bench(replicas=4, slots=2), [], []
+
+        def ask(rank, patience, affinity, excluded):
+            work = defer.ensureDeferred(bench.balancer.acquire(bench.wish(patience, rank, affinity, excluded)))
+            waiting.append(work)
+
+            def ended(result):
+                waiting.remove(work)
+                error = getattr(result, "value", None)
+                if error is None:
+                    self.assertNotIn(result.row["id"], excluded)
+                    held.append(result)
+                elif isinstance(error, OakError):
+                    self.assertIs(error.verdict, Verdict.NO)
+            work.addBoth(ended)
+        for name, *values in steps:
+            row = f"r{values[0]}" if values and isinstance(values[0], int) else None
+            one = bench.balancer.instances.get(row)
+            if name == "ask":
+                ask(*values)
+            elif name == "release" and held:
+                bench.balancer.release(held.pop(values[0] % len(held)))
+            elif name == "advance":
+                bench.clock.advance(values[0])
+            elif name == "told" and one:
+                bench.balancer.told(one, (values[1], 0, 2))
+            elif name == "shed" and one:
+                bench.balancer.shed(one)
+            elif name == "failed" and one:
+                bench.balancer.failed(one)
+            elif name == "state":
+                bench.put(row, state="ready" if values[1] else "leaving")
+            elif name == "gone" and one:
+                bench.remove(row)
+            elif name == "cancel" and waiting:
+                waiting[values[0] % len(waiting)].cancel()
+            counts = {id(instance): 0 for instance in held}
+            for instance in held:
+                counts[id(instance)] += 1
+            for instance in held:
+                self.assertEqual(instance.own, counts[id(instance)])
+            self.assertEqual(bench.held(), sum(one.own for one in bench.balancer.instances.values()))
+            self.assertEqual(bench.balancer.waiting_count(), len(waiting))
+        bench.clock.pump([0.5] * 12)
+        self.assertEqual(waiting, [])
+        for instance in list(held):
+            held.remove(instance)
+            bench.balancer.release(instance)
+        self.assertEqual(bench.held(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
