--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -407,7 +407,8 @@
 
     async def _prepareAndServe(self, slot, releasedEpoch):
         believed = self.believedOwner(slot)
-        epoch = max(self._seenEpochs.get(slot, 0), believed[0] if believed else 0, releasedEpoch or 0) + 1
+        epoch = max(self._seenEpochs.get(slot, 0), believed[0] if believed else 0, releasedEpoch or 0,
+                    self._voter.promisedEpoch(slot)) + 1
         self._seenEpochs[slot] = epoch
         reached, answers = await quorumOf(
             {nodeId: self._granted(slot, answer)
--- a/packages/oakcontrol/oakcontrol/voter.py
+++ b/packages/oakcontrol/oakcontrol/voter.py
@@ -102,6 +102,9 @@
         table = self._tables[slot]
         return table.imageEpoch, table.sequence, table.entries
 
+    def promisedEpoch(self, slot):
+        return self._tables[slot].promisedEpoch
+
     def isFull(self):
         return self._ring.liveBytes() > CONTROL_FULL * self._ring.capacity()
 
@@ -152,9 +155,7 @@
     async def _prepare(self, table, peer, arguments):
         self._checkRoster(peer, arguments.rosterVersion)
         earlier = table.promisedEpoch, table.promisedOwner
-        granted = (arguments.epoch > table.promisedEpoch
-                   or earlier == (arguments.epoch, arguments.owner))
-        if not granted:
+        if arguments.epoch <= table.promisedEpoch:  # its own owner's too: a restart has forgotten what it wrote under it
             return idl.Promise(granted=False, promisedEpoch=earlier[0], promisedOwner=earlier[1])
         await self._write(arguments.slot, table, {}, promisedEpoch=arguments.epoch, promisedOwner=arguments.owner)
         entries = None if arguments.parts else [idl.Entry(key=key, value=value) for key, value in table.entries.items()]
