--- a/packages/oaklab/oaklab/simdisk.py
+++ b/packages/oaklab/oaklab/simdisk.py
@@ -36,6 +36,11 @@
     def read(self, name, most=-1):
         return bytes(self._files[name][:most] if most >= 0 else self._files[name])
 
+    def remove(self, name):
+        self._check()
+        del self._files[name], self._durable[name]
+        self._unsynced = [write for write in self._unsynced if write[0] != name]
+
     def write(self, name, offset, data):
         self._check()
         self._files[name][offset:offset + len(data)] = data
--- a/packages/oakring/oakring/disk.py
+++ b/packages/oakring/oakring/disk.py
@@ -47,6 +47,13 @@
         with open(self._path(name), "rb") as file:
             return file.read(most)
 
+    def remove(self, name):
+        handle = self._handles.pop(name, None)
+        if handle is not None:
+            os.close(handle)
+        os.unlink(self._path(name))
+        self._syncFolder()
+
     def write(self, name, offset, data):
         if name not in self._handles:
             self._handles[name] = os.open(self._path(name), os.O_RDWR)
--- a/packages/oakring/oakring/ring.py
+++ b/packages/oakring/oakring/ring.py
@@ -109,6 +109,7 @@
         self._waiting = deque()
         self._waitingBytes = 0
         self._writing = False
+        self._stopping = None
         self.broken = None
         self.syncCount = 0
         self.syncTime = 0.0
@@ -273,6 +274,15 @@
                     continue
                 fired.errback(RingError(f"the disk failed: {self.broken}"))
         self._writing = False
+        if self._stopping is not None:
+            self._stopping.callback(None)
+
+    async def stop(self):
+        """Takes no more commits, and returns once nothing more will be written."""
+        self.broken = self.broken or RingError("the ring was closed")
+        if self._writing and self._stopping is None:
+            self._stopping = defer.Deferred()
+            await self._stopping
 
     async def _writeBatch(self, batch):
         touched = set()
--- a/packages/oakstore/oakstore/store.py
+++ b/packages/oakstore/oakstore/store.py
@@ -10,7 +10,7 @@
 from oakbase.constants import (ACCEPT_INBOX, HINT_LIMIT, LINE_KEPT, LINE_SIZE, RECORD_PAGE, RING_COMMIT_SHARE,
                                STORE_CALL_TIME, STORE_COPY_PAUSE, STORE_SWEEP, SWEEP_HINTS)
 from oakbase.metrics import Metrics
-from oakbase.tasks import Repeater, quorumOf
+from oakbase.tasks import Repeater, quorumOf, spawn
 from oakbase.verdict import BadRequest, CannotTell, Fenced, NoAnswer, OakError, TooLarge
 from oakbase.web import Web
 from oakcohort.members import LIVE
@@ -25,6 +25,7 @@
 from oakwire.codec import idl
 
 COVERS = "covers"
+EMPTYING = "emptying"  # a file that stands as long as the folder is being cleared
 
 
 class Store:
@@ -296,22 +297,61 @@
         return True
 
 
+def _clear(disk):
+    """Removes all that a store kept. The mark goes last, so a start after a crash goes on with it."""
+    for name in [name for name in disk.names() if name != EMPTYING] + [EMPTYING]:
+        disk.remove(name)
+
+
 class StoreNode:
+    """A store whose id has left the set for good starts over with an empty folder and a new id: as a spare."""
+
     def __init__(self, reactor, env, disk, random, sink, wall=time.time):
+        self._parts = reactor, env, disk, random, sink, wall
+        self._startingOver = None
+        if EMPTYING in disk.names():
+            _clear(disk)
+        self._build()
+
+    def _build(self):
+        reactor, env, disk, random, sink, wall = self._parts
         self.node = Node(reactor, "store", env, random, sink, disk, wall)
         shares = {"fileCount": env["ringFiles"], "commitShare": RING_COMMIT_SHARE} if env.get("ringFiles") else {}
         self.ring = Ring(disk, self.node.log, env.get("ringFileSize"), seconds=reactor.seconds, **shares)
         self.store = Store(self.node, self.ring)
+        self.node.board.watch(STORES_KEY, lambda _source: self._mayStartOver())
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
         self.web.route("GET", "/condition", self._condition)
         serveMetrics(self.web, self.store.metrics)
         for name, ask in (("lines", lambda: len(self.store.table.rows)),
+                          ("turns", lambda: len(self.store.table.records)),
                           ("hints", self.store.hintCount),
                           ("ring_syncs", lambda: self.ring.syncCount),
                           ("ring_commits", lambda: self.ring.commitCount),
                           ("ring_live_bytes", self.ring.liveBytes)):
             self.store.metrics.gauge(name, ask)
 
+    def _mayStartOver(self):
+        record = self.store.stores.record
+        isOver = self.node.nodeId in record["retired"] and self.node.env["machine"] not in record.get("emptied", ())
+        if isOver and self._startingOver is None:
+            self._startingOver = spawn(self._startOver(), self.node.log)
+
+    async def _startOver(self):
+        disk = self._parts[2]
+        self.node.log.event("storeStartsOver", id=self.node.nodeId)
+        disk.replace(EMPTYING, b"")
+        self.store.stop()
+        await self.web.stop()
+        self.node.puller.stop()
+        self.node.wallClock.repeater.stop()
+        await self.node.net.stop()
+        await self.ring.stop()
+        _clear(disk)
+        self._build()
+        self._startingOver = None
+        self.start()
+
     async def _condition(self, _call):
         return 200, self.node.condition() | {
             "condition": "ready" if self.store.covers else "waiting", "storeEpoch": self.store.stores.epoch,
@@ -324,6 +364,8 @@
         self.web.listen()
 
     async def stop(self):
+        if self._startingOver is not None:
+            await self._startingOver
         await self.node.puller.sayLeaving()
         await self.web.stop()
         self.store.stop()
--- a/tests/test_store_forming.py
+++ b/tests/test_store_forming.py
@@ -232,6 +232,48 @@
         rig.fleet["store0"].kill()
         rig.checkAll(self)
 
+    def testReplacedStoreBecomesASpare(self):
+        """
+        store2                     store3 (a spare)      store0
+        frozen for long
+                                   takes its place
+        wakes: its id is over,
+        starts over, empty
+        a spare: takes its place                         killed for good
+        """
+        rig = self.rig = Rig(27, spares=1)
+        rig.load(30)
+        rig.fleet.run(3)
+        rig.fleet["store2"].freeze()
+        rig.waitFull(["store0", "store1", "store3"])
+        formerId = rig.fleet["store2"].node.node.nodeId
+        rig.fleet["store2"].thaw()
+        rig.fleet.run(3)
+        self.assertNotEqual(rig.fleet["store2"].node.node.nodeId, formerId)
+        rig.fleet["store0"].kill()
+        rig.waitFull(["store1", "store2", "store3"])
+        rig.fleet.run(15)
+        rig.checkAll(self)
+
+    def testCrashWhileStartingOver(self):
+        """
+        store2
+        frozen; its place is taken; wakes, starts over
+        killed half-way
+        starts, empty, with a new id
+        """
+        rig = self.rig = Rig(28, spares=1)
+        one = rig.fleet["store2"]
+        one.freeze()
+        rig.waitFull(["store0", "store1", "store3"])
+        formerId = one.node.node.nodeId
+        one.powerCut()
+        one.disk.replace("emptying", b"")
+        one.disk.remove("ring.003")
+        one.start()
+        self.assertNotEqual(one.node.node.nodeId, formerId)
+        self.assertNotIn("emptying", one.disk.names())
+
     def testAllLosePowerAndOneItsDisk(self):
         """
         store1                 all other stores, the core
