--- a/packages/oakstore/oakstore/records.py
+++ b/packages/oakstore/oakstore/records.py
@@ -64,7 +64,7 @@
         self._reactor, self._ring = reactor, ring
         self._rows, self._children, self._on_line = {}, {}, {}
         self._ends = SortedList()
-        self._dropped = {}
+        self._dropped, self._longest = {}, 0.0
         for name, packed in ring.table.items():
             if name.startswith(RECORD_ROW):
                 header = read_header(packed)
@@ -165,6 +165,7 @@
         if row is not None:
             self._lengthen(header.turn_id, row, until)
             return
+        self._longest = max(self._longest, header.keep_s)
         self._rows[header.turn_id] = _Row(header.parent, header.line_key, until)
         self._dropped.pop(header.turn_id, None)
         self._ends.add((until, header.turn_id))
@@ -223,7 +224,8 @@
         return parent if parent in self._rows and self._rows[parent].until == 0.0 else None
 
     def _forget(self, now):
-        for turn_id in [turn_id for turn_id, at in self._first_dropped() if now - at > RECORD_KEPT_MOST]:
+        """A store that restarted keeps what it has for its whole time again, and no longer."""
+        for turn_id in [turn_id for turn_id, at in self._first_dropped() if now - at > 2 * self._longest]:
             del self._dropped[turn_id]
 
     def _first_dropped(self):
--- a/packages/oakstore/oakstore/store.py
+++ b/packages/oakstore/oakstore/store.py
@@ -100,6 +100,13 @@
             raise Fenced(f"store epoch {epoch} is not {self.stores.epoch}",
                          detail={"storeEpoch": self.stores.epoch, "set": self.stores.record})
 
+    def _checkSender(self, arguments):
+        """The set as it stands here, which is the sender's too."""
+        self._checkEpoch(arguments.state.storeEpoch)
+        if arguments.sender not in self.stores.everyone:
+            raise Fenced(f"{arguments.sender} is not in the store set")
+        return self.stores
+
     async def _put(self, _peer, arguments):
         stores = self.stores
         self._checkEpoch(arguments.storeEpoch)
@@ -112,6 +119,7 @@
         except ValueError as error:
             raise BadRequest(f"no context: {error}") from error
         versions, clock = await self.table.put(arguments.key, contextSet, arguments.value)
+        self._checkStill(stores)
         self.metrics.count("line_puts")
         await self._replicate(arguments.key, versions, stores)
         return toContext(frozenset([clock]))
@@ -128,6 +136,13 @@
         if not reached:
             raise NoAnswer("the line did not reach a quorum of stores, it may still be kept: "
                            + "; ".join(sorted(map(str, errors.values()))))
+        self._checkStill(stores)
+
+    def _checkStill(self, stores):
+        """What was on its way to the disk while the set moved on is no vote of the former epoch: a newcomer may have
+        copied from here just before."""
+        if self.stores.epoch != stores.epoch:
+            raise NoAnswer(f"the set moved on to epoch {self.stores.epoch}; what is here may still be kept")
 
     async def _give(self, nodeId, peer, key, state):
         await self._giveNoted(nodeId, key, state, lambda: self._node.net.call(
@@ -146,10 +161,9 @@
             hints.pop(key, None)
 
     async def _keep(self, _peer, arguments):
-        self._checkEpoch(arguments.state.storeEpoch)
-        if arguments.sender not in self.stores.everyone:
-            raise Fenced(f"{arguments.sender} is not in the store set")
+        stores = self._checkSender(arguments)
         await self.table.merge(arguments.key, fromState(arguments.state), arguments.state.ageMs / 1000)
+        self._checkStill(stores)
         self.metrics.count("line_keeps")
         return True
 
@@ -185,6 +199,7 @@
         await self._bringChain(header.parent, self._others().items())
         versions, clock = await self.table.put(arguments.key, contextSet, arguments.value,
                                                [(arguments.record, header.keep_s)])
+        self._checkStill(stores)
         self.metrics.count("turn_retains")
         state = toState(versions, storeEpoch=stores.epoch)
         await self._replicateTo(stores, arguments.key, lambda nodeId, peer: self._giveTurn(
@@ -202,22 +217,21 @@
 
     async def _turnKeep(self, _peer, arguments):
         """Says yes only when the versions, the records and their whole chains are on the disk here."""
-        self._checkEpoch(arguments.state.storeEpoch)
-        if arguments.sender not in self.stores.everyone:
-            raise Fenced(f"{arguments.sender} is not in the store set")
+        stores = self._checkSender(arguments)
         records = list(zip(arguments.records or [], (ms / 1000 for ms in arguments.leftMs or [])))
         await self.table.merge(arguments.key, fromState(arguments.state), arguments.state.ageMs / 1000, records)
-        sender = [(arguments.sender, self.stores.everyone[arguments.sender]["peer"])]
+        sender = [(arguments.sender, stores.everyone[arguments.sender]["peer"])]
         for packed, _ in records:
             await self._bringChain(read_header(packed).turn_id, sender)
+        self._checkStill(stores)
         self.metrics.count("turn_keeps")
         return True
 
     async def _status(self, _peer, arguments):
         if arguments.record:
             self._adopt(json.loads(arguments.record))
-        return json.dumps({"nodeId": self._node.nodeId, "epoch": self.stores.epoch, "covers": self.covers, "lines": len(self.table.rows),
-                           "hints": self.hintsByMember(), "dots": self.table.dots()})
+        return json.dumps({"nodeId": self._node.nodeId, "epoch": self.stores.epoch, "covers": self.covers,
+                           "lines": len(self.table.rows), "turns": len(self.table.records), "hints": self.hintsByMember(), "dots": self.table.dots()})
 
     # --- sweeping ---
 
@@ -288,11 +302,10 @@
             turnIds=sorted(self.table.records.on_line(key))))
 
     async def _turnOffer(self, _peer, arguments):
-        self._checkEpoch(arguments.state.storeEpoch)
-        if arguments.sender not in self.stores.everyone:
-            raise Fenced(f"{arguments.sender} is not in the store set")
-        await self._antiEntropy.take(self.stores.everyone[arguments.sender]["peer"], arguments.turnIds or [])
+        stores = self._checkSender(arguments)
+        await self._antiEntropy.take(stores.everyone[arguments.sender]["peer"], arguments.turnIds or [])
         await self.table.merge(arguments.key, fromState(arguments.state), arguments.state.ageMs / 1000)
+        self._checkStill(stores)
         self.metrics.count("turn_keeps")
         return True
 
--- a/tests/test_store_forming.py
+++ b/tests/test_store_forming.py
@@ -2,12 +2,17 @@
 import random
 import unittest
 
+from twisted.internet.defer import ensureDeferred
+
 from oakbase.tasks import sleep, spawn
-from oakbase.verdict import Conflict, Gone, OakError, Unknown
+from oakbase.verdict import Conflict, Gone, NoAnswer, OakError, Unknown
 from oakcontrol.slots import slotOfKey
 from oakcontrol.storeset import STORES_KEY, StoreSet
+from oakdvv.clock import Clock
 from oaklab.plan import Size
 from oaklab.simfleet import SimFleet
+from oakstore.records import pack_record
+from oakstore.table import toState
 from oakstore.turns import Record, TurnClient
 
 KEPT = 60       # s; for which turns are retained
@@ -255,6 +260,32 @@
         rig.fleet.run(15)
         rig.checkAll(self)
 
+    def testWhatWasOnItsWayWhenTheSetMovedIsNoVote(self):
+        """
+        store0                               store1
+        a turn is on its way to the disk
+        the set moves on                     (a newcomer copies from store0 just now, without the turn)
+        says neither that it keeps it as
+        coordinator, nor as a replica
+        """
+        rig = self.rig = Rig(29)
+        store, net = rig.fleet["store0"], rig.fleet["gate0"].node.node.net
+        record, peer = rig.record(), store.machine.peer
+        calls = {"turnRetain": {"key": "~s", "context": "", "value": b"{}", "record": pack_record("t", None, "~s", 75, b"i", b"o")},
+                 "linePut": {"key": "p/l", "context": "", "value": b'{"turns":{}}'},
+                 "lineKeep": {"key": "p/l", "sender": record["members"][1]["nodeId"]},
+                 "turnKeep": {"key": "~s", "sender": record["members"][1]["nodeId"]}}
+        store.disk.syncTime = 0.2
+        for number, (method, arguments) in enumerate(calls.items()):
+            epoch = store.node.store.stores.epoch
+            clock = Clock({f"other#{number}": (0, 1)})
+            arguments |= {"state": toState({clock: b"{}"}, storeEpoch=epoch)} if "sender" in arguments else {"storeEpoch": epoch}
+            asked = ensureDeferred(net.call(peer, method, 3.0, **arguments))
+            rig.fleet.run(0.1)
+            store.node.store._adopt(record | {"version": epoch + 1})
+            with self.assertRaises(NoAnswer, msg=method):
+                rig.fleet.until(asked)
+
     def testCrashWhileStartingOver(self):
         """
         store2
