--- /dev/null
+++ b/packages/oaklab/oaklab/commands.py
@@ -0,0 +1,223 @@
+"""What daemons cost that have nothing to do, and what each command on owned keys costs: in counted functions, the same in
+every run, and in processor time of real processes."""
+import os
+import random
+import tempfile
+from collections import Counter, defaultdict
+from itertools import count
+
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.threads import deferToThread
+from twisted.python.failure import Failure
+
+from oakbase.logline import stderrSink
+from oakbase.tasks import monotonicReactor, settled, sleep, spawn
+from oakbase.verdict import OakError
+from oakcontrol.client import OwnerClient
+from oakcontrol.slots import slotOfKey
+from oaklab.fleet import Fleet
+from oaklab.plan import NETWORK, Machine, Size, envOf
+from oaklab.simfleet import SimFleet
+from oaklab.work import callsOf
+from oaknews.node import Node
+
+TICKS = os.sysconf("SC_CLK_TCK")
+CLIENT = Machine("bench0", "gate", "zone0", f"{NETWORK}.240.1")
+WINDOW = 10.0  # s; of each reading, so that a tick of the kernel's count is a thousandth of a core
+QUIET = 3.0    # s; before each, so that starts and settings are over
+SPREAD_RATE, ONE_RATE = 300, 100  # commands a second
+BRIEF = Size(8, 3, 5, (("dalatech-model", "model", 1), ("dalatech-results", "plain", 1), ("nile-model", "model", 1),
+                       ("nile-notices", "plain", 1)))
+
+
+def is_owned(client, key, owner):
+    return owner is None or client._believed(slotOfKey(key)) == owner
+
+
+def claim_of(number, gate, chooser):
+    return {"print": "x" * 32, "admission": f"{chooser.getrandbits(128):032x}", "gate": gate, "number": number}
+
+
+class WorkCount:
+    """Functions called on each machine of a simulated fleet, Python's and C's, without those of network and time."""
+
+    def __init__(self, fleet):
+        self._names = {one.host: name for name, one in fleet.byName.items()}
+        self.calls = Counter()
+        fleet.time.perform = self._perform
+
+    def _perform(self, call, host):
+        name = self._names.get(host)
+        if name is None:
+            call.func(*call.args, **call.kw)
+            return
+        self.calls[name] += callsOf(lambda: call.func(*call.args, **call.kw))
+
+    def during(self, fleet, seconds):
+        before = Counter(self.calls)
+        fleet.run(seconds)
+        return Counter({name: (self.calls[name] - before[name]) / seconds for name in self.calls})
+
+
+def _by_kind(fleet, counts):
+    return {kind: round(sum(counts[one.name] for one in fleet.ofKind(kind)) / len(fleet.ofKind(kind)))
+            for kind in ("control", "store", "gate")}
+
+
+def count_work(seed=1, seconds=5.0):
+    """Functions called a second by idle daemons, and for a command at its owner and at another voter."""
+    fleet, chooser, numbers, done = SimFleet(seed, BRIEF, ringFileSize=1 << 22).bringUp(), random.Random(seed), count(1), []
+    fleet.run(QUIET)
+    work, gate, owner = WorkCount(fleet), fleet["gate0"].node.node, fleet["control0"]
+    client = OwnerClient(gate)
+    idle = work.during(fleet, seconds)
+    results = {"idle, functions a second": _by_kind(fleet, idle)}
+
+    async def pair(key):
+        claim = claim_of(next(numbers), gate.nodeId, chooser)
+        for command in ("claim", "finish"):
+            askedAt = fleet.time.now
+            await client.call(key, command, claim, 5.0)
+            done.append(fleet.time.now - askedAt)
+
+    async def arrive(until, address):
+        while fleet.time.now < until:
+            await sleep(gate.reactor, chooser.expovariate(ONE_RATE / 2))
+            key = next(key for number in numbers if is_owned(client, key := f"claim/bench/k{number}", address))
+            spawn(pair(key), fleet.labLog)
+    for name, address in (("one owner", owner.machine.peer), ("spread over all owners", None)):
+        done.clear()
+        spawn(arrive(fleet.time.now + seconds - 1.0, address), fleet.labLog)
+        spent = work.during(fleet, seconds)
+        used = {one.name: (spent[one.name] - idle[one.name]) * seconds / len(done) for one in fleet.ofKind("control")}
+        results[f"{name}, functions a command"] = {
+            "owner": round(used[owner.name]), "another voter": round((sum(used.values()) - used[owner.name]) / 4)} \
+            if address else {"each of five": round(sum(used.values()) / 5)}
+        results[f"{name}, ms (median, 99th)"] = [round(1000 * sorted(done)[int(len(done) * share)], 1) for share in (0.5, 0.99)]
+    return results
+
+
+def processor_seconds(process_id):
+    """Of all threads of this process, by the kernel's count."""
+    with open(f"/proc/{process_id}/stat", encoding="ascii") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+class Bench:
+    """A fleet of the brief's size, and a client of its own that asks the owners as gates do."""
+
+    def __init__(self, reactor, folder, seed):
+        self.reactor, self.random = reactor, random.Random(seed)
+        self.fleet = Fleet(folder, "brief")
+        self.node = Node(reactor, "gate", envOf(CLIENT, self.fleet.machines), self.random, stderrSink())
+        self.node.log.event = lambda *_, **__: None
+        self.client = OwnerClient(self.node)
+        self._numbers = count(1)
+        self.failed = Counter()
+        self.times = []
+
+    async def bring_up(self):
+        await deferToThread(self.fleet.bringUp)
+        self.node.start()
+        while any(self.client._believed(slot) is None for slot in range(32)):
+            await sleep(self.reactor, 0.1)
+
+    async def seconds_of_all(self, window=WINDOW):
+        """Processor seconds a second of each daemon within the window."""
+        readings = [{machine.name: processor_seconds(self.fleet.process_id(machine.name))
+                     for machine in self.fleet.machines}]
+        startedAt = self.reactor.seconds()
+        await sleep(self.reactor, window)
+        passed = self.reactor.seconds() - startedAt
+        return {name: (processor_seconds(self.fleet.process_id(name)) - before) / passed
+                for name, before in readings[0].items()}
+
+    def _key(self, owner):
+        while True:
+            key = f"claim/bench/k{next(self._numbers)}"
+            if is_owned(self.client, key, owner):
+                return key
+
+    async def _pair(self, key):
+        """A claim and its end: two commands, each a majority write."""
+        claim = claim_of(next(self._numbers), self.node.nodeId, self.random)
+        try:
+            for command in ("claim", "finish"):
+                askedAt = self.reactor.seconds()
+                await self.client.call(key, command, claim, 5.0)
+                self.times.append(self.reactor.seconds() - askedAt)
+        except OakError as error:
+            self.failed[error.code] += 1
+
+    async def load(self, rate, owner=None):
+        """(processor share by daemon, commands a second) under this many commands a second in random steps."""
+        self.times, works, running = [], [], [True]
+
+        async def arrive():
+            due = self.reactor.seconds()
+            while running:
+                due += self.random.expovariate(rate / 2)
+                await sleep(self.reactor, due - self.reactor.seconds())
+                works.append(spawn(self._pair(self._key(owner))))
+        arriving = spawn(arrive())
+        await sleep(self.reactor, QUIET)
+        before = len(self.times)
+        shares = await self.seconds_of_all()
+        done = (len(self.times) - before) / WINDOW
+        running.clear()
+        await arriving
+        await settled(works)
+        return shares, done
+
+    def percentiles(self):
+        times = sorted(self.times)
+        return [round(1000 * times[min(len(times) - 1, int(len(times) * share))], 1) for share in (0.5, 0.99)]
+
+
+def _mean(shares, names):
+    return sum(shares[name] for name in names) / len(names)
+
+
+async def _measure(reactor, folder, seed):
+    bench, results = Bench(reactor, folder, seed), {}
+    try:
+        await bench.bring_up()
+        await sleep(reactor, QUIET)
+        idle = await bench.seconds_of_all()
+        by_kind = defaultdict(list)
+        for machine in bench.fleet.machines:
+            by_kind[machine.kind].append(machine.name)
+        results["idle, percent of a core"] = {
+            kind: f"{100 * _mean(idle, names):.1f}, most {100 * max(idle[name] for name in names):.1f}"
+            for kind, names in by_kind.items()}
+        controls, idle_control = by_kind["control"], _mean(idle, by_kind["control"])
+        for rate in (SPREAD_RATE, 2 * SPREAD_RATE):
+            shares, done = await bench.load(rate)
+            results[f"spread over all owners, {rate} a second"] = {
+                "us a command at each of five": round(1e6 * (_mean(shares, controls) - idle_control) / done),
+                "done a second": done, "ms (median, 99th)": bench.percentiles()}
+        owner = bench.fleet.ofKind("control")[0]
+        shares, done = await bench.load(ONE_RATE, owner.peer)
+        voters = [name for name in controls if name != owner.name]
+        results[f"one owner, {ONE_RATE} a second"] = {
+            "us a command at the owner": round(1e6 * (shares[owner.name] - idle[owner.name]) / done),
+            "us at another voter": round(1e6 * (_mean(shares, voters) - _mean(idle, voters)) / done),
+            "done a second": done, "ms (median, 99th)": bench.percentiles()}
+        results["failed"] = dict(bench.failed)
+    finally:
+        await bench.node.stop()
+        await deferToThread(bench.fleet.down)
+    return results
+
+
+def measure_commands(seed=1):
+    reactor, outcome = monotonicReactor(), []
+    with tempfile.TemporaryDirectory() as folder:
+        def run():
+            ensureDeferred(_measure(reactor, folder, seed)).addBoth(outcome.append).addBoth(lambda _: reactor.stop())
+        reactor.callWhenRunning(run)
+        reactor.run()
+    if isinstance(outcome[0], Failure):
+        outcome[0].raiseException()
+    return outcome[0]
--- a/packages/oaklab/oaklab/fleet.py
+++ b/packages/oaklab/oaklab/fleet.py
@@ -50,6 +50,9 @@
     def signal(self, name, number):
         self._processes[name].send_signal(number)
 
+    def process_id(self, name):
+        return self._processes[name].pid
+
     def kill(self, name):
         self._processes[name].kill()
         self._processes.pop(name).wait()
--- a/packages/oaklab/oaklab/measure.py
+++ b/packages/oaklab/oaklab/measure.py
@@ -4,6 +4,7 @@
 
 from oakbase.registry import Registry
 from oakbase.tasks import settled, sleep, spawn
+from oaklab.commands import count_work, measure_commands
 from oaklab.outages import OUTAGES, runOutage
 from oaklab.plan import PARTNERS, Size, blueprintOf
 from oaklab.simfleet import SimFleet
@@ -361,3 +362,17 @@
                 alarms[one.node.node.members.condition(nodeId)] += 1
     return {"seconds to detect": round(seenAt - killedAt, 2), "looks by condition": dict(alarms),
             "pulls a node and second": round(pulls, 1)}
+
+
+@MEASURES.enter("commands")
+def commands(seed=1):
+    """Real processes, not simulated ones, in a fleet of the brief's size: the share of a core that each kind of daemon takes
+    when idle, and the processor time of a command (claims and their ends) at its owner and at the other voters."""
+    return measure_commands(seed)
+
+
+@MEASURES.enter("work")
+def work(seed=1):
+    """A fleet of the brief's size, links of 0.2 to 2 ms, syncs of 2 ms: functions called, of Python and of C, by daemons that
+    have nothing to do, and for a command (claims and their ends, 100 a second) at its owner and at the other voters."""
+    return count_work(seed)
--- a/packages/oaklab/oaklab/simnet.py
+++ b/packages/oaklab/oaklab/simnet.py
@@ -53,9 +53,13 @@
                 host.waitingCalls.append(call)
                 continue
             call.called = 1
-            call.func(*call.args, **call.kw)
+            self.perform(call, host)
         self.now = end
 
+    def perform(self, call, _host):
+        """One due call of this machine; measurements put themselves in its place."""
+        call.func(*call.args, **call.kw)
+
 
 class SimNetwork:
     """Who can reach whom. `cuts` holds (from, to) pairs of addresses; `delays` adds to a link's time. Invariant: a
