--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -55,6 +55,7 @@
 CONTROL_FULL = 0.7          # share of a ring's capacity; from here on nothing new is opened, admitted or claimed
 SLOT_FULL = 0.25            # share of a ring's capacity; one slot may take it, so that its image fits a second time
 CONTROL_BATCH = 64          # commands; one majority write covers this many at most
+STEP_PAUSE = 0.002          # s; a step waits so long at most for the answer to the one before, so that both go in one call
 ROSTER_PAUSE = 0.25         # s; how often control nodes look at the roster: a small part of what mending it takes
 ROSTER_MOVING_PAUSE = 0.05  # s; the same for who moves a change of the roster on, while it is under way
 ROSTER_MOST = 9             # members; four may be lost at once, and more voters only make each change dearer
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -1,6 +1,7 @@
 """The owner's side of owned keys: taking a slot over, holding its term, working through its commands."""
 import json
 from collections import ChainMap
+from functools import partial
 from itertools import takewhile
 
 from sortedcontainers import SortedDict
@@ -11,13 +12,18 @@
                                OWNER_SWEEP, OWNER_SWEEP_KEYS, RELEASE_TIME, SLOTS, STEP_IN_TIME, TAKEOVER_LOOK, TERM,
                                TERM_RENEW)
 from oakbase.inbox import Inbox
-from oakbase.tasks import Repeater, quorumOf, settled, sleep, spawn, within
-from oakbase.verdict import CannotTell, Fenced, NoAnswer, NotOwner, OakError, RingFull, Verdict
+from oakbase.tasks import Repeater, drive, quorumOf, settled, sleep, spawn, within
+from oakbase.verdict import CannotTell, Fenced, NoAnswer, NotOwner, OakError, RingFull, Unknown, Verdict
 from oakcohort.members import LIVE, Member
 from oakcohort.rendezvous import ranked
 from oakcontrol.controllers import CONTROLLERS, SLOT_SOURCE, publishedBy, sweepsFor
+from oakcontrol.replication import Offer, StepBatcher
 from oakcontrol.slots import inParts, packEntry, slotOfKey, unpackEntry
-from oakwire.codec import idl
+from oakwire.codec import idl, pack
+
+def entriesOf(pairs):
+    return [idl.Entry(key=key, value=value) for key, value in pairs]
+
 
 AFTER_ROWS = "$"  # sorts after the '#' of a key's own rows, and before every character of a name
 ROSTER_BITS = 20  # bits; of a slot source's version, below the epoch: rosters change far less often than that
@@ -202,6 +208,7 @@
         self.held = {}
         self._taking = set()
         self._seenEpochs = {}
+        self._batchers = {}
         self._startedAt = node.reactor.seconds()
         self.pollTimes = {}
         self._tasks = [Repeater(node.reactor, pause, roundFunction, node.log) for pause, roundFunction in (
@@ -257,9 +264,7 @@
         endsAt = self.reactor.seconds() + CALL_TIME
         while True:
             roster = self._voter.roster
-            reached, errors = await quorumOf(
-                {nodeId: self._giveChange((nodeId, address), roster.version, owner, sequence, changes, start)
-                 for nodeId, address in self.voterAddresses().items()}, roster.isQuorum)
+            reached, errors = await self._offer(roster, owner, sequence, changes, start)
             if reached:
                 owner.rosterVersion = roster.version
                 return True
@@ -268,11 +273,31 @@
                 return False
             await sleep(self.reactor, TERM_RENEW / 4)
 
-    async def _giveChange(self, voter, rosterVersion, owner, sequence, changes, start):
+    def _offer(self, roster, owner, sequence, changes, start):
+        offer = Offer(roster)
+        step = pack(idl.Step(slot=owner.slot, epoch=owner.epoch, sequence=sequence, entries=entriesOf(changes.items()),
+                             fromEpoch=start[0], fromSequence=start[1]))
+        for nodeId, address in self.voterAddresses().items():
+            if nodeId not in self._batchers:
+                self._batchers[nodeId] = StepBatcher(self._node.net, self.reactor, nodeId)
+            self._batchers[nodeId].put((address, roster.version), step, partial(
+                self._judged, offer, (nodeId, address), (roster.version, owner, sequence, changes, start)))
+        return offer.outcome
+
+    def _judged(self, offer, voter, change, taken, error):
+        if error is None and taken.taken:
+            offer.settle(voter[0])
+        elif taken is None and not isinstance(error, Unknown):
+            offer.settle(voter[0], error)
+        else:  # it lacks something, is not to be disturbed just now, or takes steps one by one only
+            drive(self._giveChange(voter, *change, taken), lambda _, why: offer.settle(voter[0], why))
+
+    async def _giveChange(self, voter, rosterVersion, owner, sequence, changes, start, taken):
         """A voter that lacks something before the change gets the whole image. `start` names the image that a
         take-over begins with, by its epoch and sequence: who has it needs nothing more."""
-        taken = await self._accept(voter, rosterVersion, owner, sequence, changes.items(),
-                                   fromEpoch=start[0], fromSequence=start[1])
+        if taken is None or taken.again:
+            taken = await self._accept(voter, rosterVersion, owner, sequence, changes.items(),
+                                       fromEpoch=start[0], fromSequence=start[1])
         if taken.needsImage:
             taken = await self._giveImage(voter, rosterVersion, owner, *owner.imageWith(sequence, changes))
         if not taken.taken:
@@ -295,7 +320,7 @@
         return self._node.net.call(
             address, method, CALL_TIME, to=nodeId, slot=owner.slot, epoch=owner.epoch, owner=self._node.nodeId,
             rosterVersion=rosterVersion, sequence=sequence,
-            entries=[idl.Entry(key=key, value=value) for key, value in pairs], **more)
+            entries=entriesOf(pairs), **more)
 
     # --- terms ---
 
--- a/packages/oakcontrol/oakcontrol/voter.py
+++ b/packages/oakcontrol/oakcontrol/voter.py
@@ -11,10 +11,10 @@
 from oakbase.constants import CONTROL_FULL, CONTROL_INBOX, IMAGE_PART, SLOT_FULL, SLOTS
 from oakbase.inbox import TableOwner
 from oakbase.tasks import spawn
-from oakbase.verdict import Fenced
+from oakbase.verdict import Fenced, RingFull
 from oakcontrol.roster import Roster
 from oakcontrol.slots import inParts
-from oakwire.codec import idl
+from oakwire.codec import idl, unpack
 
 
 @dataclass
@@ -69,6 +69,7 @@
         for method, command in (("prepare", self._prepare), ("imagePart", self._imagePart), ("stage", self._stage),
                                 ("accept", self._accept)):
             node.net.handle(method, self._queued(command))
+        node.net.handle("acceptMany", self._acceptMany)
         node.net.handle("confirm", self._confirm)
         node.net.handle("rosterVersion", self._rosterVersion)
 
@@ -173,14 +174,14 @@
         return idl.ImagePart(entries=[idl.Entry(key=key, value=value) for key, value in part],
                              more=bool(part) and part[-1][0] != table.entries.keys()[-1])
 
-    def _isPast(self, table, arguments):
-        return (arguments.epoch, arguments.owner) != (table.promisedEpoch, table.promisedOwner) \
-            and arguments.epoch <= table.promisedEpoch
+    @staticmethod
+    def _isPast(table, epoch, owner):
+        return (epoch, owner) != (table.promisedEpoch, table.promisedOwner) and epoch <= table.promisedEpoch
 
     async def _stage(self, table, peer, arguments):
         """Part of an image that is too long for one message; in memory until `accept` brings the last one."""
         self._checkRoster(peer, arguments.rosterVersion)
-        if self._isPast(table, arguments):
+        if self._isPast(table, arguments.epoch, arguments.owner):
             return idl.Taken(taken=False, promisedEpoch=table.promisedEpoch)
         label = arguments.epoch, arguments.owner, arguments.sequence
         if arguments.part == 0:
@@ -192,30 +193,67 @@
         staged.entries |= {entry.key: entry.value for entry in arguments.entries or []}
         return idl.Taken(taken=True)
 
+    def _judge(self, table, step, owner, isWhole=False):
+        """(answer, head) for a step of this owner: the head is what has to be on the disk, with the step's entries,
+        before the answer is given; None if nothing has to."""
+        if self._isPast(table, step.epoch, owner):
+            return idl.Taken(taken=False, promisedEpoch=table.promisedEpoch), None
+        if step.epoch == table.imageEpoch and step.sequence <= table.sequence:
+            return idl.Taken(taken=True), None  # a copy of what is here already
+        follows = isWhole or (step.epoch, step.sequence) == (table.imageEpoch, table.sequence + 1) or (
+            step.fromEpoch and (step.fromEpoch, step.fromSequence) == (table.imageEpoch, table.sequence))
+        if not follows:
+            return idl.Taken(taken=False, needsImage=True, promisedEpoch=table.promisedEpoch), None
+        return idl.Taken(taken=True), {"promisedEpoch": step.epoch, "promisedOwner": owner, "imageEpoch": step.epoch,
+                                       "sequence": step.sequence}
+
     async def _accept(self, table, peer, arguments):
         self._checkRoster(peer, arguments.rosterVersion)
-        if self._isPast(table, arguments):
-            return idl.Taken(taken=False, promisedEpoch=table.promisedEpoch)
-        if arguments.epoch == table.imageEpoch and arguments.sequence <= table.sequence:
-            return idl.Taken(taken=True)  # a copy of what is here already
+        answer, head = self._judge(table, arguments, arguments.owner, arguments.whole)
+        if head is None:
+            return answer
         given = {entry.key: entry.value for entry in arguments.entries or []}
-        head = {"promisedEpoch": arguments.epoch, "promisedOwner": arguments.owner, "imageEpoch": arguments.epoch,
-                "sequence": arguments.sequence}
-        if arguments.whole:
-            staged = self._staged.pop(arguments.slot, None)
-            if arguments.parts:
-                if staged is None or (staged.label, staged.parts) != (
-                        (arguments.epoch, arguments.owner, arguments.sequence), arguments.parts):
-                    return idl.Taken(taken=False, needsImage=True, promisedEpoch=table.promisedEpoch)
-                given = staged.entries | given
-            await self._replace(arguments.slot, table, given, head)
-            return idl.Taken(taken=True)
-        follows = (arguments.epoch, arguments.sequence) == (table.imageEpoch, table.sequence + 1) or (
-            arguments.fromEpoch and (arguments.fromEpoch, arguments.fromSequence) == (table.imageEpoch, table.sequence))
-        if not follows:
-            return idl.Taken(taken=False, needsImage=True, promisedEpoch=table.promisedEpoch)
-        await self._write(arguments.slot, table, given, **head)
-        return idl.Taken(taken=True)
+        if not arguments.whole:
+            await self._write(arguments.slot, table, given, **head)
+            return answer
+        staged = self._staged.pop(arguments.slot, None)
+        if arguments.parts:
+            if staged is None or (staged.label, staged.parts) != (
+                    (arguments.epoch, arguments.owner, arguments.sequence), arguments.parts):
+                return idl.Taken(taken=False, needsImage=True, promisedEpoch=table.promisedEpoch)
+            given = staged.entries | given
+        await self._replace(arguments.slot, table, given, head)
+        return answer
+
+    async def _acceptMany(self, peer, arguments):
+        """Steps of different slots in one commit; each is judged by itself. A slot with another command under way, or a
+        commit that is too much for the ring at once, is left to `accept`."""
+        self._checkRoster(peer, arguments.rosterVersion)
+        answers, held, writing = [], [], []
+        try:
+            for step in [unpack(idl.Step, data) for data in arguments.steps or []]:
+                if not 0 <= step.slot < SLOTS:
+                    raise Fenced(f"no slot {step.slot}")
+                if not self._owners[step.slot].hold():
+                    answers.append(idl.Taken(taken=False, again=True))
+                    continue
+                held.append(self._owners[step.slot])
+                table = self._tables[step.slot]
+                answer, head = self._judge(table, step, arguments.owner)
+                answers.append(answer)
+                if head is not None:
+                    writing.append((step.slot, table, {entry.key: entry.value for entry in step.entries or []}, head))
+            if writing:
+                try:
+                    await self._ring.commit([row for one in writing for row in self._rowsOf(*one)])
+                except RingFull:
+                    return [idl.Taken(taken=False, again=True) for _ in answers]
+                for _, *change in writing:
+                    self._enter(*change)
+        finally:
+            for owner in held:
+                owner.letGo()
+        return answers
 
     async def _replace(self, slot, table, image, head):
         """Brings the table to this whole image: by what differs, if one commit holds that; else as a new
@@ -236,8 +274,16 @@
 
     async def _write(self, slot, table, changed, **head):
         """First the disk, then the table: a commit that fails leaves no trace that could be vouched for."""
-        await self._ring.commit([(f"s/{slot}", table.head(**head)),
-                                 *((entryKey(slot, table.generation, key), value) for key, value in changed.items())])
+        await self._ring.commit(self._rowsOf(slot, table, changed, head))
+        self._enter(table, changed, head)
+
+    @staticmethod
+    def _rowsOf(slot, table, changed, head):
+        return [(f"s/{slot}", table.head(**head)),
+                *((entryKey(slot, table.generation, key), value) for key, value in changed.items())]
+
+    @staticmethod
+    def _enter(table, changed, head):
         vars(table).update(head)
         for key, value in changed.items():
             if value is None:
--- a/packages/oakwire/oakwire/oak.thrift
+++ b/packages/oakwire/oakwire/oak.thrift
@@ -30,7 +30,14 @@
   5: i32 ageMs            // since the source last confirmed this version
 }
 struct Age { 1: i32 place  2: i32 ageMs }    // of the source at this place of the puller's list, if it has not moved
-struct News { 1: list<Image> images  2: string clusterId  3: list<Age> ages }
+struct News {
+  1: list<Image> images
+  2: string clusterId
+  3: list<Age> ages       // to a pull without a basis
+  4: i64 basis            // the vector kept here since this pull: later ones need name only what moved in it
+  5: binary agesPacked    // two bytes of ms, the lower first, for each place of that vector; 0xffff: none is given
+  6: bool again           // no such basis is kept here; the whole vector is wanted
+}
 
 // --- control: the disks' side ---------------------------------------------------
 
@@ -47,7 +54,20 @@
 }
 struct ImagePart { 1: list<Entry> entries  2: bool more }
 struct SlotEpoch { 1: i32 slot  2: i64 epoch }
-struct Taken { 1: bool taken  2: bool needsImage  3: i64 promisedEpoch }
+struct Taken {
+  1: bool taken
+  2: bool needsImage
+  3: i64 promisedEpoch
+  4: bool again           // not judged here; it is to be given again by itself
+}
+struct Step {             // what an accept without an image brings
+  1: i32 slot
+  2: i64 epoch
+  3: i64 sequence
+  4: list<Entry> entries
+  5: i64 fromEpoch
+  6: i64 fromSequence
+}
 
 // --- lines -----------------------------------------------------------------------
 
@@ -78,13 +98,16 @@
 struct RecordPage { 1: list<binary> records  2: list<i32> leftMs  3: i64 storeEpoch }
 
 service Node {
-  News pull(1: list<Seen> seen, 2: Image me)   // me: the puller's own row, so that it is known by whom it asks
+  News pull(1: list<Seen> seen, 2: Image me, 3: i64 basis, 4: bool whole)
+      // me: the puller's own row, so that it is known by whom it asks; left out if it has not moved since it was sent
+      // basis: number of the puller's vector; seen is the whole of it, or only what moved in it
   string ownerCall(1: string key, 2: string command, 3: string argumentsJson)
   Promise prepare(1: i32 slot, 2: i64 epoch, 3: string owner, 4: i64 rosterVersion, 5: bool parts)  // parts: the asker fetches the entries
   ImagePart imagePart(1: i32 slot, 2: i64 epoch, 3: string owner, 4: i64 rosterVersion, 5: string after)
   Taken stage(1: i32 slot, 2: i64 epoch, 3: string owner, 4: i64 rosterVersion, 5: i64 sequence, 6: i32 part, 7: list<Entry> entries)
   Taken accept(1: i32 slot, 2: i64 epoch, 3: string owner, 4: i64 rosterVersion, 5: i64 sequence, 6: bool whole, 7: list<Entry> entries,
                8: i32 parts, 9: i64 fromEpoch, 10: i64 fromSequence)  // parts: staged before; from: the image that the entries change
+  list<Taken> acceptMany(1: list<binary> steps, 2: string owner, 3: i64 rosterVersion)  // packed Steps of different slots
   list<SlotEpoch> confirm(1: list<SlotEpoch> terms, 2: string owner, 3: i64 rosterVersion)
   i64 release(1: i32 slot)
   i64 rosterVersion()     // under which this voter answers now
