--- a/packages/oakcohort/oakcohort/members.py
+++ b/packages/oakcohort/oakcohort/members.py
@@ -27,19 +27,25 @@
 
 class Members:
     """Invariants: one row for each boot of a node; `_seenAt` is this node's own monotonic time of the
-    newest sign of life, counted back by the age under which it was passed on, and never goes back."""
+    newest sign of life, counted back by the age under which it was passed on, and never goes back;
+    `_latest` names for each node its boot that was seen last."""
 
     def __init__(self, reactor, ownId):
         self._reactor, self._ownId = reactor, ownId
         self._rows = {}
         self._seenAt = {}
+        self._latest = {}
+        self._cohort = None, None
 
     def note(self, member, seenAt):
         key = (member.nodeId, member.boot)
         if self._reactor.seconds() - seenAt > FORGET_AGE:
             return
         self._rows[key] = member
-        self._seenAt[key] = max(seenAt, self._seenAt.get(key, seenAt))
+        self._seenAt[key] = seenAt = max(seenAt, self._seenAt.get(key, seenAt))
+        latest = self._latest.setdefault(member.nodeId, key)
+        if latest != key and seenAt > self._seenAt[latest]:
+            self._latest[member.nodeId] = key
 
     def forgetOld(self):
         """Drops rows past their time, and returns the boots dropped."""
@@ -47,22 +53,23 @@
         old = [key for key, seenAt in self._seenAt.items() if now - seenAt > FORGET_AGE and key[0] != self._ownId]
         for key in old:
             del self._rows[key], self._seenAt[key]
+        for nodeId in {nodeId for nodeId, _ in old}:
+            left = [key for key in self._rows if key[0] == nodeId]
+            del self._latest[nodeId]
+            if left:
+                self._latest[nodeId] = max(left, key=self._seenAt.get)
         return [boot for _, boot in old]
 
     def newest(self):
         """nodeId -> (member, age), the boot that was seen last."""
-        now, newest = self._reactor.seconds(), {}
-        for key, member in self._rows.items():
-            age = now - self._seenAt[key]
-            if member.nodeId not in newest or age < newest[member.nodeId][1]:
-                newest[member.nodeId] = (member, age)
-        return newest
+        now = self._reactor.seconds()
+        return {nodeId: (self._rows[key], now - self._seenAt[key]) for nodeId, key in self._latest.items()}
 
     def condition(self, nodeId):
-        row = self.newest().get(nodeId)
-        if row is None or row[1] > CONDITION_AGE:
+        key = self._latest.get(nodeId)
+        if key is None or self._reactor.seconds() - self._seenAt[key] > CONDITION_AGE:
             return SILENT
-        return {"up": LIVE, "leaving": LEAVING}.get(row[0].state, PARTED)
+        return {"up": LIVE, "leaving": LEAVING}.get(self._rows[key].state, PARTED)
 
     def successorOf(self, nodeId, address):
         """The live node that listens where this one did, or None. Two cannot listen at one address, so this one's
@@ -78,14 +85,15 @@
                 if age <= CONDITION_AGE and member.state == "up" and kind in (None, member.kind)]
 
     def find(self, nodeId):
-        row = self.newest().get(nodeId)
-        return row[0] if row else None
+        return self._rows.get(self._latest.get(nodeId))
 
     def cohort(self, ownKind):
         """Those this node pulls from and so watches: all control nodes if it is one of them, else the
         two control nodes named for it; and the few of all nodes that are named for it."""
         others = {member.nodeId: member for member in self.live() if member.nodeId != self._ownId}
-        controlIds = [nodeId for nodeId, member in others.items() if member.kind == "control"]
-        chosenIds = set(controlIds if ownKind == "control" else named(controlIds, self._ownId, 2))
-        chosenIds |= set(named(list(others), self._ownId, COHORT_SIZE))
-        return [others[nodeId] for nodeId in sorted(chosenIds)]
+        kinds = ownKind, {(nodeId, member.kind) for nodeId, member in others.items()}
+        if self._cohort[0] != kinds:
+            controlIds = [nodeId for nodeId, member in others.items() if member.kind == "control"]
+            chosenIds = set(controlIds if ownKind == "control" else named(controlIds, self._ownId, 2))
+            self._cohort = kinds, sorted(chosenIds | set(named(list(others), self._ownId, COHORT_SIZE)))
+        return [others[nodeId] for nodeId in self._cohort[1]]
--- a/packages/oaknews/oaknews/board.py
+++ b/packages/oaknews/oaknews/board.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from oakbase.constants import GONE_LIMIT
+from oaknews.exchange import unpackAges
 from oakwire.codec import idl
 
 AGE_LIMIT = 2 ** 31 - 1  # ms, the largest age that fits the wire's field
@@ -23,11 +24,16 @@
     base: int = 0
     items: dict = field(default_factory=dict)
     confirmedAt: float = float("-inf")
+    movedAt: int = 0    # the board's count of moves when this one last moved
 
 
 class Board:
+    """Invariants: `moves` rises whenever an image moves, and every image's `movedAt` is unlike the others'; `losses` rises
+    whenever an image may have become older than what a neighbour was told of."""
+
     def __init__(self, reactor):
         self._reactor = reactor
+        self.moves = self.losses = 0
         self.images = {}
         self._ownSources = {}
         self._watchers = {}
@@ -41,7 +47,8 @@
         return self.images.setdefault(source, Image())
 
     def retract(self, source):
-        self._ownSources.pop(source, None)
+        if self._ownSources.pop(source, None) is not None:
+            self.losses += 1  # what others sent of it meanwhile was not taken in
 
     def setItems(self, source, version, values):
         """The source moved to `version` and now has these items and no others."""
@@ -60,6 +67,11 @@
             image.items = {name: item for name, item in image.items.items() if item[1] is not None}
             image.base = version
         image.version = version
+        self._moved(source, image)
+
+    def _moved(self, source, image):
+        self.moves += 1
+        image.movedAt = self.moves
         self._tell(source)
 
     # --- reading ---
@@ -94,13 +106,40 @@
                     watcher(source)
 
     def drop(self, source):
-        self.images.pop(source, None)
+        if self.images.pop(source, None) is not None:
+            self.losses += 1
 
     # --- pulling ---
 
     def seen(self):
         return [idl.Seen(source=source, version=image.version) for source, image in self.images.items()]
 
+    def seenSince(self, moves):
+        return [idl.Seen(source=source, version=image.version) for source, image in self.movedSince(moves)]
+
+    def movedSince(self, moves):
+        return [] if moves == self.moves else [pair for pair in self.images.items() if pair[1].movedAt > moves]
+
+    def agesMs(self, pairs):
+        """For each (source, version) the age of this node's image of it, or None if it has none of just that version."""
+        for source in self._ownSources:
+            self.confirmedAt(source)
+        images, now, ages = self.images, self._reactor.seconds(), []
+        for source, version in pairs:
+            image = images.get(source)
+            if image is None or image.version != version or now - image.confirmedAt > AGE_LIMIT / 1000:
+                ages.append(None)
+            else:
+                ages.append(int((now - image.confirmedAt) * 1000) + 1)
+        return ages
+
+    def confirm(self, source, at):
+        """Whether there is such an image; what it says was so at this time."""
+        image = self.images.get(source)
+        if image is not None:
+            image.confirmedAt = max(image.confirmedAt, at)
+        return image is not None
+
     def newsFor(self, seen):
         """What the puller lacks; of what it has in its newest version, only the place in its list and the age."""
         places = {one.source: place for place, one in enumerate(seen)}
@@ -108,7 +147,7 @@
         for source, image in self.images.items():
             version = seen[places[source]].version if source in places else 0
             if image.version > version or source not in places:
-                images.append(self._imageFor(source, version))
+                images.append(self.imageFor(source, version))
             elif image.version == version:
                 ages.append(idl.Age(place=places[source], ageMs=self._ageMs(source)))
         return idl.News(images=images, ages=ages)
@@ -117,7 +156,7 @@
         age = self.age(source)
         return AGE_LIMIT if age > AGE_LIMIT / 1000 else int(age * 1000) + 1
 
-    def _imageFor(self, source, version):
+    def imageFor(self, source, version):
         image = self.images[source]
         whole = version < image.base or version < 0
         items = [idl.Item(name=name, version=itemVersion, value=value)
@@ -126,7 +165,7 @@
         return idl.Image(source=source, version=image.version, whole=whole, items=items, ageMs=self._ageMs(source))
 
     def wholeImage(self, source):
-        return self._imageFor(source, -1)
+        return self.imageFor(source, -1)
 
     def merge(self, news, seen, askedAt):
         """Takes in what came for the list `seen` that was sent at monotonic time `askedAt`."""
@@ -136,6 +175,18 @@
             image = self.images.get(known.source) if known else None
             if image is not None and image.version == known.version and known.source not in self._ownSources:
                 image.confirmedAt = max(image.confirmedAt, askedAt - one.ageMs / 1000)
+        if news.agesPacked:
+            self._mergeAges(unpackAges(news.agesPacked), seen, askedAt)
+
+    def _mergeAges(self, ages, seen, askedAt):
+        images, own = self.images, self._ownSources
+        for one, age in zip(seen, ages):
+            image = images.get(one.source)
+            if age is None or image is None or image.version != one.version or one.source in own:
+                continue
+            at = askedAt - age / 1000
+            if at > image.confirmedAt:
+                image.confirmedAt = at
 
     def mergeImages(self, images, askedAt):
         for received in images:
@@ -153,4 +204,4 @@
                 image.version = received.version
             image.confirmedAt = max(image.confirmedAt, askedAt - received.ageMs / 1000)
             if moved:
-                self._tell(received.source)
+                self._moved(received.source, image)
--- /dev/null
+++ b/packages/oaknews/oaknews/exchange.py
@@ -0,0 +1,69 @@
+"""What one node has told another of its vector, so that a pull while nothing moves carries ages and hardly anything else.
+
+The puller sends its whole vector once, under a random number, and from then on only what has moved in it. The one that is
+pulled from keeps the vector under that number, and gives the ages of what has not moved in the order of the vector. Who does
+not know the number (a new process, or it has forgotten) says so, and gets the whole vector again; a puller whose pull failed,
+or that let go of a source, begins anew by itself. So neither side ever has to guess what the other has taken in.
+"""
+from struct import pack, unpack
+
+from oakwire.codec import idl
+
+AGE_UNKNOWN = 0xFFFF  # ms; an age from here on is not given, and the puller goes on counting from the last one
+
+
+class Told:
+    """The puller's side, for one address. Invariant: `seen` is what the other has under `basis`, once it has answered."""
+
+    def __init__(self, board, basis):
+        self._board, self.basis = board, basis
+        self.seen, self._places = [], {}
+        self._moves, self._losses = -1, board.losses
+        self.ownVersion = None
+
+    def isUsable(self):
+        return self._losses == self._board.losses
+
+    def take(self):
+        """What has moved since the last pull, all at first."""
+        if self._moves == self._board.moves:
+            return []
+        moved = self._board.seenSince(self._moves)
+        for one in moved:
+            if one.source in self._places:
+                self.seen[self._places[one.source]] = one
+            else:
+                self._places[one.source] = len(self.seen)
+                self.seen.append(one)
+        self._moves = self._board.moves
+        return moved
+
+
+class Heard:
+    """The other side, for one puller. Invariant: `versions` holds the puller's vector in the order in which it was told."""
+
+    def __init__(self, basis):
+        self.basis = basis
+        self.versions = {}
+        self.ownSource = None
+        self.heardAt = 0.0
+        self._moves = -1
+
+    def take(self, moved):
+        self.versions.update((one.source, one.version) for one in moved)
+
+    def newsFrom(self, board):
+        """Images that moved here since the last answer, as far as they are newer; and the ages of the others."""
+        images = [board.imageFor(source, version) for source, image in board.movedSince(self._moves)
+                  if (version := self.versions.get(source, 0)) < image.version or source not in self.versions]
+        self._moves = board.moves
+        return idl.News(images=images, basis=self.basis, agesPacked=packAges(board.agesMs(self.versions.items())))
+
+
+def packAges(ages):
+    return pack(f"<{len(ages)}H", *[AGE_UNKNOWN if age is None or age >= AGE_UNKNOWN else age for age in ages])
+
+
+def unpackAges(data):
+    """The ages in ms in the order of the vector, None where none is given."""
+    return [None if age == AGE_UNKNOWN else age for age in unpack(f"<{len(data) // 2}H", data)]
--- a/packages/oaknews/oaknews/puller.py
+++ b/packages/oaknews/oaknews/puller.py
@@ -1,10 +1,12 @@
 """The task that pulls news from each cohort member, and the node's own row among the members."""
 import json
 
-from oakbase.constants import CONDITION_AGE, PULL_PAUSE, PULL_TIME
+from oakbase.constants import CONDITION_AGE, FORGET_AGE, PULL_PAUSE, PULL_TIME
 from oakbase.tasks import Repeater, settled, sleep, spawn
 from oakbase.verdict import OakError
 from oakcohort.members import Member
+from oaknews.exchange import Heard, Told
+from oakwire.codec import idl
 
 NODE_SOURCE = "node/"
 
@@ -21,6 +23,9 @@
         self._pulling = set()
         self._silent = set()
         self._answeredAt = {}
+        self._told = {}   # address -> what it was told, if it keeps that
+        self._heard = {}  # nodeId -> what this node was told
+        self._noted = {}  # source -> (version, member)
         self._rounds = 0
         self._repeater = None
         board.publish(self._source, reactor.seconds)
@@ -39,24 +44,51 @@
         return self._me
 
     def _noteMember(self, source):
+        image = self._board.images.get(source)
+        known = self._noted.get(source)
+        if known is None or known[0] != image.version:
+            known = self._noted[source] = image.version, self._readMember(source)
+        if known[1] is not None:
+            self._members.note(known[1], self._board.confirmedAt(source))
+
+    def _readMember(self, source):
         about = self._board.values(source).get("about")
         if about is None:
-            return
+            return None
         try:
-            self._members.note(Member.fromJson(json.loads(about)), self._board.confirmedAt(source))
+            return Member.fromJson(json.loads(about))
         except (ValueError, TypeError, KeyError) as error:
             self._log.event("memberUnreadable", source=source, error=repr(error))
+            return None
 
     async def _servePull(self, peer, arguments):
         """Answers with what the puller lacks. Its own row counts as a sign of life from now on; that is good
         enough for its condition, and rows of nodes are all that is taken from a puller."""
-        me = arguments.me
-        if me is not None and me.source.startswith(f"{NODE_SOURCE}{peer.nodeId}/") and peer.clusterId:
-            self._board.mergeImages([me], self._reactor.seconds())
-        news = self._board.newsFor(arguments.seen or [])
+        news = self._newsFor(peer, arguments)
         news.clusterId = self._net.clusterId
         return news
 
+    def _newsFor(self, peer, arguments):
+        me, now = arguments.me, self._reactor.seconds()
+        isRow = me is not None and me.source.startswith(f"{NODE_SOURCE}{peer.nodeId}/") and bool(peer.clusterId)
+        if isRow:
+            self._board.mergeImages([me], now)
+        if not arguments.basis:
+            return self._board.newsFor(arguments.seen or [])
+        if arguments.whole:
+            heard = self._heard[peer.nodeId] = Heard(arguments.basis)
+        else:
+            heard = self._heard.get(peer.nodeId)
+        if heard is None or heard.basis != arguments.basis:
+            return idl.News(again=True)
+        if isRow:
+            heard.ownSource = me.source
+        elif me is None and peer.clusterId and not (heard.ownSource and self._board.confirm(heard.ownSource, now)):
+            return idl.News(again=True)
+        heard.heardAt = now
+        heard.take(arguments.seen or [])
+        return heard.newsFrom(self._board)
+
     def start(self):
         self._repeater = Repeater(self._reactor, PULL_PAUSE, self._round, self._log).start()
 
@@ -89,6 +121,10 @@
         forgotten = set(self._members.forgetOld())
         for source in [source for source in self._board.images if source.rpartition("/")[2] in forgotten]:
             self._board.drop(source)
+            self._noted.pop(source, None)
+        old = self._reactor.seconds() - FORGET_AGE
+        for nodeId in [nodeId for nodeId, heard in self._heard.items() if heard.heardAt < old]:
+            del self._heard[nodeId]
         if self._net.clusterId:
             self._learn({member.peer for member in self._members.live("control")} or set(self._identity.addresses))
 
@@ -102,9 +138,7 @@
     async def _pullFrom(self, address):
         self._pulling.add(address)
         try:
-            askedAt, seen = self._reactor.seconds(), self._board.seen()
-            news = await self._net.call(address, "pull", PULL_TIME, seen=seen,
-                                            me=self._board.wholeImage(self._source))
+            askedAt, news, seen = await self._ask(address)
             if news.clusterId and not self._net.clusterId and self._identity.founding is None:
                 self._identity.joinCluster(news.clusterId)
                 self._net.joinCluster(news.clusterId)
@@ -121,6 +155,23 @@
         finally:
             self._pulling.discard(address)
 
+    async def _ask(self, address):
+        """(when it was asked, the answer, the vector that it speaks of)."""
+        while True:
+            told = self._told.pop(address, None)  # put back once it has answered: what was lost on the way is not known
+            isWhole = told is None or not told.isUsable()
+            if isWhole:
+                told = Told(self._board, self._random.getrandbits(62) + 1)
+            me = None if told.ownVersion == self._version else self._board.wholeImage(self._source)
+            told.ownVersion, moved = self._version, told.take()
+            askedAt = self._reactor.seconds()
+            news = await self._net.call(address, "pull", PULL_TIME, seen=moved, me=me, basis=told.basis, whole=isWhole)
+            if news.again and not isWhole:
+                continue
+            if news.basis == told.basis:
+                self._told[address] = told
+            return askedAt, news, told.seen
+
     def answersLately(self, address, lately=CONDITION_AGE):
         """Whether this address has itself answered; what others say of it does not count."""
         return (address == self._me.peer
