--- a/packages/oakbase/oakbase/checks.py
+++ b/packages/oakbase/oakbase/checks.py
@@ -45,6 +45,16 @@
     return getattr(key, "schema", key)
 
 
+def _isFine(rule, value):
+    """Whether the value keeps the rule, as far as that can be told without building a schema around it."""
+    if type(rule) is type:
+        return isinstance(value, rule)
+    try:
+        return isinstance(rule, And) and (rule.validate(value), True)[1]
+    except SchemaError:
+        return False
+
+
 def faultsOf(rules, pairs, path=""):
     """One line with its path for every fault, of fields that are unknown, missing or wrong."""
     if not isinstance(pairs, dict):
@@ -54,6 +64,8 @@
     faults = [f"{prefix}{name}: is not a known field" for name in pairs if name not in known]
     faults += [f"{prefix}{key}: is missing" for key in rules if not isinstance(key, Optional) and key not in pairs]
     for name in known.keys() & pairs.keys():
+        if _isFine(known[name], pairs[name]):
+            continue
         try:
             Schema(known[name]).validate(pairs[name])
         except SchemaError as error:
@@ -70,5 +82,8 @@
     return {_nameOf(key): pairs.get(_nameOf(key)) for key in rules}
 
 
+_ENCODER = json.JSONEncoder(separators=(",", ":"), sort_keys=True)  # json.dumps makes one for each value
+
+
 def packJson(value):
-    return json.dumps(value, separators=(",", ":"), sort_keys=True).encode()
+    return _ENCODER.encode(value).encode()
--- a/packages/oakring/oakring/disk.py
+++ b/packages/oakring/oakring/disk.py
@@ -4,9 +4,10 @@
 are replaced whole. The lab brings a simulated disk with the same methods.
 """
 import os
+from queue import SimpleQueue
+from threading import Thread
 
-from twisted.internet.threads import deferToThreadPool
-from twisted.python.threadpool import ThreadPool
+from twisted.internet import defer
 
 
 class FolderDisk:
@@ -15,8 +16,9 @@
         os.makedirs(folder, exist_ok=True)
         self._syncFolder()
         # One thread: the syncs of a ring follow one another, so more would only wait.
-        self._pool = ThreadPool(1, 1, "oakdisk")
-        self._pool.start()
+        self._orders = SimpleQueue()
+        self._thread = Thread(target=self._syncOrders, name="oakdisk", daemon=True)
+        self._thread.start()
         self._handles = {}
 
     def _path(self, name):
@@ -64,8 +66,21 @@
 
     def sync(self, names):
         """Fires once all that was written to these files before this call is on the disk."""
-        handles = [self._handles[name] for name in names]
-        return deferToThreadPool(self._reactor, self._pool, lambda: [os.fdatasync(handle) for handle in handles])
+        done = defer.Deferred()
+        self._orders.put(([self._handles[name] for name in names], done))
+        return done
+
+    def _syncOrders(self):
+        """The thread's work: one sync after another, until it is told to end."""
+        while (order := self._orders.get()) is not None:
+            handles, done = order
+            try:
+                for handle in handles:
+                    os.fdatasync(handle)
+            except OSError as error:
+                self._reactor.callFromThread(done.errback, error)
+            else:
+                self._reactor.callFromThread(done.callback, None)
 
     def syncNow(self, names):
         """The same, waiting; for the start of a node, before it takes part in anything."""
@@ -85,7 +100,8 @@
         self._syncFolder()
 
     def close(self):
-        self._pool.stop()
+        self._orders.put(None)
+        self._thread.join()
         for handle in self._handles.values():
             os.close(handle)
         self._handles = {}
