--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -167,7 +167,8 @@
 STOP_TIME = 60.0            # s; a planned stop waits this long for what runs
 
 # --- raw requests ------------------------------------------------------------
-LOAD_AGE = 1.0              # s; what a replica told of its load counts for so long, several of its requests
+LOAD_AGE = 0.6              # s; what a replica told of its load counts less and less over one or two of its requests
+QUEUED_SHARE = 0.25         # share of a replica's slots; so many may wait there, since it starts them at once when it can
 AFFINITY_SLACK = 0.2        # share of a replica's slots; by so much more room others must have before a program leaves the
                             # replica that has its prompts: reading them again costs about as much as so many neighbours
 BALANCER_QUEUE = 512        # requests; waiting for room at one service in one gate
@@ -176,6 +177,8 @@
 EJECT_PAUSE = 0.5           # s; first time without requests of a failing replica, doubled with each further failure
 EJECT_LONGEST = 8.0         # s; a replaced or restarted one must not be left out for long
 RETRY_AFTER_LEAST = 0.2     # s; what a caller is told who was refused early: a few short requests' time
+OUTAGE_RETRY_AFTER = 1.0    # s; what a caller is told while an owner or the news are being replaced: about what is left of that
+OUTAGE_SHARE = 0.3          # share of the caller's time left; later it would not come back at all
 PATIENCE_SHARE = 0.5        # share of the time left; a request waits for room so long, the rest is for its run
 ANSWER_HELD = 256 << 10     # bytes; of an answer gathered before any of it is passed on, so that a cut one may be tried again
 RELAY_BOUND = 512           # requests; at a time in one gate, several times what its replicas take
--- a/packages/oakgate/oakgate/balancer.py
+++ b/packages/oakgate/oakgate/balancer.py
@@ -14,7 +14,7 @@
 
 from twisted.internet import defer
 
-from oakbase.constants import (AFFINITY_SLACK, BALANCER_QUEUE, EJECT_AFTER, EJECT_LONGEST, EJECT_PAUSE, LOAD_AGE,
+from oakbase.constants import (AFFINITY_SLACK, BALANCER_QUEUE, EJECT_AFTER, EJECT_LONGEST, EJECT_PAUSE, LOAD_AGE, QUEUED_SHARE,
                                RETRY_AFTER_LEAST, SHED_PAUSE)
 from oakbase.tasks import within
 from oakbase.verdict import Overloaded, TimeSpent
@@ -44,10 +44,14 @@
         return self.told_slots or self.row.get("slots") or default
 
     def load(self, now):
-        """Requests that the replica has, as well as this gate can tell."""
-        if now - self.told_at > LOAD_AGE:
-            return self.own
-        return max(self.own, self.told - self.own_then + self.own)
+        """Requests that the replica has, as well as this gate can tell: its own, and what the others had when the
+        replica last told, of which more and more has ended since."""
+        still = max(0.0, 1 - (now - self.told_at) / LOAD_AGE)
+        return self.own + max(0, self.told - self.own_then) * still
+
+    def room(self, default):
+        """Requests that it may be given: its slots, and some that wait there, so that none stands idle meanwhile."""
+        return self.slots(default) * (1 + QUEUED_SHARE)
 
 
 @dataclass(frozen=True)
@@ -71,7 +75,7 @@
         self._zone = node.env["zone"]
         self.instances = {}
         self._by_service = {}
-        self._waiting = {}
+        self._waiting, self._looking = {}, set()
         self._order = itertools.count()
         self._scores = {}
         self.on_gone = None
@@ -118,7 +122,7 @@
         ready = [one for one in self.known(wish.service) if one.row["id"] not in wish.excluded]
         usable = [one for one in ready if now >= one.closed_until]
         loads = {one.row["id"]: one.load(now) for one in usable}
-        roomy = [one for one in usable if loads[one.row["id"]] < one.slots(wish.default_slots)]
+        roomy = [one for one in usable if loads[one.row["id"]] < one.room(wish.default_slots)]
         if not roomy:
             return None
         least = min(loads[one.row["id"]] / one.slots(wish.default_slots) for one in roomy)
@@ -147,17 +151,26 @@
         entry = (wish.rank, wish.patience_until, next(self._order), wish, waiter)
         heapq.heappush(heap, entry)
         self._wake(wish.service)
-        timer = self._reactor.callLater(SHED_PAUSE, self._wake, wish.service)
+        self._look_again(wish.service)
         try:
             return await within(self._reactor, wish.patience_until - self._reactor.seconds(), waiter, TimeSpent(
                 "no replica had room in time", retryAfter=RETRY_AFTER_LEAST))
         finally:
-            if timer.active():
-                timer.cancel()
             if entry in heap:
                 heap.remove(entry)
                 heapq.heapify(heap)
 
+    def _look_again(self, service):
+        """Room that others gave back shows with time only, so whoever waits is looked at again and again."""
+        if self._waiting.get(service) and service not in self._looking:
+            self._looking.add(service)
+            self._reactor.callLater(SHED_PAUSE, self._on_look, service)
+
+    def _on_look(self, service):
+        self._looking.discard(service)
+        self._wake(service)
+        self._look_again(service)
+
     def _wake(self, service):
         """Gives room to those who wait, in order, as far as it goes."""
         heap = self._waiting.get(service, [])
--- a/packages/oakgate/oakgate/relay.py
+++ b/packages/oakgate/oakgate/relay.py
@@ -14,8 +14,9 @@
 
 from twisted.internet import defer
 
-from oakbase.constants import (ANSWER_HELD, CALL_TIME, CLAIM_ANSWER_LIMIT, CLAIM_LEAVE, PATIENCE_SHARE,
-                               REFUSAL_LIMIT, RETRY_AFTER_LEAST, SETTLE_PAUSE, TURN_OUTPUT_LIMIT)
+from oakbase.constants import (ANSWER_HELD, CALL_TIME, CLAIM_ANSWER_LIMIT, CLAIM_LEAVE, OUTAGE_RETRY_AFTER,
+                               OUTAGE_SHARE, PATIENCE_SHARE, REFUSAL_LIMIT, RETRY_AFTER_LEAST, SETTLE_PAUSE,
+                               TURN_OUTPUT_LIMIT)
 from oakbase.tasks import shielded, sleep, spawn, within
 from oakbase.verdict import (BadRequest, Broken, BudgetEmpty, CannotTell, InProgress, NoAnswer, OakError,
                              Overloaded, Rebound, TimeSpent, Unknown, Unreachable, Verdict)
@@ -79,12 +80,20 @@
             if error.verdict is not Verdict.NO:
                 self._log.event("relayFailed", code=error.code, reason=error.reason, verdict=error.verdict.value,
                                 request=request.try_id)
+            if isinstance(error, CannotTell):
+                error.retryAfter = self._outage_left(exchange, request)
             exchange.reply(*self._dialect.refusal(error, request))
 
+    def _outage_left(self, exchange, request):
+        """When to come back if something that all need is changing hands: after about a take-over's time, as far as
+        the caller's own time allows."""
+        time_left = (request.time_left_s or 0.0) - (self._reactor.seconds() - exchange.received_at)
+        return max(RETRY_AFTER_LEAST, min(OUTAGE_RETRY_AFTER, OUTAGE_SHARE * time_left))
+
     async def _serve(self, exchange, request):
         why = self._router.staleness()
         if why is not None:
-            raise CannotTell(why, retryAfter=RETRY_AFTER_LEAST)
+            raise CannotTell(why)
         if request.fault is not None:
             raise BadRequest(request.fault)
         route = self._router.find(exchange.host, exchange.path)
@@ -126,7 +135,7 @@
             claimed = await self._owners.call(key, "claim", pairs, self._remaining(passage))
         except NoAnswer as error:
             self._gate.background(self._owners.callUntilDone(key, "free", pairs))
-            raise TimeSpent(f"the claim's owner did not answer: {error.reason}", retryAfter=RETRY_AFTER_LEAST) from error
+            raise CannotTell(f"the claim's owner did not answer: {error.reason}") from error
         if claimed["state"] == "done":
             self._pass_kept(passage, claimed["answer"])
             return
@@ -250,8 +259,10 @@
         now = self._reactor.seconds()
         patience = now + (passage.ends_at - now) * PATIENCE_SHARE
         slots = self._router.services[service].get("slots") or 1
-        return Wish(service, slots, passage.route.priority, min(patience, passage.leave_by), passage.affinity,
-                    frozenset(passage.excluded))
+        # What has begun goes before what begins: a program that is refused in the middle has cost most of its runs.
+        is_first = passage.request.program is not None and passage.request.previous_turn is None
+        return Wish(service, slots, 2 * passage.route.priority + is_first, min(patience, passage.leave_by),
+                    passage.affinity, frozenset(passage.excluded))
 
     def _service_of(self, passage):
         """By the route's weights; a program stays with one service as long as the weights stay."""
@@ -380,10 +391,10 @@
         try:
             state = (await self._owners.call(key, "admit", {
                 "turn": request.try_id, "reserve": reserve, "limit": request.budget, "gate": self._node.nodeId},
-                self._remaining(passage)))["state"]
+                self._remaining(passage) * PATIENCE_SHARE))["state"]
         except NoAnswer as error:
             self._settler.settle(key, request.try_id, 0)
-            raise TimeSpent(f"the budget's owner did not answer: {error.reason}", retryAfter=RETRY_AFTER_LEAST) from error
+            raise CannotTell(f"the budget's owner did not answer: {error.reason}") from error
         if state != "admitted":
             raise BudgetEmpty("the program has put out all of its budget")
         try:
