--- a/packages/oakring/oakring/disk.py
+++ b/packages/oakring/oakring/disk.py
@@ -35,9 +35,12 @@
         return sorted(os.listdir(self._folder))
 
     def create(self, name, size):
-        handle = os.open(self._path(name), os.O_RDWR | os.O_CREAT | os.O_EXCL, 0o600)
+        """A file of zeros that is there in its full size or not at all, whenever the process ends: one that is too
+        short could not be told from one that was damaged."""
+        handle = os.open(self._path(name + ".new"), os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
         os.posix_fallocate(handle, 0, size)
         os.fsync(handle)
+        os.rename(self._path(name + ".new"), self._path(name))
         self._syncFolder()
         self._handles[name] = handle
 
