--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -1,4 +1,5 @@
 """The core forms once from its seeds and mends its roster by itself. One column a control node."""
+import contextlib
 import itertools
 import unittest
 
@@ -212,6 +213,31 @@
                 self.assertEqual(one.node.node.nodeId.startswith("founder."), was_somebody or again)
                 self.assertEqual(len(self.roster(fleet).members), 5)
 
+    def test_power_cut_of_all_seeds_amid_founding(self):
+        """
+        seed0, seed1, seed2
+        power cut before the first roster, or before the cluster id, is on the disk
+        all back, no longer as on a first start: they finish what they began
+        """
+        for left in (2, 11, 12):
+            with self.subTest(left=left):
+                fleet = self.fleet(left)
+                seeds = [fleet[f"control{number}"] for number in range(3)]
+                cuttings = [CuttingDisk(one, left, False) for one in seeds]
+                for one in seeds:
+                    with contextlib.suppress(PowerCut):
+                        one.start()
+                with contextlib.suppress(PowerCut):
+                    fleet.run(0.5)
+                fleet.first_start = False
+                for one, cutting in zip(seeds, cuttings):
+                    one.powerCut()
+                    cutting.heal()
+                for one in fleet.ofKind("control"):
+                    one.start()
+                self.wait_all(fleet)
+                self.assertTrue(all(one.node.node.nodeId in self.roster(fleet).members for one in seeds))
+
     def test_frozen_founder(self):
         """
         seed0                      seed1    seed2    control3    control4
