--- a/packages/oakgate/oakgate/balancer.py
+++ b/packages/oakgate/oakgate/balancer.py
@@ -172,20 +172,22 @@
         self._look_again(service)
 
     def _wake(self, service):
-        """Gives room to those who wait, in order, as far as it goes."""
+        """Gives room to those who wait, in order. Who has been at the replicas that have room holds up nobody."""
         heap = self._waiting.get(service, [])
-        while heap:
-            entry = heap[0]
-            waiter = entry[4]
-            if waiter.called:
-                heapq.heappop(heap)
+        for entry in sorted(heap):
+            if entry not in heap:
+                continue  # whoever was woken just now has woken others
+            wish, waiter = entry[3], entry[4]
+            instance = None if waiter.called else self._choose(wish)
+            if instance is None and not waiter.called:
+                if not wish.excluded:
+                    return  # none has room for anybody
                 continue
-            instance = self._choose(entry[3])
-            if instance is None:
-                return
-            heapq.heappop(heap)
-            instance.own += 1
-            waiter.callback(instance)
+            heap.remove(entry)
+            heapq.heapify(heap)
+            if instance is not None:
+                instance.own += 1
+                waiter.callback(instance)
 
     # --- what came of it ---
 
--- a/packages/oakgate/oakgate/relay.py
+++ b/packages/oakgate/oakgate/relay.py
@@ -14,8 +14,8 @@
 
 from twisted.internet import defer
 
-from oakbase.constants import (ANSWER_HELD, CALL_TIME, CLAIM_ANSWER_LIMIT, CLAIM_LEAVE, OUTAGE_RETRY_AFTER,
-                               OUTAGE_SHARE, PATIENCE_SHARE, REFUSAL_LIMIT, RETRY_AFTER_LEAST, SETTLE_PAUSE,
+from oakbase.constants import (ANSWER_HELD, CALL_TIME, CLAIM_ANSWER_LIMIT, CLAIM_LEAVE, FULL_RETRY,
+                               OUTAGE_RETRY_AFTER, OUTAGE_SHARE, PATIENCE_SHARE, REFUSAL_LIMIT, RETRY_AFTER_LEAST, SETTLE_PAUSE,
                                TURN_OUTPUT_LIMIT)
 from oakbase.tasks import shielded, sleep, spawn, within
 from oakbase.verdict import (BadRequest, Broken, BudgetEmpty, CannotTell, InProgress, NoAnswer, OakError,
@@ -362,9 +362,12 @@
     async def _stream(self, passage):
         request, route = passage.request, passage.route
         recalling = None
+        if route.retained and self._turns.is_full:
+            # Before it runs: afterwards its answer could only be cut off.
+            raise Overloaded("the stores have no room for more until old turns go", retryAfter=FULL_RETRY)
         if route.retained and request.previous_turn:
             recalling = defer.ensureDeferred(self._settled(
-                self._turns.recall(request.previous_turn, self._remaining(passage))))
+                self._turns.recall(request.previous_turn, self._remaining(passage) * PATIENCE_SHARE)))
         if request.budget is None or not request.program:
             await self._turn(passage, recalling)
             return
--- a/packages/oakrelay/oakrelay/upstream.py
+++ b/packages/oakrelay/oakrelay/upstream.py
@@ -61,19 +61,21 @@
     async def next(self, time_left=None):
         """What has arrived of the body, waiting for some; None once it ended whole. A wait longer than `time_left`
         raises NoAnswer and leaves the answer as it is."""
-        if not self._pieces and self._outcome is None:
+        ends_at = None if time_left is None else self._connection.now() + time_left if self._outcome is None else 0.0
+        # What arrives may be framing only, which wakes but brings nothing.
+        while not self._pieces and self._outcome is None:
             waiting = self._waiting = defer.Deferred()
-            if time_left is None:
+            if ends_at is None:
                 await waiting
-            else:
-                timer = self._connection.call_later(time_left, self.wake)
-                try:
-                    await waiting
-                finally:
-                    if timer.active():
-                        timer.cancel()
-                if not self._pieces and self._outcome is None:
-                    raise NoAnswer("the answer stopped coming")
+                continue
+            timer = self._connection.call_later(ends_at - self._connection.now(), self.wake)
+            try:
+                await waiting
+            finally:
+                if timer.active():
+                    timer.cancel()
+            if not self._pieces and self._outcome is None and self._connection.now() >= ends_at:
+                raise NoAnswer("the answer stopped coming")
         if self._pieces:
             pieces, self._pieces, self._size = self._pieces, [], 0
             if self._paused and self._connection is not None:
@@ -147,6 +149,9 @@
     def is_idle(self):
         return self._head_waiting is None and self._answer is None and self.ready is None
 
+    def now(self):
+        return self._pool.reactor.seconds()
+
     def call_later(self, seconds, function):
         return self._pool.reactor.callLater(max(0.0, seconds), function)
 
