--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -196,6 +196,11 @@
         return roots
 
 
+def isMoving(error):
+    """Whether a voter refused only because it stands in another roster than the asker."""
+    return isinstance(error, Fenced) and bool(error.detail)
+
+
 class Owners:
     """The slots this node owns, and the task that takes over those which it should own.
 
@@ -264,33 +269,54 @@
         endsAt = self.reactor.seconds() + CALL_TIME
         while True:
             roster = self._voter.roster
-            reached, errors = await self._offer(roster, owner, sequence, changes, start)
+            reached, errors = await self._offer(roster, owner, sequence, changes, start, endsAt)
             if reached:
                 owner.rosterVersion = roster.version
                 return True
-            moving = any(isinstance(error, Fenced) and error.detail for error in errors.values())
-            if owner.ended or not moving or self.reactor.seconds() >= endsAt:
+            if owner.ended or not any(map(isMoving, errors.values())) or self.reactor.seconds() >= endsAt:
                 return False
             await sleep(self.reactor, TERM_RENEW / 4)
 
-    def _offer(self, roster, owner, sequence, changes, start):
-        offer = Offer(roster)
+    def _offer(self, roster, owner, sequence, changes, start, endsAt):
+        offer, change = Offer(roster, endsAt), (roster.version, owner, sequence, changes, start)
         step = pack(idl.Step(slot=owner.slot, epoch=owner.epoch, sequence=sequence, entries=entriesOf(changes.items()),
                              fromEpoch=start[0], fromSequence=start[1]))
-        for nodeId, address in self.voterAddresses().items():
-            if nodeId not in self._batchers:
-                self._batchers[nodeId] = StepBatcher(self._node.net, self.reactor, nodeId)
-            self._batchers[nodeId].put((address, roster.version), step, partial(
-                self._judged, offer, (nodeId, address), (roster.version, owner, sequence, changes, start)))
+        for voter in self.voterAddresses().items():
+            self._offerTo(voter, offer, change, step)
         return offer.outcome
 
-    def _judged(self, offer, voter, change, taken, error):
+    def _offerTo(self, voter, offer, change, step):
+        nodeId, address = voter
+        if nodeId not in self._batchers:
+            self._batchers[nodeId] = StepBatcher(self._node.net, self.reactor, nodeId)
+        self._batchers[nodeId].put((address, change[0]), step, partial(self._judged, voter, offer, change, step))
+
+    def _judged(self, voter, offer, change, step, taken, error):
         if error is None and taken.taken:
             offer.settle(voter[0])
         elif taken is None and not isinstance(error, Unknown):
-            offer.settle(voter[0], error)
+            self._refused(voter, offer, change, step, error)
         else:  # it lacks something, is not to be disturbed just now, or takes steps one by one only
-            drive(self._giveChange(voter, *change, taken), lambda _, why: offer.settle(voter[0], why))
+            drive(self._giveChange(voter, *change, taken), lambda _, why: (
+                offer.settle(voter[0]) if why is None else self._refused(voter, offer, change, step, why)))
+
+    def _refused(self, voter, offer, change, step, error):
+        """A voter that is passing to this roster is asked again by itself: else all would wait for one that is dead."""
+        if isMoving(error):
+            self.reactor.callLater(TERM_RENEW / 4, self._offerAgain, voter, offer, change, step, error)
+        else:
+            offer.settle(voter[0], error)
+
+    def _offerAgain(self, voter, offer, change, step, error):
+        rosterVersion, owner = change[:2]
+        if offer.outcome.called:
+            return
+        if rosterVersion != self._voter.roster.version:
+            offer.giveUp(voter[0], error)  # under the next roster it is offered to all anew
+        elif owner.ended or self.reactor.seconds() >= offer.endsAt:
+            offer.settle(voter[0], error)
+        else:
+            self._offerTo(voter, offer, change, step)
 
     async def _giveChange(self, voter, rosterVersion, owner, sequence, changes, start, taken):
         """A voter that lacks something before the change gets the whole image. `start` names the image that a
@@ -436,9 +462,8 @@
                     self._voter.promisedEpoch(slot)) + 1
         self._seenEpochs[slot] = epoch
         reached, answers = await quorumOf(
-            {nodeId: self._granted(slot, answer)
-             for nodeId, answer in self._askVoters("prepare", slot=slot, epoch=epoch, parts=True).items()},
-            self._voter.roster.isQuorum)
+            {voter[0]: self._promised(voter, slot, epoch, self._voter.roster)
+             for voter in self.voterAddresses().items()}, self._voter.roster.isQuorum)
         if not reached:
             raise CannotTell(f"no majority promised epoch {epoch}: {'; '.join(sorted(set(map(str, answers.values()))))}")
         preparedAt = self.reactor.seconds()
@@ -472,8 +497,19 @@
             more = part.more
         return entries
 
-    async def _granted(self, slot, answer):
-        promise = await answer
+    async def _promised(self, voter, slot, epoch, roster):
+        nodeId, address = voter
+        endsAt = self.reactor.seconds() + CALL_TIME
+        while True:
+            try:
+                promise = await self._node.net.call(
+                    address, "prepare", endsAt - self.reactor.seconds(), to=nodeId, slot=slot, epoch=epoch, parts=True,
+                    owner=self._node.nodeId, rosterVersion=roster.version)
+                break
+            except Fenced as error:
+                if not isMoving(error) or roster.version != self._voter.roster.version:
+                    raise
+            await sleep(self.reactor, TERM_RENEW / 4)
         if not promise.granted:
             self._seenEpochs[slot] = max(self._seenEpochs.get(slot, 0), promise.promisedEpoch)
             raise CannotTell(f"epoch {promise.promisedEpoch} is promised already")
--- a/packages/oakcontrol/oakcontrol/replication.py
+++ b/packages/oakcontrol/oakcontrol/replication.py
@@ -61,8 +61,8 @@
     """One step, offered to the voters of one roster. `outcome` fires with (whether a majority has it, errors by voter)
     once that is certain."""
 
-    def __init__(self, roster):
-        self._roster = roster
+    def __init__(self, roster, endsAt):
+        self._roster, self.endsAt = roster, endsAt
         self._takenBy, self._pending, self._errors = set(), set(roster.everyone), {}
         self.outcome = defer.Deferred()
 
@@ -78,3 +78,8 @@
             self.outcome.callback((True, {}))
         elif error is not None and not self._roster.isQuorum(self._takenBy | self._pending):
             self.outcome.callback((False, dict(self._errors)))
+
+    def giveUp(self, nodeId, error):
+        """Nothing can come of it any more, whatever the others will say."""
+        if not self.outcome.called:
+            self.outcome.callback((False, self._errors | {nodeId: error}))
--- a/packages/oakcontrol/oakcontrol/roster.py
+++ b/packages/oakcontrol/oakcontrol/roster.py
@@ -246,10 +246,16 @@
         return json.loads(self._node.board.values(f"slot/{slot}").get("roster", b"0"))
 
     async def _isStood(self, roster):
-        """Whether majorities of both sets stand in this version."""
+        """Whether majorities of both sets stand in this version. Who is on the way to it is asked again by itself, so
+        that nobody waits for one that is dead."""
+        endsAt = self._node.reactor.seconds() + CALL_TIME
+
         async def ask(nodeId, peer):
             member = self._node.members.find(nodeId)
-            version = await self._node.net.call(member.peer if member else peer, "rosterVersion", CALL_TIME, to=nodeId)
+            while (version := await self._node.net.call(
+                    member.peer if member else peer, "rosterVersion", endsAt - self._node.reactor.seconds(),
+                    to=nodeId)) < roster.version:
+                await sleep(self._node.reactor, ROSTER_MOVING_PAUSE)
             if version != roster.version:
                 raise CannotTell(f"{nodeId} stands in version {version}")
         reached, _ = await quorumOf({nodeId: ask(nodeId, peer) for nodeId, peer in roster.everyone.items()},
--- a/packages/oakcontrol/oakcontrol/voter.py
+++ b/packages/oakcontrol/oakcontrol/voter.py
@@ -146,7 +146,7 @@
         if self._ring.broken is not None:
             raise Fenced("this node's disk has failed")
         if self.roster is None or self._nodeId not in self.roster.everyone:
-            raise Fenced("this node has no vote")
+            raise Fenced("this node has no vote", detail={"roster": self.roster.version if self.roster else 0})
         if version != self.roster.version:
             raise Fenced(f"roster version {version} is not {self.roster.version}",
                          detail={"roster": self.roster.version})
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -404,6 +404,20 @@
         self.assertEqual(len(self.roster(fleet).members), 5)
         self.assertIn(new.node.node.nodeId, self.roster(fleet).members)
 
+    def test_dead_member_holds_up_no_change(self):
+        """
+        control0             control1    control2    control3 (new address)
+        gone, power and all                          takes its place; nobody waits for an answer of control0
+        """
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                fleet = self.fleet(seed, size=SMALL.__class__(1, 3, 3, SMALL.replicas)).bringUp()
+                fleet["control0"].powerCut()
+                del fleet.byName["control0"]
+                self.newcomer(fleet, 10)
+                self.wait_looking(fleet, "the joint version", lambda: self.roster(fleet).next is not None)
+                self.assertLess(self.wait_all(fleet), 1.2)
+
     def test_member_removed_for_good(self):
         """
         control1          control5
