--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,31 @@
+"""What CI passes over: failures named in KNOWN-RED.txt, and nothing else."""
+import importlib.util
+import os
+import unittest
+
+PLACE = os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), ".ci", "known_red.py")
+spec = importlib.util.spec_from_file_location("known_red", PLACE)
+known_red = importlib.util.module_from_spec(spec)
+spec.loader.exec_module(known_red)
+
+RED = known_red.known("test_a.A.test_one: a cause: with colons; issue 10\n\ntest_b.B.test_two: another; issue 11\n")
+ENDED = ["Ran 5 tests in 1.000s", "", "FAILED (failures=1)"]
+
+
+class KnownRed(unittest.TestCase):
+    def code(self, lines, status=1):
+        return known_red.verdict(lines, status, RED)[0]
+
+    def test_only_known_ones_are_passed_over_and_printed(self):
+        code, said = known_red.verdict(["FAIL: test_one (test_a.A.test_one)", *ENDED], 1, RED)
+        self.assertEqual((code, said), (0, ["known red, passed over: test_a.A.test_one: a cause: with colons; issue 10"]))
+
+    def test_another_failure_beside_a_known_one_fails(self):
+        self.assertEqual(self.code(["FAIL: test_one (test_a.A.test_one)", "ERROR: test_x (test_a.A.test_x)", *ENDED]), 1)
+
+    def test_a_run_without_an_end_or_without_a_name_fails(self):
+        self.assertEqual(self.code(["FAIL: test_one (test_a.A.test_one)"]), 1)
+        self.assertEqual(self.code(ENDED, 2), 2)
+
+    def test_a_run_that_passes_passes(self):
+        self.assertEqual(self.code(["Ran 5 tests in 1.000s", "OK"], 0), 0)
