--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -201,6 +201,29 @@
     return isinstance(error, Fenced) and bool(error.detail)
 
 
+class FormerTerms:
+    """The terms of a slot's earlier epochs. They have ended when the last one that was confirmed runs out, or as soon as each
+    process that might hold one has said that it doesn't: after an outage of all, that is at once."""
+
+    def __init__(self, reactor, holders):
+        self._reactor, self._left, self._outcome = reactor, set(holders), defer.Deferred()
+
+    def holds_none(self, nodeId):
+        self._left.discard(nodeId)
+        if not self._left:
+            self._end()
+
+    def _end(self):
+        if not self._outcome.called:
+            self._outcome.callback(None)
+
+    async def ended(self, at):
+        call = self._reactor.callLater(max(0.0, at - self._reactor.seconds()), self._end)
+        await self._outcome
+        if call.active():
+            call.cancel()
+
+
 class Owners:
     """The slots this node owns, and the task that takes over those which it should own.
 
@@ -218,6 +241,7 @@
         self.pollTimes = {}
         self._tasks = [Repeater(node.reactor, pause, roundFunction, node.log) for pause, roundFunction in (
             (TAKEOVER_LOOK, self._look), (TERM_RENEW, self._renew), (OWNER_SWEEP, self._sweep))]
+        voter.may_hold_term = self._may_hold_term
         node.net.handle("ownerCall", self._serveCall)
         node.net.handle("release", self._serveRelease)
 
@@ -461,8 +485,9 @@
         epoch = max(self._seenEpochs.get(slot, 0), believed[0] if believed else 0, releasedEpoch or 0,
                     self._voter.promisedEpoch(slot)) + 1
         self._seenEpochs[slot] = epoch
+        former = FormerTerms(self.reactor, self._possible_holders())
         reached, answers = await quorumOf(
-            {voter[0]: self._promised(voter, slot, epoch, self._voter.roster)
+            {voter[0]: self._promised(voter, slot, epoch, self._voter.roster, former)
              for voter in self.voterAddresses().items()}, self._voter.roster.isQuorum)
         if not reached:
             raise CannotTell(f"no majority promised epoch {epoch}: {'; '.join(sorted(set(map(str, answers.values()))))}")
@@ -476,7 +501,7 @@
             raise CannotTell(f"the image of epoch {epoch} did not reach a majority")
         if formerEpoch and formerEpoch != releasedEpoch:
             unconfirmed = min(promise.unconfirmedMs or 0 for promise in answers.values()) / 1000
-            await sleep(self.reactor, preparedAt - unconfirmed + TERM - self.reactor.seconds())
+            await former.ended(preparedAt - unconfirmed + TERM)
         self._confirm({slot: owner})
         await within(self.reactor, TERM, owner.confirmed,
                      CannotTell(f"epoch {epoch} was not confirmed"))
@@ -497,7 +522,16 @@
             more = part.more
         return entries
 
-    async def _promised(self, voter, slot, epoch, roster):
+    def _may_hold_term(self, slot, asker):
+        """Whether this process has a term of the slot, or may come to one by a take-over that the asker's does not follow."""
+        return slot in self.held or (slot in self._taking and asker != self._node.nodeId)
+
+    def _possible_holders(self):
+        """Who may hold a term: all of the roster, but those whose process has surely ended."""
+        return [nodeId for nodeId, peer in self._voter.roster.everyone.items()
+                if self._node.members.successorOf(nodeId, peer) is None]
+
+    async def _promised(self, voter, slot, epoch, roster, former):
         nodeId, address = voter
         endsAt = self.reactor.seconds() + CALL_TIME
         while True:
@@ -513,6 +547,8 @@
         if not promise.granted:
             self._seenEpochs[slot] = max(self._seenEpochs.get(slot, 0), promise.promisedEpoch)
             raise CannotTell(f"epoch {promise.promisedEpoch} is promised already")
+        if promise.termless:
+            former.holds_none(nodeId)
         return promise
 
     async def _serveRelease(self, _peer, arguments):
--- a/packages/oakcontrol/oakcontrol/voter.py
+++ b/packages/oakcontrol/oakcontrol/voter.py
@@ -8,7 +8,7 @@
 from sortedcontainers import SortedDict
 
 from oakbase.checks import packJson
-from oakbase.constants import CONTROL_FULL, CONTROL_INBOX, IMAGE_PART, SLOT_FULL, SLOTS
+from oakbase.constants import CONTROL_FULL, CONTROL_INBOX, IMAGE_PART, SLOT_FULL, SLOTS, TERM
 from oakbase.inbox import TableOwner
 from oakbase.tasks import spawn
 from oakbase.verdict import Fenced, RingFull
@@ -39,6 +39,7 @@
         return packJson([values[name] for name in HEAD])
 
 
+ROSTER_IS_NEW = "rosterIsNew"   # a row of the ring, there until every term of a former roster has ended
 HEAD = ("promisedEpoch", "promisedOwner", "imageEpoch", "sequence", "generation")
 
 
@@ -64,8 +65,11 @@
         self._owners = {slot: TableOwner(CONTROL_INBOX, f"voter{slot}", node.log) for slot in range(SLOTS)}
         self._staged = {}
         self._confirmedAt = {}
+        self._reactor = node.reactor
+        self.may_hold_term = lambda slot, asker: True  # until the owners of this node say for themselves
         self._countFromNow()
         self._load()
+        self._forget_former_roster()
         for method, command in (("prepare", self._prepare), ("imagePart", self._imagePart), ("stage", self._stage),
                                 ("accept", self._accept)):
             node.net.handle(method, self._queued(command))
@@ -120,12 +124,22 @@
     async def setRoster(self, record):
         """A newer roster, on the disk before anything is answered under it."""
         if self.roster is None or record["version"] > self.roster.version:
-            await self._ring.commit([("roster", packJson(record))])
+            await self._ring.commit([("roster", packJson(record)), (ROSTER_IS_NEW, b"1")])
             former, self.roster = self.roster, Roster(record)
             if former is None or self.roster.version != former.version + 1 or self.roster.next is None:
                 self._countFromNow()
+            self._forget_former_roster()
             self._log.event("rosterSet", version=self.roster.version, members=len(self.roster.everyone))
 
+    def _forget_former_roster(self):
+        """While the roster is new, who was left out of it may still hold a term; that outlasts a restart of this process."""
+        if ROSTER_IS_NEW in self._ring.table:
+            self._reactor.callLater(2 * TERM, self._on_roster_aged, self.roster.version)
+
+    def _on_roster_aged(self, version):
+        if version == self.roster.version and self._ring.broken is None:
+            spawn(self._ring.commit([(ROSTER_IS_NEW, None)]), self._log)
+
     def _countFromNow(self):
         """Confirmations count as given this instant. At a start, since what this voter confirmed before is forgotten;
         and with a new roster, since others may have confirmed without this voter under the former ones. Only a step
@@ -162,7 +176,9 @@
         entries = None if arguments.parts else [idl.Entry(key=key, value=value) for key, value in table.entries.items()]
         return idl.Promise(granted=True, promisedEpoch=earlier[0], promisedOwner=earlier[1],
                            imageEpoch=table.imageEpoch, sequence=table.sequence, entries=entries,
-                           unconfirmedMs=int((self._seconds() - self._confirmedAt[arguments.slot]) * 1000))
+                           unconfirmedMs=int((self._seconds() - self._confirmedAt[arguments.slot]) * 1000),
+                           termless=ROSTER_IS_NEW not in self._ring.table
+                           and not self.may_hold_term(arguments.slot, peer.nodeId))
 
     async def _imagePart(self, table, peer, arguments):
         """The image does not move while it is read: only a higher promise could change it, and that ends this."""
--- a/packages/oakwire/oakwire/oak.thrift
+++ b/packages/oakwire/oakwire/oak.thrift
@@ -51,6 +51,7 @@
   6: list<Entry> entries
   7: i64 endedEpoch       // the owner of this epoch said that its term is over
   8: i64 unconfirmedMs    // for how long at least this voter has confirmed no earlier epoch
+  9: bool termless        // this node holds no term of the slot, nor will under an earlier epoch; its roster has long stood
 }
 struct ImagePart { 1: list<Entry> entries  2: bool more }
 struct SlotEpoch { 1: i32 slot  2: i64 epoch }
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,6 +1,7 @@
 """Timelines of faults on a simulated fleet. One column a node; time runs down."""
 import unittest
 
+from oakbase.constants import TERM
 from oakbase.tasks import settled, sleep, spawn
 from oakcontrol.slots import slotOfKey
 from oaklab.caller import Asked
@@ -411,6 +412,7 @@
         refused by the voters            waits until A's term must have ended, then serves
         """
         fleet = self.bringUp()
+        fleet.run(3 * TERM)  # until the roster is no longer new, so that voters may speak for their terms
         slot = slotOfKey("blueprint/dalatech")
         first = self.ownerOf("blueprint/dalatech")
         second = next(one for one in fleet.ofKind("control") if one is not first)
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -657,6 +657,61 @@
         same = {"basedOn": 0, "next": roster.members}
         self.assertEqual(fleet.until(client.call(ROSTER_KEY, "reconfigure", same, 5.0))["version"], roster.version)
 
+    def test_after_an_outage_of_all_no_term_is_waited_for(self):
+        """
+        all control nodes           killed                  back: each says that it holds no term
+        slots                       held                    served again in less than a term
+        """
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                fleet = self.up(30 + seed)
+                self.run_looking(fleet, 3 * TERM)  # until the roster is no longer new
+                for one in fleet.ofKind("control"):
+                    one.kill()
+                self.run_looking(fleet, 0.1)
+                for one in fleet.ofKind("control"):
+                    one.start()
+                self.assertLess(self.wait_looking(fleet, "all slots served", fleet.slotsServed, 5.0), TERM - 0.1)
+
+    def test_who_may_hold_a_term_is_waited_for(self):
+        """
+        control1                                its slot            what its voter says of its terms
+        holds it                                held                it may hold one
+        is taking it over                       in between          it may hold one, but to nobody else than itself
+        has no part in it                       elsewhere           it holds none
+        with a roster that has just changed     elsewhere           those left out may hold one, also after a restart
+        the same, two terms later               elsewhere           it holds none
+        """
+        fleet = self.up(40)
+        self.run_looking(fleet, 3 * TERM)
+        one, other = fleet["control1"], fleet["control0"].node.node.nodeId
+        epochs = iter(range(1000, 2000))
+
+        def is_termless(slot, asker=other):
+            promise = fleet.until(one.node.node.net.handlers["prepare"](
+                idl.Hello(nodeId=asker), idl.Node.prepare_args(slot=slot, epoch=next(epochs), owner=asker, parts=True,
+                                                               rosterVersion=one.node.voter.roster.version)))
+            self.assertTrue(promise.granted)
+            return promise.termless
+        owners = one.node.owners
+        self.assertFalse(is_termless(next(iter(owners.held))))
+        slot = next(slot for slot in range(SLOTS) if slot not in owners.held)
+        self.assertTrue(is_termless(slot))
+        owners._taking.add(slot)
+        self.assertFalse(is_termless(slot))
+        self.assertTrue(is_termless(slot, one.node.node.nodeId))
+        owners._taking.discard(slot)
+        roster = one.node.voter.roster
+        fleet.until(one.node.voter.setRoster(roster.record | {"version": roster.version + 1, "next": roster.members}))
+        self.assertFalse(is_termless(slot))
+        one.kill()
+        one.start()
+        fleet.run(0.2)
+        self.assertFalse(is_termless(slot))
+        fleet.run(2 * TERM)
+        one.node.owners._taking.clear()
+        self.assertTrue(is_termless(next(slot for slot in range(SLOTS) if slot not in one.node.owners.held)))
+
 
 class Restarts(SelfForming):
     def test_owner_that_comes_back_begins_a_new_epoch(self):
