--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -178,6 +178,8 @@
 EJECT_LONGEST = 8.0         # s; a replaced or restarted one must not be left out for long
 RETRY_AFTER_LEAST = 0.2     # s; what a caller is told who was refused early: a few short requests' time
 OUTAGE_RETRY_AFTER = 1.0    # s; what a caller is told while an owner or the news are being replaced: about what is left of that
+HOLD_SHARE = 0.4            # share of the caller's time left; a request that came while the news are missing waits so long for them,
+                            # the rest is for its run or for another try elsewhere
 OUTAGE_SHARE = 0.3          # share of the caller's time left; later it would not come back at all
 PATIENCE_SHARE = 0.5        # share of the time left; a request waits for room so long, the rest is for its run
 ANSWER_HELD = 256 << 10     # bytes; of an answer gathered before any of it is passed on, so that a cut one may be tried again
--- a/packages/oakgate/oakgate/relay.py
+++ b/packages/oakgate/oakgate/relay.py
@@ -14,7 +14,7 @@
 
 from twisted.internet import defer
 
-from oakbase.constants import (ANSWER_HELD, CALL_TIME, CLAIM_ANSWER_LIMIT, CLAIM_LEAVE, FULL_RETRY,
+from oakbase.constants import (ANSWER_HELD, CALL_TIME, CLAIM_ANSWER_LIMIT, CLAIM_LEAVE, FRESH_POLL, FULL_RETRY, HOLD_SHARE,
                                OUTAGE_RETRY_AFTER, OUTAGE_SHARE, PATIENCE_SHARE, REFUSAL_LIMIT, RETRY_AFTER_LEAST, SETTLE_PAUSE,
                                TURN_OUTPUT_LIMIT)
 from oakbase.tasks import shielded, sleep, spawn, within
@@ -53,6 +53,33 @@
     return blake2b(b"\0".join(parts), digest_size=16).hexdigest()
 
 
+class FreshNews:
+    """Requests that came while the news may not be acted on, as after an outage of all: they wait a while, and nothing of
+    them has run. Invariant: while any wait, a look is set."""
+
+    def __init__(self, reactor, staleness):
+        self._reactor, self._staleness, self._waiting = reactor, staleness, []
+
+    async def wait(self, until):
+        """Why the news may still not be acted on at this time, or None as soon as they may."""
+        while (why := self._staleness()) is not None and self._reactor.seconds() < until:
+            if not self._waiting:
+                self._reactor.callLater(FRESH_POLL, self._look)
+            waiter = defer.Deferred()
+            self._waiting.append((until, waiter))
+            await waiter
+        return why
+
+    def _look(self):
+        is_fresh, now = self._staleness() is None, self._reactor.seconds()
+        woken = [waiter for until, waiter in self._waiting if is_fresh or until <= now]
+        self._waiting = [] if is_fresh else [entry for entry in self._waiting if entry[0] > now]
+        if self._waiting:
+            self._reactor.callLater(FRESH_POLL, self._look)
+        for waiter in woken:
+            waiter.callback(None)
+
+
 class Relay:
     def __init__(self, gate, dialect, router, balancer, upstreams, turn_client):
         self._gate, self._node, self._reactor, self._log = gate, gate.node, gate.node.reactor, gate.node.log
@@ -60,6 +87,7 @@
         self._upstreams, self._turns, self._owners = upstreams, turn_client, gate.owners
         self._metrics = gate.metrics
         self._settler = Settler(gate)
+        self._news = FreshNews(self._reactor, lambda: router.staleness() or gate.replicas_staleness())
         self._chains = {"safe": self._plain, "unsafe": self._plain, "tracked": self._tracked, "stream": self._stream}
 
     # --- entry ---
@@ -91,11 +119,13 @@
         return max(RETRY_AFTER_LEAST, min(OUTAGE_RETRY_AFTER, OUTAGE_SHARE * time_left))
 
     async def _serve(self, exchange, request):
-        why = self._router.staleness()
-        if why is not None:
-            raise CannotTell(why)
         if request.fault is not None:
             raise BadRequest(request.fault)
+        why = await self._news.wait(exchange.received_at + HOLD_SHARE * (request.time_left_s or 0.0))
+        if why is not None:
+            raise CannotTell(why)
+        if exchange.is_gone:
+            raise TimeSpent("the caller went away")
         route = self._router.find(exchange.host, exchange.path)
         if route is None:
             raise Unknown("no route for this host and path")
