--- a/packages/oakbase/oakbase/metrics.py
+++ b/packages/oakbase/oakbase/metrics.py
@@ -25,3 +25,10 @@
     def toText(self):
         shown = [*self._counters.items(), *((name, ask()) for name, ask in self._gauges.items())]
         return "".join(f"{name} {value:g}\n" for name, value in sorted(shown))
+
+
+def serve_metrics(web, metrics):
+    """Shows the metrics at GET /metrics of this web."""
+    async def show(_call):
+        return 200, metrics.toText().encode()
+    web.route("GET", "/metrics", show)
--- a/packages/oakcontrol/oakcontrol/control.py
+++ b/packages/oakcontrol/oakcontrol/control.py
@@ -2,7 +2,7 @@
 import time
 
 from oakbase.constants import ACCEPT_INBOX, OWNER_TRIES_PAUSE, SLOTS
-from oakbase.metrics import Metrics
+from oakbase.metrics import Metrics, serve_metrics
 from oakbase.tasks import settled, sleep, spawn
 from oakbase.verdict import OakError
 from oakbase.web import Web
@@ -21,12 +21,6 @@
 from oakring.ring import Ring
 
 
-def serveMetrics(web, metrics):
-    async def show(_call):
-        return 200, metrics.toText().encode()
-    web.route("GET", "/metrics", show)
-
-
 class ControlNode:
     slotCount = SLOTS
 
@@ -44,7 +38,7 @@
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
         self.operator = Operator(self, dialect) if dialect is not None and env.get("operator") else None
         self.metrics = Metrics()
-        serveMetrics(self.web, self.metrics)
+        serve_metrics(self.web, self.metrics)
         Admin(self)
         for name, ask in (("slots_held", lambda: len(self.owners.held)),
                           ("ring_syncs", lambda: self.ring.syncCount),
--- a/packages/oakgate/oakgate/gate.py
+++ b/packages/oakgate/oakgate/gate.py
@@ -3,8 +3,8 @@
 
 from oakbase.constants import ACCEPT_INBOX, SETTLE_TIME
 from oakbase.fetch import WebClient
+from oakbase.metrics import serve_metrics
 from oakbase.web import Web
-from oakcontrol.control import serveMetrics
 from oakgate.base import GateBase
 from oakgate.bindings import Bindings
 from oakgate.carry import Carrier
@@ -32,7 +32,7 @@
                 ("POST", "/v1/{partner}/plain/{binding}", plain.post),
                 ("GET", "/condition", self._condition)):
             self.web.route(method, path, handler)
-        serveMetrics(self.web, self.metrics)
+        serve_metrics(self.web, self.metrics)
         for name, ask in (("requests_running", lambda: self.web.running),
                           ("requests_waiting", self.placer.waitingCount),
                           ("settling", lambda: len(self.settling)),
--- a/packages/oakgate/oakgate/relay_node.py
+++ b/packages/oakgate/oakgate/relay_node.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 
 from oakbase.constants import (ACCEPT_INBOX, BODY_LIMIT, IDLE_CALLER_TIME, READY_DRAIN, REPLICA_AGE, RELAY_BOUND, RETRY_AFTER_LEAST, SETTLE_TIME)
+from oakbase.metrics import serve_metrics
 from oakbase.tasks import sleep
 from oakbase.verdict import CannotTell, Overloaded
 from oakbase.web import Web
-from oakcontrol.control import serveMetrics
 from oakcontrol.places import REPLICAS_KEY
 from oakgate.balancer import Balancer
 from oakgate.base import GateBase
@@ -51,7 +51,7 @@
         self.ready_web = Web(reactor, env["ready"], self.node.log, ACCEPT_INBOX)
         self.ready_web.route("GET", dialect.ready_path, self._ready)
         self.web.route("GET", "/condition", self._condition)
-        serveMetrics(self.web, self.metrics)
+        serve_metrics(self.web, self.metrics)
         for name, ask in (("requests_running", lambda: self.front.running),
                           ("requests_waiting", self.balancer.waiting_count),
                           ("settling", lambda: len(self.settling)),
--- a/packages/oakstore/oakstore/store.py
+++ b/packages/oakstore/oakstore/store.py
@@ -9,12 +9,11 @@
 from oakbase.checks import packJson
 from oakbase.constants import (ACCEPT_INBOX, HINT_LIMIT, LINE_KEPT, LINE_SIZE, RECORD_PAGE, RING_COMMIT_SHARE,
                                STORE_CALL_TIME, STORE_COPY_PAUSE, STORE_SWEEP, SWEEP_HINTS)
-from oakbase.metrics import Metrics
+from oakbase.metrics import Metrics, serve_metrics
 from oakbase.tasks import Repeater, quorumOf, spawn
 from oakbase.verdict import BadRequest, CannotTell, Fenced, NoAnswer, OakError, TooLarge
 from oakbase.web import Web
 from oakcohort.members import LIVE
-from oakcontrol.control import serveMetrics
 from oakcontrol.storeset import STORES_KEY, StoreSet, majority
 from oakdvv.context import fromContext, toContext
 from oaknews.node import Node
@@ -335,7 +334,7 @@
         self.node.board.watch(STORES_KEY, lambda _source: self._mayStartOver())
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
         self.web.route("GET", "/condition", self._condition)
-        serveMetrics(self.web, self.store.metrics)
+        serve_metrics(self.web, self.store.metrics)
         for name, ask in (("lines", lambda: len(self.store.table.rows)),
                           ("turns", lambda: len(self.store.table.records)),
                           ("hints", self.store.hintCount),
