--- a/packages/oakring/oakring/ring.py
+++ b/packages/oakring/oakring/ring.py
@@ -34,6 +34,7 @@
 ENTRY = struct.Struct("<II")
 REMOVED = 0xFFFFFFFF
 COPY_SHARE = 8      # one copied record takes at most this part of a file, so that little is left over at its end
+LOST_HEAD_READ = 1 << 18    # bytes; of a lap that cannot have been begun
 COMMIT_SHARE = 2    # one commit takes at most this part of a file, for the same reason
 
 
@@ -75,9 +76,14 @@
     return number, syncedNumber, data[offset + RECORD.size:end], end
 
 
+def _markOf(lap):
+    """What each record of this lap begins with."""
+    return RECORD_MARK + struct.pack("<I", lap & 0xFFFFFFFF)
+
+
 def _recordsAfter(data, lap, offset):
     """Every whole record of this lap at or past an unreadable place."""
-    mark = RECORD_MARK + struct.pack("<I", lap & 0xFFFFFFFF)
+    mark = _markOf(lap)
     place = data.find(mark, offset)
     while place >= 0:
         record = _readRecord(data, lap, place)
@@ -137,11 +143,11 @@
             self._openLap(0)
             self._disk.syncNow([self._fileName(0)])
             return
-        torn = self._replayAll(heads)
+        torn_until = self._replayAll(heads)
         self._refuseLostHead(self._laps[-1] + 1)
-        if torn:
+        if torn_until > self._offset:
             self._log.event("ringTornTail", file=self._fileName(self._laps[-1]), offset=self._offset)
-            self._disk.write(self._fileName(self._laps[-1]), self._offset, bytes(self._fileSize - self._offset))
+            self._disk.write(self._fileName(self._laps[-1]), self._offset, bytes(torn_until - self._offset))
         # A process that died without a power cut left writes that look whole but may not last yet.
         self._disk.syncNow(fileNames)
         self._syncedNumber = self._number
@@ -164,10 +170,11 @@
         return heads
 
     def _replayAll(self, heads):
-        """Applies all whole records in order; returns whether a torn tail must be wiped."""
+        """Applies all whole records in order; returns up to where the last lap's rest must be wiped: past whatever could
+        be taken for a record of this lap. What former laps left there never is."""
         oldest = min(heads)
         self._number = heads[oldest][0] - 1
-        torn = hasRest = False
+        torn, torn_until = False, 0
         for lap in range(oldest, max(heads) + 1):
             firstNumber, syncedNumber = heads.get(lap, (None, 0))
             if firstNumber is not None and syncedNumber > self._number:
@@ -181,8 +188,9 @@
                 continue
             self._laps.append(lap)
             self._replay(lap, data)
-            hasRest = data.count(0, self._offset) < len(data) - self._offset
-        return torn or hasRest
+            last = data.rfind(_markOf(lap), self._offset)
+            torn_until = 0 if last < 0 else min(len(data), last + RECORD.size)
+        return torn_until
 
     def _replay(self, lap, data):
         self._offset = LAP_SIZE
@@ -199,8 +207,10 @@
                                   f"read, though record {number} says it was synced")
 
     def _refuseLostHead(self, lap):
-        """A lap whose header is unreadable, but which holds records that were synced."""
-        self._refuseSynced(self._disk.read(self._fileName(lap)), lap, 0)
+        """A lap whose header is unreadable, but which holds records that were synced. While the lap before has room for any
+        commit, this one was never begun: its first part is read all the same, in case both have lost something."""
+        may_be_begun = not self._laps or self._fileSize - self._offset < self.commitLimit() + 2 * RECORD.size
+        self._refuseSynced(self._disk.read(self._fileName(lap), -1 if may_be_begun else LOST_HEAD_READ), lap, 0)
 
     def _apply(self, lap, key, value):
         size = ENTRY.size + len(key.encode()) + len(value or b"")
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -6,7 +6,7 @@
 from oakbase.verdict import RingDamaged, RingError, RingFull
 from oaklab.simdisk import SimDisk
 from oaklab.simnet import SimHost, SimNetwork, SimTime
-from oakring.ring import LAP_SIZE, RECORD, Ring
+from oakring.ring import LAP_SIZE, LOST_HEAD_READ, RECORD, Ring
 
 FILE_SIZE = 4096
 
@@ -105,6 +105,40 @@
         rig.open()
         self.assertEqual(len(rig.ring.table), 10)
 
+    def test_start_reads_and_writes_no_more_than_needed(self):
+        """
+        ring                                    a new start
+        in its first lap                        reads the lap and the first part of the next
+        its files are in their second lap       wipes nothing
+        a torn tail behind the last record      wipes that, and nothing of the former lap
+        """
+        rig = Rig(fileSize=1 << 20)
+        written, read = [], []
+
+        def counted(function, counts):
+            def call(name, *rest):
+                result = function(name, *rest)
+                counts.append((name, len(rest[1] if len(rest) > 1 else result)))
+                return result
+            return call
+        rig.disk.write, rig.disk.read = counted(rig.disk.write, written), counted(rig.disk.read, read)
+        rig.open()
+        self.assertEqual(max(size for name, size in read if name == "ring.001"), LOST_HEAD_READ)
+        while rig.ring._laps[-1] < 9:
+            self.assertIs(rig.commitNow(("a", bytes(100000))), True)
+        del written[:]
+        rig.open()
+        self.assertEqual(written, [])
+        rig.commit(("a", b"not synced"))
+        rig.open()  # the process died, its write is whole: it counts
+        self.assertEqual((rig.ring.table["a"], written[1:]), (b"not synced", []))
+        head, offset = rig.ring._fileName(rig.ring._laps[-1]), rig.ring._offset
+        rig.commit(("a", b"half of it is torn"))
+        rig.disk._files[head][offset + RECORD.size] ^= 0xFF
+        del written[:]
+        rig.open()
+        self.assertEqual((rig.ring.table["a"], written), (b"not synced", [(head, RECORD.size)]))
+
     def testDamagedHeaderOfTheOnlyLap(self):
         rig = Rig()
         self.assertIs(rig.commitNow(("a", b"x")), True)
