--- a/packages/oakwire/oakwire/net.py
+++ b/packages/oakwire/oakwire/net.py
@@ -5,10 +5,10 @@
 """
 import itertools
 import json
+from struct import Struct
 
 from twisted.internet import defer, protocol
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.protocols.basic import Int32StringReceiver
 
 from oakbase.constants import (ACCEPT_LIMIT, CALL_TIME, CONNECT_TIME, FRAME_LIMIT, HELLO_TIME, PEER_IN_FLIGHT,
                                RECONNECT_PAUSE, WIRE_SPAN, WIRE_VERSION)
@@ -19,17 +19,18 @@
 from oakwire.codec import argumentsClass, idl, pack, resultClass, unpack
 
 OPEN_METHODS = frozenset(["pull"])  # what one may ask that is not a member yet
+LENGTH = Struct("!I")  # of the frame that follows
 
 
-class Connection(Int32StringReceiver):
+class Connection(protocol.Protocol):
     """Invariants: nothing but a hello is read before the peer's hello; `_inFlight` holds exactly the
     calls that were written and not answered, by number, with the time at which each is given up; once lost, it is
-    empty and stays so; while it holds any, `_timer` runs out no later than the first of these times."""
-
-    MAX_LENGTH = FRAME_LIMIT
+    empty and stays so; while it holds any, `_timer` runs out no later than the first of these times; `_unread` is the
+    beginning of one frame, and none of it has been taken."""
 
     def __init__(self, net):
         self._net = net
+        self._unread = b""
         self._inFlight = {}
         self._running = 0
         self._callIds = itertools.count(1)
@@ -47,10 +48,38 @@
 
     def _send(self, struct):
         self.sendString(pack(struct))
-        # At once, without waiting for the reactor to say that the socket takes it, which it nearly always does. What it does
-        # not take, or a fault, the reactor meets again.
-        if hasattr(self.transport, "doWrite"):
-            self.transport.doWrite()
+
+    def sendString(self, data):
+        """At once, without waiting for the reactor to say that the socket takes it, which it nearly always does. What it does
+        not take, or a fault, the reactor meets again. The doWrite() leaves what waits in `dataBuffer`, where it is seen."""
+        framed, transport = LENGTH.pack(len(data)) + data, self.transport
+        if not hasattr(transport, "writeSomeData"):
+            transport.write(framed)
+            return
+        if transport.connected and not transport.disconnecting and not transport.dataBuffer:
+            sent = transport.writeSomeData(framed)
+            if sent == len(framed):
+                return
+            framed = framed if isinstance(sent, Exception) else framed[sent:]
+        transport.write(framed)
+        transport.doWrite()
+
+    def dataReceived(self, data):
+        if self._unread:
+            data = self._unread + data
+        start, end = 0, len(data)
+        while end - start >= LENGTH.size:
+            length, = LENGTH.unpack_from(data, start)
+            if length > FRAME_LIMIT:
+                self._unread = b""
+                self._drop("frameTooLong", length=length)
+                return
+            following = start + LENGTH.size + length
+            if following > end:
+                break
+            frame, start = data[start + LENGTH.size:following], following
+            self.stringReceived(frame)
+        self._unread = data[start:]
 
     def connectionLost(self, reason=protocol.connectionDone):
         self.connected = 0  # the base class leaves it set
@@ -66,9 +95,6 @@
         for answer, _, _ in waiting.values():
             answer.errback(NoAnswer("connection lost before the answer"))
 
-    def lengthLimitExceeded(self, length):
-        self._drop("frameTooLong", length=length)
-
     def _drop(self, why, **pairs):
         self._net.log.event("peerClosed", why=why, peer=self.peer.nodeId if self.peer else
                             self.transport.getPeer().host, **pairs)
--- /dev/null
+++ b/tests/test_frames.py
@@ -0,0 +1,90 @@
+"""Frames on a connection, however its bytes are cut into pieces, and whatever the kernel takes of what is sent."""
+import unittest
+from types import SimpleNamespace
+
+from oakbase.constants import FRAME_LIMIT
+from oakwire.net import LENGTH, Connection
+
+
+class Kernel:
+    """A transport with a socket that takes `room` bytes at a time; what it did not take waits in `dataBuffer`."""
+
+    def __init__(self, room):
+        self.room, self.taken, self.dataBuffer, self._waiting = room, b"", b"", []
+        self.connected, self.disconnecting, self.aborted, self.calls = True, False, False, []
+
+    def writeSomeData(self, data):
+        self.calls.append(len(data))
+        if isinstance(self.room, Exception):
+            return self.room
+        self.taken += data[:self.room]
+        return len(data[:self.room])
+
+    def write(self, data):
+        self._waiting.append(data)
+
+    def doWrite(self):
+        self.dataBuffer, self._waiting = self.dataBuffer + b"".join(self._waiting), []
+        sent = self.writeSomeData(self.dataBuffer)
+        if not isinstance(sent, Exception):
+            self.dataBuffer = self.dataBuffer[sent:]
+
+    def getPeer(self):
+        return SimpleNamespace(host="127.0.0.1")
+
+    def abortConnection(self):
+        self.aborted = True
+
+
+class Frames(unittest.TestCase):
+    def setUp(self):
+        self.events = []
+        log = SimpleNamespace(event=lambda name, **pairs: self.events.append(pairs["why"]))
+        self.connection = Connection(SimpleNamespace(log=log))
+        self.read = []
+        self.connection.stringReceived = self.read.append
+
+    def transport(self, room):
+        self.connection.transport = Kernel(room)
+        return self.connection.transport
+
+    def testEveryCutOfTheBytesGivesTheSameFrames(self):
+        frames = [b"", b"a", b"bc" * 40, b"", b"d" * 300]
+        stream = b"".join(LENGTH.pack(len(frame)) + frame for frame in frames)
+        for size in (1, 2, 3, 5, 7, 83, 84, 85, len(stream) - 1, len(stream)):
+            self.read.clear()
+            for start in range(0, len(stream), size):
+                self.connection.dataReceived(stream[start:start + size])
+            self.assertEqual(self.read, frames, size)
+
+    def testAGarbageLengthEndsTheConnectionAtOnce(self):
+        kernel = self.transport(100)
+        self.connection.dataReceived(LENGTH.pack(1) + b"x" + LENGTH.pack(FRAME_LIMIT + 1) + b"y" * 50)
+        self.assertEqual((self.read, self.events, kernel.aborted), ([b"x"], ["frameTooLong"], True))
+        self.connection.dataReceived(LENGTH.pack(FRAME_LIMIT)[:3])
+        self.assertEqual(self.read, [b"x"])
+
+    def testWhatTheKernelTakesGoesInOneCall(self):
+        kernel = self.transport(1000)
+        self.connection.sendString(b"abc")
+        self.assertEqual((kernel.calls, kernel.taken, kernel.dataBuffer), ([7], LENGTH.pack(3) + b"abc", b""))
+
+    def testWhatItDoesNotTakeStaysInOrder(self):
+        kernel = self.transport(6)
+        frames = [b"abcdefghijkl", b"m", b"nopqrstuvw"]
+        for frame in frames:
+            self.connection.sendString(frame)
+        for _ in range(20):
+            kernel.doWrite()
+        self.assertEqual(kernel.taken, b"".join(LENGTH.pack(len(frame)) + frame for frame in frames))
+
+    def testAFaultIsLeftToTheReactor(self):
+        kernel = self.transport(OSError("reset"))
+        self.connection.sendString(b"abc")
+        self.assertEqual(kernel.dataBuffer, LENGTH.pack(3) + b"abc")
+
+    def testATransportWithoutASocketIsWrittenTo(self):
+        written = []
+        self.connection.transport = SimpleNamespace(write=written.append)
+        self.connection.sendString(b"abc")
+        self.assertEqual(written, [LENGTH.pack(3) + b"abc"])
