--- a/packages/oaknews/oaknews/board.py
+++ b/packages/oaknews/oaknews/board.py
@@ -27,13 +27,18 @@
     movedAt: int = 0    # the board's count of moves when this one last moved
 
 
+ABSENT = Image()                            # stands for an image that is not here: it has no age that could be given
+SETTLED = Image(confirmedAt=float("inf"))   # stands for one that no age from elsewhere confirms
+
+
 class Board:
     """Invariants: `moves` rises whenever an image moves, and every image's `movedAt` is unlike the others'; `losses` rises
-    whenever an image may have become older than what a neighbour was told of."""
+    whenever an image may have become older than what a neighbour was told of; `revision` rises whenever an image comes,
+    moves or goes, or this node begins or ends to speak for it."""
 
     def __init__(self, reactor):
         self._reactor = reactor
-        self.moves = self.losses = 0
+        self.moves = self.losses = self.revision = 0
         self.images = {}
         self._ownSources = {}
         self._watchers = {}
@@ -43,16 +48,25 @@
     def publish(self, source, confirmedAt):
         """This node speaks for `source` from now on. `confirmedAt()` is the newest time for which it may
         vouch, or None if it cannot at the moment."""
+        if source not in self._ownSources:
+            self.revision += 1
         self._ownSources[source] = confirmedAt
-        return self.images.setdefault(source, Image())
+        return self._entered(source)
+
+    def _entered(self, source):
+        if source not in self.images:
+            self.images[source] = Image()
+            self.revision += 1
+        return self.images[source]
 
     def retract(self, source):
         if self._ownSources.pop(source, None) is not None:
             self.losses += 1  # what others sent of it meanwhile was not taken in
+            self.revision += 1
 
     def setItems(self, source, version, values):
         """The source moved to `version` and now has these items and no others."""
-        image = self.images.setdefault(source, Image())
+        image = self._entered(source)
         if version <= image.version:
             return
         gone = [name for name, (_, value) in image.items.items() if value is not None and name not in values]
@@ -71,6 +85,7 @@
 
     def _moved(self, source, image):
         self.moves += 1
+        self.revision += 1
         image.movedAt = self.moves
         self._tell(source)
 
@@ -108,6 +123,7 @@
     def drop(self, source):
         if self.images.pop(source, None) is not None:
             self.losses += 1
+            self.revision += 1
 
     # --- pulling ---
 
@@ -120,18 +136,24 @@
     def movedSince(self, moves):
         return [] if moves == self.moves else [pair for pair in self.images.items() if pair[1].movedAt > moves]
 
-    def agesMs(self, pairs):
-        """For each (source, version) the age of this node's image of it, or None if it has none of just that version."""
+    def imagesAt(self, pairs):
+        """For each (source, version) this node's image, as long as `revision` stands."""
+        images = self.images
+        return [image if (image := images.get(source)) is not None and image.version == version else ABSENT
+                for source, version in pairs]
+
+    def imagesToConfirm(self, seen):
+        """The same for a vector of this node's own, but what it speaks for itself is not confirmed by others."""
+        images, own = self.images, self._ownSources
+        return [image if (image := images.get(one.source)) is not None and image.version == one.version
+                and one.source not in own else SETTLED for one in seen]
+
+    def agesMs(self, images):
+        """The age of each, None if it has none."""
         for source in self._ownSources:
             self.confirmedAt(source)
-        images, now, ages = self.images, self._reactor.seconds(), []
-        for source, version in pairs:
-            image = images.get(source)
-            if image is None or image.version != version or now - image.confirmedAt > AGE_LIMIT / 1000:
-                ages.append(None)
-            else:
-                ages.append(int((now - image.confirmedAt) * 1000) + 1)
-        return ages
+        now, limit = self._reactor.seconds(), AGE_LIMIT / 1000
+        return [int(age * 1000) + 1 if (age := now - image.confirmedAt) <= limit else None for image in images]
 
     def confirm(self, source, at):
         """Whether there is such an image; what it says was so at this time."""
@@ -176,23 +198,15 @@
             if image is not None and image.version == known.version and known.source not in self._ownSources:
                 image.confirmedAt = max(image.confirmedAt, askedAt - one.ageMs / 1000)
         if news.agesPacked:
-            self._mergeAges(unpackAges(news.agesPacked), seen, askedAt)
-
-    def _mergeAges(self, ages, seen, askedAt):
-        images, own = self.images, self._ownSources
-        for one, age in zip(seen, ages):
-            image = images.get(one.source)
-            if age is None or image is None or image.version != one.version or one.source in own:
-                continue
-            at = askedAt - age / 1000
-            if at > image.confirmedAt:
-                image.confirmedAt = at
+            for image, age in zip(seen.imagesIn(self), unpackAges(news.agesPacked)):
+                if age is not None and askedAt - age / 1000 > image.confirmedAt:
+                    image.confirmedAt = askedAt - age / 1000
 
     def mergeImages(self, images, askedAt):
         for received in images:
             if received.source in self._ownSources:
                 continue
-            image = self.images.setdefault(received.source, Image())
+            image = self._entered(received.source)
             if received.version < image.version:
                 continue
             moved = received.version > image.version
--- a/packages/oaknews/oaknews/exchange.py
+++ b/packages/oaknews/oaknews/exchange.py
@@ -12,12 +12,38 @@
 AGE_UNKNOWN = 0xFFFF  # ms; an age from here on is not given, and the puller goes on counting from the last one
 
 
+class Vector(list):
+    """What a puller told, in the order in which it told it. Invariant: `_images` are the board's images of it as long as
+    neither the vector nor the board's revision has changed since."""
+
+    def __init__(self):
+        super().__init__()
+        self._places = {}
+        self._images, self._revision = [], None
+
+    def enter(self, moved):
+        if moved:
+            self._revision = None
+        for one in moved:
+            if one.source in self._places:
+                self[self._places[one.source]] = one
+            else:
+                self._places[one.source] = len(self)
+                self.append(one)
+
+    def imagesIn(self, board):
+        """For each place what an age from elsewhere may confirm."""
+        if self._revision != board.revision:
+            self._images, self._revision = board.imagesToConfirm(self), board.revision
+        return self._images
+
+
 class Told:
     """The puller's side, for one address. Invariant: `seen` is what the other has under `basis`, once it has answered."""
 
     def __init__(self, board, basis):
         self._board, self.basis = board, basis
-        self.seen, self._places = [], {}
+        self.seen = Vector()
         self._moves, self._losses = -1, board.losses
         self.ownVersion = None
 
@@ -29,18 +55,14 @@
         if self._moves == self._board.moves:
             return []
         moved = self._board.seenSince(self._moves)
-        for one in moved:
-            if one.source in self._places:
-                self.seen[self._places[one.source]] = one
-            else:
-                self._places[one.source] = len(self.seen)
-                self.seen.append(one)
+        self.seen.enter(moved)
         self._moves = self._board.moves
         return moved
 
 
 class Heard:
-    """The other side, for one puller. Invariant: `versions` holds the puller's vector in the order in which it was told."""
+    """The other side, for one puller. Invariants: `versions` holds the puller's vector in the order in which it was told;
+    `_images` are the board's images of just these versions as long as neither they nor the board's revision have changed."""
 
     def __init__(self, basis):
         self.basis = basis
@@ -48,8 +70,11 @@
         self.ownSource = None
         self.heardAt = 0.0
         self._moves = -1
+        self._images, self._revision = [], None
 
     def take(self, moved):
+        if moved:
+            self._revision = None
         self.versions.update((one.source, one.version) for one in moved)
 
     def newsFrom(self, board):
@@ -57,7 +82,9 @@
         images = [board.imageFor(source, version) for source, image in board.movedSince(self._moves)
                   if (version := self.versions.get(source, 0)) < image.version or source not in self.versions]
         self._moves = board.moves
-        return idl.News(images=images, basis=self.basis, agesPacked=packAges(board.agesMs(self.versions.items())))
+        if self._revision != board.revision:
+            self._images, self._revision = board.imagesAt(self.versions.items()), board.revision
+        return idl.News(images=images, basis=self.basis, agesPacked=packAges(board.agesMs(self._images)))
 
 
 def packAges(ages):
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -167,6 +167,18 @@
         self.pull()
         self.assertEqual((self.a.versions()["slot/1"], self.a.board.values("slot/1")), (2, {"owner": b"b"}))
 
+    def testWhoSpeaksForASourceTakesNoAgeOfItFromThenOn(self):
+        self.publish(self.b, "slot/1", 1, owner="b")
+        for _ in range(3):
+            self.pull()
+        self.a.board.publish("slot/1", lambda: None)
+        self.run_(3.0)
+        self.pull()
+        self.assertGreater(self.a.board.age("slot/1"), 2.9)
+        self.a.board.retract("slot/1")
+        self.pull()
+        self.assertLess(self.a.board.age("slot/1"), 0.01)
+
     def testWhatWasDroppedComesAgain(self):
         self.publish(self.b, "slot/1", 1, owner="b")
         self.pull()
@@ -234,6 +246,17 @@
     def testPackedAges(self):
         self.assertEqual(unpackAges(packAges([1, None, 65534, 65535, 10 ** 9])), [1, None, 65534, None, None])
 
+    def testAnEmptyImageHasAnAgeAsSoonAsItIsThere(self):
+        time = SimTime()
+        board, heard = Board(SimReactor(SimHost(SimNetwork(time, random.Random(1)), "127.0.0.1"))), Heard(1)
+        heard.take([idl.Seen(source="s", version=0)])
+        ages = []
+        for step in (lambda: None, lambda: board.publish("s", lambda: 0.0), lambda: board.drop("s"),
+                     lambda: board.setItems("s", 0, {}), lambda: heard.take([idl.Seen(source="s", version=1)])):
+            step()
+            ages += unpackAges(heard.newsFrom(board).agesPacked)
+        self.assertEqual(ages, [None, 1, None, 1, None])
+
     def testAnAgeIsNeverUnderstated(self):
         time = SimTime()
         board = Board(SimReactor(SimHost(SimNetwork(time, random.Random(1)), "127.0.0.1")))
