--- a/packages/oakwire/oakwire/net.py
+++ b/packages/oakwire/oakwire/net.py
@@ -16,7 +16,7 @@
 from oakbase.tasks import begin, drive, spawn
 from oakbase.verdict import (BadRequest, Fenced, NoAnswer, OakError, Overloaded, TimeSpent, Unknown, Unreachable,
                              errorFrom)
-from oakwire.codec import argumentsClass, idl, pack, resultClass, unpack
+from oakwire.codec import argumentsClass, idl, pack, packFrame, resultClass, unpack, unpackFrame
 
 OPEN_METHODS = frozenset(["pull"])  # what one may ask that is not a member yet
 LENGTH = Struct("!I")  # of the frame that follows
@@ -44,10 +44,7 @@
         self.transport.setTcpNoDelay(True)
         self._helloCall = self._net.reactor.callLater(HELLO_TIME, self._drop, "noHello")
         self._net.connections[self] = None
-        self._send(self._net.hello())
-
-    def _send(self, struct):
-        self.sendString(pack(struct))
+        self.sendString(pack(self._net.hello()))
 
     def sendString(self, data):
         """At once, without waiting for the reactor to say that the socket takes it, which it nearly always does. What it does
@@ -105,7 +102,7 @@
             if self.peer is None:
                 self._meet(unpack(idl.Hello, data))
                 return
-            frame = unpack(idl.Frame, data)
+            frame = unpackFrame(data)
             if frame.callId is None:
                 raise BadRequest("a frame without a call id")
             if frame.method:
@@ -139,7 +136,7 @@
         self._inFlight[callId] = (answer, self._net.reactor.seconds() + timeLeft, method)
         self._wakeWithin(timeLeft)
         self._net.callCounts[method] = self._net.callCounts.get(method, 0) + 1
-        self._send(idl.Frame(callId=callId, method=method, timeLeftMs=int(timeLeft * 1000), body=body))
+        self.sendString(packFrame(idl.Frame(callId=callId, method=method, timeLeftMs=int(timeLeft * 1000), body=body)))
         return answer
 
     def _wakeWithin(self, timeLeft):
@@ -206,7 +203,7 @@
 
     def _answer(self, frame):
         if self.connected:
-            self._send(frame)
+            self.sendString(packFrame(frame))
 
 
 class _Acceptor(protocol.Factory):
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -1,8 +1,10 @@
 """Frames on a connection, however its bytes are cut into pieces, and whatever the kernel takes of what is sent."""
+import random
 import unittest
 from types import SimpleNamespace
 
 from oakbase.constants import FRAME_LIMIT
+from oakwire.codec import idl, pack, packFrame, unpack, unpackFrame, unpackUsual
 from oakwire.net import LENGTH, Connection
 
 
@@ -88,3 +90,33 @@
         self.connection.transport = SimpleNamespace(write=written.append)
         self.connection.sendString(b"abc")
         self.assertEqual(written, [LENGTH.pack(3) + b"abc"])
+
+
+class Codec(unittest.TestCase):
+    """The frames that are packed by hand are those of the library, byte for byte and field for field."""
+
+    FRAMES = [
+        idl.Frame(callId=1, method="pull", timeLeftMs=800, body=b"abc"), idl.Frame(callId=-1, method="p", timeLeftMs=-5, body=b""),
+        idl.Frame(callId=2 ** 63 - 1, method="\u00fcnknown", timeLeftMs=0, body=b"\0" * 70), idl.Frame(callId=7, body=b""),
+        idl.Frame(callId=8, body=bytes(range(256))), idl.Frame(callId=9), idl.Frame(callId=10, method="release"), idl.Frame(),
+        idl.Frame(callId=11, error="fenced", reason="no", verdict="no", detail="{}"), idl.Frame(body=b"x"),
+        idl.Frame(callId=12, method="", timeLeftMs=1, body=b"x"), idl.Frame(callId=13, error="", body=b"x")]
+
+    def testBytesAndFieldsAreTheLibrarys(self):
+        for frame in self.FRAMES:
+            if frame.callId is not None and (frame.method is None or frame.timeLeftMs is not None):
+                self.assertEqual(packFrame(frame), pack(frame), frame)
+            self.assertEqual(vars(unpackFrame(pack(frame))), vars(unpack(idl.Frame, pack(frame))), frame)
+
+    def testWhatIsReadOfASpoiltFrameIsWhatTheLibraryReads(self):
+        chooser, usual = random.Random(5), 0
+        for _ in range(20000):
+            data = bytearray(pack(chooser.choice(self.FRAMES)))
+            for _ in range(chooser.randrange(1, 4)):
+                data[chooser.randrange(len(data))] = chooser.choice((0, 1, 2, 3, 4, 8, 10, 11, 255, chooser.randrange(256)))
+            data = bytes(data[:chooser.choice((len(data), len(data), chooser.randrange(len(data) + 1)))])
+            frame = unpackUsual(data)
+            if frame is not None:
+                usual += 1
+                self.assertEqual(vars(frame), vars(unpack(idl.Frame, data)), data)
+        self.assertGreater(usual, 1000)
