--- a/packages/oakgate/oakgate/balancer.py
+++ b/packages/oakgate/oakgate/balancer.py
@@ -20,6 +20,7 @@
 from oakbase.verdict import Overloaded, TimeSpent
 from oakcohort.rendezvous import score
 from oakcontrol.places import REPLICAS_KEY
+from oakgate.outliers import Outliers
 
 
 @dataclass
@@ -79,6 +80,7 @@
         self._order = itertools.count()
         self._scores = {}
         self.on_gone = None
+        self.outliers = Outliers(node, log)
         node.board.watch(REPLICAS_KEY, self._refresh)
 
     # --- the table ---
@@ -120,7 +122,9 @@
     def _choose(self, wish):
         now = self._reactor.seconds()
         ready = [one for one in self.known(wish.service) if one.row["id"] not in wish.excluded]
+        left_out = self.outliers.among(wish.service, self.known(wish.service))
         usable = [one for one in ready if now >= one.closed_until]
+        usable = [one for one in usable if one.row["id"] not in left_out] or usable
         loads = {one.row["id"]: one.load(now) for one in usable}
         roomy = [one for one in usable if loads[one.row["id"]] < one.room(wish.default_slots)]
         if not roomy:
@@ -202,7 +206,8 @@
         instance.told_at, instance.own_then = self._reactor.seconds(), instance.own
 
     def shed(self, instance):
-        """It turned a request away, so it counts as full for a moment."""
+        """It turned a request away, so it counts as full for a moment; one that does so far more than its fellows is ill."""
+        self.outliers.fault(instance)
         instance.closed_until = max(instance.closed_until, self._reactor.seconds() + SHED_PAUSE)
 
     def succeeded(self, instance):
@@ -211,6 +216,7 @@
     def failed(self, instance, at_once=False):
         """One that fails again and again gets nothing for a while, unless most of its service is closed already."""
         instance.failures += 1
+        self.outliers.fault(instance)
         if instance.failures < EJECT_AFTER and not at_once:
             return
         now = self._reactor.seconds()
--- a/packages/oakgate/oakgate/relay.py
+++ b/packages/oakgate/oakgate/relay.py
@@ -16,7 +16,7 @@
 
 from oakbase.constants import (ANSWER_HELD, CALL_TIME, CLAIM_ANSWER_LIMIT, CLAIM_LEAVE, FRESH_POLL, FULL_RETRY, HOLD_SHARE,
                                OUTAGE_RETRY_AFTER, OUTAGE_SHARE, PATIENCE_SHARE, REFUSAL_LIMIT, RETRY_AFTER_LEAST, SETTLE_PAUSE,
-                               TURN_OUTPUT_LIMIT)
+                               STALLED_SHARE, STALLED_TIMES, TURN_OUTPUT_LIMIT)
 from oakbase.tasks import shielded, sleep, spawn, within
 from oakbase.verdict import (BadRequest, Broken, BudgetEmpty, CannotTell, InProgress, NoAnswer, OakError,
                              Overloaded, Rebound, TimeSpent, Unknown, Unreachable, Verdict)
@@ -347,10 +347,16 @@
                                                    len(passage.body), passage.last_id)
         cap = self._router.services[service].get("max_connections") or 64
         most = max(2, math.ceil(cap / max(1, len(self._node.members.live("gate")))))
-        answer = await self._upstreams.send(
-            row["address"], row["id"], exchange.method, exchange.target, headers, passage.body, remaining,
-            last_check=lambda: self._last_check(passage, instance),
-            expect=(self._dialect.echo_header.decode(), passage.request.try_id), max_connections=most)
+        sent = self._balancer.outliers.sent(instance)
+        try:
+            answer = await self._upstreams.send(
+                row["address"], row["id"], exchange.method, exchange.target, headers, passage.body,
+                self._head_patience(passage, service, remaining),
+                last_check=lambda: self._last_check(passage, instance),
+                expect=(self._dialect.echo_header.decode(), passage.request.try_id), max_connections=most)
+            self._balancer.outliers.answered(sent)
+        finally:
+            self._balancer.outliers.ended(sent)
         said = self._dialect.answer_of(answer.status, answer.headers)
         if said.load is not None:
             self._balancer.told(instance, said.load)
@@ -370,6 +376,13 @@
         finally:
             watch.append(True)
 
+    def _head_patience(self, passage, service, remaining):
+        """How long to wait for the head of this replica's answer: all the time that is left, unless the request may go to
+        another one, which then must have time enough."""
+        if not passage.may_repeat or passage.tries + 1 >= passage.route.max_attempts:
+            return remaining
+        return min(remaining, max(STALLED_TIMES * self._balancer.outliers.late_after(service), STALLED_SHARE * remaining))
+
     async def _discard(self, answer):
         """Reads a refusal to its end, so that its connection may be kept."""
         try:
--- a/packages/oaknews/oaknews/puller.py
+++ b/packages/oaknews/oaknews/puller.py
@@ -20,6 +20,7 @@
         self._identity, self._me, self._seeds, self._random, self._log = identity, me, list(seeds), random, log
         self._source = f"{NODE_SOURCE}{me.nodeId}/{me.boot}"
         self._version = 0
+        self._more = {}   # further items of the node's own row
         self._pulling = set()
         self._silent = set()
         self._answeredAt = {}
@@ -36,13 +37,26 @@
     def describe(self, member):
         """Publishes this node's own row."""
         self._me = member
+        self._publish()
+
+    def tell(self, name, value):
+        """Publishes an item (bytes) beside this node's own row, or takes it back (None)."""
+        self._more = {key: kept for key, kept in (self._more | {name: value}).items() if kept is not None}
+        self._publish()
+
+    def _publish(self):
         self._version += 1
-        self._board.setItems(self._source, self._version, {"about": json.dumps(vars(member)).encode()})
+        self._board.setItems(self._source, self._version, {"about": json.dumps(vars(self._me)).encode()} | self._more)
 
     @property
     def me(self):
         return self._me
 
+    @property
+    def source(self):
+        """Under which this node's own row is published."""
+        return self._source
+
     def _noteMember(self, source):
         image = self._board.images.get(source)
         known = self._noted.get(source)
--- a/packages/oakrelay/oakrelay/upstream.py
+++ b/packages/oakrelay/oakrelay/upstream.py
@@ -13,7 +13,7 @@
 
 from oakbase.constants import ANSWER_HEAD_LIMIT, CONNECT_TIME, KEPT_MARGIN, KEPT_UNTOLD, PIECES_LIMIT, TRAILER_LIMIT
 from oakbase.env import splitAddress
-from oakbase.verdict import BadRequest, Broken, NoAnswer, TimeSpent, TooLarge, Unreachable, Verdict
+from oakbase.verdict import BadRequest, Broken, NoAnswer, Overloaded, TimeSpent, TooLarge, Unreachable, Verdict
 from oakrelay.framing import HOP_BY_HOP, TOKEN, ChunkedDecoder, Malformed, body_length, join_head, parse_fields
 from oakrelay.sockets import has_unsent, is_quiet, send_now, set_options
 
@@ -417,7 +417,7 @@
             raise TimeSpent("no time left to connect")
         if max_connections is not None and self.open_count(address) >= max_connections \
                 and not self._close_other(address):
-            raise Unreachable(f"{address} has as many connections from here as it may have")
+            raise Overloaded(f"{address} has as many connections from here as it may have")
         host, port = splitAddress(address)
         connection = _Connection(self, address, instance_id)
 
--- /dev/null
+++ b/tests/test_outliers.py
@@ -0,0 +1,163 @@
+"""Replicas judged by what they do for requests, by all gates together. One column a part; time runs down."""
+import json
+import random
+import unittest
+from types import SimpleNamespace
+
+from twisted.internet import task
+
+from oakbase.constants import LATE_LEAST, LATE_TIMES, OUTLIER_FAULTS, OUTLIER_SHARE, OUTLIER_WINDOW
+from oakbase.logline import LogLine
+from oakgate.outliers import FAULTS, Outliers
+from oaknews.board import Board
+
+
+class Fleet:
+    """Gates on one clock; what one tells, the others have at once. Replicas are as the balancer keeps them."""
+
+    def __init__(self, gates=4, replicas=6, service="s"):
+        self.clock, self.lines, self.service = task.Clock(), [], service
+        self.random = random.Random(1)
+        self.boards = [Board(self.clock) for _ in range(gates)]
+        self.versions = [0] * gates
+        self.gates = [self.gate(number) for number in range(gates)]
+        self.replicas = [SimpleNamespace(row={"id": f"r{number}", "pool": service}) for number in range(replicas)]
+
+    def gate(self, number):
+        source = f"node/g{number}/1"
+
+        def tell(name, value):
+            self.versions[number] += 1
+            for board in self.boards:
+                board.setItems(source, self.versions[number], {name: value} if value is not None else {})
+                board.confirm(source, self.clock.seconds())
+        node = SimpleNamespace(reactor=self.clock, board=self.boards[number],
+                               members=SimpleNamespace(live=lambda kind: list(self.boards)),
+                               puller=SimpleNamespace(tell=tell, source=source))
+        return Outliers(node, LogLine(self.lines.append))
+
+    def confirm(self):
+        for board in self.boards:
+            for number in range(len(self.boards)):
+                board.confirm(f"node/g{number}/1", self.clock.seconds())
+
+    def run(self, seconds, load=lambda: None):
+        for step in range(round(seconds / 0.01)):
+            if step % 5 == 0:
+                load()
+                self.confirm()
+            self.clock.advance(0.01)
+
+    def request(self, gate, replica, takes):
+        """A request whose answer begins after so long; None: never."""
+        one = gate.sent(replica)
+        if takes is not None:
+            self.clock.callLater(takes, gate.answered, one)
+
+    def left_out(self):
+        return [sorted(gate.among(self.service, self.replicas)) for gate in self.gates]
+
+
+class Outlying(unittest.TestCase):
+    def steady(self, fleet, takes):
+        """Two requests each 50 ms from a gate to a replica drawn at random; `takes(replica)` as above."""
+        def load():
+            for _ in range(2):
+                replica = fleet.random.choice(fleet.replicas)
+                fleet.request(fleet.random.choice(fleet.gates), replica, takes(replica.row["id"]))
+        return load
+
+    def test_sound_replicas_are_left_in(self):
+        fleet = Fleet()
+        fleet.run(10.0, load=self.steady(fleet, lambda name: fleet.random.uniform(0.01, 0.2)))
+        self.assertEqual(fleet.left_out(), [[]] * 4)
+        self.assertEqual([line for line in fleet.lines if "outliers" in line], [])
+
+    def test_one_that_is_mute_now_and_then_is_found_by_all_gates_together(self):
+        """
+        gates                           r2
+        few requests each               answers half of them only
+        tell each other of late ones
+        leave r2 out, all of them       sound again
+        after the window                gets requests again
+        """
+        fleet = Fleet(gates=8)
+        load = self.steady(fleet, lambda name: None if name == "r2" and fleet.random.random() < 0.5 else 0.02)
+        fleet.run(2.5, load=load)
+        self.assertEqual(fleet.left_out(), [["r2"]] * 8)
+        fleet.run(OUTLIER_WINDOW + 1.0, load=self.steady(fleet, lambda name: 0.02))
+        self.assertEqual(fleet.left_out(), [[]] * 8)
+
+    def test_slow_one_is_found_by_its_lateness(self):
+        fleet = Fleet()
+        fleet.run(4.0, load=self.steady(fleet, lambda name: 0.06))
+        fleet.run(2.5, load=self.steady(fleet, lambda name: 0.06 * (8 if name == "r1" else 1)))
+        self.assertEqual(fleet.left_out(), [["r1"]] * 4)
+
+    def test_when_all_are_late_it_is_the_load(self):
+        fleet = Fleet()
+        fleet.run(4.0, load=self.steady(fleet, lambda name: 0.02))
+        fleet.run(3.0, load=self.steady(fleet, lambda name: 0.7))
+        self.assertEqual(fleet.left_out(), [[]] * 4)
+
+    def test_never_more_than_their_share(self):
+        fleet = Fleet(replicas=6)
+        for name in range(2):
+            for _ in range(10):
+                fleet.gates[0].fault(fleet.replicas[name])
+        for _ in range(9):
+            fleet.gates[0].fault(fleet.replicas[2])
+        self.assertLessEqual(len(fleet.left_out()[0]), int(6 * OUTLIER_SHARE))
+        alone = Fleet(replicas=1)
+        for _ in range(50):
+            alone.gates[0].fault(alone.replicas[0])
+        self.assertEqual(alone.left_out()[0], [])
+
+    def test_single_faults_and_a_small_part_do_no_harm(self):
+        fleet = Fleet()
+        for _ in range(OUTLIER_FAULTS - 1):
+            fleet.gates[0].fault(fleet.replicas[0])
+        self.assertEqual(fleet.left_out()[0], [])
+        busy = Fleet(gates=1)
+        for number in range(400):
+            busy.request(busy.gates[0], busy.replicas[number % 6], 0.01)
+        for _ in range(OUTLIER_FAULTS):
+            busy.gates[0].fault(busy.replicas[0])
+        self.assertEqual(busy.left_out()[0], [], "3 of some 67")
+
+    def test_a_gate_that_has_gone_is_forgotten_and_nonsense_passed_over(self):
+        """
+        gate0                       gate1                           gate2
+        tells of r0, dies                                           tells nonsense
+                                    knows it for the window
+        """
+        fleet = Fleet(gates=3)
+        for _ in range(20):
+            fleet.gates[0].fault(fleet.replicas[0])
+        fleet.clock.advance(0.3)
+        self.assertEqual(sorted(fleet.gates[1].among("s", fleet.replicas)), ["r0"])
+        for nonsense in (b"[]", b"{", b'{"r0": "x"}', b'{"r0": null}'):
+            fleet.versions[2] += 1
+            fleet.boards[1].setItems("node/g2/1", fleet.versions[2], {FAULTS: nonsense})
+        self.assertEqual(len([line for line in fleet.lines if "faultsUnreadable" in line]), 4)
+        fleet.boards[1].images["node/g0/1"].items[FAULTS] = (99, json.dumps({"r0": 20}).encode())
+        fleet.clock.advance(OUTLIER_WINDOW + 0.5)
+        self.assertEqual(sorted(fleet.gates[1].among("s", fleet.replicas)), [])
+
+    def test_late_is_measured_by_what_is_usual(self):
+        fleet = Fleet(gates=1)
+        self.assertEqual(fleet.gates[0].late_after("s"), LATE_LEAST)
+        fleet.run(20.0, load=self.steady(fleet, lambda name: 0.1))
+        self.assertAlmostEqual(fleet.gates[0].late_after("s"), LATE_TIMES * 0.1, delta=0.05)
+
+    def test_nothing_is_looked_at_when_nothing_is_under_way(self):
+        fleet = Fleet(gates=1)
+        fleet.request(fleet.gates[0], fleet.replicas[0], 0.01)
+        fleet.clock.advance(0.5)
+        for _ in range(60):
+            fleet.clock.advance(0.1)
+        self.assertEqual(fleet.clock.getDelayedCalls(), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -99,6 +99,26 @@
                 self.assertIn(self.shown(unsafe), ([502], [504]))
                 self.assertEqual(len(self.runs_of(unsafe)), ran)
 
+    def test_who_may_be_repeated_does_not_wait_for_a_silent_replica_to_the_end(self):
+        """
+        client      gate        replica
+        safe  ----> ----------> runs, says nothing
+                    ----------> another runs, long before the client's time is over
+        200   <---- <----------
+        unsafe ---> ----------> runs, says nothing: waited for to the end
+        """
+        started = self.fleet.time.now
+        self.next_goes_wrong("silent")
+        safe = self.fleet.until(self.client.safe(further=0, seconds=3.0))
+        self.assertEqual((self.shown(safe), len(self.runs_of(safe))), ([200], 2))
+        self.assertLess(self.fleet.time.now - started, 1.5)
+        started = self.fleet.time.now
+        self.next_goes_wrong("silent")
+        unsafe = self.fleet.until(self.client.unsafe(further=0, seconds=3.0))
+        self.assertNotEqual(self.shown(unsafe), [200])
+        self.assertEqual(len(self.runs_of(unsafe)), 1)
+        self.assertGreater(self.fleet.time.now - started, 1.9, "the route's own time")
+
     def test_an_error_of_the_replica_is_passed_on(self):
         for work in (self.client.unsafe(), self.client.tracked(further=0)):
             self.next_goes_wrong("error")
