--- a/packages/oakcohort/oakcohort/members.py
+++ b/packages/oakcohort/oakcohort/members.py
@@ -74,11 +74,12 @@
     def successorOf(self, nodeId, address):
         """The live node that listens where this one did, or None. Two cannot listen at one address, so this one's
         process has ended: `address` is where it was if nothing has been heard of it."""
-        newest = self.newest()
-        former, formerAge = newest.get(nodeId, (None, float("inf")))
-        address = former.peer if former else address
-        return next((member for member, age in newest.values() if member.peer == address and age < formerAge
-                     and member.nodeId != nodeId and age <= CONDITION_AGE and member.state == "up"), None)
+        former = self._latest.get(nodeId)
+        address = self._rows[former].peer if former else address
+        formerSeenAt, now = self._seenAt[former] if former else float("-inf"), self._reactor.seconds()
+        return next((self._rows[key] for key in self._latest.values() if self._rows[key].peer == address
+                     and key[0] != nodeId and self._rows[key].state == "up"
+                     and self._seenAt[key] > formerSeenAt and now - self._seenAt[key] <= CONDITION_AGE), None)
 
     def live(self, kind=None):
         return [member for member, age in self.newest().values()
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -227,8 +227,8 @@
 class Owners:
     """The slots this node owns, and the task that takes over those which it should own.
 
-    Invariant: a slot is in `held` only after its image under our epoch is on a majority and every
-    earlier term has ended."""
+    Invariants: a slot is in `held` only after its image under our epoch is on a majority and every
+    earlier term has ended; `_orders` are the live ones in the order in which each slot is for them."""
 
     def __init__(self, node, voter):
         self.reactor, self._node, self._voter = node.reactor, node, voter
@@ -236,6 +236,7 @@
         self.held = {}
         self._taking = set()
         self._seenEpochs = {}
+        self._orders = (), ()
         self._batchers = {}
         self._startedAt = node.reactor.seconds()
         self.pollTimes = {}
@@ -395,10 +396,11 @@
         terms = [idl.SlotEpoch(slot=slot, epoch=owner.epoch) for slot, owner in owners.items()]
 
         async def ask(nodeId, answer):
-            for term in await answer:
-                confirmedBy[term.slot].add(nodeId)
-                if roster.isQuorum(confirmedBy[term.slot]):
-                    owners[term.slot].lengthen(askedAt + TERM)
+            for slot in {term.slot for term in await answer} & confirmedBy.keys():
+                confirmedBy[slot].add(nodeId)
+                if roster.isQuorum(confirmedBy[slot]):
+                    owners[slot].lengthen(askedAt + TERM)
+                    del confirmedBy[slot]
         for nodeId, answer in self._askVoters("confirm", terms=terms).items():
             spawn(ask(nodeId, answer))
 
@@ -445,7 +447,7 @@
         """The slot is for the first live one named for it. If that one is seen to live, but the slot stays
         without an owner (a cut may part it from the voters only), the next ones step in, one after another; the
         first of them only after the one named first has had its own turn."""
-        order = ranked(liveIds, f"slot{slot}")
+        order = self._order(slot, tuple(liveIds))
         if self._node.nodeId not in order:
             return False
         place = order.index(self._node.nodeId)
@@ -453,6 +455,11 @@
         late = ownerless - CONDITION_AGE - STEP_IN_TIME
         return place == (0 if late <= 0 else (1 + int(late / STEP_IN_TIME)) % len(order))
 
+    def _order(self, slot, liveIds):
+        if self._orders[0] != liveIds:
+            self._orders = liveIds, [ranked(liveIds, f"slot{number}") for number in range(SLOTS)]
+        return self._orders[1][slot]
+
     def believedOwner(self, slot):
         """(epoch, nodeId, address) of the slot's newest owner that this node has heard of, or None."""
         rows = self._node.board.values(f"{SLOT_SOURCE}{slot}")
