--- a/packages/oaknews/oaknews/program.py
+++ b/packages/oaknews/oaknews/program.py
@@ -89,7 +89,6 @@
         sys.exit(1)
     # What a program is made of lives as long as it does. Looking through all of it for what may go stopped everything for
     # some 30 ms, about each ten seconds.
-    gc.collect()
     gc.freeze()
     stops = []
     grace = (env.get("bounds") or {}).get("grace_s")
