--- a/packages/oakstore/oakstore/turns.py
+++ b/packages/oakstore/oakstore/turns.py
@@ -9,7 +9,7 @@
 from oakbase.constants import (CONDITION_AGE, FULL_KNOWN, LATE_TIMES, LINE_TURNS, RECALL_HEDGE, RETAIN_HEDGE, RETAIN_MARGIN,
                                STORE_CALL_TIME)
 from oakbase.tasks import sleep, spawn
-from oakbase.verdict import CannotTell, Conflict, Fenced, Gone, NoAnswer, OakError, Verdict
+from oakbase.verdict import CannotTell, Conflict, Fenced, Gone, NoAnswer, OakError, RingFull, Verdict
 from oakcohort.rendezvous import ranked
 from oakcontrol.storeset import STORES_KEY, StoreSet, majority
 from oakdvv.clock import syncVersions
@@ -260,10 +260,14 @@
                         value=value, storeEpoch=stores.epoch, record=packed))
                 except OakError as error:
                     errors.append(error)
+                    if isinstance(error, RingFull):
+                        self._full[node_id] = self._reactor.seconds()
                     raise
             await self._ask_in_turn(self._order(stores.readers, key), ask, "retain", ends_at, lambda: answers)
             if answers:
                 return answers[0]
+            if self.is_full:
+                break  # no store will have room before the caller's time is over
             await sleep(self._reactor, RETRY_PAUSE)
         is_no = asked == len([error for error in errors if error.verdict is Verdict.NO])
         raise NoAnswer("no quorum of stores said that it keeps the turn", Verdict.NO if is_no else Verdict.MAYBE)
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -6,7 +6,7 @@
 from oakbase.constants import LINE_TURNS, RETAIN_MARGIN
 from oakbase.logline import LogLine
 from oakbase.tasks import settled
-from oakbase.verdict import BadRequest, CannotTell, Conflict, Gone
+from oakbase.verdict import BadRequest, CannotTell, Conflict, Gone, NoAnswer
 from oaklab.plan import Size
 from oaklab.simdisk import SimDisk
 from oaklab.simfleet import SimFleet
@@ -208,6 +208,21 @@
         with self.assertRaises(Conflict):
             self.fleet.until(self.gates[0].retain("s", self.recordOf("b", "a", "s"), recalled, 5, KEPT))
 
+    def test_full_stores_are_told_at_once_and_known_before_the_next(self):
+        """
+        gate                            stores
+        turns                           take them until their rings are full
+        one more                        no, all of them: told at once, not when the caller's time is over
+        knows that they are full        (the next turn is refused before it runs)
+        """
+        with self.assertRaises(NoAnswer):
+            for number in range(60):
+                started = self.fleet.time.now
+                self.turn(f"t{number}", None, f"s{number}", size=100_000)
+        self.assertGreater(number, 5)
+        self.assertLess(self.fleet.time.now - started, 1.0)
+        self.assertTrue(self.gates[0].is_full)
+
     def testAgreeingStoresExchangeOnlySums(self):
         for number in range(20):
             self.turn(f"t{number}", None, f"s{number}")
