--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -27,7 +27,9 @@
 RING_BATCH = 256            # commits; one sync covers this many at most, so that no commit waits long
 
 # --- cohort and news ---------------------------------------------------------
-COHORT_SIZE = 4             # members; each node pulls from this many, so three losses still leave one
+COHORT_SIZE = 2             # members of any kind; each node pulls from this many, and from
+COHORT_CONTROL = 1          # control nodes, unless it is one and pulls from all: so two losses still leave one, and whoever is
+                            # dead is replaced as soon as it counts so. Pulls are most of what an idle node costs
 GONE_LIMIT = 256            # items; removed ones that an image remembers, so that deltas can name them
 PULL_PAUSE = 0.2            # s; two hops of it stay well below every freshness bound
 PULL_TIME = 0.8             # s; a member that does not answer a pull in this time counts as silent
--- a/packages/oakcohort/oakcohort/members.py
+++ b/packages/oakcohort/oakcohort/members.py
@@ -1,7 +1,7 @@
 """What a node knows of the others, and whom it pulls from."""
 from dataclasses import dataclass, fields
 
-from oakbase.constants import COHORT_SIZE, CONDITION_AGE, FORGET_AGE
+from oakbase.constants import COHORT_CONTROL, COHORT_SIZE, CONDITION_AGE, FORGET_AGE
 from oakcohort.rendezvous import named
 
 LIVE, SILENT, LEAVING, PARTED = "live", "silent", "leaving", "parted"
@@ -90,11 +90,11 @@
 
     def cohort(self, ownKind):
         """Those this node pulls from and so watches: all control nodes if it is one of them, else the
-        two control nodes named for it; and the few of all nodes that are named for it."""
+        ones named for it; and the few of all nodes that are named for it."""
         others = {member.nodeId: member for member in self.live() if member.nodeId != self._ownId}
         kinds = ownKind, {(nodeId, member.kind) for nodeId, member in others.items()}
         if self._cohort[0] != kinds:
             controlIds = [nodeId for nodeId, member in others.items() if member.kind == "control"]
-            chosenIds = set(controlIds if ownKind == "control" else named(controlIds, self._ownId, 2))
-            self._cohort = kinds, sorted(chosenIds | set(named(list(others), self._ownId, COHORT_SIZE)))
+            chosenIds = set(controlIds if ownKind == "control" else named(controlIds, self._ownId, COHORT_CONTROL))
+            self._cohort = kinds, sorted(chosenIds | set(named(list(others.keys() - chosenIds), self._ownId, COHORT_SIZE)))
         return [others[nodeId] for nodeId in self._cohort[1]]
