--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -27,9 +27,8 @@
 RING_BATCH = 256            # commits; one sync covers this many at most, so that no commit waits long
 
 # --- cohort and news ---------------------------------------------------------
-COHORT_SIZE = 2             # members of any kind; each node pulls from this many, and from
-COHORT_CONTROL = 1          # control nodes, unless it is one and pulls from all: so two losses still leave one, and whoever is
-                            # dead is replaced as soon as it counts so. Pulls are most of what an idle node costs
+COHORT_SIZE = 2             # members; of any kind, each node pulls from this many beside control nodes: two losses leave one
+COHORT_CONTROL = 1          # control nodes; that a node pulls from which is none itself; control nodes pull from all others
 GONE_LIMIT = 256            # items; removed ones that an image remembers, so that deltas can name them
 PULL_PAUSE = 0.2            # s; two hops of it stay well below every freshness bound
 PULL_TIME = 0.8             # s; a member that does not answer a pull in this time counts as silent
@@ -105,6 +104,8 @@
 TURNS_LIMIT = 4096          # turn ids of one program, all remembered as long as it is open; far above a day of turns
 
 # --- stores ------------------------------------------------------------------
+STORE_HOT_BYTES = 32 << 20  # bytes; of long values that a store holds in memory beside those on its disk: what was written
+                            # within about the last minute, which is nearly all that is read
 STORE_OWNERS = 16           # table owners in a store; lines are spread over them by hash
 STORE_INBOX = 256           # commands; waiting for one table owner of a store
 STORE_CALL_TIME = 1.0       # s; a store that takes longer is passed over for its fellows
--- a/packages/oakbase/oakbase/env.py
+++ b/packages/oakbase/oakbase/env.py
@@ -69,6 +69,7 @@
     "folder": And(str, len, error="must be a folder's path"),
     Optional("ringFileSize"): whole(1 << 16, 1 << 30),
     Optional("ringFiles"): whole(4, 64),
+    Optional("hotBytes"): whole(1 << 16, 1 << 34),
 }
 CONTROL_ENV = DISK_ENV | {
     Optional("platform"): ADDRESS,
@@ -78,7 +79,7 @@
 }
 # What has a flag of its own; the rest is told in the file only.
 FLAGS = {"machine": str, "zone": str, "peer": str, "http": str, "seeds": str, "clusterId": str, "folder": str,
-         "ringFileSize": int, "ringFiles": int, "relay": str, "ready": str, "platform": str, "operator": str}
+         "ringFileSize": int, "ringFiles": int, "hotBytes": int, "relay": str, "ready": str, "platform": str, "operator": str}
 
 
 def checkEnv(rules, pairs):
--- a/packages/oaklab/oaklab/simdisk.py
+++ b/packages/oaklab/oaklab/simdisk.py
@@ -36,6 +36,9 @@
     def read(self, name, most=-1):
         return bytes(self._files[name][:most] if most >= 0 else self._files[name])
 
+    def read_at(self, name, offset, length):
+        return bytes(self._files[name][offset:offset + length])
+
     def remove(self, name):
         self._check()
         del self._files[name], self._durable[name]
--- a/packages/oakring/oakring/disk.py
+++ b/packages/oakring/oakring/disk.py
@@ -52,6 +52,15 @@
         with open(self._path(name), "rb") as file:
             return file.read(most)
 
+    def read_at(self, name, offset, length):
+        """Bytes of a file that was written to or read at an offset before."""
+        if name not in self._handles:
+            self._handles[name] = os.open(self._path(name), os.O_RDWR)
+        data = os.pread(self._handles[name], length, offset)
+        if len(data) != length:
+            raise OSError(f"{name}: {len(data)} bytes at {offset}, not {length}")
+        return data
+
     def remove(self, name):
         handle = self._handles.pop(name, None)
         if handle is not None:
--- a/packages/oakring/oakring/ring.py
+++ b/packages/oakring/oakring/ring.py
@@ -19,6 +19,7 @@
 import zlib
 from collections import Counter, deque
 
+from cachetools import LRUCache
 from twisted.internet import defer
 
 from oakbase.constants import RING_BATCH, RING_FILES, RING_FILE_SIZE, RING_RESERVE_FILES, RING_VERSION
@@ -34,6 +35,8 @@
 ENTRY = struct.Struct("<II")
 REMOVED = 0xFFFFFFFF
 COPY_SHARE = 8      # one copied record takes at most this part of a file, so that little is left over at its end
+COLD_FROM = 1 << 10         # bytes; shorter values are always in memory
+COLD_HEAD = 1 << 9          # bytes; of a longer one that are at hand: enough for what a user's header takes
 LOST_HEAD_READ = 1 << 18    # bytes; of a lap that cannot have been begun
 COMMIT_SHARE = 2    # one commit takes at most this part of a file, for the same reason
 
@@ -44,13 +47,14 @@
 
 
 def _unpackBatch(batch):
+    """(key, value or None, where in the batch the value begins)"""
     offset = 0
     while offset < len(batch):
         keyLength, valueLength = ENTRY.unpack_from(batch, offset)
         keyEnd = offset + ENTRY.size + keyLength
         key = batch[offset + ENTRY.size:keyEnd].decode()
         offset = keyEnd + (0 if valueLength == REMOVED else valueLength)
-        yield key, None if valueLength == REMOVED else batch[keyEnd:offset]
+        yield key, None if valueLength == REMOVED else batch[keyEnd:offset], keyEnd
 
 
 def _packLap(lap, firstNumber, syncedNumber):
@@ -92,6 +96,81 @@
         place = data.find(mark, place + 1)
 
 
+class Cold:
+    """A value that is read from its file when it is asked for; its first bytes are at hand."""
+
+    __slots__ = ("file_name", "offset", "length", "head", "checksum")
+
+    def __init__(self, file_name, offset, value):
+        self.file_name, self.offset, self.length = file_name, offset, len(value)
+        self.head, self.checksum = value[:COLD_HEAD], zlib.crc32(value)
+
+    def read(self, disk):
+        value = disk.read_at(self.file_name, self.offset, self.length)
+        if zlib.crc32(value) != self.checksum:
+            raise RingDamaged(f"{self.length} bytes at {self.offset} of {self.file_name} are not what was written there")
+        return value
+
+
+class Table:
+    """The entries of a ring as its users see them. Invariant: with `hot_bytes` given, values of COLD_FROM bytes and more are
+    kept on the disk, and of them only those used last, of so many bytes together, in memory too."""
+
+    def __init__(self, disk, hot_bytes=None):
+        self._disk, self._rows = disk, {}
+        self._hot = None if hot_bytes is None else LRUCache(hot_bytes, getsizeof=len)
+
+    def __contains__(self, key):
+        return key in self._rows
+
+    def __len__(self):
+        return len(self._rows)
+
+    def __iter__(self):
+        return iter(self._rows)
+
+    keys = __iter__
+
+    def __getitem__(self, key):
+        value = self._rows[key]
+        if type(value) is not Cold:
+            return value
+        hot = self._hot.get(key)
+        if hot is None:
+            hot = value.read(self._disk)
+            self._warm(key, hot)
+        return hot
+
+    def get(self, key, default=None):
+        return self[key] if key in self._rows else default
+
+    def __eq__(self, other):
+        return dict(self.items()) == dict(other.items())
+
+    def items(self, prefix=""):
+        return [(key, self[key]) for key in self._rows if key.startswith(prefix)]
+
+    def heads(self, prefix):
+        """(key, the first COLD_HEAD bytes of its value at least, the value's length) of each key with this prefix."""
+        return ((key, value.head, value.length) if type(value) is Cold else (key, value, len(value))
+                for key, value in self._rows.items() if key.startswith(prefix))
+
+    def enter(self, key, value, file_name, offset):
+        if self._hot is None or len(value) < COLD_FROM:
+            self._rows[key] = value
+            return
+        self._rows[key] = Cold(file_name, offset, value)
+        self._warm(key, value)
+
+    def _warm(self, key, value):
+        if len(value) <= self._hot.maxsize:
+            self._hot[key] = value
+
+    def pop(self, key):
+        if type(self._rows.pop(key, None)) is Cold:
+            self._hot.pop(key, None)
+
+
 class Ring:
     """Invariants:
     - `table` holds exactly the entries of the records written so far, in the order of their numbers.
@@ -101,11 +180,13 @@
     - records are numbered without gaps from the first number of the oldest lap on.
     """
 
-    def __init__(self, disk, log, fileSize=None, fileCount=None, seconds=time.monotonic, commitShare=COMMIT_SHARE):
+    def __init__(self, disk, log, fileSize=None, fileCount=None, seconds=time.monotonic, commitShare=COMMIT_SHARE,
+                 hot_bytes=None):
+        """With `hot_bytes` long values stand on the disk, and so many bytes of them in memory; else all in memory."""
         self._disk, self._log, self._seconds = disk, log, seconds
         self._fileSize, self._fileCount = fileSize or RING_FILE_SIZE, fileCount or RING_FILES
         self._commitShare = commitShare
-        self.table = {}
+        self.table = Table(disk, hot_bytes)
         self._places = {}
         self._liveBytes = Counter()
         self._laps = deque()
@@ -195,9 +276,10 @@
     def _replay(self, lap, data):
         self._offset = LAP_SIZE
         while (record := _readRecord(data, lap, self._offset)) and record[0] == self._number + 1:
+            start = self._offset + RECORD.size
             self._number, _, batch, self._offset = record
-            for key, value in _unpackBatch(batch):
-                self._apply(lap, key, value)
+            for key, value, place in _unpackBatch(batch):
+                self._apply(lap, key, value, start + place)
         self._refuseSynced(data, lap, self._offset)
 
     def _refuseSynced(self, data, lap, offset):
@@ -212,16 +294,16 @@
         may_be_begun = not self._laps or self._fileSize - self._offset < self.commitLimit() + 2 * RECORD.size
         self._refuseSynced(self._disk.read(self._fileName(lap), -1 if may_be_begun else LOST_HEAD_READ), lap, 0)
 
-    def _apply(self, lap, key, value):
+    def _apply(self, lap, key, value, offset):
         size = ENTRY.size + len(key.encode()) + len(value or b"")
         oldLap, oldSize = self._places.get(key, (lap, 0))
         self._liveBytes[oldLap] -= oldSize
         self._places[key] = (lap, size)
         self._liveBytes[lap] += size
         if value is None:
-            self.table.pop(key, None)
+            self.table.pop(key)
             return
-        self.table[key] = value
+        self.table.enter(key, value, self._fileName(lap), offset)
 
     # --- writing ---
 
@@ -317,10 +399,12 @@
         data = _packRecord(lap, self._number + 1, self._syncedNumber, b"".join(pack for _, _, pack in packed))
         self._disk.write(self._fileName(lap), self._offset, data)
         touched.add(self._fileName(lap))
+        end = self._offset + RECORD.size
         self._number += 1
         self._offset += len(data)
-        for key, value, _ in packed:
-            self._apply(lap, key, value)
+        for key, value, pack in packed:
+            end += len(pack)
+            self._apply(lap, key, value, end - len(value or b""))
 
     async def _makeRoom(self, size, touched):
         """Room for a record in the head lap. New data opens a lap only while the reserve stays free behind
--- a/packages/oakstore/oakstore/records.py
+++ b/packages/oakstore/oakstore/records.py
@@ -26,14 +26,15 @@
                      *names, input_bytes, output_bytes])
 
 
-def read_header(packed):
+def read_header(packed, length=None):
+    """Of a record, or of its first bytes if its whole `length` is given."""
     try:
         layout, keep_ms, id_length, parent_length, key_length, input_length, output_length = _HEAD.unpack_from(packed)
         names_at = _HEAD.size
         parent_at = names_at + id_length
         key_at = parent_at + parent_length
         body_at = key_at + key_length
-        if layout != _LAYOUT or len(packed) != body_at + input_length + output_length or not id_length:
+        if layout != _LAYOUT or (length or len(packed)) != body_at + input_length + output_length or not id_length:
             raise BadRequest("not a record of a turn")
         return Header(packed[names_at:parent_at].decode(), packed[parent_at:key_at].decode() or None,
                       packed[key_at:body_at].decode(), keep_ms / 1000, input_length, output_length, body_at)
@@ -65,11 +66,12 @@
         self._rows, self._children, self._on_line = {}, {}, {}
         self._ends = SortedList()
         self._dropped, self._longest = {}, 0.0
-        for name, packed in ring.table.items():
-            if name.startswith(RECORD_ROW):
-                header = read_header(packed)
-                # How long it has been here is not known: its whole time begins anew.
-                self._enter(header, header.keep_s)
+        for name, head, length in ring.table.heads(RECORD_ROW):
+            header = read_header(head, length)
+            if header.body_at > len(head):
+                header = read_header(ring.table[name])  # names of unusual length
+            # How long it has been here is not known: its whole time begins anew.
+            self._enter(header, header.keep_s)
 
     def __len__(self):
         return len(self._rows)
--- a/packages/oakstore/oakstore/store.py
+++ b/packages/oakstore/oakstore/store.py
@@ -8,7 +8,7 @@
 
 from oakbase.checks import packJson
 from oakbase.constants import (ACCEPT_INBOX, HINT_LIMIT, LINE_KEPT, LINE_SIZE, RECORD_PAGE, RING_COMMIT_SHARE,
-                               STORE_CALL_TIME, STORE_COPY_PAUSE, STORE_SWEEP, SWEEP_HINTS)
+                               STORE_CALL_TIME, STORE_COPY_PAUSE, STORE_HOT_BYTES, STORE_SWEEP, SWEEP_HINTS)
 from oakbase.metrics import Metrics, serve_metrics
 from oakbase.tasks import Repeater, quorumOf, spawn
 from oakbase.verdict import BadRequest, CannotTell, Fenced, NoAnswer, OakError, TooLarge
@@ -329,7 +329,8 @@
         reactor, env, disk, random, sink, wall = self._parts
         self.node = Node(reactor, "store", env, random, sink, disk, wall)
         shares = {"fileCount": env["ringFiles"], "commitShare": RING_COMMIT_SHARE} if env.get("ringFiles") else {}
-        self.ring = Ring(disk, self.node.log, env.get("ringFileSize"), seconds=reactor.seconds, **shares)
+        self.ring = Ring(disk, self.node.log, env.get("ringFileSize"), seconds=reactor.seconds,
+                         hot_bytes=env.get("hotBytes", STORE_HOT_BYTES), **shares)
         self.store = Store(self.node, self.ring)
         self.node.board.watch(STORES_KEY, lambda _source: self._mayStartOver())
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
--- a/packages/oakstore/oakstore/table.py
+++ b/packages/oakstore/oakstore/table.py
@@ -102,12 +102,11 @@
         self._sums, self._stale = [0] * SWEEP_BUCKETS, set()
         self._births = int(ring.table.get(BIRTHS, b"0"))
         self._owners = [TableOwner(STORE_INBOX, f"lines{index}", node.log) for index in range(STORE_OWNERS)]
-        for name, data in ring.table.items():
-            if name.startswith(ROW):
-                clockId, _, state = data.partition(b"\0")
-                self._enter(name[len(ROW):], LineRow(
-                    clockId.decode(), fromState(unpack(idl.LineState, state)), self._reactor.seconds()))
-                self._index(name[len(ROW):], self.rows[name[len(ROW):]].versions)
+        for name, data in ring.table.items(ROW):
+            clockId, _, state = data.partition(b"\0")
+            self._enter(name[len(ROW):], LineRow(
+                clockId.decode(), fromState(unpack(idl.LineState, state)), self._reactor.seconds()))
+            self._index(name[len(ROW):], self.rows[name[len(ROW):]].versions)
 
     def _index(self, key, versions):
         if key.startswith(TURN_LINE):
