--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -12,7 +12,7 @@
                                OWNER_SWEEP, OWNER_SWEEP_KEYS, RELEASE_TIME, SLOTS, STEP_IN_TIME, TAKEOVER_LOOK, TERM,
                                TERM_RENEW)
 from oakbase.inbox import Inbox
-from oakbase.tasks import Repeater, drive, quorumOf, settled, sleep, spawn, within
+from oakbase.tasks import Repeater, drive, quorumOf, sleep, spawn, within
 from oakbase.verdict import CannotTell, Fenced, NoAnswer, NotOwner, OakError, RingFull, Unknown, Verdict
 from oakcohort.members import LIVE, Member
 from oakcohort.rendezvous import ranked
@@ -103,16 +103,24 @@
             return
         self.ended = True
         self._owners.retract(self)
-        for _, _, _, answer in filter(None, self._inbox.takeReady(CONTROL_INBOX)):
+        for _, answer in filter(None, self._inbox.takeReady(CONTROL_INBOX)):
             answer.errback(NotOwner("this slot is changing hands"))
         if self._task is not None and self.idle:
             self._task.cancel()
 
     def do(self, key, command, arguments):
+        return self._put(partial(self._command, key, command, arguments))
+
+    def sweep(self):
+        """Lets old things go of the next page of keys, all as one command; fires with what failed, as (key, error) pairs."""
+        pairs = sweepsFor(self.nextRoots(OWNER_SWEEP_KEYS))
+        return self._put(partial(self._sweepAll, pairs)) if pairs else defer.succeed([])
+
+    def _put(self, work):
         if not self.holdsTerm():
             raise NotOwner(f"no term for slot {self.slot}")
         answer = defer.Deferred()
-        self._inbox.put((key, command, arguments, answer))
+        self._inbox.put((work, answer))
         return answer
 
     async def _run(self):
@@ -131,22 +139,11 @@
         writeAgain = None in batch
         batch = [entry for entry in batch if entry is not None]
         view, outcomes = View(self.entries, self._owners.contextFor(self)), []
-        for key, command, arguments, answer in batch:
-            inner = view.nested()
+        for work, answer in batch:
             try:
-                controller = CONTROLLERS.find(key.partition("/")[0])
-                if command in controller.growing:
-                    self._owners.refuseFull(self)
-                result = controller.run(inner, key, command, arguments)
+                outcomes.append((answer, work(view)))
             except OakError as error:
                 outcomes.append((answer, error))
-                continue
-            except Exception as error:
-                self._owners.log.event("commandCrashed", key=key, command=command, error=repr(error))
-                outcomes.append((answer, OakError(f"{command} crashed", Verdict.NO)))
-                continue
-            view.fold(inner)
-            outcomes.append((answer, result))
         fault = await self._keep(dict(view.changes()), writeAgain)
         for answer, outcome in outcomes:
             if fault is not None or isinstance(outcome, OakError):
@@ -154,6 +151,31 @@
                 continue
             answer.callback(outcome)
 
+    def _command(self, key, command, arguments, view):
+        """What the command gives; one that fails leaves nothing in the view."""
+        inner = view.nested()
+        try:
+            controller = CONTROLLERS.find(key.partition("/")[0])
+            if command in controller.growing:
+                self._owners.refuseFull(self)
+            result = controller.run(inner, key, command, arguments)
+        except OakError:
+            raise
+        except Exception as error:
+            self._owners.log.event("commandCrashed", key=key, command=command, error=repr(error))
+            raise OakError(f"{command} crashed", Verdict.NO) from error
+        view.fold(inner)
+        return result
+
+    def _sweepAll(self, pairs, view):
+        failed = []
+        for key, command in pairs:
+            try:
+                self._command(key, command, {}, view)
+            except OakError as error:
+                failed.append((key, error))
+        return failed
+
     async def _keep(self, changes, writeAgain):
         """None once the changes are on a majority and the term still holds; else what to tell all callers."""
         if changes or writeAgain:
@@ -613,17 +635,17 @@
         return await owner.do(key, command, arguments)
 
     async def _sweep(self):
-        """A page of each slot, as commands of one batch."""
+        """A page of each slot, as one command."""
         for owner in list(self.held.values()):
             if not owner.holdsTerm():
                 continue
-            pairs = sweepsFor(owner.nextRoots(OWNER_SWEEP_KEYS))
-            for ok, error in await settled([self._doSweep(owner, *pair) for pair in pairs]):
-                if not ok:
-                    self.log.event("sweepFailed", slot=owner.slot, reason=str(error))
-
-    async def _doSweep(self, owner, key, command):
-        return await owner.do(key, command, {})
+            try:
+                failed = await owner.sweep()
+            except OakError as error:
+                self.log.event("sweepFailed", slot=owner.slot, reason=str(error))
+                continue
+            for key, error in failed:
+                self.log.event("sweepFailed", slot=owner.slot, key=key, reason=str(error))
 
 
 class Context:
