--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -46,6 +46,9 @@
 SLOTS = 32                  # slots; several for each of five owners, few enough to take over at once
 TERM = 0.8                  # s; an owner serves this long after asking a majority; answers take milliseconds
 TERM_RENEW = 0.25           # s; three renewals fit into a term, so that one may be lost
+TERM_FRESH = 0.225          # s; a term confirmed on the way of a pull that left within this is not renewed by a call: above
+                            # PULL_PAUSE, or a call would go beside each pull; below TERM_RENEW, or each second renewal by
+                            # calls would be left out where pulls carry none
 STEP_IN_TIME = 1.5          # s; one candidate's turn at a slot without owner, the first one's too: time for a look,
                             # the wait for the former term, and the news of it to get round
 RELEASE_TIME = 0.4          # s; a former owner that does not give a slot up in this time has its term waited out
--- a/packages/oakcontrol/oakcontrol/control.py
+++ b/packages/oakcontrol/oakcontrol/control.py
@@ -12,7 +12,7 @@
 from oakcontrol.client import OwnerClient
 from oakcontrol.founding import found, founding_of
 from oakcontrol.operator import Operator
-from oakcontrol.owner import Owners
+from oakcontrol.owner import Owners, TermRider
 from oakcontrol.platform import PlatformWatch
 from oakcontrol.roster import RosterWatch
 from oakcontrol.storeset import StoreSetWatch
@@ -30,6 +30,8 @@
         self.voter = Voter(self.node, self.ring)
         self.client = OwnerClient(self.node)
         self.owners = Owners(self.node, self.voter)
+        self.node.puller.carry_terms(TermRider(self.owners, self.node))
+        self.node.puller.confirm_terms(self.voter.confirm_terms)
         self.platform = (PlatformWatch(self.node, self.owners, self.voter, env["platform"], dialect)
                          if env.get("platform") else None)
         self.rosterWatch = RosterWatch(self.node, self.voter, self.owners, bool(env.get("selfForming")))
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -10,7 +10,7 @@
 from oakbase.checks import packJson
 from oakbase.constants import (CALL_TIME, CONDITION_AGE, CONTROL_BATCH, CONTROL_INBOX, FULL_RETRY, IMAGE_PART,
                                OWNER_SWEEP, OWNER_SWEEP_KEYS, RELEASE_TIME, SLOTS, STEP_IN_TIME, TAKEOVER_LOOK, TERM,
-                               TERM_RENEW)
+                               TERM_FRESH, TERM_RENEW)
 from oakbase.inbox import Inbox
 from oakbase.tasks import Repeater, drive, quorumOf, sleep, spawn, within
 from oakbase.verdict import CannotTell, Fenced, NoAnswer, NotOwner, OakError, RingFull, Unknown, Verdict
@@ -218,6 +218,47 @@
         return roots
 
 
+class ConfirmationRound:
+    """One asking of a roster's voters for the terms of these owners. Invariant: `_confirmedBy` holds, for each slot that has
+    not been confirmed by a majority yet, the voters that confirmed it after `askedAt`."""
+
+    def __init__(self, owners, roster, askedAt):
+        self.owners, self.roster, self.askedAt = owners, roster, askedAt
+        self._confirmedBy = {slot: set() for slot in owners}
+
+    def take(self, nodeId, slots):
+        for slot in slots & self._confirmedBy.keys():
+            self._confirmedBy[slot].add(nodeId)
+            if self.roster.isQuorum(self._confirmedBy[slot]):
+                self.owners[slot].lengthen(self.askedAt + TERM)
+                del self._confirmedBy[slot]
+
+
+class TermRider:
+    """Sends the terms of a node's slots along with its pulls. Nobody waits for that: what is not confirmed so, for
+    whatever reason, is asked for by calls at the next renewal, as if no pull had carried it."""
+
+    def __init__(self, owners, node):
+        self._owners, self._node = owners, node
+        self._round, self._voters = None, {}
+
+    def begin_round(self):
+        self._round, self._voters = self._owners.begin_confirmation(), {}
+        if self._round is None:
+            return
+        own = self._node.nodeId
+        self._voters = {address: nodeId for nodeId, address in self._owners.voterAddresses().items() if nodeId != own}
+        self._owners.confirm_at(self._round, [own])
+
+    def ride(self, address):
+        nodeId, asked = self._voters.get(address), self._round
+        if nodeId is None:
+            return None
+        terms = idl.Terms(voter=nodeId, rosterVersion=asked.roster.version, slots=list(asked.owners),
+                          epochs=[owner.epoch for owner in asked.owners.values()])
+        return terms, lambda slots: asked.take(nodeId, set(slots))
+
+
 def isMoving(error):
     """Whether a voter refused only because it stands in another roster than the asker."""
     return isinstance(error, Fenced) and bool(error.detail)
@@ -296,10 +337,10 @@
         return {nodeId: known[nodeId].peer if known[nodeId] else peer
                 for nodeId, peer in self._voter.roster.everyone.items()}
 
-    def _askVoters(self, method, **arguments):
+    def _askVoters(self, method, voterIds, **arguments):
         return {nodeId: self._node.net.call(address, method, CALL_TIME, rosterVersion=self._voter.roster.version,
                                             owner=self._node.nodeId, to=nodeId, **arguments)
-                for nodeId, address in self.voterAddresses().items()}
+                for nodeId, address in self.voterAddresses().items() if nodeId in voterIds}
 
     def refuseFull(self, owner):
         """Before anything is done: what would grow a state that has no more room is told no. What is open already
@@ -405,25 +446,28 @@
             if now > owner.termUntil + TERM:
                 self.log.event("termLost", slot=slot, epoch=owner.epoch)
                 owner.end()
-        self._confirm(dict(self.held))
+        if any(owner.termUntil < now + TERM - TERM_FRESH for owner in self.held.values()):  # else pulls have done it
+            self._confirm(dict(self.held))
         for owner in self.held.values():
             if owner.rosterVersion < self._voter.roster.version:
                 owner.writeAgain()
 
+    def begin_confirmation(self):
+        """A round for all slots that are held, or None."""
+        return ConfirmationRound(dict(self.held), self._voter.roster, self.reactor.seconds()) if self.held else None
+
     def _confirm(self, owners):
-        if not owners:
-            return
-        askedAt, roster = self.reactor.seconds(), self._voter.roster
-        confirmedBy = {slot: set() for slot in owners}
-        terms = [idl.SlotEpoch(slot=slot, epoch=owner.epoch) for slot, owner in owners.items()]
+        if owners:
+            asked = ConfirmationRound(owners, self._voter.roster, self.reactor.seconds())
+            self.confirm_at(asked, asked.roster.everyone)
+
+    def confirm_at(self, asked, voterIds):
+        """Asks these voters by a call of its own each."""
+        terms = [idl.SlotEpoch(slot=slot, epoch=owner.epoch) for slot, owner in asked.owners.items()]
 
         async def ask(nodeId, answer):
-            for slot in {term.slot for term in await answer} & confirmedBy.keys():
-                confirmedBy[slot].add(nodeId)
-                if roster.isQuorum(confirmedBy[slot]):
-                    owners[slot].lengthen(askedAt + TERM)
-                    del confirmedBy[slot]
-        for nodeId, answer in self._askVoters("confirm", terms=terms).items():
+            asked.take(nodeId, {term.slot for term in await answer})
+        for nodeId, answer in self._askVoters("confirm", voterIds, terms=terms).items():
             spawn(ask(nodeId, answer))
 
     # --- taking over ---
--- a/packages/oakcontrol/oakcontrol/voter.py
+++ b/packages/oakcontrol/oakcontrol/voter.py
@@ -309,9 +309,23 @@
 
     async def _confirm(self, peer, arguments):
         """Which of these terms nobody has been promised past. The promise itself is on the disk already."""
-        self._checkRoster(peer, arguments.rosterVersion)
-        confirmed = [term for term in arguments.terms or [] if 0 <= term.slot < SLOTS
-                     and (self._tables[term.slot].promisedEpoch, self._tables[term.slot].promisedOwner)
-                     == (term.epoch, arguments.owner)]
-        self._confirmedAt.update(dict.fromkeys((term.slot for term in confirmed), self._seconds()))
+        confirmed = self._confirmed(peer, arguments.owner, arguments.rosterVersion,
+                                    [(term.slot, term.epoch) for term in arguments.terms or []])
+        return [idl.SlotEpoch(slot=slot, epoch=epoch) for slot, epoch in confirmed]
+
+    def confirm_terms(self, peer, terms):
+        """The same of terms that came with a pull; None leaves it to `confirm` to say why not."""
+        try:
+            if terms.voter != self._nodeId:
+                return None
+            confirmed = self._confirmed(peer, peer.nodeId, terms.rosterVersion, zip(terms.slots or [], terms.epochs or []))
+        except Fenced:
+            return None
+        return [slot for slot, _ in confirmed]
+
+    def _confirmed(self, peer, owner, rosterVersion, terms):
+        self._checkRoster(peer, rosterVersion)
+        confirmed = [(slot, epoch) for slot, epoch in terms if 0 <= slot < SLOTS
+                     and (self._tables[slot].promisedEpoch, self._tables[slot].promisedOwner) == (epoch, owner)]
+        self._confirmedAt.update(dict.fromkeys((slot for slot, _ in confirmed), self._seconds()))
         return confirmed
--- a/packages/oaknews/oaknews/puller.py
+++ b/packages/oaknews/oaknews/puller.py
@@ -29,6 +29,7 @@
         self._noted = {}  # source -> (version, member)
         self._rounds = 0
         self._repeater = None
+        self._rider = self._voter = None
         board.publish(self._source, reactor.seconds)
         board.watch(NODE_SOURCE, self._noteMember)
         self.describe(me)
@@ -48,6 +49,15 @@
         self._version += 1
         self._board.setItems(self._source, self._version, {"about": json.dumps(vars(self._me)).encode()} | self._more)
 
+    def carry_terms(self, rider):
+        """`rider.begin_round()` is called before each round of pulls; `rider.ride(address)` gives what goes with a pull to
+        this address and who is told the answer's `confirmed`, or None."""
+        self._rider = rider
+
+    def confirm_terms(self, voter):
+        """`voter(peer, terms)` gives the answer to terms that came with a member's pull."""
+        self._voter = voter
+
     @property
     def me(self):
         return self._me
@@ -80,6 +90,8 @@
         enough for its condition, and rows of nodes are all that is taken from a puller."""
         news = self._newsFor(peer, arguments)
         news.clusterId = self._net.clusterId
+        if arguments.terms is not None and self._voter is not None and news.clusterId and peer.clusterId == news.clusterId:
+            news.confirmed = self._voter(peer, arguments.terms)
         return news
 
     def _newsFor(self, peer, arguments):
@@ -125,6 +137,8 @@
         if others and (not addresses or self._rounds % 5 == 0):
             # In turn, so that each seed is asked often enough to tell whether it answers.
             addresses |= set(others) if not addresses else {sorted(others)[self._rounds // 5 % len(others)]}
+        if self._rider is not None:
+            self._rider.begin_round()
         for address in sorted(addresses - self._pulling):
             spawn(self._pullFrom(address), self._log)
 
@@ -179,7 +193,12 @@
             me = None if told.ownVersion == self._version else self._board.wholeImage(self._source)
             told.ownVersion, moved = self._version, told.take()
             askedAt = self._reactor.seconds()
-            news = await self._net.call(address, "pull", PULL_TIME, seen=moved, me=me, basis=told.basis, whole=isWhole)
+            ride = self._rider and self._rider.ride(address)
+            terms, confirmed = ride or (None, None)
+            news = await self._net.call(address, "pull", PULL_TIME, seen=moved, me=me, basis=told.basis, whole=isWhole,
+                                        terms=terms)
+            if ride is not None and news.confirmed is not None:
+                confirmed(news.confirmed)
             if news.again and not isWhole:
                 continue
             if news.basis == told.basis:
--- a/packages/oakwire/oakwire/oak.thrift
+++ b/packages/oakwire/oakwire/oak.thrift
@@ -30,6 +30,12 @@
   5: i32 ageMs            // since the source last confirmed this version
 }
 struct Age { 1: i32 place  2: i32 ageMs }    // of the source at this place of the puller's list, if it has not moved
+struct Terms {            // of the slots that a puller owns, to a voter: what `confirm` asks, on its way with a pull
+  1: string voter         // the node that is asked, and no other at its address
+  2: i64 rosterVersion
+  3: list<i32> slots
+  4: list<i64> epochs     // in the same order
+}
 struct News {
   1: list<Image> images
   2: string clusterId
@@ -37,6 +43,7 @@
   4: i64 basis            // the vector kept here since this pull: later ones need name only what moved in it
   5: binary agesPacked    // two bytes of ms, the lower first, for each place of that vector; 0xffff: none is given
   6: bool again           // no such basis is kept here; the whole vector is wanted
+  7: list<i32> confirmed  // to a pull with terms: the slots whose terms are confirmed; left out if this is for `confirm` to judge
 }
 
 // --- control: the disks' side ---------------------------------------------------
@@ -99,7 +106,7 @@
 struct RecordPage { 1: list<binary> records  2: list<i32> leftMs  3: i64 storeEpoch }
 
 service Node {
-  News pull(1: list<Seen> seen, 2: Image me, 3: i64 basis, 4: bool whole)
+  News pull(1: list<Seen> seen, 2: Image me, 3: i64 basis, 4: bool whole, 5: Terms terms)
       // me: the puller's own row, so that it is known by whom it asks; left out if it has not moved since it was sent
       // basis: number of the puller's vector; seen is the whole of it, or only what moved in it
   string ownerCall(1: string key, 2: string command, 3: string argumentsJson)
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -242,6 +242,76 @@
         self.assertTrue(asked.ended())
 
 
+class Terms(unittest.TestCase):
+    """Terms are confirmed on the way of pulls, and by calls of their own wherever that does not do."""
+
+    def setUp(self):
+        self.fleet = SimFleet(7).bringUp()
+        self.fleet.run(3.0)
+        self.controls = self.fleet.ofKind("control")
+        self.epochs = self.held()
+
+    def held(self):
+        return {one.machine.name: {slot: owner.epoch for slot, owner in one.node.owners.held.items()}
+                for one in self.controls if one.node is not None}
+
+    def calls(self):
+        return sum(one.node.node.net.callCounts.get("confirm", 0) for one in self.controls)
+
+    def watch(self, seconds):
+        """Runs the fleet; every term is held all the while."""
+        for _ in range(int(seconds / 0.05)):
+            self.fleet.run(0.05)
+            self.assertTrue(all(owner.holdsTerm() for one in self.controls for owner in one.node.owners.held.values()))
+        self.assertEqual(self.held(), self.epochs)
+
+    def testAQuietFleetNeedsNoCallsForThem(self):
+        before = self.calls()
+        self.watch(6.0)
+        self.assertLess(self.calls() - before, 12)
+
+    def testAnOlderReleaseIsAskedByCalls(self):
+        for one in self.controls:
+            one.node.node.puller.confirm_terms(None)
+        before = self.calls()
+        self.watch(6.0)
+        self.assertGreater(self.calls() - before, 5 * 4 * 20)
+
+    def testWithoutPullsTheyAreAskedForByCalls(self):
+        for one in self.controls:
+            one.node.node.puller._rider = None
+        self.watch(1.0)
+
+    def testTwoVotersThatLeavePullsUnansweredCostNoTerm(self):
+        for one in self.controls[:2]:
+            one.node.node.puller.confirm_terms(lambda peer, terms: None)
+        self.watch(6.0)
+
+    def testTermsMeantForAnotherNodeAreNotConfirmed(self):
+        voter, owner = self.controls[0].node, self.controls[1].node
+        slot, epoch = next((slot, one.epoch) for slot, one in owner.owners.held.items())
+        peer = owner.node.net.hello()
+
+        def said(peer=peer, **terms):
+            return voter.voter.confirm_terms(peer, idl.Terms(**{
+                "voter": voter.node.nodeId, "rosterVersion": voter.voter.roster.version, "slots": [slot, 99],
+                "epochs": [epoch, 1], **terms}))
+        self.assertEqual(said(), [slot])
+        self.assertEqual(said(epochs=[epoch + 1, 1]), [])
+        self.assertEqual(said(peer=self.controls[2].node.node.net.hello()), [])
+        self.assertIsNone(said(voter="its former self"))
+        self.assertIsNone(said(rosterVersion=voter.voter.roster.version + 1))
+        self.assertIsNone(said(peer=idl.Hello(nodeId="stranger", clusterId=voter.node.net.clusterId)))
+
+    def testWhoIsNoMemberIsConfirmedNothing(self):
+        voter = self.controls[0].node.node
+        arguments = idl.Node.pull_args(seen=[], terms=idl.Terms(voter=voter.nodeId, rosterVersion=1, slots=[1], epochs=[1]))
+        for clusterId in ("", "another"):
+            answer = self.fleet.until(spawn(voter.net.handlers["pull"](
+                idl.Hello(nodeId=self.controls[1].node.node.nodeId, clusterId=clusterId), arguments)))
+            self.assertIsNone(answer.confirmed)
+
+
 class Packed(unittest.TestCase):
     def testAStepComesBackAsItWas(self):
         step = idl.Step(slot=1, epoch=2, sequence=3, entries=entriesOf([("k", b"\xff"), ("gone", None)]), fromEpoch=0,
