--- /dev/null
+++ b/packages/oakprefix/oakprefix/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants whose prompt prefixes evict each other: seen, found, and given replicas of their own."""
--- /dev/null
+++ b/packages/oakprefix/oakprefix/planner.py
@@ -0,0 +1,93 @@
+"""Which replicas a trapped tenant's requests go to, so that the working sets that meet on a replica fit its cache.
+
+First fit by decreasing rate, each onto the replicas with the least planned rate that still have room for its working set;
+who was planned stays as long as its replicas do, so that a plan moves as little as it can. Replicas are not taken from
+anybody: those who are not trapped are placed as ever, on all of them, and what they hold there within a window is left out
+of the bins.
+"""
+import math
+
+from oakbase.constants import (BIN_SHARE, CACHE_USABLE, EVICTION_WINDOW, HOT_SHARE, PLAN_GAIN, TENANT_REPLICAS,
+                               TENANTS_MOVED)
+from oakprefix.cache_model import characteristic_time, held, hit_share
+from oakprefix.detector import pressure
+
+
+class _Bins:
+    """Invariant: `room` is the tokens left on each replica and `rate` the requests/s planned for it."""
+
+    def __init__(self, replicas, tokens):
+        self.room, self.rate = dict.fromkeys(replicas, tokens), dict.fromkeys(replicas, 0.0)
+
+    def put(self, load, replicas):
+        for replica in replicas:
+            self.room[replica] -= load.common
+            self.rate[replica] += load.rate / len(replicas)
+
+    def best(self, load, count, taken):
+        """At most `count` more replicas that have room."""
+        fit = [replica for replica in self.room if replica not in taken and self.room[replica] >= load.common]
+        return sorted(fit, key=lambda replica: (self.rate[replica], -self.room[replica], replica))[:count]
+
+
+def replicas_needed(load, mean_rate, count):
+    """How many of `count` replicas this tenant's rate asks for."""
+    return max(1, min(math.ceil(load.rate / (HOT_SHARE * mean_rate)), int(TENANT_REPLICAS * count)))
+
+
+def _taken(loads, tenants, flow, count):
+    """Tokens of each replica's cache that go to who is not in the plan, and to what is asked for once, in a window."""
+    others = {name: load for name, load in loads.items() if name not in tenants}
+    sets, _ = pressure(others, flow, count)
+    _, fresh = pressure(loads, flow, count)
+    return held(sets, fresh, EVICTION_WINDOW)
+
+
+def plan_of(loads, flow, tenants, replicas, cache_tokens, former):
+    """({tenant: replicas}, tenants that found no room). `former` is the plan in force; `tenants` are to be in the new
+    one; `replicas` are the ids that are ready."""
+    usable, ready = CACHE_USABLE * cache_tokens, set(replicas)
+    bins = _Bins(sorted(ready), BIN_SHARE * usable - _taken(loads, tenants, flow, max(1, len(ready))))
+    mean_rate = max(1e-9, sum(load.rate for load in loads.values()) / max(1, len(ready)))
+    kept = {name: [one for one in former[name] if one in ready] for name in former.keys() & set(tenants)}
+    for name, stay in kept.items():
+        if stay and name in loads:
+            bins.put(loads[name], stay)
+    plan, without_room = {}, []
+    for name in sorted(tenants, key=lambda name: (name not in kept, -loads[name].rate if name in loads else 0.0, name)):
+        stay = kept.get(name, [])
+        if name not in loads:  # silent for a moment
+            plan |= {name: stay} if stay else {}
+            continue
+        load = loads[name]
+        more = bins.best(load, replicas_needed(load, mean_rate, len(ready)) - len(stay), stay)
+        if not (stay or more) or len(plan) >= TENANTS_MOVED:
+            without_room.append(name)
+            continue
+        if more:
+            bins.put(load, more)
+        plan[name] = sorted(stay + more)
+    return plan, without_room
+
+
+def read_again(loads, flow, cache_tokens, replicas, plan):
+    """{tenant: tokens/s of its working set that are read again} under this plan."""
+    usable, count = CACHE_USABLE * cache_tokens, len(replicas)
+    lost = dict.fromkeys(loads, 0.0)
+    for replica in replicas:
+        rates = {name: load.rate / len(plan.get(name) or replicas) for name, load in loads.items()
+                 if replica in (plan.get(name) or replicas)}
+        fresh = flow / count + sum(rate * loads[name].fresh for name, rate in rates.items())
+        seconds = characteristic_time(usable, [(loads[name].common, rate) for name, rate in rates.items()], fresh)
+        for name, rate in rates.items():
+            lost[name] += rate * loads[name].common * (1 - hit_share(rate, seconds))
+    return lost
+
+
+def is_worth(loads, flow, cache_tokens, replicas, plan):
+    """Whether the plan saves enough of what its tenants read again, and makes none of the others read more."""
+    before, after = (read_again(loads, flow, cache_tokens, replicas, one) for one in ({}, plan))
+    moved = [name for name in plan if name in loads]
+    others = [name for name in loads if name not in plan]
+    return (sum(after[name] for name in moved) <= PLAN_GAIN * sum(before[name] for name in moved)
+            and sum(after[name] for name in others) <= sum(before[name] for name in others) + 1e-6)
--- /dev/null
+++ b/tests/test_prefix.py
@@ -0,0 +1,237 @@
+"""Tenants in mutual eviction by themselves: what gates count, what the cache model says, who is found, what is planned."""
+import random
+import unittest
+from collections import OrderedDict
+
+from hypothesis import given, settings, strategies as st
+
+from oakbase.constants import (CACHE_TIME_MOST, CACHE_USABLE, END_ROUNDS, EVICTED_SHARE, EVICTION_ROUND, TENANT_ID_LIMIT,
+                               TENANT_PARTS_TOLD, TENANT_REPLICAS, TENANTS_COUNTED, TENANTS_MOVED, TENANTS_TOLD, TRAP_ROUNDS)
+from oakprefix.cache_model import characteristic_time, hit_share
+from oakprefix.counters import TenantCounters, tenant_of
+from oakprefix.detector import Detector, Load, Window, findings_of
+from oakprefix.planner import is_worth, plan_of, read_again
+
+CACHE = 60000
+REPLICAS = [f"r{number}" for number in range(8)]
+
+
+def load(rate=0.7, common=6000, fresh=200, late=0.3):
+    return Load(round(rate * 10), rate, late, common, common + fresh)
+
+
+def clubs(count=40, **more):
+    return {f"club{number}": load(**more) for number in range(count)}
+
+
+class Counting(unittest.TestCase):
+    def test_a_tenant_is_the_first_part(self):
+        self.assertEqual(tenant_of((("a1", 800), ("b2", 20))), "a1")
+        self.assertIsNone(tenant_of(()))
+        self.assertLessEqual(len(tenant_of((("f" * 9000, 1),))), TENANT_ID_LIMIT)
+
+    def test_each_request_is_told_once(self):
+        counters = TenantCounters()
+        for number in range(4):
+            counters.note((("a1", 800), (f"own{number}", 20)), number == 0, CACHE)
+        counters.note((), False, CACHE)
+        told = counters.take()
+        requests, late, tokens, parts = told["tenants"]["a1"]
+        self.assertEqual((requests, late, tokens, parts[0][1:]), (4, 1, 3280, [800, 4]))
+        self.assertEqual(told["rest"], [1, 0, 0])
+        self.assertEqual(counters.take(), {"tenants": {}, "rest": [0, 0, 0]})
+
+    def test_invented_ids_cost_a_bounded_table_and_hide_nobody(self):
+        counters = TenantCounters()
+        for number in range(20 * TENANTS_COUNTED):
+            counters.note((("club", 6000), (f"own{number}", 9)), True, CACHE) if number % 50 == 0 else counters.note(
+                ((f"invented{number}" * 20, 10),) * 40, False, CACHE)
+        self.assertLessEqual(len(counters._tenants), TENANTS_COUNTED)
+        told = counters.take()
+        self.assertEqual(told["tenants"]["club"][0], len(range(0, 20 * TENANTS_COUNTED, 50)))
+        self.assertLessEqual(len(told["tenants"]), TENANTS_TOLD)
+        self.assertEqual(sum(row[0] for row in told["tenants"].values()) + told["rest"][0], 20 * TENANTS_COUNTED)
+
+    def test_endless_parts_and_sizes_are_cut(self):
+        counters = TenantCounters()
+        counters.note(tuple((f"p{number}", 10 ** 12) for number in range(5000)), False, CACHE)
+        _, _, tokens, parts = counters.take()["tenants"]["p0"]
+        self.assertEqual((tokens, len(parts)), (CACHE, TENANT_PARTS_TOLD))
+
+
+class Model(unittest.TestCase):
+    def lru(self, sets, flow, cache, seed=1, seconds=4000):
+        """Share of requests for each set that a real LRU cache meets."""
+        chooser, held, used = random.Random(seed), OrderedDict(), 0
+        total = sum(rate for _, rate in sets) + flow / 100
+        asked, met = [0] * len(sets), [0] * len(sets)
+        for number in range(int(total * seconds)):
+            draw = chooser.random() * total
+            index = next((place for place in range(len(sets)) if (draw := draw - sets[place][1]) < 0), None)
+            name, size = (f"own{number}", 100) if index is None else (index, sets[index][0])
+            if index is not None:
+                asked[index] += 1
+                met[index] += name in held
+            if name in held:
+                held.move_to_end(name)
+                continue
+            held[name], used = size, used + size
+            while used > cache:
+                used -= held.popitem(last=False)[1]
+        return [hits / max(1, count) for hits, count in zip(met, asked)]
+
+    def test_it_says_what_an_lru_cache_does(self):
+        sets = [(600, 0.1 + 0.05 * place) for place in range(30)]
+        for flow in (0.0, 300.0):
+            seconds = characteristic_time(6000, sets, flow)
+            for (_, rate), share in zip(sets, self.lru(sets, flow, 6000)):
+                self.assertAlmostEqual(hit_share(rate, seconds), share, delta=0.08)
+
+    def test_what_fits_stays(self):
+        self.assertEqual(characteristic_time(1000, [(400, 1.0), (500, 0.1)], 0.0), CACHE_TIME_MOST)
+
+    @given(st.lists(st.tuples(st.integers(1, 9000), st.floats(0.01, 50)), max_size=20), st.floats(0, 1e5))
+    @settings(max_examples=60, deadline=None)
+    def test_more_pressure_never_keeps_parts_longer(self, sets, flow):
+        seconds = characteristic_time(10000, sets, flow)
+        self.assertLessEqual(characteristic_time(10000, [*sets, (500, 1.0)], flow + 1), seconds + 1e-6)
+
+
+class Windows(unittest.TestCase):
+    def report(self, tenants, rest=(0, 0, 0)):
+        return {"cache": CACHE, "tenants": tenants, "rest": list(rest)}
+
+    def test_what_gates_share_is_found_only_together(self):
+        """Each gate sees a prefix once; all together see that it is shared."""
+        window = Window()
+        for gate in range(8):
+            window.add(1.0, f"g{gate}", 1, self.report({"t": [1, 1, 6100, [["common", 6000, 1], [f"own{gate}", 100, 1]]]}))
+        loads, _ = window.loads(1.0)
+        self.assertEqual((loads["t"].common, loads["t"].fresh, loads["t"].requests, loads["t"].late), (6000, 100, 8, 1.0))
+
+    def test_a_report_counts_once_and_gets_old(self):
+        window, row = Window(), self.report({"t": [5, 0, 500, [["a", 100, 5]]]}, (2, 0, 100))
+        self.assertEqual([window.add(1.0, "g", number, row) for number in (1, 1, 0, 2)], [True, False, False, True])
+        loads, flow = window.loads(2.0)
+        self.assertEqual((loads["t"].requests, flow), (10, 20.0))
+        self.assertEqual(window.loads(12.0), ({}, 0.0))
+        self.assertTrue(window.add(13.0, "g", 1, row), "a gate that began anew counts again")
+
+
+class Finding(unittest.TestCase):
+    def found(self, loads, flow=0.0, count=8):
+        return {name for name, one in findings_of(loads, flow, CACHE, count).items() if one.is_evicted and one.is_late}
+
+    def test_sets_that_fit_nowhere_together_are_a_trap(self):
+        self.assertEqual(len(self.found(clubs())), 40)
+
+    def test_what_is_no_trap(self):
+        for why, loads in (
+                ("cold start or a replaced replica: late, but the sets fit", clubs(8)),
+                ("plain overload: late, small prefixes", clubs(40, common=300, fresh=900, rate=5.0)),
+                ("long prompts, read once by nature", clubs(10, common=200, fresh=20000)),
+                ("answered in time", clubs(40, late=0.0)),
+                ("too few requests to tell", clubs(40, rate=0.3)),
+                ("one that evicts itself", {"big": load(common=60000, rate=8.0)})):
+            with self.subTest(why):
+                self.assertEqual(self.found(loads), set())
+
+    def test_who_floods_the_cache_traps_others_and_is_not_moved(self):
+        loads = clubs(6) | {"flood": load(rate=6.0, common=10, fresh=30000)}
+        self.assertEqual(self.found(loads), {f"club{number}" for number in range(6)})
+
+    def test_it_takes_some_rounds_and_ends_after_more(self):
+        """
+        round   1      2      3      4 ...          13      14
+        found   trap   trap   trap   calm           calm    calm
+        judged                move                          let go
+        """
+        trap, calm, detector = findings_of(clubs(), 0.0, CACHE, 8), findings_of(clubs(4), 0.0, CACHE, 8), Detector()
+        moved, log = set(), []
+        for number in range(TRAP_ROUNDS + END_ROUNDS + 1):
+            new, over = detector.judge(trap if number < TRAP_ROUNDS else calm, moved)
+            moved = (moved | new) - over
+            log.append((len(new), len(over)))
+        self.assertEqual(log, [(0, 0)] * (TRAP_ROUNDS - 1) + [(40, 0)] + [(0, 0)] * (END_ROUNDS - 1) + [(0, 40), (0, 0)])
+
+    def test_a_trap_that_comes_and_goes_moves_nobody(self):
+        trap, detector = findings_of(clubs(), 0.0, CACHE, 8), Detector()
+        for number in range(30):
+            self.assertEqual(detector.judge(trap if number % TRAP_ROUNDS else {}, ())[0], set())
+
+    def test_who_is_evicted_in_time_goes_along_with_who_is_late(self):
+        loads, detector = clubs(20) | {f"quick{number}": load(late=0.0) for number in range(20)}, Detector()
+        moved = [detector.judge(findings_of(loads, 0.0, CACHE, 8), ())[0] for _ in range(TRAP_ROUNDS)][-1]
+        self.assertEqual(len(moved), 40)
+
+
+class Planning(unittest.TestCase):
+    def plan(self, loads, tenants=None, former=(), replicas=REPLICAS, flow=0.0):
+        return plan_of(loads, flow, set(loads) if tenants is None else set(tenants), replicas, CACHE, dict(former))
+
+    def test_sets_fit_and_rates_are_even(self):
+        loads = clubs(48)
+        plan, without = self.plan(loads)
+        self.assertEqual((len(plan), without), (48, []))
+        for replica in REPLICAS:
+            here = [name for name, replicas in plan.items() if replica in replicas]
+            self.assertEqual(len(here), 6)
+            self.assertLessEqual(sum(loads[name].common for name in here), CACHE_USABLE * CACHE)
+        again = read_again(loads, 0.0, CACHE, REPLICAS, plan)
+        self.assertLess(sum(again.values()), 0.05 * sum(read_again(loads, 0.0, CACHE, REPLICAS, {}).values()))
+        self.assertTrue(is_worth(loads, 0.0, CACHE, REPLICAS, plan))
+
+    def test_a_plan_moves_as_little_as_it_can(self):
+        plan, _ = self.plan(clubs(24))
+        grown, _ = self.plan(clubs(30), former=plan)
+        self.assertEqual({name: grown[name] for name in plan}, plan)
+        without_r0, _ = self.plan(clubs(30), former=grown, replicas=REPLICAS[1:])
+        self.assertEqual({name for name in grown if without_r0[name] != grown[name]},
+                         {name for name in grown if "r0" in grown[name]})
+
+    def test_a_hot_tenant_gets_several_and_never_all(self):
+        loads = clubs(10) | {"hot": load(rate=30.0, fresh=20)}
+        self.assertEqual(len(self.plan(loads)[0]["hot"]), TENANT_REPLICAS * len(REPLICAS))
+
+    def test_no_room_to_move(self):
+        loads = clubs(200)
+        plan, without = self.plan(loads)
+        self.assertEqual(len(plan) + len(without), 200)
+        self.assertGreater(len(without), 0)
+        self.assertEqual(self.plan(clubs(5, common=70000))[0], {})
+        self.assertEqual(self.plan(clubs(5), replicas=[])[0], {})
+        loads = clubs(40, fresh=20)
+        only = self.plan(loads, replicas=["r0"])[0]
+        self.assertTrue(only)
+        self.assertFalse(is_worth(loads, 0.0, CACHE, ["r0"], only), "the same replica is no way out")
+
+    def test_a_plan_is_bounded(self):
+        loads = clubs(2 * TENANTS_MOVED, common=100, fresh=5)
+        self.assertLessEqual(len(self.plan(loads)[0]), TENANTS_MOVED)
+
+    def test_a_flood_that_nothing_helps_against_moves_nobody(self):
+        loads = clubs(10) | {"flood": load(rate=40.0, common=10, fresh=55000)}
+        plan, _ = self.plan(loads, [name for name in loads if name != "flood"])
+        self.assertFalse(plan and is_worth(loads, 0.0, CACHE, REPLICAS, plan))
+
+    def test_who_is_silent_for_a_moment_stays(self):
+        plan, _ = self.plan(clubs(10))
+        self.assertEqual(self.plan({}, plan, former=plan), (plan, []))
+
+    @given(st.lists(st.tuples(st.floats(0.1, 30), st.integers(1, 80000), st.integers(0, 5000)), min_size=1, max_size=40),
+           st.integers(1, 8))
+    @settings(max_examples=60, deadline=None)
+    def test_any_plan_names_ready_replicas_and_stays_within_its_bounds(self, rows, count):
+        loads = {f"t{place}": load(*row) for place, row in enumerate(rows)}
+        plan, without = self.plan(loads, replicas=REPLICAS[:count])
+        self.assertEqual(plan.keys() & set(without), set())
+        for name, replicas in plan.items():
+            self.assertLessEqual(set(replicas), set(REPLICAS[:count]))
+            self.assertLessEqual(len(replicas), max(1, TENANT_REPLICAS * count))
+        self.assertEqual(self.plan(loads, plan, former=plan, replicas=REPLICAS[:count])[0].keys(), plan.keys())
+
+
+class Constants(unittest.TestCase):
+    def test_rounds_are_well_under_a_window(self):
+        self.assertLess(TRAP_ROUNDS * EVICTION_ROUND, 10.0)
+        self.assertGreater(EVICTED_SHARE, 0.1)
