--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -206,7 +206,7 @@
 
 # --- tenants in mutual eviction ----------------------------------------------
 EVICTION_ROUND = 2.0        # s; a gate's report and the owner's round: some requests of each tenant, well under a rush
-EVICTION_WINDOW = 10.0      # s; that rates are taken over: a rush begins within seconds, and a tenant asks several times in it
+EVICTION_WINDOW = 12.0      # s; that rates are taken over: a rush begins within seconds, and a tenant asks several times in it
 TENANT_ID_LIMIT = 64        # characters; of a part's id, longer ones stand as a hash
 TENANTS_COUNTED = 1024      # tenants; of a service in one gate and round, below a thousand and more only if one invents them
 TENANTS_TOLD = 48           # tenants; in a report, those with the most tokens: at 80 bytes each, 2 KB/s of a node's 11
@@ -216,20 +216,23 @@
 PRESSURE_LATE = 0.03        # share of late answers; below it a gate tells nothing, as nobody waits too long
 CACHE_TIME_MOST = 600.0     # s; a part that stays longer than this is never read again within one rush
 CACHE_USABLE = 0.9          # share of cache_tokens; the rest is held by what running requests put out
-COMMON_USES = 3             # requests; a part that fewer share is a session's own
+COMMON_USES = 2             # requests; that share a part, of two programs at least: else it is a session's own
 COMMON_SHARE = 1 / 16       # share of a tenant's requests; the same for one that asks often
-TENANT_REQUESTS = 6         # requests; in a window, fewer say nothing of a tenant
+TENANT_REQUESTS = 6         # requests; in a window, with fewer a tenant does not make a trap; it may be moved out of one
 EVICTED_SHARE = 0.2         # share of a tenant's prompt tokens; read again since others evicted them: above it is a trap
 TENANT_LATE = 0.05          # share of late answers; a tenant that is answered in time is left alone
-TRAP_ROUNDS = 3             # rounds; in a row, so that a cold start or a single crowd is over by then
-EVICTED_END = 0.1           # share of a tenant's prompt tokens; below it, were all moved back, it may go: half of the beginning
+TRAP_ROUNDS = 2             # rounds; in a row, so that one odd round moves nobody; a cold start is told apart by the sets
+EVICTED_END = 0.1           # share of a tenant's prompt tokens; if nobody's is above it, were all moved back, all may go
 END_ROUNDS = 10             # rounds; in a row, so that a pause within a rush moves nobody to and fro
-BIN_SHARE = 0.9             # share of a replica's usable cache; that is planned for, the rest is for noise in the rates
+BIN_SHARE = 0.8             # share of a replica's usable cache; that working sets are planned for, the rest is for sessions
 HOT_SHARE = 0.5             # share of a replica's mean rate; a tenant that asks for more gets another replica
 TENANT_REPLICAS = 0.5       # share of a service's replicas; that one tenant gets at most, however much it asks
 TENANTS_MOVED = 256         # tenants; of one service moved at a time, so that a plan stays a small entry
 PLAN_GAIN = 0.5             # share of the tokens read again; a plan that leaves more of them is not worth its movement
-PLAN_AGE = 6.0              # s; a gate whose plan was confirmed longer ago places as ever: three rounds, a take-over between
-PLACEMENT_SLACK = 0.4       # share of a replica's slots; by so much more room others must have before a moved tenant's request
-                            # goes elsewhere: its prefix read again costs more than a program's turn (AFFINITY_SLACK)
+PLAN_AGE = 10.0             # s; a gate whose plan was confirmed longer ago places as ever: a take-over and two rounds fit
+PLACEMENT_SLACK = 1.0       # share of a replica's slots; by so much more room others must have before a moved tenant's request
+                            # goes elsewhere: a prefix read there holds up all who run there, and evicts others' (at 0.4 a
+                            # load beside a large tenant never came out of its trap: docs/eviction.md)
+PLACEMENT_PATIENCE = 0.5    # share of a request's patience; it waits so long for its tenant's replicas if all are about as full
 FINDINGS_SHOWN = 64         # tenants; in the operators' list, the worst first
+TENANTS_NAMED = 4           # tenants; named in one log line
--- a/packages/oakbase/oakbase/env.py
+++ b/packages/oakbase/oakbase/env.py
@@ -6,7 +6,7 @@
 
 from schema import And, Optional, Or
 
-from oakbase.checks import NAME, checkFields, whole
+from oakbase.checks import NAME, checkFields, oneOf, whole
 from oakbase.verdict import BadRequest, EnvError
 
 
@@ -48,6 +48,8 @@
                  "claim_window_s", "recover_s", "rejoin_s", "settle_s", "contact_s", "ack_s", "transit_s",
                  "address_reuse_s", "seed_lag_s", "last_aim_s")
 RESOURCES = numbers("memory_mb", "descriptors", "disk_mb", "link_mbps")
+# Whether tenants in mutual eviction are looked for (observe), and moved too (on). Gates count only if it is not off.
+EVICTION_MODES = ("off", "observe", "on")
 COMMON_ENV = {
     "machine": NAME,
     "zone": NAME,
@@ -63,6 +65,7 @@
     Optional("zones"): [NAME],
     Optional("bounds"): BOUNDS,
     Optional("resources"): RESOURCES,
+    Optional("eviction"): Or(None, oneOf(*EVICTION_MODES)),
 }
 GATE_ENV = COMMON_ENV | {Optional("relay"): ADDRESS, Optional("ready"): ADDRESS}
 DISK_ENV = COMMON_ENV | {
@@ -81,6 +84,10 @@
          "ringFileSize": int, "ringFiles": int, "relay": str, "ready": str, "platform": str, "operator": str}
 
 
+def eviction_mode(env):
+    return env.get("eviction") or "off"
+
+
 def checkEnv(rules, pairs):
     try:
         return checkFields(rules, pairs)
--- a/packages/oakcontrol/oakcontrol/admin.py
+++ b/packages/oakcontrol/oakcontrol/admin.py
@@ -5,6 +5,7 @@
 from oakbase.verdict import BadRequest, Conflict, Refused
 from schema import And
 
+from oakcontrol.placement import PLACEMENT_KEY
 from oakcontrol.places import REPLICAS_KEY
 from oakcontrol.roster import ROSTER_KEY
 from oakcontrol.storeset import STORES_KEY, storesShown
@@ -28,6 +29,7 @@
         web.route("GET", "/v1/slots", self._slots)
         web.route("GET", "/v1/replicas", self._replicas)
         web.route("POST", "/v1/replicas/{id}/leaving", self._markLeaving)
+        web.route("GET", "/v1/placement", self._placement)
         web.route("GET", "/v1/stores", self._stores)
         web.route("PUT", "/v1/stores", self._setStores)
         web.route("GET", "/v1/roster", self._roster)
@@ -105,6 +107,9 @@
     async def _markLeaving(self, call):
         return await self._ask(REPLICAS_KEY, "markLeaving", {"id": call.names["id"]}, CHANGE_TIME)
 
+    async def _placement(self, _call):
+        return await self._ask(PLACEMENT_KEY, "read", {})
+
     async def _stores(self, _call):
         status, record = await self._ask(STORES_KEY, "read", {})
         return status, await storesShown(self._node, record)
@@ -132,4 +137,5 @@
         return 200, self._node.condition() | {
             "condition": "ready" if owners.held else "waiting", "slots": len(owners.held),
             "platform": self._control.platform and self._control.platform.reachable,
+            "eviction": self._control.placement.mode,
             "roster": voter.roster and voter.roster.record, "disk": self._control.ring.condition()}
--- a/packages/oakcontrol/oakcontrol/control.py
+++ b/packages/oakcontrol/oakcontrol/control.py
@@ -7,12 +7,13 @@
 from oakbase.verdict import OakError
 from oakbase.web import Web
 from oakcontrol import (  # noqa: F401  each enters its controller
-    allowance, blueprint, budget, claim, places, roster, routing, storeset)
+    allowance, blueprint, budget, claim, placement, places, roster, routing, storeset)
 from oakcontrol.admin import Admin
 from oakcontrol.client import OwnerClient
 from oakcontrol.founding import found, founding_of
 from oakcontrol.operator import Operator
 from oakcontrol.owner import Owners
+from oakcontrol.placement import PlacementWatch
 from oakcontrol.platform import PlatformWatch
 from oakcontrol.roster import RosterWatch
 from oakcontrol.storeset import StoreSetWatch
@@ -41,6 +42,7 @@
         self.rosterWatch = RosterWatch(self.node, self.voter, self.owners, bool(env.get("selfForming")))
         self.storeWatch = StoreSetWatch(self.node, self.owners, bool(env.get("selfForming")),
                                         env.get("toleratedLosses") or 1)
+        self.placement = PlacementWatch(self.node, self.owners)
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
         self.operator = Operator(self, dialect) if dialect is not None and env.get("operator") else None
         self.metrics = Metrics()
@@ -50,7 +52,9 @@
                           ("ring_syncs", lambda: self.ring.syncCount),
                           ("ring_commits", lambda: self.ring.commitCount),
                           ("ring_live_bytes", self.ring.liveBytes),
-                          ("members_live", lambda: len(self.node.members.live()))):
+                          ("members_live", lambda: len(self.node.members.live())),
+                          ("eviction_moved", lambda: self.placement.counts["moved"]),
+                          ("eviction_let_go", lambda: self.placement.counts["let_go"])):
             self.metrics.gauge(name, ask)
 
     def start(self):
@@ -74,6 +78,7 @@
         self.owners.start()
         self.storeWatch.start()
         self.rosterWatch.start()
+        self.placement.start()
         if self.platform:
             self.platform.start()
 
@@ -83,6 +88,7 @@
         if self.platform:
             self.platform.stop()
         self.storeWatch.stop()
+        self.placement.stop()
         await settled([web.stop() for web in (self.web, self.operator) if web])
         await self.owners.stop()
         self.rosterWatch.stop()
--- /dev/null
+++ b/packages/oakgate/oakgate/placement.py
@@ -0,0 +1,79 @@
+"""A gate's part in ending mutual eviction: it counts tenants, tells the owner of the plan, and keeps to the plan.
+
+Invariants: a plan is a preference for requests that have not been sent yet, and for nothing else; one that was confirmed
+longer than PLAN_AGE ago, or that cannot be read, is none.
+"""
+import json
+
+from oakbase.constants import CALL_TIME, EVICTION_ROUND, PLAN_AGE, PRESSURE_LATE
+from oakbase.env import eviction_mode
+from oakbase.tasks import Repeater
+from oakcontrol.placement import PLACEMENT_KEY
+from oakprefix.counters import TenantCounters, tenant_of
+
+
+class Placement:
+    def __init__(self, node, owners, metrics, cache_tokens_of):
+        """`cache_tokens_of(service)` gives a replica's prefix cache in tokens, or None if it is not known."""
+        self._node, self._owners, self._metrics, self._cache_tokens_of = node, owners, metrics, cache_tokens_of
+        self._counters, self._plans = {}, {}
+        self._number = 0
+        self._repeater = Repeater(node.reactor, EVICTION_ROUND, self.report, node.log)
+        node.board.watch(PLACEMENT_KEY, self._moved)
+        self._moved(PLACEMENT_KEY)
+
+    def start(self):
+        self._repeater.start()
+
+    def stop(self):
+        self._repeater.stop()
+
+    @property
+    def _is_off(self):
+        return eviction_mode(self._node.env) == "off"
+
+    # --- the plan ---
+
+    def _moved(self, source):
+        """Told by the board; what is wrong with a plan must not stop its other news."""
+        if source != PLACEMENT_KEY:
+            return
+        try:
+            self._plans = {service: {tenant: frozenset(replicas) for tenant, replicas in json.loads(value).items()}
+                           for service, value in self._node.board.values(PLACEMENT_KEY).items()}
+        except (ValueError, TypeError, AttributeError) as error:
+            self._plans = {}
+            self._node.log.event("evictionPlanUnreadable", error=repr(error))
+
+    def allowed(self, service, tenant):
+        """The ids of the replicas that this tenant's requests should go to, or None if any will do."""
+        planned = self._plans.get(service, {}).get(tenant)
+        if planned is None or self._is_off or self._node.board.age(PLACEMENT_KEY) > PLAN_AGE:
+            return None
+        return planned
+
+    # --- what is seen ---
+
+    def note(self, service, replica_id, prefix, program, is_late):
+        """The first event of a request with this prefix has come; `program` is None if it belongs to none."""
+        cache_tokens = self._cache_tokens_of(service)
+        if self._is_off or not cache_tokens:
+            return
+        self._counters.setdefault(service, TenantCounters()).note(prefix, program, is_late, cache_tokens)
+        planned = self.allowed(service, tenant_of(prefix))
+        if planned is not None:
+            self._metrics.count("eviction_placed", to="planned" if replica_id in planned else "elsewhere")
+
+    async def report(self):
+        """Tells the owner what was counted, of services whose answers are late or that have a plan."""
+        services = {service: {"cache": cache_tokens} | counters.take() for service, counters in self._counters.items()
+                    if (cache_tokens := self._cache_tokens_of(service)) and self._is_pressed(service, counters)}
+        self._counters = {}
+        if not services or self._is_off:
+            return
+        self._number += 1
+        await self._owners.call(PLACEMENT_KEY, "report", {
+            "gate": self._node.nodeId, "number": self._number, "services": services}, CALL_TIME)
+
+    def _is_pressed(self, service, counters):
+        return counters.late >= PRESSURE_LATE * counters.requests or service in self._plans
--- a/packages/oakprefix/oakprefix/counters.py
+++ b/packages/oakprefix/oakprefix/counters.py
@@ -3,7 +3,7 @@
 A tenant is whoever's prompts begin with the same part. Invented ids cost a bounded table, in which the least asked gives
 way first, and end up in `rest`, so that their tokens still count as pressure on the cache.
 """
-from collections import Counter
+from dataclasses import dataclass
 from hashlib import blake2b
 
 from cachetools import LFUCache
@@ -24,26 +24,42 @@
     return blake2b(name.encode(), digest_size=4).hexdigest()
 
 
+@dataclass
+class _Part:
+    """Invariant: `program` is None once two programs have used the part."""
+
+    tokens: int
+    program: str | None
+    uses: int = 0
+
+
 class _Tenant:
-    """Invariant: `parts` maps at most TENANT_PARTS parts to their tokens, `uses` counts just these."""
+    """Invariant: `parts` holds at most TENANT_PARTS parts. `fresh` counts the tokens of last parts, which are a request's
+    own: what comes before is read anew only if it was evicted."""
 
-    __slots__ = ("requests", "late", "tokens", "parts", "uses")
+    __slots__ = ("requests", "late", "tokens", "fresh", "parts")
 
     def __init__(self):
-        self.requests = self.late = self.tokens = 0
-        self.parts, self.uses = {}, Counter()
+        self.requests = self.late = self.tokens = self.fresh = 0
+        self.parts = {}
 
-    def note(self, prefix, most):
+    def note(self, prefix, program, most):
         for name, tokens in prefix:
             if name not in self.parts and len(self.parts) >= TENANT_PARTS:
                 break
-            self.parts[name] = min(tokens, most)
-            self.uses[name] += 1
+            part = self.parts.setdefault(name, _Part(min(tokens, most), program))
+            part.uses += 1
+            if part.program != program:
+                part.program = None
+
+    def counts(self):
+        return self.requests, self.late, self.tokens, self.fresh
 
     def told(self):
-        """[requests, late ones, tokens, [[part, tokens, uses], most used first]]."""
-        return [self.requests, self.late, self.tokens,
-                [[_short(name), self.parts[name], uses] for name, uses in self.uses.most_common(TENANT_PARTS_TOLD)]]
+        """[requests, late ones, tokens, fresh tokens, [[part, tokens, uses, its only program or ""], most used first]]."""
+        used = sorted(self.parts.items(), key=lambda pair: -pair[1].uses)[:TENANT_PARTS_TOLD]
+        return [*self.counts(), [[_short(name), part.tokens, part.uses, _short(part.program) if part.program else ""]
+                                 for name, part in used]]
 
 
 class TenantCounters:
@@ -54,20 +70,25 @@
 
     def _clear(self):
         self._tenants = _Table(TENANTS_COUNTED, self._give_up)
-        self._rest = [0, 0, 0]
+        self._rest = [0, 0, 0, 0]
         self.requests = self.late = 0
 
     def _give_up(self, tenant):
-        self._rest = [sum(pair) for pair in zip(self._rest, (tenant.requests, tenant.late, tenant.tokens))]
+        self._add_to_rest(*tenant.counts())
 
-    def note(self, prefix, is_late, most_tokens):
-        """One request whose first event came; no part counts for more than the cache's `most_tokens`."""
+    def _add_to_rest(self, *counts):
+        self._rest = [sum(pair) for pair in zip(self._rest, counts)]
+
+    def note(self, prefix, program, is_late, most_tokens):
+        """One request whose first event came; no part counts for more than the cache's `most_tokens`. Requests with no
+        program count as programs of their own."""
         name = tenant_of(prefix)
-        tokens = min(sum(tokens for _, tokens in prefix), most_tokens)
         self.requests += 1
         self.late += is_late
+        tokens = min(sum(tokens for _, tokens in prefix), most_tokens)
+        fresh = min(prefix[-1][1], tokens) if prefix else 0
         if name is None:
-            self._rest = [self._rest[0] + 1, self._rest[1] + is_late, self._rest[2] + tokens]
+            self._add_to_rest(1, is_late, tokens, fresh)
             return
         tenant = self._tenants.get(name)
         if tenant is None:
@@ -75,10 +96,11 @@
         tenant.requests += 1
         tenant.late += is_late
         tenant.tokens += tokens
-        tenant.note(prefix, most_tokens)
+        tenant.fresh += fresh
+        tenant.note(prefix, program or f"request {self.requests}", most_tokens)
 
     def take(self):
-        """What was counted since the last take: {"tenants": {tenant: [..]}, "rest": [requests, late, tokens]}."""
+        """What was counted since the last take: {"tenants": {tenant: [..]}, "rest": [requests, late, tokens, fresh]}."""
         ranked = sorted(self._tenants.items(), key=lambda pair: (-pair[1].tokens, pair[0]))
         for _, tenant in ranked[TENANTS_TOLD:]:
             self._give_up(tenant)
--- a/packages/oakprefix/oakprefix/detector.py
+++ b/packages/oakprefix/oakprefix/detector.py
@@ -10,25 +10,21 @@
 from dataclasses import dataclass
 
 from oakbase.constants import (CACHE_USABLE, COMMON_SHARE, COMMON_USES, END_ROUNDS, EVICTED_END, EVICTED_SHARE,
-                               EVICTION_WINDOW, REPORT_GATES, TENANT_LATE, TENANT_REQUESTS, TRAP_ROUNDS)
+                               EVICTION_ROUND, EVICTION_WINDOW, REPORT_GATES, TENANT_LATE, TENANT_REQUESTS, TRAP_ROUNDS)
 from oakprefix.cache_model import characteristic_time, hit_share
 
 
 @dataclass(frozen=True)
 class Load:
-    """One tenant's requests over a window. `common` is the working set that its requests share, in tokens; `tokens` are
-    those of a whole prompt, on average, `late` a share."""
+    """One tenant's requests over a window. `common` is the working set that its programs share, in tokens; `tokens` are
+    those of a whole prompt and `fresh` those that are new in it, on average; `late` is a share."""
 
     requests: int
     rate: float
     late: float
     common: float
     tokens: float
-
-    @property
-    def fresh(self):
-        """Tokens of a prompt that no other request shares."""
-        return max(0.0, self.tokens - self.common)
+    fresh: float
 
 
 @dataclass(frozen=True)
@@ -41,7 +37,7 @@
     evicted: float
     alone: float
     is_evicted: bool
-    is_late: bool
+    is_trapped: bool
 
 
 class Window:
@@ -68,22 +64,27 @@
         self._last = {gate: number for gate, number in self._last.items() if gate in gates}
 
     def loads(self, now):
-        """({tenant: Load}, tokens/s of all the others)."""
+        """({tenant: Load}, tokens/s of all the others), over as much of the window as there are reports of."""
         self._expire(now)
+        span = min(EVICTION_WINDOW, now - self._reports[0][0] + EVICTION_ROUND) if self._reports else EVICTION_WINDOW
         totals, parts = {}, {}
         for _, _, report in self._reports:
-            for tenant, (requests, late, tokens, told) in report["tenants"].items():
-                totals[tenant] = [sum(pair) for pair in zip(totals.get(tenant, (0, 0, 0)), (requests, late, tokens))]
-                for name, size, uses in told:
-                    known = parts.setdefault(tenant, {}).get(name, (0, 0))
-                    parts[tenant][name] = (max(known[0], size), known[1] + uses)
-        flow = sum(report["rest"][2] for _, _, report in self._reports) / EVICTION_WINDOW
-        return {tenant: self._load(*total, parts.get(tenant, {}).values()) for tenant, total in totals.items()}, flow
-
-    def _load(self, requests, late, tokens, parts):
+            for tenant, (*counts, told) in report["tenants"].items():
+                totals[tenant] = [sum(pair) for pair in zip(totals.get(tenant, (0, 0, 0, 0)), counts)]
+                of_tenant = parts.setdefault(tenant, {})
+                for name, size, uses, program in told:
+                    known = of_tenant.setdefault(name, [0, 0, set()])
+                    known[0], known[1] = max(known[0], size), known[1] + uses
+                    known[2].add(program)
+        flow = sum(report["rest"][3] for _, _, report in self._reports) / span
+        return {tenant: self._load(span, *total, parts[tenant].values()) for tenant, total in totals.items()}, flow
+
+    def _load(self, span, requests, late, tokens, fresh, parts):
         least = max(COMMON_USES, COMMON_SHARE * requests)
-        common = min(sum(size for size, uses in parts if uses >= least), self.cache_tokens)
-        return Load(requests, requests / EVICTION_WINDOW, late / requests, common, tokens / requests)
+        common = sum(size for size, uses, programs in parts if uses >= least and ("" in programs or len(programs) > 1))
+        common, tokens = min(common, self.cache_tokens), tokens / requests
+        return Load(requests, requests / span, late / requests, common, tokens,
+                    max(0.0, min(fresh / requests, tokens - common)))
 
 
 def pressure(loads, flow, count):
@@ -104,30 +105,27 @@
     rate, weight = load.rate / count, load.common / max(1.0, load.tokens)
     by_itself = (1 - hit_share(rate, alone)) * weight
     evicted = (hit_share(rate, alone) - hit_share(rate, together)) * weight
-    return Finding(tenant, load, evicted, by_itself, load.requests >= TENANT_REQUESTS and evicted >= EVICTED_SHARE,
-                   load.late >= TENANT_LATE)
+    return Finding(tenant, load, evicted, by_itself, evicted >= EVICTED_SHARE,
+                   evicted >= EVICTED_SHARE and load.requests >= TENANT_REQUESTS and load.late >= TENANT_LATE)
 
 
 class Detector:
-    """Invariant: `_evicted` and `_trapped` count for each tenant the rounds in a row in which it was so, `_calm` those in
-    which one that is moved would not be evicted."""
+    """Invariant: `_trapped` counts for each tenant the rounds in a row in which it was so, `_calm` those in which one that
+    is moved was silent, or in which nobody would be evicted."""
 
     def __init__(self):
-        self._evicted, self._trapped, self._calm = {}, {}, {}
+        self._trapped, self._calm = {}, {}
 
     def judge(self, findings, moved):
         """(tenants that are to be moved, those of `moved` that are to be let go)."""
-        evicted = {name: finding for name, finding in findings.items() if finding.is_evicted}
-        self._evicted = _counted(self._evicted, evicted)
-        self._trapped = _counted(self._trapped, [name for name, finding in evicted.items() if finding.is_late])
-        self._calm = _counted(self._calm, [name for name in moved if self._is_calm(findings.get(name))])
+        self._trapped = _counted(self._trapped, [name for name, finding in findings.items() if finding.is_trapped])
+        is_calm = not any(finding.evicted >= EVICTED_END for finding in findings.values())
+        self._calm = _counted(self._calm, [name for name in moved if is_calm or name not in findings])
         is_trap = bool(moved) or any(rounds >= TRAP_ROUNDS for rounds in self._trapped.values())
-        return ({name for name, rounds in self._evicted.items() if is_trap and rounds >= TRAP_ROUNDS and name not in moved},
+        # Within a trap nobody waits for rounds of its own: the sooner all are moved, the sooner it ends.
+        return ({name for name, finding in findings.items() if is_trap and finding.is_evicted and name not in moved},
                 {name for name, rounds in self._calm.items() if rounds >= END_ROUNDS})
 
-    @staticmethod
-    def _is_calm(finding):
-        return finding is None or finding.load.requests < TENANT_REQUESTS / 2 or finding.evicted < EVICTED_END
 
 
 def _counted(rounds, names):
--- a/packages/oakprefix/oakprefix/planner.py
+++ b/packages/oakprefix/oakprefix/planner.py
@@ -1,9 +1,9 @@
 """Which replicas a trapped tenant's requests go to, so that the working sets that meet on a replica fit its cache.
 
-First fit by decreasing rate, each onto the replicas with the least planned rate that still have room for its working set;
+By decreasing rate, each onto the replicas that are least full of planned rates and sets and have room for its working set;
 who was planned stays as long as its replicas do, so that a plan moves as little as it can. Replicas are not taken from
-anybody: those who are not trapped are placed as ever, on all of them, and what they hold there within a window is left out
-of the bins.
+anybody: those who are not trapped are placed as ever, on all of them, and what they hold there within a window is left out of
+the bins.
 """
 import math
 
@@ -14,10 +14,11 @@
 
 
 class _Bins:
-    """Invariant: `room` is the tokens left on each replica and `rate` the requests/s planned for it."""
+    """Invariant: `room` is the tokens left of `size` on each replica and `rate` the requests/s planned for it."""
 
-    def __init__(self, replicas, tokens):
-        self.room, self.rate = dict.fromkeys(replicas, tokens), dict.fromkeys(replicas, 0.0)
+    def __init__(self, replicas, size, mean_rate):
+        self._size, self._mean_rate = max(1.0, size), mean_rate
+        self.room, self.rate = dict.fromkeys(replicas, size), dict.fromkeys(replicas, 0.0)
 
     def put(self, load, replicas):
         for replica in replicas:
@@ -27,7 +28,10 @@
     def best(self, load, count, taken):
         """At most `count` more replicas that have room."""
         fit = [replica for replica in self.room if replica not in taken and self.room[replica] >= load.common]
-        return sorted(fit, key=lambda replica: (self.rate[replica], -self.room[replica], replica))[:count]
+        return sorted(fit, key=lambda replica: (self._fullness(replica), replica))[:max(0, count)]
+
+    def _fullness(self, replica):
+        return self.rate[replica] / self._mean_rate + 1 - self.room[replica] / self._size
 
 
 def replicas_needed(load, mean_rate, count):
@@ -35,20 +39,19 @@
     return max(1, min(math.ceil(load.rate / (HOT_SHARE * mean_rate)), int(TENANT_REPLICAS * count)))
 
 
-def _taken(loads, tenants, flow, count):
-    """Tokens of each replica's cache that go to who is not in the plan, and to what is asked for once, in a window."""
-    others = {name: load for name, load in loads.items() if name not in tenants}
-    sets, _ = pressure(others, flow, count)
-    _, fresh = pressure(loads, flow, count)
-    return held(sets, fresh, EVICTION_WINDOW)
+def _taken(loads, tenants, usable, count):
+    """Tokens of each replica's cache that go to working sets of who is not in the plan; they get no more than half of it,
+    so that a plan is not given up before `is_worth` has judged it."""
+    others, _ = pressure({name: load for name, load in loads.items() if name not in tenants}, 0.0, count)
+    return min(usable / 2, held(others, 0.0, EVICTION_WINDOW))
 
 
-def plan_of(loads, flow, tenants, replicas, cache_tokens, former):
+def plan_of(loads, tenants, replicas, cache_tokens, former):
     """({tenant: replicas}, tenants that found no room). `former` is the plan in force; `tenants` are to be in the new
     one; `replicas` are the ids that are ready."""
     usable, ready = CACHE_USABLE * cache_tokens, set(replicas)
-    bins = _Bins(sorted(ready), BIN_SHARE * usable - _taken(loads, tenants, flow, max(1, len(ready))))
     mean_rate = max(1e-9, sum(load.rate for load in loads.values()) / max(1, len(ready)))
+    bins = _Bins(sorted(ready), BIN_SHARE * usable - _taken(loads, tenants, usable, max(1, len(ready))), mean_rate)
     kept = {name: [one for one in former[name] if one in ready] for name in former.keys() & set(tenants)}
     for name, stay in kept.items():
         if stay and name in loads:
