--- a/packages/oakgate/oakgate/balancer.py
+++ b/packages/oakgate/oakgate/balancer.py
@@ -14,8 +14,8 @@
 
 from twisted.internet import defer
 
-from oakbase.constants import (AFFINITY_SLACK, BALANCER_QUEUE, EJECT_AFTER, EJECT_LONGEST, EJECT_PAUSE, LOAD_AGE, QUEUED_SHARE,
-                               RETRY_AFTER_LEAST, SHED_PAUSE)
+from oakbase.constants import (AFFINITY_SLACK, BALANCER_QUEUE, EJECT_AFTER, EJECT_LONGEST, EJECT_PAUSE, LOAD_AGE,
+                               PLACEMENT_SLACK, QUEUED_SHARE, RETRY_AFTER_LEAST, SHED_PAUSE)
 from oakbase.tasks import within
 from oakbase.verdict import Overloaded, TimeSpent
 from oakcohort.rendezvous import score
@@ -64,14 +64,18 @@
     patience_until: float
     affinity: str = ""
     excluded: frozenset = frozenset()
+    tenant: str | None = None
+    keep_until: float = float("-inf")   # until then it would rather wait for its tenant's replicas than go elsewhere
 
 
 class Balancer:
     """Invariants: `instances` has a row for each listed replica, by id; `_waiting[service]` is a heap of who waits for
     room there, first by rank, then by patience."""
 
-    def __init__(self, node, log):
+    def __init__(self, node, log, placement=None):
+        """`placement.allowed(service, tenant)` gives the replicas that a tenant should keep to, or None."""
         self._node, self._reactor, self._log = node, node.reactor, log
+        self._placement = placement
         self._zone = node.env["zone"]
         self.instances = {}
         self._by_service = {}
@@ -117,6 +121,10 @@
             self._scores[pair] = score(replica_id, key)
         return self._scores[pair]
 
+    def _planned(self, wish):
+        """The ids of the replicas that its tenant should keep to; none if any will do."""
+        return self._placement.allowed(wish.service, wish.tenant) or () if self._placement and wish.tenant else ()
+
     def _choose(self, wish):
         now = self._reactor.seconds()
         ready = [one for one in self.known(wish.service) if one.row["id"] not in wish.excluded]
@@ -126,6 +134,15 @@
         if not roomy:
             return None
         least = min(loads[one.row["id"]] / one.slots(wish.default_slots) for one in roomy)
+        planned = self._planned(wish)
+        kept = [one for one in usable if one.row["id"] in planned
+                and loads[one.row["id"]] / one.slots(wish.default_slots) <= least + PLACEMENT_SLACK]
+        if kept:
+            ready, kept_roomy = [one for one in ready if one.row["id"] in planned], [one for one in kept if one in roomy]
+            if not kept_roomy and now < wish.keep_until:
+                return None  # all are about as full: its prefix read again elsewhere would only fill them more
+            roomy = kept_roomy or roomy
+            least = min(loads[one.row["id"]] / one.slots(wish.default_slots) for one in roomy)
         if wish.affinity:
             # Named over all that are listed, so that a full or failing one does not move the others' programs.
             named = max(ready, key=lambda one: (one.row.get("zone") == self._zone, self._score(one.row["id"], wish.affinity)))
@@ -180,7 +197,7 @@
             wish, waiter = entry[3], entry[4]
             instance = None if waiter.called else self._choose(wish)
             if instance is None and not waiter.called:
-                if not wish.excluded:
+                if not wish.excluded and not self._planned(wish):
                     return  # none has room for anybody
                 continue
             heap.remove(entry)
--- a/packages/oakgate/oakgate/relay.py
+++ b/packages/oakgate/oakgate/relay.py
@@ -15,12 +15,13 @@
 from twisted.internet import defer
 
 from oakbase.constants import (ANSWER_HELD, CALL_TIME, CLAIM_ANSWER_LIMIT, CLAIM_LEAVE, FULL_RETRY,
-                               OUTAGE_RETRY_AFTER, OUTAGE_SHARE, PATIENCE_SHARE, REFUSAL_LIMIT, RETRY_AFTER_LEAST, SETTLE_PAUSE,
-                               TURN_OUTPUT_LIMIT)
+                               OUTAGE_RETRY_AFTER, OUTAGE_SHARE, PATIENCE_SHARE, PLACEMENT_PATIENCE, REFUSAL_LIMIT,
+                               RETRY_AFTER_LEAST, SETTLE_PAUSE, TURN_OUTPUT_LIMIT)
 from oakbase.tasks import shielded, sleep, spawn, within
 from oakbase.verdict import (BadRequest, Broken, BudgetEmpty, CannotTell, InProgress, NoAnswer, OakError,
                              Overloaded, Rebound, TimeSpent, Unknown, Unreachable, Verdict)
 from oakgate.balancer import Wish
+from oakprefix.counters import tenant_of
 from oakstore.turns import Record
 
 
@@ -54,11 +55,11 @@
 
 
 class Relay:
-    def __init__(self, gate, dialect, router, balancer, upstreams, turn_client):
+    def __init__(self, gate, dialect, router, balancer, upstreams, turn_client, placement):
         self._gate, self._node, self._reactor, self._log = gate, gate.node, gate.node.reactor, gate.node.log
         self._dialect, self._router, self._balancer = dialect, router, balancer
         self._upstreams, self._turns, self._owners = upstreams, turn_client, gate.owners
-        self._metrics = gate.metrics
+        self._metrics, self._placement = gate.metrics, placement
         self._settler = Settler(gate)
         self._chains = {"safe": self._plain, "unsafe": self._plain, "tracked": self._tracked, "stream": self._stream}
 
@@ -262,7 +263,8 @@
         # What has begun goes before what begins: a program that is refused in the middle has cost most of its runs.
         is_first = passage.request.program is not None and passage.request.previous_turn is None
         return Wish(service, slots, 2 * passage.route.priority + is_first, min(patience, passage.leave_by),
-                    passage.affinity, frozenset(passage.excluded))
+                    passage.affinity, frozenset(passage.excluded), tenant_of(passage.request.prefix),
+                    now + (patience - now) * PLACEMENT_PATIENCE)
 
     def _service_of(self, passage):
         """By the route's weights; a program stays with one service as long as the weights stay."""
@@ -447,6 +449,7 @@
                 break
             whole = splitter.feed(part)
             if whole:
+                self._note_first(passage, instance)
                 self._pass_on(passage, whole)
                 await exchange.wait_writable()
         if splitter.rest.strip():
@@ -455,6 +458,14 @@
             self._begin(passage)
         return True
 
+    def _note_first(self, passage, instance):
+        """Counts the first event of a request that one replica alone has had: a later one's says nothing of its cache."""
+        if passage.head_passed or passage.tries > 1:
+            return
+        waited = self._reactor.seconds() - passage.exchange.received_at
+        self._placement.note(instance.row["pool"], instance.row["id"], passage.request.prefix, passage.request.program,
+                             waited > passage.route.target_s)
+
     def _begin(self, passage):
         passage.head_passed = True
         status, headers = passage.head
--- a/packages/oakgate/oakgate/relay_node.py
+++ b/packages/oakgate/oakgate/relay_node.py
@@ -10,6 +10,7 @@
 from oakcontrol.places import REPLICAS_KEY
 from oakgate.balancer import Balancer
 from oakgate.base import GateBase
+from oakgate.placement import Placement
 from oakgate.relay import Relay
 from oakgate.routing import Router
 from oakrelay.front import Front
@@ -40,10 +41,12 @@
         self._leaving_s = bounds["leaving_s"] * (1 - LEAVING_MARGIN) if "leaving_s" in bounds else REPLICA_AGE
         self._grace_s = bounds.get("grace_s", SETTLE_TIME)
         self.router = Router(self.node, dialect)
-        self.balancer = Balancer(self.node, self.node.log)
+        self.placement = Placement(self.node, self.owners, self.metrics, self._cache_tokens_of)
+        self.balancer = Balancer(self.node, self.node.log, self.placement)
         self.upstreams = Upstreams(reactor, env["relay"].rpartition(":")[0], self.node.log)
         self.balancer.on_gone = self.upstreams.close_instance
-        self.relay = Relay(self, dialect, self.router, self.balancer, self.upstreams, TurnClient(self.node))
+        self.relay = Relay(self, dialect, self.router, self.balancer, self.upstreams, TurnClient(self.node),
+                           self.placement)
         self._limits = (0, Limits())
         self.front = Front(reactor, env["relay"], self.relay.handle, self.limits, self.node.log, RELAY_BOUND,
                            self._refuse)
@@ -58,6 +61,9 @@
                           ("members_live", lambda: len(self.node.members.live()))):
             self.metrics.gauge(name, ask)
 
+    def _cache_tokens_of(self, service):
+        return self.router.services.get(service, {}).get("cache_tokens")
+
     def limits(self):
         """Those of the routing in force."""
         if self._limits[0] != self.router.version:
@@ -94,6 +100,7 @@
 
     def start(self):
         self.node.start()
+        self.placement.start()
         self.web.listen()
         self.ready_web.listen()
         self.front.listen()
@@ -107,6 +114,7 @@
         await sleep(self.node.reactor, READY_DRAIN)
         await self.front.stop(max(0.5, ends_at - self.node.reactor.seconds()))
         await self.wait_settled(STOP_MARGIN)
+        self.placement.stop()
         for web in (self.ready_web, self.web):
             await web.stop()
         await self.node.stop()
