--- a/packages/oaklab/oaklab/measure.py
+++ b/packages/oaklab/oaklab/measure.py
@@ -5,6 +5,7 @@
 from oakbase.registry import Registry
 from oakbase.tasks import settled, sleep, spawn
 from oaklab.commands import count_work, measure_commands
+from oaklab.eviction import measure_eviction
 from oaklab.outages import OUTAGES, runOutage
 from oaklab.plan import PARTNERS, Size, blueprintOf
 from oaklab.simfleet import SimFleet
@@ -364,6 +365,14 @@
             "pulls a node and second": round(pulls, 1)}
 
 
+@MEASURES.enter("eviction")
+def eviction(seed=1):
+    """Tenants whose prefixes are too large for the cache of one replica together, though not for all nine: a race morning
+    of 48 clubs of 6000 tokens and two pickup rushes of 30 desks of 10000, beside ten tenants with short prefixes, through 6
+    gates; an answer is in time within 0.6 s to its first event. Five seeds each."""
+    return measure_eviction(seed)
+
+
 @MEASURES.enter("commands")
 def commands(seed=1):
     """Real processes, not simulated ones, in a fleet of the brief's size: the share of a core that each kind of daemon takes
