--- a/packages/oakctl/oakctl/doctor.py
+++ b/packages/oakctl/oakctl/doctor.py
@@ -32,6 +32,7 @@
     stores: dict = field(default_factory=dict)
     replicas: dict = field(default_factory=dict)
     blueprints: dict = field(default_factory=dict)
+    placement: dict = field(default_factory=dict)
 
     def machine(self, nodeId):
         return next((row["machine"] for row in self.nodes if row["nodeId"] == nodeId), nodeId)
@@ -48,6 +49,7 @@
     survey.slots = askControl("/v1/slots")["slots"]
     survey.stores = askControl("/v1/stores")
     survey.replicas = askControl("/v1/replicas")["replicas"]
+    survey.placement = askControl("/v1/placement")
     partners = sorted({partner for said in survey.answered("gate") for partner in said["partners"]})
     survey.blueprints = {partner: askControl(f"/v1/blueprints/{partner}")["blueprint"] for partner in partners}
     return survey
@@ -182,6 +184,25 @@
                           "look at the findings on slots and seeds, and at the network of that machine")
 
 
+@CHECKS.enter("eviction")
+def _eviction(survey):
+    modes = Counter(said["eviction"] for said in survey.answered("control"))
+    if len(modes) > 1:
+        yield Finding(WARNING, "eviction", f"control nodes differ in the setting eviction: {dict(modes)}", "settings were "
+                      "changed on some machines only", "give all control nodes and gates the same")
+    for service, rows in sorted(survey.placement.get("findings", {}).items()):
+        placed = survey.placement["services"].get(service, {"mode": "on", "tenants": {}})
+        left = [one for one in rows if one["trapped"] and (placed["mode"] != "on" or one["tenant"] not in placed["tenants"])]
+        without_room = [one["tenant"] for one in left if not one["room"]]
+        if without_room:
+            yield Finding(WARNING, "eviction", f"{len(without_room)} tenants of {service} ({', '.join(without_room[:3])}) evict "
+                          "others' prefixes and find no room", "their prefixes do not fit the replicas' caches, all together",
+                          "more replicas for the service, or larger caches; oakctl eviction shows the sizes")
+        elif left and placed["mode"] != "on":
+            yield Finding(WARNING, "eviction", f"{len(left)} tenants of {service} evict each other's prefixes and are not moved",
+                          "the setting eviction is observe", "look at oakctl eviction, and set it to on")
+
+
 @CHECKS.enter("versions")
 def _versions(survey):
     releases = Counter(said["release"] for said in survey.answered())
--- a/packages/oakctl/oakctl/main.py
+++ b/packages/oakctl/oakctl/main.py
@@ -8,6 +8,7 @@
 
 from oakctl.asking import ADDRESS_TYPE, Refusal, ask, askFirst, show
 from oakctl.doctor import CHECKS, examine, takeSurvey, worstCode
+from oakctl.eviction import lines_of
 
 INIT_TIME = 30  # s; nodes that were just started need a few rounds of news to meet
 
@@ -212,6 +213,19 @@
 _listing("replicas", "/v1/replicas", "Lists the replicas as the platform listed them.")
 
 
+@main.command()
+@click.option("--json", "as_json", is_flag=True, help="Print all that is known as JSON.")
+@click.pass_context
+def eviction(context, as_json):
+    """Shows tenants whose prompt prefixes evict each other: who, why, where they were moved, what it brought."""
+    said = askFirst(_controls(context), "GET", "/v1/placement")
+    if as_json:
+        show(said)
+        return
+    for line in lines_of(said) or ["nobody is trapped or moved"]:
+        click.echo(line)
+
+
 @main.command("leaving")
 @click.argument("replica")
 @click.pass_context
--- a/tests/test_doctor.py
+++ b/tests/test_doctor.py
@@ -58,6 +58,7 @@
             ("nodes", 4, unreachable), ("nodes", 4, frozen),
             ("seeds", 3, set_("gate", "seeds", "1.2.3.4:5", to=False)),
             ("clocks", 3, set_("store", "clock", "jumps", to=2)),
+            ("eviction", 3, set_("control", "eviction", to="on")),
             ("platform", 3, set_("control", "platform", to=False)), ("platform", 3, set_("control", "platform", to=None)),
             ("disks", 3, set_("store", "disk", "syncSeconds", to=0.7)),
             ("disks", 4, set_("control", "disk", "broken", to="I/O error")),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -105,6 +105,12 @@
                          (2.0, 1.5, 4.8, 8.0))
         self.assertEqual((bounds["claim_window_s"], bounds["ack_s"]), (60.0, 4.0))
 
+    def test_eviction_is_off_unless_told(self):
+        for role in ("core", "gate"):
+            self.assertEqual([env_of(changed_settings(eviction=given), role)["eviction"]
+                              for given in (None, "", "observe", "ON")], ["off", "off", "observe", "on"])
+        self.assertEqual(self.faults(eviction="perhaps"), ["eviction: must be one of off, observe, on"])
+
     def test_rings_fit_the_disk_and_the_memory(self):
         for disk_mb, memory_mb in ((128, 296), (500, 290), (20, 300), (100000, 100000)):
             env = env_of(changed_settings(limits__disk_mb=disk_mb, limits__memory_mb=memory_mb), "store")
