--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -206,21 +206,21 @@
 
 # --- tenants in mutual eviction ----------------------------------------------
 EVICTION_ROUND = 2.0        # s; a gate's report and the owner's round: some requests of each tenant, well under a rush
-EVICTION_WINDOW = 12.0      # s; that rates are taken over: a rush begins within seconds, and a tenant asks several times in it
+EVICTION_WINDOW = 24.0      # s; that rates are taken over, less at first: a tenant that asks every few seconds is seen in it
 TENANT_ID_LIMIT = 64        # characters; of a part's id, longer ones stand as a hash
 TENANTS_COUNTED = 1024      # tenants; of a service in one gate and round, below a thousand and more only if one invents them
 TENANTS_TOLD = 48           # tenants; in a report, those with the most tokens: at 80 bytes each, 2 KB/s of a node's 11
 TENANT_PARTS = 64           # parts; of one tenant counted in a round: common ones come first in prompts
 TENANT_PARTS_TOLD = 3       # parts; of one tenant in a report
 REPORT_GATES = 4096         # gates; whose reports are held, several times the largest fleet
-PRESSURE_LATE = 0.03        # share of late answers; below it a gate tells nothing, as nobody waits too long
+PRESSURE_LATE = 0.01        # share of late answers; below it a gate tells nothing: 99 in 100 in time is what is aimed at
 CACHE_TIME_MOST = 600.0     # s; a part that stays longer than this is never read again within one rush
 CACHE_USABLE = 0.9          # share of cache_tokens; the rest is held by what running requests put out
 COMMON_USES = 2             # requests; that share a part, of two programs at least: else it is a session's own
 COMMON_SHARE = 1 / 16       # share of a tenant's requests; the same for one that asks often
-TENANT_REQUESTS = 6         # requests; in a window, with fewer a tenant does not make a trap; it may be moved out of one
+TRAP_REQUESTS = 12          # requests; of all evicted tenants in a window, fewer say nothing
 EVICTED_SHARE = 0.2         # share of a tenant's prompt tokens; read again since others evicted them: above it is a trap
-TENANT_LATE = 0.05          # share of late answers; a tenant that is answered in time is left alone
+TRAP_LATE = 0.02            # share of late answers of all evicted tenants; those that are answered in time are left alone
 TRAP_ROUNDS = 2             # rounds; in a row, so that one odd round moves nobody; a cold start is told apart by the sets
 EVICTED_END = 0.1           # share of a tenant's prompt tokens; if nobody's is above it, were all moved back, all may go
 END_ROUNDS = 10             # rounds; in a row, so that a pause within a rush moves nobody to and fro
--- a/packages/oaklab/oaklab/eviction.py
+++ b/packages/oaklab/oaklab/eviction.py
@@ -76,6 +76,7 @@
 NEIGHBOURS = Group("neighbours", 10, 120, 500, 24, 1, 14.0, 14.0)
 SCENES = {
     "race morning": Scene((Group("clubs", 48, 6000, 150, 24, 3, 1.0, 9.0), NEIGHBOURS), ((20.0, 140.0),), 150.0),
+    "mild morning": Scene((Group("clubs", 48, 6000, 150, 24, 3, 1.0, 4.0), NEIGHBOURS), ((20.0, 140.0),), 150.0),
     "beside a large tenant": Scene((Group("clubs", 48, 6000, 150, 24, 3, 1.0, 9.0), NEIGHBOURS,
                                     Group("large", 1, 1500, 200, 24, 1, 60.0, 60.0)), ((20.0, 140.0),), 150.0),
     "pickup rush": Scene((Group("desks", 30, 10000, 150, 24, 2, 1.0, 10.0), NEIGHBOURS), ((20.0, 80.0), (100.0, 160.0)), 170.0),
--- a/packages/oakprefix/oakprefix/detector.py
+++ b/packages/oakprefix/oakprefix/detector.py
@@ -1,16 +1,17 @@
 """Which tenants are trapped in mutual eviction: the owner's side, from all gates' reports.
 
-A tenant is evicted if a good share of its prompt tokens is read again because others evicted them, and trapped if its
-answers are late besides, for some rounds in a row. The first is what tells a trap apart: after a cold start or a replaced replica the sets
+A tenant is evicted if a good share of its prompt tokens is read again because others evicted them. It is trapped if besides
+the evicted ones' answers, all together, are late: a slow tenant asks too seldom to tell by itself, and in a trap there are
+many. The first is what tells a trap apart: after a cold start or a replaced replica the sets
 fit, a long prompt is read once by nature, an overloaded service is late without evictions, and a tenant whose own working
 set is larger than the cache evicts itself; in none of these would moving help.
 Once somebody is trapped, all who are evicted are moved: they evict each other, and one left behind goes on doing so.
 """
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from oakbase.constants import (CACHE_USABLE, COMMON_SHARE, COMMON_USES, END_ROUNDS, EVICTED_END, EVICTED_SHARE,
-                               EVICTION_ROUND, EVICTION_WINDOW, REPORT_GATES, TENANT_LATE, TENANT_REQUESTS, TRAP_ROUNDS)
+                               EVICTION_ROUND, EVICTION_WINDOW, REPORT_GATES, TRAP_LATE, TRAP_REQUESTS, TRAP_ROUNDS)
 from oakprefix.cache_model import characteristic_time, hit_share
 
 
@@ -37,7 +38,7 @@
     evicted: float
     alone: float
     is_evicted: bool
-    is_trapped: bool
+    is_trapped: bool = False
 
 
 class Window:
@@ -97,7 +98,12 @@
     """{tenant: Finding} as if nobody had been moved."""
     usable = CACHE_USABLE * cache_tokens
     together = characteristic_time(usable, *pressure(loads, flow, count))
-    return {tenant: _finding(tenant, load, usable, count, together) for tenant, load in loads.items()}
+    findings = {tenant: _finding(tenant, load, usable, count, together) for tenant, load in loads.items()}
+    evicted = [finding.load for finding in findings.values() if finding.is_evicted]
+    requests = sum(load.requests for load in evicted)
+    if requests < TRAP_REQUESTS or sum(load.requests * load.late for load in evicted) < TRAP_LATE * requests:
+        return findings
+    return {tenant: replace(finding, is_trapped=finding.is_evicted) for tenant, finding in findings.items()}
 
 
 def _finding(tenant, load, usable, count, together):
@@ -105,28 +111,22 @@
     rate, weight = load.rate / count, load.common / max(1.0, load.tokens)
     by_itself = (1 - hit_share(rate, alone)) * weight
     evicted = (hit_share(rate, alone) - hit_share(rate, together)) * weight
-    return Finding(tenant, load, evicted, by_itself, evicted >= EVICTED_SHARE,
-                   evicted >= EVICTED_SHARE and load.requests >= TENANT_REQUESTS and load.late >= TENANT_LATE)
+    return Finding(tenant, load, evicted, by_itself, evicted >= EVICTED_SHARE)
 
 
 class Detector:
-    """Invariant: `_trapped` counts for each tenant the rounds in a row in which it was so, `_calm` those in which one that
-    is moved was silent, or in which nobody would be evicted."""
+    """Invariant: `_trapped` counts the rounds in a row with a trap, `_calm` for each tenant that is moved those in which it
+    was silent, or in which nobody would be evicted."""
 
     def __init__(self):
-        self._trapped, self._calm = {}, {}
+        self._trapped, self._calm = 0, {}
 
     def judge(self, findings, moved):
         """(tenants that are to be moved, those of `moved` that are to be let go)."""
-        self._trapped = _counted(self._trapped, [name for name, finding in findings.items() if finding.is_trapped])
+        self._trapped = self._trapped + 1 if any(finding.is_trapped for finding in findings.values()) else 0
         is_calm = not any(finding.evicted >= EVICTED_END for finding in findings.values())
-        self._calm = _counted(self._calm, [name for name in moved if is_calm or name not in findings])
-        is_trap = bool(moved) or any(rounds >= TRAP_ROUNDS for rounds in self._trapped.values())
-        # Within a trap nobody waits for rounds of its own: the sooner all are moved, the sooner it ends.
+        self._calm = {name: self._calm.get(name, 0) + 1 for name in moved if is_calm or name not in findings}
+        is_trap = bool(moved) or self._trapped >= TRAP_ROUNDS
         return ({name for name, finding in findings.items() if is_trap and finding.is_evicted and name not in moved},
                 {name for name, rounds in self._calm.items() if rounds >= END_ROUNDS})
 
-
-
-def _counted(rounds, names):
-    return {name: rounds.get(name, 0) + 1 for name in names}
