--- a/tests/test_eviction.py
+++ b/tests/test_eviction.py
@@ -125,6 +125,37 @@
         heal()
         self.fleet.wait_for("the move", self.are_moved, FOUND_TIME)
 
+    def test_a_gate_is_lost(self):
+        self.bring_up()
+        self.rush(60.0)
+        self.fleet.wait_for("the move", self.are_moved, FOUND_TIME)
+        moved = self.allowed(self.gates[1])
+        self.fleet["gate0"].kill()
+        self.fleet.run(15.0)
+        self.assertEqual(self.allowed(self.gates[1]), moved)
+        self.fleet["gate0"].start()
+        self.fleet.wait_for("the same plan there", lambda: self.allowed(self.fleet["gate0"].node) == moved)
+
+    def test_the_setting_holds_as_soon_as_it_changes(self):
+        self.bring_up()
+        self.rush(60.0)
+        self.fleet.wait_for("the move", self.are_moved, FOUND_TIME)
+        gate = self.gates[0]
+        gate.node.settings_changed(gate.node.env | {"eviction": "off"})
+        self.assertEqual(set(self.allowed(gate).values()), {None})
+        for core in self.fleet.of_kind("core"):
+            core.node.node.settings_changed(core.node.node.env | {"eviction": "observe"})
+        self.fleet.run(2 * EVICTION_ROUND + 1.0)
+        self.assertEqual(set(self.allowed(self.gates[1]).values()), {None})
+
+    def test_a_plan_that_cannot_be_read_is_none(self):
+        self.bring_up()
+        gate = self.gates[0]
+        for version, value in enumerate((b"junk", b"[1]", b'{"t":7}', b"7"), 1):
+            gate.node.board.setItems(PLACEMENT_KEY, version, {"lm": value})
+            self.assertIsNone(gate.placement.allowed("lm", "t"))
+        self.assertEqual(sum("event=evictionPlanUnreadable" in line for line in self.fleet.lines), 4)
+
     def test_tried_out_it_moves_nobody_and_shows_what_it_would(self):
         self.bring_up("observe")
         self.rush(30.0)
