--- /dev/null
+++ b/packages/oakbase/oakbase/reactor.py
@@ -0,0 +1,36 @@
+"""Twisted's epoll reactor without what nobody here reads: a log context of its own for each socket that has something to
+say, five calls deep. A node that is nearly idle does little else than wake up for one frame after another."""
+import sys
+from select import EPOLLIN
+
+from twisted.internet.epollreactor import EPollReactor
+from twisted.internet.main import installReactor
+from twisted.python import log
+
+
+class LeanReactor(EPollReactor):
+    """What is only readable is read here; all else goes Twisted's way."""
+
+    def doPoll(self, timeout):
+        for descriptor, event in self._poller.poll(-1 if timeout is None else timeout, len(self._selectables)):
+            selectable = self._selectables.get(descriptor)
+            if selectable is None:
+                continue  # an earlier one closed it
+            if event != EPOLLIN:
+                log.callWithLogger(selectable, self._doReadOrWrite, selectable, descriptor, event)
+                continue
+            try:
+                why = selectable.doRead()
+            except BaseException:
+                log.err()
+                why = sys.exc_info()[1]
+            if why:
+                self._disconnectSelectable(selectable, why, True)
+
+    doIteration = doPoll
+
+
+def install():
+    """Makes it the process's reactor, unless there is one already."""
+    if "twisted.internet.reactor" not in sys.modules:
+        installReactor(LeanReactor())
--- a/packages/oakbase/oakbase/tasks.py
+++ b/packages/oakbase/oakbase/tasks.py
@@ -4,11 +4,13 @@
 from twisted.internet import defer
 from twisted.python.failure import Failure
 
+from oakbase.reactor import install
 from oakbase.verdict import OakError, TimeSpent
 
 
 def monotonicReactor():
     """The process's reactor, with its time made monotonic: Twisted takes wall time, which may jump."""
+    install()
     from twisted.internet import reactor
     reactor.seconds = time.monotonic
     return reactor
