--- a/packages/oakcontrol/oakcontrol/storeset.py
+++ b/packages/oakcontrol/oakcontrol/storeset.py
@@ -251,18 +251,23 @@
     """Moves a replacement on and, if the cluster forms itself, begins those that the set needs. Its state is in the
     key, so a crash anywhere resumes.
 
-    Invariant: `_silentSince` holds the stores that this node has seen no sign of since then, in rounds without a
-    gap: one that was frozen itself has watched nobody meanwhile."""
+    Invariants: `_silentSince` holds the stores that this node has seen no sign of since then, in rounds without a
+    gap: one that was frozen itself has watched nobody meanwhile; `_stores` is the newest set in the news."""
 
     def __init__(self, node, owners, mends=False, losses=1):
         super().__init__(node, owners, STORES_KEY, STORES_LOOK)
         self._mends, self._losses = mends, losses
         self._silentSince, self._watchedAt, self._firstSeenAt = {}, float("-inf"), None
         self._prunedAt = float("-inf")
+        self._note_stores()
+        node.board.watch(STORES_KEY, self._note_stores)
+
+    def _note_stores(self, _source=STORES_KEY):
+        self._stores = StoreSet.fromBoard(self._node.board)
 
     async def _round(self):
         if self._mends:
-            self._watchStores(StoreSet.fromBoard(self._node.board))
+            self._watchStores(self._stores)
         await super()._round()
 
     def _watchStores(self, stores):
