--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer
 
 from oakbase.checks import packJson
-from oakbase.constants import (CALL_TIME, CONDITION_AGE, CONTROL_BATCH, CONTROL_INBOX, FULL_RETRY, IMAGE_PART,
+from oakbase.constants import (CALL_TIME, CONDITION_AGE, CONTROL_BATCH, CONTROL_INBOX, FORGET_AGE, FULL_RETRY, IMAGE_PART,
                                OWNER_SWEEP, OWNER_SWEEP_KEYS, RELEASE_TIME, SLOTS, STEP_IN_TIME, TAKEOVER_LOOK, TERM,
                                TERM_FRESH, TERM_RENEW)
 from oakbase.inbox import Inbox
@@ -532,6 +532,9 @@
         return tuple(json.loads(rows["owner"])) if "owner" in rows else None
 
     async def _takeOver(self, slot, liveIds):
+        believed = self.believedOwner(slot)
+        self.log.event("takeOverBegins", slot=slot, after=believed[1] if believed else "nobody", live=len(liveIds),
+                       silent=round(min(self._node.board.age(f"{SLOT_SOURCE}{slot}"), FORGET_AGE), 2))
         try:
             released = await self._askRelease(slot, liveIds)
             await self._prepareAndServe(slot, released)
