--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -36,6 +36,7 @@
 FORGET_AGE = 60.0           # s; a dead node's address is dropped from the table after this
 BLUEPRINT_AGE = 1.5         # s; the rule allows 2 s, the rest covers the carry itself
 REPLICA_AGE = 2.5           # s; the rule allows 3 s, the rest covers the carry itself
+FRESH_PULL = 0.1            # s; how often a gate pulls while requests wait for fresh news: half of the ordinary pause
 FRESH_POLL = 0.02           # s; how often a request waiting for fresh news looks again
 
 SEED_AGE = 30.0             # s; a seed without an answer for so long is reported; each is asked every few seconds
@@ -79,7 +80,7 @@
 PLATFORM_LIMIT = 1 << 20    # bytes; a list, or a page of one, of thousands of replicas fits
 PLATFORM_BOUND_SHARE = 1 / 3  # share of the bound for leaving replicas; one look in each third leaves the rest to the news
 PLATFORM_PAUSE_MOST = 1.0   # s; from look to look however wide the bound, as new replicas are wanted too
-PLATFORM_TICKS = 5          # ticks; of one pause, so that a new owner looks soon and a look is late by little
+PLATFORM_TICKS = 10         # ticks; of one pause, so that a new owner looks soon and a look is late by little
 PLATFORM_RATE_SHARE = 0.5   # share of the platform's rate that looks of one owner use; others look too now and then
 PLATFORM_BACKOFF = 0.05     # s; first pause after "too often", doubled and drawn out at random
 PLATFORM_PAGES = 2000       # pages; a list of more does not end
--- a/packages/oakgate/oakgate/relay.py
+++ b/packages/oakgate/oakgate/relay.py
@@ -14,8 +14,8 @@
 
 from twisted.internet import defer
 
-from oakbase.constants import (ANSWER_HELD, CALL_TIME, CLAIM_ANSWER_LIMIT, CLAIM_LEAVE, FRESH_POLL, FULL_RETRY, HOLD_SHARE,
-                               OUTAGE_RETRY_AFTER, OUTAGE_SHARE, PATIENCE_SHARE, PLACEMENT_PATIENCE, REFUSAL_LIMIT,
+from oakbase.constants import (ANSWER_HELD, CALL_TIME, CLAIM_ANSWER_LIMIT, CLAIM_LEAVE, FRESH_POLL, FRESH_PULL, FULL_RETRY,
+                               HOLD_SHARE, OUTAGE_RETRY_AFTER, OUTAGE_SHARE, PATIENCE_SHARE, PLACEMENT_PATIENCE, REFUSAL_LIMIT,
                                RETRY_AFTER_LEAST, SETTLE_PAUSE, STALLED_SHARE, STALLED_TIMES, TURN_OUTPUT_LIMIT)
 from oakbase.tasks import shielded, sleep, spawn, within
 from oakbase.verdict import (BadRequest, Broken, BudgetEmpty, CannotTell, InProgress, NoAnswer, OakError,
@@ -56,16 +56,18 @@
 
 class FreshNews:
     """Requests that came while the news may not be acted on, as after an outage of all: they wait a while, and nothing of
-    them has run. Invariant: while any wait, a look is set."""
+    them has run. Meanwhile the news are pulled sooner than in their turn. Invariant: while any wait, a look is set."""
 
-    def __init__(self, reactor, staleness):
-        self._reactor, self._staleness, self._waiting = reactor, staleness, []
+    def __init__(self, reactor, staleness, pull):
+        self._reactor, self._staleness, self._pull, self._waiting = reactor, staleness, pull, []
+        self._pulled_at = float("-inf")
 
     async def wait(self, until):
         """Why the news may still not be acted on at this time, or None as soon as they may."""
         while (why := self._staleness()) is not None and self._reactor.seconds() < until:
             if not self._waiting:
                 self._reactor.callLater(FRESH_POLL, self._look)
+                self._pull_soon()
             waiter = defer.Deferred()
             self._waiting.append((until, waiter))
             await waiter
@@ -77,9 +79,15 @@
         self._waiting = [] if is_fresh else [entry for entry in self._waiting if entry[0] > now]
         if self._waiting:
             self._reactor.callLater(FRESH_POLL, self._look)
+            self._pull_soon()
         for waiter in woken:
             waiter.callback(None)
 
+    def _pull_soon(self):
+        if self._reactor.seconds() - self._pulled_at >= FRESH_PULL:
+            self._pulled_at = self._reactor.seconds()
+            self._pull()
+
 
 class Relay:
     def __init__(self, gate, dialect, router, balancer, upstreams, turn_client, placement):
@@ -88,7 +96,8 @@
         self._upstreams, self._turns, self._owners = upstreams, turn_client, gate.owners
         self._metrics, self._placement = gate.metrics, placement
         self._settler = Settler(gate)
-        self._news = FreshNews(self._reactor, lambda: router.staleness() or gate.replicas_staleness())
+        self._news = FreshNews(self._reactor, lambda: router.staleness() or gate.replicas_staleness(),
+                               lambda: spawn(gate.node.puller.pullNow(), gate.node.log))
         self._chains = {"safe": self._plain, "unsafe": self._plain, "tracked": self._tracked, "stream": self._stream}
 
     # --- entry ---
--- a/packages/oaknews/oaknews/puller.py
+++ b/packages/oaknews/oaknews/puller.py
@@ -214,6 +214,9 @@
         self._seeds = list(seeds)
 
     async def pullNow(self):
-        """One pull from every cohort member, for a request that waits for fresh news."""
-        await settled([self._pullFrom(member.peer) for member in self._members.cohort(self._me.kind)
-                       if member.peer not in self._pulling])
+        """One pull from every cohort member, and from a control node beside them, for a request that waits for fresh news:
+        what an owner has just published is two hops away by the ordinary ways."""
+        cohort = {member.peer for member in self._members.cohort(self._me.kind)}
+        control = {member.peer for member in self._members.live("control")} - cohort - {self._me.peer}
+        addresses = cohort | ({self._random.choice(sorted(control))} if control else set())
+        await settled([self._pullFrom(address) for address in sorted(addresses - self._pulling)])
