--- a/packages/oakbase/oakbase/web.py
+++ b/packages/oakbase/oakbase/web.py
@@ -6,7 +6,7 @@
 from twisted.web import resource, server
 
 from oakbase.checks import packJson, parseJson
-from oakbase.constants import BODY_LIMIT, IDLE_CALLER_TIME, QUIET_TIME
+from oakbase.constants import BODY_LIMIT, IDLE_CALLER_TIME, LINGER_TIME, QUIET_TIME
 from oakbase.env import splitAddress
 from oakbase.tasks import sleep, spawn
 from oakbase.verdict import BadRequest, OakError, Overloaded, TooLarge, Unknown, Verdict
@@ -17,6 +17,7 @@
 
     bodyLimit = BODY_LIMIT
     _arrived = 0
+    _closing = None
 
     def gotLength(self, length):
         if length is not None and length > self.bodyLimit:
@@ -25,17 +26,34 @@
 
     def handleContentChunk(self, data):
         self._arrived += len(data)
+        if self._closing is not None:
+            return
         if self._arrived > self.bodyLimit:
             self._refuse()
             return
         super().handleContentChunk(data)
 
+    def requestReceived(self, command, path, version):
+        if self._closing is None:
+            super().requestReceived(command, path, version)
+            return
+        if self._closing.active():
+            self._closing.cancel()
+            self.channel.loseConnection()
+
+    def connectionLost(self, reason):
+        if self._closing is not None and self._closing.active():
+            self._closing.cancel()
+        super().connectionLost(reason)
+
     def _refuse(self):
+        """What still comes is read and dropped for a while: closed with unread bytes, the connection would be reset, and
+        that may overtake the answer."""
         body = packJson(TooLarge(f"body is over {self.bodyLimit} bytes").toJson()) + b"\n"
         self.channel.transport.write(
             b"HTTP/1.1 413 Request Entity Too Large\r\nContent-Type: application/json\r\nConnection: close\r\n"
             b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
-        self.channel.loseConnection()
+        self._closing = self.channel.callLater(LINGER_TIME, self.channel.loseConnection)
 
 
 class WebCall:
