--- a/packages/oakring/oakring/ring.py
+++ b/packages/oakring/oakring/ring.py
@@ -156,6 +156,7 @@
                 for key, value in self._rows.items() if key.startswith(prefix))
 
     def enter(self, key, value, file_name, offset):
+        self.pop(key)  # what was hot of it is out of date
         if self._hot is None or len(value) < COLD_FROM:
             self._rows[key] = value
             return
@@ -430,11 +431,12 @@
             if key not in self.table:
                 self._places.pop(key)
                 continue
-            pack = _packEntry(key, self.table[key])
+            value = self.table[key]
+            pack = _packEntry(key, value)
             if batch and batchSize + len(pack) > self._fileSize // COPY_SHARE:
                 self._copy(batch, batchSize, touched)
                 batch, batchSize = [], 0
-            batch.append((key, self.table[key], pack))
+            batch.append((key, value, pack))
             batchSize += len(pack)
         if batch:
             self._copy(batch, batchSize, touched)
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -170,6 +170,12 @@
         rig.disk.damage(place.file_name, place.offset + 700)
         self.assertEqual(rig.ring.table[cold], wanted[cold])
 
+    def test_a_value_too_long_to_be_hot_replaces_a_hot_one(self):
+        rig = Rig(fileSize=1 << 16, hot_bytes=4000)
+        for value in (b"a" * 3000, b"b" * 5000):
+            self.assertIs(rig.commitNow(("k", value)), True)
+            self.assertEqual(rig.ring.table["k"], value)
+
     def testDamagedHeaderOfTheOnlyLap(self):
         rig = Rig()
         self.assertIs(rig.commitNow(("a", b"x")), True)
