--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -1,5 +1,6 @@
 """Runs the test command and passes over failures that KNOWN-RED.txt names (a line each: test, cause, issue), and only
 over these; each is printed. Anything else that fails, and a run that came to no end, fails."""
+
 import re
 import subprocess
 import sys
--- a/packages/oakbase/oakbase/checks.py
+++ b/packages/oakbase/oakbase/checks.py
@@ -1,4 +1,5 @@
 """Checking of JSON that comes from outside."""
+
 import json
 
 from schema import And, Optional, Schema, SchemaError
@@ -8,21 +9,28 @@
 
 
 def isName(text):
-    return (isinstance(text, str) and 0 < len(text) <= NAME_LIMIT
-            and all(letter.isalnum() or letter in "-_." for letter in text))
+    return (
+        isinstance(text, str)
+        and 0 < len(text) <= NAME_LIMIT
+        and all(letter.isalnum() or letter in "-_." for letter in text)
+    )
 
 
 NAME = And(str, isName, error=f"must be 1 to {NAME_LIMIT} letters, digits, '-', '_' or '.'")
 
 
 def whole(low, high):
-    return And(int, lambda number: type(number) is int and low <= number <= high,
-               error=f"must be a whole number from {low} to {high}")
+    return And(
+        int,
+        lambda number: type(number) is int and low <= number <= high,
+        error=f"must be a whole number from {low} to {high}",
+    )
 
 
 def seconds(low, high):
-    return And(lambda number: type(number) in (int, float) and low <= number <= high,
-               error=f"must be {low} to {high} seconds")
+    return And(
+        lambda number: type(number) in (int, float) and low <= number <= high, error=f"must be {low} to {high} seconds"
+    )
 
 
 def oneOf(*texts):
--- a/packages/oakbase/oakbase/env.py
+++ b/packages/oakbase/oakbase/env.py
@@ -1,4 +1,5 @@
 """The env of a daemon: a JSON settings file overlaid by flags, checked as a whole."""
+
 import argparse
 import ipaddress
 import json
@@ -35,18 +36,38 @@
 
 def numbers(*names):
     """An object that holds these numbers and no others, each of them optional."""
-    return And(dict, lambda pairs: pairs.keys() <= set(names) and all(
-        type(number) in (int, float) and number >= 0 for number in pairs.values()),
-        error=f"must be an object of numbers, of {', '.join(names)}")
+    return And(
+        dict,
+        lambda pairs: (
+            pairs.keys() <= set(names)
+            and all(type(number) in (int, float) and number >= 0 for number in pairs.values())
+        ),
+        error=f"must be an object of numbers, of {', '.join(names)}",
+    )
 
 
 # Bounds in seconds that hold where the fleet runs. What each is for: how old a gate's routing table may be (calm, and
 # while the core is unsettled), how far it may go back, how long a leaving replica may get requests, how long a planned
 # stop may take, how long a repeated key finds the first answer, how soon traffic is served after a closing fault, how
 # soon a machine that came back counts, and so on.
-BOUNDS = numbers("routing_age_s", "routing_stretch_s", "routing_back_s", "leaving_s", "grace_s", "loss_slack_s",
-                 "claim_window_s", "recover_s", "rejoin_s", "settle_s", "contact_s", "ack_s", "transit_s",
-                 "address_reuse_s", "seed_lag_s", "last_aim_s")
+BOUNDS = numbers(
+    "routing_age_s",
+    "routing_stretch_s",
+    "routing_back_s",
+    "leaving_s",
+    "grace_s",
+    "loss_slack_s",
+    "claim_window_s",
+    "recover_s",
+    "rejoin_s",
+    "settle_s",
+    "contact_s",
+    "ack_s",
+    "transit_s",
+    "address_reuse_s",
+    "seed_lag_s",
+    "last_aim_s",
+)
 RESOURCES = numbers("memory_mb", "descriptors", "disk_mb", "link_mbps")
 # Whether tenants in mutual eviction are looked for (observe), and moved too (on). Gates count only if it is not off.
 EVICTION_MODES = ("off", "observe", "on")
@@ -81,8 +102,22 @@
     Optional("operator"): ADDRESS,
 }
 # What has a flag of its own; the rest is told in the file only.
-FLAGS = {"machine": str, "zone": str, "peer": str, "http": str, "seeds": str, "clusterId": str, "folder": str,
-         "ringFileSize": int, "ringFiles": int, "hotBytes": int, "relay": str, "ready": str, "platform": str, "operator": str}
+FLAGS = {
+    "machine": str,
+    "zone": str,
+    "peer": str,
+    "http": str,
+    "seeds": str,
+    "clusterId": str,
+    "folder": str,
+    "ringFileSize": int,
+    "ringFiles": int,
+    "hotBytes": int,
+    "relay": str,
+    "ready": str,
+    "platform": str,
+    "operator": str,
+}
 
 
 def eviction_mode(env):
@@ -115,8 +150,12 @@
     parser.add_argument("--env", metavar="FILE", help="settings file, a JSON object")
     for name in (getattr(key, "schema", key) for key in rules):
         if name in FLAGS:
-            parser.add_argument(f"--{name}", nargs="+" if name == "seeds" else None, type=FLAGS[name],
-                                help=f"overrides {name} of the file")
+            parser.add_argument(
+                f"--{name}",
+                nargs="+" if name == "seeds" else None,
+                type=FLAGS[name],
+                help=f"overrides {name} of the file",
+            )
     flagPairs = vars(parser.parse_args())
     filePath = flagPairs.pop("env")
     try:
--- a/packages/oakbase/oakbase/fetch.py
+++ b/packages/oakbase/oakbase/fetch.py
@@ -2,6 +2,7 @@
 
 A connection that is not shared keeps the verdict sharp: unless it was made, nothing has left.
 """
+
 from collections import deque
 
 from twisted.internet import defer, error, protocol
@@ -46,8 +47,9 @@
 
     def endpointForURI(self, uri):
         bound = (self._bindHost, 0) if self._bindHost else None
-        return _Checked(TCP4ClientEndpoint(self._reactor, uri.host.decode(), uri.port, CONNECT_TIME, bound),
-                        self._lastCheck)
+        return _Checked(
+            TCP4ClientEndpoint(self._reactor, uri.host.decode(), uri.port, CONNECT_TIME, bound), self._lastCheck
+        )
 
 
 @implementer(IStreamClientEndpoint)
@@ -160,7 +162,8 @@
         body = None if value is None else _Body(packJson(value))
         headers = Headers({"content-type": ["application/json"], "connection": ["close"]})
         agent = Agent.usingEndpointFactory(
-            self._reactor, _Endpoints(self._reactor, self._bindHost, lastCheck), self._pool)
+            self._reactor, _Endpoints(self._reactor, self._bindHost, lastCheck), self._pool
+        )
         asked = agent.request(method.encode(), f"http://{address}{path}".encode(), headers, body)
         try:
             return await within(self._reactor, timeLeft, asked, NoAnswer(f"{address} did not answer in time"))
@@ -177,8 +180,12 @@
         response = await self.send(method, address, path, value, timeLeft, lastCheck)
         outcome = defer.Deferred(lambda _: None)
         response.deliverBody(_Whole(limit, outcome))
-        return response.code, await within(self._reactor, endsAt - self._reactor.seconds(), outcome,
-                                           NoAnswer(f"{address} did not finish its answer in time"))
+        return response.code, await within(
+            self._reactor,
+            endsAt - self._reactor.seconds(),
+            outcome,
+            NoAnswer(f"{address} did not finish its answer in time"),
+        )
 
     async def json(self, method, address, path, value, timeLeft, limit=BODY_LIMIT, lastCheck=None):
         """(status, JSON object) of a small answer."""
--- a/packages/oakbase/oakbase/inbox.py
+++ b/packages/oakbase/oakbase/inbox.py
@@ -1,4 +1,5 @@
 """Bounded inboxes between stages, and the owner of a table that works through one."""
+
 from collections import deque
 
 from twisted.internet import defer
@@ -82,8 +83,11 @@
             command, arguments, answer = self._waiting.popleft()
             self._isBusy = True
             begun = []
-            drive(command(*arguments), lambda value, error, answer=answer, begun=begun:
-                  self._ended(answer, value, error, bool(begun)), self)
+            drive(
+                command(*arguments),
+                lambda value, error, answer=answer, begun=begun: self._ended(answer, value, error, bool(begun)),
+                self,
+            )
             begun.append(True)
 
     def _ended(self, answer, value, error, isLate):
--- a/packages/oakbase/oakbase/logline.py
+++ b/packages/oakbase/oakbase/logline.py
@@ -1,4 +1,5 @@
 """One line of key=value pairs for each event."""
+
 import json
 import sys
 from datetime import datetime, timezone
@@ -21,8 +22,11 @@
         self._fixedPairs = fixedPairs
 
     def event(self, name, **pairs):
-        self._sink(" ".join(f"{key}={_shown(value)}" for key, value in
-                            (("event", name), *self._fixedPairs.items(), *pairs.items())))
+        self._sink(
+            " ".join(
+                f"{key}={_shown(value)}" for key, value in (("event", name), *self._fixedPairs.items(), *pairs.items())
+            )
+        )
 
     def bound(self, **morePairs):
         return LogLine(self._sink, **(self._fixedPairs | morePairs))
@@ -39,4 +43,5 @@
     def write(line):
         # Stamped here: picologging's own asctime came out as broken bytes.
         logger.info(f"time={datetime.now(timezone.utc).isoformat(timespec='milliseconds')} {line}")
+
     return write
--- a/packages/oakbase/oakbase/metrics.py
+++ b/packages/oakbase/oakbase/metrics.py
@@ -1,4 +1,5 @@
 """Counters and gauges of one node, shown as text with one `name{labels} value` a line."""
+
 from collections import Counter
 
 
@@ -29,6 +30,8 @@
 
 def serve_metrics(web, metrics):
     """Shows the metrics at GET /metrics of this web."""
+
     async def show(_call):
         return 200, metrics.toText().encode()
+
     web.route("GET", "/metrics", show)
--- a/packages/oakbase/oakbase/registry.py
+++ b/packages/oakbase/oakbase/registry.py
@@ -1,4 +1,5 @@
 """Plug-ins by entry in a registry."""
+
 from oakbase.verdict import Unknown
 
 
@@ -14,6 +15,7 @@
                 raise ValueError(f"{self.kind} {name} is entered twice")
             self._entries[name] = entry
             return entry
+
         return keep
 
     def find(self, name):
--- a/packages/oakbase/oakbase/tasks.py
+++ b/packages/oakbase/oakbase/tasks.py
@@ -1,4 +1,5 @@
 """Small helpers for coroutines on a Twisted reactor that is handed in."""
+
 import time
 
 from twisted.internet import defer
@@ -12,6 +13,7 @@
     """The process's reactor, with its time made monotonic: Twisted takes wall time, which may jump."""
     install()
     from twisted.internet import reactor
+
     reactor.seconds = time.monotonic
     return reactor
 
@@ -60,6 +62,7 @@
             task.callback(value)
         else:
             task.errback(error)
+
     drive(awaited, ended, task)
     return task
 
@@ -76,6 +79,7 @@
             log.event("taskFailed", code=error.code, reason=error.reason)
             return
         log.event("taskCrashed", error=repr(error), trace=failure.getTraceback())
+
     task.addErrback(failed)
     return task
 
@@ -97,6 +101,7 @@
         work.cancel()
         if not outcome.called:
             outcome.errback(error or TimeSpent(f"no answer within {seconds:.2f} s"))
+
     call = reactor.callLater(max(0.0, seconds), over)
 
     def finished(result):
@@ -106,6 +111,7 @@
             return None
         outcome.callback(result)
         return None
+
     work.addBoth(finished)
     return outcome
 
@@ -118,6 +124,7 @@
         if not waiting.called:
             waiting.callback(result)
         return result
+
     work.addBoth(passOn)
     return waiting
 
@@ -142,9 +149,14 @@
             outcome.callback((True, dict(answers)))
         elif not isEnough(answers.keys() | pending):
             outcome.callback((False, dict(errors)))
+
     for name, one in works.items():
-        begin(one).addCallbacks(settle, lambda failure, name: settle(failure.value, name, errors),
-                          callbackArgs=(name, answers), errbackArgs=(name,))
+        begin(one).addCallbacks(
+            settle,
+            lambda failure, name: settle(failure.value, name, errors),
+            callbackArgs=(name, answers),
+            errbackArgs=(name,),
+        )
     if not works and not outcome.called:
         outcome.callback((False, {}))
     return outcome
--- a/packages/oakbase/oakbase/verdict.py
+++ b/packages/oakbase/oakbase/verdict.py
@@ -3,6 +3,7 @@
 Invariant: an error says NO only if the request has not run and never will; MAYBE whenever that is
 not known; YES when it ran (in part or whole). Unknown is never NO.
 """
+
 from enum import Enum
 
 
--- a/packages/oakbase/oakbase/web.py
+++ b/packages/oakbase/oakbase/web.py
@@ -1,4 +1,5 @@
 """JSON over HTTP with twisted.web: routes, body limits, errors with their verdict."""
+
 from io import BytesIO
 
 from twisted.internet import defer
@@ -52,7 +53,8 @@
         body = packJson(TooLarge(f"body is over {self.bodyLimit} bytes").toJson()) + b"\n"
         self.channel.transport.write(
             b"HTTP/1.1 413 Request Entity Too Large\r\nContent-Type: application/json\r\nConnection: close\r\n"
-            b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
+            b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+        )
         self._closing = self.channel.callLater(LINGER_TIME, self.channel.loseConnection)
 
 
@@ -105,8 +107,12 @@
         self.running = 0
         self._port = None
         self.stopping = False
-        self.site = server.Site(self, requestFactory=type("Request", (_Request,), {"bodyLimit": bodyLimit}),
-                                reactor=reactor, timeout=IDLE_CALLER_TIME)
+        self.site = server.Site(
+            self,
+            requestFactory=type("Request", (_Request,), {"bodyLimit": bodyLimit}),
+            reactor=reactor,
+            timeout=IDLE_CALLER_TIME,
+        )
         self.site.noisy = False
         self.site.displayTracebacks = False
         self._connections = policies.WrappingFactory(self.site)
@@ -143,7 +149,8 @@
         pathKnown = False
         for method, pattern, handler in self._routes:
             if len(pattern) != len(parts) or any(
-                    not mask.startswith("{") and mask != part for mask, part in zip(pattern, parts)):
+                not mask.startswith("{") and mask != part for mask, part in zip(pattern, parts)
+            ):
                 continue
             pathKnown = True
             if method == request.method:
--- a/packages/oakcohort/oakcohort/identity.py
+++ b/packages/oakcohort/oakcohort/identity.py
@@ -1,6 +1,7 @@
 """Who a node is. A node id is minted when a data folder is empty and is on the disk before its first use;
 a node that lost its disk therefore comes back as somebody else. Only founders have ids that are not random, and
 only on the first start of a whole cluster."""
+
 import json
 
 IDENTITY_FILE = "identity"
@@ -21,8 +22,12 @@
         kept = self._read()
         self.isNew = kept is None
         if kept is None:
-            kept = {"nodeId": founding["nodeId"] if founding else mintNodeId(machine, random),
-                    "clusterId": None if founding else clusterId, "addresses": [], "founding": founding}
+            kept = {
+                "nodeId": founding["nodeId"] if founding else mintNodeId(machine, random),
+                "clusterId": None if founding else clusterId,
+                "addresses": [],
+                "founding": founding,
+            }
         self.founding = kept.get("founding")
         self.nodeId, self.clusterId, self.addresses = kept["nodeId"], kept["clusterId"], kept["addresses"]
         if self.isNew:
@@ -35,9 +40,17 @@
 
     def _keep(self):
         if self._disk is not None:
-            self._disk.replace(IDENTITY_FILE, json.dumps({
-                "nodeId": self.nodeId, "clusterId": self.clusterId, "addresses": self.addresses,
-                "founding": self.founding}).encode())
+            self._disk.replace(
+                IDENTITY_FILE,
+                json.dumps(
+                    {
+                        "nodeId": self.nodeId,
+                        "clusterId": self.clusterId,
+                        "addresses": self.addresses,
+                        "founding": self.founding,
+                    }
+                ).encode(),
+            )
 
     def joinCluster(self, clusterId, founded=False):
         """A founder joins nothing but what it has founded."""
--- a/packages/oakcohort/oakcohort/members.py
+++ b/packages/oakcohort/oakcohort/members.py
@@ -1,4 +1,5 @@
 """What a node knows of the others, and whom it pulls from."""
+
 from dataclasses import dataclass, fields
 
 from oakbase.constants import COHORT_CONTROL, COHORT_SIZE, CONDITION_AGE, FORGET_AGE
@@ -16,7 +17,7 @@
     machine: str
     peer: str
     http: str
-    state: str      # "up", "leaving", or "parted" (heard, but hearing no majority of the roster), by its own word
+    state: str  # "up", "leaving", or "parted" (heard, but hearing no majority of the roster), by its own word
     release: str
 
     @classmethod
@@ -77,13 +78,25 @@
         former = self._latest.get(nodeId)
         address = self._rows[former].peer if former else address
         formerSeenAt, now = self._seenAt[former] if former else float("-inf"), self._reactor.seconds()
-        return next((self._rows[key] for key in self._latest.values() if self._rows[key].peer == address
-                     and key[0] != nodeId and self._rows[key].state == "up"
-                     and self._seenAt[key] > formerSeenAt and now - self._seenAt[key] <= CONDITION_AGE), None)
+        return next(
+            (
+                self._rows[key]
+                for key in self._latest.values()
+                if self._rows[key].peer == address
+                and key[0] != nodeId
+                and self._rows[key].state == "up"
+                and self._seenAt[key] > formerSeenAt
+                and now - self._seenAt[key] <= CONDITION_AGE
+            ),
+            None,
+        )
 
     def live(self, kind=None):
-        return [member for member, age in self.newest().values()
-                if age <= CONDITION_AGE and member.state == "up" and kind in (None, member.kind)]
+        return [
+            member
+            for member, age in self.newest().values()
+            if age <= CONDITION_AGE and member.state == "up" and kind in (None, member.kind)
+        ]
 
     def find(self, nodeId):
         return self._rows.get(self._latest.get(nodeId))
@@ -96,5 +109,8 @@
         if self._cohort[0] != kinds:
             controlIds = [nodeId for nodeId, member in others.items() if member.kind == "control"]
             chosenIds = set(controlIds if ownKind == "control" else named(controlIds, self._ownId, COHORT_CONTROL))
-            self._cohort = kinds, sorted(chosenIds | set(named(list(others.keys() - chosenIds), self._ownId, COHORT_SIZE)))
+            self._cohort = (
+                kinds,
+                sorted(chosenIds | set(named(list(others.keys() - chosenIds), self._ownId, COHORT_SIZE))),
+            )
         return [others[nodeId] for nodeId in self._cohort[1]]
--- a/packages/oakcohort/oakcohort/rendezvous.py
+++ b/packages/oakcohort/oakcohort/rendezvous.py
@@ -1,4 +1,5 @@
 """Rendezvous hashing: who of the candidates is named for a key, with no table to agree on."""
+
 from hashlib import blake2b
 
 
--- a/packages/oakcontrol/oakcontrol/admin.py
+++ b/packages/oakcontrol/oakcontrol/admin.py
@@ -1,4 +1,5 @@
 """The operators' side of a control node: HTTP + JSON."""
+
 from oakbase.checks import NAME, checkFields
 from oakbase.constants import CALL_TIME
 from oakbase.env import ADDRESS
@@ -10,7 +11,7 @@
 from oakcontrol.roster import ROSTER_KEY
 from oakcontrol.storeset import STORES_KEY, storesShown
 
-READ_TIME = 2 * CALL_TIME   # s; an owner may change once while an operator reads
+READ_TIME = 2 * CALL_TIME  # s; an owner may change once while an operator reads
 CHANGE_TIME = 4 * CALL_TIME  # s; a change outlasts one take-over before it is answered with maybe
 
 
@@ -39,15 +40,29 @@
         web.route("GET", "/condition", self._condition)
 
     async def _init(self, call):
-        body = checkFields({"clusterId": NAME, "roster": And(dict, lambda roster: len(roster) % 2 == 1 and all(
-            map(NAME.validate, roster)) and all(map(ADDRESS.validate, roster.values())),
-            error="must be an odd number of node ids with their addresses")}, call.json())
+        body = checkFields(
+            {
+                "clusterId": NAME,
+                "roster": And(
+                    dict,
+                    lambda roster: (
+                        len(roster) % 2 == 1
+                        and all(map(NAME.validate, roster))
+                        and all(map(ADDRESS.validate, roster.values()))
+                    ),
+                    error="must be an odd number of node ids with their addresses",
+                ),
+            },
+            call.json(),
+        )
         voter = self._control.voter
         roster = {"version": 1, "members": body["roster"], "next": None}
         if self._node.nodeId not in body["roster"]:
             raise Refused("this node is not named in the roster")
         if voter.roster is not None and (voter.roster.record, self._node.identity.clusterId) != (
-                roster, body["clusterId"]):
+            roster,
+            body["clusterId"],
+        ):
             raise Conflict("this node belongs to a cluster already", detail={"clusterId": self._node.net.clusterId})
         if voter.roster is None:
             # The roster first: a node with a roster and no cluster id takes part in nothing yet.
@@ -90,16 +105,28 @@
 
     async def _nodes(self, _call):
         members = self._node.members
-        return 200, {"clusterId": self._node.net.clusterId, "nodes": [
-            vars(member) | {"age": round(age, 3), "condition": members.condition(member.nodeId)}
-            for member, age in sorted(members.newest().values(), key=lambda row: (row[0].kind, row[0].machine))]}
+        return 200, {
+            "clusterId": self._node.net.clusterId,
+            "nodes": [
+                vars(member) | {"age": round(age, 3), "condition": members.condition(member.nodeId)}
+                for member, age in sorted(members.newest().values(), key=lambda row: (row[0].kind, row[0].machine))
+            ],
+        }
 
     async def _slots(self, _call):
         owners = self._control.owners
         rows = ((slot, owners.believedOwner(slot)) for slot in range(self._control.slotCount))
-        return 200, {"slots": [{"slot": slot, "epoch": row and row[0], "owner": row and row[1],
-                                "age": row and round(min(self._node.board.age(f"slot/{slot}"), 1e9), 3)}
-                               for slot, row in rows]}
+        return 200, {
+            "slots": [
+                {
+                    "slot": slot,
+                    "epoch": row and row[0],
+                    "owner": row and row[1],
+                    "age": row and round(min(self._node.board.age(f"slot/{slot}"), 1e9), 3),
+                }
+                for slot, row in rows
+            ]
+        }
 
     async def _replicas(self, _call):
         return await self._ask(REPLICAS_KEY, "read", {})
@@ -126,8 +153,9 @@
     async def _roster(self, _call):
         status, record = await self._ask(ROSTER_KEY, "read", {})
         members = self._node.members
-        return status, record | {"conditions": {nodeId: members.condition(nodeId)
-                                                for nodeId in record["members"] | (record["next"] or {})}}
+        return status, record | {
+            "conditions": {nodeId: members.condition(nodeId) for nodeId in record["members"] | (record["next"] or {})}
+        }
 
     async def _replaceMember(self, call):
         return await self._ask(ROSTER_KEY, "replace", call.json(), CHANGE_TIME)
@@ -135,7 +163,10 @@
     async def _condition(self, _call):
         owners, voter = self._control.owners, self._control.voter
         return 200, self._node.condition() | {
-            "condition": "ready" if owners.held else "waiting", "slots": len(owners.held),
+            "condition": "ready" if owners.held else "waiting",
+            "slots": len(owners.held),
             "platform": self._control.platform and self._control.platform.reachable,
             "eviction": self._control.placement.mode,
-            "roster": voter.roster and voter.roster.record, "disk": self._control.ring.condition()}
+            "roster": voter.roster and voter.roster.record,
+            "disk": self._control.ring.condition(),
+        }
--- a/packages/oakcontrol/oakcontrol/admission.py
+++ b/packages/oakcontrol/oakcontrol/admission.py
@@ -4,6 +4,7 @@
 admissions keeps, for each gate, the highest number taken back: `back`. One that comes in with a number not above it was
 taken back before. Rows of gates that are long gone are dropped: what such a gate asked for is given up anyway.
 """
+
 from oakbase.checks import whole
 
 NUMBER = whole(1, 1 << 53)
--- a/packages/oakcontrol/oakcontrol/allowance.py
+++ b/packages/oakcontrol/oakcontrol/allowance.py
@@ -13,6 +13,7 @@
 A row goes when nothing is open and this owner has counted ALLOWANCE_KEPT seconds since its last change or since it took
 the slot over, whichever is later.
 """
+
 from schema import And
 
 from oakbase.checks import NAME, checkFields, whole
@@ -76,13 +77,22 @@
 
 
 def _is_settlement(one):
-    return (isinstance(one, list) and len(one) == 2 and isinstance(one[0], str) and bool(one[0])
-            and type(one[1]) is int and 0 <= one[1] <= UNITS_LIMIT)
+    return (
+        isinstance(one, list)
+        and len(one) == 2
+        and isinstance(one[0], str)
+        and bool(one[0])
+        and type(one[1]) is int
+        and 0 <= one[1] <= UNITS_LIMIT
+    )
 
 
 def _closed(row, turn, units):
-    return row | {"spent": row["spent"] + units, "closed": _noted(row["closed"], turn),
-                  "open": {other: reservation for other, reservation in row["open"].items() if other != turn}}
+    return row | {
+        "spent": row["spent"] + units,
+        "closed": _noted(row["closed"], turn),
+        "open": {other: reservation for other, reservation in row["open"].items() if other != turn},
+    }
 
 
 def _read(view, key, _arguments):
@@ -112,5 +122,6 @@
         context.marks.pop(unheard[gate], None)
 
 
-CONTROLLERS.enter("allowance")(Controller(
-    {"admit": _admit, "settle": _settle, "read": _read, "sweep": _sweep}, sweep="sweep", growing=("admit",)))
+CONTROLLERS.enter("allowance")(
+    Controller({"admit": _admit, "settle": _settle, "read": _read, "sweep": _sweep}, sweep="sweep", growing=("admit",))
+)
--- a/packages/oakcontrol/oakcontrol/blueprint.py
+++ b/packages/oakcontrol/oakcontrol/blueprint.py
@@ -1,4 +1,5 @@
 """Blueprints: one for each partner, changed whole or by a named change built on a version."""
+
 import json
 
 from schema import And, Optional
@@ -22,8 +23,11 @@
     Optional("adapter"): NAME,
     Optional("modelWeights"): NAME,
 }
-PROGRAMS = {"defaultLimit": whole(1, UNITS_LIMIT), "maxLimit": whole(1, UNITS_LIMIT),
-            Optional("endAfterIdle"): seconds(ENDS_AFTER_LEAST, ENDS_AFTER_MOST)}
+PROGRAMS = {
+    "defaultLimit": whole(1, UNITS_LIMIT),
+    "maxLimit": whole(1, UNITS_LIMIT),
+    Optional("endAfterIdle"): seconds(ENDS_AFTER_LEAST, ENDS_AFTER_MOST),
+}
 BLUEPRINT = {
     "bindings": And(dict, error="must be an object"),
     "programs": And(dict, error="must be an object"),
@@ -38,8 +42,7 @@
     faults = faultsOf(BLUEPRINT, blueprint)
     if faults:
         return faults
-    faults += [fault for name, binding in blueprint["bindings"].items()
-               for fault in bindingFaults(name, binding)]
+    faults += [fault for name, binding in blueprint["bindings"].items() for fault in bindingFaults(name, binding)]
     faults += faultsOf(PROGRAMS, blueprint["programs"], "programs")
     if not faults and blueprint["programs"]["defaultLimit"] > blueprint["programs"]["maxLimit"]:
         faults.append("programs.defaultLimit: is above programs.maxLimit")
@@ -76,8 +79,9 @@
     checkFields({"name": NAME}, arguments)
     if arguments["name"] not in blueprint["bindings"]:
         raise Invalid(f"bindings.{arguments['name']}: is not there", detail=[f"bindings.{arguments['name']}"])
-    return blueprint | {"bindings": {name: binding for name, binding in blueprint["bindings"].items()
-                                     if name != arguments["name"]}}
+    return blueprint | {
+        "bindings": {name: binding for name, binding in blueprint["bindings"].items() if name != arguments["name"]}
+    }
 
 
 @CHANGES.enter("setPrograms")
@@ -97,6 +101,7 @@
 # the change id;  #c/<id>: {version}.
 # Invariant: base <= version, entry #v/<base> is whole, every entry from `first` to `version` is there.
 
+
 def _versionKey(key, version):
     return f"{key}#v/{version:010d}"
 
@@ -124,16 +129,26 @@
 
 
 def _put(view, key, arguments):
-    checkFields({"changeId": NAME, "basedOn": whole(0, 1 << 53), Optional("blueprint"): dict,
-                 Optional("change"): NAME, Optional("arguments"): dict}, arguments)
+    checkFields(
+        {
+            "changeId": NAME,
+            "basedOn": whole(0, 1 << 53),
+            Optional("blueprint"): dict,
+            Optional("change"): NAME,
+            Optional("arguments"): dict,
+        },
+        arguments,
+    )
     head = _head(view, key)
     known = view.get(f"{key}#c/{arguments['changeId']}")
     asked = {name: arguments[name] for name in ("blueprint", "change", "arguments") if name in arguments}
     if known:
         return {"outcome": "accepted", "version": known["version"]}
     if arguments["basedOn"] != head["version"]:
-        raise Lost(f"built on version {arguments['basedOn']}, the newest is {head['version']}",
-                   detail={"version": head["version"]})
+        raise Lost(
+            f"built on version {arguments['basedOn']}, the newest is {head['version']}",
+            detail={"version": head["version"]},
+        )
     if ("blueprint" in asked) == ("change" in asked):
         raise BadRequest("either a whole blueprint or a named change is needed")
     if "change" in asked and not head["version"]:
@@ -163,9 +178,11 @@
     rows = [json.loads(value) for _, value in image.items.values() if value is not None] if image else []
     pools = {row["pool"] for row in rows if row["state"] == "ready"}
     gone = sorted(former["bindings"].keys() - blueprint["bindings"].keys())
-    return [f"bindings.{name}.pool: {binding['pool']} has no ready replica"
-            for name, binding in sorted(blueprint["bindings"].items()) if binding["pool"] not in pools][:WARNINGS] + [
-        f"bindings.{name}: is gone; requests that name it are refused" for name in gone][:WARNINGS]
+    return [
+        f"bindings.{name}.pool: {binding['pool']} has no ready replica"
+        for name, binding in sorted(blueprint["bindings"].items())
+        if binding["pool"] not in pools
+    ][:WARNINGS] + [f"bindings.{name}: is gone; requests that name it are refused" for name in gone][:WARNINGS]
 
 
 def _pruned(view, key, head):
@@ -173,8 +190,7 @@
     oldest = head["version"] - BLUEPRINTS_KEPT
     if oldest <= head["first"]:
         return head
-    bases = [number for number in range(head["first"], oldest + 1)
-             if "whole" in view.get(_versionKey(key, number))]
+    bases = [number for number in range(head["first"], oldest + 1) if "whole" in view.get(_versionKey(key, number))]
     for number in range(head["first"], bases[-1]):
         view.put(f"{key}#c/{view.get(_versionKey(key, number))['changeId']}", None)
         view.put(_versionKey(key, number), None)
@@ -194,8 +210,11 @@
 
 def _outcome(view, key, arguments):
     known = view.get(f"{key}#c/{arguments['changeId']}")
-    return {"outcome": "accepted", "version": known["version"]} if known else \
-        {"outcome": "notAccepted", "version": _head(view, key)["version"]}
+    return (
+        {"outcome": "accepted", "version": known["version"]}
+        if known
+        else {"outcome": "notAccepted", "version": _head(view, key)["version"]}
+    )
 
 
 def newsOf(board, partner):
@@ -216,8 +235,10 @@
     blueprint = _at(view, key, head["version"], head["base"])
     rest = {name: value for name, value in blueprint.items() if name != "bindings"}
     return head["version"], {"rest": packJson(rest)} | {
-        f"binding/{name}": packJson(binding) for name, binding in blueprint["bindings"].items()}
+        f"binding/{name}": packJson(binding) for name, binding in blueprint["bindings"].items()
+    }
 
 
-CONTROLLERS.enter("blueprint")(Controller(
-    {"put": _put, "read": _read, "outcome": _outcome}, image=_image, growing=("put",)))
+CONTROLLERS.enter("blueprint")(
+    Controller({"put": _put, "read": _read, "outcome": _outcome}, image=_image, growing=("put",))
+)
--- a/packages/oakcontrol/oakcontrol/budget.py
+++ b/packages/oakcontrol/oakcontrol/budget.py
@@ -13,6 +13,7 @@
 8 bytes of hash stay for ever: a budget that is spent must never start anew. Two names with one hash cost one of
 them a no; never a second budget.
 """
+
 from hashlib import blake2b
 from itertools import islice
 
@@ -82,8 +83,13 @@
 
 
 def _shown(program):
-    return {"state": "ending" if program.get("ending") else "open", "limit": program["limit"],
-            "spent": program["spent"], "reserved": _reserved(program), "open": len(program["open"])}
+    return {
+        "state": "ending" if program.get("ending") else "open",
+        "limit": program["limit"],
+        "spent": program["spent"],
+        "reserved": _reserved(program),
+        "open": len(program["open"]),
+    }
 
 
 def _rulesOf(view, key):
@@ -125,14 +131,23 @@
     """The gate of this reservation is gone: what it reserved counts as spent."""
     row = program["open"].pop(turn)
     program["spent"] += row["reserve"]
-    _setMark(view, key, turn, state="vanished", print=row["print"], admission=row["admission"],
-             units=row["reserve"])
+    _setMark(view, key, turn, state="vanished", print=row["print"], admission=row["admission"], units=row["reserve"])
     view.put(key, program)
 
 
 def _admit(view, key, arguments):
-    checkFields({"turn": TURN, "print": str, "reserve": whole(1, UNITS_LIMIT), "admission": NAME, "gate": NAME,
-                 "number": NUMBER, "repeatable": bool}, arguments)
+    checkFields(
+        {
+            "turn": TURN,
+            "print": str,
+            "reserve": whole(1, UNITS_LIMIT),
+            "admission": NAME,
+            "gate": NAME,
+            "number": NUMBER,
+            "repeatable": bool,
+        },
+        arguments,
+    )
     program, turn = _running(view, key), arguments["turn"]
     view.context.touch(key)
     row, mark = program["open"].get(turn), view.get(_markKey(key, turn))
@@ -158,8 +173,7 @@
         raise Conflict(f"a program has at most {TURNS_LIMIT} turns; open another one")
     program["turns"] += mark is None
     if program["spent"] + _reserved(program) >= program["limit"]:
-        _setMark(view, key, turn, state="refused", print=arguments["print"],
-                 admission=arguments["admission"], units=0)
+        _setMark(view, key, turn, state="refused", print=arguments["print"], admission=arguments["admission"], units=0)
         view.put(key, program)
         return {"state": "refused"}
     program["open"][turn] = {name: arguments[name] for name in ("print", "reserve", "admission", "gate")}
@@ -168,9 +182,18 @@
 
 
 def _settle(view, key, arguments):
-    checkFields({"turn": TURN, "print": str, "admission": NAME, "gate": NAME, "number": NUMBER,
-                 "units": whole(0, UNITS_LIMIT), "outcome": lambda text: text in ("done", "broken", "never")},
-                arguments)
+    checkFields(
+        {
+            "turn": TURN,
+            "print": str,
+            "admission": NAME,
+            "gate": NAME,
+            "number": NUMBER,
+            "units": whole(0, UNITS_LIMIT),
+            "outcome": lambda text: text in ("done", "broken", "never"),
+        },
+        arguments,
+    )
     if view.get(key) is None and _hasEnded(view, key):
         return {"state": "ended"}
     view.context.touch(key)
@@ -187,8 +210,15 @@
         _takeBack(view, key, program, turn, arguments)
         view.put(key, program)
         return _shown(program)
-    _setMark(view, key, turn, state=arguments["outcome"], print=arguments["print"],
-             admission=arguments["admission"], units=arguments["units"])
+    _setMark(
+        view,
+        key,
+        turn,
+        state=arguments["outcome"],
+        print=arguments["print"],
+        admission=arguments["admission"],
+        units=arguments["units"],
+    )
     view.put(key, program)
     return _shown(program)
 
@@ -240,7 +270,11 @@
             _giveUp(view, key, program, turn)
 
 
-CONTROLLERS.enter("budget")(Controller(
-    {"open": _open, "read": _read, "end": _end, "admit": _admit, "settle": _settle, "sweep": _sweep}, sweep="sweep",
-    growing=("open", "admit")))
+CONTROLLERS.enter("budget")(
+    Controller(
+        {"open": _open, "read": _read, "end": _end, "admit": _admit, "settle": _settle, "sweep": _sweep},
+        sweep="sweep",
+        growing=("open", "admit"),
+    )
+)
 CONTROLLERS.enter("ended")(Controller({}))  # rows that hang on no key: only commands of budgets touch them
--- a/packages/oakcontrol/oakcontrol/claim.py
+++ b/packages/oakcontrol/oakcontrol/claim.py
@@ -7,6 +7,7 @@
 A claim whose gate has vanished stays claimed: its request may have run, and nobody will ever know. So the key is in
 progress until the entry is let go, and never runs again within the window.
 """
+
 from schema import Optional, Or
 
 from oakbase.checks import NAME, checkFields
@@ -52,8 +53,12 @@
     checkFields(ADMISSION, arguments)
     claim = view.get(key)
     if claim is None or claim["admission"] == arguments["admission"]:
-        claim = {"state": "free", "print": arguments["print"], "admission": arguments["admission"],
-                 "back": (claim or {}).get("back", {})}
+        claim = {
+            "state": "free",
+            "print": arguments["print"],
+            "admission": arguments["admission"],
+            "back": (claim or {}).get("back", {}),
+        }
     _set(view, key, claim, **(claim | {"back": noteBack(view, claim, arguments)}))
     return {}
 
@@ -70,6 +75,6 @@
         view.context.marks.pop(key, None)
 
 
-CONTROLLERS.enter("claim")(Controller(
-    {"claim": _claim, "finish": _finish, "free": _free, "sweep": _sweep}, sweep="sweep",
-    growing=("claim",)))
+CONTROLLERS.enter("claim")(
+    Controller({"claim": _claim, "finish": _finish, "free": _free, "sweep": _sweep}, sweep="sweep", growing=("claim",))
+)
--- a/packages/oakcontrol/oakcontrol/client.py
+++ b/packages/oakcontrol/oakcontrol/client.py
@@ -1,4 +1,5 @@
 """Asking the owner of a key, from any node. Every command may be asked again: it carries its own id."""
+
 import json
 
 from oakbase.checks import packJson
@@ -46,16 +47,24 @@
                 tried.add(address)
                 try:
                     answer = await self._node.net.call(
-                        address, "ownerCall", min(OWNER_TRY_TIME, endsAt - reactor.seconds()),
-                        key=key, command=command, argumentsJson=text)
+                        address,
+                        "ownerCall",
+                        min(OWNER_TRY_TIME, endsAt - reactor.seconds()),
+                        key=key,
+                        command=command,
+                        argumentsJson=text,
+                    )
                     return json.loads(answer)
                 except NotOwner as error:
                     hint = error.detail if error.detail not in tried | silent else None
                 except OakError as error:
                     if error.code not in ("noAnswer", "unreachable", "overloaded", "timeSpent"):
                         # What an earlier ask did, or may still do, is not unsaid by the answer to a later one.
-                        raise error if unsure is None else NoAnswer(
-                            f"an earlier try may have come through; now: {error.reason}") from None
+                        raise (
+                            error
+                            if unsure is None
+                            else NoAnswer(f"an earlier try may have come through; now: {error.reason}")
+                        ) from None
                     if error.verdict is not Verdict.NO:
                         unsure = error
                         silentUntil[address] = reactor.seconds() + TERM
--- a/packages/oakcontrol/oakcontrol/control.py
+++ b/packages/oakcontrol/oakcontrol/control.py
@@ -1,4 +1,5 @@
 """A control node put together."""
+
 import time
 
 from oakbase.constants import ACCEPT_INBOX, OWNER_TRIES_PAUSE, SLOTS
@@ -7,7 +8,16 @@
 from oakbase.verdict import OakError
 from oakbase.web import Web
 from oakcontrol import (  # noqa: F401  each enters its controller
-    allowance, blueprint, budget, claim, placement, places, roster, routing, storeset)
+    allowance,
+    blueprint,
+    budget,
+    claim,
+    placement,
+    places,
+    roster,
+    routing,
+    storeset,
+)
 from oakcontrol.admin import Admin
 from oakcontrol.client import OwnerClient
 from oakcontrol.founding import found, founding_of
@@ -33,24 +43,28 @@
         self.owners = Owners(self.node, self.voter)
         self.node.puller.carry_terms(TermRider(self.owners, self.node))
         self.node.puller.confirm_terms(self.voter.confirm_terms)
-        self.platform = (PlatformWatch(self.node, self.owners, self.voter, env["platform"], dialect)
-                         if env.get("platform") else None)
+        self.platform = (
+            PlatformWatch(self.node, self.owners, self.voter, env["platform"], dialect) if env.get("platform") else None
+        )
         self.rosterWatch = RosterWatch(self.node, self.voter, self.owners, bool(env.get("selfForming")))
-        self.storeWatch = StoreSetWatch(self.node, self.owners, bool(env.get("selfForming")),
-                                        env.get("toleratedLosses") or 1)
+        self.storeWatch = StoreSetWatch(
+            self.node, self.owners, bool(env.get("selfForming")), env.get("toleratedLosses") or 1
+        )
         self.placement = PlacementWatch(self.node, self.owners)
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
         self.operator = Operator(self, dialect) if dialect is not None and env.get("operator") else None
         self.metrics = Metrics()
         serve_metrics(self.web, self.metrics)
         Admin(self)
-        for name, ask in (("slots_held", lambda: len(self.owners.held)),
-                          ("ring_syncs", lambda: self.ring.syncCount),
-                          ("ring_commits", lambda: self.ring.commitCount),
-                          ("ring_live_bytes", self.ring.liveBytes),
-                          ("members_live", lambda: len(self.node.members.live())),
-                          ("eviction_moved", lambda: self.placement.counts["moved"]),
-                          ("eviction_let_go", lambda: self.placement.counts["let_go"])):
+        for name, ask in (
+            ("slots_held", lambda: len(self.owners.held)),
+            ("ring_syncs", lambda: self.ring.syncCount),
+            ("ring_commits", lambda: self.ring.commitCount),
+            ("ring_live_bytes", self.ring.liveBytes),
+            ("members_live", lambda: len(self.node.members.live())),
+            ("eviction_moved", lambda: self.placement.counts["moved"]),
+            ("eviction_let_go", lambda: self.placement.counts["let_go"]),
+        ):
             self.metrics.gauge(name, ask)
 
     def start(self):
--- a/packages/oakcontrol/oakcontrol/controllers.py
+++ b/packages/oakcontrol/oakcontrol/controllers.py
@@ -3,6 +3,7 @@
 A command sees a view of the slot's entries and writes to it; whatever it wrote is on a majority of disks
 before its result leaves the owner. Commands are plain functions: no waiting, no I/O, no wall time.
 """
+
 from oakbase.registry import Registry
 from oakbase.verdict import Unknown
 
--- a/packages/oakcontrol/oakcontrol/daemon.py
+++ b/packages/oakcontrol/oakcontrol/daemon.py
@@ -1,9 +1,11 @@
 """oakcored: a control node."""
+
 from oakbase.env import CONTROL_ENV
 from oakcontrol.control import ControlNode
 from oaknews.program import runDaemon
 
 
 def main():
-    runDaemon("oakcored", CONTROL_ENV, "A control node of oakramp: votes on control state and owns slots of it.",
-              ControlNode)
+    runDaemon(
+        "oakcored", CONTROL_ENV, "A control node of oakramp: votes on control state and owns slots of it.", ControlNode
+    )
--- a/packages/oakcontrol/oakcontrol/founding.py
+++ b/packages/oakcontrol/oakcontrol/founding.py
@@ -11,6 +11,7 @@
 A disk that was lost is no part of a first start: the machine comes back as somebody else and joins by pull, so
 nobody founds twice, and no id made from an address is ever used without the promises made under it.
 """
+
 from hashlib import blake2b
 
 FIRST_VERSION = 1
@@ -33,9 +34,15 @@
     seeds = env["seeds"]
     if not (env.get("selfForming") and env.get("firstStart")) or env["peer"] not in seeds:
         return None
-    return {"nodeId": founder_id(env["peer"], seeds), "clusterId": first_cluster_id(seeds),
-            "roster": {"version": FIRST_VERSION, "next": None,
-                       "members": {founder_id(seed, seeds): seed for seed in sorted(seeds)}}}
+    return {
+        "nodeId": founder_id(env["peer"], seeds),
+        "clusterId": first_cluster_id(seeds),
+        "roster": {
+            "version": FIRST_VERSION,
+            "next": None,
+            "members": {founder_id(seed, seeds): seed for seed in sorted(seeds)},
+        },
+    }
 
 
 async def found(node, voter):
--- a/packages/oakcontrol/oakcontrol/operator.py
+++ b/packages/oakcontrol/oakcontrol/operator.py
@@ -15,6 +15,7 @@
 `routing_of(document)`, the table in the product's terms, or Invalid with every fault; `version_of(document)`;
 `patch_of(body)`, {version, upsert, remove}; `with_version(document, version)`; `retire_shown(state)`, a JSON-able answer.
 """
+
 import json
 from hashlib import blake2b
 
@@ -31,6 +32,7 @@
 
 # --- reading what comes in ----------------------------------------------------------
 
+
 def _object(pairs):
     names = dict(pairs)
     if len(names) != len(pairs):
@@ -72,8 +74,13 @@
         self._node, self._client, self._dialect = control.node, control.client, dialect
         self._known = (0, None)
         self.web = Web(self._node.reactor, self._node.env["operator"], self._node.log, OPERATOR_INBOX, OPERATOR_LIMIT)
-        for word, handler in (("replace", self._put), ("change", self._patch), ("read", self._read),
-                              ("retire", self._retire), ("retire_state", self._retired)):
+        for word, handler in (
+            ("replace", self._put),
+            ("change", self._patch),
+            ("read", self._read),
+            ("retire", self._retire),
+            ("retire_state", self._retired),
+        ):
             self.web.route(*dialect.operator_routes[word], self._answering(handler))
 
     def listen(self):
@@ -90,6 +97,7 @@
                 status = self._status_of(error)
                 self._node.log.event("operatorRefused", status=status, code=error.code, reason=error.reason)
                 return status, error.toJson(), OPERATOR_RETRY if status == AGAIN else None
+
         return answer
 
     def _status_of(self, error):
@@ -149,14 +157,17 @@
         if current != based_on:
             # It can't be taken any more, or names a version that is not there; but it may have been taken before.
             return await self._ask(ROUTING_KEY, "outcome", {"based_on": based_on, "fingerprint": fingerprint})
-        changed = self._dialect.with_version(apply_patch(
-            document or {}, patch["upsert"], patch["remove"]), patch["version"])
+        changed = self._dialect.with_version(
+            apply_patch(document or {}, patch["upsert"], patch["remove"]), patch["version"]
+        )
         version = self._check(changed)
         former, pieces = pieces_of(document) if document is not None else {}, pieces_of(changed)
         # Compared as they are kept: to Python 1, 1.0 and true are all the same.
         pieces = dict.fromkeys(former.keys() - pieces.keys()) | {
-            name: value for name, value in pieces.items()
-            if name not in former or packJson(former[name]) != packJson(value)}
+            name: value
+            for name, value in pieces.items()
+            if name not in former or packJson(former[name]) != packJson(value)
+        }
         return await self._take("change", based_on, version, fingerprint, pieces=pieces)
 
     async def _take(self, command, based_on, version, fingerprint, **more):
@@ -171,9 +182,11 @@
 
     async def _retire(self, call):
         read_document(call.request.content.read() or b"{}")
-        return self._dialect.retire_shown((await self._ask(
-            STORES_KEY, "retire", {"machine": call.names["machine"]}))["state"])
+        return self._dialect.retire_shown(
+            (await self._ask(STORES_KEY, "retire", {"machine": call.names["machine"]}))["state"]
+        )
 
     async def _retired(self, call):
-        return self._dialect.retire_shown((await self._ask(
-            STORES_KEY, "retired", {"machine": call.names["machine"]}))["state"])
+        return self._dialect.retire_shown(
+            (await self._ask(STORES_KEY, "retired", {"machine": call.names["machine"]}))["state"]
+        )
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -1,4 +1,5 @@
 """The owner's side of owned keys: taking a slot over, holding its term, working through its commands."""
+
 import json
 from collections import ChainMap
 from functools import partial
@@ -8,9 +9,24 @@
 from twisted.internet import defer
 
 from oakbase.checks import packJson
-from oakbase.constants import (CALL_TIME, CONDITION_AGE, CONTROL_BATCH, CONTROL_INBOX, FORGET_AGE, FULL_RETRY, IMAGE_PART,
-                               OWNER_SWEEP, OWNER_SWEEP_KEYS, RELEASE_TIME, SLOTS, STEP_IN_TIME, TAKEOVER_LOOK, TERM,
-                               TERM_FRESH, TERM_RENEW)
+from oakbase.constants import (
+    CALL_TIME,
+    CONDITION_AGE,
+    CONTROL_BATCH,
+    CONTROL_INBOX,
+    FORGET_AGE,
+    FULL_RETRY,
+    IMAGE_PART,
+    OWNER_SWEEP,
+    OWNER_SWEEP_KEYS,
+    RELEASE_TIME,
+    SLOTS,
+    STEP_IN_TIME,
+    TAKEOVER_LOOK,
+    TERM,
+    TERM_FRESH,
+    TERM_RENEW,
+)
 from oakbase.inbox import Inbox
 from oakbase.tasks import Repeater, drive, quorumOf, sleep, spawn, within
 from oakbase.verdict import CannotTell, Fenced, NoAnswer, NotOwner, OakError, RingFull, Unknown, Verdict
@@ -21,6 +37,7 @@
 from oakcontrol.slots import inParts, packEntry, slotOfKey, unpackEntry
 from oakwire.codec import idl, pack
 
+
 def entriesOf(pairs):
     return [idl.Entry(key=key, value=value) for key, value in pairs]
 
@@ -186,11 +203,13 @@
             self._apply(changes)
             self._owners.publish(self, changes)
         if not self.holdsTerm():
-            return NoAnswer("the term ended meanwhile; ask for the change by its id") if changes \
+            return (
+                NoAnswer("the term ended meanwhile; ask for the change by its id")
+                if changes
                 else NotOwner("the term ended meanwhile")
+            )
         return None
 
-
     def _apply(self, changes):
         for key, value in changes.items():
             former = self.entries.pop(key, None)
@@ -254,8 +273,12 @@
         nodeId, asked = self._voters.get(address), self._round
         if nodeId is None:
             return None
-        terms = idl.Terms(voter=nodeId, rosterVersion=asked.roster.version, slots=list(asked.owners),
-                          epochs=[owner.epoch for owner in asked.owners.values()])
+        terms = idl.Terms(
+            voter=nodeId,
+            rosterVersion=asked.roster.version,
+            slots=list(asked.owners),
+            epochs=[owner.epoch for owner in asked.owners.values()],
+        )
         return terms, lambda slots: asked.take(nodeId, set(slots))
 
 
@@ -303,8 +326,14 @@
         self._batchers = {}
         self._startedAt = node.reactor.seconds()
         self.pollTimes = {}
-        self._tasks = [Repeater(node.reactor, pause, roundFunction, node.log) for pause, roundFunction in (
-            (TAKEOVER_LOOK, self._look), (TERM_RENEW, self._renew), (OWNER_SWEEP, self._sweep))]
+        self._tasks = [
+            Repeater(node.reactor, pause, roundFunction, node.log)
+            for pause, roundFunction in (
+                (TAKEOVER_LOOK, self._look),
+                (TERM_RENEW, self._renew),
+                (OWNER_SWEEP, self._sweep),
+            )
+        ]
         voter.may_hold_term = self._may_hold_term
         node.net.handle("ownerCall", self._serveCall)
         node.net.handle("release", self._serveRelease)
@@ -326,28 +355,48 @@
         self._tasks[1].stop()
 
     def contextFor(self, owner):
-        return Context(self.reactor.seconds(), self._node.members, owner.marks, self._voter.roster, self._node.board,
-                       self._node.env.get("bounds"))
+        return Context(
+            self.reactor.seconds(),
+            self._node.members,
+            owner.marks,
+            self._voter.roster,
+            self._node.board,
+            self._node.env.get("bounds"),
+        )
 
     # --- the majority ---
 
     def voterAddresses(self):
         """Where each voter is, by its own word if it has been heard of."""
         known = {nodeId: self._node.members.find(nodeId) for nodeId in self._voter.roster.everyone}
-        return {nodeId: known[nodeId].peer if known[nodeId] else peer
-                for nodeId, peer in self._voter.roster.everyone.items()}
+        return {
+            nodeId: known[nodeId].peer if known[nodeId] else peer
+            for nodeId, peer in self._voter.roster.everyone.items()
+        }
 
     def _askVoters(self, method, voterIds, **arguments):
-        return {nodeId: self._node.net.call(address, method, CALL_TIME, rosterVersion=self._voter.roster.version,
-                                            owner=self._node.nodeId, to=nodeId, **arguments)
-                for nodeId, address in self.voterAddresses().items() if nodeId in voterIds}
+        return {
+            nodeId: self._node.net.call(
+                address,
+                method,
+                CALL_TIME,
+                rosterVersion=self._voter.roster.version,
+                owner=self._node.nodeId,
+                to=nodeId,
+                **arguments,
+            )
+            for nodeId, address in self.voterAddresses().items()
+            if nodeId in voterIds
+        }
 
     def refuseFull(self, owner):
         """Before anything is done: what would grow a state that has no more room is told no. What is open already
         still finds room to end."""
         if owner.size > self._voter.slotLimit():
-            raise RingFull(f"slot {owner.slot} of the control state is full; end programs, or use other names",
-                           retryAfter=FULL_RETRY)
+            raise RingFull(
+                f"slot {owner.slot} of the control state is full; end programs, or use other names",
+                retryAfter=FULL_RETRY,
+            )
         if self._voter.isFull():
             raise RingFull("the control state is full; end programs", retryAfter=FULL_RETRY)
 
@@ -367,8 +416,16 @@
 
     def _offer(self, roster, owner, sequence, changes, start, endsAt):
         offer, change = Offer(roster, endsAt), (roster.version, owner, sequence, changes, start)
-        step = pack(idl.Step(slot=owner.slot, epoch=owner.epoch, sequence=sequence, entries=entriesOf(changes.items()),
-                             fromEpoch=start[0], fromSequence=start[1]))
+        step = pack(
+            idl.Step(
+                slot=owner.slot,
+                epoch=owner.epoch,
+                sequence=sequence,
+                entries=entriesOf(changes.items()),
+                fromEpoch=start[0],
+                fromSequence=start[1],
+            )
+        )
         for voter in self.voterAddresses().items():
             self._offerTo(voter, offer, change, step)
         return offer.outcome
@@ -385,8 +442,12 @@
         elif taken is None and not isinstance(error, Unknown):
             self._refused(voter, offer, change, step, error)
         else:  # it lacks something, is not to be disturbed just now, or takes steps one by one only
-            drive(self._giveChange(voter, *change, taken), lambda _, why: (
-                offer.settle(voter[0]) if why is None else self._refused(voter, offer, change, step, why)))
+            drive(
+                self._giveChange(voter, *change, taken),
+                lambda _, why: (
+                    offer.settle(voter[0]) if why is None else self._refused(voter, offer, change, step, why)
+                ),
+            )
 
     def _refused(self, voter, offer, change, step, error):
         """A voter that is passing to this roster is asked again by itself: else all would wait for one that is dead."""
@@ -410,8 +471,9 @@
         """A voter that lacks something before the change gets the whole image. `start` names the image that a
         take-over begins with, by its epoch and sequence: who has it needs nothing more."""
         if taken is None or taken.again:
-            taken = await self._accept(voter, rosterVersion, owner, sequence, changes.items(),
-                                       fromEpoch=start[0], fromSequence=start[1])
+            taken = await self._accept(
+                voter, rosterVersion, owner, sequence, changes.items(), fromEpoch=start[0], fromSequence=start[1]
+            )
         if taken.needsImage:
             taken = await self._giveImage(voter, rosterVersion, owner, *owner.imageWith(sequence, changes))
         if not taken.taken:
@@ -432,9 +494,18 @@
     def _give(self, method, voter, rosterVersion, owner, sequence, pairs, **more):
         nodeId, address = voter
         return self._node.net.call(
-            address, method, CALL_TIME, to=nodeId, slot=owner.slot, epoch=owner.epoch, owner=self._node.nodeId,
-            rosterVersion=rosterVersion, sequence=sequence,
-            entries=entriesOf(pairs), **more)
+            address,
+            method,
+            CALL_TIME,
+            to=nodeId,
+            slot=owner.slot,
+            epoch=owner.epoch,
+            owner=self._node.nodeId,
+            rosterVersion=rosterVersion,
+            sequence=sequence,
+            entries=entriesOf(pairs),
+            **more,
+        )
 
     # --- terms ---
 
@@ -467,6 +538,7 @@
 
         async def ask(nodeId, answer):
             asked.take(nodeId, {term.slot for term in await answer})
+
         for nodeId, answer in self._askVoters("confirm", voterIds, terms=terms).items():
             spawn(ask(nodeId, answer))
 
@@ -474,8 +546,11 @@
 
     def _liveRoster(self):
         members = self._node.members
-        return [nodeId for nodeId, peer in self._voter.roster.named.items()
-                if members.condition(nodeId) == LIVE and members.successorOf(nodeId, peer) is None]
+        return [
+            nodeId
+            for nodeId, peer in self._voter.roster.named.items()
+            if members.condition(nodeId) == LIVE and members.successorOf(nodeId, peer) is None
+        ]
 
     async def _look(self):
         roster = self._voter.roster
@@ -488,8 +563,9 @@
             return
         # Only who has answers from a majority may disturb an owner: one that is heard but hears nobody would
         # end every term with its prepares.
-        answering = {nodeId for nodeId, address in self.voterAddresses().items()
-                     if self._node.puller.answersLately(address)}
+        answering = {
+            nodeId for nodeId, address in self.voterAddresses().items() if self._node.puller.answersLately(address)
+        }
         isParted = not roster.isQuorum(answering)
         self._sayParted(isParted)
         if isParted:
@@ -533,8 +609,13 @@
 
     async def _takeOver(self, slot, liveIds):
         believed = self.believedOwner(slot)
-        self.log.event("takeOverBegins", slot=slot, after=believed[1] if believed else "nobody", live=len(liveIds),
-                       silent=round(min(self._node.board.age(f"{SLOT_SOURCE}{slot}"), FORGET_AGE), 2))
+        self.log.event(
+            "takeOverBegins",
+            slot=slot,
+            after=believed[1] if believed else "nobody",
+            live=len(liveIds),
+            silent=round(min(self._node.board.age(f"{SLOT_SOURCE}{slot}"), FORGET_AGE), 2),
+        )
         try:
             released = await self._askRelease(slot, liveIds)
             await self._prepareAndServe(slot, released)
@@ -558,19 +639,34 @@
 
     async def _prepareAndServe(self, slot, releasedEpoch):
         believed = self.believedOwner(slot)
-        epoch = max(self._seenEpochs.get(slot, 0), believed[0] if believed else 0, releasedEpoch or 0,
-                    self._voter.promisedEpoch(slot)) + 1
+        epoch = (
+            max(
+                self._seenEpochs.get(slot, 0),
+                believed[0] if believed else 0,
+                releasedEpoch or 0,
+                self._voter.promisedEpoch(slot),
+            )
+            + 1
+        )
         self._seenEpochs[slot] = epoch
         former = FormerTerms(self.reactor, self._possible_holders())
         reached, answers = await quorumOf(
-            {voter[0]: self._promised(voter, slot, epoch, self._voter.roster, former)
-             for voter in self.voterAddresses().items()}, self._voter.roster.isQuorum)
+            {
+                voter[0]: self._promised(voter, slot, epoch, self._voter.roster, former)
+                for voter in self.voterAddresses().items()
+            },
+            self._voter.roster.isQuorum,
+        )
         if not reached:
-            raise CannotTell(f"no majority promised epoch {epoch}: {'; '.join(sorted(set(map(str, answers.values()))))}")
+            raise CannotTell(
+                f"no majority promised epoch {epoch}: {'; '.join(sorted(set(map(str, answers.values()))))}"
+            )
         preparedAt = self.reactor.seconds()
         formerEpoch = max(promise.promisedEpoch for promise in answers.values())
-        newest, start = max(((nodeId, (promise.imageEpoch, promise.sequence)) for nodeId, promise in answers.items()),
-                            key=lambda row: (row[1], row[0] == self._node.nodeId))
+        newest, start = max(
+            ((nodeId, (promise.imageEpoch, promise.sequence)) for nodeId, promise in answers.items()),
+            key=lambda row: (row[1], row[0] == self._node.nodeId),
+        )
         entries = await self._fetchImage(newest, slot, epoch, answers[newest].entries)
         owner = SlotOwner(self, slot, epoch, entries, 0)
         if not await self.replicate(owner, 1, {}, start):
@@ -579,8 +675,7 @@
             unconfirmed = min(promise.unconfirmedMs or 0 for promise in answers.values()) / 1000
             await former.ended(preparedAt - unconfirmed + TERM)
         self._confirm({slot: owner})
-        await within(self.reactor, TERM, owner.confirmed,
-                     CannotTell(f"epoch {epoch} was not confirmed"))
+        await within(self.reactor, TERM, owner.confirmed, CannotTell(f"epoch {epoch} was not confirmed"))
         owner.sequence = 1
         self.held[slot] = owner
         owner.serve()
@@ -592,8 +687,16 @@
         entries, more = SortedDict((entry.key, entry.value) for entry in given or []), given is None
         while more:
             part = await self._node.net.call(
-                self.voterAddresses()[nodeId], "imagePart", CALL_TIME, to=nodeId, slot=slot, epoch=epoch, owner=self._node.nodeId,
-                rosterVersion=self._voter.roster.version, after=entries.keys()[-1] if entries else "")
+                self.voterAddresses()[nodeId],
+                "imagePart",
+                CALL_TIME,
+                to=nodeId,
+                slot=slot,
+                epoch=epoch,
+                owner=self._node.nodeId,
+                rosterVersion=self._voter.roster.version,
+                after=entries.keys()[-1] if entries else "",
+            )
             entries.update((entry.key, entry.value) for entry in part.entries or [])
             more = part.more
         return entries
@@ -604,8 +707,11 @@
 
     def _possible_holders(self):
         """Who may hold a term: all of the roster, but those whose process has surely ended."""
-        return [nodeId for nodeId, peer in self._voter.roster.everyone.items()
-                if self._node.members.successorOf(nodeId, peer) is None]
+        return [
+            nodeId
+            for nodeId, peer in self._voter.roster.everyone.items()
+            if self._node.members.successorOf(nodeId, peer) is None
+        ]
 
     async def _promised(self, voter, slot, epoch, roster, former):
         nodeId, address = voter
@@ -613,8 +719,16 @@
         while True:
             try:
                 promise = await self._node.net.call(
-                    address, "prepare", endsAt - self.reactor.seconds(), to=nodeId, slot=slot, epoch=epoch, parts=True,
-                    owner=self._node.nodeId, rosterVersion=roster.version)
+                    address,
+                    "prepare",
+                    endsAt - self.reactor.seconds(),
+                    to=nodeId,
+                    slot=slot,
+                    epoch=epoch,
+                    parts=True,
+                    owner=self._node.nodeId,
+                    rosterVersion=roster.version,
+                )
                 break
             except Fenced as error:
                 if not isMoving(error) or roster.version != self._voter.roster.version:
@@ -648,9 +762,14 @@
             return  # while the change was on its way: who speaks for a source takes no news of it from the next owner
         source = f"{SLOT_SOURCE}{owner.slot}"
         self._node.board.publish(source, lambda: self._vouch(owner))
-        self._node.board.setItems(source, (owner.epoch << ROSTER_BITS) + owner.rosterVersion, {
-            "owner": packJson([owner.epoch, self._node.nodeId, self._node.net.address]),
-            "roster": packJson(owner.rosterVersion)})
+        self._node.board.setItems(
+            source,
+            (owner.epoch << ROSTER_BITS) + owner.rosterVersion,
+            {
+                "owner": packJson([owner.epoch, self._node.nodeId, self._node.net.address]),
+                "roster": packJson(owner.rosterVersion),
+            },
+        )
         view = View(owner.entries, None)
         for published in sorted({publishedBy(key) for key in changes} - {None}):
             owner.sources.add(published)
@@ -670,8 +789,7 @@
     # --- calls ---
 
     async def _serveCall(self, _peer, arguments):
-        return packJson(await self.call(arguments.key, arguments.command,
-                                        json.loads(arguments.argumentsJson))).decode()
+        return packJson(await self.call(arguments.key, arguments.command, json.loads(arguments.argumentsJson))).decode()
 
     async def call(self, key, command, arguments):
         slot = slotOfKey(key)
--- a/packages/oakcontrol/oakcontrol/placement.py
+++ b/packages/oakcontrol/oakcontrol/placement.py
@@ -4,14 +4,21 @@
 of the key's owner finds who is trapped and writes the plan, a row a service, when it changes. The plan's news are as new as
 the duty's last round, so that a plan that nobody looks after any more grows old, and gates place as ever.
 """
+
 import json
 from collections import Counter
 
 from schema import And
 
 from oakbase.checks import NAME, checkFields, oneOf, packJson, whole
-from oakbase.constants import (EVICTION_ROUND, FINDINGS_SHOWN, TENANT_ID_LIMIT, TENANT_PARTS_TOLD, TENANTS_NAMED,
-                               TENANTS_TOLD)
+from oakbase.constants import (
+    EVICTION_ROUND,
+    FINDINGS_SHOWN,
+    TENANT_ID_LIMIT,
+    TENANT_PARTS_TOLD,
+    TENANTS_NAMED,
+    TENANTS_TOLD,
+)
 from oakbase.env import EVICTION_MODES, eviction_mode
 from oakcontrol.controllers import CONTROLLERS, Controller
 from oakcontrol.duty import Duty
@@ -30,26 +37,44 @@
 
 
 def _is_tenant(row):
-    return (isinstance(row, list) and len(row) == 5 and all(map(_is_count, row[:4])) and row[0] > 0
-            and isinstance(row[4], list) and len(row[4]) <= TENANT_PARTS_TOLD and all(map(_is_part, row[4])))
+    return (
+        isinstance(row, list)
+        and len(row) == 5
+        and all(map(_is_count, row[:4]))
+        and row[0] > 0
+        and isinstance(row[4], list)
+        and len(row[4]) <= TENANT_PARTS_TOLD
+        and all(map(_is_part, row[4]))
+    )
 
 
 def _is_part(part):
-    return isinstance(part, list) and len(part) == 4 and all(map(_is_count, part[1:3])) and all(
-        isinstance(name, str) and len(name) <= TENANT_ID_LIMIT for name in (part[0], part[3]))
+    return (
+        isinstance(part, list)
+        and len(part) == 4
+        and all(map(_is_count, part[1:3]))
+        and all(isinstance(name, str) and len(name) <= TENANT_ID_LIMIT for name in (part[0], part[3]))
+    )
 
 
 REPORT = {
     "cache": whole(1, HIGHEST),
-    "tenants": And(dict, lambda rows: len(rows) <= TENANTS_TOLD and all(map(_is_tenant, rows.values()))
-                   and all(len(name) <= TENANT_ID_LIMIT for name in rows),
-                   error="must map tenants to [requests, late, tokens, fresh, parts]"),
+    "tenants": And(
+        dict,
+        lambda rows: (
+            len(rows) <= TENANTS_TOLD
+            and all(map(_is_tenant, rows.values()))
+            and all(len(name) <= TENANT_ID_LIMIT for name in rows)
+        ),
+        error="must map tenants to [requests, late, tokens, fresh, parts]",
+    ),
     "rest": And([whole(0, HIGHEST)], lambda counts: len(counts) == 4, error="must be [requests, late, tokens, fresh]"),
 }
 
 
 # placement. Invariants: the head's version rises with each change of a row; a row's tenants name replicas that were ready.
 
+
 def _report(view, key, arguments):
     checkFields({"gate": str, "number": whole(0, HIGHEST), "services": dict}, arguments)
     windows = view.context.marks.setdefault(WINDOWS, {})
@@ -73,15 +98,20 @@
 
 
 def _read(view, key, _arguments):
-    return {"version": (view.get(key) or {"version": 0})["version"], "services": _rows(view),
-            "findings": view.context.marks.get(SHOWN, {})}
+    return {
+        "version": (view.get(key) or {"version": 0})["version"],
+        "services": _rows(view),
+        "findings": view.context.marks.get(SHOWN, {}),
+    }
 
 
 def _image(view, key):
     """An item a service: {tenant: replicas}. What is only tried out is told to no gate."""
     return (view.get(key) or {"version": 0})["version"], {
         service: packJson({tenant: one["replicas"] for tenant, one in row["tenants"].items()})
-        for service, row in _rows(view).items() if row["mode"] == "on"}
+        for service, row in _rows(view).items()
+        if row["mode"] == "on"
+    }
 
 
 CONTROLLERS.enter(PLACEMENT_KEY)(Controller({"report": _report, "set": _set, "read": _read}, image=_image))
@@ -89,10 +119,22 @@
 
 def shown(outcome):
     """The findings as operators see them, the worst first."""
-    worst = sorted(outcome.findings.values(), key=lambda one: (-one.evicted * one.load.rate, one.tenant))[:FINDINGS_SHOWN]
-    return [{"tenant": one.tenant, "requests": one.load.requests, "late": round(one.load.late, 3),
-             "evicted": round(one.evicted, 3), "alone": round(one.alone, 3), "working_set": round(one.load.common),
-             "trapped": one.is_trapped, "room": one.tenant not in outcome.without_room} for one in worst]
+    worst = sorted(outcome.findings.values(), key=lambda one: (-one.evicted * one.load.rate, one.tenant))[
+        :FINDINGS_SHOWN
+    ]
+    return [
+        {
+            "tenant": one.tenant,
+            "requests": one.load.requests,
+            "late": round(one.load.late, 3),
+            "evicted": round(one.evicted, 3),
+            "alone": round(one.alone, 3),
+            "working_set": round(one.load.common),
+            "trapped": one.is_trapped,
+            "room": one.tenant not in outcome.without_room,
+        }
+        for one in worst
+    ]
 
 
 class PlacementWatch(Duty):
@@ -120,8 +162,9 @@
         ready = self._ready() if windows or rows else {}
         owner.marks[SHOWN] = {}
         for service in sorted(windows.keys() | rows.keys()):
-            await self._round_of(owner, service, windows.setdefault(service, Window()), rows.get(service),
-                                 ready.get(service, []), now)
+            await self._round_of(
+                owner, service, windows.setdefault(service, Window()), rows.get(service), ready.get(service, []), now
+            )
         if not owner.ended:
             self._owners.pollTimes[PLACEMENT_KEY] = now
 
@@ -141,15 +184,23 @@
             self._decisions.pop(service, None)
             return
         former = row["tenants"] if row else {}
-        outcome = self._decisions.setdefault(service, Decision()).next(loads, flow, window.cache_tokens, replicas, former)
+        outcome = self._decisions.setdefault(service, Decision()).next(
+            loads, flow, window.cache_tokens, replicas, former
+        )
         owner.marks[SHOWN][service] = shown(outcome)
         self._tell(service, outcome)
         if outcome.rows != former or (row and row["mode"] != self.mode):
             await owner.do(PLACEMENT_KEY, "set", {"service": service, "mode": self.mode, "tenants": outcome.rows})
             self.counts.update(moved=len(outcome.moved), let_go=len(outcome.let_go))
-            self._node.log.event("evictionPlan", service=service, mode=self.mode, tenants=len(outcome.rows),
-                                 moved=len(outcome.moved), let_go=len(outcome.let_go),
-                                 first=",".join((outcome.moved or outcome.let_go)[:TENANTS_NAMED]))
+            self._node.log.event(
+                "evictionPlan",
+                service=service,
+                mode=self.mode,
+                tenants=len(outcome.rows),
+                moved=len(outcome.moved),
+                let_go=len(outcome.let_go),
+                first=",".join((outcome.moved or outcome.let_go)[:TENANTS_NAMED]),
+            )
 
     def _tell(self, service, outcome):
         """One line when who is trapped, or who finds no room, changes; not one a round."""
--- a/packages/oakcontrol/oakcontrol/places.py
+++ b/packages/oakcontrol/oakcontrol/places.py
@@ -1,4 +1,5 @@
 """The published key `replicas`: what the platform lists."""
+
 from schema import Optional, Or
 
 from oakbase.checks import NAME, checkFields, faultsOf, oneOf, packJson, whole
@@ -8,14 +9,21 @@
 from oakcontrol.controllers import CONTROLLERS, Controller
 
 REPLICAS_KEY = "replicas"
-LABEL = Or(None, lambda text: isinstance(text, str) and len(text) <= NAME_LIMIT,
-           error=f"must be a text of at most {NAME_LIMIT} characters")
+LABEL = Or(
+    None,
+    lambda text: isinstance(text, str) and len(text) <= NAME_LIMIT,
+    error=f"must be a text of at most {NAME_LIMIT} characters",
+)
 REPLICA = {
-    "id": NAME, "address": ADDRESS, "pool": NAME, "state": oneOf("ready", "leaving"),
+    "id": NAME,
+    "address": ADDRESS,
+    "pool": NAME,
+    "state": oneOf("ready", "leaving"),
     Optional("zone"): LABEL,
     Optional("slots"): Or(None, whole(1, 1 << 31), error="must be a whole number above 0"),
-    Optional("cold_s"): Or(None, lambda number: type(number) in (int, float) and number >= 0,
-                           error="must be a number of seconds"),
+    Optional("cold_s"): Or(
+        None, lambda number: type(number) in (int, float) and number >= 0, error="must be a number of seconds"
+    ),
     Optional("version_label"): LABEL,
 }
 NEEDED = [key for key in REPLICA if not isinstance(key, Optional)]
@@ -37,6 +45,7 @@
 # replicas. Invariants: a replica once known to be leaving stays so until the list has dropped it; how long it is cold
 # stands as it was first told until it is over, so that the time that passes is not news.
 
+
 def _stands(row, former):
     if former is None:
         return row
@@ -84,5 +93,6 @@
     return state["version"], {name: packJson(row) for name, row in state["replicas"].items()}
 
 
-CONTROLLERS.enter(REPLICAS_KEY)(Controller(
-    {"setList": _setList, "markLeaving": _markLeaving, "read": _readReplicas}, image=_imageReplicas))
+CONTROLLERS.enter(REPLICAS_KEY)(
+    Controller({"setList": _setList, "markLeaving": _markLeaving, "read": _readReplicas}, image=_imageReplicas)
+)
--- a/packages/oakcontrol/oakcontrol/platform.py
+++ b/packages/oakcontrol/oakcontrol/platform.py
@@ -10,15 +10,26 @@
 are as far apart as the bound for leaving replicas allows, and further if the list is long for the rate; a platform
 that says "too often" is there, and is asked again within the round.
 """
+
 import json
 from collections import Counter
 
 from twisted.internet.defer import ensureDeferred
 
 from oakbase.checks import packJson, parseJson
-from oakbase.constants import (PLATFORM_BACKOFF, PLATFORM_BOUND_SHARE, PLATFORM_CALL, PLATFORM_HEDGE, PLATFORM_LIMIT,
-                               PLATFORM_PAGES, PLATFORM_PAUSE, PLATFORM_PAUSE_MOST, PLATFORM_RATE_SHARE,
-                               PLATFORM_TICKS, PLATFORM_TIME)
+from oakbase.constants import (
+    PLATFORM_BACKOFF,
+    PLATFORM_BOUND_SHARE,
+    PLATFORM_CALL,
+    PLATFORM_HEDGE,
+    PLATFORM_LIMIT,
+    PLATFORM_PAGES,
+    PLATFORM_PAUSE,
+    PLATFORM_PAUSE_MOST,
+    PLATFORM_RATE_SHARE,
+    PLATFORM_TICKS,
+    PLATFORM_TIME,
+)
 from oakbase.fetch import WebClient
 from oakbase.tasks import quorumOf, shielded, sleep, within
 from oakbase.verdict import CannotTell, OakError, PlatformAway
@@ -100,8 +111,11 @@
 
     def __init__(self, node, owners, voter, address, dialect=None):
         bounds = node.env.get("bounds") or {}
-        self._pause = (min(PLATFORM_PAUSE_MOST, bounds["leaving_s"] * PLATFORM_BOUND_SHARE) if "leaving_s" in bounds
-                       else PLATFORM_PAUSE)
+        self._pause = (
+            min(PLATFORM_PAUSE_MOST, bounds["leaving_s"] * PLATFORM_BOUND_SHARE)
+            if "leaving_s" in bounds
+            else PLATFORM_PAUSE
+        )
         super().__init__(node, owners, REPLICAS_KEY, self._pause / PLATFORM_TICKS)
         self._voter, self._address = voter, address
         self._list_form = dialect or PlainList
@@ -156,8 +170,11 @@
         except OakError:
             pass
         roster = self._voter.roster
-        works = {nodeId: self._ask(address) for nodeId, address in self._owners.voterAddresses().items()
-                 if nodeId != self._node.nodeId}
+        works = {
+            nodeId: self._ask(address)
+            for nodeId, address in self._owners.voterAddresses().items()
+            if nodeId != self._node.nodeId
+        }
         reached, said = await quorumOf(works | {self._node.nodeId: own}, lambda nodeIds: len(nodeIds) > 0)
         if reached:
             return next(iter(said.values()))
@@ -224,8 +241,9 @@
         reactor = self._node.reactor
         ends_at, backoff = reactor.seconds() + self._pause, PLATFORM_BACKOFF
         while True:
-            status, body = await self._client.data("GET", self._address, self._list_form.list_target(token), None,
-                                                   PLATFORM_TIME, PLATFORM_LIMIT)
+            status, body = await self._client.data(
+                "GET", self._address, self._list_form.list_target(token), None, PLATFORM_TIME, PLATFORM_LIMIT
+            )
             if status == 200:
                 return self._list_form.rows_of(body)
             if status != TOO_OFTEN:
--- a/packages/oakcontrol/oakcontrol/replication.py
+++ b/packages/oakcontrol/oakcontrol/replication.py
@@ -3,6 +3,7 @@
 An owner of several slots writes to each of them by itself, but to the same five disks. What is on its way to one voter at
 the same time goes in one call, is committed there at once and is answered for each slot by itself.
 """
+
 from twisted.internet import defer
 
 from oakbase.constants import CALL_TIME, IMAGE_PART, STEP_PAUSE
@@ -36,8 +37,15 @@
 
     def _call(self, address, rosterVersion, batch):
         self._calls += 1
-        call = self._net.call(address, "acceptMany", CALL_TIME, to=self._voterId, owner=self._net.nodeId,
-                              rosterVersion=rosterVersion, steps=[step for _, step, _ in batch])
+        call = self._net.call(
+            address,
+            "acceptMany",
+            CALL_TIME,
+            to=self._voterId,
+            owner=self._net.nodeId,
+            rosterVersion=rosterVersion,
+            steps=[step for _, step, _ in batch],
+        )
         call.addCallbacks(self._answered, self._failed, callbackArgs=(batch,), errbackArgs=(batch,))
 
     def _answered(self, answers, batch):
--- a/packages/oakcontrol/oakcontrol/roster.py
+++ b/packages/oakcontrol/oakcontrol/roster.py
@@ -22,14 +22,24 @@
 Invariants: `version` rises with every change; `next` is set only in a joint version, and is not empty; a majority is
 counted among voters of one version, each of which has answered under its own id.
 """
+
 import json
 
 from schema import And
 
 from oakbase.checks import NAME, checkFields, packJson, whole
-from oakbase.constants import (CALL_TIME, CONDITION_AGE, ROSTER_ANSWERED, ROSTER_HEARD,
-                               ROSTER_JOINING, ROSTER_MOST, ROSTER_MOVING_PAUSE, ROSTER_PATIENCE,
-                               ROSTER_PAUSE, SLOTS)
+from oakbase.constants import (
+    CALL_TIME,
+    CONDITION_AGE,
+    ROSTER_ANSWERED,
+    ROSTER_HEARD,
+    ROSTER_JOINING,
+    ROSTER_MOST,
+    ROSTER_MOVING_PAUSE,
+    ROSTER_PATIENCE,
+    ROSTER_PAUSE,
+    SLOTS,
+)
 from oakbase.env import ADDRESS
 from oakbase.tasks import quorumOf, sleep, spawn
 from oakbase.verdict import CannotTell, Conflict, Lost, Refused, Unknown
@@ -49,8 +59,11 @@
         self.named = self.next or self.members  # whom slots are named for: a leaving member hands over early
 
     def isQuorum(self, nodeIds):
-        return all(len(nodeIds & memberIds.keys()) > len(memberIds) // 2
-                   for memberIds in (self.members, self.next) if memberIds is not None)
+        return all(
+            len(nodeIds & memberIds.keys()) > len(memberIds) // 2
+            for memberIds in (self.members, self.next)
+            if memberIds is not None
+        )
 
 
 def _record(view):
@@ -59,7 +72,9 @@
 
 def _checkVersion(record, basedOn):
     if basedOn != record["version"]:
-        raise Lost(f"built on version {basedOn}, the newest is {record['version']}", detail={"version": record["version"]})
+        raise Lost(
+            f"built on version {basedOn}, the newest is {record['version']}", detail={"version": record["version"]}
+        )
 
 
 def _replace(view, _key, arguments):
@@ -69,7 +84,8 @@
     leaving, joining = arguments["leaving"], arguments["joining"]
     members = record["members"]
     changed = {nodeId: peer for nodeId, peer in members.items() if nodeId != leaving} | {
-        joining["nodeId"]: joining["peer"]}
+        joining["nodeId"]: joining["peer"]
+    }
     if record.get("next") == changed:
         return record  # asked again
     if record.get("next") is not None:
@@ -95,8 +111,10 @@
 
 
 def _reconfigure(view, _key, arguments):
-    checkFields({"basedOn": whole(0, 1 << 53), "next": And(dict, len, {NAME: ADDRESS},
-                                                           error="must map node ids to addresses")}, arguments)
+    checkFields(
+        {"basedOn": whole(0, 1 << 53), "next": And(dict, len, {NAME: ADDRESS}, error="must map node ids to addresses")},
+        arguments,
+    )
     record, changed = _record(view), arguments["next"]
     if record.get("next") == changed or (record.get("next") is None and record["members"] == changed):
         return record  # asked again
@@ -123,9 +141,17 @@
     return (0, {}) if record is None else (record["version"], {"record": packJson(record)})
 
 
-CONTROLLERS.enter(ROSTER_KEY)(Controller(
-    {"read": lambda view, key, arguments: _record(view), "replace": _replace,
-     "reconfigure": _reconfigure, "advance": _advance}, image=_image))
+CONTROLLERS.enter(ROSTER_KEY)(
+    Controller(
+        {
+            "read": lambda view, key, arguments: _record(view),
+            "replace": _replace,
+            "reconfigure": _reconfigure,
+            "advance": _advance,
+        },
+        image=_image,
+    )
+)
 
 
 def mended(members, heirs, lost, awaited, outsiders, joining=(), most=ROSTER_MOST):
@@ -135,7 +161,7 @@
     are (id, address) pairs."""
     places, outsiders = dict(heirs), dict(outsiders)
     vacant = [nodeId for nodeId in lost if nodeId not in places]
-    places |= {nodeId: outsiders.popitem() for nodeId in vacant[:len(outsiders)]}
+    places |= {nodeId: outsiders.popitem() for nodeId in vacant[: len(outsiders)]}
     kept = dict(places.get(nodeId, (nodeId, peer)) for nodeId, peer in members.items())
     room = max(0, min(most - len(kept), len(outsiders) - len([one for one in awaited if one not in places])))
     return kept | dict([one for one in sorted(outsiders.items()) if one[0] in joining][:room])
@@ -176,8 +202,7 @@
             await self._mend(owner, roster)
             roster = self._voter.roster
         while roster is not None and roster.next is not None and owner.holdsTerm():
-            if all(self._slotRoster(slot) >= roster.version for slot in range(SLOTS)) \
-                    and await self._isStood(roster):
+            if all(self._slotRoster(slot) >= roster.version for slot in range(SLOTS)) and await self._isStood(roster):
                 record = await owner.do(ROSTER_KEY, "advance", {"basedOn": roster.version})
                 self._node.log.event("rosterMoved", version=record["version"])
                 return
@@ -194,29 +219,49 @@
         if now - self._watchedAt > ROSTER_ANSWERED:
             self._silentSince, self._newSince = {}, {}
         self._watchedAt = now
-        self._newSince = {member.nodeId: self._newSince.get(member.nodeId, now)
-                          for member in self._node.members.live("control") if member.nodeId not in roster.members}
+        self._newSince = {
+            member.nodeId: self._newSince.get(member.nodeId, now)
+            for member in self._node.members.live("control")
+            if member.nodeId not in roster.members
+        }
         self._silentSince = {
-            nodeId: self._silentSince.get(nodeId, now) for nodeId, peer in roster.members.items()
-            if not self._isHere(nodeId, peer)}
+            nodeId: self._silentSince.get(nodeId, now)
+            for nodeId, peer in roster.members.items()
+            if not self._isHere(nodeId, peer)
+        }
 
     async def _mend(self, owner, roster):
         node = self._node
-        answering = {member.nodeId: member for member in node.members.live("control")
-                     if node.puller.answersLately(member.peer, ROSTER_ANSWERED)}
+        answering = {
+            member.nodeId: member
+            for member in node.members.live("control")
+            if node.puller.answersLately(member.peer, ROSTER_ANSWERED)
+        }
         here = {nodeId for nodeId, peer in roster.members.items() if nodeId in answering and self._isHere(nodeId, peer)}
         newcomers = {nodeId: one for nodeId, one in answering.items() if nodeId not in roster.members}
-        heirs = {heir.nodeId: nodeId for nodeId, peer in roster.members.items()
-                 if nodeId not in here and (heir := self._heirOf(nodeId, peer, newcomers)) is not None}
+        heirs = {
+            heir.nodeId: nodeId
+            for nodeId, peer in roster.members.items()
+            if nodeId not in here and (heir := self._heirOf(nodeId, peer, newcomers)) is not None
+        }
         heirs = {nodeId: (heirId, newcomers[heirId].peer) for heirId, nodeId in heirs.items()}
         # A machine has one vote: who runs where a member did may take its place and no other.
         former = [node.members.find(nodeId) for nodeId in roster.members]
-        taken = {*roster.members.values(), *(one.peer for one in former if one), *(one.machine for one in former if one)}
-        outsiders = [(nodeId, one.peer) for nodeId, one in sorted(newcomers.items()) if not {one.peer, one.machine} & taken]
+        taken = {
+            *roster.members.values(),
+            *(one.peer for one in former if one),
+            *(one.machine for one in former if one),
+        }
+        outsiders = [
+            (nodeId, one.peer) for nodeId, one in sorted(newcomers.items()) if not {one.peer, one.machine} & taken
+        ]
         now = node.reactor.seconds()
         lost = [nodeId for nodeId, since in self._silentSince.items() if now - since >= ROSTER_PATIENCE - CONDITION_AGE]
-        awaited = [nodeId for nodeId, peer in roster.members.items()
-                   if nodeId not in here or not node.puller.answersLately(answering[nodeId].peer, ROSTER_HEARD)]
+        awaited = [
+            nodeId
+            for nodeId, peer in roster.members.items()
+            if nodeId not in here or not node.puller.answersLately(answering[nodeId].peer, ROSTER_HEARD)
+        ]
         joining = {nodeId for nodeId, since in self._newSince.items() if now - since >= ROSTER_JOINING}
         wanted = mended(roster.members, heirs, lost, awaited, outsiders, joining)
         if wanted == roster.members:
@@ -224,8 +269,12 @@
         if not Roster({"version": 0, "members": roster.members, "next": wanted}).isQuorum(here | newcomers.keys()):
             return
         record = await owner.do(ROSTER_KEY, "reconfigure", {"basedOn": roster.version, "next": wanted})
-        node.log.event("rosterMended", version=record["version"], leaving=",".join(sorted(roster.members.keys() - wanted)),
-                       joining=",".join(sorted(wanted.keys() - roster.members)))
+        node.log.event(
+            "rosterMended",
+            version=record["version"],
+            leaving=",".join(sorted(roster.members.keys() - wanted)),
+            joining=",".join(sorted(wanted.keys() - roster.members)),
+        )
         await self._follow()
 
     def _heirOf(self, nodeId, peer, newcomers):
@@ -252,12 +301,16 @@
 
         async def ask(nodeId, peer):
             member = self._node.members.find(nodeId)
-            while (version := await self._node.net.call(
-                    member.peer if member else peer, "rosterVersion", endsAt - self._node.reactor.seconds(),
-                    to=nodeId)) < roster.version:
+            while (
+                version := await self._node.net.call(
+                    member.peer if member else peer, "rosterVersion", endsAt - self._node.reactor.seconds(), to=nodeId
+                )
+            ) < roster.version:
                 await sleep(self._node.reactor, ROSTER_MOVING_PAUSE)
             if version != roster.version:
                 raise CannotTell(f"{nodeId} stands in version {version}")
-        reached, _ = await quorumOf({nodeId: ask(nodeId, peer) for nodeId, peer in roster.everyone.items()},
-                                    roster.isQuorum)
+
+        reached, _ = await quorumOf(
+            {nodeId: ask(nodeId, peer) for nodeId, peer in roster.everyone.items()}, roster.isQuorum
+        )
         return reached
--- a/packages/oakcontrol/oakcontrol/routing.py
+++ b/packages/oakcontrol/oakcontrol/routing.py
@@ -12,6 +12,7 @@
 A change that is asked for again by its fingerprint was taken or not, whatever came after it: the first to build on a
 version makes that version past, so of two different changes one is lost, and what was lost can never be taken later.
 """
+
 from urllib.parse import quote, unquote
 
 from schema import Optional
@@ -32,6 +33,7 @@
 
 # --- documents and their pieces -------------------------------------------------
 
+
 def _quoted(name):
     return quote(name, safe="", errors="surrogatepass")
 
@@ -52,18 +54,20 @@
     """Piece name -> value. Names are unambiguous: only an item's has a slash, only an order's a colon."""
     lists = {name: value for name, value in document.items() if is_named_list(value)}
     pieces = {REST: {name: value for name, value in document.items() if name not in lists}}
-    pieces |= {f"{ORDER}{_quoted(list_name)}": [item["name"] for item in items]
-               for list_name, items in lists.items()}
-    return pieces | {_item_piece(list_name, item["name"]): item
-                     for list_name, items in lists.items() for item in items}
+    pieces |= {f"{ORDER}{_quoted(list_name)}": [item["name"] for item in items] for list_name, items in lists.items()}
+    return pieces | {_item_piece(list_name, item["name"]): item for list_name, items in lists.items() for item in items}
 
 
 def document_of(pieces):
     """The document that these pieces were made of."""
-    orders = {unquote(name.removeprefix(ORDER), errors="surrogatepass"): names
-              for name, names in pieces.items() if name.startswith(ORDER)}
-    return pieces[REST] | {list_name: [pieces[_item_piece(list_name, name)] for name in names]
-                           for list_name, names in orders.items()}
+    orders = {
+        unquote(name.removeprefix(ORDER), errors="surrogatepass"): names
+        for name, names in pieces.items()
+        if name.startswith(ORDER)
+    }
+    return pieces[REST] | {
+        list_name: [pieces[_item_piece(list_name, name)] for name in names] for list_name, names in orders.items()
+    }
 
 
 def document_from(values):
@@ -76,19 +80,27 @@
 
 # --- patches ----------------------------------------------------------------------
 
+
 def apply_patch(document, upsert, remove):
     """The document with these items added, replaced or removed by name; replaced ones keep their places.
 
     Refused is what cannot be read as named items, or says two things of one name. A list that is not there yet begins
     with what is added to it, and the removal of what is not there has nothing to do: neither is among the faults of a
     configuration, and the result is checked as a whole by whoever knows its terms."""
-    faults = [fault for part, changes in (("upsert", upsert), ("remove", remove))
-              for fault in _patch_faults(document, part, changes)]
+    faults = [
+        fault
+        for part, changes in (("upsert", upsert), ("remove", remove))
+        for fault in _patch_faults(document, part, changes)
+    ]
     if faults:
         raise Invalid("; ".join(faults[:FAULTS_TOLD]), detail=faults[:FAULTS_TOLD])
     added = {list_name: {item["name"]: item for item in items} for list_name, items in upsert.items()}
-    faults = [f"{list_name}: {name} is both to be there and to be removed"
-              for list_name, names in remove.items() for name in names if name in added.get(list_name, ())]
+    faults = [
+        f"{list_name}: {name} is both to be there and to be removed"
+        for list_name, names in remove.items()
+        for name in names
+        if name in added.get(list_name, ())
+    ]
     if faults:
         raise Invalid("; ".join(faults[:FAULTS_TOLD]), detail=faults[:FAULTS_TOLD])
     changed = {}
@@ -102,17 +114,27 @@
 def _patch_faults(document, part, changes):
     if not isinstance(changes, dict):
         return [f"{part}: must be an object of lists"]
-    faults = [f"{list_name}: is no list of named items" for list_name in changes
-              if list_name in document and not is_named_list(document[list_name])]
+    faults = [
+        f"{list_name}: is no list of named items"
+        for list_name in changes
+        if list_name in document and not is_named_list(document[list_name])
+    ]
     if part == "upsert":
-        return faults + [f"upsert.{list_name}: must be a list of items, each with a name of its own"
-                         for list_name, items in changes.items() if not is_named_list(items)]
-    return faults + [f"remove.{list_name}: must be a list of names" for list_name, names in changes.items()
-                     if not isinstance(names, list) or not all(isinstance(name, str) for name in names)]
+        return faults + [
+            f"upsert.{list_name}: must be a list of items, each with a name of its own"
+            for list_name, items in changes.items()
+            if not is_named_list(items)
+        ]
+    return faults + [
+        f"remove.{list_name}: must be a list of names"
+        for list_name, names in changes.items()
+        if not isinstance(names, list) or not all(isinstance(name, str) for name in names)
+    ]
 
 
 # --- the table in the product's terms ----------------------------------------------
 
+
 def table_faults(table):
     """What makes a routing table invalid, whatever terms it was written in."""
     seen, faults = {}, []
@@ -121,8 +143,11 @@
         if place in seen:
             faults.append(f"{name}: shares host and prefix with {seen[place]}")
         seen.setdefault(place, name)
-        faults += [f"{name}: names {service}, which is no service" for service, _ in route["backends"]
-                   if service not in table["services"]]
+        faults += [
+            f"{name}: names {service}, which is no service"
+            for service, _ in route["backends"]
+            if service not in table["services"]
+        ]
         if any(weight < 0 for _, weight in route["backends"]):
             faults.append(f"{name}: has a weight below 0")
         if not sum(weight for _, weight in route["backends"]) > 0:
@@ -147,6 +172,7 @@
 
 # --- the owned key -----------------------------------------------------------------
 
+
 def _head(view):
     return view.get(ROUTING_KEY) or {"version": 0, "lists": [], "taken": 0}
 
@@ -164,8 +190,11 @@
     if not head["version"]:
         return []
     orders = {list_name: view.get(_row(f"{ORDER}{_quoted(list_name)}")) for list_name in head["lists"]}
-    return [REST, *(f"{ORDER}{_quoted(list_name)}" for list_name in orders),
-            *(_item_piece(list_name, name) for list_name, names in orders.items() for name in names)]
+    return [
+        REST,
+        *(f"{ORDER}{_quoted(list_name)}" for list_name in orders),
+        *(_item_piece(list_name, name) for list_name, names in orders.items() for name in names),
+    ]
 
 
 def _read(view, _key, arguments):
@@ -185,8 +214,10 @@
 
 def _check_base(head, arguments):
     if arguments["based_on"] != head["version"]:
-        raise Lost(f"built on version {arguments['based_on']}, the newest is {head['version']}",
-                   detail={"version": head["version"]})
+        raise Lost(
+            f"built on version {arguments['based_on']}, the newest is {head['version']}",
+            detail={"version": head["version"]},
+        )
 
 
 def _check_version(head, arguments):
@@ -227,8 +258,11 @@
     for piece, value in changed.items():
         if view.packed(_row(piece)) != packEntry(value):
             view.put(_row(piece), value)
-    orders = {unquote(piece.removeprefix(ORDER), errors="surrogatepass"): value is not None
-              for piece, value in changed.items() if piece.startswith(ORDER)}
+    orders = {
+        unquote(piece.removeprefix(ORDER), errors="surrogatepass"): value is not None
+        for piece, value in changed.items()
+        if piece.startswith(ORDER)
+    }
     lists = sorted({*head["lists"], *orders} - {name for name, stays in orders.items() if not stays})
     turn = f"{ROUTING_KEY}#turn/{head['taken'] % CHANGES_REMEMBERED}"
     forgotten = view.get(turn)
@@ -246,8 +280,10 @@
     known = _known(view, arguments["fingerprint"])
     if known is None:
         head = _head(view)
-        raise Lost(f"built on version {arguments['based_on']}, the newest is {head['version']}",
-                   detail={"version": head["version"]})
+        raise Lost(
+            f"built on version {arguments['based_on']}, the newest is {head['version']}",
+            detail={"version": head["version"]},
+        )
     return {"version": known}
 
 
@@ -258,5 +294,6 @@
 
 
 # A change replaces what is there, so it is taken also when what adds up is refused for want of room.
-CONTROLLERS.enter(ROUTING_KEY)(Controller(
-    {"read": _read, "put": _put, "change": _change, "outcome": _outcome}, image=_image))
+CONTROLLERS.enter(ROUTING_KEY)(
+    Controller({"read": _read, "put": _put, "change": _change, "outcome": _outcome}, image=_image)
+)
--- a/packages/oakcontrol/oakcontrol/slots.py
+++ b/packages/oakcontrol/oakcontrol/slots.py
@@ -1,4 +1,5 @@
 """Slots of the control state: which one a key is in, how an entry is packed, and long images in parts."""
+
 import json
 import zlib
 
--- a/packages/oakcontrol/oakcontrol/storeset.py
+++ b/packages/oakcontrol/oakcontrol/storeset.py
@@ -24,13 +24,23 @@
 version anywhere is numbered by it; no store of a machine in `emptied` joins, and once none is in a stable set, every
 line is on a write quorum of other machines: the one that joined has copied from so many that it met every quorum.
 """
+
 import json
 
 from schema import And, Optional
 
 from oakbase.checks import NAME, checkFields, packJson, whole
-from oakbase.constants import (CALL_TIME, CONDITION_AGE, MEMBER_ANSWERED, PRUNE_PAUSE, STORES_ASK, STORES_FIRST_WAIT, STORES_LOOK,
-                               STORES_MOVING_PAUSE, STORES_PATIENCE)
+from oakbase.constants import (
+    CALL_TIME,
+    CONDITION_AGE,
+    MEMBER_ANSWERED,
+    PRUNE_PAUSE,
+    STORES_ASK,
+    STORES_FIRST_WAIT,
+    STORES_LOOK,
+    STORES_MOVING_PAUSE,
+    STORES_PATIENCE,
+)
 from oakbase.env import ADDRESS
 from oakbase.tasks import quorumOf, settled, sleep
 from oakbase.verdict import CannotTell, Conflict, Fenced, Lost, OakError, Refused, Unknown
@@ -59,9 +69,12 @@
         self.epoch, self.phase = record["version"], record["phase"]
         self.members = {row["nodeId"]: row for row in record["members"]}
         joining = record["joining"]
-        self.nextMembers = self.members if joining is None else {
-            nodeId: row for nodeId, row in self.members.items() if nodeId != record["leaving"]
-        } | {joining["nodeId"]: joining}
+        self.nextMembers = (
+            self.members
+            if joining is None
+            else {nodeId: row for nodeId, row in self.members.items() if nodeId != record["leaving"]}
+            | {joining["nodeId"]: joining}
+        )
         self.everyone = self.members | self.nextMembers
         self.readers = self.nextMembers if self.phase == MOVING else self.members
         self.writeSets = [self.members] + ([self.nextMembers] if joining else [])
@@ -96,14 +109,21 @@
 
 def _checkVersion(record, basedOn):
     if basedOn != record["version"]:
-        raise Lost(f"built on epoch {basedOn}, the newest is {record['version']}", detail={"version": record["version"]})
+        raise Lost(
+            f"built on epoch {basedOn}, the newest is {record['version']}", detail={"version": record["version"]}
+        )
 
 
 def _set(view, _key, arguments):
     """The first set, of stores that are all empty."""
-    checkFields({"basedOn": whole(0, 1 << 53), Optional("losses"): LOSSES,
-                 "members": And(list, lambda rows: len(rows) % 2 == 1,
-                                error="must name an odd number of stores")}, arguments)
+    checkFields(
+        {
+            "basedOn": whole(0, 1 << 53),
+            Optional("losses"): LOSSES,
+            "members": And(list, lambda rows: len(rows) % 2 == 1, error="must name an odd number of stores"),
+        },
+        arguments,
+    )
     for member in arguments["members"]:
         checkFields(STORE, member)
     record, members = _record(view), [row | {"since": 1} for row in arguments["members"]]
@@ -168,8 +188,11 @@
     if machine not in emptied:
         _checkKnown(view, record, machine)
         # One that is silent for a moment is counted on to come back.
-        left = {member.machine for member, age in view.context.members.newest().values()
-                if member.kind == "store" and age <= STORES_PATIENCE and member.nodeId not in record["retired"]}
+        left = {
+            member.machine
+            for member, age in view.context.members.newest().values()
+            if member.kind == "store" and age <= STORES_PATIENCE and member.nodeId not in record["retired"]
+        }
         left -= {machine, *emptied}
         needed = 2 * record.get("losses", 1) + 1
         if len(left) < needed:
@@ -181,7 +204,8 @@
 def _checkKnown(view, record, machine):
     members = view.context.members
     if machine in record.get("emptied", ()) or machine in {
-            machineOf(members, nodeId) for nodeId in StoreSet(record).everyone}:
+        machineOf(members, nodeId) for nodeId in StoreSet(record).everyone
+    }:
         return
     if not any(member.machine == machine and member.kind == "store" for member, _ in members.newest().values()):
         raise Unknown(f"no store machine {machine} is known")
@@ -214,8 +238,15 @@
     if record["phase"] == JOINING:
         return _put(view, record, phase=MOVING)
     if record["phase"] == MOVING:
-        return _put(view, record, phase=STABLE, members=list(StoreSet(record).nextMembers.values()), joining=None,
-                    leaving=None, retired=[*record["retired"], record["leaving"]])
+        return _put(
+            view,
+            record,
+            phase=STABLE,
+            members=list(StoreSet(record).nextMembers.values()),
+            joining=None,
+            leaving=None,
+            retired=[*record["retired"], record["leaving"]],
+        )
     return record
 
 
@@ -233,9 +264,22 @@
     return record["version"], {"set": packJson(record)}
 
 
-CONTROLLERS.enter(STORES_KEY)(Controller(
-    {"set": _set, "read": lambda view, key, arguments: _record(view), "replace": _replace, "mend": _mend,
-     "cancel": _cancel, "advance": _advance, "prune": _prune, "retire": _retire, "retired": _retired}, image=_image))
+CONTROLLERS.enter(STORES_KEY)(
+    Controller(
+        {
+            "set": _set,
+            "read": lambda view, key, arguments: _record(view),
+            "replace": _replace,
+            "mend": _mend,
+            "cancel": _cancel,
+            "advance": _advance,
+            "prune": _prune,
+            "retire": _retire,
+            "retired": _retired,
+        },
+        image=_image,
+    )
+)
 
 
 def spreadOver(zones, stores, count):
@@ -275,8 +319,11 @@
         if now - self._watchedAt > MEMBER_ANSWERED:
             self._silentSince = {}
         self._watchedAt = now
-        self._silentSince = {nodeId: self._silentSince.get(nodeId, now) for nodeId, row in stores.everyone.items()
-                             if not self._isHere(nodeId, row)}
+        self._silentSince = {
+            nodeId: self._silentSince.get(nodeId, now)
+            for nodeId, row in stores.everyone.items()
+            if not self._isHere(nodeId, row)
+        }
         if self._firstSeenAt is None and self._node.members.live("store"):
             self._firstSeenAt = now
 
@@ -330,8 +377,15 @@
         if len(live) < wanted and not (waited and live):
             return
         chosen = spreadOver({}, live, min(wanted, len(live) - (len(live) + 1) % 2))
-        record = await owner.do(STORES_KEY, "set", {"basedOn": 0, "losses": self._losses, "members": [
-            {"nodeId": one.nodeId, "peer": one.peer} for one in chosen]})
+        record = await owner.do(
+            STORES_KEY,
+            "set",
+            {
+                "basedOn": 0,
+                "losses": self._losses,
+                "members": [{"nodeId": one.nodeId, "peer": one.peer} for one in chosen],
+            },
+        )
         self._node.log.event("storeSetFormed", members=",".join(row["nodeId"] for row in record["members"]))
         await self._tell(record)
 
@@ -344,20 +398,33 @@
             record = await owner.do(STORES_KEY, "cancel", {"basedOn": record["version"]})
         else:
             leaving, joining = wanted
-            record = await owner.do(STORES_KEY, "mend", {
-                "basedOn": record["version"], "leaving": leaving,
-                "joining": {"nodeId": joining.nodeId, "peer": joining.peer}})
-        self._node.log.event("storeSetMended", epoch=record["version"], leaving=record["leaving"] or "",
-                             joining=(record["joining"] or {}).get("nodeId", ""))
+            record = await owner.do(
+                STORES_KEY,
+                "mend",
+                {
+                    "basedOn": record["version"],
+                    "leaving": leaving,
+                    "joining": {"nodeId": joining.nodeId, "peer": joining.peer},
+                },
+            )
+        self._node.log.event(
+            "storeSetMended",
+            epoch=record["version"],
+            leaving=record["leaving"] or "",
+            joining=(record["joining"] or {}).get("nodeId", ""),
+        )
         await self._tell(record)
         return record
 
     def _wanted(self, record):
         """(leaving id, joining member) of a replacement to begin now, "cancel", or None."""
         stores, emptied = StoreSet(record), record.get("emptied", ())
-        heirs = {nodeId: heir for nodeId, row in stores.members.items()
-                 for heir in [self._heirOf(nodeId, row)] if heir is not None and heir.machine not in emptied
-                 and heir.nodeId not in stores.everyone}
+        heirs = {
+            nodeId: heir
+            for nodeId, row in stores.members.items()
+            for heir in [self._heirOf(nodeId, row)]
+            if heir is not None and heir.machine not in emptied and heir.nodeId not in stores.everyone
+        }
         spares = self._spares(record, stores, heirs)
         leaving, joining = record["leaving"], record["joining"]
         if joining is not None:
@@ -373,8 +440,9 @@
                 return leaving, heirs[leaving]
             if spares:
                 return leaving, self._nearest(spares, leaving)
-            isStaying = self._isHere(leaving, stores.members[leaving]) \
-                and machineOf(self._node.members, leaving) not in emptied
+            isStaying = (
+                self._isHere(leaving, stores.members[leaving]) and machineOf(self._node.members, leaving) not in emptied
+            )
             return "cancel" if isStaying else None
         if heirs:
             return next(iter(heirs.items()))
@@ -390,8 +458,11 @@
 
     def _spares(self, record, stores, heirs):
         taken = {heir.nodeId for heir in heirs.values()} | stores.everyone.keys() | set(record["retired"])
-        return [one for one in self._node.members.live("store")
-                if one.nodeId not in taken and one.machine not in record.get("emptied", ())]
+        return [
+            one
+            for one in self._node.members.live("store")
+            if one.nodeId not in taken and one.machine not in record.get("emptied", ())
+        ]
 
     def _nearest(self, spares, nodeId):
         """In the zone of the one that leaves, if there is one: so the zones keep their copies."""
@@ -420,9 +491,11 @@
             said = await self._status(nodeId, row, text)
             if said["epoch"] != stores.epoch or (nodeId == copying and not said["covers"]):
                 raise CannotTell(f"{nodeId} is not so far")
+
         isMoved, _ = await quorumOf(
             {nodeId: ask(nodeId, row) for nodeId, row in stores.everyone.items()},
-            lambda nodeIds: stores.isWritten(nodeIds) and (copying is None or copying in nodeIds))
+            lambda nodeIds: stores.isWritten(nodeIds) and (copying is None or copying in nodeIds),
+        )
         return isMoved
 
     async def _status(self, nodeId, row, told=None):
@@ -455,7 +528,11 @@
             return json.loads(await node.net.call(row["peer"], "storeStatus", CALL_TIME / 2))
         except OakError as error:
             return {"unanswered": error.reason}
+
     said = await settled([ask(row) for row in stores.everyone.values()])
-    return record | {"stores": [
-        row | {"condition": node.members.condition(nodeId), "status": status}
-        for (nodeId, row), (_, status) in zip(stores.everyone.items(), said)]}
+    return record | {
+        "stores": [
+            row | {"condition": node.members.condition(nodeId), "status": status}
+            for (nodeId, row), (_, status) in zip(stores.everyone.items(), said)
+        ]
+    }
--- a/packages/oakcontrol/oakcontrol/voter.py
+++ b/packages/oakcontrol/oakcontrol/voter.py
@@ -2,6 +2,7 @@
 
 The table of each slot has one owner task; the ring groups the commits of different slots into one sync.
 """
+
 import json
 from dataclasses import dataclass, field
 
@@ -39,7 +40,7 @@
         return packJson([values[name] for name in HEAD])
 
 
-ROSTER_IS_NEW = "rosterIsNew"   # a row of the ring, there until every term of a former roster has ended
+ROSTER_IS_NEW = "rosterIsNew"  # a row of the ring, there until every term of a former roster has ended
 HEAD = ("promisedEpoch", "promisedOwner", "imageEpoch", "sequence", "generation")
 
 
@@ -70,8 +71,12 @@
         self._countFromNow()
         self._load()
         self._forget_former_roster()
-        for method, command in (("prepare", self._prepare), ("imagePart", self._imagePart), ("stage", self._stage),
-                                ("accept", self._accept)):
+        for method, command in (
+            ("prepare", self._prepare),
+            ("imagePart", self._imagePart),
+            ("stage", self._stage),
+            ("accept", self._accept),
+        ):
             node.net.handle(method, self._queued(command))
         node.net.handle("acceptMany", self._acceptMany)
         node.net.handle("confirm", self._confirm)
@@ -154,6 +159,7 @@
             if not 0 <= arguments.slot < SLOTS:
                 raise Fenced(f"no slot {arguments.slot}")
             return await self._owners[arguments.slot].do(command, self._tables[arguments.slot], peer, arguments)
+
         return handler
 
     def _checkRoster(self, peer, version):
@@ -162,23 +168,31 @@
         if self.roster is None or self._nodeId not in self.roster.everyone:
             raise Fenced("this node has no vote", detail={"roster": self.roster.version if self.roster else 0})
         if version != self.roster.version:
-            raise Fenced(f"roster version {version} is not {self.roster.version}",
-                         detail={"roster": self.roster.version})
+            raise Fenced(
+                f"roster version {version} is not {self.roster.version}", detail={"roster": self.roster.version}
+            )
         if peer.nodeId not in self.roster.everyone:
             raise Fenced(f"{peer.nodeId} is not in the roster")
 
     async def _prepare(self, table, peer, arguments):
         self._checkRoster(peer, arguments.rosterVersion)
         earlier = table.promisedEpoch, table.promisedOwner
-        if arguments.epoch <= table.promisedEpoch:  # its own owner's too: a restart has forgotten what it wrote under it
+        if (
+            arguments.epoch <= table.promisedEpoch
+        ):  # its own owner's too: a restart has forgotten what it wrote under it
             return idl.Promise(granted=False, promisedEpoch=earlier[0], promisedOwner=earlier[1])
         await self._write(arguments.slot, table, {}, promisedEpoch=arguments.epoch, promisedOwner=arguments.owner)
         entries = None if arguments.parts else [idl.Entry(key=key, value=value) for key, value in table.entries.items()]
-        return idl.Promise(granted=True, promisedEpoch=earlier[0], promisedOwner=earlier[1],
-                           imageEpoch=table.imageEpoch, sequence=table.sequence, entries=entries,
-                           unconfirmedMs=int((self._seconds() - self._confirmedAt[arguments.slot]) * 1000),
-                           termless=ROSTER_IS_NEW not in self._ring.table
-                           and not self.may_hold_term(arguments.slot, peer.nodeId))
+        return idl.Promise(
+            granted=True,
+            promisedEpoch=earlier[0],
+            promisedOwner=earlier[1],
+            imageEpoch=table.imageEpoch,
+            sequence=table.sequence,
+            entries=entries,
+            unconfirmedMs=int((self._seconds() - self._confirmedAt[arguments.slot]) * 1000),
+            termless=ROSTER_IS_NEW not in self._ring.table and not self.may_hold_term(arguments.slot, peer.nodeId),
+        )
 
     async def _imagePart(self, table, peer, arguments):
         """The image does not move while it is read: only a higher promise could change it, and that ends this."""
@@ -187,8 +201,10 @@
             raise Fenced(f"epoch {table.promisedEpoch} is promised")
         rest = table.entries.irange(arguments.after, inclusive=(False, False))
         part = next(inParts(((key, table.entries[key]) for key in rest), IMAGE_PART))
-        return idl.ImagePart(entries=[idl.Entry(key=key, value=value) for key, value in part],
-                             more=bool(part) and part[-1][0] != table.entries.keys()[-1])
+        return idl.ImagePart(
+            entries=[idl.Entry(key=key, value=value) for key, value in part],
+            more=bool(part) and part[-1][0] != table.entries.keys()[-1],
+        )
 
     @staticmethod
     def _isPast(table, epoch, owner):
@@ -216,12 +232,19 @@
             return idl.Taken(taken=False, promisedEpoch=table.promisedEpoch), None
         if step.epoch == table.imageEpoch and step.sequence <= table.sequence:
             return idl.Taken(taken=True), None  # a copy of what is here already
-        follows = isWhole or (step.epoch, step.sequence) == (table.imageEpoch, table.sequence + 1) or (
-            step.fromEpoch and (step.fromEpoch, step.fromSequence) == (table.imageEpoch, table.sequence))
+        follows = (
+            isWhole
+            or (step.epoch, step.sequence) == (table.imageEpoch, table.sequence + 1)
+            or (step.fromEpoch and (step.fromEpoch, step.fromSequence) == (table.imageEpoch, table.sequence))
+        )
         if not follows:
             return idl.Taken(taken=False, needsImage=True, promisedEpoch=table.promisedEpoch), None
-        return idl.Taken(taken=True), {"promisedEpoch": step.epoch, "promisedOwner": owner, "imageEpoch": step.epoch,
-                                       "sequence": step.sequence}
+        return idl.Taken(taken=True), {
+            "promisedEpoch": step.epoch,
+            "promisedOwner": owner,
+            "imageEpoch": step.epoch,
+            "sequence": step.sequence,
+        }
 
     async def _accept(self, table, peer, arguments):
         self._checkRoster(peer, arguments.rosterVersion)
@@ -235,7 +258,9 @@
         staged = self._staged.pop(arguments.slot, None)
         if arguments.parts:
             if staged is None or (staged.label, staged.parts) != (
-                    (arguments.epoch, arguments.owner, arguments.sequence), arguments.parts):
+                (arguments.epoch, arguments.owner, arguments.sequence),
+                arguments.parts,
+            ):
                 return idl.Taken(taken=False, needsImage=True, promisedEpoch=table.promisedEpoch)
             given = staged.entries | given
         await self._replace(arguments.slot, table, given, head)
@@ -275,7 +300,8 @@
         """Brings the table to this whole image: by what differs, if one commit holds that; else as a new
         generation beside the old one, which a last small commit puts in its place."""
         changed = dict.fromkeys(table.entries.keys() - image.keys()) | {
-            key: value for key, value in image.items() if table.entries.get(key) != value}
+            key: value for key, value in image.items() if table.entries.get(key) != value
+        }
         generation, limit = table.generation, self._ring.commitLimit() // 2
         if next(inParts(changed.items(), limit)) == list(changed.items()):
             await self._write(slot, table, changed, **head)
@@ -295,8 +321,10 @@
 
     @staticmethod
     def _rowsOf(slot, table, changed, head):
-        return [(f"s/{slot}", table.head(**head)),
-                *((entryKey(slot, table.generation, key), value) for key, value in changed.items())]
+        return [
+            (f"s/{slot}", table.head(**head)),
+            *((entryKey(slot, table.generation, key), value) for key, value in changed.items()),
+        ]
 
     @staticmethod
     def _enter(table, changed, head):
@@ -309,8 +337,9 @@
 
     async def _confirm(self, peer, arguments):
         """Which of these terms nobody has been promised past. The promise itself is on the disk already."""
-        confirmed = self._confirmed(peer, arguments.owner, arguments.rosterVersion,
-                                    [(term.slot, term.epoch) for term in arguments.terms or []])
+        confirmed = self._confirmed(
+            peer, arguments.owner, arguments.rosterVersion, [(term.slot, term.epoch) for term in arguments.terms or []]
+        )
         return [idl.SlotEpoch(slot=slot, epoch=epoch) for slot, epoch in confirmed]
 
     def confirm_terms(self, peer, terms):
@@ -318,14 +347,20 @@
         try:
             if terms.voter != self._nodeId:
                 return None
-            confirmed = self._confirmed(peer, peer.nodeId, terms.rosterVersion, zip(terms.slots or [], terms.epochs or []))
+            confirmed = self._confirmed(
+                peer, peer.nodeId, terms.rosterVersion, zip(terms.slots or [], terms.epochs or [])
+            )
         except Fenced:
             return None
         return [slot for slot, _ in confirmed]
 
     def _confirmed(self, peer, owner, rosterVersion, terms):
         self._checkRoster(peer, rosterVersion)
-        confirmed = [(slot, epoch) for slot, epoch in terms if 0 <= slot < SLOTS
-                     and (self._tables[slot].promisedEpoch, self._tables[slot].promisedOwner) == (epoch, owner)]
+        confirmed = [
+            (slot, epoch)
+            for slot, epoch in terms
+            if 0 <= slot < SLOTS
+            and (self._tables[slot].promisedEpoch, self._tables[slot].promisedOwner) == (epoch, owner)
+        ]
         self._confirmedAt.update(dict.fromkeys((slot for slot, _ in confirmed), self._seconds()))
         return confirmed
--- a/packages/oakctl/oakctl/asking.py
+++ b/packages/oakctl/oakctl/asking.py
@@ -1,4 +1,5 @@
 """Asking daemons over HTTP, for a person's command: one answer or one clear word why not."""
+
 import http.client
 import json
 
--- a/packages/oakctl/oakctl/doctor.py
+++ b/packages/oakctl/oakctl/doctor.py
@@ -1,4 +1,5 @@
 """oakctl doctor: looks for common faults, and says for each what it comes from and what to do next."""
+
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -7,9 +8,9 @@
 CHECKS = Registry("check")
 WARNING, FAULT = "warning", "fault"
 EXIT_CODES = {WARNING: 3, FAULT: 4}
-SLOW_SYNC = 0.1     # s; a sync this slow is felt in every turn
-FULL_SHARE = 0.8    # share of a ring's capacity
-OWNERLESS = 5.0     # s; a take-over is over by then
+SLOW_SYNC = 0.1  # s; a sync this slow is felt in every turn
+FULL_SHARE = 0.8  # share of a ring's capacity
+OWNERLESS = 5.0  # s; a take-over is over by then
 
 
 @dataclass(frozen=True)
@@ -38,8 +39,7 @@
         return next((row["machine"] for row in self.nodes if row["nodeId"] == nodeId), nodeId)
 
     def answered(self, kind=None):
-        return [said for said in self.conditions.values()
-                if isinstance(said, dict) and kind in (None, said["kind"])]
+        return [said for said in self.conditions.values() if isinstance(said, dict) and kind in (None, said["kind"])]
 
 
 def takeSurvey(askControl, askNode):
@@ -67,28 +67,48 @@
 def _nodes(survey):
     for nodeId, said in survey.conditions.items():
         if said == "refused":
-            yield Finding(FAULT, "nodes", f"{survey.machine(nodeId)} is down", "its process has ended",
-                          "start it; with its data folder it is the same node")
+            yield Finding(
+                FAULT,
+                "nodes",
+                f"{survey.machine(nodeId)} is down",
+                "its process has ended",
+                "start it; with its data folder it is the same node",
+            )
         if said == "silent":
-            yield Finding(FAULT, "nodes", f"{survey.machine(nodeId)} does not answer", "frozen, overloaded or cut off",
-                          "look at the machine; kill the process if it is stuck and start it again")
+            yield Finding(
+                FAULT,
+                "nodes",
+                f"{survey.machine(nodeId)} does not answer",
+                "frozen, overloaded or cut off",
+                "look at the machine; kill the process if it is stuck and start it again",
+            )
 
 
 @CHECKS.enter("seeds")
 def _seeds(survey):
     bad = Counter(seed for said in survey.answered() for seed, answers in said["seeds"].items() if not answers)
     for seed, count in sorted(bad.items()):
-        yield Finding(WARNING, "seeds", f"seed {seed} answers none of {count} nodes", "that machine is gone or moved",
-                      "put a living control node into the settings before the next restart")
+        yield Finding(
+            WARNING,
+            "seeds",
+            f"seed {seed} answers none of {count} nodes",
+            "that machine is gone or moved",
+            "put a living control node into the settings before the next restart",
+        )
 
 
 @CHECKS.enter("clocks")
 def _clocks(survey):
     for said in survey.answered():
         if said["clock"]["jumps"]:
-            yield Finding(WARNING, "clocks", f"{said['machine']}'s wall clock jumped {said['clock']['jumps']} times, last "
-                          f"by {said['clock']['lastJump']} s", "time service or a suspended machine",
-                          "nothing here depends on it but the times in logs; look at the time service")
+            yield Finding(
+                WARNING,
+                "clocks",
+                f"{said['machine']}'s wall clock jumped {said['clock']['jumps']} times, last "
+                f"by {said['clock']['lastJump']} s",
+                "time service or a suspended machine",
+                "nothing here depends on it but the times in logs; look at the time service",
+            )
 
 
 @CHECKS.enter("disks")
@@ -98,23 +118,42 @@
         if disk is None:
             continue
         if disk["broken"]:
-            yield Finding(FAULT, "disks", f"{said['machine']}'s disk failed: {disk['broken']}", "the disk, or it is full",
-                          "replace the machine by an empty one; do not reuse the folder")
+            yield Finding(
+                FAULT,
+                "disks",
+                f"{said['machine']}'s disk failed: {disk['broken']}",
+                "the disk, or it is full",
+                "replace the machine by an empty one; do not reuse the folder",
+            )
         if disk["syncSeconds"] > SLOW_SYNC:
-            yield Finding(WARNING, "disks", f"{said['machine']}'s syncs take {disk['syncSeconds']} s", "a slow disk",
-                          "others carry the load meanwhile; replace the disk if it lasts")
+            yield Finding(
+                WARNING,
+                "disks",
+                f"{said['machine']}'s syncs take {disk['syncSeconds']} s",
+                "a slow disk",
+                "others carry the load meanwhile; replace the disk if it lasts",
+            )
         if disk["liveBytes"] > FULL_SHARE * disk["capacity"]:
-            yield Finding(WARNING, "disks", f"{said['machine']}'s ring is {disk['liveBytes'] / disk['capacity']:.0%} full",
-                          "more state than the ring was made for", "make a node with a larger ringFileSize")
+            yield Finding(
+                WARNING,
+                "disks",
+                f"{said['machine']}'s ring is {disk['liveBytes'] / disk['capacity']:.0%} full",
+                "more state than the ring was made for",
+                "make a node with a larger ringFileSize",
+            )
 
 
 @CHECKS.enter("slots")
 def _slots(survey):
     bad = [row["slot"] for row in survey.slots if row["owner"] is None or row["age"] > OWNERLESS]
     if bad:
-        yield Finding(FAULT, "slots", f"{len(bad)} slots have no confirmed owner: {bad[:8]}",
-                      "no majority of the roster's disks answers, or a take-over is under way",
-                      "start the missing control nodes; look again in 5 s")
+        yield Finding(
+            FAULT,
+            "slots",
+            f"{len(bad)} slots have no confirmed owner: {bad[:8]}",
+            "no majority of the roster's disks answers, or a take-over is under way",
+            "start the missing control nodes; look again in 5 s",
+        )
 
 
 @CHECKS.enter("roster")
@@ -126,21 +165,34 @@
     alive = [nodeId for nodeId in members if isinstance(survey.conditions.get(nodeId), dict)]
     spare = len(alive) - (len(members) // 2 + 1)
     if len(alive) < len(members):
-        yield Finding(FAULT if spare <= 0 else WARNING, "roster", f"{len(alive)} of {len(members)} voters answer, {spare} "
-                      "may still be lost", "control nodes are down or lost their disks",
-                      "start them, or replace a lost one: oakctl roster replace")
+        yield Finding(
+            FAULT if spare <= 0 else WARNING,
+            "roster",
+            f"{len(alive)} of {len(members)} voters answer, {spare} may still be lost",
+            "control nodes are down or lost their disks",
+            "start them, or replace a lost one: oakctl roster replace",
+        )
 
 
 @CHECKS.enter("platform")
 def _platform(survey):
     for said in survey.answered("control"):
         if said["platform"] is None:
-            yield Finding(WARNING, "platform", f"{said['machine']} does not know the platform", "its settings lack `platform`",
-                          "give all control nodes the platform's address, and start this one again")
+            yield Finding(
+                WARNING,
+                "platform",
+                f"{said['machine']} does not know the platform",
+                "its settings lack `platform`",
+                "give all control nodes the platform's address, and start this one again",
+            )
         elif not said["platform"]:
-            yield Finding(WARNING, "platform", f"{said['machine']} could not read the platform's list", "the platform is "
-                          "down, or this node is cut off from it; others look for it meanwhile",
-                          "look at the platform, and at the network of that machine")
+            yield Finding(
+                WARNING,
+                "platform",
+                f"{said['machine']} could not read the platform's list",
+                "the platform is down, or this node is cut off from it; others look for it meanwhile",
+                "look at the platform, and at the network of that machine",
+            )
 
 
 @CHECKS.enter("stores")
@@ -149,66 +201,114 @@
     alive = [row for row in members if isinstance(survey.conditions.get(row["nodeId"]), dict)]
     if len(alive) < len(members):
         spare = len(alive) - (len(members) // 2 + 1)
-        yield Finding(FAULT if spare < 0 else WARNING, "stores", f"{len(alive)} of {len(members)} stores answer, {spare} "
-                      "may still be lost", "a store is down or lost its disk",
-                      "start it, or bring an empty one in its place: oakctl store replace")
+        yield Finding(
+            FAULT if spare < 0 else WARNING,
+            "stores",
+            f"{len(alive)} of {len(members)} stores answer, {spare} may still be lost",
+            "a store is down or lost its disk",
+            "start it, or bring an empty one in its place: oakctl store replace",
+        )
     for row in alive:
         if not survey.conditions[row["nodeId"]]["covers"]:
-            yield Finding(WARNING, "stores", f"{survey.machine(row['nodeId'])} does not have all lines yet",
-                          "it joined or came back empty and is copying", "wait; look at its lines in oakctl stores")
+            yield Finding(
+                WARNING,
+                "stores",
+                f"{survey.machine(row['nodeId'])} does not have all lines yet",
+                "it joined or came back empty and is copying",
+                "wait; look at its lines in oakctl stores",
+            )
 
 
 @CHECKS.enter("hints")
 def _hints(survey):
     for said in survey.answered("store"):
         for nodeId, count in said["hints"].items():
-            yield Finding(WARNING, "hints", f"{said['machine']} keeps {count} lines for {survey.machine(nodeId)}",
-                          "that store was away or slow", "they are handed over once it answers; start it if it is down")
+            yield Finding(
+                WARNING,
+                "hints",
+                f"{said['machine']} keeps {count} lines for {survey.machine(nodeId)}",
+                "that store was away or slow",
+                "they are handed over once it answers; start it if it is down",
+            )
 
 
 @CHECKS.enter("copies")
 def _copies(survey):
-    counts = {said["machine"]: said["lines"] for said in survey.answered("store")
-              if said["nodeId"] in {row["nodeId"] for row in survey.stores.get("members", [])}}
+    counts = {
+        said["machine"]: said["lines"]
+        for said in survey.answered("store")
+        if said["nodeId"] in {row["nodeId"] for row in survey.stores.get("members", [])}
+    }
     if counts and max(counts.values()) > 1.1 * min(counts.values()) + 10:
-        yield Finding(WARNING, "copies", f"stores keep different counts of lines: {counts}", "one lacks copies",
-                      "anti-entropy brings them within minutes; look at hints and disks if not")
+        yield Finding(
+            WARNING,
+            "copies",
+            f"stores keep different counts of lines: {counts}",
+            "one lacks copies",
+            "anti-entropy brings them within minutes; look at hints and disks if not",
+        )
 
 
 @CHECKS.enter("news")
 def _news(survey):
     for said in survey.answered("gate"):
         for partner, why in said["stale"].items():
-            yield Finding(FAULT, "news", f"{said['machine']} serves nothing for {partner}: {why}",
-                          "it is cut off from the control nodes, or the slot has no owner",
-                          "look at the findings on slots and seeds, and at the network of that machine")
+            yield Finding(
+                FAULT,
+                "news",
+                f"{said['machine']} serves nothing for {partner}: {why}",
+                "it is cut off from the control nodes, or the slot has no owner",
+                "look at the findings on slots and seeds, and at the network of that machine",
+            )
 
 
 @CHECKS.enter("eviction")
 def _eviction(survey):
     modes = Counter(said["eviction"] for said in survey.answered("control"))
     if len(modes) > 1:
-        yield Finding(WARNING, "eviction", f"control nodes differ in the setting eviction: {dict(modes)}", "settings were "
-                      "changed on some machines only", "give all control nodes and gates the same")
+        yield Finding(
+            WARNING,
+            "eviction",
+            f"control nodes differ in the setting eviction: {dict(modes)}",
+            "settings were changed on some machines only",
+            "give all control nodes and gates the same",
+        )
     for service, rows in sorted(survey.placement.get("findings", {}).items()):
         placed = survey.placement["services"].get(service, {"mode": "on", "tenants": {}})
-        left = [one for one in rows if one["trapped"] and (placed["mode"] != "on" or one["tenant"] not in placed["tenants"])]
+        left = [
+            one for one in rows if one["trapped"] and (placed["mode"] != "on" or one["tenant"] not in placed["tenants"])
+        ]
         without_room = [one["tenant"] for one in left if not one["room"]]
         if without_room:
-            yield Finding(WARNING, "eviction", f"{len(without_room)} tenants of {service} ({', '.join(without_room[:3])}) evict "
-                          "others' prefixes and find no room", "their prefixes do not fit the replicas' caches, all together",
-                          "more replicas for the service, or larger caches; oakctl eviction shows the sizes")
+            yield Finding(
+                WARNING,
+                "eviction",
+                f"{len(without_room)} tenants of {service} ({', '.join(without_room[:3])}) evict "
+                "others' prefixes and find no room",
+                "their prefixes do not fit the replicas' caches, all together",
+                "more replicas for the service, or larger caches; oakctl eviction shows the sizes",
+            )
         elif left and placed["mode"] != "on":
-            yield Finding(WARNING, "eviction", f"{len(left)} tenants of {service} evict each other's prefixes and are not moved",
-                          "the setting eviction is observe", "look at oakctl eviction, and set it to on")
+            yield Finding(
+                WARNING,
+                "eviction",
+                f"{len(left)} tenants of {service} evict each other's prefixes and are not moved",
+                "the setting eviction is observe",
+                "look at oakctl eviction, and set it to on",
+            )
 
 
 @CHECKS.enter("versions")
 def _versions(survey):
     releases = Counter(said["release"] for said in survey.answered())
     if len(releases) > 1:
-        yield Finding(WARNING, "versions", f"releases differ: {dict(releases)}", "a roll-out is under way",
-                      "finish it; two adjacent releases work together")
+        yield Finding(
+            WARNING,
+            "versions",
+            f"releases differ: {dict(releases)}",
+            "a roll-out is under way",
+            "finish it; two adjacent releases work together",
+        )
 
 
 @CHECKS.enter("bindings")
@@ -220,6 +320,11 @@
             if not ready[binding["pool"]]:
                 pools.setdefault(binding["pool"], []).append(name)
         for pool, names in sorted(pools.items()):
-            yield Finding(FAULT, "bindings", f"{partner}: {len(names)} bindings ({', '.join(names[:3])}) name pool {pool}, which "
-                          "has no ready replica", "a misspelt pool, or all its replicas left",
-                          "change the bindings, or have the platform list replicas for the pool")
+            yield Finding(
+                FAULT,
+                "bindings",
+                f"{partner}: {len(names)} bindings ({', '.join(names[:3])}) name pool {pool}, which "
+                "has no ready replica",
+                "a misspelt pool, or all its replicas left",
+                "change the bindings, or have the platform list replicas for the pool",
+            )
--- a/packages/oakctl/oakctl/main.py
+++ b/packages/oakctl/oakctl/main.py
@@ -1,4 +1,5 @@
 """oakctl: the operators' command line."""
+
 import json
 import sys
 import time
@@ -14,8 +15,15 @@
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
-@click.option("--control", "controls", multiple=True, type=ADDRESS_TYPE, envvar="OAK_CONTROL", metavar="IP:PORT",
-              help="HTTP address of a control node; may be given several times, or in OAK_CONTROL with spaces.")
+@click.option(
+    "--control",
+    "controls",
+    multiple=True,
+    type=ADDRESS_TYPE,
+    envvar="OAK_CONTROL",
+    metavar="IP:PORT",
+    help="HTTP address of a control node; may be given several times, or in OAK_CONTROL with spaces.",
+)
 @click.pass_context
 def main(context, controls):
     """Drives an oakramp fleet through its control nodes.
@@ -54,8 +62,15 @@
 
 @main.command()
 @click.option("--cluster", "clusterId", required=True, help="The new cluster's id.")
-@click.option("--store", "stores", multiple=True, required=True, type=ADDRESS_TYPE, metavar="IP:PORT",
-              help="HTTP address of a store node; give all three.")
+@click.option(
+    "--store",
+    "stores",
+    multiple=True,
+    required=True,
+    type=ADDRESS_TYPE,
+    metavar="IP:PORT",
+    help="HTTP address of a store node; give all three.",
+)
 @click.pass_context
 def init(context, clusterId, stores):
     """Makes a cluster of the control nodes named with --control and the stores named with --store.
@@ -82,6 +97,7 @@
             if str(error).startswith("no: "):
                 raise
             return None
+
     answer = _waitFor("the store set being written", setStores)
     click.echo(f"stores: {len(answer['members'])}, epoch {answer['version']}")
 
@@ -98,6 +114,7 @@
 
 # --- plans ---------------------------------------------------------------------
 
+
 @main.group()
 def plan():
     """Blueprints: send a whole one or a named change, read any kept version."""
@@ -112,13 +129,15 @@
 
 def _change(context, path, partner, changeId, body):
     changeId = changeId or uuid.uuid4().hex
-    answer = askFirst(_controls(context), *path, body | {"changeId": changeId},
-                      onMaybe=f"oakctl plan outcome {partner} {changeId}")
+    answer = askFirst(
+        _controls(context), *path, body | {"changeId": changeId}, onMaybe=f"oakctl plan outcome {partner} {changeId}"
+    )
     show(answer | {"changeId": changeId})
 
 
-BASED_ON = click.option("--based-on", "basedOn", type=click.IntRange(0), required=True,
-                        help="The version you last saw; 0 for the first.")
+BASED_ON = click.option(
+    "--based-on", "basedOn", type=click.IntRange(0), required=True, help="The version you last saw; 0 for the first."
+)
 CHANGE_ID = click.option("--change-id", "changeId", help="Give the same id again to retry; made up if left out.")
 
 
@@ -130,8 +149,13 @@
 @click.pass_context
 def putPlan(context, partner, file, basedOn, changeId):
     """Sends FILE as PARTNER's whole blueprint."""
-    _change(context, ("PUT", f"/v1/blueprints/{partner}"), partner, changeId,
-            {"basedOn": basedOn, "blueprint": _readFile(file)})
+    _change(
+        context,
+        ("PUT", f"/v1/blueprints/{partner}"),
+        partner,
+        changeId,
+        {"basedOn": basedOn, "blueprint": _readFile(file)},
+    )
 
 
 @plan.command("change")
@@ -150,8 +174,13 @@
         parsed = json.loads(arguments)
     except ValueError as error:
         raise click.UsageError(f"ARGUMENTS is no JSON: {error}") from error
-    _change(context, ("POST", f"/v1/blueprints/{partner}/changes"), partner, changeId,
-            {"basedOn": basedOn, "change": name, "arguments": parsed})
+    _change(
+        context,
+        ("POST", f"/v1/blueprints/{partner}/changes"),
+        partner,
+        changeId,
+        {"basedOn": basedOn, "change": name, "arguments": parsed},
+    )
 
 
 @plan.command("read")
@@ -174,6 +203,7 @@
 
 # --- programs ------------------------------------------------------------------
 
+
 @main.group()
 def program():
     """Programs: read a budget, end a program for good."""
@@ -194,12 +224,20 @@
 @click.pass_context
 def endProgram(context, partner, name):
     """Ends PARTNER's program NAME: it takes no more turns, and neither it nor its budget ever starts anew."""
-    show(askFirst(_controls(context), "POST", f"/v1/programs/{partner}/{name}/end", {},
-                  onMaybe=f"oakctl program read {partner} {name}"))
+    show(
+        askFirst(
+            _controls(context),
+            "POST",
+            f"/v1/programs/{partner}/{name}/end",
+            {},
+            onMaybe=f"oakctl program read {partner} {name}",
+        )
+    )
 
 
 # --- looking -------------------------------------------------------------------
 
+
 def _listing(name, path, text):
     @main.command(name, help=text)
     @click.pass_context
@@ -243,7 +281,9 @@
     """A node by its machine's name or node id."""
     found = [row for row in rows if name in (row["nodeId"], row["machine"])]
     if not found:
-        raise Refusal(f"no: there is no such node as {name}; known: {', '.join(sorted(row['machine'] for row in rows))}")
+        raise Refusal(
+            f"no: there is no such node as {name}; known: {', '.join(sorted(row['machine'] for row in rows))}"
+        )
     if len(found) > 1:
         raise Refusal(f"no: {name} stands for {', '.join(row['nodeId'] for row in found)}; give the node id")
     return found[0]
@@ -270,9 +310,17 @@
     byId = {row["nodeId"]: row for row in nodes}
     members = [byId.get(nodeId, {"nodeId": nodeId, "machine": nodeId.partition(".")[0]}) for nodeId in memberIds]
     newcomer = _named([row for row in nodes if row["nodeId"] not in memberIds and row["condition"] == "live"], joining)
-    answer = askFirst(controls, "POST", f"{path}/replace", {
-        "basedOn": record["version"], "leaving": _named(members, leaving)["nodeId"],
-        "joining": {"nodeId": newcomer["nodeId"], "peer": newcomer["peer"]}}, onMaybe=watchWith)
+    answer = askFirst(
+        controls,
+        "POST",
+        f"{path}/replace",
+        {
+            "basedOn": record["version"],
+            "leaving": _named(members, leaving)["nodeId"],
+            "joining": {"nodeId": newcomer["nodeId"], "peer": newcomer["peer"]},
+        },
+        onMaybe=watchWith,
+    )
     click.echo(f"version {answer['version']}: {leaving} is being replaced by {joining}; watch it with: {watchWith}")
 
 
--- a/packages/oakdvv/oakdvv/clock.py
+++ b/packages/oakdvv/oakdvv/clock.py
@@ -32,8 +32,10 @@
         return self._hash
 
     def __repr__(self):
-        shown = (f"({nodeId},{ceiling})" if dot is None else f"({nodeId},{ceiling},{dot})"
-                 for nodeId, (ceiling, dot) in sorted(self.entries.items()))
+        shown = (
+            f"({nodeId},{ceiling})" if dot is None else f"({nodeId},{ceiling},{dot})"
+            for nodeId, (ceiling, dot) in sorted(self.entries.items())
+        )
         return "{" + ",".join(shown) + "}"
 
     def dot(self):
@@ -70,7 +72,8 @@
     """The clocks of either set that no clock of the other strictly dominates."""
     return frozenset(
         [x for x in leftSet if not any(less(x, y) for y in rightSet)]
-        + [x for x in rightSet if not any(less(x, y) for y in leftSet)])
+        + [x for x in rightSet if not any(less(x, y) for y in leftSet)]
+    )
 
 
 def ids(clockSet):
@@ -79,8 +82,9 @@
 
 def ceiling(clockSet, nodeId):
     """The largest number that the set holds for this id, 0 if none."""
-    return max((m if n is None else n for clock in clockSet
-                for m, n in [clock.entries.get(nodeId, (0, None))]), default=0)
+    return max(
+        (m if n is None else n for clock in clockSet for m, n in [clock.entries.get(nodeId, (0, None))]), default=0
+    )
 
 
 def update(contextSet, localSet, nodeId):
--- a/packages/oakdvv/oakdvv/context.py
+++ b/packages/oakdvv/oakdvv/context.py
@@ -1,4 +1,5 @@
 """The opaque context: a clock set as JSON-able rows and as text that a client only hands back."""
+
 import base64
 import json
 
@@ -11,8 +12,12 @@
 
 def clockFromRow(row):
     if not isinstance(row, list) or any(
-            not isinstance(part, list) or len(part) not in (2, 3) or not isinstance(part[0], str)
-            or any(type(number) is not int for number in part[1:]) for part in row):
+        not isinstance(part, list)
+        or len(part) not in (2, 3)
+        or not isinstance(part[0], str)
+        or any(type(number) is not int for number in part[1:])
+        for part in row
+    ):
         raise ValueError("no clock")
     return Clock({part[0]: part[1] if len(part) == 2 else (part[1], part[2]) for part in row})
 
--- a/packages/oakgate/oakgate/balancer.py
+++ b/packages/oakgate/oakgate/balancer.py
@@ -5,6 +5,7 @@
 gate's own zone first, since its earlier prompts are cached there; it leaves that replica only when others have
 clearly more room.
 """
+
 import heapq
 import itertools
 import json
@@ -14,8 +15,18 @@
 
 from twisted.internet import defer
 
-from oakbase.constants import (AFFINITY_SLACK, BALANCER_QUEUE, EJECT_AFTER, EJECT_LONGEST, EJECT_PAUSE, LOAD_AGE,
-                               PLACEMENT_SLACK, QUEUED_SHARE, RETRY_AFTER_LEAST, SHED_PAUSE)
+from oakbase.constants import (
+    AFFINITY_SLACK,
+    BALANCER_QUEUE,
+    EJECT_AFTER,
+    EJECT_LONGEST,
+    EJECT_PAUSE,
+    LOAD_AGE,
+    PLACEMENT_SLACK,
+    QUEUED_SHARE,
+    RETRY_AFTER_LEAST,
+    SHED_PAUSE,
+)
 from oakbase.tasks import within
 from oakbase.verdict import Overloaded, TimeSpent
 from oakcohort.rendezvous import score
@@ -66,7 +77,7 @@
     affinity: str = ""
     excluded: frozenset = frozenset()
     tenant: str | None = None
-    keep_until: float = float("-inf")   # until then it would rather wait for its tenant's replicas than go elsewhere
+    keep_until: float = float("-inf")  # until then it would rather wait for its tenant's replicas than go elsewhere
 
 
 class Balancer:
@@ -139,22 +150,36 @@
             return None
         least = min(loads[one.row["id"]] / one.slots(wish.default_slots) for one in roomy)
         planned = self._planned(wish)
-        kept = [one for one in usable if one.row["id"] in planned
-                and loads[one.row["id"]] / one.slots(wish.default_slots) <= least + PLACEMENT_SLACK]
+        kept = [
+            one
+            for one in usable
+            if one.row["id"] in planned
+            and loads[one.row["id"]] / one.slots(wish.default_slots) <= least + PLACEMENT_SLACK
+        ]
         if kept:
-            ready, kept_roomy = [one for one in ready if one.row["id"] in planned], [one for one in kept if one in roomy]
+            ready, kept_roomy = (
+                [one for one in ready if one.row["id"] in planned],
+                [one for one in kept if one in roomy],
+            )
             if not kept_roomy and now < wish.keep_until:
                 return None  # all are about as full: its prefix read again elsewhere would only fill them more
             roomy = kept_roomy or roomy
             least = min(loads[one.row["id"]] / one.slots(wish.default_slots) for one in roomy)
         if wish.affinity:
             # Named over all that are listed, so that a full or failing one does not move the others' programs.
-            named = max(ready, key=lambda one: (one.row.get("zone") == self._zone, self._score(one.row["id"], wish.affinity)))
+            named = max(
+                ready, key=lambda one: (one.row.get("zone") == self._zone, self._score(one.row["id"], wish.affinity))
+            )
             if named in roomy and loads[named.row["id"]] / named.slots(wish.default_slots) <= least + AFFINITY_SLACK:
                 return named
-            return max(roomy, key=lambda one: (
-                -math.floor(loads[one.row["id"]] / one.slots(wish.default_slots) / AFFINITY_SLACK),
-                one.row.get("zone") == self._zone, self._score(one.row["id"], wish.affinity)))
+            return max(
+                roomy,
+                key=lambda one: (
+                    -math.floor(loads[one.row["id"]] / one.slots(wish.default_slots) / AFFINITY_SLACK),
+                    one.row.get("zone") == self._zone,
+                    self._score(one.row["id"], wish.affinity),
+                ),
+            )
         near = [one for one in roomy if loads[one.row["id"]] / one.slots(wish.default_slots) <= least + 1e-9]
         return self._node.random.choice([one for one in near if one.row.get("zone") == self._zone] or near)
 
@@ -174,8 +199,12 @@
         self._wake(wish.service)
         self._look_again(wish.service)
         try:
-            return await within(self._reactor, wish.patience_until - self._reactor.seconds(), waiter, TimeSpent(
-                "no replica had room in time", retryAfter=RETRY_AFTER_LEAST))
+            return await within(
+                self._reactor,
+                wish.patience_until - self._reactor.seconds(),
+                waiter,
+                TimeSpent("no replica had room in time", retryAfter=RETRY_AFTER_LEAST),
+            )
         finally:
             if entry in heap:
                 heap.remove(entry)
--- a/packages/oakgate/oakgate/base.py
+++ b/packages/oakgate/oakgate/base.py
@@ -1,4 +1,5 @@
 """What every gate has: its node, its way to the owners of keys, and what goes on after a caller has its answer."""
+
 import itertools
 
 from oakbase.constants import RETRY_AFTER, SETTLE_INBOX
@@ -42,6 +43,7 @@
         def ended(result):
             self.settling.discard(task)
             return result
+
         return task.addBoth(ended)
 
     async def wait_settled(self, seconds):
--- a/packages/oakgate/oakgate/bindings.py
+++ b/packages/oakgate/oakgate/bindings.py
@@ -1,4 +1,5 @@
 """What a gate knows of blueprints and replicas, and how old that is."""
+
 import json
 
 from cachetools import LRUCache
--- a/packages/oakgate/oakgate/carry.py
+++ b/packages/oakgate/oakgate/carry.py
@@ -1,4 +1,5 @@
 """Placing and carrying, shared by turns and plain calls."""
+
 import json
 
 from oakbase.constants import CARRY_TRIES
@@ -32,14 +33,20 @@
                     raise _atLeast(unsure, error) from error
                 if error.verdict is not Verdict.NO:
                     unsure = error
-                self._node.log.event("carryRetried", replica=replica.row["id"], reason=error.reason,
-                                     request=request.body["request"], verdict=error.verdict.value)
+                self._node.log.event(
+                    "carryRetried",
+                    replica=replica.row["id"],
+                    reason=error.reason,
+                    request=request.body["request"],
+                    verdict=error.verdict.value,
+                )
             finally:
                 self._placer.release(replica, placedAt)
 
     def _mayRetry(self, request, mayRepeat, error):
         return error.verdict is Verdict.NO or (
-            mayRepeat() and self._node.reactor.seconds() < request.waitUntil and not request.call.isGone)
+            mayRepeat() and self._node.reactor.seconds() < request.waitUntil and not request.call.isGone
+        )
 
     def _current(self, request):
         return self._bindings.find(request.partner, request.bindingName, request.kind)
@@ -52,11 +59,19 @@
             request.bound(binding)
             request.remaining(self._node.reactor.seconds())
             try:
-                replica = await self._placer.place(Wish(
-                    request.partner, binding["pool"], binding["urgency"], request.waitUntil,
-                    lambda binding=binding: self._current(request) == binding,
-                    request.fields.get("lineKey", ""), prefixOf(request.fields.get("start", "")),
-                    binding.get("adapter"), binding.get("modelWeights")))
+                replica = await self._placer.place(
+                    Wish(
+                        request.partner,
+                        binding["pool"],
+                        binding["urgency"],
+                        request.waitUntil,
+                        lambda binding=binding: self._current(request) == binding,
+                        request.fields.get("lineKey", ""),
+                        prefixOf(request.fields.get("start", "")),
+                        binding.get("adapter"),
+                        binding.get("modelWeights"),
+                    )
+                )
             except Rebound:
                 continue
             placedAt = self._node.reactor.seconds()
@@ -68,8 +83,7 @@
             except OakError:
                 self._placer.release(replica, placedAt)
                 raise
-            if current == binding and replica.row["state"] == "ready" \
-                    and replica.row["id"] in self._placer.replicas:
+            if current == binding and replica.row["state"] == "ready" and replica.row["id"] in self._placer.replicas:
                 return replica
             self._placer.release(replica, placedAt)
 
--- a/packages/oakgate/oakgate/gate.py
+++ b/packages/oakgate/oakgate/gate.py
@@ -1,4 +1,5 @@
 """A gate put together: callers' HTTP in front, filters behind it, no disk."""
+
 import time
 
 from oakbase.constants import ACCEPT_INBOX, SETTLE_TIME
@@ -25,29 +26,40 @@
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
         turns, plain = Turns(self), Plain(self)
         for method, path, handler in (
-                ("POST", "/v1/{partner}/programs", turns.openProgram),
-                ("GET", "/v1/{partner}/programs/{program}", turns.readProgram),
-                ("POST", "/v1/{partner}/programs/{program}/end", turns.endProgram),
-                ("POST", "/v1/{partner}/programs/{program}/lines/{line}/turns", turns.postTurn),
-                ("POST", "/v1/{partner}/plain/{binding}", plain.post),
-                ("GET", "/condition", self._condition)):
+            ("POST", "/v1/{partner}/programs", turns.openProgram),
+            ("GET", "/v1/{partner}/programs/{program}", turns.readProgram),
+            ("POST", "/v1/{partner}/programs/{program}/end", turns.endProgram),
+            ("POST", "/v1/{partner}/programs/{program}/lines/{line}/turns", turns.postTurn),
+            ("POST", "/v1/{partner}/plain/{binding}", plain.post),
+            ("GET", "/condition", self._condition),
+        ):
             self.web.route(method, path, handler)
         serve_metrics(self.web, self.metrics)
-        for name, ask in (("requests_running", lambda: self.web.running),
-                          ("requests_waiting", self.placer.waitingCount),
-                          ("settling", lambda: len(self.settling)),
-                          ("members_live", lambda: len(self.node.members.live()))):
+        for name, ask in (
+            ("requests_running", lambda: self.web.running),
+            ("requests_waiting", self.placer.waitingCount),
+            ("settling", lambda: len(self.settling)),
+            ("members_live", lambda: len(self.node.members.live())),
+        ):
             self.metrics.gauge(name, ask)
 
     async def _condition(self, _call):
-        partners = sorted(source.partition("/")[2] for source in self.node.board.images
-                          if source.startswith("blueprint/"))
+        partners = sorted(
+            source.partition("/")[2] for source in self.node.board.images if source.startswith("blueprint/")
+        )
         stale = {partner: why for partner in partners if (why := self.bindings.staleness(partner))}
         ready = bool(partners) and not stale and not self.web.stopping
-        return 200, self.node.condition() | {"condition": "ready" if ready else "waiting", "partners": {
-            partner: {"version": self.node.board.images[f"blueprint/{partner}"].version,
-                      "age": round(min(self.node.board.age(f"blueprint/{partner}"), 1e9), 3)}
-            for partner in partners}, "stale": stale}
+        return 200, self.node.condition() | {
+            "condition": "ready" if ready else "waiting",
+            "partners": {
+                partner: {
+                    "version": self.node.board.images[f"blueprint/{partner}"].version,
+                    "age": round(min(self.node.board.age(f"blueprint/{partner}"), 1e9), 3),
+                }
+                for partner in partners
+            },
+            "stale": stale,
+        }
 
     def start(self):
         self.node.start()
--- a/packages/oakgate/oakgate/outliers.py
+++ b/packages/oakgate/oakgate/outliers.py
@@ -8,11 +8,22 @@
 At most a part of a service's replicas are outliers at a time, and each is one for as long as somebody has news of its
 faults: then it gets requests again like the others, a few of which would find it out.
 """
+
 import json
 from collections import deque
 
-from oakbase.constants import (LATE_LEAST, LATE_LOOK, LATE_STEP, LATE_TIMES, OUTLIER_FAULTS, OUTLIER_FELLOWS, OUTLIER_RATE,
-                               OUTLIER_SHARE, OUTLIER_TELL, OUTLIER_WINDOW)
+from oakbase.constants import (
+    LATE_LEAST,
+    LATE_LOOK,
+    LATE_STEP,
+    LATE_TIMES,
+    OUTLIER_FAULTS,
+    OUTLIER_FELLOWS,
+    OUTLIER_RATE,
+    OUTLIER_SHARE,
+    OUTLIER_TELL,
+    OUTLIER_WINDOW,
+)
 from oaknews.puller import NODE_SOURCE
 
 FAULTS = "faults"  # the item of a gate's row in the news
@@ -74,7 +85,9 @@
         if not one.is_over:
             one.is_over = True
             view, took = self._view(one.instance), self._reactor.seconds() - one.at
-            view.usual = took if view.usual is None else view.usual * (1 + (LATE_STEP if took > view.usual else -LATE_STEP))
+            view.usual = (
+                took if view.usual is None else view.usual * (1 + (LATE_STEP if took > view.usual else -LATE_STEP))
+            )
 
     @staticmethod
     def ended(one):
@@ -107,10 +120,15 @@
                     self.fault(one.instance)
             while view.sent and view.sent[0] < now - OUTLIER_WINDOW:
                 view.sent.popleft()
-            view.faults = {name: kept for name, times in view.faults.items()
-                           if (kept := [at for at in times if at > now - OUTLIER_WINDOW])}
+            view.faults = {
+                name: kept
+                for name, times in view.faults.items()
+                if (kept := [at for at in times if at > now - OUTLIER_WINDOW])
+            }
         self._tell(now)
-        if self._published["counts"] or any(view.waiting or view.sent or view.faults for view in self._services.values()):
+        if self._published["counts"] or any(
+            view.waiting or view.sent or view.faults for view in self._services.values()
+        ):
             self._set_look()
 
     # --- what all gates see ---
@@ -162,12 +180,19 @@
         def is_outlier(count):
             fellows = (total - count) / max(1, len(faults) - 1)
             return count >= OUTLIER_FAULTS and count >= OUTLIER_RATE * given and count > OUTLIER_FELLOWS * fellows
-        found = sorted((name for name, count in faults.items() if is_outlier(count)), key=lambda name: (-faults[name], name))
+
+        found = sorted(
+            (name for name, count in faults.items() if is_outlier(count)), key=lambda name: (-faults[name], name)
+        )
         return self._say(service, frozenset(found[:most]), faults)
 
     def _say(self, service, found, faults):
         if found != self._said.get(service, frozenset()):
             self._said[service] = found
-            self._log.event("outliers", service=service, replicas=",".join(sorted(found)) or "none",
-                            faults=",".join(str(faults[name]) for name in sorted(found)) or "none")
+            self._log.event(
+                "outliers",
+                service=service,
+                replicas=",".join(sorted(found)) or "none",
+                faults=",".join(str(faults[name]) for name in sorted(found)) or "none",
+            )
         return found
--- a/packages/oakgate/oakgate/placement.py
+++ b/packages/oakgate/oakgate/placement.py
@@ -3,6 +3,7 @@
 Invariants: a plan is a preference for requests that have not been sent yet, and for nothing else; one that was confirmed
 longer than PLAN_AGE ago, or that cannot be read, is none.
 """
+
 import json
 
 from oakbase.constants import CALL_TIME, EVICTION_ROUND, PLAN_AGE, PRESSURE_LATE
@@ -39,8 +40,10 @@
         if source != PLACEMENT_KEY:
             return
         try:
-            self._plans = {service: {tenant: frozenset(replicas) for tenant, replicas in json.loads(value).items()}
-                           for service, value in self._node.board.values(PLACEMENT_KEY).items()}
+            self._plans = {
+                service: {tenant: frozenset(replicas) for tenant, replicas in json.loads(value).items()}
+                for service, value in self._node.board.values(PLACEMENT_KEY).items()
+            }
         except (ValueError, TypeError, AttributeError) as error:
             self._plans = {}
             self._node.log.event("evictionPlanUnreadable", error=repr(error))
@@ -66,14 +69,21 @@
 
     async def report(self):
         """Tells the owner what was counted, of services whose answers are late or that have a plan."""
-        services = {service: {"cache": cache_tokens} | counters.take() for service, counters in self._counters.items()
-                    if (cache_tokens := self._cache_tokens_of(service)) and self._is_pressed(service, counters)}
+        services = {
+            service: {"cache": cache_tokens} | counters.take()
+            for service, counters in self._counters.items()
+            if (cache_tokens := self._cache_tokens_of(service)) and self._is_pressed(service, counters)
+        }
         self._counters = {}
         if not services or self._is_off:
             return
         self._number += 1
-        await self._owners.call(PLACEMENT_KEY, "report", {
-            "gate": self._node.nodeId, "number": self._number, "services": services}, CALL_TIME)
+        await self._owners.call(
+            PLACEMENT_KEY,
+            "report",
+            {"gate": self._node.nodeId, "number": self._number, "services": services},
+            CALL_TIME,
+        )
 
     def _is_pressed(self, service, counters):
         return counters.late >= PRESSURE_LATE * counters.requests or service in self._plans
--- a/packages/oakgate/oakgate/placer.py
+++ b/packages/oakgate/oakgate/placer.py
@@ -1,4 +1,5 @@
 """Placing: which replica serves which request, and who goes first when none has room."""
+
 import heapq
 import itertools
 import math
@@ -6,8 +7,17 @@
 
 from twisted.internet import defer
 
-from oakbase.constants import (CONTENDED_SHARE, DESCRIBE_PAUSE, DESCRIBE_TIME, GATE_REPLICA_IN_FLIGHT,
-                               PLACE_INBOX, PREFIX_CHARACTERS, REFUSED_PAUSE, RETRY_AFTER, WEIGHT_BOUND)
+from oakbase.constants import (
+    CONTENDED_SHARE,
+    DESCRIBE_PAUSE,
+    DESCRIBE_TIME,
+    GATE_REPLICA_IN_FLIGHT,
+    PLACE_INBOX,
+    PREFIX_CHARACTERS,
+    REFUSED_PAUSE,
+    RETRY_AFTER,
+    WEIGHT_BOUND,
+)
 from oakbase.tasks import Repeater, spawn, within
 from oakbase.verdict import OakError, Overloaded, Rebound, TimeSpent, Unknown
 from oakcohort.rendezvous import ranked
@@ -114,8 +124,9 @@
             load = said.get("load")
             if status != 200 or not isinstance(load, dict):
                 return
-            if any(type(load.get(name)) is not int or load[name] < low
-                   for name, low in (("running", 0), ("capacity", 1))):
+            if any(
+                type(load.get(name)) is not int or load[name] < low for name, low in (("running", 0), ("capacity", 1))
+            ):
                 self._node.log.event("describeUnreadable", replica=replicaId)
                 return
             replica.running, replica.capacity, replica.ownThen = load["running"], load["capacity"], own
@@ -134,9 +145,12 @@
     def _candidates(self, wish):
         pool = [replica for replica in self.replicas.values() if replica.row["pool"] == wish.pool]
         ready = [replica for replica in pool if replica.row["state"] == "ready"]
-        return [replica for replica in ready
-                if (wish.adapter is None or wish.adapter in replica.adapters)
-                and (wish.modelWeights is None or wish.modelWeights == replica.modelWeights)], ready
+        return [
+            replica
+            for replica in ready
+            if (wish.adapter is None or wish.adapter in replica.adapters)
+            and (wish.modelWeights is None or wish.modelWeights == replica.modelWeights)
+        ], ready
 
     def _place(self, wish):
         """The replica for this wish now, or None if none has room.
@@ -154,7 +168,7 @@
         byId = {replica.row["id"]: replica for replica in sound}
         # Named over all that fit, not only over those with room, so that a full one does not move the rest.
         everyId = [replica.row["id"] for replica in candidates]
-        near = ranked(everyId, wish.prefix)[:max(2, (len(everyId) + 1) // 2)] if wish.prefix else everyId
+        near = ranked(everyId, wish.prefix)[: max(2, (len(everyId) + 1) // 2)] if wish.prefix else everyId
         order = ranked(near, wish.lineKey) + [one for one in ranked(everyId, wish.lineKey) if one not in near]
         light = [byId[one] for one in order if one in byId and byId[one].weight() < WEIGHT_BOUND]
         return light[0] if light else min(sound, key=lambda replica: (replica.weight(), replica.row["id"]))
@@ -180,11 +194,16 @@
         heapq.heappush(heap, (URGENCY[wish.urgency], wish.endsAt, next(self._order), wish, waiter))
         self._dispatch(wish.pool)
         try:
-            return await within(self._reactor, wish.endsAt - self._reactor.seconds(), waiter,
-                                TimeSpent("no replica had room within the time left", retryAfter=RETRY_AFTER))
+            return await within(
+                self._reactor,
+                wish.endsAt - self._reactor.seconds(),
+                waiter,
+                TimeSpent("no replica had room within the time left", retryAfter=RETRY_AFTER),
+            )
         finally:
             self._waiting[wish.pool, wish.partner] = heap = [
-                entry for entry in self._waiting[wish.pool, wish.partner] if entry[4] is not waiter]
+                entry for entry in self._waiting[wish.pool, wish.partner] if entry[4] is not waiter
+            ]
             heapq.heapify(heap)
 
     # --- giving up in time ---
@@ -205,8 +224,10 @@
         expected = self._expectedWait(wish.pool, ahead)
         if self._reactor.seconds() + expected > wish.endsAt:
             self._metrics.count("given_up")
-            raise Overloaded(f"about {expected:.0f} s of requests wait already",
-                             retryAfter=max(RETRY_AFTER, min(60, round(expected))))
+            raise Overloaded(
+                f"about {expected:.0f} s of requests wait already",
+                retryAfter=max(RETRY_AFTER, min(60, round(expected))),
+            )
 
     def _giveUpHopeless(self):
         """The same look at those that wait: how long places are held may be known only now."""
@@ -230,8 +251,14 @@
                 entry[4].errback(Rebound("the plan changed"))
 
     def _startLevel(self, pool, partner):
-        level = min((self._served.get((pool, other), 0.0) for (otherPool, other), heap in self._waiting.items()
-                     if otherPool == pool and heap), default=None)
+        level = min(
+            (
+                self._served.get((pool, other), 0.0)
+                for (otherPool, other), heap in self._waiting.items()
+                if otherPool == pool and heap
+            ),
+            default=None,
+        )
         if level is not None:
             self._served[pool, partner] = max(self._served.get((pool, partner), 0.0), level)
 
@@ -244,9 +271,11 @@
         urgent with the least time left."""
         blocked = set()
         while True:
-            partners = [(self._served.get((pool, partner), 0.0), partner)
-                        for (waitingPool, partner), heap in self._waiting.items()
-                        if waitingPool == pool and heap and partner not in blocked]
+            partners = [
+                (self._served.get((pool, partner), 0.0), partner)
+                for (waitingPool, partner), heap in self._waiting.items()
+                if waitingPool == pool and heap and partner not in blocked
+            ]
             if not partners:
                 return
             _, partner = min(partners)
@@ -259,8 +288,7 @@
             heap.remove(entry)
             heapq.heapify(heap)
             replica.ownRunning += 1
-            self._served[pool, partner] = (self._served.get((pool, partner), 0.0)
-                                           + 1 / self._bindings.share(partner))
+            self._served[pool, partner] = self._served.get((pool, partner), 0.0) + 1 / self._bindings.share(partner)
             self._metrics.count("placed", replica=replica.row["id"])
             if entry[4].called:
                 replica.ownRunning -= 1
--- a/packages/oakgate/oakgate/plain.py
+++ b/packages/oakgate/oakgate/plain.py
@@ -1,4 +1,5 @@
 """The filters of a plain service call: bind, claim, then place and carry."""
+
 import json
 
 from schema import Optional, Or
@@ -8,8 +9,12 @@
 from oakbase.verdict import Broken, Conflict, NoAnswer, OakError, Overloaded, TimeSpent, Verdict
 from oakgate.request import Request, chain, printOf
 
-PLAIN = {Optional("key"): Or(None, NAME, error="must be a name"), "body": dict,
-         Optional("timeLeft"): seconds(0.05, TIME_LEFT_LIMIT), Optional("request"): NAME}
+PLAIN = {
+    Optional("key"): Or(None, NAME, error="must be a name"),
+    "body": dict,
+    Optional("timeLeft"): seconds(0.05, TIME_LEFT_LIMIT),
+    Optional("request"): NAME,
+}
 
 
 class Plain:
@@ -21,8 +26,16 @@
     async def post(self, call):
         names = checkFields({"partner": NAME, "binding": NAME}, call.names)
         body = checkFields(PLAIN, call.json())
-        request = Request(call, names["partner"], names["binding"], "plain", body, self._gate.admission(),
-                          self._reactor.seconds(), body["timeLeft"])
+        request = Request(
+            call,
+            names["partner"],
+            names["binding"],
+            "plain",
+            body,
+            self._gate.admission(),
+            self._reactor.seconds(),
+            body["timeLeft"],
+        )
         try:
             answer = await self._run(request)
         except OakError as error:
@@ -49,6 +62,7 @@
 
         def later(command, **more):
             self._gate.background(self._owners.callUntilDone(claimKey, command, pairs | more))
+
         # The owner counts from when it hears of the claim, so this is the earlier of the two.
         request.leaveBy = self._reactor.seconds() + CLAIM_LEAVE
         try:
@@ -73,14 +87,21 @@
         asked = {"run": request.admission["admission"], "key": request.body["key"], "body": request.body["body"]}
         # A key wins over the binding: what may have run under it is not carried again.
         return await self._carrier.carry(
-            request, lambda: request.body["key"] is None and bool(request.binding.get("repeatable")),
-            lambda replica, lastCheck: self._send(request, asked, replica, lastCheck))
+            request,
+            lambda: request.body["key"] is None and bool(request.binding.get("repeatable")),
+            lambda replica, lastCheck: self._send(request, asked, replica, lastCheck),
+        )
 
     async def _send(self, request, asked, replica, lastCheck):
         asked = asked | request.marks()
         status, data = await self._gate.webClient.data(
-            "POST", replica.row["address"], "/call", asked, request.endsAt - self._reactor.seconds(),
-            lastCheck=lastCheck)
+            "POST",
+            replica.row["address"],
+            "/call",
+            asked,
+            request.endsAt - self._reactor.seconds(),
+            lastCheck=lastCheck,
+        )
         try:
             said = json.loads(data)
         except ValueError as error:
--- a/packages/oakgate/oakgate/relay.py
+++ b/packages/oakgate/oakgate/relay.py
@@ -7,6 +7,7 @@
 makes that promise (verdict no) only if nothing of the request can have run or will run; an answer that began is either
 passed on to its end or its connection is closed.
 """
+
 import base64
 import math
 from dataclasses import dataclass, field
@@ -14,12 +15,42 @@
 
 from twisted.internet import defer
 
-from oakbase.constants import (ANSWER_HELD, CALL_TIME, CLAIM_ANSWER_LIMIT, CLAIM_LEAVE, FRESH_POLL, FRESH_PULL, FULL_RETRY,
-                               HOLD_SHARE, OUTAGE_RETRY_AFTER, OUTAGE_SHARE, PATIENCE_SHARE, PLACEMENT_PATIENCE, REFUSAL_LIMIT,
-                               RETRY_AFTER_LEAST, SETTLE_PAUSE, STALLED_SHARE, STALLED_TIMES, TURN_OUTPUT_LIMIT)
+from oakbase.constants import (
+    ANSWER_HELD,
+    CALL_TIME,
+    CLAIM_ANSWER_LIMIT,
+    CLAIM_LEAVE,
+    FRESH_POLL,
+    FRESH_PULL,
+    FULL_RETRY,
+    HOLD_SHARE,
+    OUTAGE_RETRY_AFTER,
+    OUTAGE_SHARE,
+    PATIENCE_SHARE,
+    PLACEMENT_PATIENCE,
+    REFUSAL_LIMIT,
+    RETRY_AFTER_LEAST,
+    SETTLE_PAUSE,
+    STALLED_SHARE,
+    STALLED_TIMES,
+    TURN_OUTPUT_LIMIT,
+)
 from oakbase.tasks import shielded, sleep, spawn, within
-from oakbase.verdict import (BadRequest, Broken, BudgetEmpty, CannotTell, InProgress, NoAnswer, OakError,
-                             Overloaded, Rebound, TimeSpent, Unknown, Unreachable, Verdict)
+from oakbase.verdict import (
+    BadRequest,
+    Broken,
+    BudgetEmpty,
+    CannotTell,
+    InProgress,
+    NoAnswer,
+    OakError,
+    Overloaded,
+    Rebound,
+    TimeSpent,
+    Unknown,
+    Unreachable,
+    Verdict,
+)
 from oakgate.balancer import Wish
 from oakprefix.counters import tenant_of
 from oakstore.turns import Record
@@ -96,8 +127,11 @@
         self._upstreams, self._turns, self._owners = upstreams, turn_client, gate.owners
         self._metrics, self._placement = gate.metrics, placement
         self._settler = Settler(gate)
-        self._news = FreshNews(self._reactor, lambda: router.staleness() or gate.replicas_staleness(),
-                               lambda: spawn(gate.node.puller.pullNow(), gate.node.log))
+        self._news = FreshNews(
+            self._reactor,
+            lambda: router.staleness() or gate.replicas_staleness(),
+            lambda: spawn(gate.node.puller.pullNow(), gate.node.log),
+        )
         self._chains = {"safe": self._plain, "unsafe": self._plain, "tracked": self._tracked, "stream": self._stream}
 
     # --- entry ---
@@ -116,8 +150,13 @@
                 exchange.abort()
                 return
             if error.verdict is not Verdict.NO:
-                self._log.event("relayFailed", code=error.code, reason=error.reason, verdict=error.verdict.value,
-                                request=request.try_id)
+                self._log.event(
+                    "relayFailed",
+                    code=error.code,
+                    reason=error.reason,
+                    verdict=error.verdict.value,
+                    request=request.try_id,
+                )
             if isinstance(error, CannotTell):
                 error.retryAfter = self._outage_left(exchange, request)
             exchange.reply(*self._dialect.refusal(error, request))
@@ -168,8 +207,9 @@
             raise BadRequest("this route needs an operation key")
         self._gate.check_settling()
         key = "claim/" + print_of(route.host.encode(), request.operation_key.encode())
-        pairs = self._gate.admission() | {"print": print_of(
-            passage.exchange.method.encode(), passage.exchange.target, passage.body)}
+        pairs = self._gate.admission() | {
+            "print": print_of(passage.exchange.method.encode(), passage.exchange.target, passage.body)
+        }
         passage.leave_by = self._reactor.seconds() + CLAIM_LEAVE
         try:
             claimed = await self._owners.call(key, "claim", pairs, self._remaining(passage))
@@ -193,8 +233,11 @@
                 self._gate.background(self._owners.callUntilDone(key, "free", pairs))
             raise
         body = b"".join(parts)
-        kept = {"status": status, "headers": [[name.decode("latin-1"), value.decode("latin-1")] for name, value in headers],
-                "body": base64.b64encode(body).decode()}
+        kept = {
+            "status": status,
+            "headers": [[name.decode("latin-1"), value.decode("latin-1")] for name, value in headers],
+            "body": base64.b64encode(body).decode(),
+        }
         small = len(kept["body"]) <= CLAIM_ANSWER_LIMIT
         await self._finish_claim(passage, key, "finish", pairs | {"answer": kept if small else None})
         passage.exchange.reply(status, headers, body)
@@ -211,8 +254,9 @@
         if kept is None:
             raise InProgress("this ran before; its answer was too large to keep")
         headers = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in kept["headers"]]
-        passage.exchange.reply(kept["status"], self._dialect.repeat_headers(headers, passage.request),
-                               base64.b64decode(kept["body"]))
+        passage.exchange.reply(
+            kept["status"], self._dialect.repeat_headers(headers, passage.request), base64.b64decode(kept["body"])
+        )
 
     def _body_limit(self):
         return max(ANSWER_HELD, self._gate.limits().body_bytes)
@@ -221,8 +265,12 @@
         """The answer, whole if it is small: a small one that is cut off was not passed on and may be asked again."""
         parts, size = [], 0
         while size < ANSWER_HELD:
-            part = await within(self._reactor, self._remaining_run(passage), answer.next(),
-                                NoAnswer("the replica's answer did not end in time"))
+            part = await within(
+                self._reactor,
+                self._remaining_run(passage),
+                answer.next(),
+                NoAnswer("the replica's answer did not end in time"),
+            )
             if part is None:
                 return answer.status, self._dialect.answer_headers(answer.headers), parts, None
             parts.append(part)
@@ -238,8 +286,14 @@
         try:
             for part in parts:
                 exchange.write(part)
-            while (part := await within(self._reactor, self._remaining_run(passage), answer.next(),
-                                        Broken("the replica's answer did not end in time"))) is not None:
+            while (
+                part := await within(
+                    self._reactor,
+                    self._remaining_run(passage),
+                    answer.next(),
+                    Broken("the replica's answer did not end in time"),
+                )
+            ) is not None:
                 exchange.write(part)
                 await exchange.wait_writable()
         except BaseException:
@@ -301,16 +355,23 @@
         slots = self._router.services[service].get("slots") or 1
         # What has begun goes before what begins: a program that is refused in the middle has cost most of its runs.
         is_first = passage.request.program is not None and passage.request.previous_turn is None
-        return Wish(service, slots, 2 * passage.route.priority + is_first, min(patience, passage.leave_by),
-                    passage.affinity, frozenset(passage.excluded), tenant_of(passage.request.prefix),
-                    now + (patience - now) * PLACEMENT_PATIENCE)
+        return Wish(
+            service,
+            slots,
+            2 * passage.route.priority + is_first,
+            min(patience, passage.leave_by),
+            passage.affinity,
+            frozenset(passage.excluded),
+            tenant_of(passage.request.prefix),
+            now + (patience - now) * PLACEMENT_PATIENCE,
+        )
 
     def _service_of(self, passage):
         """By the route's weights; a program stays with one service as long as the weights stay."""
         if len(passage.route.backends) == 1:
             return passage.route.backends[0][0]
         if passage.affinity:
-            draw = int.from_bytes(blake2b(passage.affinity.encode(), digest_size=4).digest(), "big") / 2 ** 32
+            draw = int.from_bytes(blake2b(passage.affinity.encode(), digest_size=4).digest(), "big") / 2**32
         else:
             draw = self._node.random.random()
         return passage.route.pick_service(draw)
@@ -321,8 +382,11 @@
             route = self._route_now(passage)
             service = self._service_of(passage)
             instance = await self._balancer.acquire(self._wish(passage, service))
-            if self._router.staleness() is None and self._route_now(passage) == route \
-                    and self._balancer.is_ready(instance):
+            if (
+                self._router.staleness() is None
+                and self._route_now(passage) == route
+                and self._balancer.is_ready(instance)
+            ):
                 return instance, service
             self._balancer.release(instance)
 
@@ -354,17 +418,25 @@
     async def _send(self, passage, instance, service, receive):
         exchange, row = passage.exchange, instance.row
         remaining = self._remaining(passage)
-        headers = self._dialect.headers_to_replica(exchange.headers, row["id"], remaining,
-                                                   len(passage.body), passage.last_id)
+        headers = self._dialect.headers_to_replica(
+            exchange.headers, row["id"], remaining, len(passage.body), passage.last_id
+        )
         cap = self._router.services[service].get("max_connections") or 64
         most = max(2, math.ceil(cap / max(1, len(self._node.members.live("gate")))))
         sent = self._balancer.outliers.sent(instance)
         try:
             answer = await self._upstreams.send(
-                row["address"], row["id"], exchange.method, exchange.target, headers, passage.body,
+                row["address"],
+                row["id"],
+                exchange.method,
+                exchange.target,
+                headers,
+                passage.body,
                 self._head_patience(passage, service, remaining),
                 last_check=lambda: self._last_check(passage, instance),
-                expect=(self._dialect.echo_header.decode(), passage.request.try_id), max_connections=most)
+                expect=(self._dialect.echo_header.decode(), passage.request.try_id),
+                max_connections=most,
+            )
             self._balancer.outliers.answered(sent)
         finally:
             self._balancer.outliers.ended(sent)
@@ -392,7 +464,9 @@
         another one, which then must have time enough."""
         if not passage.may_repeat or passage.tries + 1 >= passage.route.max_attempts:
             return remaining
-        return min(remaining, max(STALLED_TIMES * self._balancer.outliers.late_after(service), STALLED_SHARE * remaining))
+        return min(
+            remaining, max(STALLED_TIMES * self._balancer.outliers.late_after(service), STALLED_SHARE * remaining)
+        )
 
     async def _discard(self, answer):
         """Reads a refusal to its end, so that its connection may be kept."""
@@ -408,6 +482,7 @@
         def gone(_):
             if not over:
                 answer.abort()
+
         passage.exchange.gone.addCallback(gone)
         return over
 
@@ -420,8 +495,9 @@
             # Before it runs: afterwards its answer could only be cut off.
             raise Overloaded("the stores have no room for more until old turns go", retryAfter=FULL_RETRY)
         if route.retained and request.previous_turn:
-            recalling = defer.ensureDeferred(self._settled(
-                self._turns.recall(request.previous_turn, self._remaining(passage) * PATIENCE_SHARE)))
+            recalling = defer.ensureDeferred(
+                self._settled(self._turns.recall(request.previous_turn, self._remaining(passage) * PATIENCE_SHARE))
+            )
         if request.budget is None or not request.program:
             await self._turn(passage, recalling)
             return
@@ -446,9 +522,14 @@
         self._gate.check_settling()
         key = "allowance/" + print_of(request.program.encode())
         try:
-            state = (await self._owners.call(key, "admit", {
-                "turn": request.try_id, "reserve": reserve, "limit": request.budget, "gate": self._node.nodeId},
-                self._remaining(passage) * PATIENCE_SHARE))["state"]
+            state = (
+                await self._owners.call(
+                    key,
+                    "admit",
+                    {"turn": request.try_id, "reserve": reserve, "limit": request.budget, "gate": self._node.nodeId},
+                    self._remaining(passage) * PATIENCE_SHARE,
+                )
+            )["state"]
         except NoAnswer as error:
             self._settler.settle(key, request.try_id, 0)
             raise CannotTell(f"the budget's owner did not answer: {error.reason}") from error
@@ -471,12 +552,21 @@
         if not await self._carry(passage, self._pass_events):
             return
         if passage.route.retained:
-            record = Record(passage.request.try_id, passage.request.previous_turn or None,
-                            passage.request.session or passage.request.try_id, passage.exchange.body,
-                            b"".join(passage.output))
+            record = Record(
+                passage.request.try_id,
+                passage.request.previous_turn or None,
+                passage.request.session or passage.request.try_id,
+                passage.exchange.body,
+                b"".join(passage.output),
+            )
             try:
-                await self._turns.retain(record.session, record, recalled,
-                                         max(0.5, passage.ends_at - self._reactor.seconds()), passage.route.retain_s)
+                await self._turns.retain(
+                    record.session,
+                    record,
+                    recalled,
+                    max(0.5, passage.ends_at - self._reactor.seconds()),
+                    passage.route.retain_s,
+                )
             except OakError as error:
                 raise Broken(f"the turn ran, but is not surely kept: {error.reason}") from error
         passage.exchange.finish()
@@ -495,8 +585,9 @@
         if not passage.head_passed:
             passage.head = (answer.status, self._dialect.stream_headers(answer.headers))
         while True:
-            part = await within(self._reactor, self._remaining_run(passage), answer.next(),
-                                Broken("the stream did not end in time"))
+            part = await within(
+                self._reactor, self._remaining_run(passage), answer.next(), Broken("the stream did not end in time")
+            )
             if part is None:
                 break
             whole = splitter.feed(part)
@@ -515,8 +606,13 @@
         if passage.head_passed or passage.tries > 1:
             return
         waited = self._reactor.seconds() - passage.exchange.received_at
-        self._placement.note(instance.row["pool"], instance.row["id"], passage.request.prefix, passage.request.program,
-                             waited > passage.route.target_s)
+        self._placement.note(
+            instance.row["pool"],
+            instance.row["id"],
+            passage.request.prefix,
+            passage.request.program,
+            waited > passage.route.target_s,
+        )
 
     def _begin(self, passage):
         passage.head_passed = True
--- a/packages/oakgate/oakgate/relay_node.py
+++ b/packages/oakgate/oakgate/relay_node.py
@@ -1,8 +1,18 @@
 """A gate for raw requests put together: the relay in front of replicas, readiness, no disk."""
+
 import time
 from dataclasses import dataclass
 
-from oakbase.constants import (ACCEPT_INBOX, BODY_LIMIT, IDLE_CALLER_TIME, READY_DRAIN, REPLICA_AGE, RELAY_BOUND, RETRY_AFTER_LEAST, SETTLE_TIME)
+from oakbase.constants import (
+    ACCEPT_INBOX,
+    BODY_LIMIT,
+    IDLE_CALLER_TIME,
+    READY_DRAIN,
+    REPLICA_AGE,
+    RELAY_BOUND,
+    RETRY_AFTER_LEAST,
+    SETTLE_TIME,
+)
 from oakbase.metrics import serve_metrics
 from oakbase.tasks import sleep
 from oakbase.verdict import CannotTell, Overloaded
@@ -17,6 +27,7 @@
 from oakrelay.upstream import Upstreams
 from oakstore.turns import TurnClient
 
+
 @dataclass(frozen=True)
 class Limits:
     """What a caller may send, and how long it may take; these until the routing says more."""
@@ -27,8 +38,8 @@
     idle_s: float = IDLE_CALLER_TIME
 
 
-LEAVING_MARGIN = 0.1    # share of the bound for leaving replicas; kept for the way from here to the replica
-STOP_MARGIN = 1.0       # s; of the grace, kept for settling and the end of the process
+LEAVING_MARGIN = 0.1  # share of the bound for leaving replicas; kept for the way from here to the replica
+STOP_MARGIN = 1.0  # s; of the grace, kept for settling and the end of the process
 
 
 class RelayNode(GateBase):
@@ -45,20 +56,24 @@
         self.balancer = Balancer(self.node, self.node.log, self.placement)
         self.upstreams = Upstreams(reactor, env["relay"].rpartition(":")[0], self.node.log)
         self.balancer.on_gone = self.upstreams.close_instance
-        self.relay = Relay(self, dialect, self.router, self.balancer, self.upstreams, TurnClient(self.node),
-                           self.placement)
+        self.relay = Relay(
+            self, dialect, self.router, self.balancer, self.upstreams, TurnClient(self.node), self.placement
+        )
         self._limits = (0, Limits())
-        self.front = Front(reactor, env["relay"], self.relay.handle, self.limits, self.node.log, RELAY_BOUND,
-                           self._refuse)
+        self.front = Front(
+            reactor, env["relay"], self.relay.handle, self.limits, self.node.log, RELAY_BOUND, self._refuse
+        )
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
         self.ready_web = Web(reactor, env["ready"], self.node.log, ACCEPT_INBOX)
         self.ready_web.route("GET", dialect.ready_path, self._ready)
         self.web.route("GET", "/condition", self._condition)
         serve_metrics(self.web, self.metrics)
-        for name, ask in (("requests_running", lambda: self.front.running),
-                          ("requests_waiting", self.balancer.waiting_count),
-                          ("settling", lambda: len(self.settling)),
-                          ("members_live", lambda: len(self.node.members.live()))):
+        for name, ask in (
+            ("requests_running", lambda: self.front.running),
+            ("requests_waiting", self.balancer.waiting_count),
+            ("settling", lambda: len(self.settling)),
+            ("members_live", lambda: len(self.node.members.live())),
+        ):
             self.metrics.gauge(name, ask)
 
     def _cache_tokens_of(self, service):
@@ -95,8 +110,12 @@
     async def _condition(self, _call):
         why = self.why_not_ready()
         return 200, self.node.condition() | {
-            "condition": why or "ready", "routing": self.router.version, "replicas": self.balancer.shown(),
-            "waiting": self.balancer.waiting_count(), "running": self.front.running}
+            "condition": why or "ready",
+            "routing": self.router.version,
+            "replicas": self.balancer.shown(),
+            "waiting": self.balancer.waiting_count(),
+            "running": self.front.running,
+        }
 
     def start(self):
         self.node.start()
--- a/packages/oakgate/oakgate/relay_types.py
+++ b/packages/oakgate/oakgate/relay_types.py
@@ -1,5 +1,6 @@
 """What the relay knows of a raw request and of a replica's answer, in the product's words. A dialect reads them from
 headers; nothing here depends on how they are spelled there."""
+
 from dataclasses import dataclass
 
 
@@ -15,7 +16,7 @@
     budget: int | None = None
     tokens_in: int | None = None
     tokens_most: int | None = None
-    prefix: tuple = ()                  # (id, tokens) of each part of the prompt, in order
+    prefix: tuple = ()  # (id, tokens) of each part of the prompt, in order
     previous_turn: str | None = None
     finish_s: float | None = None
     resume_after: str | None = None
@@ -28,7 +29,7 @@
     """`not_run` is the replica's own promise that it did not run the request and never will."""
 
     not_run: bool = False
-    load: tuple | None = None           # requests running, requests waiting, slots
+    load: tuple | None = None  # requests running, requests waiting, slots
     stamped: bool = False
     try_id: str | None = None
     replica_id: str | None = None
--- a/packages/oakgate/oakgate/request.py
+++ b/packages/oakgate/oakgate/request.py
@@ -1,4 +1,5 @@
 """A caller's request on its way through the filters, and the chain itself."""
+
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
