--- a/packages/oakgate/oakgate/routing.py
+++ b/packages/oakgate/oakgate/routing.py
@@ -1,4 +1,5 @@
 """Which service a request is for: the gate's routing table, rebuilt from the news whenever its version moves."""
+
 from bisect import bisect_right
 from dataclasses import dataclass, field
 from itertools import accumulate
@@ -15,11 +16,11 @@
     name: str
     host: str
     path_prefix: str
-    kind: str               # safe, unsafe, tracked, stream
+    kind: str  # safe, unsafe, tracked, stream
     timeout_s: float
     target_s: float
-    priority: int           # 0 goes first
-    backends: tuple         # of (service, weight)
+    priority: int  # 0 goes first
+    backends: tuple  # of (service, weight)
     max_attempts: int = 1
     retained: bool = False
     retain_s: float = 0.0
@@ -31,8 +32,11 @@
     def __post_init__(self):
         weighted = [(service, weight) for service, weight in self.backends if weight > 0]
         object.__setattr__(self, "backends", tuple(map(tuple, self.backends)))
-        object.__setattr__(self, "_weighted", (tuple(service for service, _ in weighted),
-                                               tuple(accumulate(weight for _, weight in weighted))))
+        object.__setattr__(
+            self,
+            "_weighted",
+            (tuple(service for service, _ in weighted), tuple(accumulate(weight for _, weight in weighted))),
+        )
 
     def pick_service(self, number):
         """The service that this number in [0, 1) falls to, in proportion to the weights."""
@@ -50,7 +54,7 @@
     def find(self, path):
         end = path.rfind("/", 0, self._longest)
         while end >= 0:
-            route = self._by_prefix.get(path[:end + 1])
+            route = self._by_prefix.get(path[: end + 1])
             if route is not None:
                 return route
             end = path.rfind("/", 0, end)
@@ -77,8 +81,12 @@
             return
         try:
             # What has not changed is not read again.
-            self._unpacked = {name: former if (former := self._unpacked.get(name)) and former[0] == value
-                              else (value, unpackEntry(value)) for name, value in values.items()}
+            self._unpacked = {
+                name: former
+                if (former := self._unpacked.get(name)) and former[0] == value
+                else (value, unpackEntry(value))
+                for name, value in values.items()
+            }
             document = document_of({name: piece for name, (_, piece) in self._unpacked.items()})
             self._take(version, self._dialect.routing_of(document))
         except Exception as error:
--- a/packages/oakgate/oakgate/stream.py
+++ b/packages/oakgate/oakgate/stream.py
@@ -3,6 +3,7 @@
 Replica's lines: {"run", "seq", "text", "units"} and at the end {"run", "seq", "end": true}.
 Caller's lines:  {"type": "piece"|"end"|"break", "run", "seq", ...}; a break leaves the body unfinished.
 """
+
 import json
 
 from oakbase.checks import packJson
--- a/packages/oakgate/oakgate/turns.py
+++ b/packages/oakgate/oakgate/turns.py
@@ -1,14 +1,24 @@
 """The filters of a turn: bind, admit, recall, then place and carry, retain, settle."""
+
 from schema import And, Optional, Or
 from twisted.internet.defer import ensureDeferred
 
 from oakbase.checks import NAME, checkFields, seconds, whole
-from oakbase.constants import (CALL_TIME, FULL_RETRY, PIECE_LIMIT, SETTLE_TIME, SETTLE_WAIT, TIME_LEFT_LIMIT,
-                               UNITS_LIMIT)
+from oakbase.constants import CALL_TIME, FULL_RETRY, PIECE_LIMIT, SETTLE_TIME, SETTLE_WAIT, TIME_LEFT_LIMIT, UNITS_LIMIT
 from oakbase.fetch import BodyLines
 from oakbase.tasks import settled, shielded, within
-from oakbase.verdict import (BudgetEmpty, Broken, Conflict, Gone, NoAnswer, OakError, Overloaded,
-                             Rebound, TimeSpent, Verdict)
+from oakbase.verdict import (
+    BudgetEmpty,
+    Broken,
+    Conflict,
+    Gone,
+    NoAnswer,
+    OakError,
+    Overloaded,
+    Rebound,
+    TimeSpent,
+    Verdict,
+)
 from oakgate.carry import refusalOf
 from oakgate.request import Request, chain, printOf, termsOf
 from oakgate.stream import CallerStream, RunReader
@@ -39,8 +49,9 @@
         body = checkFields(PROGRAM, call.json())
         checkFields({"partner": NAME}, {"partner": partner})
         # The plan's limits are the owner's to look up: what this gate knows may be old when the command gets there.
-        shown = await self._owners.call(f"budget/{partner}/{body['program']}", "open", {"limit": body["limit"]},
-                                        2 * CALL_TIME)
+        shown = await self._owners.call(
+            f"budget/{partner}/{body['program']}", "open", {"limit": body["limit"]}, 2 * CALL_TIME
+        )
         return 201, {"program": body["program"]} | shown
 
     async def readProgram(self, call):
@@ -59,8 +70,16 @@
     async def postTurn(self, call):
         names = checkFields({"partner": NAME, "program": NAME, "line": NAME}, call.names)
         body = checkFields(TURN, call.json())
-        request = Request(call, names["partner"], body["binding"], "model", body, self._gate.admission(),
-                          self._reactor.seconds(), body["timeLeft"])
+        request = Request(
+            call,
+            names["partner"],
+            body["binding"],
+            "model",
+            body,
+            self._gate.admission(),
+            self._reactor.seconds(),
+            body["timeLeft"],
+        )
         request.fields |= {
             "budgetKey": f"budget/{names['partner']}/{names['program']}",
             "lineKey": f"{names['partner']}/{names['program']}/{names['line']}",
@@ -103,11 +122,21 @@
         """Reserves what the turn may put out; whatever happens after, the reservation is settled."""
         fields = request.fields
         # The line is read meanwhile: neither needs the other, and both are needed before the turn can go on.
-        fields["recalling"] = ensureDeferred(settled([
-            self._lines.get(fields["lineKey"], request.remaining(self._reactor.seconds()))]))
-        answered = self._owners.call(fields["budgetKey"], "admit", request.admission | {
-            "turn": fields["turnKey"], "print": fields["print"], "reserve": fields["reserve"],
-            "repeatable": bool(request.binding.get("repeatable"))}, request.remaining(self._reactor.seconds()))
+        fields["recalling"] = ensureDeferred(
+            settled([self._lines.get(fields["lineKey"], request.remaining(self._reactor.seconds()))])
+        )
+        answered = self._owners.call(
+            fields["budgetKey"],
+            "admit",
+            request.admission
+            | {
+                "turn": fields["turnKey"],
+                "print": fields["print"],
+                "reserve": fields["reserve"],
+                "repeatable": bool(request.binding.get("repeatable")),
+            },
+            request.remaining(self._reactor.seconds()),
+        )
         try:
             state = (await answered)["state"]
         except NoAnswer as error:
@@ -135,8 +164,12 @@
 
     def _settle(self, request, outcome, units):
         fields = request.fields
-        return self._owners.callUntilDone(fields["budgetKey"], "settle", request.admission | {
-            "turn": fields["turnKey"], "print": fields["print"], "units": units, "outcome": outcome})
+        return self._owners.callUntilDone(
+            fields["budgetKey"],
+            "settle",
+            request.admission
+            | {"turn": fields["turnKey"], "print": fields["print"], "units": units, "outcome": outcome},
+        )
 
     def _settleLater(self, request, outcome, units):
         return self._gate.background(self._settle(request, outcome, units))
@@ -161,8 +194,13 @@
         fields, body = request.fields, request.body
         await onward(request)
         reader = fields["reader"]
-        turn = {"parent": body["after"], "input": body["input"], "pieces": reader.pieces, "run": fields["run"],
-                "print": fields["print"]}
+        turn = {
+            "parent": body["after"],
+            "input": body["input"],
+            "pieces": reader.pieces,
+            "run": fields["run"],
+            "print": fields["print"],
+        }
         # What came out is known now, whatever becomes of the turn; so the settling need not wait for the stores.
         settling = self._settleLater(request, "done", reader.units)
         try:
@@ -178,13 +216,19 @@
     async def _carry(self, request):
         fields, body = request.fields, request.body
         asked = {
-            "turn": body["turnId"], "line": fields["lineKey"], "input": body["input"],
-            "history": [{"input": turn["input"], "output": "".join(text for text, _ in turn["pieces"])}
-                        for turn in fields["path"]],
-            "maxOutput": fields["reserve"]}
+            "turn": body["turnId"],
+            "line": fields["lineKey"],
+            "input": body["input"],
+            "history": [
+                {"input": turn["input"], "output": "".join(text for text, _ in turn["pieces"])}
+                for turn in fields["path"]
+            ],
+            "maxOutput": fields["reserve"],
+        }
         # Never a second run under one reservation: two might put out twice what was reserved.
-        await self._carrier.carry(request, lambda: False, lambda replica, lastCheck: self._stream(
-            request, asked, replica, lastCheck))
+        await self._carrier.carry(
+            request, lambda: False, lambda replica, lastCheck: self._stream(request, asked, replica, lastCheck)
+        )
 
     async def _stream(self, request, asked, replica, lastCheck):
         fields = request.fields
@@ -195,8 +239,13 @@
         fields["stream"].useRun(run)
         fields.pop("reader", None)
         response = await self._gate.webClient.send(
-            "POST", replica.row["address"], "/turn", asked | {"run": run},
-            request.endsAt - self._reactor.seconds(), lastCheck)
+            "POST",
+            replica.row["address"],
+            "/turn",
+            asked | {"run": run},
+            request.endsAt - self._reactor.seconds(),
+            lastCheck,
+        )
         lines = BodyLines(PIECE_LIMIT)
         response.deliverBody(lines)
         if response.code != 200:
--- a/packages/oaklab/oaklab/engine.py
+++ b/packages/oaklab/oaklab/engine.py
@@ -1,4 +1,5 @@
 """A stand-in of a model replica's engine: its prefix cache, its batches and its memory, on simulated time."""
+
 from collections import Counter, OrderedDict, deque
 from dataclasses import dataclass
 
@@ -28,7 +29,7 @@
     read: int = 0
     put: int = 0
     begun: bool = False
-    missed: bool = False    # one of its parts was not kept, so all after it are read too
+    missed: bool = False  # one of its parts was not kept, so all after it are read too
 
     @property
     def is_read(self):
@@ -49,7 +50,7 @@
         self._waiting, self._running = deque(), []
         self._used = 0
         self._stepping = False
-        self.ever = set()       # parts that were here once: who reads one of them anew reads it again
+        self.ever = set()  # parts that were here once: who reads one of them anew reads it again
         self.tokens_read = self.tokens_again = self.put_back = 0
 
     def load(self):
@@ -94,7 +95,7 @@
 
     def _let_go(self, job):
         """What it held may give way from now on, its last part first."""
-        for name, _ in reversed(job.parts[:job.have]):
+        for name, _ in reversed(job.parts[: job.have]):
             self._held[name] -= 1
             self._kept.move_to_end(name)
         self._used -= job.read + job.put
@@ -120,7 +121,9 @@
         reader = next((job for job in self._running if not job.is_read), None)
         if reader is not None:
             self._take_kept(reader)  # another has read it meanwhile
-        tokens = 0 if reader is None or reader.is_read else min(self.kind.piece, reader.parts[reader.have][1] - reader.read)
+        tokens = (
+            0 if reader is None or reader.is_read else min(self.kind.piece, reader.parts[reader.have][1] - reader.read)
+        )
         if tokens and not self._make_room(tokens, reader):
             tokens = 0
         self._used += tokens
--- a/packages/oaklab/oaklab/fleet.py
+++ b/packages/oaklab/oaklab/fleet.py
@@ -1,4 +1,5 @@
 """A fleet of real processes on loopback addresses. Only the lab starts processes; the daemons never do."""
+
 import json
 import os
 import signal
@@ -113,5 +114,7 @@
 
     def waitReady(self):
         for machine in self.machines:
-            self.waitFor(f"{machine.name} being ready", lambda machine=machine: ask(
-                machine.http, "GET", "/condition")[1].get("condition") == "ready")
+            self.waitFor(
+                f"{machine.name} being ready",
+                lambda machine=machine: ask(machine.http, "GET", "/condition")[1].get("condition") == "ready",
+            )
--- a/packages/oaklab/oaklab/simdisk.py
+++ b/packages/oaklab/oaklab/simdisk.py
@@ -1,4 +1,5 @@
 """A simulated disk: what was not synced may be lost, whole or in part, when the power goes."""
+
 from twisted.internet import defer
 
 
@@ -37,7 +38,7 @@
         return bytes(self._files[name][:most] if most >= 0 else self._files[name])
 
     def read_at(self, name, offset, length):
-        return bytes(self._files[name][offset:offset + length])
+        return bytes(self._files[name][offset : offset + length])
 
     def remove(self, name):
         self._check()
@@ -46,7 +47,7 @@
 
     def write(self, name, offset, data):
         self._check()
-        self._files[name][offset:offset + len(data)] = data
+        self._files[name][offset : offset + len(data)] = data
         self._unsynced.append((name, offset, bytes(data)))
 
     def sync(self, names):
@@ -65,12 +66,13 @@
                 return
             self._settle(count)
             done.callback(None)
+
         self._time.schedule(self.syncTime, self.host, finish)
         return done
 
     def _settle(self, count):
         for name, offset, data in self._unsynced[:count]:
-            self._durable[name][offset:offset + len(data)] = data
+            self._durable[name][offset : offset + len(data)] = data
         del self._unsynced[:count]
 
     def syncNow(self, names):
@@ -87,7 +89,7 @@
         """Each write that was not synced has reached the disk, or not, or only its front."""
         for name, offset, data in self._unsynced:
             kept = self._random.choice((0, len(data), self._random.randrange(len(data) + 1)))
-            self._durable[name][offset:offset + kept] = data[:kept]
+            self._durable[name][offset : offset + kept] = data[:kept]
         self._unsynced = []
         self._files = {name: bytearray(data) for name, data in self._durable.items()}
 
--- a/packages/oaklab/oaklab/simnet.py
+++ b/packages/oaklab/oaklab/simnet.py
@@ -4,6 +4,7 @@
 (its peers see nothing). Links can be cut in one direction or both, and slow; as with TCP, what was sent over
 a cut link arrives once it heals, unless one end has gone in between.
 """
+
 import heapq
 import itertools
 from collections import Counter
@@ -28,8 +29,15 @@
         self._order = itertools.count()
 
     def schedule(self, delay, host, function, *arguments, **named):
-        call = DelayedCall(self.now + max(0.0, delay), function, arguments, named,
-                           lambda _call: None, lambda _call: None, lambda: self.now)
+        call = DelayedCall(
+            self.now + max(0.0, delay),
+            function,
+            arguments,
+            named,
+            lambda _call: None,
+            lambda _call: None,
+            lambda: self.now,
+        )
         heapq.heappush(self._heap, (call.time, next(self._order), call, host, host and host.incarnation))
         return call
 
@@ -296,8 +304,12 @@
         if other.closed or not target.up:
             if target.up and not self.closed and not isinstance(what, Exception):
                 # Nobody has that connection any more: its kernel says so.
-                network.time.schedule(network.delay(target.address, self.host.address), self.host,
-                                      self._finish, error.ConnectionLost("reset by peer"))
+                network.time.schedule(
+                    network.delay(target.address, self.host.address),
+                    self.host,
+                    self._finish,
+                    error.ConnectionLost("reset by peer"),
+                )
             return
         network.time.schedule(0, target, other.take, what)
 
--- a/packages/oaknews/oaknews/board.py
+++ b/packages/oaknews/oaknews/board.py
@@ -5,13 +5,14 @@
 the age of the source's last confirmation. Ages travel as durations and are counted back on the
 receiver's own clock from the moment it asked, so they can only be overstated.
 """
+
 from dataclasses import dataclass, field
 
 from oakbase.constants import GONE_LIMIT
 from oaknews.exchange import unpackAges
 from oakwire.codec import idl
 
-AGE_LIMIT = 2 ** 31 - 1  # ms, the largest age that fits the wire's field
+AGE_LIMIT = 2**31 - 1  # ms, the largest age that fits the wire's field
 
 
 @dataclass
@@ -24,11 +25,11 @@
     base: int = 0
     items: dict = field(default_factory=dict)
     confirmedAt: float = float("-inf")
-    movedAt: int = 0    # the board's count of moves when this one last moved
+    movedAt: int = 0  # the board's count of moves when this one last moved
 
 
-ABSENT = Image()                            # stands for an image that is not here: it has no age that could be given
-SETTLED = Image(confirmedAt=float("inf"))   # stands for one that no age from elsewhere confirms
+ABSENT = Image()  # stands for an image that is not here: it has no age that could be given
+SETTLED = Image(confirmedAt=float("inf"))  # stands for one that no age from elsewhere confirms
 
 
 class Board:
@@ -70,8 +71,7 @@
         if version <= image.version:
             return
         gone = [name for name, (_, value) in image.items.items() if value is not None and name not in values]
-        changed = {name: value for name, value in values.items()
-                   if image.items.get(name, (0, None))[1] != value}
+        changed = {name: value for name, value in values.items() if image.items.get(name, (0, None))[1] != value}
         changed |= dict.fromkeys(gone)
         if not image.version:
             image.base = version
@@ -107,8 +107,7 @@
 
     def values(self, source):
         image = self.images.get(source)
-        return {} if image is None else {
-            name: value for name, (_, value) in image.items.items() if value is not None}
+        return {} if image is None else {name: value for name, (_, value) in image.items.items() if value is not None}
 
     def watch(self, prefix, watcher):
         """`watcher(source)` is called when the image of a source with this prefix has moved."""
@@ -139,14 +138,20 @@
     def imagesAt(self, pairs):
         """For each (source, version) this node's image, as long as `revision` stands."""
         images = self.images
-        return [image if (image := images.get(source)) is not None and image.version == version else ABSENT
-                for source, version in pairs]
+        return [
+            image if (image := images.get(source)) is not None and image.version == version else ABSENT
+            for source, version in pairs
+        ]
 
     def imagesToConfirm(self, seen):
         """The same for a vector of this node's own, but what it speaks for itself is not confirmed by others."""
         images, own = self.images, self._ownSources
-        return [image if (image := images.get(one.source)) is not None and image.version == one.version
-                and one.source not in own else SETTLED for one in seen]
+        return [
+            image
+            if (image := images.get(one.source)) is not None and image.version == one.version and one.source not in own
+            else SETTLED
+            for one in seen
+        ]
 
     def agesMs(self, images):
         """The age of each, None if it has none."""
@@ -181,9 +186,11 @@
     def imageFor(self, source, version):
         image = self.images[source]
         whole = version < image.base or version < 0
-        items = [idl.Item(name=name, version=itemVersion, value=value)
-                 for name, (itemVersion, value) in image.items.items()
-                 if (value is not None if whole else itemVersion > version)]
+        items = [
+            idl.Item(name=name, version=itemVersion, value=value)
+            for name, (itemVersion, value) in image.items.items()
+            if (value is not None if whole else itemVersion > version)
+        ]
         return idl.Image(source=source, version=image.version, whole=whole, items=items, ageMs=self._ageMs(source))
 
     def wholeImage(self, source):
@@ -211,8 +218,11 @@
                 continue
             moved = received.version > image.version
             if moved:
-                items = {item.name: (item.version, item.value) for item in received.items
-                         if received.whole or item.version > image.items.get(item.name, (0, None))[0]}
+                items = {
+                    item.name: (item.version, item.value)
+                    for item in received.items
+                    if received.whole or item.version > image.items.get(item.name, (0, None))[0]
+                }
                 image.items = items if received.whole else image.items | items
                 image.base = received.version if received.whole else image.base
                 image.version = received.version
--- a/packages/oaknews/oaknews/exchange.py
+++ b/packages/oaknews/oaknews/exchange.py
@@ -5,6 +5,7 @@
 not know the number (a new process, or it has forgotten) says so, and gets the whole vector again; a puller whose pull failed,
 or that let go of a source, begins anew by itself. So neither side ever has to guess what the other has taken in.
 """
+
 from struct import pack, unpack
 
 from oakwire.codec import idl
@@ -79,8 +80,11 @@
 
     def newsFrom(self, board):
         """Images that moved here since the last answer, as far as they are newer; and the ages of the others."""
-        images = [board.imageFor(source, version) for source, image in board.movedSince(self._moves)
-                  if (version := self.versions.get(source, 0)) < image.version or source not in self.versions]
+        images = [
+            board.imageFor(source, version)
+            for source, image in board.movedSince(self._moves)
+            if (version := self.versions.get(source, 0)) < image.version or source not in self.versions
+        ]
         self._moves = board.moves
         if self._revision != board.revision:
             self._images, self._revision = board.imagesAt(self.versions.items()), board.revision
--- a/packages/oaknews/oaknews/node.py
+++ b/packages/oaknews/oaknews/node.py
@@ -1,5 +1,6 @@
 """What every daemon is made of: identity, peer connections, members and news. The programs and the
 simulator compose their nodes from here."""
+
 import time
 
 from oakbase.constants import CLOCK_JUMP, CLOCK_LOOK, SEED_AGE, WIRE_VERSION
@@ -42,10 +43,20 @@
         self.net = Net(reactor, self.nodeId, kind, env["peer"], self.identity.clusterId, self.log)
         self.members = Members(reactor, self.nodeId)
         self.board = Board(reactor)
-        me = Member(self.nodeId, f"{random.getrandbits(64):016x}", kind, env["zone"], env["machine"],
-                    env["peer"], env["http"], "up", RELEASE)
-        self.puller = Puller(reactor, self.net, self.board, self.members, self.identity, me, env["seeds"],
-                             random, self.log)
+        me = Member(
+            self.nodeId,
+            f"{random.getrandbits(64):016x}",
+            kind,
+            env["zone"],
+            env["machine"],
+            env["peer"],
+            env["http"],
+            "up",
+            RELEASE,
+        )
+        self.puller = Puller(
+            reactor, self.net, self.board, self.members, self.identity, me, env["seeds"], random, self.log
+        )
 
         self.wallClock = WallClock(reactor, self.log, wall)
         self._env_watchers = []
@@ -63,18 +74,31 @@
 
     def condition(self):
         """What every daemon says of itself, whatever else it says."""
-        return {"nodeId": self.nodeId, "machine": self.env["machine"], "kind": self.kind, "zone": self.env["zone"],
-                "peer": self.net.address, "clusterId": self.net.clusterId, "release": RELEASE,
-                "wireVersion": WIRE_VERSION,
-                "seeds": {seed: self.puller.answersLately(seed, SEED_AGE) for seed in self.env["seeds"]},
-                "clock": {"jumps": self.wallClock.jumps, "lastJump": round(self.wallClock.lastJump, 3)}}
+        return {
+            "nodeId": self.nodeId,
+            "machine": self.env["machine"],
+            "kind": self.kind,
+            "zone": self.env["zone"],
+            "peer": self.net.address,
+            "clusterId": self.net.clusterId,
+            "release": RELEASE,
+            "wireVersion": WIRE_VERSION,
+            "seeds": {seed: self.puller.answersLately(seed, SEED_AGE) for seed in self.env["seeds"]},
+            "clock": {"jumps": self.wallClock.jumps, "lastJump": round(self.wallClock.lastJump, 3)},
+        }
 
     def start(self):
         self.net.listen()
         self.wallClock.repeater.start()
         self.puller.start()
-        self.log.event("nodeUp", id=self.nodeId, peer=self.env["peer"], http=self.env["http"],
-                       cluster=self.identity.clusterId or "none", newIdentity=self.identity.isNew)
+        self.log.event(
+            "nodeUp",
+            id=self.nodeId,
+            peer=self.env["peer"],
+            http=self.env["http"],
+            cluster=self.identity.clusterId or "none",
+            newIdentity=self.identity.isNew,
+        )
 
     async def stop(self):
         self.puller.stop()
--- a/packages/oaknews/oaknews/program.py
+++ b/packages/oaknews/oaknews/program.py
@@ -1,4 +1,5 @@
 """The shell of every daemon: env, disk, signals, graceful stop, exit code."""
+
 import gc
 import os
 import random
@@ -107,11 +108,10 @@
             reactor.callFromThread(reactor.stop)
             return
         reactor.callFromThread(spawn, stop(), node.node.log)
-    reactor.callWhenRunning(lambda: [signal.signal(number, onSignal)
-                                     for number in (signal.SIGTERM, signal.SIGINT)])
+
+    reactor.callWhenRunning(lambda: [signal.signal(number, onSignal) for number in (signal.SIGTERM, signal.SIGINT)])
     if source is not None:
         watch = EnvWatch(node, source, env)
         Repeater(reactor, ENV_LOOK, watch.look, node.node.log).start()
-        reactor.callWhenRunning(signal.signal, signal.SIGHUP,
-                                lambda *_: reactor.callFromThread(watch.read_again))
+        reactor.callWhenRunning(signal.signal, signal.SIGHUP, lambda *_: reactor.callFromThread(watch.read_again))
     reactor.run()
--- a/packages/oaknews/oaknews/puller.py
+++ b/packages/oaknews/oaknews/puller.py
@@ -1,4 +1,5 @@
 """The task that pulls news from each cohort member, and the node's own row among the members."""
+
 import json
 
 from oakbase.constants import CONDITION_AGE, FORGET_AGE, PULL_PAUSE, PULL_TIME
@@ -20,11 +21,11 @@
         self._identity, self._me, self._seeds, self._random, self._log = identity, me, list(seeds), random, log
         self._source = f"{NODE_SOURCE}{me.nodeId}/{me.boot}"
         self._version = 0
-        self._more = {}   # further items of the node's own row
+        self._more = {}  # further items of the node's own row
         self._pulling = set()
         self._silent = set()
         self._answeredAt = {}
-        self._told = {}   # address -> what it was told, if it keeps that
+        self._told = {}  # address -> what it was told, if it keeps that
         self._heard = {}  # nodeId -> what this node was told
         self._noted = {}  # source -> (version, member)
         self._rounds = 0
@@ -90,7 +91,12 @@
         enough for its condition, and rows of nodes are all that is taken from a puller."""
         news = self._newsFor(peer, arguments)
         news.clusterId = self._net.clusterId
-        if arguments.terms is not None and self._voter is not None and news.clusterId and peer.clusterId == news.clusterId:
+        if (
+            arguments.terms is not None
+            and self._voter is not None
+            and news.clusterId
+            and peer.clusterId == news.clusterId
+        ):
             news.confirmed = self._voter(peer, arguments.terms)
         return news
 
@@ -132,8 +138,9 @@
         self._rounds += 1
         addresses = {member.peer for member in self._members.cohort(self._me.kind)}
         # One more place each few rounds: it joins a new node and heals what a cut has parted.
-        others = [address for address in {*self._seeds, *self._identity.addresses} - addresses
-                  if address != self._me.peer]
+        others = [
+            address for address in {*self._seeds, *self._identity.addresses} - addresses if address != self._me.peer
+        ]
         if others and (not addresses or self._rounds % 5 == 0):
             # In turn, so that each seed is asked often enough to tell whether it answers.
             addresses |= set(others) if not addresses else {sorted(others)[self._rounds // 5 % len(others)]}
@@ -195,8 +202,9 @@
             askedAt = self._reactor.seconds()
             ride = self._rider and self._rider.ride(address)
             terms, confirmed = ride or (None, None)
-            news = await self._net.call(address, "pull", PULL_TIME, seen=moved, me=me, basis=told.basis, whole=isWhole,
-                                        terms=terms)
+            news = await self._net.call(
+                address, "pull", PULL_TIME, seen=moved, me=me, basis=told.basis, whole=isWhole, terms=terms
+            )
             if ride is not None and news.confirmed is not None:
                 confirmed(news.confirmed)
             if news.again and not isWhole:
@@ -207,8 +215,9 @@
 
     def answersLately(self, address, lately=CONDITION_AGE):
         """Whether this address has itself answered; what others say of it does not count."""
-        return (address == self._me.peer
-                or self._reactor.seconds() - self._answeredAt.get(address, float("-inf")) < lately)
+        return (
+            address == self._me.peer or self._reactor.seconds() - self._answeredAt.get(address, float("-inf")) < lately
+        )
 
     def take_seeds(self, seeds):
         self._seeds = list(seeds)
--- a/packages/oakprefix/oakprefix/cache_model.py
+++ b/packages/oakprefix/oakprefix/cache_model.py
@@ -6,6 +6,7 @@
 takes its flow * T. (Che, Tung, Wang: Hierarchical Web caching systems, 2002.) Rates add up over gates, so no gate needs to
 know what the others sent, as a shadow of the cache would.
 """
+
 import math
 
 from oakbase.constants import CACHE_TIME_MOST
--- a/packages/oakprefix/oakprefix/counters.py
+++ b/packages/oakprefix/oakprefix/counters.py
@@ -3,6 +3,7 @@
 A tenant is whoever's prompts begin with the same part. Invented ids cost a bounded table, in which the least asked gives
 way first, and end up in `rest`, so that their tokens still count as pressure on the cache.
 """
+
 from dataclasses import dataclass
 from hashlib import blake2b
 
@@ -58,8 +59,13 @@
     def told(self):
         """[requests, late ones, tokens, fresh tokens, [[part, tokens, uses, its only program or ""], most used first]]."""
         used = sorted(self.parts.items(), key=lambda pair: -pair[1].uses)[:TENANT_PARTS_TOLD]
-        return [*self.counts(), [[_short(name), part.tokens, part.uses, _short(part.program) if part.program else ""]
-                                 for name, part in used]]
+        return [
+            *self.counts(),
+            [
+                [_short(name), part.tokens, part.uses, _short(part.program) if part.program else ""]
+                for name, part in used
+            ],
+        ]
 
 
 class TenantCounters:
--- a/packages/oakprefix/oakprefix/decision.py
+++ b/packages/oakprefix/oakprefix/decision.py
@@ -1,4 +1,5 @@
 """One service's round at who decides: from the gates' reports and the plan in force to the next plan."""
+
 from dataclasses import dataclass, field
 
 from oakprefix.detector import Detector, findings_of
@@ -35,7 +36,20 @@
             # What others send may have made it worthless for now; who is moved stays, since to and fro costs most.
             plan = {name: stay for name, ids in held.items() if (stay := [one for one in ids if one in replicas])}
             without_room = sorted(new)
-        rows = {name: former.get(name, {"evicted": round(findings[name].evicted, 3), "late": round(findings[name].load.late, 3)}
-                                 if name in findings else {}) | {"replicas": ids} for name, ids in plan.items()}
-        return Outcome(findings, rows, sorted(rows.keys() - former.keys()), sorted(former.keys() - rows.keys()),
-                       sorted(without_room))
+        rows = {
+            name: former.get(
+                name,
+                {"evicted": round(findings[name].evicted, 3), "late": round(findings[name].load.late, 3)}
+                if name in findings
+                else {},
+            )
+            | {"replicas": ids}
+            for name, ids in plan.items()
+        }
+        return Outcome(
+            findings,
+            rows,
+            sorted(rows.keys() - former.keys()),
+            sorted(former.keys() - rows.keys()),
+            sorted(without_room),
+        )
--- a/packages/oakprefix/oakprefix/detector.py
+++ b/packages/oakprefix/oakprefix/detector.py
@@ -7,11 +7,24 @@
 set is larger than the cache evicts itself; in none of these would moving help.
 Once somebody is trapped, all who are evicted are moved: they evict each other, and one left behind goes on doing so.
 """
+
 from collections import deque
 from dataclasses import dataclass, replace
 
-from oakbase.constants import (CACHE_USABLE, COMMON_SHARE, COMMON_USES, END_ROUNDS, EVICTED_END, EVICTED_SHARE,
-                               EVICTION_ROUND, EVICTION_WINDOW, REPORT_GATES, TRAP_LATE, TRAP_REQUESTS, TRAP_ROUNDS)
+from oakbase.constants import (
+    CACHE_USABLE,
+    COMMON_SHARE,
+    COMMON_USES,
+    END_ROUNDS,
+    EVICTED_END,
+    EVICTED_SHARE,
+    EVICTION_ROUND,
+    EVICTION_WINDOW,
+    REPORT_GATES,
+    TRAP_LATE,
+    TRAP_REQUESTS,
+    TRAP_ROUNDS,
+)
 from oakprefix.cache_model import characteristic_time, hit_share
 
 
@@ -84,14 +97,17 @@
         least = max(COMMON_USES, COMMON_SHARE * requests)
         common = sum(size for size, uses, programs in parts if uses >= least and ("" in programs or len(programs) > 1))
         common, tokens = min(common, self.cache_tokens), tokens / requests
-        return Load(requests, requests / span, late / requests, common, tokens,
-                    max(0.0, min(fresh / requests, tokens - common)))
+        return Load(
+            requests, requests / span, late / requests, common, tokens, max(0.0, min(fresh / requests, tokens - common))
+        )
 
 
 def pressure(loads, flow, count):
     """(working sets, flow) of one of `count` replicas over which all requests are spread evenly."""
-    return ([(load.common, load.rate / count) for load in loads.values()],
-            (flow + sum(load.rate * load.fresh for load in loads.values())) / count)
+    return (
+        [(load.common, load.rate / count) for load in loads.values()],
+        (flow + sum(load.rate * load.fresh for load in loads.values())) / count,
+    )
 
 
 def findings_of(loads, flow, cache_tokens, count):
@@ -127,6 +143,7 @@
         is_calm = not any(finding.evicted >= EVICTED_END for finding in findings.values())
         self._calm = {name: self._calm.get(name, 0) + 1 for name in moved if is_calm or name not in findings}
         is_trap = bool(moved) or self._trapped >= TRAP_ROUNDS
-        return ({name for name, finding in findings.items() if is_trap and finding.is_evicted and name not in moved},
-                {name for name, rounds in self._calm.items() if rounds >= END_ROUNDS})
-
+        return (
+            {name for name, finding in findings.items() if is_trap and finding.is_evicted and name not in moved},
+            {name for name, rounds in self._calm.items() if rounds >= END_ROUNDS},
+        )
--- a/packages/oakprefix/oakprefix/planner.py
+++ b/packages/oakprefix/oakprefix/planner.py
@@ -5,10 +5,18 @@
 anybody: those who are not trapped are placed as ever, on all of them, and what they hold there within a window is left out of
 the bins.
 """
+
 import math
 
-from oakbase.constants import (BIN_SHARE, CACHE_USABLE, EVICTION_WINDOW, HOT_SHARE, PLAN_GAIN, TENANT_REPLICAS,
-                               TENANTS_MOVED)
+from oakbase.constants import (
+    BIN_SHARE,
+    CACHE_USABLE,
+    EVICTION_WINDOW,
+    HOT_SHARE,
+    PLAN_GAIN,
+    TENANT_REPLICAS,
+    TENANTS_MOVED,
+)
 from oakprefix.cache_model import characteristic_time, held, hit_share
 from oakprefix.detector import pressure
 
@@ -28,7 +36,7 @@
     def best(self, load, count, taken):
         """At most `count` more replicas that have room."""
         fit = [replica for replica in self.room if replica not in taken and self.room[replica] >= load.common]
-        return sorted(fit, key=lambda replica: (self._fullness(replica), replica))[:max(0, count)]
+        return sorted(fit, key=lambda replica: (self._fullness(replica), replica))[: max(0, count)]
 
     def _fullness(self, replica):
         return self.rate[replica] / self._mean_rate + 1 - self.room[replica] / self._size
@@ -78,8 +86,11 @@
     usable, count = CACHE_USABLE * cache_tokens, len(replicas)
     lost = dict.fromkeys(loads, 0.0)
     for replica in replicas:
-        rates = {name: load.rate / len(plan.get(name) or replicas) for name, load in loads.items()
-                 if replica in (plan.get(name) or replicas)}
+        rates = {
+            name: load.rate / len(plan.get(name) or replicas)
+            for name, load in loads.items()
+            if replica in (plan.get(name) or replicas)
+        }
         fresh = flow / count + sum(rate * loads[name].fresh for name, rate in rates.items())
         seconds = characteristic_time(usable, [(loads[name].common, rate) for name, rate in rates.items()], fresh)
         for name, rate in rates.items():
@@ -92,5 +103,7 @@
     before, after = (read_again(loads, flow, cache_tokens, replicas, one) for one in ({}, plan))
     moved = [name for name in plan if name in loads]
     others = [name for name in loads if name not in plan]
-    return (sum(after[name] for name in moved) <= PLAN_GAIN * sum(before[name] for name in moved)
-            and sum(after[name] for name in others) <= sum(before[name] for name in others) + 1e-6)
+    return (
+        sum(after[name] for name in moved) <= PLAN_GAIN * sum(before[name] for name in moved)
+        and sum(after[name] for name in others) <= sum(before[name] for name in others) + 1e-6
+    )
--- a/packages/oakrelay/oakrelay/framing.py
+++ b/packages/oakrelay/oakrelay/framing.py
@@ -5,6 +5,7 @@
 against Twisted's. Everything is strict: what two readers could take in two ways is refused, for a request that ends
 elsewhere than the replica thinks is one that nobody sent.
 """
+
 import re
 
 from twisted.web.http import RESPONSES
@@ -17,9 +18,21 @@
 BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
 
 # Fields that concern one connection only, and those that tell how a body is framed on it.
-HOP_BY_HOP = frozenset((
-    b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te", b"trailer",
-    b"transfer-encoding", b"upgrade", b"content-length", b"expect"))
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
 _STATUS_LINES = {}
 
 
@@ -112,7 +125,7 @@
                         self._left -= size - at
                         at = size
                     break
-                pieces.append(data[at:at + self._left])
+                pieces.append(data[at : at + self._left])
                 at += self._left
                 state = self.DATA_END
             elif state == self.DATA_END:
