--- a/packages/oakrelay/oakrelay/front.py
+++ b/packages/oakrelay/oakrelay/front.py
@@ -5,6 +5,7 @@
 strict grammar in framing.py. One request at a time is read from a connection; the next one waits in its buffer until
 the answer is out.
 """
+
 import re
 
 from twisted.internet import defer, protocol
@@ -26,8 +27,26 @@
     """One request, read whole, and its answer. Invariant: an answer looks complete only after `finish`; what is
     written after the caller has gone is dropped."""
 
-    __slots__ = ("method", "target", "path", "host", "headers", "body", "received_at", "is_gone", "begun", "finished",
-                 "_caller", "_index", "_gone", "_head", "_left", "_chunked", "_silent", "_flushing")
+    __slots__ = (
+        "method",
+        "target",
+        "path",
+        "host",
+        "headers",
+        "body",
+        "received_at",
+        "is_gone",
+        "begun",
+        "finished",
+        "_caller",
+        "_index",
+        "_gone",
+        "_head",
+        "_left",
+        "_chunked",
+        "_silent",
+        "_flushing",
+    )
 
     def __init__(self, caller, method, target, host, headers):
         self._caller = caller
@@ -71,8 +90,13 @@
         self._silent = self.method == "HEAD" or status in _BODILESS
         self._left = length
         self._chunked = length is None and not self._silent
-        framing = b"Transfer-Encoding: chunked\r\n" if self._chunked else \
-            b"Content-Length: %d\r\n" % length if length is not None and status != 204 else b""
+        framing = (
+            b"Transfer-Encoding: chunked\r\n"
+            if self._chunked
+            else b"Content-Length: %d\r\n" % length
+            if length is not None and status != 204
+            else b""
+        )
         self._head = join_head(status_line(status), fields, framing + self._caller.persistence())
         self.begun = True
         if not self.is_gone:
@@ -275,7 +299,7 @@
             self._head_due = self.front.reactor.seconds() + self._limits.header_s
         buffer, limit = self._buffer, self._limits.header_bytes
         if buffer.startswith(b"\r\n"):  # empty lines before a request are no fault
-            self._buffer = buffer = buffer[_EMPTY_LINES.match(buffer).end():]
+            self._buffer = buffer = buffer[_EMPTY_LINES.match(buffer).end() :]
             self._scanned = 0
             if not buffer:
                 self._wait_idle()
@@ -290,15 +314,15 @@
                 return False
             self._wait(self._head_due)
             return False
-        self._buffer, self._scanned = buffer[end + 4:], 0
-        self._take_head(buffer[:end + 2])
+        self._buffer, self._scanned = buffer[end + 4 :], 0
+        self._take_head(buffer[: end + 2])
         return True
 
     def _take_head(self, head):
         line = _REQUEST_LINE.match(head)
         if line is None:
             raise Malformed("the request line")
-        fields, own = parse_fields(head[line.end():])
+        fields, own = parse_fields(head[line.end() :])
         length = body_length(own)
         hosts = [value for name, value in fields if name.lower() == b"host"]
         host = _HOST.fullmatch(hosts[0]) if len(hosts) == 1 else None
@@ -329,9 +353,9 @@
     def _take_body(self, data):
         self._wait(self.front.reactor.seconds() + self._limits.idle_s)
         if self._decoder is None:
-            pieces = [data[:self._left]]
+            pieces = [data[: self._left]]
             self._left -= len(pieces[0])
-            done, rest = not self._left, data[len(pieces[0]):]
+            done, rest = not self._left, data[len(pieces[0]) :]
         else:
             try:
                 pieces = self._decoder.feed(data)
@@ -399,8 +423,11 @@
         self.front.refused[status] = self.front.refused.get(status, 0) + 1
         self._drop_body()
         if not self._closing:
-            send_now(self.transport, b"%bContent-Length: 0\r\n%bConnection: close\r\n\r\n" % (
-                status_line(status), b"Retry-After: 1\r\n" if status == 503 else b""))
+            send_now(
+                self.transport,
+                b"%bContent-Length: 0\r\n%bConnection: close\r\n\r\n"
+                % (status_line(status), b"Retry-After: 1\r\n" if status == 503 else b""),
+            )
             self._close(linger=True)
 
     def _close(self, linger):
@@ -449,8 +476,19 @@
     idle_s as they are now; above `bound` requests at a time `refuse(exchange)` answers, and
     `on_crash(exchange, error)` where the handler failed before it began an answer."""
 
-    def __init__(self, reactor, address, handler, limits, log, bound, refuse=None, on_crash=None,
-                 bodies_limit=BODIES_LIMIT, callers_limit=CALLERS_LIMIT):
+    def __init__(
+        self,
+        reactor,
+        address,
+        handler,
+        limits,
+        log,
+        bound,
+        refuse=None,
+        on_crash=None,
+        bodies_limit=BODIES_LIMIT,
+        callers_limit=CALLERS_LIMIT,
+    ):
         self.reactor, self.address, self.handler, self.limits, self.log = reactor, address, handler, limits, log
         self.bound, self.bodies_limit, self.callers_limit = bound, bodies_limit, callers_limit
         self._refuse = refuse or (lambda exchange: exchange.reply(503, [(b"Retry-After", b"1")], b""))
--- a/packages/oakrelay/oakrelay/sockets.py
+++ b/packages/oakrelay/oakrelay/sockets.py
@@ -4,6 +4,7 @@
 take the registration back: four system calls where one does, for every event of a stream. What the kernel does not
 take at once goes Twisted's way, with its buffer and its back-pressure.
 """
+
 import socket
 
 from twisted.internet import tcp
@@ -15,14 +16,20 @@
     """A silent peer is noticed: by bytes it does not acknowledge, and with `probes` also while nothing is sent."""
     if not isinstance(transport, tcp.Connection):
         return
-    handle, options = transport.getHandle(), [
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(PEER_SILENCE * 1000))]
+    handle, options = (
+        transport.getHandle(),
+        [
+            (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(PEER_SILENCE * 1000)),
+        ],
+    )
     if probes:
-        options += [(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-                    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PEER_PROBE),
-                    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PEER_PROBE),
-                    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, max(1, int(PEER_SILENCE / PEER_PROBE)))]
+        options += [
+            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PEER_PROBE),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PEER_PROBE),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, max(1, int(PEER_SILENCE / PEER_PROBE))),
+        ]
     for option in options:
         try:
             handle.setsockopt(*option)
@@ -55,8 +62,13 @@
 
 def send_now(transport, data):
     """False only if the kernel refused the connection and surely took nothing of `data`."""
-    if not isinstance(transport, tcp.Connection) or transport.dataBuffer or transport._tempDataLen \
-            or transport.disconnecting or not transport.connected:
+    if (
+        not isinstance(transport, tcp.Connection)
+        or transport.dataBuffer
+        or transport._tempDataLen
+        or transport.disconnecting
+        or not transport.connected
+    ):
         transport.write(data)
         return True
     sent = transport.writeSomeData(data)
--- a/packages/oakring/oakring/disk.py
+++ b/packages/oakring/oakring/disk.py
@@ -3,6 +3,7 @@
 A disk gives preallocated files, whose writes last only once `sync` has fired, and small files that
 are replaced whole. The lab brings a simulated disk with the same methods.
 """
+
 import os
 from queue import SimpleQueue
 from threading import Thread
--- a/packages/oakring/oakring/ring.py
+++ b/packages/oakring/oakring/ring.py
@@ -14,6 +14,7 @@
 damage and stops recovery. An unreadable record that nothing names is a tail torn by a power cut. After
 each sync an empty record is written without a sync of its own, so that even the last commit is named.
 """
+
 import struct
 import time
 import zlib
@@ -34,11 +35,11 @@
 SUMMED_FROM = 16
 ENTRY = struct.Struct("<II")
 REMOVED = 0xFFFFFFFF
-COPY_SHARE = 8      # one copied record takes at most this part of a file, so that little is left over at its end
-COLD_FROM = 1 << 10         # bytes; shorter values are always in memory
-COLD_HEAD = 1 << 9          # bytes; of a longer one that are at hand: enough for what a user's header takes
-LOST_HEAD_READ = 1 << 18    # bytes; of a lap that cannot have been begun
-COMMIT_SHARE = 2    # one commit takes at most this part of a file, for the same reason
+COPY_SHARE = 8  # one copied record takes at most this part of a file, so that little is left over at its end
+COLD_FROM = 1 << 10  # bytes; shorter values are always in memory
+COLD_HEAD = 1 << 9  # bytes; of a longer one that are at hand: enough for what a user's header takes
+LOST_HEAD_READ = 1 << 18  # bytes; of a lap that cannot have been begun
+COMMIT_SHARE = 2  # one commit takes at most this part of a file, for the same reason
 
 
 def _packEntry(key, value):
@@ -52,7 +53,7 @@
     while offset < len(batch):
         keyLength, valueLength = ENTRY.unpack_from(batch, offset)
         keyEnd = offset + ENTRY.size + keyLength
-        key = batch[offset + ENTRY.size:keyEnd].decode()
+        key = batch[offset + ENTRY.size : keyEnd].decode()
         offset = keyEnd + (0 if valueLength == REMOVED else valueLength)
         yield key, None if valueLength == REMOVED else batch[keyEnd:offset], keyEnd
 
@@ -75,9 +76,9 @@
     end = offset + RECORD.size + length
     if mark != RECORD_MARK or recordLap != lap & 0xFFFFFFFF or end > len(data):
         return None
-    if zlib.crc32(data[offset + SUMMED_FROM:end]) != checksum:
+    if zlib.crc32(data[offset + SUMMED_FROM : end]) != checksum:
         return None
-    return number, syncedNumber, data[offset + RECORD.size:end], end
+    return number, syncedNumber, data[offset + RECORD.size : end], end
 
 
 def _markOf(lap):
@@ -108,7 +109,9 @@
     def read(self, disk):
         value = disk.read_at(self.file_name, self.offset, self.length)
         if zlib.crc32(value) != self.checksum:
-            raise RingDamaged(f"{self.length} bytes at {self.offset} of {self.file_name} are not what was written there")
+            raise RingDamaged(
+                f"{self.length} bytes at {self.offset} of {self.file_name} are not what was written there"
+            )
         return value
 
 
@@ -152,8 +155,11 @@
 
     def heads(self, prefix):
         """(key, the first COLD_HEAD bytes of its value at least, the value's length) of each key with this prefix."""
-        return ((key, value.head, value.length) if type(value) is Cold else (key, value, len(value))
-                for key, value in self._rows.items() if key.startswith(prefix))
+        return (
+            (key, value.head, value.length) if type(value) is Cold else (key, value, len(value))
+            for key, value in self._rows.items()
+            if key.startswith(prefix)
+        )
 
     def enter(self, key, value, file_name, offset):
         self.pop(key)  # what was hot of it is out of date
@@ -181,8 +187,9 @@
     - records are numbered without gaps from the first number of the oldest lap on.
     """
 
-    def __init__(self, disk, log, fileSize=None, fileCount=None, seconds=time.monotonic, commitShare=COMMIT_SHARE,
-                 hot_bytes=None):
+    def __init__(
+        self, disk, log, fileSize=None, fileCount=None, seconds=time.monotonic, commitShare=COMMIT_SHARE, hot_bytes=None
+    ):
         """With `hot_bytes` long values stand on the disk, and so many bytes of them in memory; else all in memory."""
         self._disk, self._log, self._seconds = disk, log, seconds
         self._fileSize, self._fileCount = fileSize or RING_FILE_SIZE, fileCount or RING_FILES
@@ -242,12 +249,14 @@
                 raise RingDamaged(f"{name} has {size} bytes, the env says {self._fileSize}")
             data = self._disk.read(name, LAP_SIZE)
             mark, version, lap, firstNumber, syncedNumber = LAP.unpack_from(data)
-            if mark != LAP_MARK or data[LAP.size:LAP_SIZE] != struct.pack("<I", zlib.crc32(data[:LAP.size])):
+            if mark != LAP_MARK or data[LAP.size : LAP_SIZE] != struct.pack("<I", zlib.crc32(data[: LAP.size])):
                 continue
             if version != RING_VERSION:
                 raise RingError(f"{name} has ring version {version}, this program reads {RING_VERSION}")
             if self._fileName(lap) != name:
-                raise RingDamaged(f"{name} holds lap {lap}, which belongs into {self._fileName(lap)}: files were swapped")
+                raise RingDamaged(
+                    f"{name} holds lap {lap}, which belongs into {self._fileName(lap)}: files were swapped"
+                )
             heads[lap] = (firstNumber, syncedNumber)
         return heads
 
@@ -286,8 +295,10 @@
     def _refuseSynced(self, data, lap, offset):
         for number, syncedNumber, _, _ in _recordsAfter(data, lap, offset):
             if syncedNumber > self._number:
-                raise RingDamaged(f"record {self._number + 1} in {self._fileName(lap)} at byte {offset} cannot be "
-                                  f"read, though record {number} says it was synced")
+                raise RingDamaged(
+                    f"record {self._number + 1} in {self._fileName(lap)} at byte {offset} cannot be "
+                    f"read, though record {number} says it was synced"
+                )
 
     def _refuseLostHead(self, lap):
         """A lap whose header is unreadable, but which holds records that were synced. While the lap before has room for any
@@ -319,12 +330,21 @@
     def capacity(self):
         """What may be live at once: two thirds of what surely fits into the files outside the reserve. The ends of
         files that no record fits into are less than one commit, so reclaiming always comes to an end."""
-        return ((self._fileCount - RING_RESERVE_FILES) * (self._fileSize - LAP_SIZE) * 2 * (self._commitShare - 1)
-                // (3 * self._commitShare))
+        return (
+            (self._fileCount - RING_RESERVE_FILES)
+            * (self._fileSize - LAP_SIZE)
+            * 2
+            * (self._commitShare - 1)
+            // (3 * self._commitShare)
+        )
 
     def condition(self):
-        return {"broken": str(self.broken) if self.broken else None, "syncSeconds": round(self.syncTime, 4),
-                "liveBytes": self.liveBytes(), "capacity": self.capacity()}
+        return {
+            "broken": str(self.broken) if self.broken else None,
+            "syncSeconds": round(self.syncTime, 4),
+            "liveBytes": self.liveBytes(),
+            "capacity": self.capacity(),
+        }
 
     def commitLimit(self):
         """Bytes of one commit's packed entries."""
--- a/packages/oakstore/oakstore/anti_entropy.py
+++ b/packages/oakstore/oakstore/anti_entropy.py
@@ -8,6 +8,7 @@
 its versions name turns that are neither here nor were let go. It asks each member for them until it has them, or all
 the others have said that they keep none.
 """
+
 from twisted.internet import defer
 
 from oakbase.constants import COPY_PAGE_TURNS, RECORD_PAGE, STORE_CALL_TIME, SWEEP_KEYS
@@ -23,9 +24,15 @@
         """`stores()` gives the store set as it stands here."""
         self._node, self._net, self._table, self._records = node, node.net, table, table.records
         self._metrics, self._stores = metrics, stores
-        for method, handler in (("lineDigests", self._serve_digests), ("lineSums", self._serve_sums), ("lineBuckets", self._serve_buckets),
-                                ("lineTurns", self._serve_line_turns), ("turnAges", self._serve_ages),
-                                ("turnChains", self._serve_chains), ("turnRecords", self._serve_records)):
+        for method, handler in (
+            ("lineDigests", self._serve_digests),
+            ("lineSums", self._serve_sums),
+            ("lineBuckets", self._serve_buckets),
+            ("lineTurns", self._serve_line_turns),
+            ("turnAges", self._serve_ages),
+            ("turnChains", self._serve_chains),
+            ("turnRecords", self._serve_records),
+        ):
             node.net.handle(method, handler)
 
     def _check_epoch(self, epoch):
@@ -37,24 +44,37 @@
     async def _serve_digests(self, _peer, arguments):
         """For stores of the release before, which compare all lines."""
         keys = self._table.keysAfter(arguments.after, min(arguments.most, SWEEP_KEYS))
-        return idl.DigestPage(storeEpoch=self._stores().epoch, digests=[
-            idl.LineDigest(key=key, digest=self._table.digestOf(key)) for key in keys])
+        return idl.DigestPage(
+            storeEpoch=self._stores().epoch,
+            digests=[idl.LineDigest(key=key, digest=self._table.digestOf(key)) for key in keys],
+        )
 
     async def _serve_sums(self, _peer, _arguments):
         return idl.LineSums(storeEpoch=self._stores().epoch, sums=self._table.sums())
 
     async def _serve_buckets(self, _peer, arguments):
         page = self._table.digestsAfter(arguments.buckets, arguments.after, min(arguments.most, SWEEP_KEYS))
-        return idl.DigestPage(storeEpoch=self._stores().epoch,
-                              digests=[idl.LineDigest(key=key, digest=digest) for key, digest in page])
+        return idl.DigestPage(
+            storeEpoch=self._stores().epoch, digests=[idl.LineDigest(key=key, digest=digest) for key, digest in page]
+        )
 
     async def _serve_line_turns(self, _peer, arguments):
         table, records = self._table, self._records
-        return idl.LinePage(storeEpoch=self._stores().epoch, lines=[
-            idl.LineTurns(key=key, line=toState(table.versions(key), age=table.age(key)), turns=[
-                idl.TurnAge(turnId=turn_id, leftMs=int(1000 * records.left(turn_id)))
-                for turn_id in records.on_line(key)])
-            for key in arguments.keys[:SWEEP_KEYS] if key in table.rows])
+        return idl.LinePage(
+            storeEpoch=self._stores().epoch,
+            lines=[
+                idl.LineTurns(
+                    key=key,
+                    line=toState(table.versions(key), age=table.age(key)),
+                    turns=[
+                        idl.TurnAge(turnId=turn_id, leftMs=int(1000 * records.left(turn_id)))
+                        for turn_id in records.on_line(key)
+                    ],
+                )
+                for key in arguments.keys[:SWEEP_KEYS]
+                if key in table.rows
+            ],
+        )
 
     async def _serve_ages(self, _peer, arguments):
         """For how much longer each of these turns is kept here: 0 if its time was over, -1 if it is not known."""
@@ -66,8 +86,11 @@
 
     async def _serve_records(self, _peer, arguments):
         page = self._records.page([turn_id for turn_id in arguments.turnIds if turn_id in self._records], RECORD_PAGE)
-        return idl.RecordPage(storeEpoch=self._stores().epoch, records=page, leftMs=[
-            int(1000 * self._records.left(read_header(packed).turn_id)) for packed in page])
+        return idl.RecordPage(
+            storeEpoch=self._stores().epoch,
+            records=page,
+            leftMs=[int(1000 * self._records.left(read_header(packed).turn_id)) for packed in page],
+        )
 
     # --- records ---
 
@@ -85,11 +108,12 @@
                 ids = {read_header(packed).turn_id for packed in page.records}
                 # Those asked for before the last that came, and not given, are not kept there.
                 last = max(place for place, turn_id in enumerate(asked) if turn_id in ids)
-                wanted = asked[last + 1:] + wanted
+                wanted = asked[last + 1 :] + wanted
                 brought += ids
                 await keeping
-                keeping = defer.ensureDeferred(self._table.keepRecords(
-                    list(zip(page.records, (ms / 1000 for ms in page.leftMs)))))
+                keeping = defer.ensureDeferred(
+                    self._table.keepRecords(list(zip(page.records, (ms / 1000 for ms in page.leftMs))))
+                )
                 self._metrics.count("records_pulled", len(ids))
         await keeping
         return brought
@@ -134,13 +158,14 @@
             page = await self._call(peer, "lineBuckets", buckets=buckets, after=after, most=SWEEP_KEYS)
             self._check_epoch(page.storeEpoch)
             digests = page.digests or []
-            pulled += await self._take_lines(peer, [
-                one.key for one in digests if self._table.digestOf(one.key) != one.digest])
+            pulled += await self._take_lines(
+                peer, [one.key for one in digests if self._table.digestOf(one.key) != one.digest]
+            )
             if len(digests) < SWEEP_KEYS:
                 await self._settle_alone(peer, buckets, {one.key for one in digests} if not after else None)
                 break
             after = digests[-1].key
-            buckets = buckets[buckets.index(bucketOf(after)):]
+            buckets = buckets[buckets.index(bucketOf(after)) :]
         await self._mend_chains(peer, pulled)
         await self._ask_lacking(node_id, peer)
 
@@ -156,10 +181,17 @@
             self._records.shorten(turn.turnId, turn.leftMs / 1000)
         pulled = await self.pull(peer, [turn.turnId for turn in turns if not self._records.was_dropped(turn.turnId)])
         # A line of turns of which none is kept here any more is gone here.
-        lines = [one for one in lines if one.key in self._table.rows or not one.key.startswith(TURN_LINE)
-                 or any(turn.turnId in self._records for turn in one.turns or [])]
+        lines = [
+            one
+            for one in lines
+            if one.key in self._table.rows
+            or not one.key.startswith(TURN_LINE)
+            or any(turn.turnId in self._records for turn in one.turns or [])
+        ]
         # Together, so that one sync of the disk covers many of them.
-        merged = await settled([self._table.merge(one.key, fromState(one.line), one.line.ageMs / 1000) for one in lines])
+        merged = await settled(
+            [self._table.merge(one.key, fromState(one.line), one.line.ageMs / 1000) for one in lines]
+        )
         self._metrics.count("lines_synced", len(lines))
         for error in [error for ok, error in merged if not ok]:
             raise error
@@ -176,8 +208,11 @@
         had them. The member may have let their turns go."""
         if theirs is None:
             return
-        alone = [key for key, _ in self._table.digestsAfter(buckets, "", SWEEP_KEYS)
-                 if key.startswith(TURN_LINE) and key not in theirs]
+        alone = [
+            key
+            for key, _ in self._table.digestsAfter(buckets, "", SWEEP_KEYS)
+            if key.startswith(TURN_LINE) and key not in theirs
+        ]
         turn_ids = [turn_id for key in alone for turn_id in self._records.on_line(key)][:COPY_PAGE_TURNS]
         if turn_ids:
             self._shorten(turn_ids, await self._call(peer, "turnAges", turnIds=turn_ids))
--- a/packages/oakstore/oakstore/daemon.py
+++ b/packages/oakstore/oakstore/daemon.py
@@ -1,4 +1,5 @@
 """oakstored: a store node."""
+
 from oakbase.env import DISK_ENV
 from oaknews.program import runDaemon
 from oakstore.store import StoreNode
--- a/packages/oakstore/oakstore/lines.py
+++ b/packages/oakstore/oakstore/lines.py
@@ -1,5 +1,6 @@
 """The gate's side of lines: the paper's client. It reads from a quorum, reduces the replies with sync,
 keeps the context, and writes with that context. Values are sets of turns; siblings merge by union."""
+
 import json
 
 from oakbase.checks import packJson
@@ -23,8 +24,9 @@
     def __init__(self, versions, isFull=False):
         self.isFull = isFull
         self.context = toContext(frozenset(versions))
-        self.turns = {turnId: turn for value in versions.values()
-                      for turnId, turn in json.loads(value)["turns"].items()}
+        self.turns = {
+            turnId: turn for value in versions.values() for turnId, turn in json.loads(value)["turns"].items()
+        }
 
     def pathTo(self, turnId):
         """The turns from the root to this one, in order."""
@@ -54,7 +56,8 @@
             stores = self._stores()
             reached, states = await quorumOf(
                 {nodeId: self._getFrom(row["peer"], key, stores.epoch) for nodeId, row in stores.readers.items()},
-                lambda nodeIds: len(nodeIds) >= majority(stores.readers))
+                lambda nodeIds: len(nodeIds) >= majority(stores.readers),
+            )
             if reached:
                 versions = {}
                 for state in states.values():
@@ -93,11 +96,16 @@
                     break
                 try:
                     return await self._node.net.call(
-                        stores.readers[nodeId]["peer"], "linePut", remaining, key=key, context=line.context, value=value,
-                        storeEpoch=stores.epoch)
+                        stores.readers[nodeId]["peer"],
+                        "linePut",
+                        remaining,
+                        key=key,
+                        context=line.context,
+                        value=value,
+                        storeEpoch=stores.epoch,
+                    )
                 except OakError as error:
                     unsure = unsure or error.verdict is not Verdict.NO
                     self._node.log.event("putFailed", store=nodeId, reason=error.reason)
             await sleep(reactor, RETRY_PAUSE)
-        raise NoAnswer("no quorum of stores said that it keeps the turn",
-                       Verdict.MAYBE if unsure else Verdict.NO)
+        raise NoAnswer("no quorum of stores said that it keeps the turn", Verdict.MAYBE if unsure else Verdict.NO)
--- a/packages/oakstore/oakstore/records.py
+++ b/packages/oakstore/oakstore/records.py
@@ -5,6 +5,7 @@
 turn that goes on from it was retained within the time given with it: it goes once its time is over and no record
 that is kept names it as its parent.
 """
+
 import struct
 from collections import namedtuple
 
@@ -22,8 +23,14 @@
 
 def pack_record(turn_id, parent, line_key, keep_s, input_bytes, output_bytes):
     names = [name.encode() for name in (turn_id, parent or "", line_key)]
-    return b"".join([_HEAD.pack(_LAYOUT, int(keep_s * 1000), *map(len, names), len(input_bytes), len(output_bytes)),
-                     *names, input_bytes, output_bytes])
+    return b"".join(
+        [
+            _HEAD.pack(_LAYOUT, int(keep_s * 1000), *map(len, names), len(input_bytes), len(output_bytes)),
+            *names,
+            input_bytes,
+            output_bytes,
+        ]
+    )
 
 
 def read_header(packed, length=None):
@@ -36,8 +43,15 @@
         body_at = key_at + key_length
         if layout != _LAYOUT or (length or len(packed)) != body_at + input_length + output_length or not id_length:
             raise BadRequest("not a record of a turn")
-        return Header(packed[names_at:parent_at].decode(), packed[parent_at:key_at].decode() or None,
-                      packed[key_at:body_at].decode(), keep_ms / 1000, input_length, output_length, body_at)
+        return Header(
+            packed[names_at:parent_at].decode(),
+            packed[parent_at:key_at].decode() or None,
+            packed[key_at:body_at].decode(),
+            keep_ms / 1000,
+            input_length,
+            output_length,
+            body_at,
+        )
     except (struct.error, UnicodeDecodeError) as error:
         raise BadRequest(f"not a record of a turn: {error}") from error
 
@@ -45,7 +59,7 @@
 def read_bodies(packed, header):
     """(input, output)"""
     output_at = header.body_at + header.input_length
-    return packed[header.body_at:output_at], packed[output_at:]
+    return packed[header.body_at : output_at], packed[output_at:]
 
 
 class _Row:
@@ -152,8 +166,12 @@
 
     def entries(self, packed_records):
         """The ring entries of those that are not here yet."""
-        return [(RECORD_ROW + header.turn_id, packed) for packed in packed_records
-                for header in [read_header(packed)] if header.turn_id not in self._rows]
+        return [
+            (RECORD_ROW + header.turn_id, packed)
+            for packed in packed_records
+            for header in [read_header(packed)]
+            if header.turn_id not in self._rows
+        ]
 
     def enter(self, packed, left):
         """A record is on the disk, and is kept for `left` seconds by what its sender knows. Gives its turn's id."""
--- a/packages/oakstore/oakstore/store.py
+++ b/packages/oakstore/oakstore/store.py
@@ -1,4 +1,5 @@
 """A store node: coordinates puts, keeps replicas, hands over what others missed, and sweeps."""
+
 import json
 import time
 from collections import OrderedDict
@@ -7,8 +8,19 @@
 from twisted.internet import defer
 
 from oakbase.checks import packJson
-from oakbase.constants import (ACCEPT_INBOX, HINT_LIMIT, LINE_KEPT, LINE_SIZE, RECORD_PAGE, RING_COMMIT_SHARE,
-                               STORE_CALL_TIME, STORE_COPY_PAUSE, STORE_HOT_BYTES, STORE_SWEEP, SWEEP_HINTS)
+from oakbase.constants import (
+    ACCEPT_INBOX,
+    HINT_LIMIT,
+    LINE_KEPT,
+    LINE_SIZE,
+    RECORD_PAGE,
+    RING_COMMIT_SHARE,
+    STORE_CALL_TIME,
+    STORE_COPY_PAUSE,
+    STORE_HOT_BYTES,
+    STORE_SWEEP,
+    SWEEP_HINTS,
+)
 from oakbase.metrics import Metrics, serve_metrics
 from oakbase.tasks import Repeater, quorumOf, spawn
 from oakbase.verdict import BadRequest, CannotTell, Fenced, NoAnswer, OakError, TooLarge
@@ -45,10 +57,16 @@
         self._antiEntropy = AntiEntropy(node, self.table, self.metrics, lambda: self.stores)
         self._sweeper = Repeater(node.reactor, 0.0, self._waitAndSweep, node.log)
         self._wake = defer.Deferred()
-        for method, handler in (("lineGet", self._get), ("linePut", self._put), ("lineKeep", self._keep),
-                                ("storeStatus", self._status), ("turnRecall", self._turnRecall),
-                                ("turnRetain", self._turnRetain), ("turnKeep", self._turnKeep),
-                                ("turnOffer", self._turnOffer)):
+        for method, handler in (
+            ("lineGet", self._get),
+            ("linePut", self._put),
+            ("lineKeep", self._keep),
+            ("storeStatus", self._status),
+            ("turnRecall", self._turnRecall),
+            ("turnRetain", self._turnRetain),
+            ("turnKeep", self._turnKeep),
+            ("turnOffer", self._turnOffer),
+        ):
             node.net.handle(method, handler)
 
     def start(self):
@@ -86,8 +104,13 @@
 
     async def _get(self, _peer, arguments):
         self.metrics.count("line_gets")
-        return toState(self.table.versions(arguments.key), self.covers, self.stores.epoch,
-                       self.table.age(arguments.key), self.table.isFull())
+        return toState(
+            self.table.versions(arguments.key),
+            self.covers,
+            self.stores.epoch,
+            self.table.age(arguments.key),
+            self.table.isFull(),
+        )
 
     def _adopt(self, record):
         """A version of the set that was confirmed, told before the news of it came."""
@@ -96,8 +119,10 @@
 
     def _checkEpoch(self, epoch):
         if epoch != self.stores.epoch:
-            raise Fenced(f"store epoch {epoch} is not {self.stores.epoch}",
-                         detail={"storeEpoch": self.stores.epoch, "set": self.stores.record})
+            raise Fenced(
+                f"store epoch {epoch} is not {self.stores.epoch}",
+                detail={"storeEpoch": self.stores.epoch, "set": self.stores.record},
+            )
 
     def _checkSender(self, arguments):
         """The set as it stands here, which is the sender's too."""
@@ -131,10 +156,13 @@
     async def _replicateTo(self, stores, key, give):
         reached, errors = await quorumOf(
             {nodeId: give(nodeId, peer) for nodeId, peer in self._others().items()},
-            lambda nodeIds: stores.isWritten(nodeIds | {self._node.nodeId}))
+            lambda nodeIds: stores.isWritten(nodeIds | {self._node.nodeId}),
+        )
         if not reached:
-            raise NoAnswer("the line did not reach a quorum of stores, it may still be kept: "
-                           + "; ".join(sorted(map(str, errors.values()))))
+            raise NoAnswer(
+                "the line did not reach a quorum of stores, it may still be kept: "
+                + "; ".join(sorted(map(str, errors.values())))
+            )
         self._checkStill(stores)
 
     def _checkStill(self, stores):
@@ -144,8 +172,14 @@
             raise NoAnswer(f"the set moved on to epoch {self.stores.epoch}; what is here may still be kept")
 
     async def _give(self, nodeId, peer, key, state):
-        await self._giveNoted(nodeId, key, state, lambda: self._node.net.call(
-            peer, "lineKeep", STORE_CALL_TIME, key=key, state=state, sender=self._node.nodeId))
+        await self._giveNoted(
+            nodeId,
+            key,
+            state,
+            lambda: self._node.net.call(
+                peer, "lineKeep", STORE_CALL_TIME, key=key, state=state, sender=self._node.nodeId
+            ),
+        )
 
     async def _giveNoted(self, nodeId, key, state, give):
         # Of a set that is past, a member may have left meanwhile: then this is a list that nobody keeps.
@@ -179,9 +213,12 @@
         if isWhole:
             records.touch(turnId)
         return idl.TurnState(
-            known=key is not None, whole=isWhole, lineKey=key,
+            known=key is not None,
+            whole=isWhole,
+            lineKey=key,
             line=toState(table.versions(key) if key else {}, self.covers, self.stores.epoch, 0.0, table.isFull()),
-            records=records.page(ids, RECORD_PAGE) if arguments.bodies else None)
+            records=records.page(ids, RECORD_PAGE) if arguments.bodies else None,
+        )
 
     async def _turnRetain(self, _peer, arguments):
         stores = self.stores
@@ -196,13 +233,19 @@
             raise BadRequest(f"no context: {error}") from error
         header = read_header(arguments.record)
         await self._bringChain(header.parent, self._others().items())
-        versions, clock = await self.table.put(arguments.key, contextSet, arguments.value,
-                                               [(arguments.record, header.keep_s)])
+        versions, clock = await self.table.put(
+            arguments.key, contextSet, arguments.value, [(arguments.record, header.keep_s)]
+        )
         self._checkStill(stores)
         self.metrics.count("turn_retains")
         state = toState(versions, storeEpoch=stores.epoch)
-        await self._replicateTo(stores, arguments.key, lambda nodeId, peer: self._giveTurn(
-            nodeId, peer, arguments.key, state, [arguments.record], [header.keep_s]))
+        await self._replicateTo(
+            stores,
+            arguments.key,
+            lambda nodeId, peer: self._giveTurn(
+                nodeId, peer, arguments.key, state, [arguments.record], [header.keep_s]
+            ),
+        )
         return toContext(frozenset([clock]))
 
     async def _bringChain(self, turnId, peers):
@@ -210,9 +253,21 @@
             raise CannotTell(f"the chain of turn {turnId} is not here", retryAfter=1)
 
     async def _giveTurn(self, nodeId, peer, key, state, records, lefts):
-        await self._giveNoted(nodeId, key, state, lambda: self._node.net.call(
-            peer, "turnKeep", STORE_CALL_TIME, key=key, state=state, sender=self._node.nodeId, records=records,
-            leftMs=[int(left * 1000) for left in lefts]))
+        await self._giveNoted(
+            nodeId,
+            key,
+            state,
+            lambda: self._node.net.call(
+                peer,
+                "turnKeep",
+                STORE_CALL_TIME,
+                key=key,
+                state=state,
+                sender=self._node.nodeId,
+                records=records,
+                leftMs=[int(left * 1000) for left in lefts],
+            ),
+        )
 
     async def _turnKeep(self, _peer, arguments):
         """Says yes only when the versions, the records and their whole chains are on the disk here."""
@@ -229,8 +284,17 @@
     async def _status(self, _peer, arguments):
         if arguments.record:
             self._adopt(json.loads(arguments.record))
-        return json.dumps({"nodeId": self._node.nodeId, "epoch": self.stores.epoch, "covers": self.covers,
-                           "lines": len(self.table.rows), "turns": len(self.table.records), "hints": self.hintsByMember(), "dots": self.table.dots()})
+        return json.dumps(
+            {
+                "nodeId": self._node.nodeId,
+                "epoch": self.stores.epoch,
+                "covers": self.covers,
+                "lines": len(self.table.rows),
+                "turns": len(self.table.records),
+                "hints": self.hintsByMember(),
+                "dots": self.table.dots(),
+            }
+        )
 
     # --- sweeping ---
 
@@ -273,8 +337,12 @@
         # Every write quorum of the old set has a member among so many of them.
         needed = len(self.stores.members) - majority(self.stores.members) + 1
         copiedFrom = self._coveredFrom & self.stores.members.keys()
-        if (not self.covers and self._passEpoch == since and len(copiedFrom) >= needed
-                and not self.table.isLacking(copiedFrom)):
+        if (
+            not self.covers
+            and self._passEpoch == since
+            and len(copiedFrom) >= needed
+            and not self.table.isLacking(copiedFrom)
+        ):
             await self._cover(since)
 
     async def _cover(self, since):
@@ -296,9 +364,20 @@
 
     async def _handOverTurns(self, nodeId, peer, key, state):
         """The member says which of the line's turns it wants by taking their chains from here."""
-        await self._giveNoted(nodeId, key, state, lambda: self._node.net.call(
-            peer, "turnOffer", STORE_CALL_TIME, key=key, state=state, sender=self._node.nodeId,
-            turnIds=sorted(self.table.records.on_line(key))))
+        await self._giveNoted(
+            nodeId,
+            key,
+            state,
+            lambda: self._node.net.call(
+                peer,
+                "turnOffer",
+                STORE_CALL_TIME,
+                key=key,
+                state=state,
+                sender=self._node.nodeId,
+                turnIds=sorted(self.table.records.on_line(key)),
+            ),
+        )
 
     async def _turnOffer(self, _peer, arguments):
         stores = self._checkSender(arguments)
@@ -329,19 +408,27 @@
         reactor, env, disk, random, sink, wall = self._parts
         self.node = Node(reactor, "store", env, random, sink, disk, wall)
         shares = {"fileCount": env["ringFiles"], "commitShare": RING_COMMIT_SHARE} if env.get("ringFiles") else {}
-        self.ring = Ring(disk, self.node.log, env.get("ringFileSize"), seconds=reactor.seconds,
-                         hot_bytes=env.get("hotBytes", STORE_HOT_BYTES), **shares)
+        self.ring = Ring(
+            disk,
+            self.node.log,
+            env.get("ringFileSize"),
+            seconds=reactor.seconds,
+            hot_bytes=env.get("hotBytes", STORE_HOT_BYTES),
+            **shares,
+        )
         self.store = Store(self.node, self.ring)
         self.node.board.watch(STORES_KEY, lambda _source: self._mayStartOver())
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
         self.web.route("GET", "/condition", self._condition)
         serve_metrics(self.web, self.store.metrics)
-        for name, ask in (("lines", lambda: len(self.store.table.rows)),
-                          ("turns", lambda: len(self.store.table.records)),
-                          ("hints", self.store.hintCount),
-                          ("ring_syncs", lambda: self.ring.syncCount),
-                          ("ring_commits", lambda: self.ring.commitCount),
-                          ("ring_live_bytes", self.ring.liveBytes)):
+        for name, ask in (
+            ("lines", lambda: len(self.store.table.rows)),
+            ("turns", lambda: len(self.store.table.records)),
+            ("hints", self.store.hintCount),
+            ("ring_syncs", lambda: self.ring.syncCount),
+            ("ring_commits", lambda: self.ring.commitCount),
+            ("ring_live_bytes", self.ring.liveBytes),
+        ):
             self.store.metrics.gauge(name, ask)
 
     def _mayStartOver(self):
@@ -367,9 +454,13 @@
 
     async def _condition(self, _call):
         return 200, self.node.condition() | {
-            "condition": "ready" if self.store.covers else "waiting", "storeEpoch": self.store.stores.epoch,
-            "covers": self.store.covers, "lines": len(self.store.table.rows), "hints": self.store.hintsByMember(),
-            "disk": self.ring.condition()}
+            "condition": "ready" if self.store.covers else "waiting",
+            "storeEpoch": self.store.stores.epoch,
+            "covers": self.store.covers,
+            "lines": len(self.store.table.rows),
+            "hints": self.store.hintsByMember(),
+            "disk": self.ring.condition(),
+        }
 
     def start(self):
         self.node.start()
--- a/packages/oakstore/oakstore/table.py
+++ b/packages/oakstore/oakstore/table.py
@@ -5,6 +5,7 @@
 a line go is, for that line, like a node that lost its disk: when it meets the line again it comes as a
 new id, and no number is ever used twice.
 """
+
 import json
 import zlib
 from collections import Counter
@@ -15,7 +16,16 @@
 from sortedcontainers import SortedDict, SortedList
 
 from oakbase.checks import packJson
-from oakbase.constants import FULL_SHARE, LINE_KEPT, LINE_KEPT_FULL, STORE_FULL, STORE_INBOX, STORE_OWNERS, SWEEP_BUCKETS, SWEEP_KEYS
+from oakbase.constants import (
+    FULL_SHARE,
+    LINE_KEPT,
+    LINE_KEPT_FULL,
+    STORE_FULL,
+    STORE_INBOX,
+    STORE_OWNERS,
+    SWEEP_BUCKETS,
+    SWEEP_KEYS,
+)
 from oakbase.inbox import TableOwner
 from oakcohort.rendezvous import slotOf
 from oakdvv.clock import Clock, syncVersions, update
@@ -44,15 +54,28 @@
 
 
 def toState(versions, covers=False, storeEpoch=0, age=0.0, full=False):
-    return idl.LineState(covers=covers, full=full, storeEpoch=storeEpoch, ageMs=int(age * 1000), versions=[
-        idl.Version(value=value, clock=[idl.Part(nodeId=nodeId, ceiling=m, dot=n or 0)
-                                        for nodeId, (m, n) in clock.entries.items()])
-        for clock, value in versions.items()])
+    return idl.LineState(
+        covers=covers,
+        full=full,
+        storeEpoch=storeEpoch,
+        ageMs=int(age * 1000),
+        versions=[
+            idl.Version(
+                value=value,
+                clock=[idl.Part(nodeId=nodeId, ceiling=m, dot=n or 0) for nodeId, (m, n) in clock.entries.items()],
+            )
+            for clock, value in versions.items()
+        ],
+    )
 
 
 def fromState(state):
-    return {Clock({part.nodeId: (part.ceiling, part.dot) if part.dot else part.ceiling
-                   for part in version.clock}): version.value for version in state.versions or []}
+    return {
+        Clock(
+            {part.nodeId: (part.ceiling, part.dot) if part.dot else part.ceiling for part in version.clock}
+        ): version.value
+        for version in state.versions or []
+    }
 
 
 def packTurns(turns):
@@ -104,9 +127,11 @@
         self._owners = [TableOwner(STORE_INBOX, f"lines{index}", node.log) for index in range(STORE_OWNERS)]
         for name, data in ring.table.items(ROW):
             clockId, _, state = data.partition(b"\0")
-            self._enter(name[len(ROW):], LineRow(
-                clockId.decode(), fromState(unpack(idl.LineState, state)), self._reactor.seconds()))
-            self._index(name[len(ROW):], self.rows[name[len(ROW):]].versions)
+            self._enter(
+                name[len(ROW) :],
+                LineRow(clockId.decode(), fromState(unpack(idl.LineState, state)), self._reactor.seconds()),
+            )
+            self._index(name[len(ROW) :], self.rows[name[len(ROW) :]].versions)
 
     def _index(self, key, versions):
         if key.startswith(TURN_LINE):
@@ -145,8 +170,13 @@
     def _strip(self, clock):
         if not any(storeOf(clockId) in self.pruned for clockId in clock.entries):
             return clock
-        return Clock({clockId: m if n is None else (m, n) for clockId, (m, n) in clock.entries.items()
-                      if n is not None or storeOf(clockId) not in self.pruned})
+        return Clock(
+            {
+                clockId: m if n is None else (m, n)
+                for clockId, (m, n) in clock.entries.items()
+                if n is not None or storeOf(clockId) not in self.pruned
+            }
+        )
 
     def prune(self, storeIds):
         """From now on these ids tell nothing. Rows on the disk are stripped when they are next written; until
--- a/packages/oakstore/oakstore/turns.py
+++ b/packages/oakstore/oakstore/turns.py
@@ -3,11 +3,20 @@
 As the paper's client, it reads a line, keeps the read's context and writes with it. A version's value is the set of
 the line's turns; siblings merge by union, so none is dropped. The records themselves never change, and travel once.
 """
+
 from twisted.internet import defer
 
 from oakbase.checks import packJson
-from oakbase.constants import (CONDITION_AGE, FULL_KNOWN, LATE_TIMES, LINE_TURNS, RECALL_HEDGE, RETAIN_HEDGE, RETAIN_MARGIN,
-                               STORE_CALL_TIME)
+from oakbase.constants import (
+    CONDITION_AGE,
+    FULL_KNOWN,
+    LATE_TIMES,
+    LINE_TURNS,
+    RECALL_HEDGE,
+    RETAIN_HEDGE,
+    RETAIN_MARGIN,
+    STORE_CALL_TIME,
+)
 from oakbase.tasks import sleep, spawn
 from oakbase.verdict import CannotTell, Conflict, Fenced, Gone, NoAnswer, OakError, RingFull, Verdict
 from oakcohort.rendezvous import ranked
@@ -30,8 +39,7 @@
         self.turn_id, self.parent, self.session, self.input, self.output = turn_id, parent, session, input, output
 
     def __eq__(self, other):
-        return isinstance(other, Record) and all(
-            getattr(self, name) == getattr(other, name) for name in self.__slots__)
+        return isinstance(other, Record) and all(getattr(self, name) == getattr(other, name) for name in self.__slots__)
 
     def __repr__(self):
         return f"Record({self.turn_id!r}, {self.parent!r}, {self.session!r}, {len(self.input)} B, {len(self.output)} B)"
@@ -57,7 +65,7 @@
 
 def _unpack(packed):
     header = read_header(packed)
-    return Record(header.turn_id, header.parent, header.line_key[len(TURN_LINE):], *read_bodies(packed, header))
+    return Record(header.turn_id, header.parent, header.line_key[len(TURN_LINE) :], *read_bodies(packed, header))
 
 
 class _Read:
@@ -112,7 +120,9 @@
     def is_full(self):
         """Whether most of the stores said lately that they have no room: what runs now might not be kept."""
         now = self._reactor.seconds()
-        full = [node_id for node_id in self._stores.readers if now - self._full.get(node_id, float("-inf")) < FULL_KNOWN]
+        full = [
+            node_id for node_id in self._stores.readers if now - self._full.get(node_id, float("-inf")) < FULL_KNOWN
+        ]
         return len(full) >= majority(self._stores.readers)
 
     def _order(self, rows, key, first=None):
@@ -122,8 +132,13 @@
         def place(node_id):
             member, age = newest.get(node_id, (None, 0.0))
             is_live = member is not None and age <= CONDITION_AGE and member.state == "up"
-            return (not is_live, self._slow.get(node_id, 0.0) > now, node_id != first,
-                    member is None or member.zone != self._node.env["zone"])
+            return (
+                not is_live,
+                self._slow.get(node_id, 0.0) > now,
+                node_id != first,
+                member is None or member.zone != self._node.env["zone"],
+            )
+
         return sorted(ranked(rows, key), key=place)
 
     # --- reading ---
@@ -152,10 +167,16 @@
         return Recalled([_unpack(packed) for packed in reversed(chain)], line_key, versions)
 
     def _is_gone(self, read, stores):
-        sure = [node_id for node_id, state in read.states.items()
-                if node_id in stores.readers and state.line.covers and state.line.storeEpoch == stores.epoch]
-        return len(sure) >= majority(stores.readers) and not read.records and not any(
-            state.known for state in read.states.values())
+        sure = [
+            node_id
+            for node_id, state in read.states.items()
+            if node_id in stores.readers and state.line.covers and state.line.storeEpoch == stores.epoch
+        ]
+        return (
+            len(sure) >= majority(stores.readers)
+            and not read.records
+            and not any(state.known for state in read.states.values())
+        )
 
     async def _read(self, stores, turn_id, ends_at):
         """All that it takes is one store that has the whole chain: records do not change."""
@@ -163,12 +184,19 @@
 
         async def ask(node_id, time_left):
             state = await self._node.net.call(
-                stores.everyone[node_id]["peer"], "turnRecall", time_left, turnId=turn_id, bodies=True)
+                stores.everyone[node_id]["peer"], "turnRecall", time_left, turnId=turn_id, bodies=True
+            )
             read.note(node_id, state)
             if state.line.full:
                 self._full[node_id] = self._reactor.seconds()
-        await self._ask_in_turn(self._order(stores.everyone, turn_id), ask, "recall", ends_at,
-                                lambda: read.whole_at() or self._is_gone(read, stores))
+
+        await self._ask_in_turn(
+            self._order(stores.everyone, turn_id),
+            ask,
+            "recall",
+            ends_at,
+            lambda: read.whole_at() or self._is_gone(read, stores),
+        )
         if read.records:
             await self._fill(read, stores, ends_at)
         return read
@@ -193,13 +221,16 @@
             del waiting[node_id]
             if not answered.called:
                 answered.callback(None)
+
         while not is_enough() and (order or waiting) and self._reactor.seconds() < ends_at:
             answered = defer.Deferred()
             if order:
                 waiting[order[0]] = self._reactor.seconds()
                 spawn(ask_one(order.pop(0)), self._node.log)
             until = min(ends_at, self._reactor.seconds() + hedge) if order else ends_at
-            timer = self._reactor.callLater(max(0.0, until - self._reactor.seconds()), self._late, answered, waiting, hedge)
+            timer = self._reactor.callLater(
+                max(0.0, until - self._reactor.seconds()), self._late, answered, waiting, hedge
+            )
             await answered
             if timer.active():
                 timer.cancel()
@@ -226,8 +257,9 @@
                 if time_left <= 0:
                     return
                 try:
-                    state = await self._node.net.call(stores.everyone[node_id]["peer"], "turnRecall", time_left,
-                                                      turnId=missing, bodies=True)
+                    state = await self._node.net.call(
+                        stores.everyone[node_id]["peer"], "turnRecall", time_left, turnId=missing, bodies=True
+                    )
                 except OakError:
                     break
                 if not state.records:
@@ -255,14 +287,24 @@
                 nonlocal asked
                 asked += 1
                 try:
-                    answers.append(await self._node.net.call(
-                        stores.readers[node_id]["peer"], "turnRetain", call_time, key=key, context=context,
-                        value=value, storeEpoch=stores.epoch, record=packed))
+                    answers.append(
+                        await self._node.net.call(
+                            stores.readers[node_id]["peer"],
+                            "turnRetain",
+                            call_time,
+                            key=key,
+                            context=context,
+                            value=value,
+                            storeEpoch=stores.epoch,
+                            record=packed,
+                        )
+                    )
                 except OakError as error:
                     errors.append(error)
                     if isinstance(error, RingFull):
                         self._full[node_id] = self._reactor.seconds()
                     raise
+
             await self._ask_in_turn(self._order(stores.readers, key), ask, "retain", ends_at, lambda: answers)
             if answers:
                 return answers[0]
--- a/packages/oakwire/oakwire/codec.py
+++ b/packages/oakwire/oakwire/codec.py
@@ -1,4 +1,5 @@
 """Structs of the IDL to bytes and back, and the table of methods."""
+
 import os
 from struct import Struct
 
@@ -39,8 +40,8 @@
 # The two usual frames, a call and an answer without a fault, byte for byte as the library writes them: each field is its type
 # and its number, then its value. Setting the library up for one costs more than all else that is done with the frame.
 _CALL_ID, _METHOD, _TIME_LEFT, _BODY, _END = b"\n\0\1", b"\v\0\2", b"\b\0\3", b"\v\0\4", b"\0"
-_START = Struct("!3sq3si")    # call id; method or body with its length
-_MIDDLE = Struct("!3si3si")   # of a call: time left; body with its length
+_START = Struct("!3sq3si")  # call id; method or body with its length
+_MIDDLE = Struct("!3si3si")  # of a call: time left; body with its length
 
 
 def packFrame(frame):
@@ -49,8 +50,15 @@
     if frame.method is None:
         return _START.pack(_CALL_ID, frame.callId, _BODY, len(frame.body)) + frame.body + _END
     method = frame.method.encode()
-    return b"".join((_START.pack(_CALL_ID, frame.callId, _METHOD, len(method)), method,
-                     _MIDDLE.pack(_TIME_LEFT, frame.timeLeftMs, _BODY, len(frame.body)), frame.body, _END))
+    return b"".join(
+        (
+            _START.pack(_CALL_ID, frame.callId, _METHOD, len(method)),
+            method,
+            _MIDDLE.pack(_TIME_LEFT, frame.timeLeftMs, _BODY, len(frame.body)),
+            frame.body,
+            _END,
+        )
+    )
 
 
 def unpackFrame(data):
@@ -66,12 +74,12 @@
     if first != _CALL_ID or length < 0:
         return None
     if second == _BODY:
-        return idl.Frame(callId=callId, body=data[_START.size:after]) if after + 1 == len(data) else None
+        return idl.Frame(callId=callId, body=data[_START.size : after]) if after + 1 == len(data) else None
     start = after + _MIDDLE.size
     if second != _METHOD or start >= len(data):
         return None
     third, timeLeftMs, fourth, length = _MIDDLE.unpack_from(data, after)
-    method = data[_START.size:after]
+    method = data[_START.size : after]
     if (third, fourth) != (_TIME_LEFT, _BODY) or length < 0 or start + length + 1 != len(data) or not method.isascii():
         return None
-    return idl.Frame(callId=callId, method=method.decode(), timeLeftMs=timeLeftMs, body=data[start:start + length])
+    return idl.Frame(callId=callId, method=method.decode(), timeLeftMs=timeLeftMs, body=data[start : start + length])
--- a/packages/oakwire/oakwire/net.py
+++ b/packages/oakwire/oakwire/net.py
@@ -3,6 +3,7 @@
 The dialling side calls, the listening side answers. Both say hello first; who belongs to another
 cluster, speaks another wire version or sends what is no frame is closed and logged.
 """
+
 import itertools
 import json
 from struct import Struct
@@ -10,12 +11,30 @@
 from twisted.internet import defer, protocol
 from twisted.internet.endpoints import TCP4ClientEndpoint
 
-from oakbase.constants import (ACCEPT_LIMIT, CALL_TIME, CONNECT_TIME, FRAME_LIMIT, HELLO_TIME, PEER_IN_FLIGHT,
-                               RECONNECT_PAUSE, WIRE_SPAN, WIRE_VERSION)
+from oakbase.constants import (
+    ACCEPT_LIMIT,
+    CALL_TIME,
+    CONNECT_TIME,
+    FRAME_LIMIT,
+    HELLO_TIME,
+    PEER_IN_FLIGHT,
+    RECONNECT_PAUSE,
+    WIRE_SPAN,
+    WIRE_VERSION,
+)
 from oakbase.env import splitAddress
 from oakbase.tasks import begin, drive, spawn
-from oakbase.verdict import (BadRequest, Fenced, NoAnswer, OakError, Overloaded, TimeSpent, Unknown, Unreachable,
-                             errorFrom)
+from oakbase.verdict import (
+    BadRequest,
+    Fenced,
+    NoAnswer,
+    OakError,
+    Overloaded,
+    TimeSpent,
+    Unknown,
+    Unreachable,
+    errorFrom,
+)
 from oakwire.codec import argumentsClass, idl, pack, packFrame, resultClass, unpack, unpackFrame
 
 OPEN_METHODS = frozenset(["pull"])  # what one may ask that is not a member yet
@@ -66,7 +85,7 @@
             data = self._unread + data
         start, end = 0, len(data)
         while end - start >= LENGTH.size:
-            length, = LENGTH.unpack_from(data, start)
+            (length,) = LENGTH.unpack_from(data, start)
             if length > FRAME_LIMIT:
                 self._unread = b""
                 self._drop("frameTooLong", length=length)
@@ -74,7 +93,7 @@
             following = start + LENGTH.size + length
             if following > end:
                 break
-            frame, start = data[start + LENGTH.size:following], following
+            frame, start = data[start + LENGTH.size : following], following
             self.stringReceived(frame)
         self._unread = data[start:]
 
@@ -93,8 +112,9 @@
             answer.errback(NoAnswer("connection lost before the answer"))
 
     def _drop(self, why, **pairs):
-        self._net.log.event("peerClosed", why=why, peer=self.peer.nodeId if self.peer else
-                            self.transport.getPeer().host, **pairs)
+        self._net.log.event(
+            "peerClosed", why=why, peer=self.peer.nodeId if self.peer else self.transport.getPeer().host, **pairs
+        )
         self.transport.abortConnection()
 
     def stringReceived(self, data):
@@ -163,8 +183,9 @@
         if answer is None:
             return  # it came after its time
         if frame.error:
-            answer.errback(errorFrom(frame.error, frame.reason, frame.verdict,
-                                     json.loads(frame.detail) if frame.detail else None))
+            answer.errback(
+                errorFrom(frame.error, frame.reason, frame.verdict, json.loads(frame.detail) if frame.detail else None)
+            )
             return
         answer.callback(unpack(resultClass(method), frame.body).success)
 
@@ -197,9 +218,15 @@
         self._answerError(frame, error)
 
     def _answerError(self, frame, error):
-        self._answer(idl.Frame(callId=frame.callId, error=error.code, reason=error.reason,
-                               verdict=error.verdict.value,
-                               detail=json.dumps(error.detail) if error.detail is not None else None))
+        self._answer(
+            idl.Frame(
+                callId=frame.callId,
+                error=error.code,
+                reason=error.reason,
+                verdict=error.verdict.value,
+                detail=json.dumps(error.detail) if error.detail is not None else None,
+            )
+        )
 
     def _answer(self, frame):
         if self.connected:
@@ -312,6 +339,7 @@
         def passOn(result):
             waiting.callback(result)
             return result
+
         link.addCallback(passOn)
         connection = await waiting
         if isinstance(connection, OakError):
@@ -320,8 +348,9 @@
 
     async def _dial(self, address, link):
         host, port = splitAddress(address)
-        endpoint = TCP4ClientEndpoint(self.reactor, host, port, timeout=CONNECT_TIME,
-                                      bindAddress=(splitAddress(self.address)[0], 0))
+        endpoint = TCP4ClientEndpoint(
+            self.reactor, host, port, timeout=CONNECT_TIME, bindAddress=(splitAddress(self.address)[0], 0)
+        )
         try:
             connection = await endpoint.connect(_Dialler(self))
             await connection.ready
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -1,4 +1,5 @@
 """The folder of a node on a real disk: a process may end anywhere, and the next one finds what it can use."""
+
 import tempfile
 import unittest
 from unittest import mock
@@ -46,6 +47,7 @@
             if left[0] == 0:
                 raise Ended
             return operation(*arguments)
+
         with mock.patch(f"oakring.disk.os.{call}", run):
             try:
                 work()
