--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -1,4 +1,5 @@
 """Everything goes at once. Within 12 s both partners are served everything again, through every gate."""
+
 import unittest
 
 from oaklab.outages import OUTAGES, runOutage
--- a/tests/test_reactor.py
+++ b/tests/test_reactor.py
@@ -1,4 +1,5 @@
 """The reactor's reading of sockets: what is there is read, a fault ends one connection only, who is gone is left alone."""
+
 import os
 import time
 import unittest
@@ -63,6 +64,7 @@
     def testAnEndAndAFaultEndTheirOwnConnectionOnly(self):
         def fail():
             raise ValueError("bad")
+
         faulty, ended, sound = self.pipe(fail), self.pipe(lambda: ConnectionDone()), self.pipe()
         for pipe in self.pipes:
             self.write(pipe, b"x")
