--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -1,4 +1,5 @@
 """Coroutines driven without Twisted's own driver, and the one that works through a table's commands."""
+
 import unittest
 
 from twisted.internet import defer
@@ -15,6 +16,7 @@
 
         async def work():
             return await defer.succeed(3) + 1
+
         drive(work(), lambda value, error: ended.append((value, error)))
         self.assertEqual(ended, [(4, None)])
 
@@ -27,6 +29,7 @@
                 await second
             except KeyError:
                 return value + 1
+
         task = begin(work())
         task.addCallback(outcome.append)
         first.callback(1)
@@ -37,6 +40,7 @@
     def testAFailureOfTheCoroutineIsTheTasks(self):
         async def work():
             raise ValueError("wrong")
+
         failures = []
         begin(work()).addErrback(failures.append)
         self.assertIsInstance(failures[0].value, ValueError)
@@ -53,6 +57,7 @@
             finally:
                 steps.append("inner")
                 await cleaning
+
         task = begin(inner())
         task.addErrback(lambda failure: steps.append(failure.type))
         task.cancel()
@@ -68,6 +73,7 @@
 
         async def outer():
             await begin(inner())
+
         task = begin(outer())
         task.addErrback(lambda failure: steps.append(failure.type))
         task.cancel()
@@ -98,6 +104,7 @@
     def testAFailedCommandLeavesTheTableToTheNext(self):
         async def failing():
             raise ValueError("wrong")
+
         failures, answers = [], []
         self.owner.do(failing).addErrback(lambda failure: failures.append(failure.type))
         self.owner.do(self.command, "a").addCallback(answers.append)
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -1,4 +1,5 @@
 """Fixed seeds of random, overlapping faults with a total outage at the end. By hand: oaklab search."""
+
 import unittest
 
 from oaklab.simfleet import SimFleet
