--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -97,6 +97,7 @@
 BLUEPRINTS_KEPT = 500  # versions; a day of changes every three minutes can be read back
 CHANGES_REMEMBERED = 512  # changes; of the routing whose exact repeats are known: far more than come within a
 # repeat's time
+LOG_LINE_LIMIT = 8192  # characters; of a log line, so that one odd value cannot flood a log
 OPERATOR_LIMIT = 5 << 20  # bytes; a body from the operator: a document of 4 MiB with room for what is around it
 OPERATOR_INBOX = 64  # calls; of operators at one node at a time, repeats of what they left under way included
 OPERATOR_TIME = 4.0  # s; a take-over fits; an operator asks elsewhere after a second, and its repeats do no harm
--- a/packages/oakbase/oakbase/env.py
+++ b/packages/oakbase/oakbase/env.py
@@ -8,6 +8,7 @@
 from schema import And, Optional, Or
 
 from oakbase.checks import NAME, checkFields, oneOf, whole
+from oakbase.logline import FORMATS, LEVELS
 from oakbase.verdict import BadRequest, EnvError
 
 
@@ -87,6 +88,8 @@
     Optional("bounds"): BOUNDS,
     Optional("resources"): RESOURCES,
     Optional("eviction"): Or(None, oneOf(*EVICTION_MODES)),
+    Optional("logLevel"): Or(None, oneOf(*LEVELS)),
+    Optional("logFormat"): Or(None, oneOf(*FORMATS)),
 }
 GATE_ENV = COMMON_ENV | {Optional("relay"): ADDRESS, Optional("ready"): ADDRESS}
 DISK_ENV = COMMON_ENV | {
@@ -117,6 +120,8 @@
     "ready": str,
     "platform": str,
     "operator": str,
+    "logLevel": str,
+    "logFormat": str,
 }
 
 
--- a/packages/oakbase/oakbase/logline.py
+++ b/packages/oakbase/oakbase/logline.py
@@ -1,10 +1,17 @@
-"""One line of key=value pairs for each event."""
+"""Event log: one line of key=value pairs (or one JSON object) for each event, by way of the standard `logging`."""
 
 import json
+import logging
 import sys
 from datetime import datetime, timezone
 
-import picologging
+from oakbase.constants import LOG_LINE_LIMIT
+
+LOGGER_NAME = "oakramp"
+LEVELS = ("info", "debug", "warning", "error")  # the first is the default
+FORMATS = ("text", "json")  # the first is the default
+_ERROR_ENDINGS = ("Crashed",)
+_WARNING_ENDINGS = ("Failed", "Unreadable", "Lost", "Unanswered", "Late", "TornTail")
 
 
 def _shown(value):
@@ -14,34 +21,106 @@
     return text if text and not set(text) & set(' "=\n\t') else json.dumps(text)
 
 
+def level_of(name):
+    """The logging level of an event by the ending of its name: a crash is an error, a failure is a warning."""
+    if name.endswith(_ERROR_ENDINGS):
+        return logging.ERROR
+    if name.endswith(_WARNING_ENDINGS):
+        return logging.WARNING
+    return logging.INFO
+
+
+class EventLine(str):
+    """The text of one event (`event=NAME key=value ...`), which also carries its level and its pairs."""
+
+    __slots__ = ("level", "pairs")
+
+    @classmethod
+    def of(cls, name, pairs):
+        """The line for this event name and these pairs (a dict, in the order in which they are shown)."""
+        every = {"event": name, **pairs}
+        line = cls(" ".join(f"{key}={_shown(value)}" for key, value in every.items()))
+        line.level, line.pairs = level_of(name), every
+        return line
+
+
 class LogLine:
-    """Writes events of one node; `sink` is any callable taking the finished line."""
+    """Writes events of one node; `sink` is any callable taking the finished EventLine."""
 
     def __init__(self, sink, **fixedPairs):
         self._sink = sink
         self._fixedPairs = fixedPairs
 
     def event(self, name, **pairs):
-        self._sink(
-            " ".join(
-                f"{key}={_shown(value)}" for key, value in (("event", name), *self._fixedPairs.items(), *pairs.items())
-            )
-        )
+        """Logs the event `name` with these pairs behind the fixed ones."""
+        self._sink(EventLine.of(name, self._fixedPairs | pairs))
 
     def bound(self, **morePairs):
+        """A log with these pairs in each of its lines."""
         return LogLine(self._sink, **(self._fixedPairs | morePairs))
 
 
-def stderrSink():
-    """A sink that stamps each line with wall time, which is only logged and decides nothing."""
-    logger = picologging.getLogger("oakramp")
-    handler = picologging.StreamHandler(sys.stderr)
-    handler.setFormatter(picologging.Formatter("%(message)s"))
+def _time_of(record):
+    """Wall time of a record in UTC with milliseconds; it is only shown and decides nothing."""
+    return datetime.fromtimestamp(record.created, timezone.utc).isoformat(timespec="milliseconds")
+
+
+class TextFormatter(logging.Formatter):
+    """`time=... event=... key=value`, at most LOG_LINE_LIMIT characters."""
+
+    def format(self, record):
+        """One line; what is cut off is counted at its end."""
+        line = f"time={_time_of(record)} {record.msg}"
+        if len(line) <= LOG_LINE_LIMIT:
+            return line
+        return f"{line[:LOG_LINE_LIMIT]} cut={len(line) - LOG_LINE_LIMIT}"
+
+
+class JsonFormatter(logging.Formatter):
+    """One JSON object for each event; values longer than the limit are cut."""
+
+    def format(self, record):
+        """One line of JSON with `time`, `level` and the event's pairs."""
+        pairs = getattr(record.msg, "pairs", {"message": str(record.msg)})
+        fields = {"time": _time_of(record), "level": record.levelname.lower()}
+        line = json.dumps(fields | pairs, default=str)
+        if len(line) <= LOG_LINE_LIMIT:
+            return line
+        share = LOG_LINE_LIMIT // len(pairs)
+        cut = {key: value if len(str(value)) <= share else str(value)[:share] for key, value in pairs.items()}
+        return json.dumps(fields | cut | {"cut": len(line) - LOG_LINE_LIMIT}, default=str)
+
+
+_FORMATTERS = {"text": TextFormatter, "json": JsonFormatter}
+
+
+def set_level(level):
+    """Logs events of this level (of LEVELS) and above from now on."""
+    logging.getLogger(LOGGER_NAME).setLevel(level.upper())
+
+
+def stderr_sink(level=LEVELS[0], line_format=FORMATS[0], stream=None):
+    """A sink that writes events of this level (of LEVELS) and above to standard error, each line flushed at once.
+
+    `line_format` is one of FORMATS. There is one handler however often this is called."""
+    logger = logging.getLogger(LOGGER_NAME)
+    for former in list(logger.handlers):
+        logger.removeHandler(former)
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(_FORMATTERS[line_format]())
     logger.addHandler(handler)
-    logger.setLevel(picologging.INFO)
+    logger.propagate = False
+    set_level(level)
 
     def write(line):
-        # Stamped here: picologging's own asctime came out as broken bytes.
-        logger.info(f"time={datetime.now(timezone.utc).isoformat(timespec='milliseconds')} {line}")
+        logger.log(getattr(line, "level", logging.INFO), line)
 
     return write
+
+
+def skip_unused_record_fields():
+    """Keeps `logging` from collecting for each record what no formatter here shows: the caller, thread and process."""
+    logging._srcfile = None
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
--- a/packages/oaklab/oaklab/commands.py
+++ b/packages/oaklab/oaklab/commands.py
@@ -11,7 +11,7 @@
 from twisted.internet.threads import deferToThread
 from twisted.python.failure import Failure
 
-from oakbase.logline import stderrSink
+from oakbase.logline import stderr_sink
 from oakbase.tasks import monotonicReactor, settled, sleep, spawn
 from oakbase.verdict import OakError
 from oakcontrol.client import OwnerClient
@@ -132,7 +132,7 @@
     def __init__(self, reactor, folder, seed):
         self.reactor, self.random = reactor, random.Random(seed)
         self.fleet = Fleet(folder, "brief")
-        self.node = Node(reactor, "gate", envOf(CLIENT, self.fleet.machines), self.random, stderrSink())
+        self.node = Node(reactor, "gate", envOf(CLIENT, self.fleet.machines), self.random, stderr_sink())
         self.node.log.event = lambda *_, **__: None
         self.client = OwnerClient(self.node)
         self._numbers = count(1)
--- a/packages/oaklab/oaklab/main.py
+++ b/packages/oaklab/oaklab/main.py
@@ -13,7 +13,7 @@
 from twisted.internet.threads import deferToThread
 from twisted.python.failure import Failure
 
-from oakbase.logline import LogLine, stderrSink
+from oakbase.logline import LogLine, stderr_sink
 from oakbase.tasks import monotonicReactor, settled
 from oakbase.verdict import Unknown
 from oaklab.capacity import SLOPES
@@ -48,7 +48,7 @@
     """Stand-in replicas, services and platform for a fleet of this size."""
     reactor = monotonicReactor()
     platform, _ = buildStandins(
-        reactor, PLATFORM, replicaRows(SIZES[size]), LogLine(stderrSink(), node="standins"), adapters=MARKERS
+        reactor, PLATFORM, replicaRows(SIZES[size]), LogLine(stderr_sink(), node="standins"), adapters=MARKERS
     )
     click.echo(f"{len(platform.rows)} replicas")
     reactor.run()
--- a/packages/oaknews/oaknews/program.py
+++ b/packages/oaknews/oaknews/program.py
@@ -10,7 +10,7 @@
 
 from oakbase.constants import ENV_LOOK, STOP_MARGIN, STOP_TIME
 from oakbase.env import envOfDaemon
-from oakbase.logline import stderrSink
+from oakbase.logline import FORMATS, LEVELS, set_level, skip_unused_record_fields, stderr_sink
 from oakbase.tasks import Repeater, monotonicReactor, spawn, within
 from oakbase.verdict import EnvError, OakError
 from oakring.disk import FolderDisk
@@ -68,6 +68,7 @@
             return
         changed = sorted(name for name in env.keys() | self.env.keys() if env.get(name) != self.env.get(name))
         self.env = env
+        set_level(env.get("logLevel") or LEVELS[0])
         log.event("envChanged", changed=",".join(changed))
         self._node.node.settings_changed(env)
 
@@ -75,7 +76,8 @@
 def run_node(program, env, build, source=None):
     """Runs the node of this env until it is told to stop; `source` is read again when it has changed."""
     reactor = monotonicReactor()
-    sink = stderrSink()
+    skip_unused_record_fields()
+    sink = stderr_sink(env.get("logLevel") or LEVELS[0], env.get("logFormat") or FORMATS[0])
     disk = None
     try:
         disk = FolderDisk(reactor, env["folder"]) if env.get("folder") else None
--- /dev/null
+++ b/tests/test_logging.py
@@ -0,0 +1,89 @@
+"""The event log: formats, levels, bounds, and that nothing is lost at the end of a process."""
+
+import io
+import json
+import logging
+import subprocess
+import sys
+import unittest
+
+from oakbase.constants import LOG_LINE_LIMIT
+from oakbase.env import COMMON_ENV, checkEnv
+from oakbase.logline import LOGGER_NAME, LogLine, level_of, set_level, stderr_sink
+from oakbase.verdict import EnvError
+
+ENV = {"machine": "m", "zone": "z", "peer": "127.0.0.1:1", "http": "127.0.0.1:2", "seeds": ["127.0.0.1:3"]}
+
+
+class Logging(unittest.TestCase):
+    def setUp(self):
+        self.stream = io.StringIO()
+        self.addCleanup(logging.getLogger(LOGGER_NAME).handlers.clear)
+
+    def log(self, **settings):
+        return LogLine(stderr_sink(stream=self.stream, **settings), node="n1")
+
+    def lines(self):
+        return self.stream.getvalue().splitlines()
+
+    def test_text_has_time_and_pairs_in_order(self):
+        self.log().event("slotTaken", slot=3, why='a "b"', waited=0.5)
+        self.assertRegex(
+            self.lines()[0],
+            r'^time=\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}\+00:00 event=slotTaken node=n1 slot=3 why="a \\"b\\"" waited=0\.500$',
+        )
+
+    def test_json_is_one_object_a_line(self):
+        self.log(line_format="json").event("taskFailed", slot=3, why="a\nb")
+        self.assertEqual(len(self.lines()), 1)
+        fields = json.loads(self.lines()[0])
+        self.assertEqual(
+            {key: fields[key] for key in ("event", "node", "slot", "why", "level")},
+            {"event": "taskFailed", "node": "n1", "slot": 3, "why": "a\nb", "level": "warning"},
+        )
+
+    def test_levels_leave_out_what_is_below_them(self):
+        log = self.log(level="warning")
+        log.event("slotTaken")
+        log.event("taskFailed")
+        log.event("callCrashed")
+        self.assertEqual([line.split()[1] for line in self.lines()], ["event=taskFailed", "event=callCrashed"])
+        set_level("info")
+        log.event("slotTaken")
+        self.assertEqual(len(self.lines()), 3)
+        self.assertEqual((level_of("callCrashed"), level_of("slotTaken")), (logging.ERROR, logging.INFO))
+
+    def test_one_handler_however_often_it_is_set_up(self):
+        self.log()
+        self.log().event("slotTaken")
+        self.assertEqual(len(self.lines()), 1)
+
+    def test_lines_are_bounded(self):
+        for line_format in ("text", "json"):
+            self.log(line_format=line_format).event("taskFailed", why="x" * 100_000)
+        text, cut = self.lines()
+        self.assertLess(len(text), LOG_LINE_LIMIT + 20)
+        self.assertIn(" cut=", text)
+        self.assertLess(len(cut), LOG_LINE_LIMIT + 200)
+        self.assertGreater(json.loads(cut)["cut"], 90_000)
+
+    def test_nothing_is_lost_when_a_process_ends_at_once(self):
+        code = (
+            "import os\n"
+            "from oakbase.logline import LogLine, stderr_sink, skip_unused_record_fields\n"
+            "skip_unused_record_fields()\n"
+            "log = LogLine(stderr_sink())\n"
+            "[log.event('slotTaken', slot=number) for number in range(1000)]\n"
+            "os._exit(0)\n"
+        )
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60, check=False)
+        self.assertEqual(len(done.stderr.splitlines()), 1000, done.stderr[:500])
+
+    def test_settings_are_checked_by_name(self):
+        checkEnv(COMMON_ENV, ENV | {"logLevel": "debug", "logFormat": "json"})
+        with self.assertRaises(EnvError) as caught:
+            checkEnv(COMMON_ENV, ENV | {"logLevel": "loud", "logFormat": "xml"})
+        self.assertEqual(
+            sorted(caught.exception.detail),
+            ["logFormat: must be one of text, json", "logLevel: must be one of info, debug, warning, error"],
+        )
