--- a/packages/oakbase/oakbase/checks.py
+++ b/packages/oakbase/oakbase/checks.py
@@ -8,7 +8,7 @@
 from oakbase.verdict import BadRequest, TooLarge
 
 
-def isName(text):
+def is_name(text):
     return (
         isinstance(text, str)
         and 0 < len(text) <= NAME_LIMIT
@@ -16,7 +16,7 @@
     )
 
 
-NAME = And(str, isName, error=f"must be 1 to {NAME_LIMIT} letters, digits, '-', '_' or '.'")
+NAME = And(str, is_name, error=f"must be 1 to {NAME_LIMIT} letters, digits, '-', '_' or '.'")
 
 
 def whole(low, high):
@@ -33,11 +33,11 @@
     )
 
 
-def oneOf(*texts):
+def one_of(*texts):
     return And(lambda text: isinstance(text, str) and text in texts, error=f"must be one of {', '.join(texts)}")
 
 
-def parseJson(data, limit, what="body"):
+def parse_json(data, limit, what="body"):
     if len(data) > limit:
         raise TooLarge(f"{what} is over {limit} bytes")
     try:
@@ -49,11 +49,11 @@
     return parsed
 
 
-def _nameOf(key):
+def _name_of(key):
     return getattr(key, "schema", key)
 
 
-def _isFine(rule, value):
+def _is_fine(rule, value):
     """Whether the value keeps the rule, as far as that can be told without building a schema around it."""
     if type(rule) is type:
         return isinstance(value, rule)
@@ -63,16 +63,16 @@
         return False
 
 
-def faultsOf(rules, pairs, path=""):
+def faults_of(rules, pairs, path=""):
     """One line with its path for every fault, of fields that are unknown, missing or wrong."""
     if not isinstance(pairs, dict):
         return [f"{path or 'body'}: must be an object"]
     prefix = f"{path}." if path else ""
-    known = {_nameOf(key): rule for key, rule in rules.items()}
+    known = {_name_of(key): rule for key, rule in rules.items()}
     faults = [f"{prefix}{name}: is not a known field" for name in pairs if name not in known]
     faults += [f"{prefix}{key}: is missing" for key in rules if not isinstance(key, Optional) and key not in pairs]
     for name in known.keys() & pairs.keys():
-        if _isFine(known[name], pairs[name]):
+        if _is_fine(known[name], pairs[name]):
             continue
         try:
             Schema(known[name]).validate(pairs[name])
@@ -82,16 +82,16 @@
     return sorted(faults)
 
 
-def checkFields(rules, pairs):
+def check_fields(rules, pairs):
     """The pairs, with None for optional fields left out; or a BadRequest naming every fault."""
-    faults = faultsOf(rules, pairs)
+    faults = faults_of(rules, pairs)
     if faults:
         raise BadRequest("; ".join(faults), detail=faults)
-    return {_nameOf(key): pairs.get(_nameOf(key)) for key in rules}
+    return {_name_of(key): pairs.get(_name_of(key)) for key in rules}
 
 
 _ENCODER = json.JSONEncoder(separators=(",", ":"), sort_keys=True)  # json.dumps makes one for each value
 
 
-def packJson(value):
+def pack_json(value):
     return _ENCODER.encode(value).encode()
--- a/packages/oakbase/oakbase/env.py
+++ b/packages/oakbase/oakbase/env.py
@@ -7,12 +7,12 @@
 
 from schema import And, Optional, Or
 
-from oakbase.checks import NAME, checkFields, oneOf, whole
+from oakbase.checks import NAME, check_fields, one_of, whole
 from oakbase.logline import FORMATS, LEVELS
 from oakbase.verdict import BadRequest, EnvError
 
 
-def isAddress(text):
+def is_address(text):
     """Whether this is IP:PORT."""
     host, separator, port = str(text).rpartition(":")
     if not separator or not port.isdigit() or not 0 < int(port) < 65536:
@@ -24,12 +24,12 @@
     return True
 
 
-def splitAddress(text):
+def split_address(text):
     host, _, port = text.rpartition(":")
     return host.strip("[]"), int(port)
 
 
-ADDRESS = And(str, isAddress, error="must be IP:PORT")
+ADDRESS = And(str, is_address, error="must be IP:PORT")
 
 POSITIVE = And(lambda number: type(number) in (int, float) and number >= 0, error="must be a number, 0 or more")
 FLAG = And(bool, error="must be true or false")
@@ -87,9 +87,9 @@
     Optional("zones"): [NAME],
     Optional("bounds"): BOUNDS,
     Optional("resources"): RESOURCES,
-    Optional("eviction"): Or(None, oneOf(*EVICTION_MODES)),
-    Optional("logLevel"): Or(None, oneOf(*LEVELS)),
-    Optional("logFormat"): Or(None, oneOf(*FORMATS)),
+    Optional("eviction"): Or(None, one_of(*EVICTION_MODES)),
+    Optional("logLevel"): Or(None, one_of(*LEVELS)),
+    Optional("logFormat"): Or(None, one_of(*FORMATS)),
 }
 GATE_ENV = COMMON_ENV | {Optional("relay"): ADDRESS, Optional("ready"): ADDRESS}
 DISK_ENV = COMMON_ENV | {
@@ -129,27 +129,27 @@
     return env.get("eviction") or "off"
 
 
-def checkEnv(rules, pairs):
+def check_env(rules, pairs):
     try:
-        return checkFields(rules, pairs)
+        return check_fields(rules, pairs)
     except BadRequest as error:
         raise EnvError("env cannot be used", detail=error.detail) from error
 
 
-def readEnv(rules, filePath, flagPairs):
-    filePairs = {}
-    if filePath:
+def read_env(rules, file_path, flag_pairs):
+    file_pairs = {}
+    if file_path:
         try:
-            with open(filePath, encoding="utf-8") as file:
-                filePairs = json.load(file)
+            with open(file_path, encoding="utf-8") as file:
+                file_pairs = json.load(file)
         except (OSError, ValueError) as error:
-            raise EnvError("env cannot be read", detail=[f"{filePath}: {error}"]) from error
-        if not isinstance(filePairs, dict):
-            raise EnvError("env cannot be read", detail=[f"{filePath}: must be a JSON object"])
-    return checkEnv(rules, filePairs | {key: value for key, value in flagPairs.items() if value is not None})
+            raise EnvError("env cannot be read", detail=[f"{file_path}: {error}"]) from error
+        if not isinstance(file_pairs, dict):
+            raise EnvError("env cannot be read", detail=[f"{file_path}: must be a JSON object"])
+    return check_env(rules, file_pairs | {key: value for key, value in flag_pairs.items() if value is not None})
 
 
-def envOfDaemon(program, rules, description):
+def env_of_daemon(program, rules, description):
     """The env of this program from its command line; ends with code 2 and a line for each fault."""
     parser = argparse.ArgumentParser(prog=program, description=description)
     parser.add_argument("--env", metavar="FILE", help="settings file, a JSON object")
@@ -161,10 +161,10 @@
                 type=FLAGS[name],
                 help=f"overrides {name} of the file",
             )
-    flagPairs = vars(parser.parse_args())
-    filePath = flagPairs.pop("env")
+    flag_pairs = vars(parser.parse_args())
+    file_path = flag_pairs.pop("env")
     try:
-        return readEnv(rules, filePath, flagPairs)
+        return read_env(rules, file_path, flag_pairs)
     except EnvError as error:
         for fault in error.detail:
             print(f"{program}: {fault}", file=sys.stderr)
--- a/packages/oakbase/oakbase/fetch.py
+++ b/packages/oakbase/oakbase/fetch.py
@@ -13,7 +13,7 @@
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
-from oakbase.checks import packJson, parseJson
+from oakbase.checks import pack_json, parse_json
 from oakbase.constants import BODY_LIMIT, CONNECT_TIME
 from oakbase.tasks import within
 from oakbase.verdict import BadRequest, Broken, NoAnswer, OakError, TooLarge, Unreachable, Verdict
@@ -42,28 +42,28 @@
 class _Endpoints:
     """`lastCheck` runs once the connection stands, in the same turn in which the request is written."""
 
-    def __init__(self, reactor, bindHost, lastCheck=None):
-        self._reactor, self._bindHost, self._lastCheck = reactor, bindHost, lastCheck
+    def __init__(self, reactor, bind_host, last_check=None):
+        self._reactor, self._bind_host, self._last_check = reactor, bind_host, last_check
 
     def endpointForURI(self, uri):
-        bound = (self._bindHost, 0) if self._bindHost else None
+        bound = (self._bind_host, 0) if self._bind_host else None
         return _Checked(
-            TCP4ClientEndpoint(self._reactor, uri.host.decode(), uri.port, CONNECT_TIME, bound), self._lastCheck
+            TCP4ClientEndpoint(self._reactor, uri.host.decode(), uri.port, CONNECT_TIME, bound), self._last_check
         )
 
 
 @implementer(IStreamClientEndpoint)
 class _Checked:
-    def __init__(self, endpoint, lastCheck):
-        self._endpoint, self._lastCheck = endpoint, lastCheck
+    def __init__(self, endpoint, last_check):
+        self._endpoint, self._last_check = endpoint, last_check
 
     def connect(self, factory):
         connecting = self._endpoint.connect(factory)
-        return connecting.addCallback(self._check) if self._lastCheck else connecting
+        return connecting.addCallback(self._check) if self._last_check else connecting
 
     def _check(self, connection):
         try:
-            self._lastCheck()
+            self._last_check()
         except Exception:
             connection.transport.abortConnection()
             raise
@@ -76,8 +76,8 @@
     Invariants: `_lines` holds whole lines only, and the sender is paused while more than `most` wait;
     `ended` is set once nothing more comes, however the body ended."""
 
-    def __init__(self, lineLimit, most=64):
-        self._lineLimit, self._most = lineLimit, most
+    def __init__(self, line_limit, most=64):
+        self._line_limit, self._most = line_limit, most
         self._lines = deque()
         self._rest = b""
         self._waiting = None
@@ -89,7 +89,7 @@
             return
         *lines, self._rest = (self._rest + data).split(b"\n")
         self._lines.extend(line for line in lines if line.strip())
-        if len(self._rest) > self._lineLimit or any(len(line) > self._lineLimit for line in lines):
+        if len(self._rest) > self._line_limit or any(len(line) > self._line_limit for line in lines):
             self._end(False)
             self.abort()
             return
@@ -153,20 +153,20 @@
 
 
 class WebClient:
-    def __init__(self, reactor, bindHost=None):
-        self._reactor, self._bindHost = reactor, bindHost
+    def __init__(self, reactor, bind_host=None):
+        self._reactor, self._bind_host = reactor, bind_host
         self._pool = HTTPConnectionPool(reactor, persistent=False)
 
-    async def send(self, method, address, path, value, timeLeft, lastCheck=None):
+    async def send(self, method, address, path, value, time_left, last_check=None):
         """The head of the answer. Verdict no only if no connection was made or `lastCheck` raised it."""
-        body = None if value is None else _Body(packJson(value))
+        body = None if value is None else _Body(pack_json(value))
         headers = Headers({"content-type": ["application/json"], "connection": ["close"]})
         agent = Agent.usingEndpointFactory(
-            self._reactor, _Endpoints(self._reactor, self._bindHost, lastCheck), self._pool
+            self._reactor, _Endpoints(self._reactor, self._bind_host, last_check), self._pool
         )
         asked = agent.request(method.encode(), f"http://{address}{path}".encode(), headers, body)
         try:
-            return await within(self._reactor, timeLeft, asked, NoAnswer(f"{address} did not answer in time"))
+            return await within(self._reactor, time_left, asked, NoAnswer(f"{address} did not answer in time"))
         except (error.ConnectError, error.ConnectingCancelledError) as fault:
             raise Unreachable(f"{address} cannot be reached: {fault!r}") from fault
         except OakError:
@@ -174,23 +174,23 @@
         except Exception as fault:
             raise NoAnswer(f"{address} broke off: {fault!r}") from fault
 
-    async def data(self, method, address, path, value, timeLeft, limit=BODY_LIMIT, lastCheck=None):
+    async def data(self, method, address, path, value, time_left, limit=BODY_LIMIT, last_check=None):
         """(status, bytes) of a small answer."""
-        endsAt = self._reactor.seconds() + timeLeft
-        response = await self.send(method, address, path, value, timeLeft, lastCheck)
+        ends_at = self._reactor.seconds() + time_left
+        response = await self.send(method, address, path, value, time_left, last_check)
         outcome = defer.Deferred(lambda _: None)
         response.deliverBody(_Whole(limit, outcome))
         return response.code, await within(
             self._reactor,
-            endsAt - self._reactor.seconds(),
+            ends_at - self._reactor.seconds(),
             outcome,
             NoAnswer(f"{address} did not finish its answer in time"),
         )
 
-    async def json(self, method, address, path, value, timeLeft, limit=BODY_LIMIT, lastCheck=None):
+    async def json(self, method, address, path, value, time_left, limit=BODY_LIMIT, last_check=None):
         """(status, JSON object) of a small answer."""
-        status, data = await self.data(method, address, path, value, timeLeft, limit, lastCheck)
+        status, data = await self.data(method, address, path, value, time_left, limit, last_check)
         try:
-            return status, parseJson(data, limit, "answer")
+            return status, parse_json(data, limit, "answer")
         except BadRequest as fault:
             raise Broken(f"{address} answered with what is no JSON: {fault.reason}", Verdict.MAYBE) from fault
--- a/packages/oakbase/oakbase/inbox.py
+++ b/packages/oakbase/oakbase/inbox.py
@@ -35,7 +35,7 @@
         self._takers.append(taker)
         return taker
 
-    def takeReady(self, most):
+    def take_ready(self, most):
         """What waits right now, at most `most` items."""
         return [self._items.popleft() for _ in range(min(most, len(self._items)))]
 
@@ -48,13 +48,13 @@
     def __init__(self, limit, name, log):
         self._limit, self._name, self._log = limit, name, log
         self._waiting = deque()
-        self._isBusy = self._isStopped = False
+        self._is_busy = self._is_stopped = False
         self.waiting = None  # what the command under way waits for
 
     def stop(self):
-        self._isStopped = True
+        self._is_stopped = True
         self._waiting.clear()
-        if self._isBusy and self.waiting is not None:
+        if self._is_busy and self.waiting is not None:
             self.waiting.cancel()
 
     def do(self, command, *arguments):
@@ -62,26 +62,26 @@
             raise Overloaded(f"inbox {self._name} is full")
         answer = defer.Deferred()
         self._waiting.append((command, arguments, answer))
-        if not self._isBusy:
+        if not self._is_busy:
             self._work()
         return answer
 
     def hold(self):
         """Whether the table is the caller's from now on, until it lets go."""
-        if self._isBusy or self._isStopped:
+        if self._is_busy or self._is_stopped:
             return False
-        self._isBusy = True
+        self._is_busy = True
         return True
 
-    def letGo(self):
-        self._isBusy = False
+    def let_go(self):
+        self._is_busy = False
         self._work()
 
     def _work(self):
         """Begins what waits, one after another. One that ends at once ends inside this loop, so that many do not nest."""
-        while self._waiting and not self._isBusy and not self._isStopped:
+        while self._waiting and not self._is_busy and not self._is_stopped:
             command, arguments, answer = self._waiting.popleft()
-            self._isBusy = True
+            self._is_busy = True
             begun = []
             drive(
                 command(*arguments),
@@ -90,15 +90,15 @@
             )
             begun.append(True)
 
-    def _ended(self, answer, value, error, isLate):
-        self._isBusy = False
+    def _ended(self, answer, value, error, is_late):
+        self._is_busy = False
         self.waiting = None
-        if self._isStopped:
+        if self._is_stopped:
             return
         if not answer.called:
             if error is None:
                 answer.callback(value)
             else:
                 answer.errback(error)
-        if isLate:
+        if is_late:
             self._work()
--- a/packages/oakbase/oakbase/logline.py
+++ b/packages/oakbase/oakbase/logline.py
@@ -47,17 +47,17 @@
 class LogLine:
     """Writes events of one node; `sink` is any callable taking the finished EventLine."""
 
-    def __init__(self, sink, **fixedPairs):
+    def __init__(self, sink, **fixed_pairs):
         self._sink = sink
-        self._fixedPairs = fixedPairs
+        self._fixed_pairs = fixed_pairs
 
     def event(self, name, **pairs):
         """Logs the event `name` with these pairs behind the fixed ones."""
-        self._sink(EventLine.of(name, self._fixedPairs | pairs))
+        self._sink(EventLine.of(name, self._fixed_pairs | pairs))
 
-    def bound(self, **morePairs):
+    def bound(self, **more_pairs):
         """A log with these pairs in each of its lines."""
-        return LogLine(self._sink, **(self._fixedPairs | morePairs))
+        return LogLine(self._sink, **(self._fixed_pairs | more_pairs))
 
 
 def _time_of(record):
--- a/packages/oakbase/oakbase/metrics.py
+++ b/packages/oakbase/oakbase/metrics.py
@@ -10,20 +10,20 @@
         self._gauges = {}
 
     def count(self, name, by=1, **labels):
-        self._counters[self._shownName(name, labels)] += by
+        self._counters[self._shown_name(name, labels)] += by
 
     def gauge(self, name, ask, **labels):
-        self._gauges[self._shownName(name, labels)] = ask
+        self._gauges[self._shown_name(name, labels)] = ask
 
     def read(self, name, **labels):
-        return self._counters[self._shownName(name, labels)]
+        return self._counters[self._shown_name(name, labels)]
 
     @staticmethod
-    def _shownName(name, labels):
+    def _shown_name(name, labels):
         pairs = ",".join(f'{key}="{value}"' for key, value in sorted(labels.items()))
         return f"oak_{name}{{{pairs}}}" if pairs else f"oak_{name}"
 
-    def toText(self):
+    def to_text(self):
         shown = [*self._counters.items(), *((name, ask()) for name, ask in self._gauges.items())]
         return "".join(f"{name} {value:g}\n" for name, value in sorted(shown))
 
@@ -32,6 +32,6 @@
     """Shows the metrics at GET /metrics of this web."""
 
     async def show(_call):
-        return 200, metrics.toText().encode()
+        return 200, metrics.to_text().encode()
 
     web.route("GET", "/metrics", show)
--- a/packages/oakbase/oakbase/tasks.py
+++ b/packages/oakbase/oakbase/tasks.py
@@ -9,7 +9,7 @@
 from oakbase.verdict import OakError, TimeSpent
 
 
-def monotonicReactor():
+def monotonic_reactor():
     """The process's reactor, with its time made monotonic: Twisted takes wall time, which may jump."""
     install()
     from twisted.internet import reactor
@@ -120,12 +120,12 @@
     """Fires with the work's result, but cancelling it leaves the work alone."""
     waiting = defer.Deferred(lambda _: None)
 
-    def passOn(result):
+    def pass_on(result):
         if not waiting.called:
             waiting.callback(result)
         return result
 
-    work.addBoth(passOn)
+    work.addBoth(pass_on)
     return waiting
 
 
@@ -135,7 +135,7 @@
     return [(ok, value if ok else value.value) for ok, value in pairs]
 
 
-def quorumOf(works, isEnough):
+def quorum_of(works, is_enough):
     """`works` maps names to awaitables. Fires with (True, answers by name) once those that answered are enough,
     or with (False, errors by name) once they can no longer be. Later answers are left to finish."""
     outcome, answers, errors, pending = defer.Deferred(), {}, {}, set(works)
@@ -145,9 +145,9 @@
         pending.discard(name)
         if outcome.called:
             return
-        if isEnough(answers.keys()):
+        if is_enough(answers.keys()):
             outcome.callback((True, dict(answers)))
-        elif not isEnough(answers.keys() | pending):
+        elif not is_enough(answers.keys() | pending):
             outcome.callback((False, dict(errors)))
 
     for name, one in works.items():
@@ -165,8 +165,8 @@
 class Repeater:
     """A task that runs `round` again and again with a pause, until stopped."""
 
-    def __init__(self, reactor, pause, roundFunction, log):
-        self._reactor, self._pause, self._round, self._log = reactor, pause, roundFunction, log
+    def __init__(self, reactor, pause, round_function, log):
+        self._reactor, self._pause, self._round, self._log = reactor, pause, round_function, log
         self._task = None
 
     def start(self):
--- a/packages/oakbase/oakbase/verdict.py
+++ b/packages/oakbase/oakbase/verdict.py
@@ -20,14 +20,14 @@
     code = "internal"
     verdict = Verdict.MAYBE
 
-    def __init__(self, reason="", verdict=None, retryAfter=None, detail=None):
+    def __init__(self, reason="", verdict=None, retry_after=None, detail=None):
         super().__init__(reason or self.code)
         self.reason = reason or self.code
         self.verdict = verdict or type(self).verdict
-        self.retryAfter = retryAfter
+        self.retry_after = retry_after
         self.detail = detail
 
-    def toJson(self):
+    def to_json(self):
         shown = {"error": self.code, "reason": self.reason, "verdict": self.verdict.value}
         return shown | ({"detail": self.detail} if self.detail is not None else {})
 
@@ -187,16 +187,16 @@
     code = "ringDamaged"
 
 
-def _leaves(rootClass):
-    yield rootClass
-    for childClass in rootClass.__subclasses__():
-        yield from _leaves(childClass)
+def _leaves(root_class):
+    yield root_class
+    for child_class in root_class.__subclasses__():
+        yield from _leaves(child_class)
 
 
 # Invariant: codes are unique, so that an error crosses the wire as its code and comes back as its class.
-ERROR_CLASSES = {errorClass.code: errorClass for errorClass in _leaves(OakError)}
+ERROR_CLASSES = {error_class.code: error_class for error_class in _leaves(OakError)}
 
 
-def errorFrom(code, reason, verdict, detail=None, retryAfter=None):
+def error_from(code, reason, verdict, detail=None, retry_after=None):
     """Builds the error a peer reported."""
-    return ERROR_CLASSES.get(code, OakError)(reason, Verdict(verdict), retryAfter, detail)
+    return ERROR_CLASSES.get(code, OakError)(reason, Verdict(verdict), retry_after, detail)
--- a/packages/oakbase/oakbase/web.py
+++ b/packages/oakbase/oakbase/web.py
@@ -6,9 +6,9 @@
 from twisted.protocols import policies
 from twisted.web import resource, server
 
-from oakbase.checks import packJson, parseJson
+from oakbase.checks import pack_json, parse_json
 from oakbase.constants import BODY_LIMIT, IDLE_CALLER_TIME, LINGER_TIME, QUIET_TIME
-from oakbase.env import splitAddress
+from oakbase.env import split_address
 from oakbase.tasks import sleep, spawn
 from oakbase.verdict import BadRequest, OakError, Overloaded, TooLarge, Unknown, Verdict
 
@@ -16,12 +16,12 @@
 class _Request(server.Request):
     """Refuses a body that is too large while it arrives, before it fills memory or disk."""
 
-    bodyLimit = BODY_LIMIT
+    body_limit = BODY_LIMIT
     _arrived = 0
     _closing = None
 
     def gotLength(self, length):
-        if length is not None and length > self.bodyLimit:
+        if length is not None and length > self.body_limit:
             self._refuse()
         self.content = BytesIO()  # the limit bounds it, so it needs no file
 
@@ -29,7 +29,7 @@
         self._arrived += len(data)
         if self._closing is not None:
             return
-        if self._arrived > self.bodyLimit:
+        if self._arrived > self.body_limit:
             self._refuse()
             return
         super().handleContentChunk(data)
@@ -50,7 +50,7 @@
     def _refuse(self):
         """What still comes is read and dropped for a while: closed with unread bytes, the connection would be reset, and
         that may overtake the answer."""
-        body = packJson(TooLarge(f"body is over {self.bodyLimit} bytes").toJson()) + b"\n"
+        body = pack_json(TooLarge(f"body is over {self.body_limit} bytes").to_json()) + b"\n"
         self.channel.transport.write(
             b"HTTP/1.1 413 Request Entity Too Large\r\nContent-Type: application/json\r\nConnection: close\r\n"
             b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
@@ -64,34 +64,34 @@
     def __init__(self, request, names):
         self.request, self.names = request, names
         self.gone = defer.Deferred()
-        self.isGone = False
+        self.is_gone = False
         request.notifyFinish().addErrback(self._left)
 
     def _left(self, _failure):
-        self.isGone = True
+        self.is_gone = True
         self.gone.callback(None)
 
     def json(self):
-        return parseJson(self.request.content.read(BODY_LIMIT + 1), BODY_LIMIT)
+        return parse_json(self.request.content.read(BODY_LIMIT + 1), BODY_LIMIT)
 
     def query(self, name):
         values = self.request.args.get(name.encode())
         return values[0].decode(errors="replace") if values else None
 
-    def reply(self, status, value, retryAfter=None):
-        if self.isGone:
+    def reply(self, status, value, retry_after=None):
+        if self.is_gone:
             return
-        body = value if isinstance(value, bytes) else packJson(value) + b"\n"
+        body = value if isinstance(value, bytes) else pack_json(value) + b"\n"
         self.request.setResponseCode(status)
         self.request.setHeader(b"content-type", b"text/plain" if isinstance(value, bytes) else b"application/json")
         self.request.setHeader(b"content-length", b"%d" % len(body))
-        if retryAfter is not None:
-            self.request.setHeader(b"retry-after", b"%g" % retryAfter)
+        if retry_after is not None:
+            self.request.setHeader(b"retry-after", b"%g" % retry_after)
         self.request.write(body)
         self.request.finish()
 
-    def replyError(self, error):
-        self.reply(error.status, error.toJson(), error.retryAfter)
+    def reply_error(self, error):
+        self.reply(error.status, error.to_json(), error.retry_after)
 
 
 class Web(resource.Resource):
@@ -100,7 +100,7 @@
 
     isLeaf = True
 
-    def __init__(self, reactor, address, log, limit, bodyLimit=BODY_LIMIT):
+    def __init__(self, reactor, address, log, limit, body_limit=BODY_LIMIT):
         super().__init__()
         self._reactor, self._address, self._log, self._limit = reactor, address, log, limit
         self._routes = []
@@ -109,7 +109,7 @@
         self.stopping = False
         self.site = server.Site(
             self,
-            requestFactory=type("Request", (_Request,), {"bodyLimit": bodyLimit}),
+            requestFactory=type("Request", (_Request,), {"body_limit": body_limit}),
             reactor=reactor,
             timeout=IDLE_CALLER_TIME,
         )
@@ -122,7 +122,7 @@
         self._routes.append((method.encode(), path.strip("/").split("/"), handler))
 
     def listen(self):
-        host, port = splitAddress(self._address)
+        host, port = split_address(self._address)
         self._port = self._reactor.listenTCP(port, self._connections, interface=host)
 
     async def stop(self):
@@ -132,11 +132,11 @@
         if self._port is not None:
             self._port.doRead()  # whoever waits to be accepted is let in; closing would reset them
             await defer.maybeDeferred(self._port.stopListening)
-        quietSince = self._reactor.seconds()
-        while self._reactor.seconds() - quietSince < QUIET_TIME and self._connections.protocols:
+        quiet_since = self._reactor.seconds()
+        while self._reactor.seconds() - quiet_since < QUIET_TIME and self._connections.protocols:
             await sleep(self._reactor, QUIET_TIME / 10)
             if self.running:
-                quietSince = self._reactor.seconds()
+                quiet_since = self._reactor.seconds()
         for connection in list(self._connections.protocols):
             connection.loseConnection()
         await sleep(self._reactor, QUIET_TIME / 10)
@@ -146,17 +146,17 @@
             parts = [part.decode() for part in request.postpath]
         except UnicodeDecodeError as error:
             raise BadRequest("path is no UTF-8") from error
-        pathKnown = False
+        path_known = False
         for method, pattern, handler in self._routes:
             if len(pattern) != len(parts) or any(
                 not mask.startswith("{") and mask != part for mask, part in zip(pattern, parts)
             ):
                 continue
-            pathKnown = True
+            path_known = True
             if method == request.method:
                 names = {mask.strip("{}"): part for mask, part in zip(pattern, parts) if mask.startswith("{")}
                 return handler, names
-        if pathKnown:
+        if path_known:
             raise BadRequest(f"{request.method.decode(errors='replace')} is not for this path")
         raise Unknown("no such path")
 
@@ -172,14 +172,14 @@
         try:
             handler, call.names = self._find(request)
             if self.running > self._limit:
-                raise Overloaded("too many requests are under way here", retryAfter=1)
+                raise Overloaded("too many requests are under way here", retry_after=1)
             answer = await handler(call)
             if answer is not None:
                 call.reply(*answer)
         except OakError as error:
-            call.replyError(error)
+            call.reply_error(error)
         except Exception as error:
             self._log.event("requestCrashed", path=request.path.decode(errors="replace"), error=repr(error))
-            call.replyError(OakError("internal fault", verdict=Verdict.MAYBE))
+            call.reply_error(OakError("internal fault", verdict=Verdict.MAYBE))
         finally:
             self.running -= 1
--- a/packages/oakcohort/oakcohort/identity.py
+++ b/packages/oakcohort/oakcohort/identity.py
@@ -7,7 +7,7 @@
 IDENTITY_FILE = "identity"
 
 
-def mintNodeId(machine, random):
+def mint_node_id(machine, random):
     return f"{machine}.{random.getrandbits(128):032x}"
 
 
@@ -17,20 +17,20 @@
     Invariant: `founding` is what this node founds as long as that is not finished, and None ever after; while it is
     set, `clusterId` is None."""
 
-    def __init__(self, machine, random, disk=None, clusterId=None, founding=None):
+    def __init__(self, machine, random, disk=None, cluster_id=None, founding=None):
         self._disk = disk
         kept = self._read()
-        self.isNew = kept is None
+        self.is_new = kept is None
         if kept is None:
             kept = {
-                "nodeId": founding["nodeId"] if founding else mintNodeId(machine, random),
-                "clusterId": None if founding else clusterId,
+                "nodeId": founding["nodeId"] if founding else mint_node_id(machine, random),
+                "clusterId": None if founding else cluster_id,
                 "addresses": [],
                 "founding": founding,
             }
         self.founding = kept.get("founding")
-        self.nodeId, self.clusterId, self.addresses = kept["nodeId"], kept["clusterId"], kept["addresses"]
-        if self.isNew:
+        self.node_id, self.cluster_id, self.addresses = kept["nodeId"], kept["clusterId"], kept["addresses"]
+        if self.is_new:
             self._keep()
 
     def _read(self):
@@ -44,24 +44,24 @@
                 IDENTITY_FILE,
                 json.dumps(
                     {
-                        "nodeId": self.nodeId,
-                        "clusterId": self.clusterId,
+                        "nodeId": self.node_id,
+                        "clusterId": self.cluster_id,
                         "addresses": self.addresses,
                         "founding": self.founding,
                     }
                 ).encode(),
             )
 
-    def joinCluster(self, clusterId, founded=False):
+    def join_cluster(self, cluster_id, founded=False):
         """A founder joins nothing but what it has founded."""
-        former = self.clusterId, self.founding
+        former = self.cluster_id, self.founding
         if self.founding is not None and not founded:
             return
-        self.clusterId, self.founding = clusterId, None
+        self.cluster_id, self.founding = cluster_id, None
         try:
             self._keep()
         except OSError:
-            self.clusterId, self.founding = former  # tried again
+            self.cluster_id, self.founding = former  # tried again
             raise
 
     def learn(self, addresses):
--- a/packages/oakcohort/oakcohort/members.py
+++ b/packages/oakcohort/oakcohort/members.py
@@ -8,9 +8,12 @@
 LIVE, SILENT, LEAVING, PARTED = "live", "silent", "leaving", "parted"
 
 
+MEMBER_KEYS = {"node_id": "nodeId"}  # how fields are spelled on the wire, where they are spelled otherwise
+
+
 @dataclass(frozen=True)
 class Member:
-    nodeId: str
+    node_id: str
     boot: str
     kind: str
     zone: str
@@ -21,9 +24,13 @@
     release: str
 
     @classmethod
-    def fromJson(cls, row):
+    def from_json(cls, row):
         """Fields that a newer release adds are passed over."""
-        return cls(**{field.name: row[field.name] for field in fields(cls)})
+        return cls(**{field.name: row[MEMBER_KEYS.get(field.name, field.name)] for field in fields(cls)})
+
+    def to_json(self):
+        """The row as it is told to other nodes and shown to operators."""
+        return {MEMBER_KEYS.get(name, name): value for name, value in vars(self).items()}
 
 
 class Members:
@@ -31,62 +38,62 @@
     newest sign of life, counted back by the age under which it was passed on, and never goes back;
     `_latest` names for each node its boot that was seen last."""
 
-    def __init__(self, reactor, ownId):
-        self._reactor, self._ownId = reactor, ownId
+    def __init__(self, reactor, own_id):
+        self._reactor, self._own_id = reactor, own_id
         self._rows = {}
-        self._seenAt = {}
+        self._seen_at = {}
         self._latest = {}
         self._cohort = None, None
 
-    def note(self, member, seenAt):
-        key = (member.nodeId, member.boot)
-        if self._reactor.seconds() - seenAt > FORGET_AGE:
+    def note(self, member, seen_at):
+        key = (member.node_id, member.boot)
+        if self._reactor.seconds() - seen_at > FORGET_AGE:
             return
         self._rows[key] = member
-        self._seenAt[key] = seenAt = max(seenAt, self._seenAt.get(key, seenAt))
-        latest = self._latest.setdefault(member.nodeId, key)
-        if latest != key and seenAt > self._seenAt[latest]:
-            self._latest[member.nodeId] = key
+        self._seen_at[key] = seen_at = max(seen_at, self._seen_at.get(key, seen_at))
+        latest = self._latest.setdefault(member.node_id, key)
+        if latest != key and seen_at > self._seen_at[latest]:
+            self._latest[member.node_id] = key
 
-    def forgetOld(self):
+    def forget_old(self):
         """Drops rows past their time, and returns the boots dropped."""
         now = self._reactor.seconds()
-        old = [key for key, seenAt in self._seenAt.items() if now - seenAt > FORGET_AGE and key[0] != self._ownId]
+        old = [key for key, seen_at in self._seen_at.items() if now - seen_at > FORGET_AGE and key[0] != self._own_id]
         for key in old:
-            del self._rows[key], self._seenAt[key]
-        for nodeId in {nodeId for nodeId, _ in old}:
-            left = [key for key in self._rows if key[0] == nodeId]
-            del self._latest[nodeId]
+            del self._rows[key], self._seen_at[key]
+        for node_id in {node_id for node_id, _ in old}:
+            left = [key for key in self._rows if key[0] == node_id]
+            del self._latest[node_id]
             if left:
-                self._latest[nodeId] = max(left, key=self._seenAt.get)
+                self._latest[node_id] = max(left, key=self._seen_at.get)
         return [boot for _, boot in old]
 
     def newest(self):
         """nodeId -> (member, age), the boot that was seen last."""
         now = self._reactor.seconds()
-        return {nodeId: (self._rows[key], now - self._seenAt[key]) for nodeId, key in self._latest.items()}
+        return {node_id: (self._rows[key], now - self._seen_at[key]) for node_id, key in self._latest.items()}
 
-    def condition(self, nodeId):
-        key = self._latest.get(nodeId)
-        if key is None or self._reactor.seconds() - self._seenAt[key] > CONDITION_AGE:
+    def condition(self, node_id):
+        key = self._latest.get(node_id)
+        if key is None or self._reactor.seconds() - self._seen_at[key] > CONDITION_AGE:
             return SILENT
         return {"up": LIVE, "leaving": LEAVING}.get(self._rows[key].state, PARTED)
 
-    def successorOf(self, nodeId, address):
+    def successor_of(self, node_id, address):
         """The live node that listens where this one did, or None. Two cannot listen at one address, so this one's
         process has ended: `address` is where it was if nothing has been heard of it."""
-        former = self._latest.get(nodeId)
+        former = self._latest.get(node_id)
         address = self._rows[former].peer if former else address
-        formerSeenAt, now = self._seenAt[former] if former else float("-inf"), self._reactor.seconds()
+        former_seen_at, now = self._seen_at[former] if former else float("-inf"), self._reactor.seconds()
         return next(
             (
                 self._rows[key]
                 for key in self._latest.values()
                 if self._rows[key].peer == address
-                and key[0] != nodeId
+                and key[0] != node_id
                 and self._rows[key].state == "up"
-                and self._seenAt[key] > formerSeenAt
-                and now - self._seenAt[key] <= CONDITION_AGE
+                and self._seen_at[key] > former_seen_at
+                and now - self._seen_at[key] <= CONDITION_AGE
             ),
             None,
         )
@@ -98,19 +105,19 @@
             if age <= CONDITION_AGE and member.state == "up" and kind in (None, member.kind)
         ]
 
-    def find(self, nodeId):
-        return self._rows.get(self._latest.get(nodeId))
+    def find(self, node_id):
+        return self._rows.get(self._latest.get(node_id))
 
-    def cohort(self, ownKind):
+    def cohort(self, own_kind):
         """Those this node pulls from and so watches: all control nodes if it is one of them, else the
         ones named for it; and the few of all nodes that are named for it."""
-        others = {member.nodeId: member for member in self.live() if member.nodeId != self._ownId}
-        kinds = ownKind, {(nodeId, member.kind) for nodeId, member in others.items()}
+        others = {member.node_id: member for member in self.live() if member.node_id != self._own_id}
+        kinds = own_kind, {(node_id, member.kind) for node_id, member in others.items()}
         if self._cohort[0] != kinds:
-            controlIds = [nodeId for nodeId, member in others.items() if member.kind == "control"]
-            chosenIds = set(controlIds if ownKind == "control" else named(controlIds, self._ownId, COHORT_CONTROL))
+            control_ids = [node_id for node_id, member in others.items() if member.kind == "control"]
+            chosen_ids = set(control_ids if own_kind == "control" else named(control_ids, self._own_id, COHORT_CONTROL))
             self._cohort = (
                 kinds,
-                sorted(chosenIds | set(named(list(others.keys() - chosenIds), self._ownId, COHORT_SIZE))),
+                sorted(chosen_ids | set(named(list(others.keys() - chosen_ids), self._own_id, COHORT_SIZE))),
             )
-        return [others[nodeId] for nodeId in self._cohort[1]]
+        return [others[node_id] for node_id in self._cohort[1]]
--- a/packages/oakcohort/oakcohort/rendezvous.py
+++ b/packages/oakcohort/oakcohort/rendezvous.py
@@ -16,5 +16,5 @@
     return ranked(candidates, key)[:count]
 
 
-def slotOf(key, slotCount):
-    return int.from_bytes(blake2b(key.encode(), digest_size=4).digest(), "big") % slotCount
+def slot_of(key, slot_count):
+    return int.from_bytes(blake2b(key.encode(), digest_size=4).digest(), "big") % slot_count
--- a/packages/oakcontrol/oakcontrol/admin.py
+++ b/packages/oakcontrol/oakcontrol/admin.py
@@ -1,6 +1,6 @@
 """The operators' side of a control node: HTTP + JSON."""
 
-from oakbase.checks import NAME, checkFields
+from oakbase.checks import NAME, check_fields
 from oakbase.constants import CALL_TIME
 from oakbase.env import ADDRESS
 from oakbase.verdict import BadRequest, Conflict, Refused
@@ -9,7 +9,7 @@
 from oakcontrol.placement import PLACEMENT_KEY
 from oakcontrol.places import REPLICAS_KEY
 from oakcontrol.roster import ROSTER_KEY
-from oakcontrol.storeset import STORES_KEY, storesShown
+from oakcontrol.storeset import STORES_KEY, stores_shown
 
 READ_TIME = 2 * CALL_TIME  # s; an owner may change once while an operator reads
 CHANGE_TIME = 4 * CALL_TIME  # s; a change outlasts one take-over before it is answered with maybe
@@ -20,27 +20,27 @@
         self._control, self._node, self._client = control, control.node, control.client
         web = control.web
         web.route("POST", "/v1/init", self._init)
-        web.route("PUT", "/v1/blueprints/{partner}", self._putBlueprint)
-        web.route("POST", "/v1/blueprints/{partner}/changes", self._putBlueprint)
-        web.route("GET", "/v1/blueprints/{partner}", self._readBlueprint)
+        web.route("PUT", "/v1/blueprints/{partner}", self._put_blueprint)
+        web.route("POST", "/v1/blueprints/{partner}/changes", self._put_blueprint)
+        web.route("GET", "/v1/blueprints/{partner}", self._read_blueprint)
         web.route("GET", "/v1/blueprints/{partner}/changes/{changeId}", self._outcome)
-        web.route("GET", "/v1/programs/{partner}/{program}", self._readProgram)
-        web.route("POST", "/v1/programs/{partner}/{program}/end", self._endProgram)
+        web.route("GET", "/v1/programs/{partner}/{program}", self._read_program)
+        web.route("POST", "/v1/programs/{partner}/{program}/end", self._end_program)
         web.route("GET", "/v1/nodes", self._nodes)
         web.route("GET", "/v1/slots", self._slots)
         web.route("GET", "/v1/replicas", self._replicas)
-        web.route("POST", "/v1/replicas/{id}/leaving", self._markLeaving)
+        web.route("POST", "/v1/replicas/{id}/leaving", self._mark_leaving)
         web.route("GET", "/v1/placement", self._placement)
         web.route("GET", "/v1/stores", self._stores)
-        web.route("PUT", "/v1/stores", self._setStores)
+        web.route("PUT", "/v1/stores", self._set_stores)
         web.route("GET", "/v1/roster", self._roster)
-        web.route("POST", "/v1/roster/replace", self._replaceMember)
-        web.route("POST", "/v1/stores/replace", self._replaceStore)
-        web.route("POST", "/v1/stores/cancel", self._cancelStore)
+        web.route("POST", "/v1/roster/replace", self._replace_member)
+        web.route("POST", "/v1/stores/replace", self._replace_store)
+        web.route("POST", "/v1/stores/cancel", self._cancel_store)
         web.route("GET", "/condition", self._condition)
 
     async def _init(self, call):
-        body = checkFields(
+        body = check_fields(
             {
                 "clusterId": NAME,
                 "roster": And(
@@ -57,65 +57,65 @@
         )
         voter = self._control.voter
         roster = {"version": 1, "members": body["roster"], "next": None}
-        if self._node.nodeId not in body["roster"]:
+        if self._node.node_id not in body["roster"]:
             raise Refused("this node is not named in the roster")
-        if voter.roster is not None and (voter.roster.record, self._node.identity.clusterId) != (
+        if voter.roster is not None and (voter.roster.record, self._node.identity.cluster_id) != (
             roster,
             body["clusterId"],
         ):
-            raise Conflict("this node belongs to a cluster already", detail={"clusterId": self._node.net.clusterId})
+            raise Conflict("this node belongs to a cluster already", detail={"clusterId": self._node.net.cluster_id})
         if voter.roster is None:
             # The roster first: a node with a roster and no cluster id takes part in nothing yet.
-            await voter.setRoster(roster)
-            self._node.identity.joinCluster(body["clusterId"])
-            self._node.net.joinCluster(body["clusterId"])
-            self._node.log.event("clusterMade", clusterId=body["clusterId"], members=len(body["roster"]))
-        return 200, {"nodeId": self._node.nodeId, "clusterId": body["clusterId"]}
-
-    async def _ask(self, key, command, arguments, timeLeft=READ_TIME):
-        if not self._node.net.clusterId:
-            raise Refused("this node is in no cluster yet", retryAfter=1)
-        return 200, await self._client.call(key, command, arguments, timeLeft)
-
-    def _partnerKey(self, call):
-        checkFields({"partner": NAME}, {"partner": call.names["partner"]})
+            await voter.set_roster(roster)
+            self._node.identity.join_cluster(body["clusterId"])
+            self._node.net.join_cluster(body["clusterId"])
+            self._node.log.event("clusterMade", cluster_id=body["clusterId"], members=len(body["roster"]))
+        return 200, {"nodeId": self._node.node_id, "clusterId": body["clusterId"]}
+
+    async def _ask(self, key, command, arguments, time_left=READ_TIME):
+        if not self._node.net.cluster_id:
+            raise Refused("this node is in no cluster yet", retry_after=1)
+        return 200, await self._client.call(key, command, arguments, time_left)
+
+    def _partner_key(self, call):
+        check_fields({"partner": NAME}, {"partner": call.names["partner"]})
         return f"blueprint/{call.names['partner']}"
 
-    async def _putBlueprint(self, call):
-        return await self._ask(self._partnerKey(call), "put", call.json(), CHANGE_TIME)
+    async def _put_blueprint(self, call):
+        return await self._ask(self._partner_key(call), "put", call.json(), CHANGE_TIME)
 
-    async def _readBlueprint(self, call):
+    async def _read_blueprint(self, call):
         version = call.query("version")
         if version is not None and not version.isdigit():
             raise BadRequest("version must be a whole number")
-        return await self._ask(self._partnerKey(call), "read", {"version": int(version)} if version else {})
+        return await self._ask(self._partner_key(call), "read", {"version": int(version)} if version else {})
 
     async def _outcome(self, call):
-        return await self._ask(self._partnerKey(call), "outcome", {"changeId": call.names["changeId"]})
+        return await self._ask(self._partner_key(call), "outcome", {"changeId": call.names["changeId"]})
 
-    def _programKey(self, call):
-        names = checkFields({"partner": NAME, "program": NAME}, call.names)
+    def _program_key(self, call):
+        names = check_fields({"partner": NAME, "program": NAME}, call.names)
         return f"budget/{names['partner']}/{names['program']}"
 
-    async def _readProgram(self, call):
-        return await self._ask(self._programKey(call), "read", {})
+    async def _read_program(self, call):
+        return await self._ask(self._program_key(call), "read", {})
 
-    async def _endProgram(self, call):
-        return await self._ask(self._programKey(call), "end", {}, CHANGE_TIME)
+    async def _end_program(self, call):
+        return await self._ask(self._program_key(call), "end", {}, CHANGE_TIME)
 
     async def _nodes(self, _call):
         members = self._node.members
         return 200, {
-            "clusterId": self._node.net.clusterId,
+            "clusterId": self._node.net.cluster_id,
             "nodes": [
-                vars(member) | {"age": round(age, 3), "condition": members.condition(member.nodeId)}
+                member.to_json() | {"age": round(age, 3), "condition": members.condition(member.node_id)}
                 for member, age in sorted(members.newest().values(), key=lambda row: (row[0].kind, row[0].machine))
             ],
         }
 
     async def _slots(self, _call):
         owners = self._control.owners
-        rows = ((slot, owners.believedOwner(slot)) for slot in range(self._control.slotCount))
+        rows = ((slot, owners.believed_owner(slot)) for slot in range(self._control.slot_count))
         return 200, {
             "slots": [
                 {
@@ -131,7 +131,7 @@
     async def _replicas(self, _call):
         return await self._ask(REPLICAS_KEY, "read", {})
 
-    async def _markLeaving(self, call):
+    async def _mark_leaving(self, call):
         return await self._ask(REPLICAS_KEY, "markLeaving", {"id": call.names["id"]}, CHANGE_TIME)
 
     async def _placement(self, _call):
@@ -139,25 +139,27 @@
 
     async def _stores(self, _call):
         status, record = await self._ask(STORES_KEY, "read", {})
-        return status, await storesShown(self._node, record)
+        return status, await stores_shown(self._node, record)
 
-    async def _setStores(self, call):
+    async def _set_stores(self, call):
         return await self._ask(STORES_KEY, "set", call.json(), CHANGE_TIME)
 
-    async def _replaceStore(self, call):
+    async def _replace_store(self, call):
         return await self._ask(STORES_KEY, "replace", call.json(), CHANGE_TIME)
 
-    async def _cancelStore(self, call):
+    async def _cancel_store(self, call):
         return await self._ask(STORES_KEY, "cancel", call.json(), CHANGE_TIME)
 
     async def _roster(self, _call):
         status, record = await self._ask(ROSTER_KEY, "read", {})
         members = self._node.members
         return status, record | {
-            "conditions": {nodeId: members.condition(nodeId) for nodeId in record["members"] | (record["next"] or {})}
+            "conditions": {
+                node_id: members.condition(node_id) for node_id in record["members"] | (record["next"] or {})
+            }
         }
 
-    async def _replaceMember(self, call):
+    async def _replace_member(self, call):
         return await self._ask(ROSTER_KEY, "replace", call.json(), CHANGE_TIME)
 
     async def _condition(self, _call):
--- a/packages/oakcontrol/oakcontrol/admission.py
+++ b/packages/oakcontrol/oakcontrol/admission.py
@@ -10,11 +10,11 @@
 NUMBER = whole(1, 1 << 53)
 
 
-def isBack(kept, arguments):
+def is_back(kept, arguments):
     return kept is not None and arguments["number"] <= kept.get("back", {}).get(arguments["gate"], 0)
 
 
-def noteBack(view, kept, arguments):
+def note_back(view, kept, arguments):
     members, back = view.context.members, kept.get("back", {})
     known = {gate: number for gate, number in back.items() if members.find(gate) is not None}
     return known | {arguments["gate"]: max(arguments["number"], back.get(arguments["gate"], 0))}
--- a/packages/oakcontrol/oakcontrol/allowance.py
+++ b/packages/oakcontrol/oakcontrol/allowance.py
@@ -14,11 +14,11 @@
 the slot over, whichever is later.
 """
 
-from schema import And
-
-from oakbase.checks import NAME, checkFields, whole
+from oakbase.checks import NAME, check_fields, whole
 from oakbase.constants import ALLOWANCE_CLOSED, ALLOWANCE_KEPT, ALLOWANCE_OPEN, CONDITION_AGE, UNITS_LIMIT
 from oakbase.verdict import BadRequest, InProgress, Overloaded, Refused, Unknown
+from schema import And
+
 from oakcontrol.controllers import CONTROLLERS, Controller
 
 TURN = And(str, len, error="must be a turn's id")
@@ -40,10 +40,10 @@
 
 
 def _admit(view, key, arguments):
-    checkFields(ADMISSION, arguments)
+    check_fields(ADMISSION, arguments)
     row, turn = view.get(key) or NEW, arguments["turn"]
     if turn in row["open"] and row["open"][turn][1] != arguments["gate"]:
-        raise InProgress("this turn is under way at another gate", retryAfter=1)
+        raise InProgress("this turn is under way at another gate", retry_after=1)
     if turn in row["open"]:
         return {"state": "admitted"}
     if turn in row["closed"]:
@@ -51,7 +51,7 @@
     if turn in row["refused"]:
         return {"state": "refused"}
     if len(row["open"]) >= ALLOWANCE_OPEN:
-        raise Overloaded("too many turns of this program are under way", retryAfter=1)
+        raise Overloaded("too many turns of this program are under way", retry_after=1)
     named = (row["limit"], arguments["limit"])
     row = row | {"limit": min(limit for limit in named if limit is not None)}
     if row["spent"] + _reserved(row) >= row["limit"]:
@@ -64,7 +64,7 @@
 def _settle(view, key, arguments):
     """Turns that have ended, with the units they put out; 0 of one that never ran. What was settled before stays as it
     is. Of a turn that is neither open nor known, what it is said to have put out counts: too much is safe."""
-    checkFields({"settled": list}, arguments)
+    check_fields({"settled": list}, arguments)
     if not all(_is_settlement(one) for one in arguments["settled"]):
         raise BadRequest("settled: must be pairs of a turn and its units")
     row = view.get(key) or NEW
@@ -107,12 +107,12 @@
     row, context = view.get(key), view.context
     if row is None:
         return
-    if not row["open"] and context.ageOf(key) > ALLOWANCE_KEPT:
+    if not row["open"] and context.age_of(key) > ALLOWANCE_KEPT:
         view.put(key, None)
         context.marks.pop(key, None)
         return
     unheard = {gate: f"{key}#gone/{gate}" for _, gate in row["open"].values() if context.members.find(gate) is None}
-    gone = {gate for gate, mark in unheard.items() if context.ageOf(mark) > CONDITION_AGE}
+    gone = {gate for gate, mark in unheard.items() if context.age_of(mark) > CONDITION_AGE}
     given_up = [turn for turn, (_, gate) in row["open"].items() if gate in gone]
     for turn in given_up:
         row = _closed(row, turn, row["open"][turn][0])
--- a/packages/oakcontrol/oakcontrol/blueprint.py
+++ b/packages/oakcontrol/oakcontrol/blueprint.py
@@ -2,24 +2,24 @@
 
 import json
 
-from schema import And, Optional
-
-from oakbase.checks import NAME, checkFields, faultsOf, isName, oneOf, packJson, seconds, whole
+from oakbase.checks import NAME, check_fields, faults_of, is_name, one_of, pack_json, seconds, whole
 from oakbase.constants import BLUEPRINTS_KEPT, ENDS_AFTER_LEAST, ENDS_AFTER_MOST, SLOTS, TIME_LEFT_LIMIT, UNITS_LIMIT
 from oakbase.registry import Registry
 from oakbase.verdict import BadRequest, Invalid, Lost, Unknown
-from oakcohort.rendezvous import slotOf
+from oakcohort.rendezvous import slot_of
+from schema import And, Optional
+
 from oakcontrol.controllers import CONTROLLERS, SLOT_SOURCE, Controller
 from oakcontrol.places import REPLICAS_KEY
 
 BINDING = {
-    "kind": oneOf("model", "plain"),
+    "kind": one_of("model", "plain"),
     "pool": NAME,
-    "urgency": oneOf("urgent", "normal", "patient"),
+    "urgency": one_of("urgent", "normal", "patient"),
     "maxWaitSeconds": seconds(0.1, TIME_LEFT_LIMIT),
     Optional("maxOutput"): whole(1, 1 << 20),
     Optional("repeatable"): bool,
-    Optional("onCallerGone"): oneOf("cancel", "finish"),
+    Optional("onCallerGone"): one_of("cancel", "finish"),
     Optional("adapter"): NAME,
     Optional("modelWeights"): NAME,
 }
@@ -37,23 +37,23 @@
 BASE_EVERY = 64  # changes; between two whole blueprints, so that reading one back replays few changes
 
 
-def blueprintFaults(blueprint):
+def blueprint_faults(blueprint):
     """The path of every fault; an empty list means that the blueprint is valid as a whole."""
-    faults = faultsOf(BLUEPRINT, blueprint)
+    faults = faults_of(BLUEPRINT, blueprint)
     if faults:
         return faults
-    faults += [fault for name, binding in blueprint["bindings"].items() for fault in bindingFaults(name, binding)]
-    faults += faultsOf(PROGRAMS, blueprint["programs"], "programs")
+    faults += [fault for name, binding in blueprint["bindings"].items() for fault in binding_faults(name, binding)]
+    faults += faults_of(PROGRAMS, blueprint["programs"], "programs")
     if not faults and blueprint["programs"]["defaultLimit"] > blueprint["programs"]["maxLimit"]:
         faults.append("programs.defaultLimit: is above programs.maxLimit")
     return faults
 
 
-def bindingFaults(name, binding):
+def binding_faults(name, binding):
     path = f"bindings.{name}"
-    if not isName(name):
+    if not is_name(name):
         return [f"{path}: is no name"]
-    faults = faultsOf(BINDING, binding, path)
+    faults = faults_of(BINDING, binding, path)
     if faults:
         return faults
     if binding["kind"] == "model" and "maxOutput" not in binding:
@@ -69,14 +69,14 @@
 
 
 @CHANGES.enter("setBinding")
-def _setBinding(blueprint, arguments):
-    checkFields({"name": NAME, "binding": dict}, arguments)
+def _set_binding(blueprint, arguments):
+    check_fields({"name": NAME, "binding": dict}, arguments)
     return blueprint | {"bindings": blueprint["bindings"] | {arguments["name"]: arguments["binding"]}}
 
 
 @CHANGES.enter("removeBinding")
-def _removeBinding(blueprint, arguments):
-    checkFields({"name": NAME}, arguments)
+def _remove_binding(blueprint, arguments):
+    check_fields({"name": NAME}, arguments)
     if arguments["name"] not in blueprint["bindings"]:
         raise Invalid(f"bindings.{arguments['name']}: is not there", detail=[f"bindings.{arguments['name']}"])
     return blueprint | {
@@ -85,14 +85,14 @@
 
 
 @CHANGES.enter("setPrograms")
-def _setPrograms(blueprint, arguments):
-    checkFields({"programs": dict}, arguments)
+def _set_programs(blueprint, arguments):
+    check_fields({"programs": dict}, arguments)
     return blueprint | {"programs": arguments["programs"]}
 
 
 @CHANGES.enter("setShare")
-def _setShare(blueprint, arguments):
-    checkFields({"share": int}, arguments)
+def _set_share(blueprint, arguments):
+    check_fields({"share": int}, arguments)
     return blueprint | {"share": arguments["share"]}
 
 
@@ -102,7 +102,7 @@
 # Invariant: base <= version, entry #v/<base> is whole, every entry from `first` to `version` is there.
 
 
-def _versionKey(key, version):
+def _version_key(key, version):
     return f"{key}#v/{version:010d}"
 
 
@@ -111,7 +111,7 @@
 
 
 def _at(view, key, version, base):
-    rows = [view.get(_versionKey(key, number)) for number in range(base, version + 1)]
+    rows = [view.get(_version_key(key, number)) for number in range(base, version + 1)]
     blueprint = rows[0]["whole"]
     for row in rows[1:]:
         blueprint = row["whole"] if "whole" in row else CHANGES.find(row["change"])(blueprint, row["arguments"])
@@ -129,7 +129,7 @@
 
 
 def _put(view, key, arguments):
-    checkFields(
+    check_fields(
         {
             "changeId": NAME,
             "basedOn": whole(0, 1 << 53),
@@ -157,15 +157,15 @@
         blueprint = CHANGES.find(asked["change"])(_current(view, key, head), asked.get("arguments") or {})
     else:
         blueprint = asked["blueprint"]
-    faults = blueprintFaults(blueprint)
+    faults = blueprint_faults(blueprint)
     if faults:
         raise Invalid("; ".join(faults[:20]), detail=faults[:200])
     version, former = head["version"] + 1, head
-    isBase = "blueprint" in asked or version - head["base"] >= BASE_EVERY
-    row = {"whole": blueprint} if isBase else {"change": asked["change"], "arguments": asked.get("arguments") or {}}
-    view.put(_versionKey(key, version), row | {"changeId": arguments["changeId"]})
+    is_base = "blueprint" in asked or version - head["base"] >= BASE_EVERY
+    row = {"whole": blueprint} if is_base else {"change": asked["change"], "arguments": asked.get("arguments") or {}}
+    view.put(_version_key(key, version), row | {"changeId": arguments["changeId"]})
     view.put(f"{key}#c/{arguments['changeId']}", {"version": version})
-    head = {"version": version, "base": version if isBase else head["base"], "first": head["first"] or 1}
+    head = {"version": version, "base": version if is_base else head["base"], "first": head["first"] or 1}
     view.put(key, _pruned(view, key, head))
     former = _current(view, key, former) if former["version"] else {"bindings": {}}
     view.context.marks[f"memo/{key}"] = (version, blueprint)
@@ -190,10 +190,10 @@
     oldest = head["version"] - BLUEPRINTS_KEPT
     if oldest <= head["first"]:
         return head
-    bases = [number for number in range(head["first"], oldest + 1) if "whole" in view.get(_versionKey(key, number))]
+    bases = [number for number in range(head["first"], oldest + 1) if "whole" in view.get(_version_key(key, number))]
     for number in range(head["first"], bases[-1]):
-        view.put(f"{key}#c/{view.get(_versionKey(key, number))['changeId']}", None)
-        view.put(_versionKey(key, number), None)
+        view.put(f"{key}#c/{view.get(_version_key(key, number))['changeId']}", None)
+        view.put(_version_key(key, number), None)
     return head | {"first": bases[-1]}
 
 
@@ -204,7 +204,7 @@
         raise Unknown(f"version {version} is not kept" if head["version"] else "no blueprint has been accepted")
     if version == head["version"]:
         return {"version": version, "blueprint": _current(view, key, head)}
-    base = next(number for number in range(version, 0, -1) if "whole" in view.get(_versionKey(key, number)))
+    base = next(number for number in range(version, 0, -1) if "whole" in view.get(_version_key(key, number)))
     return {"version": version, "blueprint": _at(view, key, version, base)}
 
 
@@ -217,13 +217,13 @@
     )
 
 
-def newsOf(board, partner):
+def news_of(board, partner):
     """The newest that this node has heard of a partner's blueprint: its age, and all of it but the bindings, or
     None. That a partner has none is known by the owner of the slot it would be in."""
     source = f"blueprint/{partner}"
     image = board.images.get(source)
     if image is None:
-        return board.age(f"{SLOT_SOURCE}{slotOf(source, SLOTS)}"), None
+        return board.age(f"{SLOT_SOURCE}{slot_of(source, SLOTS)}"), None
     _, rest = image.items.get("rest", (0, None))
     return board.age(source), rest and json.loads(rest)
 
@@ -234,8 +234,8 @@
         return 0, {}
     blueprint = _at(view, key, head["version"], head["base"])
     rest = {name: value for name, value in blueprint.items() if name != "bindings"}
-    return head["version"], {"rest": packJson(rest)} | {
-        f"binding/{name}": packJson(binding) for name, binding in blueprint["bindings"].items()
+    return head["version"], {"rest": pack_json(rest)} | {
+        f"binding/{name}": pack_json(binding) for name, binding in blueprint["bindings"].items()
     }
 
 
--- a/packages/oakcontrol/oakcontrol/budget.py
+++ b/packages/oakcontrol/oakcontrol/budget.py
@@ -17,34 +17,33 @@
 from hashlib import blake2b
 from itertools import islice
 
-from schema import And, Or
-
-from oakbase.checks import NAME, checkFields, whole
+from oakbase.checks import NAME, check_fields, whole
 from oakbase.constants import BLUEPRINT_AGE, ENDING_MARKS, TURNS_LIMIT, UNITS_LIMIT
 from oakbase.verdict import BadRequest, CannotTell, Conflict, Ended, InProgress, Refused, Unknown
 from oakcohort.members import SILENT
-from oakcontrol.admission import NUMBER, isBack, noteBack
-from oakcontrol.blueprint import newsOf
-from oakcontrol.controllers import CONTROLLERS, Controller
+from schema import And, Or
 
+from oakcontrol.admission import NUMBER, is_back, note_back
+from oakcontrol.blueprint import news_of
+from oakcontrol.controllers import CONTROLLERS, Controller
 
 TURN = And(str, len, error="must be LINE/TURN")
 
 
-def _endedKey(key):
+def _ended_key(key):
     """(entry, hash): where a program of this slot is remembered once it has ended."""
     digest = blake2b(key.encode(), digest_size=8).hexdigest()
     return f"ended#{digest[:2]}", digest
 
 
-def _hasEnded(view, key):
-    entry, digest = _endedKey(key)
+def _has_ended(view, key):
+    entry, digest = _ended_key(key)
     return digest in (view.get(entry) or ())
 
 
 def _program(view, key):
     program = view.get(key)
-    if program is None and _hasEnded(view, key):
+    if program is None and _has_ended(view, key):
         raise Ended("this program has ended")
     if program is None:
         raise Unknown("no such program")
@@ -58,24 +57,24 @@
     return program
 
 
-def _markKey(key, turn):
+def _mark_key(key, turn):
     return f"{key}#turn/{turn}"
 
 
-def _setMark(view, key, turn, **mark):
-    former = view.get(_markKey(key, turn)) or {}
-    view.put(_markKey(key, turn), {"back": former.get("back", {})} | mark)
+def _set_mark(view, key, turn, **mark):
+    former = view.get(_mark_key(key, turn)) or {}
+    view.put(_mark_key(key, turn), {"back": former.get("back", {})} | mark)
 
 
-def _takeBack(view, key, program, turn, arguments):
+def _take_back(view, key, program, turn, arguments):
     """Notes that this admission will not be carried; what an earlier one of the turn did stays known."""
-    mark = view.get(_markKey(key, turn))
+    mark = view.get(_mark_key(key, turn))
     if mark is None and turn not in program["open"]:
         if program["turns"] >= TURNS_LIMIT:
             return  # a late admission of a turn that has no mark is refused for that already
         program["turns"] += 1
     mark = mark or {"state": "never", "print": arguments["print"], "admission": arguments["admission"], "units": 0}
-    view.put(_markKey(key, turn), mark | {"back": noteBack(view, mark, arguments)})
+    view.put(_mark_key(key, turn), mark | {"back": note_back(view, mark, arguments)})
 
 
 def _reserved(program):
@@ -92,11 +91,11 @@
     }
 
 
-def _rulesOf(view, key):
+def _rules_of(view, key):
     partner = key.split("/")[1]
-    age, rest = newsOf(view.context.board, partner)
+    age, rest = news_of(view.context.board, partner)
     if age > BLUEPRINT_AGE:
-        raise CannotTell("the blueprint's news is too old, so the program was not opened", retryAfter=1)
+        raise CannotTell("the blueprint's news is too old, so the program was not opened", retry_after=1)
     if rest is None:
         raise Unknown(f"no partner {partner}")
     return rest["programs"]
@@ -106,12 +105,12 @@
     """A program that is there already is shown; else it takes its limit, or the plan's, within the plan's bound.
     The plan is looked at here, in the order of commands, so that the limit is of no older plan than the news of
     this node are old."""
-    checkFields({"limit": Or(None, whole(1, UNITS_LIMIT))}, arguments)
+    check_fields({"limit": Or(None, whole(1, UNITS_LIMIT))}, arguments)
     program, limit = view.get(key), arguments["limit"]
-    if (program is None and _hasEnded(view, key)) or (program or {}).get("ending"):
+    if (program is None and _has_ended(view, key)) or (program or {}).get("ending"):
         raise Ended("this program has ended, and its budget never starts anew")
     if program is None:
-        rules = _rulesOf(view, key)
+        rules = _rules_of(view, key)
         limit = limit or rules["defaultLimit"]
         if limit > rules["maxLimit"]:
             raise BadRequest(f"limit is above the plan's {rules['maxLimit']}")
@@ -127,16 +126,16 @@
     return _shown(_program(view, key))
 
 
-def _giveUp(view, key, program, turn):
+def _give_up(view, key, program, turn):
     """The gate of this reservation is gone: what it reserved counts as spent."""
     row = program["open"].pop(turn)
     program["spent"] += row["reserve"]
-    _setMark(view, key, turn, state="vanished", print=row["print"], admission=row["admission"], units=row["reserve"])
+    _set_mark(view, key, turn, state="vanished", print=row["print"], admission=row["admission"], units=row["reserve"])
     view.put(key, program)
 
 
 def _admit(view, key, arguments):
-    checkFields(
+    check_fields(
         {
             "turn": TURN,
             "print": str,
@@ -150,18 +149,18 @@
     )
     program, turn = _running(view, key), arguments["turn"]
     view.context.touch(key)
-    row, mark = program["open"].get(turn), view.get(_markKey(key, turn))
-    if isBack(mark, arguments):
+    row, mark = program["open"].get(turn), view.get(_mark_key(key, turn))
+    if is_back(mark, arguments):
         raise Refused("this admission was taken back before it came in")
     if row and row["admission"] == arguments["admission"]:
         return {"state": "admitted", "reserve": row["reserve"]}
     if row and row["print"] != arguments["print"]:
         raise Conflict("this turn id is in use for another request")
     if row and view.context.members.condition(row["gate"]) != SILENT:
-        raise InProgress("this turn is running", retryAfter=1)
+        raise InProgress("this turn is running", retry_after=1)
     if row:
-        _giveUp(view, key, program, turn)
-        mark = view.get(_markKey(key, turn))
+        _give_up(view, key, program, turn)
+        mark = view.get(_mark_key(key, turn))
     if mark and mark["state"] != "never":
         if mark["print"] != arguments["print"]:
             raise Conflict("this turn id was used for another request")
@@ -173,7 +172,7 @@
         raise Conflict(f"a program has at most {TURNS_LIMIT} turns; open another one")
     program["turns"] += mark is None
     if program["spent"] + _reserved(program) >= program["limit"]:
-        _setMark(view, key, turn, state="refused", print=arguments["print"], admission=arguments["admission"], units=0)
+        _set_mark(view, key, turn, state="refused", print=arguments["print"], admission=arguments["admission"], units=0)
         view.put(key, program)
         return {"state": "refused"}
     program["open"][turn] = {name: arguments[name] for name in ("print", "reserve", "admission", "gate")}
@@ -182,7 +181,7 @@
 
 
 def _settle(view, key, arguments):
-    checkFields(
+    check_fields(
         {
             "turn": TURN,
             "print": str,
@@ -194,11 +193,11 @@
         },
         arguments,
     )
-    if view.get(key) is None and _hasEnded(view, key):
+    if view.get(key) is None and _has_ended(view, key):
         return {"state": "ended"}
     view.context.touch(key)
     program, turn = _program(view, key), arguments["turn"]
-    row, mark = program["open"].get(turn), view.get(_markKey(key, turn))
+    row, mark = program["open"].get(turn), view.get(_mark_key(key, turn))
     if row and row["admission"] == arguments["admission"]:
         del program["open"][turn]
         program["spent"] += arguments["units"]
@@ -207,10 +206,10 @@
     elif arguments["outcome"] != "never":
         return _shown(program)  # settled before
     if arguments["outcome"] == "never":
-        _takeBack(view, key, program, turn, arguments)
+        _take_back(view, key, program, turn, arguments)
         view.put(key, program)
         return _shown(program)
-    _setMark(
+    _set_mark(
         view,
         key,
         turn,
@@ -225,7 +224,7 @@
 
 def _end(view, key, _arguments):
     """The end of a program, asked for; safe to ask again."""
-    if view.get(key) is None and _hasEnded(view, key):
+    if view.get(key) is None and _has_ended(view, key):
         return {"state": "ended"}
     program = _program(view, key)
     if not program.get("ending"):
@@ -234,23 +233,23 @@
     return _shown(program)
 
 
-def _goOnEnding(view, key):
+def _go_on_ending(view, key):
     """The marks go first, a page at a time; the program and its place among the ended ones change in one step."""
-    marks = list(islice(view.committedKeys(f"{key}#"), ENDING_MARKS))
-    for markKey in marks:
-        view.put(markKey, None)
+    marks = list(islice(view.committed_keys(f"{key}#"), ENDING_MARKS))
+    for mark_key in marks:
+        view.put(mark_key, None)
     if marks:
         return
-    entry, digest = _endedKey(key)
+    entry, digest = _ended_key(key)
     view.put(entry, sorted({*(view.get(entry) or ()), digest}))
     view.put(key, None)
     view.context.marks.pop(key, None)
 
 
-def _isIdle(view, key):
-    _, rest = newsOf(view.context.board, key.split("/")[1])
+def _is_idle(view, key):
+    _, rest = news_of(view.context.board, key.split("/")[1])
     longest = (rest or {}).get("programs", {}).get("endAfterIdle")
-    return longest is not None and view.context.ageOf(key) > longest
+    return longest is not None and view.context.age_of(key) > longest
 
 
 def _sweep(view, key, _arguments):
@@ -259,15 +258,15 @@
     if program is None:
         return
     if program.get("ending") and not program["open"]:
-        _goOnEnding(view, key)
+        _go_on_ending(view, key)
         return
-    if not program["open"] and _isIdle(view, key):
+    if not program["open"] and _is_idle(view, key):
         _end(view, key, {})
         return
     members = view.context.members
     for turn in [turn for turn, row in program["open"].items() if members.find(row["gate"]) is None]:
-        if view.context.ageOf(f"{key}#gone/{turn}") > 0:
-            _giveUp(view, key, program, turn)
+        if view.context.age_of(f"{key}#gone/{turn}") > 0:
+            _give_up(view, key, program, turn)
 
 
 CONTROLLERS.enter("budget")(
--- a/packages/oakcontrol/oakcontrol/claim.py
+++ b/packages/oakcontrol/oakcontrol/claim.py
@@ -8,14 +8,13 @@
 progress until the entry is let go, and never runs again within the window.
 """
 
-from schema import Optional, Or
-
-from oakbase.checks import NAME, checkFields
+from oakbase.checks import NAME, check_fields
 from oakbase.constants import CLAIM_KEPT
 from oakbase.verdict import Conflict, InProgress, Refused
-from oakcontrol.admission import NUMBER, isBack, noteBack
-from oakcontrol.controllers import CONTROLLERS, Controller
+from schema import Optional, Or
 
+from oakcontrol.admission import NUMBER, is_back, note_back
+from oakcontrol.controllers import CONTROLLERS, Controller
 
 ADMISSION = {"print": str, "admission": NAME, "gate": NAME, "number": NUMBER}
 
@@ -26,22 +25,22 @@
 
 
 def _claim(view, key, arguments):
-    checkFields(ADMISSION, arguments)
+    check_fields(ADMISSION, arguments)
     claim = view.get(key)
-    if isBack(claim, arguments):
+    if is_back(claim, arguments):
         raise Refused("this claim was taken back before it came in")
     if claim and claim["state"] != "free" and claim["print"] != arguments["print"]:
         raise Conflict("this key is in use for another body")
     if claim and claim["state"] == "done":
         return {"state": "done", "answer": claim["answer"]}
     if claim and claim["state"] == "claimed" and claim["admission"] != arguments["admission"]:
-        raise InProgress("this key is claimed; its request runs now or may have run", retryAfter=1)
+        raise InProgress("this key is claimed; its request runs now or may have run", retry_after=1)
     _set(view, key, claim, state="claimed", print=arguments["print"], admission=arguments["admission"])
     return {"state": "claimed"}
 
 
 def _finish(view, key, arguments):
-    checkFields(ADMISSION | {Optional("answer"): Or(None, dict)}, arguments)
+    check_fields(ADMISSION | {Optional("answer"): Or(None, dict)}, arguments)
     claim = view.get(key)
     if claim and claim["state"] == "claimed" and claim["admission"] == arguments["admission"]:
         _set(view, key, claim, **(claim | {"state": "done", "answer": arguments.get("answer")}))
@@ -50,7 +49,7 @@
 
 def _free(view, key, arguments):
     """The request never left: the key may be claimed again, but not by this admission come late."""
-    checkFields(ADMISSION, arguments)
+    check_fields(ADMISSION, arguments)
     claim = view.get(key)
     if claim is None or claim["admission"] == arguments["admission"]:
         claim = {
@@ -59,18 +58,18 @@
             "admission": arguments["admission"],
             "back": (claim or {}).get("back", {}),
         }
-    _set(view, key, claim, **(claim | {"back": noteBack(view, claim, arguments)}))
+    _set(view, key, claim, **(claim | {"back": note_back(view, claim, arguments)}))
     return {}
 
 
-def _keptFor(context):
+def _kept_for(context):
     """Seconds; at least twice the window in which a repeat must find the first, so that a repeat sent at its very end
     and held up on its way still does."""
     return max(CLAIM_KEPT, 2 * context.bounds.get("claim_window_s", 0))
 
 
 def _sweep(view, key, _arguments):
-    if view.context.ageOf(key) > _keptFor(view.context):
+    if view.context.age_of(key) > _kept_for(view.context):
         view.put(key, None)
         view.context.marks.pop(key, None)
 
--- a/packages/oakcontrol/oakcontrol/client.py
+++ b/packages/oakcontrol/oakcontrol/client.py
@@ -2,12 +2,13 @@
 
 import json
 
-from oakbase.checks import packJson
+from oakbase.checks import pack_json
 from oakbase.constants import OWNER_TRIES_PAUSE, OWNER_TRY_TIME, SETTLE_TIME, TERM
 from oakbase.tasks import sleep
 from oakbase.verdict import CannotTell, NoAnswer, NotOwner, OakError, Verdict
+
 from oakcontrol.controllers import SLOT_SOURCE
-from oakcontrol.slots import slotOfKey
+from oakcontrol.slots import slot_of_key
 
 
 class OwnerClient:
@@ -18,11 +19,11 @@
         rows = self._node.board.values(f"{SLOT_SOURCE}{slot}")
         return json.loads(rows["owner"])[2] if "owner" in rows else None
 
-    def _anyControl(self, tried):
+    def _any_control(self, tried):
         addresses = sorted({member.peer for member in self._node.members.live("control")} - tried)
         return self._node.random.choice(addresses) if addresses else None
 
-    async def callUntilDone(self, key, command, arguments):
+    async def call_until_done(self, key, command, arguments):
         """The same for a command that must come through, as long as this process lives: its copies do no harm."""
         while True:
             try:
@@ -30,18 +31,18 @@
             except (NoAnswer, CannotTell) as error:
                 self._node.log.event("commandLate", key=key, command=command, reason=error.reason)
 
-    async def call(self, key, command, arguments, timeLeft):
+    async def call(self, key, command, arguments, time_left):
         """The owner's answer. Raises what the owner said, if it was asked once; NoAnswer if an ask left and its
         outcome is not known; CannotTell if no owner could be asked at all."""
-        reactor, slot = self._node.reactor, slotOfKey(key)
-        endsAt = reactor.seconds() + timeLeft
-        text, unsure, hint, tried, silentUntil = packJson(arguments).decode(), None, None, set(), {}
-        while reactor.seconds() < endsAt:
+        reactor, slot = self._node.reactor, slot_of_key(key)
+        ends_at = reactor.seconds() + time_left
+        text, unsure, hint, tried, silent_until = pack_json(arguments).decode(), None, None, set(), {}
+        while reactor.seconds() < ends_at:
             address = hint or self._believed(slot)
             # One that did not answer may have ended: for a while whoever takes its slots over is asked instead.
-            silent = {one for one, until in silentUntil.items() if reactor.seconds() < until}
+            silent = {one for one, until in silent_until.items() if reactor.seconds() < until}
             if address is None or address in tried | silent:
-                address = self._anyControl(tried | silent) or self._anyControl(tried)
+                address = self._any_control(tried | silent) or self._any_control(tried)
             hint = None
             if address is not None:
                 tried.add(address)
@@ -49,10 +50,10 @@
                     answer = await self._node.net.call(
                         address,
                         "ownerCall",
-                        min(OWNER_TRY_TIME, endsAt - reactor.seconds()),
+                        min(OWNER_TRY_TIME, ends_at - reactor.seconds()),
                         key=key,
                         command=command,
-                        argumentsJson=text,
+                        arguments_json=text,
                     )
                     return json.loads(answer)
                 except NotOwner as error:
@@ -67,11 +68,11 @@
                         ) from None
                     if error.verdict is not Verdict.NO:
                         unsure = error
-                        silentUntil[address] = reactor.seconds() + TERM
+                        silent_until[address] = reactor.seconds() + TERM
             if hint is None:
                 await sleep(reactor, OWNER_TRIES_PAUSE)
                 if address is None or len(tried) > 2:
                     tried = set()
         if unsure is not None:
             raise NoAnswer(f"the owner of {key} did not say what became of {command}")
-        raise CannotTell(f"no owner of {key} could be asked in time", retryAfter=1)
+        raise CannotTell(f"no owner of {key} could be asked in time", retry_after=1)
--- a/packages/oakcontrol/oakcontrol/control.py
+++ b/packages/oakcontrol/oakcontrol/control.py
@@ -7,6 +7,9 @@
 from oakbase.tasks import settled, sleep, spawn
 from oakbase.verdict import OakError
 from oakbase.web import Web
+from oaknews.node import Node
+from oakring.ring import Ring
+
 from oakcontrol import (  # noqa: F401  each enters its controller
     allowance,
     blueprint,
@@ -28,12 +31,10 @@
 from oakcontrol.roster import RosterWatch
 from oakcontrol.storeset import StoreSetWatch
 from oakcontrol.voter import Voter
-from oaknews.node import Node
-from oakring.ring import Ring
 
 
 class ControlNode:
-    slotCount = SLOTS
+    slot_count = SLOTS
 
     def __init__(self, reactor, env, disk, random, sink, wall=time.time, dialect=None):
         self.node = Node(reactor, "control", env, random, sink, disk, wall, founding_of(env))
@@ -46,8 +47,8 @@
         self.platform = (
             PlatformWatch(self.node, self.owners, self.voter, env["platform"], dialect) if env.get("platform") else None
         )
-        self.rosterWatch = RosterWatch(self.node, self.voter, self.owners, bool(env.get("selfForming")))
-        self.storeWatch = StoreSetWatch(
+        self.roster_watch = RosterWatch(self.node, self.voter, self.owners, bool(env.get("selfForming")))
+        self.store_watch = StoreSetWatch(
             self.node, self.owners, bool(env.get("selfForming")), env.get("toleratedLosses") or 1
         )
         self.placement = PlacementWatch(self.node, self.owners)
@@ -58,9 +59,9 @@
         Admin(self)
         for name, ask in (
             ("slots_held", lambda: len(self.owners.held)),
-            ("ring_syncs", lambda: self.ring.syncCount),
-            ("ring_commits", lambda: self.ring.commitCount),
-            ("ring_live_bytes", self.ring.liveBytes),
+            ("ring_syncs", lambda: self.ring.sync_count),
+            ("ring_commits", lambda: self.ring.commit_count),
+            ("ring_live_bytes", self.ring.live_bytes),
             ("members_live", lambda: len(self.node.members.live())),
             ("eviction_moved", lambda: self.placement.counts["moved"]),
             ("eviction_let_go", lambda: self.placement.counts["let_go"]),
@@ -72,9 +73,9 @@
         self.web.listen()
         if self.operator:
             self.operator.listen()
-        self._starting = spawn(self._foundAndStart(), self.node.log)
+        self._starting = spawn(self._found_and_start(), self.node.log)
 
-    async def _foundAndStart(self):
+    async def _found_and_start(self):
         """Takes part in nothing before what it founds is on its disk."""
         while self.node.identity.founding is not None:
             try:
@@ -82,25 +83,25 @@
             except (OakError, OSError) as error:
                 self.node.log.event("foundingFailed", error=repr(error))
                 await sleep(self.node.reactor, OWNER_TRIES_PAUSE)
-        self._startDuties()
+        self._start_duties()
 
-    def _startDuties(self):
+    def _start_duties(self):
         self.owners.start()
-        self.storeWatch.start()
-        self.rosterWatch.start()
+        self.store_watch.start()
+        self.roster_watch.start()
         self.placement.start()
         if self.platform:
             self.platform.start()
 
     async def stop(self):
         self._starting.cancel()
-        await self.node.puller.sayLeaving()
+        await self.node.puller.say_leaving()
         if self.platform:
             self.platform.stop()
-        self.storeWatch.stop()
+        self.store_watch.stop()
         self.placement.stop()
         await settled([web.stop() for web in (self.web, self.operator) if web])
         await self.owners.stop()
-        self.rosterWatch.stop()
+        self.roster_watch.stop()
         self.voter.stop()
         await self.node.stop()
--- a/packages/oakcontrol/oakcontrol/controllers.py
+++ b/packages/oakcontrol/oakcontrol/controllers.py
@@ -25,9 +25,9 @@
         return self._commands.find(command)(view, key, arguments)
 
 
-def publishedBy(entryKey):
+def published_by(entry_key):
     """The news source that an entry belongs to, or None if its kind is not published."""
-    key = entryKey.partition("#")[0]
+    key = entry_key.partition("#")[0]
     try:
         controller = CONTROLLERS.find(key.partition("/")[0])
     except Unknown:
@@ -35,6 +35,6 @@
     return key if controller.image else None
 
 
-def sweepsFor(keys):
+def sweeps_for(keys):
     """The (key, command) pairs by which an owner lets old things go."""
     return [(key, command) for key in keys for command in [CONTROLLERS.find(key.partition("/")[0]).sweep] if command]
--- a/packages/oakcontrol/oakcontrol/daemon.py
+++ b/packages/oakcontrol/oakcontrol/daemon.py
@@ -1,11 +1,12 @@
 """oakcored: a control node."""
 
 from oakbase.env import CONTROL_ENV
+from oaknews.program import run_daemon
+
 from oakcontrol.control import ControlNode
-from oaknews.program import runDaemon
 
 
 def main():
-    runDaemon(
+    run_daemon(
         "oakcored", CONTROL_ENV, "A control node of oakramp: votes on control state and owns slots of it.", ControlNode
     )
--- a/packages/oakcontrol/oakcontrol/duty.py
+++ b/packages/oakcontrol/oakcontrol/duty.py
@@ -2,12 +2,13 @@
 former holder still asks for is fenced by the slot's epoch or lost against a newer version."""
 
 from oakbase.tasks import Repeater
-from oakcontrol.slots import slotOfKey
+
+from oakcontrol.slots import slot_of_key
 
 
 class Duty:
     def __init__(self, node, owners, key, pause):
-        self._node, self._owners, self._slot = node, owners, slotOfKey(key)
+        self._node, self._owners, self._slot = node, owners, slot_of_key(key)
         self._repeater = Repeater(node.reactor, pause, self._round, node.log)
 
     def start(self):
--- a/packages/oakcontrol/oakcontrol/founding.py
+++ b/packages/oakcontrol/oakcontrol/founding.py
@@ -48,7 +48,7 @@
 async def found(node, voter):
     """Finishes what the identity says is being founded."""
     founding = node.identity.founding
-    await voter.setRoster(founding["roster"])
-    node.identity.joinCluster(founding["clusterId"], founded=True)
-    node.net.joinCluster(founding["clusterId"])
-    node.log.event("clusterFounded", clusterId=founding["clusterId"], members=len(founding["roster"]["members"]))
+    await voter.set_roster(founding["roster"])
+    node.identity.join_cluster(founding["clusterId"], founded=True)
+    node.net.join_cluster(founding["clusterId"])
+    node.log.event("clusterFounded", cluster_id=founding["clusterId"], members=len(founding["roster"]["members"]))
--- a/packages/oakcontrol/oakcontrol/operator.py
+++ b/packages/oakcontrol/oakcontrol/operator.py
@@ -19,10 +19,11 @@
 import json
 from hashlib import blake2b
 
-from oakbase.checks import packJson
+from oakbase.checks import pack_json
 from oakbase.constants import FRAME_LIMIT, OPERATOR_INBOX, OPERATOR_LIMIT, OPERATOR_RETRY, OPERATOR_TIME
 from oakbase.verdict import BadRequest, CannotTell, Invalid, OakError, TooLarge, Unknown, Verdict
 from oakbase.web import Web
+
 from oakcontrol.routing import ROUTING_KEY, apply_patch, check_table, document_from, pieces_of
 from oakcontrol.storeset import STORES_KEY
 
@@ -64,7 +65,7 @@
 
 def fingerprint_of(method, based_on, body):
     """Names this exact change, however its body was spaced."""
-    return blake2b(b"%s %d %s" % (method, based_on, packJson(body)), digest_size=16).hexdigest()
+    return blake2b(b"%s %d %s" % (method, based_on, pack_json(body)), digest_size=16).hexdigest()
 
 
 class Operator:
@@ -96,7 +97,7 @@
             except OakError as error:
                 status = self._status_of(error)
                 self._node.log.event("operatorRefused", status=status, code=error.code, reason=error.reason)
-                return status, error.toJson(), OPERATOR_RETRY if status == AGAIN else None
+                return status, error.to_json(), OPERATOR_RETRY if status == AGAIN else None
 
         return answer
 
@@ -105,7 +106,7 @@
         return self._dialect.operator_status(error) if error.verdict is Verdict.NO else AGAIN
 
     async def _ask(self, key, command, arguments):
-        if not self._node.net.clusterId:
+        if not self._node.net.cluster_id:
             raise CannotTell("this node is in no cluster yet")
         return await self._client.call(key, command, arguments, OPERATOR_TIME)
 
@@ -166,16 +167,16 @@
         pieces = dict.fromkeys(former.keys() - pieces.keys()) | {
             name: value
             for name, value in pieces.items()
-            if name not in former or packJson(former[name]) != packJson(value)
+            if name not in former or pack_json(former[name]) != pack_json(value)
         }
         return await self._take("change", based_on, version, fingerprint, pieces=pieces)
 
     async def _take(self, command, based_on, version, fingerprint, **more):
         arguments = {"based_on": based_on, "version": version, "fingerprint": fingerprint} | more
-        if len(packJson(arguments)) > FRAME_LIMIT - FRAME_ROOM:
+        if len(pack_json(arguments)) > FRAME_LIMIT - FRAME_ROOM:
             raise TooLarge("the configuration is too large")
         taken = await self._ask(ROUTING_KEY, command, arguments)
-        self._node.log.event("routingTaken", version=taken["version"], basedOn=based_on, by=command)
+        self._node.log.event("routingTaken", version=taken["version"], based_on=based_on, by=command)
         return taken
 
     # --- machines to be emptied ---
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -2,13 +2,11 @@
 
 import json
 from collections import ChainMap
+from dataclasses import replace
 from functools import partial
 from itertools import takewhile
 
-from sortedcontainers import SortedDict
-from twisted.internet import defer
-
-from oakbase.checks import packJson
+from oakbase.checks import pack_json
 from oakbase.constants import (
     CALL_TIME,
     CONDITION_AGE,
@@ -28,17 +26,20 @@
     TERM_RENEW,
 )
 from oakbase.inbox import Inbox
-from oakbase.tasks import Repeater, drive, quorumOf, sleep, spawn, within
+from oakbase.tasks import Repeater, drive, quorum_of, sleep, spawn, within
 from oakbase.verdict import CannotTell, Fenced, NoAnswer, NotOwner, OakError, RingFull, Unknown, Verdict
-from oakcohort.members import LIVE, Member
+from oakcohort.members import LIVE
 from oakcohort.rendezvous import ranked
-from oakcontrol.controllers import CONTROLLERS, SLOT_SOURCE, publishedBy, sweepsFor
-from oakcontrol.replication import Offer, StepBatcher
-from oakcontrol.slots import inParts, packEntry, slotOfKey, unpackEntry
 from oakwire.codec import idl, pack
+from sortedcontainers import SortedDict
+from twisted.internet import defer
+
+from oakcontrol.controllers import CONTROLLERS, SLOT_SOURCE, published_by, sweeps_for
+from oakcontrol.replication import Offer, StepBatcher
+from oakcontrol.slots import in_parts, pack_entry, slot_of_key, unpack_entry
 
 
-def entriesOf(pairs):
+def entries_of(pairs):
     return [idl.Entry(key=key, value=value) for key, value in pairs]
 
 
@@ -56,16 +57,16 @@
 
     def get(self, key):
         value = self._layers.get(key)
-        return None if value is None else unpackEntry(value)
+        return None if value is None else unpack_entry(value)
 
     def packed(self, key):
         """The entry as it is kept, for who passes it on or compares it as it is."""
         return self._layers.get(key)
 
     def put(self, key, value):
-        self._layers.maps[0][key] = packEntry(value)
+        self._layers.maps[0][key] = pack_entry(value)
 
-    def committedKeys(self, prefix):
+    def committed_keys(self, prefix):
         """The keys with this prefix among the committed entries, in order; what this batch does is not seen."""
         return takewhile(lambda key: key.startswith(prefix), self._entries.irange(prefix))
 
@@ -94,10 +95,10 @@
         self.entries, self.sequence = entries, sequence
         self.size = sum(len(key) + len(value) for key, value in entries.items())
         self.sources = {f"{SLOT_SOURCE}{slot}"}
-        self.sweptTo = ""
+        self.swept_to = ""
         self._inbox = Inbox(CONTROL_INBOX, f"slot{slot}")
-        self.termUntil = 0.0
-        self.rosterVersion = 0
+        self.term_until = 0.0
+        self.roster_version = 0
         self.confirmed = defer.Deferred()
         self.ended = False
         self.idle = True
@@ -108,19 +109,19 @@
         self._task = spawn(self._run(), self._owners.log)
 
     def lengthen(self, until):
-        self.termUntil = max(self.termUntil, until)
+        self.term_until = max(self.term_until, until)
         if not self.confirmed.called:
             self.confirmed.callback(None)
 
-    def holdsTerm(self):
-        return not self.ended and self._owners.reactor.seconds() < self.termUntil
+    def holds_term(self):
+        return not self.ended and self._owners.reactor.seconds() < self.term_until
 
     def end(self):
         if self.ended:
             return
         self.ended = True
         self._owners.retract(self)
-        for _, answer in filter(None, self._inbox.takeReady(CONTROL_INBOX)):
+        for _, answer in filter(None, self._inbox.take_ready(CONTROL_INBOX)):
             answer.errback(NotOwner("this slot is changing hands"))
         if self._task is not None and self.idle:
             self._task.cancel()
@@ -130,11 +131,11 @@
 
     def sweep(self):
         """Lets old things go of the next page of keys, all as one command; fires with what failed, as (key, error) pairs."""
-        pairs = sweepsFor(self.nextRoots(OWNER_SWEEP_KEYS))
-        return self._put(partial(self._sweepAll, pairs)) if pairs else defer.succeed([])
+        pairs = sweeps_for(self.next_roots(OWNER_SWEEP_KEYS))
+        return self._put(partial(self._sweep_all, pairs)) if pairs else defer.succeed([])
 
     def _put(self, work):
-        if not self.holdsTerm():
+        if not self.holds_term():
             raise NotOwner(f"no term for slot {self.slot}")
         answer = defer.Deferred()
         self._inbox.put((work, answer))
@@ -145,23 +146,23 @@
             self.idle = True
             first = await self._inbox.take()
             self.idle = False
-            await self._work([first, *self._inbox.takeReady(CONTROL_BATCH - 1)])
+            await self._work([first, *self._inbox.take_ready(CONTROL_BATCH - 1)])
 
-    def writeAgain(self):
+    def write_again(self):
         """Asks for the image to be brought to the majorities of the present roster."""
         if len(self._inbox) < CONTROL_INBOX:
             self._inbox.put(None)
 
     async def _work(self, batch):
-        writeAgain = None in batch
+        write_again = None in batch
         batch = [entry for entry in batch if entry is not None]
-        view, outcomes = View(self.entries, self._owners.contextFor(self)), []
+        view, outcomes = View(self.entries, self._owners.context_for(self)), []
         for work, answer in batch:
             try:
                 outcomes.append((answer, work(view)))
             except OakError as error:
                 outcomes.append((answer, error))
-        fault = await self._keep(dict(view.changes()), writeAgain)
+        fault = await self._keep(dict(view.changes()), write_again)
         for answer, outcome in outcomes:
             if fault is not None or isinstance(outcome, OakError):
                 answer.errback(fault or outcome)
@@ -174,7 +175,7 @@
         try:
             controller = CONTROLLERS.find(key.partition("/")[0])
             if command in controller.growing:
-                self._owners.refuseFull(self)
+                self._owners.refuse_full(self)
             result = controller.run(inner, key, command, arguments)
         except OakError:
             raise
@@ -184,7 +185,7 @@
         view.fold(inner)
         return result
 
-    def _sweepAll(self, pairs, view):
+    def _sweep_all(self, pairs, view):
         failed = []
         for key, command in pairs:
             try:
@@ -193,16 +194,16 @@
                 failed.append((key, error))
         return failed
 
-    async def _keep(self, changes, writeAgain):
+    async def _keep(self, changes, write_again):
         """None once the changes are on a majority and the term still holds; else what to tell all callers."""
-        if changes or writeAgain:
+        if changes or write_again:
             if not await self._owners.replicate(self, self.sequence + 1, changes):
                 self.end()
                 return NoAnswer("the change did not reach a majority of disks; ask for it by its id")
             self.sequence += 1
             self._apply(changes)
             self._owners.publish(self, changes)
-        if not self.holdsTerm():
+        if not self.holds_term():
             return (
                 NoAnswer("the term ended meanwhile; ask for the change by its id")
                 if changes
@@ -218,22 +219,22 @@
                 self.entries[key] = value
                 self.size += len(key) + len(value)
 
-    def imageWith(self, sequence, changes):
+    def image_with(self, sequence, changes):
         """(sequence, entries) of the newest image that is at least as new as this change. While the change is on
         its way, it is not among the entries yet."""
         if sequence <= self.sequence:
             return self.sequence, dict(self.entries)
         return sequence, {key: value for key, value in (dict(self.entries) | changes).items() if value is not None}
 
-    def nextRoots(self, most):
+    def next_roots(self, most):
         """The next keys that commands are for, in order, going round; each is found without the rows that hang
         on the one before."""
         roots = []
-        while len(roots) < most and (key := next(self.entries.irange(self.sweptTo), None)) is not None:
+        while len(roots) < most and (key := next(self.entries.irange(self.swept_to), None)) is not None:
             roots.append(key.partition("#")[0])
-            self.sweptTo = roots[-1] + AFTER_ROWS
+            self.swept_to = roots[-1] + AFTER_ROWS
         if len(roots) < most:
-            self.sweptTo = ""
+            self.swept_to = ""
         return roots
 
 
@@ -241,16 +242,16 @@
     """One asking of a roster's voters for the terms of these owners. Invariant: `_confirmedBy` holds, for each slot that has
     not been confirmed by a majority yet, the voters that confirmed it after `askedAt`."""
 
-    def __init__(self, owners, roster, askedAt):
-        self.owners, self.roster, self.askedAt = owners, roster, askedAt
-        self._confirmedBy = {slot: set() for slot in owners}
+    def __init__(self, owners, roster, asked_at):
+        self.owners, self.roster, self.asked_at = owners, roster, asked_at
+        self._confirmed_by = {slot: set() for slot in owners}
 
-    def take(self, nodeId, slots):
-        for slot in slots & self._confirmedBy.keys():
-            self._confirmedBy[slot].add(nodeId)
-            if self.roster.isQuorum(self._confirmedBy[slot]):
-                self.owners[slot].lengthen(self.askedAt + TERM)
-                del self._confirmedBy[slot]
+    def take(self, node_id, slots):
+        for slot in slots & self._confirmed_by.keys():
+            self._confirmed_by[slot].add(node_id)
+            if self.roster.is_quorum(self._confirmed_by[slot]):
+                self.owners[slot].lengthen(self.asked_at + TERM)
+                del self._confirmed_by[slot]
 
 
 class TermRider:
@@ -265,24 +266,26 @@
         self._round, self._voters = self._owners.begin_confirmation(), {}
         if self._round is None:
             return
-        own = self._node.nodeId
-        self._voters = {address: nodeId for nodeId, address in self._owners.voterAddresses().items() if nodeId != own}
+        own = self._node.node_id
+        self._voters = {
+            address: node_id for node_id, address in self._owners.voter_addresses().items() if node_id != own
+        }
         self._owners.confirm_at(self._round, [own])
 
     def ride(self, address):
-        nodeId, asked = self._voters.get(address), self._round
-        if nodeId is None:
+        node_id, asked = self._voters.get(address), self._round
+        if node_id is None:
             return None
         terms = idl.Terms(
-            voter=nodeId,
-            rosterVersion=asked.roster.version,
+            voter=node_id,
+            roster_version=asked.roster.version,
             slots=list(asked.owners),
             epochs=[owner.epoch for owner in asked.owners.values()],
         )
-        return terms, lambda slots: asked.take(nodeId, set(slots))
+        return terms, lambda slots: asked.take(node_id, set(slots))
 
 
-def isMoving(error):
+def is_moving(error):
     """Whether a voter refused only because it stands in another roster than the asker."""
     return isinstance(error, Fenced) and bool(error.detail)
 
@@ -294,8 +297,8 @@
     def __init__(self, reactor, holders):
         self._reactor, self._left, self._outcome = reactor, set(holders), defer.Deferred()
 
-    def holds_none(self, nodeId):
-        self._left.discard(nodeId)
+    def holds_none(self, node_id):
+        self._left.discard(node_id)
         if not self._left:
             self._end()
 
@@ -321,22 +324,22 @@
         self.log = node.log
         self.held = {}
         self._taking = set()
-        self._seenEpochs = {}
+        self._seen_epochs = {}
         self._orders = (), ()
         self._batchers = {}
-        self._startedAt = node.reactor.seconds()
-        self.pollTimes = {}
+        self._started_at = node.reactor.seconds()
+        self.poll_times = {}
         self._tasks = [
-            Repeater(node.reactor, pause, roundFunction, node.log)
-            for pause, roundFunction in (
+            Repeater(node.reactor, pause, round_function, node.log)
+            for pause, round_function in (
                 (TAKEOVER_LOOK, self._look),
                 (TERM_RENEW, self._renew),
                 (OWNER_SWEEP, self._sweep),
             )
         ]
         voter.may_hold_term = self._may_hold_term
-        node.net.handle("ownerCall", self._serveCall)
-        node.net.handle("release", self._serveRelease)
+        node.net.handle("ownerCall", self._serve_call)
+        node.net.handle("release", self._serve_release)
 
     def start(self):
         for task in self._tasks:
@@ -354,7 +357,7 @@
             owner.end()
         self._tasks[1].stop()
 
-    def contextFor(self, owner):
+    def context_for(self, owner):
         return Context(
             self.reactor.seconds(),
             self._node.members,
@@ -366,75 +369,75 @@
 
     # --- the majority ---
 
-    def voterAddresses(self):
+    def voter_addresses(self):
         """Where each voter is, by its own word if it has been heard of."""
-        known = {nodeId: self._node.members.find(nodeId) for nodeId in self._voter.roster.everyone}
+        known = {node_id: self._node.members.find(node_id) for node_id in self._voter.roster.everyone}
         return {
-            nodeId: known[nodeId].peer if known[nodeId] else peer
-            for nodeId, peer in self._voter.roster.everyone.items()
+            node_id: known[node_id].peer if known[node_id] else peer
+            for node_id, peer in self._voter.roster.everyone.items()
         }
 
-    def _askVoters(self, method, voterIds, **arguments):
+    def _ask_voters(self, method, voter_ids, **arguments):
         return {
-            nodeId: self._node.net.call(
+            node_id: self._node.net.call(
                 address,
                 method,
                 CALL_TIME,
-                rosterVersion=self._voter.roster.version,
-                owner=self._node.nodeId,
-                to=nodeId,
+                roster_version=self._voter.roster.version,
+                owner=self._node.node_id,
+                to=node_id,
                 **arguments,
             )
-            for nodeId, address in self.voterAddresses().items()
-            if nodeId in voterIds
+            for node_id, address in self.voter_addresses().items()
+            if node_id in voter_ids
         }
 
-    def refuseFull(self, owner):
+    def refuse_full(self, owner):
         """Before anything is done: what would grow a state that has no more room is told no. What is open already
         still finds room to end."""
-        if owner.size > self._voter.slotLimit():
+        if owner.size > self._voter.slot_limit():
             raise RingFull(
                 f"slot {owner.slot} of the control state is full; end programs, or use other names",
-                retryAfter=FULL_RETRY,
+                retry_after=FULL_RETRY,
             )
-        if self._voter.isFull():
-            raise RingFull("the control state is full; end programs", retryAfter=FULL_RETRY)
+        if self._voter.is_full():
+            raise RingFull("the control state is full; end programs", retry_after=FULL_RETRY)
 
     async def replicate(self, owner, sequence, changes, start=(0, 0)):
         """Whether a majority has this change, all under one roster. While voters pass from one roster to the
         next, the same change is offered again: who has it says so."""
-        endsAt = self.reactor.seconds() + CALL_TIME
+        ends_at = self.reactor.seconds() + CALL_TIME
         while True:
             roster = self._voter.roster
-            reached, errors = await self._offer(roster, owner, sequence, changes, start, endsAt)
+            reached, errors = await self._offer(roster, owner, sequence, changes, start, ends_at)
             if reached:
-                owner.rosterVersion = roster.version
+                owner.roster_version = roster.version
                 return True
-            if owner.ended or not any(map(isMoving, errors.values())) or self.reactor.seconds() >= endsAt:
+            if owner.ended or not any(map(is_moving, errors.values())) or self.reactor.seconds() >= ends_at:
                 return False
             await sleep(self.reactor, TERM_RENEW / 4)
 
-    def _offer(self, roster, owner, sequence, changes, start, endsAt):
-        offer, change = Offer(roster, endsAt), (roster.version, owner, sequence, changes, start)
+    def _offer(self, roster, owner, sequence, changes, start, ends_at):
+        offer, change = Offer(roster, ends_at), (roster.version, owner, sequence, changes, start)
         step = pack(
             idl.Step(
                 slot=owner.slot,
                 epoch=owner.epoch,
                 sequence=sequence,
-                entries=entriesOf(changes.items()),
-                fromEpoch=start[0],
-                fromSequence=start[1],
+                entries=entries_of(changes.items()),
+                from_epoch=start[0],
+                from_sequence=start[1],
             )
         )
-        for voter in self.voterAddresses().items():
-            self._offerTo(voter, offer, change, step)
+        for voter in self.voter_addresses().items():
+            self._offer_to(voter, offer, change, step)
         return offer.outcome
 
-    def _offerTo(self, voter, offer, change, step):
-        nodeId, address = voter
-        if nodeId not in self._batchers:
-            self._batchers[nodeId] = StepBatcher(self._node.net, self.reactor, nodeId)
-        self._batchers[nodeId].put((address, change[0]), step, partial(self._judged, voter, offer, change, step))
+    def _offer_to(self, voter, offer, change, step):
+        node_id, address = voter
+        if node_id not in self._batchers:
+            self._batchers[node_id] = StepBatcher(self._node.net, self.reactor, node_id)
+        self._batchers[node_id].put((address, change[0]), step, partial(self._judged, voter, offer, change, step))
 
     def _judged(self, voter, offer, change, step, taken, error):
         if error is None and taken.taken:
@@ -443,7 +446,7 @@
             self._refused(voter, offer, change, step, error)
         else:  # it lacks something, is not to be disturbed just now, or takes steps one by one only
             drive(
-                self._giveChange(voter, *change, taken),
+                self._give_change(voter, *change, taken),
                 lambda _, why: (
                     offer.settle(voter[0]) if why is None else self._refused(voter, offer, change, step, why)
                 ),
@@ -451,59 +454,59 @@
 
     def _refused(self, voter, offer, change, step, error):
         """A voter that is passing to this roster is asked again by itself: else all would wait for one that is dead."""
-        if isMoving(error):
-            self.reactor.callLater(TERM_RENEW / 4, self._offerAgain, voter, offer, change, step, error)
+        if is_moving(error):
+            self.reactor.callLater(TERM_RENEW / 4, self._offer_again, voter, offer, change, step, error)
         else:
             offer.settle(voter[0], error)
 
-    def _offerAgain(self, voter, offer, change, step, error):
-        rosterVersion, owner = change[:2]
+    def _offer_again(self, voter, offer, change, step, error):
+        roster_version, owner = change[:2]
         if offer.outcome.called:
             return
-        if rosterVersion != self._voter.roster.version:
-            offer.giveUp(voter[0], error)  # under the next roster it is offered to all anew
-        elif owner.ended or self.reactor.seconds() >= offer.endsAt:
+        if roster_version != self._voter.roster.version:
+            offer.give_up(voter[0], error)  # under the next roster it is offered to all anew
+        elif owner.ended or self.reactor.seconds() >= offer.ends_at:
             offer.settle(voter[0], error)
         else:
-            self._offerTo(voter, offer, change, step)
+            self._offer_to(voter, offer, change, step)
 
-    async def _giveChange(self, voter, rosterVersion, owner, sequence, changes, start, taken):
+    async def _give_change(self, voter, roster_version, owner, sequence, changes, start, taken):
         """A voter that lacks something before the change gets the whole image. `start` names the image that a
         take-over begins with, by its epoch and sequence: who has it needs nothing more."""
         if taken is None or taken.again:
             taken = await self._accept(
-                voter, rosterVersion, owner, sequence, changes.items(), fromEpoch=start[0], fromSequence=start[1]
+                voter, roster_version, owner, sequence, changes.items(), from_epoch=start[0], from_sequence=start[1]
             )
-        if taken.needsImage:
-            taken = await self._giveImage(voter, rosterVersion, owner, *owner.imageWith(sequence, changes))
+        if taken.needs_image:
+            taken = await self._give_image(voter, roster_version, owner, *owner.image_with(sequence, changes))
         if not taken.taken:
-            self._seenEpochs[owner.slot] = max(self._seenEpochs.get(owner.slot, 0), taken.promisedEpoch or 0)
+            self._seen_epochs[owner.slot] = max(self._seen_epochs.get(owner.slot, 0), taken.promised_epoch or 0)
             raise CannotTell("the voter has promised a later epoch")
 
-    async def _giveImage(self, voter, rosterVersion, owner, sequence, entries):
-        *parts, last = inParts(entries.items(), IMAGE_PART)
+    async def _give_image(self, voter, roster_version, owner, sequence, entries):
+        *parts, last = in_parts(entries.items(), IMAGE_PART)
         for part, pairs in enumerate(parts):
-            taken = await self._give("stage", voter, rosterVersion, owner, sequence, pairs, part=part)
+            taken = await self._give("stage", voter, roster_version, owner, sequence, pairs, part=part)
             if not taken.taken:
                 return taken
-        return await self._accept(voter, rosterVersion, owner, sequence, last, whole=True, parts=len(parts))
+        return await self._accept(voter, roster_version, owner, sequence, last, whole=True, parts=len(parts))
 
-    def _accept(self, voter, rosterVersion, owner, sequence, pairs, whole=False, **more):
-        return self._give("accept", voter, rosterVersion, owner, sequence, pairs, whole=whole, **more)
+    def _accept(self, voter, roster_version, owner, sequence, pairs, whole=False, **more):
+        return self._give("accept", voter, roster_version, owner, sequence, pairs, whole=whole, **more)
 
-    def _give(self, method, voter, rosterVersion, owner, sequence, pairs, **more):
-        nodeId, address = voter
+    def _give(self, method, voter, roster_version, owner, sequence, pairs, **more):
+        node_id, address = voter
         return self._node.net.call(
             address,
             method,
             CALL_TIME,
-            to=nodeId,
+            to=node_id,
             slot=owner.slot,
             epoch=owner.epoch,
-            owner=self._node.nodeId,
-            rosterVersion=rosterVersion,
+            owner=self._node.node_id,
+            roster_version=roster_version,
             sequence=sequence,
-            entries=entriesOf(pairs),
+            entries=entries_of(pairs),
             **more,
         )
 
@@ -514,14 +517,14 @@
         voter holds up neither the others nor the next round."""
         now = self.reactor.seconds()
         for slot, owner in list(self.held.items()):
-            if now > owner.termUntil + TERM:
+            if now > owner.term_until + TERM:
                 self.log.event("termLost", slot=slot, epoch=owner.epoch)
                 owner.end()
-        if any(owner.termUntil < now + TERM - TERM_FRESH for owner in self.held.values()):  # else pulls have done it
+        if any(owner.term_until < now + TERM - TERM_FRESH for owner in self.held.values()):  # else pulls have done it
             self._confirm(dict(self.held))
         for owner in self.held.values():
-            if owner.rosterVersion < self._voter.roster.version:
-                owner.writeAgain()
+            if owner.roster_version < self._voter.roster.version:
+                owner.write_again()
 
     def begin_confirmation(self):
         """A round for all slots that are held, or None."""
@@ -532,102 +535,102 @@
             asked = ConfirmationRound(owners, self._voter.roster, self.reactor.seconds())
             self.confirm_at(asked, asked.roster.everyone)
 
-    def confirm_at(self, asked, voterIds):
+    def confirm_at(self, asked, voter_ids):
         """Asks these voters by a call of its own each."""
         terms = [idl.SlotEpoch(slot=slot, epoch=owner.epoch) for slot, owner in asked.owners.items()]
 
-        async def ask(nodeId, answer):
-            asked.take(nodeId, {term.slot for term in await answer})
+        async def ask(node_id, answer):
+            asked.take(node_id, {term.slot for term in await answer})
 
-        for nodeId, answer in self._askVoters("confirm", voterIds, terms=terms).items():
-            spawn(ask(nodeId, answer))
+        for node_id, answer in self._ask_voters("confirm", voter_ids, terms=terms).items():
+            spawn(ask(node_id, answer))
 
     # --- taking over ---
 
-    def _liveRoster(self):
+    def _live_roster(self):
         members = self._node.members
         return [
-            nodeId
-            for nodeId, peer in self._voter.roster.named.items()
-            if members.condition(nodeId) == LIVE and members.successorOf(nodeId, peer) is None
+            node_id
+            for node_id, peer in self._voter.roster.named.items()
+            if members.condition(node_id) == LIVE and members.successor_of(node_id, peer) is None
         ]
 
     async def _look(self):
         roster = self._voter.roster
         if roster is None:
             return
-        if self._node.nodeId not in roster.everyone:
-            self._sayParted(False)  # who has no vote needs no majority; while it says so, it would not be let in again
+        if self._node.node_id not in roster.everyone:
+            self._say_parted(False)  # who has no vote needs no majority; while it says so, it would not be let in again
             for owner in list(self.held.values()):
                 owner.end()
             return
         # Only who has answers from a majority may disturb an owner: one that is heard but hears nobody would
         # end every term with its prepares.
         answering = {
-            nodeId for nodeId, address in self.voterAddresses().items() if self._node.puller.answersLately(address)
+            node_id for node_id, address in self.voter_addresses().items() if self._node.puller.answers_lately(address)
         }
-        isParted = not roster.isQuorum(answering)
-        self._sayParted(isParted)
-        if isParted:
+        is_parted = not roster.is_quorum(answering)
+        self._say_parted(is_parted)
+        if is_parted:
             return
-        liveIds = self._liveRoster()
+        live_ids = self._live_roster()
         for slot in range(SLOTS):
-            if slot not in self.held and slot not in self._taking and self._isForMe(slot, liveIds):
+            if slot not in self.held and slot not in self._taking and self._is_for_me(slot, live_ids):
                 self._taking.add(slot)
-                spawn(self._takeOver(slot, liveIds), self.log)
+                spawn(self._take_over(slot, live_ids), self.log)
 
-    def _sayParted(self, isParted):
+    def _say_parted(self, is_parted):
         """A member that hears no majority says so, as far as it is still heard: slots are named for others at once,
         without a turn of its own that it could not use."""
-        state, me = "parted" if isParted else "up", self._node.puller.me
-        isNew = self.reactor.seconds() - self._startedAt < CONDITION_AGE
-        if me.state not in (state, "leaving") and not (isParted and isNew):
-            self._node.puller.describe(Member(**(vars(me) | {"state": state})))
-            self.log.event("memberParted" if isParted else "memberRejoined")
+        state, me = "parted" if is_parted else "up", self._node.puller.me
+        is_new = self.reactor.seconds() - self._started_at < CONDITION_AGE
+        if me.state not in (state, "leaving") and not (is_parted and is_new):
+            self._node.puller.describe(replace(me, state=state))
+            self.log.event("memberParted" if is_parted else "memberRejoined")
 
-    def _isForMe(self, slot, liveIds):
+    def _is_for_me(self, slot, live_ids):
         """The slot is for the first live one named for it. If that one is seen to live, but the slot stays
         without an owner (a cut may part it from the voters only), the next ones step in, one after another; the
         first of them only after the one named first has had its own turn."""
-        order = self._order(slot, tuple(liveIds))
-        if self._node.nodeId not in order:
+        order = self._order(slot, tuple(live_ids))
+        if self._node.node_id not in order:
             return False
-        place = order.index(self._node.nodeId)
-        ownerless = min(self._node.board.age(f"{SLOT_SOURCE}{slot}"), self.reactor.seconds() - self._startedAt)
+        place = order.index(self._node.node_id)
+        ownerless = min(self._node.board.age(f"{SLOT_SOURCE}{slot}"), self.reactor.seconds() - self._started_at)
         late = ownerless - CONDITION_AGE - STEP_IN_TIME
         return place == (0 if late <= 0 else (1 + int(late / STEP_IN_TIME)) % len(order))
 
-    def _order(self, slot, liveIds):
-        if self._orders[0] != liveIds:
-            self._orders = liveIds, [ranked(liveIds, f"slot{number}") for number in range(SLOTS)]
+    def _order(self, slot, live_ids):
+        if self._orders[0] != live_ids:
+            self._orders = live_ids, [ranked(live_ids, f"slot{number}") for number in range(SLOTS)]
         return self._orders[1][slot]
 
-    def believedOwner(self, slot):
+    def believed_owner(self, slot):
         """(epoch, nodeId, address) of the slot's newest owner that this node has heard of, or None."""
         rows = self._node.board.values(f"{SLOT_SOURCE}{slot}")
         return tuple(json.loads(rows["owner"])) if "owner" in rows else None
 
-    async def _takeOver(self, slot, liveIds):
-        believed = self.believedOwner(slot)
+    async def _take_over(self, slot, live_ids):
+        believed = self.believed_owner(slot)
         self.log.event(
             "takeOverBegins",
             slot=slot,
             after=believed[1] if believed else "nobody",
-            live=len(liveIds),
+            live=len(live_ids),
             silent=round(min(self._node.board.age(f"{SLOT_SOURCE}{slot}"), FORGET_AGE), 2),
         )
         try:
-            released = await self._askRelease(slot, liveIds)
-            await self._prepareAndServe(slot, released)
+            released = await self._ask_release(slot, live_ids)
+            await self._prepare_and_serve(slot, released)
         except OakError as error:
             self.log.event("takeOverFailed", slot=slot, reason=error.reason)
             await sleep(self.reactor, self._node.random.uniform(0.1, 0.5))
         finally:
             self._taking.discard(slot)
 
-    async def _askRelease(self, slot, liveIds):
-        believed = self.believedOwner(slot)
-        if believed is None or believed[1] not in self._voter.roster.everyone or believed[1] == self._node.nodeId:
+    async def _ask_release(self, slot, live_ids):
+        believed = self.believed_owner(slot)
+        if believed is None or believed[1] not in self._voter.roster.everyone or believed[1] == self._node.node_id:
             return None
         if self._node.members.condition(believed[1]) not in (LIVE, "leaving"):
             return None
@@ -637,64 +640,64 @@
             self.log.event("releaseUnanswered", slot=slot, owner=believed[1], reason=error.reason)
             return None
 
-    async def _prepareAndServe(self, slot, releasedEpoch):
-        believed = self.believedOwner(slot)
+    async def _prepare_and_serve(self, slot, released_epoch):
+        believed = self.believed_owner(slot)
         epoch = (
             max(
-                self._seenEpochs.get(slot, 0),
+                self._seen_epochs.get(slot, 0),
                 believed[0] if believed else 0,
-                releasedEpoch or 0,
-                self._voter.promisedEpoch(slot),
+                released_epoch or 0,
+                self._voter.promised_epoch(slot),
             )
             + 1
         )
-        self._seenEpochs[slot] = epoch
+        self._seen_epochs[slot] = epoch
         former = FormerTerms(self.reactor, self._possible_holders())
-        reached, answers = await quorumOf(
+        reached, answers = await quorum_of(
             {
                 voter[0]: self._promised(voter, slot, epoch, self._voter.roster, former)
-                for voter in self.voterAddresses().items()
+                for voter in self.voter_addresses().items()
             },
-            self._voter.roster.isQuorum,
+            self._voter.roster.is_quorum,
         )
         if not reached:
             raise CannotTell(
                 f"no majority promised epoch {epoch}: {'; '.join(sorted(set(map(str, answers.values()))))}"
             )
-        preparedAt = self.reactor.seconds()
-        formerEpoch = max(promise.promisedEpoch for promise in answers.values())
+        prepared_at = self.reactor.seconds()
+        former_epoch = max(promise.promised_epoch for promise in answers.values())
         newest, start = max(
-            ((nodeId, (promise.imageEpoch, promise.sequence)) for nodeId, promise in answers.items()),
-            key=lambda row: (row[1], row[0] == self._node.nodeId),
+            ((node_id, (promise.image_epoch, promise.sequence)) for node_id, promise in answers.items()),
+            key=lambda row: (row[1], row[0] == self._node.node_id),
         )
-        entries = await self._fetchImage(newest, slot, epoch, answers[newest].entries)
+        entries = await self._fetch_image(newest, slot, epoch, answers[newest].entries)
         owner = SlotOwner(self, slot, epoch, entries, 0)
         if not await self.replicate(owner, 1, {}, start):
             raise CannotTell(f"the image of epoch {epoch} did not reach a majority")
-        if formerEpoch and formerEpoch != releasedEpoch:
-            unconfirmed = min(promise.unconfirmedMs or 0 for promise in answers.values()) / 1000
-            await former.ended(preparedAt - unconfirmed + TERM)
+        if former_epoch and former_epoch != released_epoch:
+            unconfirmed = min(promise.unconfirmed_ms or 0 for promise in answers.values()) / 1000
+            await former.ended(prepared_at - unconfirmed + TERM)
         self._confirm({slot: owner})
         await within(self.reactor, TERM, owner.confirmed, CannotTell(f"epoch {epoch} was not confirmed"))
         owner.sequence = 1
         self.held[slot] = owner
         owner.serve()
         self.publish(owner, entries)
-        self.log.event("slotTaken", slot=slot, epoch=epoch, entries=len(entries), released=releasedEpoch or "no")
+        self.log.event("slotTaken", slot=slot, epoch=epoch, entries=len(entries), released=released_epoch or "no")
 
-    async def _fetchImage(self, nodeId, slot, epoch, given):
+    async def _fetch_image(self, node_id, slot, epoch, given):
         """The image that this voter promised to keep as it is: given with the promise, or fetched in parts."""
         entries, more = SortedDict((entry.key, entry.value) for entry in given or []), given is None
         while more:
             part = await self._node.net.call(
-                self.voterAddresses()[nodeId],
+                self.voter_addresses()[node_id],
                 "imagePart",
                 CALL_TIME,
-                to=nodeId,
+                to=node_id,
                 slot=slot,
                 epoch=epoch,
-                owner=self._node.nodeId,
-                rosterVersion=self._voter.roster.version,
+                owner=self._node.node_id,
+                roster_version=self._voter.roster.version,
                 after=entries.keys()[-1] if entries else "",
             )
             entries.update((entry.key, entry.value) for entry in part.entries or [])
@@ -703,45 +706,45 @@
 
     def _may_hold_term(self, slot, asker):
         """Whether this process has a term of the slot, or may come to one by a take-over that the asker's does not follow."""
-        return slot in self.held or (slot in self._taking and asker != self._node.nodeId)
+        return slot in self.held or (slot in self._taking and asker != self._node.node_id)
 
     def _possible_holders(self):
         """Who may hold a term: all of the roster, but those whose process has surely ended."""
         return [
-            nodeId
-            for nodeId, peer in self._voter.roster.everyone.items()
-            if self._node.members.successorOf(nodeId, peer) is None
+            node_id
+            for node_id, peer in self._voter.roster.everyone.items()
+            if self._node.members.successor_of(node_id, peer) is None
         ]
 
     async def _promised(self, voter, slot, epoch, roster, former):
-        nodeId, address = voter
-        endsAt = self.reactor.seconds() + CALL_TIME
+        node_id, address = voter
+        ends_at = self.reactor.seconds() + CALL_TIME
         while True:
             try:
                 promise = await self._node.net.call(
                     address,
                     "prepare",
-                    endsAt - self.reactor.seconds(),
-                    to=nodeId,
+                    ends_at - self.reactor.seconds(),
+                    to=node_id,
                     slot=slot,
                     epoch=epoch,
                     parts=True,
-                    owner=self._node.nodeId,
-                    rosterVersion=roster.version,
+                    owner=self._node.node_id,
+                    roster_version=roster.version,
                 )
                 break
             except Fenced as error:
-                if not isMoving(error) or roster.version != self._voter.roster.version:
+                if not is_moving(error) or roster.version != self._voter.roster.version:
                     raise
             await sleep(self.reactor, TERM_RENEW / 4)
         if not promise.granted:
-            self._seenEpochs[slot] = max(self._seenEpochs.get(slot, 0), promise.promisedEpoch)
-            raise CannotTell(f"epoch {promise.promisedEpoch} is promised already")
+            self._seen_epochs[slot] = max(self._seen_epochs.get(slot, 0), promise.promised_epoch)
+            raise CannotTell(f"epoch {promise.promised_epoch} is promised already")
         if promise.termless:
-            former.holds_none(nodeId)
+            former.holds_none(node_id)
         return promise
 
-    async def _serveRelease(self, _peer, arguments):
+    async def _serve_release(self, _peer, arguments):
         owner = self.held.get(arguments.slot)
         if owner is None:
             return None
@@ -762,47 +765,49 @@
             return  # while the change was on its way: who speaks for a source takes no news of it from the next owner
         source = f"{SLOT_SOURCE}{owner.slot}"
         self._node.board.publish(source, lambda: self._vouch(owner))
-        self._node.board.setItems(
+        self._node.board.set_items(
             source,
-            (owner.epoch << ROSTER_BITS) + owner.rosterVersion,
+            (owner.epoch << ROSTER_BITS) + owner.roster_version,
             {
-                "owner": packJson([owner.epoch, self._node.nodeId, self._node.net.address]),
-                "roster": packJson(owner.rosterVersion),
+                "owner": pack_json([owner.epoch, self._node.node_id, self._node.net.address]),
+                "roster": pack_json(owner.roster_version),
             },
         )
         view = View(owner.entries, None)
-        for published in sorted({publishedBy(key) for key in changes} - {None}):
+        for published in sorted({published_by(key) for key in changes} - {None}):
             owner.sources.add(published)
             controller = CONTROLLERS.find(published.partition("/")[0])
             version, values = controller.image(view, published)
-            self._node.board.publish(published, lambda published=published: self._vouchFor(owner, published))
-            self._node.board.setItems(published, version, values)
+            self._node.board.publish(published, lambda published=published: self._vouch_for(owner, published))
+            self._node.board.set_items(published, version, values)
 
     def _vouch(self, owner):
-        return self.reactor.seconds() if owner.holdsTerm() else None
+        return self.reactor.seconds() if owner.holds_term() else None
 
-    def _vouchFor(self, owner, published):
+    def _vouch_for(self, owner, published):
         """What hangs on a duty is only as new as the duty's last round."""
         at = self._vouch(owner)
-        return at if at is None or published not in self.pollTimes else self.pollTimes[published]
+        return at if at is None or published not in self.poll_times else self.poll_times[published]
 
     # --- calls ---
 
-    async def _serveCall(self, _peer, arguments):
-        return packJson(await self.call(arguments.key, arguments.command, json.loads(arguments.argumentsJson))).decode()
+    async def _serve_call(self, _peer, arguments):
+        return pack_json(
+            await self.call(arguments.key, arguments.command, json.loads(arguments.arguments_json))
+        ).decode()
 
     async def call(self, key, command, arguments):
-        slot = slotOfKey(key)
+        slot = slot_of_key(key)
         owner = self.held.get(slot)
         if owner is None:
-            believed = self.believedOwner(slot)
+            believed = self.believed_owner(slot)
             raise NotOwner(f"slot {slot} is owned elsewhere", detail=believed and believed[2])
         return await owner.do(key, command, arguments)
 
     async def _sweep(self):
         """A page of each slot, as one command."""
         for owner in list(self.held.values()):
-            if not owner.holdsTerm():
+            if not owner.holds_term():
                 continue
             try:
                 failed = await owner.sweep()
@@ -822,7 +827,7 @@
         self.now, self.members, self.marks, self.roster, self.board = now, members, marks, roster, board
         self.bounds = bounds or {}
 
-    def ageOf(self, key):
+    def age_of(self, key):
         return self.now - self.marks.setdefault(key, self.now)
 
     def touch(self, key):
--- a/packages/oakcontrol/oakcontrol/placement.py
+++ b/packages/oakcontrol/oakcontrol/placement.py
@@ -8,9 +8,7 @@
 import json
 from collections import Counter
 
-from schema import And
-
-from oakbase.checks import NAME, checkFields, oneOf, packJson, whole
+from oakbase.checks import NAME, check_fields, one_of, pack_json, whole
 from oakbase.constants import (
     EVICTION_ROUND,
     FINDINGS_SHOWN,
@@ -20,11 +18,13 @@
     TENANTS_TOLD,
 )
 from oakbase.env import EVICTION_MODES, eviction_mode
+from oakprefix.decision import Decision
+from oakprefix.detector import Window
+from schema import And
+
 from oakcontrol.controllers import CONTROLLERS, Controller
 from oakcontrol.duty import Duty
 from oakcontrol.places import REPLICAS_KEY
-from oakprefix.decision import Decision
-from oakprefix.detector import Window
 
 PLACEMENT_KEY = "placement"
 ROWS = f"{PLACEMENT_KEY}#"
@@ -76,20 +76,20 @@
 
 
 def _report(view, key, arguments):
-    checkFields({"gate": str, "number": whole(0, HIGHEST), "services": dict}, arguments)
+    check_fields({"gate": str, "number": whole(0, HIGHEST), "services": dict}, arguments)
     windows = view.context.marks.setdefault(WINDOWS, {})
     for service, report in arguments["services"].items():
-        checkFields(REPORT, report)
+        check_fields(REPORT, report)
         windows.setdefault(service, Window()).add(view.context.now, arguments["gate"], arguments["number"], report)
     return {}
 
 
 def _rows(view):
-    return {key.partition("#")[2]: view.get(key) for key in view.committedKeys(ROWS)}
+    return {key.partition("#")[2]: view.get(key) for key in view.committed_keys(ROWS)}
 
 
 def _set(view, key, arguments):
-    checkFields({"service": NAME, "mode": oneOf(*EVICTION_MODES), "tenants": dict}, arguments)
+    check_fields({"service": NAME, "mode": one_of(*EVICTION_MODES), "tenants": dict}, arguments)
     version = (view.get(key) or {"version": 0})["version"] + 1
     view.put(key, {"version": version})
     row = {"mode": arguments["mode"], "tenants": arguments["tenants"]}
@@ -108,7 +108,7 @@
 def _image(view, key):
     """An item a service: {tenant: replicas}. What is only tried out is told to no gate."""
     return (view.get(key) or {"version": 0})["version"], {
-        service: packJson({tenant: one["replicas"] for tenant, one in row["tenants"].items()})
+        service: pack_json({tenant: one["replicas"] for tenant, one in row["tenants"].items()})
         for service, row in _rows(view).items()
         if row["mode"] == "on"
     }
@@ -145,7 +145,7 @@
         self._decisions, self._decided_for = {}, None
         self._told = {}
         self.counts = Counter()
-        owners.pollTimes[PLACEMENT_KEY] = float("-inf")
+        owners.poll_times[PLACEMENT_KEY] = float("-inf")
 
     @property
     def mode(self):
@@ -166,7 +166,7 @@
                 owner, service, windows.setdefault(service, Window()), rows.get(service), ready.get(service, []), now
             )
         if not owner.ended:
-            self._owners.pollTimes[PLACEMENT_KEY] = now
+            self._owners.poll_times[PLACEMENT_KEY] = now
 
     def _ready(self):
         """The ids of the replicas that are ready, by service."""
--- a/packages/oakcontrol/oakcontrol/places.py
+++ b/packages/oakcontrol/oakcontrol/places.py
@@ -1,11 +1,11 @@
 """The published key `replicas`: what the platform lists."""
 
-from schema import Optional, Or
-
-from oakbase.checks import NAME, checkFields, faultsOf, oneOf, packJson, whole
+from oakbase.checks import NAME, check_fields, faults_of, one_of, pack_json, whole
 from oakbase.constants import NAME_LIMIT
 from oakbase.env import ADDRESS
 from oakbase.verdict import BadRequest, Unknown
+from schema import Optional, Or
+
 from oakcontrol.controllers import CONTROLLERS, Controller
 
 REPLICAS_KEY = "replicas"
@@ -18,7 +18,7 @@
     "id": NAME,
     "address": ADDRESS,
     "pool": NAME,
-    "state": oneOf("ready", "leaving"),
+    "state": one_of("ready", "leaving"),
     Optional("zone"): LABEL,
     Optional("slots"): Or(None, whole(1, 1 << 31), error="must be a whole number above 0"),
     Optional("cold_s"): Or(
@@ -34,7 +34,7 @@
     """The row with what is known of a replica, or None if that does not say what it is. What is only told besides
     and cannot be read is left out."""
     row = {name: row[name] for name in (*NEEDED, *BESIDES) if row.get(name) is not None}
-    faulty = {fault.partition(":")[0] for fault in faultsOf(REPLICA, row)}
+    faulty = {fault.partition(":")[0] for fault in faults_of(REPLICA, row)}
     return None if faulty & set(NEEDED) else {name: value for name, value in row.items() if name not in faulty}
 
 
@@ -56,8 +56,8 @@
     return row
 
 
-def _setList(view, key, arguments):
-    checkFields({"replicas": list}, arguments)
+def _set_list(view, key, arguments):
+    check_fields({"replicas": list}, arguments)
     state = _state(view, key)
     former = state["replicas"]
     replicas = {row["id"]: _stands(row, former.get(row["id"])) for row in arguments["replicas"]}
@@ -65,15 +65,15 @@
         raise BadRequest("a replica is listed twice")
     if replicas == former:
         return {"version": state["version"]}
-    for replicaId, row in replicas.items():
-        if row != former.get(replicaId):
-            checkFields(REPLICA, row)
+    for replica_id, row in replicas.items():
+        if row != former.get(replica_id):
+            check_fields(REPLICA, row)
     view.put(key, {"version": state["version"] + 1, "replicas": replicas})
     return {"version": state["version"]}
 
 
-def _markLeaving(view, key, arguments):
-    checkFields({"id": NAME}, arguments)
+def _mark_leaving(view, key, arguments):
+    check_fields({"id": NAME}, arguments)
     state = _state(view, key)
     row = state["replicas"].get(arguments["id"])
     if row is None:
@@ -84,15 +84,15 @@
     return row | {"state": "leaving"}
 
 
-def _readReplicas(view, key, _arguments):
+def _read_replicas(view, key, _arguments):
     return _state(view, key)
 
 
-def _imageReplicas(view, key):
+def _image_replicas(view, key):
     state = _state(view, key)
-    return state["version"], {name: packJson(row) for name, row in state["replicas"].items()}
+    return state["version"], {name: pack_json(row) for name, row in state["replicas"].items()}
 
 
 CONTROLLERS.enter(REPLICAS_KEY)(
-    Controller({"setList": _setList, "markLeaving": _markLeaving, "read": _readReplicas}, image=_imageReplicas)
+    Controller({"setList": _set_list, "markLeaving": _mark_leaving, "read": _read_replicas}, image=_image_replicas)
 )
--- a/packages/oakcontrol/oakcontrol/platform.py
+++ b/packages/oakcontrol/oakcontrol/platform.py
@@ -14,9 +14,7 @@
 import json
 from collections import Counter
 
-from twisted.internet.defer import ensureDeferred
-
-from oakbase.checks import packJson, parseJson
+from oakbase.checks import pack_json, parse_json
 from oakbase.constants import (
     PLATFORM_BACKOFF,
     PLATFORM_BOUND_SHARE,
@@ -31,8 +29,10 @@
     PLATFORM_TIME,
 )
 from oakbase.fetch import WebClient
-from oakbase.tasks import quorumOf, shielded, sleep, within
+from oakbase.tasks import quorum_of, shielded, sleep, within
 from oakbase.verdict import CannotTell, OakError, PlatformAway
+from twisted.internet.defer import ensureDeferred
+
 from oakcontrol.duty import Duty
 from oakcontrol.places import REPLICAS_KEY, readable
 
@@ -49,7 +49,7 @@
 
     @staticmethod
     def rows_of(body):
-        rows = parseJson(body, PLATFORM_LIMIT, "list").get("replicas")
+        rows = parse_json(body, PLATFORM_LIMIT, "list").get("replicas")
         if not isinstance(rows, list):
             raise PlatformAway("the list has no replicas")
         return rows, None
@@ -127,8 +127,8 @@
         self._due, self._due_for = float("-inf"), None
         self._take_env(node.env)
         node.watch_env(self._take_env)
-        owners.pollTimes[REPLICAS_KEY] = float("-inf")
-        node.net.handle("platformList", self._serveList)
+        owners.poll_times[REPLICAS_KEY] = float("-inf")
+        node.net.handle("platformList", self._serve_list)
 
     def _take_env(self, env):
         """Takes what may change while the node runs."""
@@ -156,7 +156,7 @@
             self._due = self._node.reactor.seconds() + tick
             raise
         if not owner.ended:
-            self._owners.pollTimes[REPLICAS_KEY] = now
+            self._owners.poll_times[REPLICAS_KEY] = now
 
     async def _list(self):
         """The platform's rows, read by whoever reaches it; None if a majority of the roster cannot."""
@@ -171,23 +171,23 @@
             pass
         roster = self._voter.roster
         works = {
-            nodeId: self._ask(address)
-            for nodeId, address in self._owners.voterAddresses().items()
-            if nodeId != self._node.nodeId
+            node_id: self._ask(address)
+            for node_id, address in self._owners.voter_addresses().items()
+            if node_id != self._node.node_id
         }
-        reached, said = await quorumOf(works | {self._node.nodeId: own}, lambda nodeIds: len(nodeIds) > 0)
+        reached, said = await quorum_of(works | {self._node.node_id: own}, lambda node_ids: len(node_ids) > 0)
         if reached:
             return next(iter(said.values()))
-        away = {nodeId for nodeId, error in said.items() if isinstance(error, PlatformAway)}
-        if roster.isQuorum(away):
+        away = {node_id for node_id, error in said.items() if isinstance(error, PlatformAway)}
+        if roster.is_quorum(away):
             return None
         raise CannotTell(f"only {len(away)} of the roster say that they cannot reach the platform")
 
     async def _ask(self, address):
         return json.loads(await self._node.net.call(address, "platformList", PLATFORM_CALL + self._paging_time()))
 
-    async def _serveList(self, _peer, _arguments):
-        return packJson(await self._read()).decode()
+    async def _serve_list(self, _peer, _arguments):
+        return pack_json(await self._read()).decode()
 
     # --- reading ---
 
--- a/packages/oakcontrol/oakcontrol/replication.py
+++ b/packages/oakcontrol/oakcontrol/replication.py
@@ -4,17 +4,16 @@
 the same time goes in one call, is committed there at once and is answered for each slot by itself.
 """
 
-from twisted.internet import defer
-
 from oakbase.constants import CALL_TIME, IMAGE_PART, STEP_PAUSE
+from twisted.internet import defer
 
 
 class StepBatcher:
     """Steps on their way to one voter. Invariant: while any waits, a timer is set, or a call is under way whose end sends it;
     none waits longer than STEP_PAUSE."""
 
-    def __init__(self, net, reactor, voterId):
-        self._net, self._reactor, self._voterId = net, reactor, voterId
+    def __init__(self, net, reactor, voter_id):
+        self._net, self._reactor, self._voter_id = net, reactor, voter_id
         self._waiting = []
         self._calls = 0
         self._timer = None
@@ -35,15 +34,15 @@
                 size += len(batch[-1][1])
             self._call(*target, batch)
 
-    def _call(self, address, rosterVersion, batch):
+    def _call(self, address, roster_version, batch):
         self._calls += 1
         call = self._net.call(
             address,
             "acceptMany",
             CALL_TIME,
-            to=self._voterId,
-            owner=self._net.nodeId,
-            rosterVersion=rosterVersion,
+            to=self._voter_id,
+            owner=self._net.node_id,
+            roster_version=roster_version,
             steps=[step for _, step, _ in batch],
         )
         call.addCallbacks(self._answered, self._failed, callbackArgs=(batch,), errbackArgs=(batch,))
@@ -69,25 +68,25 @@
     """One step, offered to the voters of one roster. `outcome` fires with (whether a majority has it, errors by voter)
     once that is certain."""
 
-    def __init__(self, roster, endsAt):
-        self._roster, self.endsAt = roster, endsAt
-        self._takenBy, self._pending, self._errors = set(), set(roster.everyone), {}
+    def __init__(self, roster, ends_at):
+        self._roster, self.ends_at = roster, ends_at
+        self._taken_by, self._pending, self._errors = set(), set(roster.everyone), {}
         self.outcome = defer.Deferred()
 
-    def settle(self, nodeId, error=None):
-        self._pending.discard(nodeId)
+    def settle(self, node_id, error=None):
+        self._pending.discard(node_id)
         if error is not None:
-            self._errors[nodeId] = error
+            self._errors[node_id] = error
         else:
-            self._takenBy.add(nodeId)
+            self._taken_by.add(node_id)
         if self.outcome.called:
             return
-        if error is None and self._roster.isQuorum(self._takenBy):
+        if error is None and self._roster.is_quorum(self._taken_by):
             self.outcome.callback((True, {}))
-        elif error is not None and not self._roster.isQuorum(self._takenBy | self._pending):
+        elif error is not None and not self._roster.is_quorum(self._taken_by | self._pending):
             self.outcome.callback((False, dict(self._errors)))
 
-    def giveUp(self, nodeId, error):
+    def give_up(self, node_id, error):
         """Nothing can come of it any more, whatever the others will say."""
         if not self.outcome.called:
-            self.outcome.callback((False, self._errors | {nodeId: error}))
+            self.outcome.callback((False, self._errors | {node_id: error}))
--- a/packages/oakcontrol/oakcontrol/roster.py
+++ b/packages/oakcontrol/oakcontrol/roster.py
@@ -25,9 +25,7 @@
 
 import json
 
-from schema import And
-
-from oakbase.checks import NAME, checkFields, packJson, whole
+from oakbase.checks import NAME, check_fields, pack_json, whole
 from oakbase.constants import (
     CALL_TIME,
     CONDITION_AGE,
@@ -41,9 +39,11 @@
     SLOTS,
 )
 from oakbase.env import ADDRESS
-from oakbase.tasks import quorumOf, sleep, spawn
+from oakbase.tasks import quorum_of, sleep, spawn
 from oakbase.verdict import CannotTell, Conflict, Lost, Refused, Unknown
 from oakcohort.members import LIVE
+from schema import And
+
 from oakcontrol.controllers import CONTROLLERS, Controller
 from oakcontrol.duty import Duty
 
@@ -58,11 +58,11 @@
         self.everyone = self.members | (self.next or {})
         self.named = self.next or self.members  # whom slots are named for: a leaving member hands over early
 
-    def isQuorum(self, nodeIds):
+    def is_quorum(self, node_ids):
         return all(
-            len(nodeIds & memberIds.keys()) > len(memberIds) // 2
-            for memberIds in (self.members, self.next)
-            if memberIds is not None
+            len(node_ids & member_ids.keys()) > len(member_ids) // 2
+            for member_ids in (self.members, self.next)
+            if member_ids is not None
         )
 
 
@@ -70,20 +70,20 @@
     return view.get(ROSTER_KEY) or view.context.roster.record
 
 
-def _checkVersion(record, basedOn):
-    if basedOn != record["version"]:
+def _check_version(record, based_on):
+    if based_on != record["version"]:
         raise Lost(
-            f"built on version {basedOn}, the newest is {record['version']}", detail={"version": record["version"]}
+            f"built on version {based_on}, the newest is {record['version']}", detail={"version": record["version"]}
         )
 
 
 def _replace(view, _key, arguments):
-    checkFields({"basedOn": whole(0, 1 << 53), "leaving": NAME, "joining": dict}, arguments)
-    checkFields(MEMBER, arguments["joining"])
+    check_fields({"basedOn": whole(0, 1 << 53), "leaving": NAME, "joining": dict}, arguments)
+    check_fields(MEMBER, arguments["joining"])
     record = _record(view)
     leaving, joining = arguments["leaving"], arguments["joining"]
     members = record["members"]
-    changed = {nodeId: peer for nodeId, peer in members.items() if nodeId != leaving} | {
+    changed = {node_id: peer for node_id, peer in members.items() if node_id != leaving} | {
         joining["nodeId"]: joining["peer"]
     }
     if record.get("next") == changed:
@@ -94,24 +94,24 @@
         raise Unknown(f"{leaving} is not in the roster; it has {', '.join(sorted(members))}")
     if joining["nodeId"] in members:
         raise Refused(f"{joining['nodeId']} is in the roster already")
-    return _beginChange(view, record, arguments["basedOn"], changed)
+    return _begin_change(view, record, arguments["basedOn"], changed)
 
 
-def _beginChange(view, record, basedOn, changed):
+def _begin_change(view, record, based_on, changed):
     """The joint version of the members and those they are changed to."""
-    _checkVersion(record, basedOn)
+    _check_version(record, based_on)
     known = view.context.members
-    for nodeId in changed.keys() - record["members"].keys():
-        newcomer = known.find(nodeId)
-        if newcomer is None or newcomer.kind != "control" or known.condition(nodeId) != LIVE:
-            raise Refused(f"{nodeId} is not a live control node of this cluster")
+    for node_id in changed.keys() - record["members"].keys():
+        newcomer = known.find(node_id)
+        if newcomer is None or newcomer.kind != "control" or known.condition(node_id) != LIVE:
+            raise Refused(f"{node_id} is not a live control node of this cluster")
     record = {"version": record["version"] + 1, "members": record["members"], "next": changed}
     view.put(ROSTER_KEY, record)
     return record
 
 
 def _reconfigure(view, _key, arguments):
-    checkFields(
+    check_fields(
         {"basedOn": whole(0, 1 << 53), "next": And(dict, len, {NAME: ADDRESS}, error="must map node ids to addresses")},
         arguments,
     )
@@ -122,13 +122,13 @@
         raise Conflict("the roster is being changed already")
     if len(changed) < len(record["members"]):
         raise Refused("the roster never shrinks")
-    return _beginChange(view, record, arguments["basedOn"], changed)
+    return _begin_change(view, record, arguments["basedOn"], changed)
 
 
 def _advance(view, _key, arguments):
-    checkFields({"basedOn": whole(0, 1 << 53)}, arguments)
+    check_fields({"basedOn": whole(0, 1 << 53)}, arguments)
     record = _record(view)
-    _checkVersion(record, arguments["basedOn"])
+    _check_version(record, arguments["basedOn"])
     if record.get("next") is None:
         return record
     record = {"version": record["version"] + 1, "members": record["next"], "next": None}
@@ -138,7 +138,7 @@
 
 def _image(view, _key):
     record = view.get(ROSTER_KEY)
-    return (0, {}) if record is None else (record["version"], {"record": packJson(record)})
+    return (0, {}) if record is None else (record["version"], {"record": pack_json(record)})
 
 
 CONTROLLERS.enter(ROSTER_KEY)(
@@ -160,9 +160,9 @@
     members may be lost or back in a moment, so as many outsiders are held back to take their places instead. Nodes
     are (id, address) pairs."""
     places, outsiders = dict(heirs), dict(outsiders)
-    vacant = [nodeId for nodeId in lost if nodeId not in places]
-    places |= {nodeId: outsiders.popitem() for nodeId in vacant[: len(outsiders)]}
-    kept = dict(places.get(nodeId, (nodeId, peer)) for nodeId, peer in members.items())
+    vacant = [node_id for node_id in lost if node_id not in places]
+    places |= {node_id: outsiders.popitem() for node_id in vacant[: len(outsiders)]}
+    kept = dict(places.get(node_id, (node_id, peer)) for node_id, peer in members.items())
     room = max(0, min(most - len(kept), len(outsiders) - len([one for one in awaited if one not in places])))
     return kept | dict([one for one in sorted(outsiders.items()) if one[0] in joining][:room])
 
@@ -177,23 +177,23 @@
     def __init__(self, node, voter, owners, mends=False):
         super().__init__(node, owners, ROSTER_KEY, ROSTER_PAUSE)
         self._voter, self._mends = voter, mends
-        self._silentSince, self._newSince = {}, {}
-        self._watchedAt = float("-inf")
+        self._silent_since, self._new_since = {}, {}
+        self._watched_at = float("-inf")
         node.board.watch(ROSTER_KEY, lambda _source: spawn(self._follow(), node.log))
 
     async def _follow(self):
         rows = self._node.board.values(ROSTER_KEY)
         if "record" not in rows:
             return
-        await self._voter.setRoster(json.loads(rows["record"]))
+        await self._voter.set_roster(json.loads(rows["record"]))
         for owner in list(self._owners.held.values()):
-            if owner.rosterVersion < self._voter.roster.version:
-                owner.writeAgain()
+            if owner.roster_version < self._voter.roster.version:
+                owner.write_again()
 
     async def _round(self):
         await self._follow()
         if self._mends and self._voter.roster is not None:
-            self._watchMembers(self._voter.roster)
+            self._watch_members(self._voter.roster)
         await super()._round()
 
     async def _work(self, owner):
@@ -201,8 +201,8 @@
         if roster is not None and roster.next is None and self._mends:
             await self._mend(owner, roster)
             roster = self._voter.roster
-        while roster is not None and roster.next is not None and owner.holdsTerm():
-            if all(self._slotRoster(slot) >= roster.version for slot in range(SLOTS)) and await self._isStood(roster):
+        while roster is not None and roster.next is not None and owner.holds_term():
+            if all(self._slot_roster(slot) >= roster.version for slot in range(SLOTS)) and await self._is_stood(roster):
                 record = await owner.do(ROSTER_KEY, "advance", {"basedOn": roster.version})
                 self._node.log.event("rosterMoved", version=record["version"])
                 return
@@ -211,62 +211,66 @@
 
     # --- mending ---
 
-    def _isHere(self, nodeId, peer):
-        return self._node.members.condition(nodeId) == LIVE and self._node.members.successorOf(nodeId, peer) is None
+    def _is_here(self, node_id, peer):
+        return self._node.members.condition(node_id) == LIVE and self._node.members.successor_of(node_id, peer) is None
 
-    def _watchMembers(self, roster):
+    def _watch_members(self, roster):
         now = self._node.reactor.seconds()
-        if now - self._watchedAt > ROSTER_ANSWERED:
-            self._silentSince, self._newSince = {}, {}
-        self._watchedAt = now
-        self._newSince = {
-            member.nodeId: self._newSince.get(member.nodeId, now)
+        if now - self._watched_at > ROSTER_ANSWERED:
+            self._silent_since, self._new_since = {}, {}
+        self._watched_at = now
+        self._new_since = {
+            member.node_id: self._new_since.get(member.node_id, now)
             for member in self._node.members.live("control")
-            if member.nodeId not in roster.members
+            if member.node_id not in roster.members
         }
-        self._silentSince = {
-            nodeId: self._silentSince.get(nodeId, now)
-            for nodeId, peer in roster.members.items()
-            if not self._isHere(nodeId, peer)
+        self._silent_since = {
+            node_id: self._silent_since.get(node_id, now)
+            for node_id, peer in roster.members.items()
+            if not self._is_here(node_id, peer)
         }
 
     async def _mend(self, owner, roster):
         node = self._node
         answering = {
-            member.nodeId: member
+            member.node_id: member
             for member in node.members.live("control")
-            if node.puller.answersLately(member.peer, ROSTER_ANSWERED)
+            if node.puller.answers_lately(member.peer, ROSTER_ANSWERED)
+        }
+        here = {
+            node_id for node_id, peer in roster.members.items() if node_id in answering and self._is_here(node_id, peer)
         }
-        here = {nodeId for nodeId, peer in roster.members.items() if nodeId in answering and self._isHere(nodeId, peer)}
-        newcomers = {nodeId: one for nodeId, one in answering.items() if nodeId not in roster.members}
+        newcomers = {node_id: one for node_id, one in answering.items() if node_id not in roster.members}
         heirs = {
-            heir.nodeId: nodeId
-            for nodeId, peer in roster.members.items()
-            if nodeId not in here and (heir := self._heirOf(nodeId, peer, newcomers)) is not None
+            heir.node_id: node_id
+            for node_id, peer in roster.members.items()
+            if node_id not in here and (heir := self._heir_of(node_id, peer, newcomers)) is not None
         }
-        heirs = {nodeId: (heirId, newcomers[heirId].peer) for heirId, nodeId in heirs.items()}
+        heirs = {node_id: (heir_id, newcomers[heir_id].peer) for heir_id, node_id in heirs.items()}
         # A machine has one vote: who runs where a member did may take its place and no other.
-        former = [node.members.find(nodeId) for nodeId in roster.members]
+        former = [node.members.find(node_id) for node_id in roster.members]
         taken = {
             *roster.members.values(),
             *(one.peer for one in former if one),
             *(one.machine for one in former if one),
         }
         outsiders = [
-            (nodeId, one.peer) for nodeId, one in sorted(newcomers.items()) if not {one.peer, one.machine} & taken
+            (node_id, one.peer) for node_id, one in sorted(newcomers.items()) if not {one.peer, one.machine} & taken
         ]
         now = node.reactor.seconds()
-        lost = [nodeId for nodeId, since in self._silentSince.items() if now - since >= ROSTER_PATIENCE - CONDITION_AGE]
+        lost = [
+            node_id for node_id, since in self._silent_since.items() if now - since >= ROSTER_PATIENCE - CONDITION_AGE
+        ]
         awaited = [
-            nodeId
-            for nodeId, peer in roster.members.items()
-            if nodeId not in here or not node.puller.answersLately(answering[nodeId].peer, ROSTER_HEARD)
+            node_id
+            for node_id, peer in roster.members.items()
+            if node_id not in here or not node.puller.answers_lately(answering[node_id].peer, ROSTER_HEARD)
         ]
-        joining = {nodeId for nodeId, since in self._newSince.items() if now - since >= ROSTER_JOINING}
+        joining = {node_id for node_id, since in self._new_since.items() if now - since >= ROSTER_JOINING}
         wanted = mended(roster.members, heirs, lost, awaited, outsiders, joining)
         if wanted == roster.members:
             return
-        if not Roster({"version": 0, "members": roster.members, "next": wanted}).isQuorum(here | newcomers.keys()):
+        if not Roster({"version": 0, "members": roster.members, "next": wanted}).is_quorum(here | newcomers.keys()):
             return
         record = await owner.do(ROSTER_KEY, "reconfigure", {"basedOn": roster.version, "next": wanted})
         node.log.event(
@@ -277,40 +281,40 @@
         )
         await self._follow()
 
-    def _heirOf(self, nodeId, peer, newcomers):
+    def _heir_of(self, node_id, peer, newcomers):
         """Who came back in this member's place without its disk: at its address, or, once the member is silent, on
         a machine of its name."""
-        successor = self._node.members.successorOf(nodeId, peer)
+        successor = self._node.members.successor_of(node_id, peer)
         if successor is not None:
-            return newcomers.get(successor.nodeId)
-        former = self._node.members.find(nodeId)
-        if former is None or self._node.members.condition(nodeId) == LIVE:
+            return newcomers.get(successor.node_id)
+        former = self._node.members.find(node_id)
+        if former is None or self._node.members.condition(node_id) == LIVE:
             return None
         return next((one for one in newcomers.values() if one.machine == former.machine), None)
 
     # --- moving on ---
 
-    def _slotRoster(self, slot):
+    def _slot_roster(self, slot):
         """The roster version under which the slot's owner last wrote its image."""
         return json.loads(self._node.board.values(f"slot/{slot}").get("roster", b"0"))
 
-    async def _isStood(self, roster):
+    async def _is_stood(self, roster):
         """Whether majorities of both sets stand in this version. Who is on the way to it is asked again by itself, so
         that nobody waits for one that is dead."""
-        endsAt = self._node.reactor.seconds() + CALL_TIME
+        ends_at = self._node.reactor.seconds() + CALL_TIME
 
-        async def ask(nodeId, peer):
-            member = self._node.members.find(nodeId)
+        async def ask(node_id, peer):
+            member = self._node.members.find(node_id)
             while (
                 version := await self._node.net.call(
-                    member.peer if member else peer, "rosterVersion", endsAt - self._node.reactor.seconds(), to=nodeId
+                    member.peer if member else peer, "rosterVersion", ends_at - self._node.reactor.seconds(), to=node_id
                 )
             ) < roster.version:
                 await sleep(self._node.reactor, ROSTER_MOVING_PAUSE)
             if version != roster.version:
-                raise CannotTell(f"{nodeId} stands in version {version}")
+                raise CannotTell(f"{node_id} stands in version {version}")
 
-        reached, _ = await quorumOf(
-            {nodeId: ask(nodeId, peer) for nodeId, peer in roster.everyone.items()}, roster.isQuorum
+        reached, _ = await quorum_of(
+            {node_id: ask(node_id, peer) for node_id, peer in roster.everyone.items()}, roster.is_quorum
         )
         return reached
--- a/packages/oakcontrol/oakcontrol/routing.py
+++ b/packages/oakcontrol/oakcontrol/routing.py
@@ -15,13 +15,13 @@
 
 from urllib.parse import quote, unquote
 
-from schema import Optional
-
-from oakbase.checks import NAME, checkFields, whole
+from oakbase.checks import NAME, check_fields, whole
 from oakbase.constants import CHANGES_REMEMBERED
 from oakbase.verdict import Invalid, Lost
+from schema import Optional
+
 from oakcontrol.controllers import CONTROLLERS, Controller
-from oakcontrol.slots import packEntry, unpackEntry
+from oakcontrol.slots import pack_entry, unpack_entry
 
 ROUTING_KEY = "routing"
 VERSION = whole(0, 1 << 53)
@@ -74,7 +74,7 @@
     """(version, document) of the published items, as a board has them; (0, None) without any."""
     if VERSION_PIECE not in values:
         return 0, None
-    pieces = {name: unpackEntry(value) for name, value in values.items()}
+    pieces = {name: unpack_entry(value) for name, value in values.items()}
     return pieces[VERSION_PIECE], document_of(pieces)
 
 
@@ -199,7 +199,7 @@
 
 def _read(view, _key, arguments):
     """The newest version, and its document unless the asker knows it."""
-    checkFields({Optional("known"): VERSION}, arguments)
+    check_fields({Optional("known"): VERSION}, arguments)
     head = _head(view)
     if head["version"] in (0, arguments.get("known")):
         return {"version": head["version"]}
@@ -231,7 +231,7 @@
 
 def _put(view, _key, arguments):
     """A whole document."""
-    checkFields(CHANGE | {"document": dict}, arguments)
+    check_fields(CHANGE | {"document": dict}, arguments)
     known = _known(view, arguments["fingerprint"])
     if known is not None:
         return {"version": known}
@@ -244,7 +244,7 @@
 
 def _change(view, _key, arguments):
     """Only the pieces that differ from the version built on; None removes one."""
-    checkFields(CHANGE | {"pieces": dict}, arguments)
+    check_fields(CHANGE | {"pieces": dict}, arguments)
     known = _known(view, arguments["fingerprint"])
     if known is not None:
         return {"version": known}
@@ -256,7 +256,7 @@
 
 def _take(view, head, arguments, changed):
     for piece, value in changed.items():
-        if view.packed(_row(piece)) != packEntry(value):
+        if view.packed(_row(piece)) != pack_entry(value):
             view.put(_row(piece), value)
     orders = {
         unquote(piece.removeprefix(ORDER), errors="surrogatepass"): value is not None
@@ -276,7 +276,7 @@
 
 def _outcome(view, _key, arguments):
     """What became of a change that is built on another version than the newest. It changes nothing."""
-    checkFields({"based_on": VERSION, "fingerprint": NAME}, arguments)
+    check_fields({"based_on": VERSION, "fingerprint": NAME}, arguments)
     known = _known(view, arguments["fingerprint"])
     if known is None:
         head = _head(view)
@@ -290,7 +290,7 @@
 def _image(view, _key):
     head = _head(view)
     values = {piece: view.packed(_row(piece)) for piece in _piece_names(view, head)}
-    return head["version"], values and values | {VERSION_PIECE: packEntry(head["version"])}
+    return head["version"], values and values | {VERSION_PIECE: pack_entry(head["version"])}
 
 
 # A change replaces what is there, so it is taken also when what adds up is refused for want of room.
--- a/packages/oakcontrol/oakcontrol/slots.py
+++ b/packages/oakcontrol/oakcontrol/slots.py
@@ -3,21 +3,21 @@
 import json
 import zlib
 
-from oakbase.checks import packJson
+from oakbase.checks import pack_json
 from oakbase.constants import ENTRY_LIMIT, SLOTS
 from oakbase.verdict import TooLarge
-from oakcohort.rendezvous import slotOf
+from oakcohort.rendezvous import slot_of
 
 ENTRY_COST = 64  # bytes; what an entry takes besides its key and value, in messages and on the disk, at most
 PACK_FROM = 4096  # bytes; below this an entry is not worth compressing
 
 
-def slotOfKey(key):
+def slot_of_key(key):
     """What hangs on a key, behind its '#', is in the key's slot."""
-    return slotOf(key.partition("#")[0], SLOTS)
+    return slot_of(key.partition("#")[0], SLOTS)
 
 
-def inParts(entries, most):
+def in_parts(entries, most):
     """The (key, value) pairs in runs of at most `most` bytes each, or of one pair."""
     part, size = [], 0
     for key, value in entries:
@@ -30,14 +30,14 @@
     yield part
 
 
-def packEntry(value):
+def pack_entry(value):
     if value is None:
         return None
-    data = packJson(value)
+    data = pack_json(value)
     if len(data) > ENTRY_LIMIT:
         raise TooLarge(f"{len(data)} bytes in one entry of the control state")
     return b"z" + zlib.compress(data) if len(data) > PACK_FROM else b"j" + data
 
 
-def unpackEntry(data):
+def unpack_entry(data):
     return json.loads(zlib.decompress(data[1:]) if data[:1] == b"z" else data[1:])
--- a/packages/oakcontrol/oakcontrol/storeset.py
+++ b/packages/oakcontrol/oakcontrol/storeset.py
@@ -27,9 +27,7 @@
 
 import json
 
-from schema import And, Optional
-
-from oakbase.checks import NAME, checkFields, packJson, whole
+from oakbase.checks import NAME, check_fields, pack_json, whole
 from oakbase.constants import (
     CALL_TIME,
     CONDITION_AGE,
@@ -42,9 +40,11 @@
     STORES_PATIENCE,
 )
 from oakbase.env import ADDRESS
-from oakbase.tasks import quorumOf, settled, sleep
+from oakbase.tasks import quorum_of, settled, sleep
 from oakbase.verdict import CannotTell, Conflict, Fenced, Lost, OakError, Refused, Unknown
 from oakcohort.members import LIVE
+from schema import And, Optional
+
 from oakcontrol.controllers import CONTROLLERS, Controller
 from oakcontrol.duty import Duty
 
@@ -55,10 +55,10 @@
 LOSSES = whole(1, 1 << 16)
 
 
-def machineOf(members, nodeId):
+def machine_of(members, node_id):
     """By the node's own word, or by its id, which begins with it."""
-    member = members.find(nodeId)
-    return member.machine if member else nodeId.rpartition(".")[0]
+    member = members.find(node_id)
+    return member.machine if member else node_id.rpartition(".")[0]
 
 
 class StoreSet:
@@ -69,28 +69,28 @@
         self.epoch, self.phase = record["version"], record["phase"]
         self.members = {row["nodeId"]: row for row in record["members"]}
         joining = record["joining"]
-        self.nextMembers = (
+        self.next_members = (
             self.members
             if joining is None
-            else {nodeId: row for nodeId, row in self.members.items() if nodeId != record["leaving"]}
+            else {node_id: row for node_id, row in self.members.items() if node_id != record["leaving"]}
             | {joining["nodeId"]: joining}
         )
-        self.everyone = self.members | self.nextMembers
-        self.readers = self.nextMembers if self.phase == MOVING else self.members
-        self.writeSets = [self.members] + ([self.nextMembers] if joining else [])
+        self.everyone = self.members | self.next_members
+        self.readers = self.next_members if self.phase == MOVING else self.members
+        self.write_sets = [self.members] + ([self.next_members] if joining else [])
         self.pruned = frozenset(record["pruned"])
 
     @classmethod
-    def fromBoard(cls, board):
+    def from_board(cls, board):
         rows = board.values(STORES_KEY)
         return cls(json.loads(rows["set"]) if "set" in rows else EMPTY)
 
-    def isWritten(self, nodeIds):
+    def is_written(self, node_ids):
         """Whether these stores are a write quorum."""
-        return all(len(nodeIds & memberIds.keys()) >= majority(memberIds) for memberIds in self.writeSets)
+        return all(len(node_ids & member_ids.keys()) >= majority(member_ids) for member_ids in self.write_sets)
 
-    def since(self, nodeId):
-        return self.everyone[nodeId]["since"]
+    def since(self, node_id):
+        return self.everyone[node_id]["since"]
 
 
 def majority(members):
@@ -107,16 +107,16 @@
     return record
 
 
-def _checkVersion(record, basedOn):
-    if basedOn != record["version"]:
+def _check_version(record, based_on):
+    if based_on != record["version"]:
         raise Lost(
-            f"built on epoch {basedOn}, the newest is {record['version']}", detail={"version": record["version"]}
+            f"built on epoch {based_on}, the newest is {record['version']}", detail={"version": record["version"]}
         )
 
 
 def _set(view, _key, arguments):
     """The first set, of stores that are all empty."""
-    checkFields(
+    check_fields(
         {
             "basedOn": whole(0, 1 << 53),
             Optional("losses"): LOSSES,
@@ -125,7 +125,7 @@
         arguments,
     )
     for member in arguments["members"]:
-        checkFields(STORE, member)
+        check_fields(STORE, member)
     record, members = _record(view), [row | {"since": 1} for row in arguments["members"]]
     if record["version"] and record["members"] == members:
         return record
@@ -136,7 +136,7 @@
 
 
 def _replace(view, _key, arguments):
-    checkFields({"basedOn": whole(0, 1 << 53), "leaving": NAME, "joining": STORE}, arguments)
+    check_fields({"basedOn": whole(0, 1 << 53), "leaving": NAME, "joining": STORE}, arguments)
     record, members = _record(view), view.context.members
     leaving, joining = arguments["leaving"], arguments["joining"]
     ids = [row["nodeId"] for row in record["members"]]
@@ -148,14 +148,14 @@
         raise Unknown(f"{leaving} is not in the store set; it has {', '.join(ids)}")
     if joining["nodeId"] in ids or joining["nodeId"] in record["retired"]:
         raise Refused(f"{joining['nodeId']} is or was in the store set; a new one needs an empty folder")
-    _checkVersion(record, arguments["basedOn"])
-    fewer = [nodeId for nodeId in ids if nodeId != leaving and members.condition(nodeId) != LIVE]
+    _check_version(record, arguments["basedOn"])
+    fewer = [node_id for node_id in ids if node_id != leaving and members.condition(node_id) != LIVE]
     if fewer:
         raise Refused(f"{', '.join(fewer)} is not live; without {leaving} too few copies would be left")
-    return _beginJoining(view, record, leaving, joining)
+    return _begin_joining(view, record, leaving, joining)
 
 
-def _beginJoining(view, record, leaving, joining):
+def _begin_joining(view, record, leaving, joining):
     members = view.context.members
     newcomer = members.find(joining["nodeId"])
     if newcomer is None or newcomer.kind != "store" or members.condition(joining["nodeId"]) != LIVE:
@@ -168,30 +168,30 @@
 def _mend(view, _key, arguments):
     """The same for the watch: while others are silent too, and in the place of a joining that cannot go on or is
     less pressing."""
-    checkFields({"basedOn": whole(0, 1 << 53), "leaving": NAME, "joining": STORE}, arguments)
+    check_fields({"basedOn": whole(0, 1 << 53), "leaving": NAME, "joining": STORE}, arguments)
     record = _record(view)
     leaving, joining = arguments["leaving"], arguments["joining"]
     ids = [row["nodeId"] for row in record["members"]]
-    _checkVersion(record, arguments["basedOn"])
+    _check_version(record, arguments["basedOn"])
     if record["phase"] == MOVING:
         raise Conflict("the set is moving")
     if leaving not in ids or joining["nodeId"] in ids or joining["nodeId"] in record["retired"]:
         raise Refused(f"{joining['nodeId']} cannot take the place of {leaving}")
-    return _beginJoining(view, record, leaving, joining)
+    return _begin_joining(view, record, leaving, joining)
 
 
 def _retire(view, _key, arguments):
     """From now on the machine is to be emptied; a spare takes its place in the set."""
-    checkFields({"machine": NAME}, arguments)
+    check_fields({"machine": NAME}, arguments)
     record, machine = _record(view), arguments["machine"]
     emptied = record.get("emptied", [])
     if machine not in emptied:
-        _checkKnown(view, record, machine)
+        _check_known(view, record, machine)
         # One that is silent for a moment is counted on to come back.
         left = {
             member.machine
             for member, age in view.context.members.newest().values()
-            if member.kind == "store" and age <= STORES_PATIENCE and member.nodeId not in record["retired"]
+            if member.kind == "store" and age <= STORES_PATIENCE and member.node_id not in record["retired"]
         }
         left -= {machine, *emptied}
         needed = 2 * record.get("losses", 1) + 1
@@ -201,10 +201,10 @@
     return _retired(view, _key, arguments)
 
 
-def _checkKnown(view, record, machine):
+def _check_known(view, record, machine):
     members = view.context.members
     if machine in record.get("emptied", ()) or machine in {
-        machineOf(members, nodeId) for nodeId in StoreSet(record).everyone
+        machine_of(members, node_id) for node_id in StoreSet(record).everyone
     }:
         return
     if not any(member.machine == machine and member.kind == "store" for member, _ in members.newest().values()):
@@ -213,28 +213,28 @@
 
 def _retired(view, _key, arguments):
     """`delivered` once the machine may be taken away with its disk."""
-    checkFields({"machine": NAME}, arguments)
+    check_fields({"machine": NAME}, arguments)
     record, machine = _record(view), arguments["machine"]
-    _checkKnown(view, record, machine)
-    isIn = machine in {machineOf(view.context.members, nodeId) for nodeId in StoreSet(record).everyone}
-    isEmptied = machine in record.get("emptied", ()) and not isIn
-    return {"state": "delivered" if isEmptied else "in_service"}
+    _check_known(view, record, machine)
+    is_in = machine in {machine_of(view.context.members, node_id) for node_id in StoreSet(record).everyone}
+    is_emptied = machine in record.get("emptied", ()) and not is_in
+    return {"state": "delivered" if is_emptied else "in_service"}
 
 
 def _cancel(view, _key, arguments):
-    checkFields({"basedOn": whole(0, 1 << 53)}, arguments)
+    check_fields({"basedOn": whole(0, 1 << 53)}, arguments)
     record = _record(view)
     if record["phase"] != JOINING:
         raise Refused("there is no replacement that can still be called off")
-    _checkVersion(record, arguments["basedOn"])
+    _check_version(record, arguments["basedOn"])
     return _put(view, record, phase=STABLE, leaving=None, joining=None)
 
 
 def _advance(view, _key, arguments):
     """The next phase; only for the watch, which has asked the stores."""
-    checkFields({"basedOn": whole(0, 1 << 53)}, arguments)
+    check_fields({"basedOn": whole(0, 1 << 53)}, arguments)
     record = _record(view)
-    _checkVersion(record, arguments["basedOn"])
+    _check_version(record, arguments["basedOn"])
     if record["phase"] == JOINING:
         return _put(view, record, phase=MOVING)
     if record["phase"] == MOVING:
@@ -242,7 +242,7 @@
             view,
             record,
             phase=STABLE,
-            members=list(StoreSet(record).nextMembers.values()),
+            members=list(StoreSet(record).next_members.values()),
             joining=None,
             leaving=None,
             retired=[*record["retired"], record["leaving"]],
@@ -251,9 +251,9 @@
 
 
 def _prune(view, _key, arguments):
-    checkFields({"basedOn": whole(0, 1 << 53), "ids": list}, arguments)
+    check_fields({"basedOn": whole(0, 1 << 53), "ids": list}, arguments)
     record = _record(view)
-    _checkVersion(record, arguments["basedOn"])
+    _check_version(record, arguments["basedOn"])
     if record["phase"] != STABLE or not set(arguments["ids"]) <= set(record["retired"]) - set(record["pruned"]):
         raise Refused("only ids of retired stores are pruned, and only between replacements")
     return _put(view, record, pruned=[*record["pruned"], *arguments["ids"]])
@@ -261,7 +261,7 @@
 
 def _image(view, _key):
     record = _record(view)
-    return record["version"], {"set": packJson(record)}
+    return record["version"], {"set": pack_json(record)}
 
 
 CONTROLLERS.enter(STORES_KEY)(
@@ -282,13 +282,13 @@
 )
 
 
-def spreadOver(zones, stores, count):
+def spread_over(zones, stores, count):
     """So many of these stores, from as many zones as there are."""
     ranks = {}
-    for one in sorted(stores, key=lambda one: one.nodeId):
-        ranks[one.nodeId] = len([other for other in ranks if zones[other] == one.zone])
-        zones = zones | {one.nodeId: one.zone}
-    return sorted(stores, key=lambda one: (ranks[one.nodeId], one.nodeId))[:count]
+    for one in sorted(stores, key=lambda one: one.node_id):
+        ranks[one.node_id] = len([other for other in ranks if zones[other] == one.zone])
+        zones = zones | {one.node_id: one.zone}
+    return sorted(stores, key=lambda one: (ranks[one.node_id], one.node_id))[:count]
 
 
 class StoreSetWatch(Duty):
@@ -301,50 +301,50 @@
     def __init__(self, node, owners, mends=False, losses=1):
         super().__init__(node, owners, STORES_KEY, STORES_LOOK)
         self._mends, self._losses = mends, losses
-        self._silentSince, self._watchedAt, self._firstSeenAt = {}, float("-inf"), None
-        self._prunedAt = float("-inf")
+        self._silent_since, self._watched_at, self._first_seen_at = {}, float("-inf"), None
+        self._pruned_at = float("-inf")
         self._note_stores()
         node.board.watch(STORES_KEY, self._note_stores)
 
     def _note_stores(self, _source=STORES_KEY):
-        self._stores = StoreSet.fromBoard(self._node.board)
+        self._stores = StoreSet.from_board(self._node.board)
 
     async def _round(self):
         if self._mends:
-            self._watchStores(self._stores)
+            self._watch_stores(self._stores)
         await super()._round()
 
-    def _watchStores(self, stores):
+    def _watch_stores(self, stores):
         now = self._node.reactor.seconds()
-        if now - self._watchedAt > MEMBER_ANSWERED:
-            self._silentSince = {}
-        self._watchedAt = now
-        self._silentSince = {
-            nodeId: self._silentSince.get(nodeId, now)
-            for nodeId, row in stores.everyone.items()
-            if not self._isHere(nodeId, row)
+        if now - self._watched_at > MEMBER_ANSWERED:
+            self._silent_since = {}
+        self._watched_at = now
+        self._silent_since = {
+            node_id: self._silent_since.get(node_id, now)
+            for node_id, row in stores.everyone.items()
+            if not self._is_here(node_id, row)
         }
-        if self._firstSeenAt is None and self._node.members.live("store"):
-            self._firstSeenAt = now
+        if self._first_seen_at is None and self._node.members.live("store"):
+            self._first_seen_at = now
 
-    def _isHere(self, nodeId, row):
-        return self._node.members.condition(nodeId) == LIVE and self._heirOf(nodeId, row) is None
+    def _is_here(self, node_id, row):
+        return self._node.members.condition(node_id) == LIVE and self._heir_of(node_id, row) is None
 
-    def _isLost(self, nodeId):
-        since = self._silentSince.get(nodeId)
+    def _is_lost(self, node_id):
+        since = self._silent_since.get(node_id)
         return since is not None and self._node.reactor.seconds() - since >= STORES_PATIENCE - CONDITION_AGE
 
-    def _heirOf(self, nodeId, row):
+    def _heir_of(self, node_id, row):
         """Who came back in this store's place without its disk: at its address, or, once it is silent, on a machine
         of its name. The former id has ended for ever."""
         members = self._node.members
-        successor = members.successorOf(nodeId, row["peer"])
+        successor = members.successor_of(node_id, row["peer"])
         if successor is not None:
             return successor if successor.kind == "store" else None
-        if members.condition(nodeId) == LIVE:
+        if members.condition(node_id) == LIVE:
             return None
-        machine = machineOf(members, nodeId)
-        return next((one for one in members.live("store") if one.machine == machine and one.nodeId != nodeId), None)
+        machine = machine_of(members, node_id)
+        return next((one for one in members.live("store") if one.machine == machine and one.node_id != node_id), None)
 
     async def _work(self, owner):
         record = await owner.do(STORES_KEY, "read", {})
@@ -353,8 +353,8 @@
             return
         if self._mends and record["phase"] != MOVING:
             record = await self._mend(owner, record)
-        while record["phase"] != STABLE and owner.holdsTerm():
-            moved = await self._moveOn(owner, record)
+        while record["phase"] != STABLE and owner.holds_term():
+            moved = await self._move_on(owner, record)
             if moved is not None:
                 record = moved
                 continue
@@ -363,27 +363,29 @@
                 record = await self._mend(owner, await owner.do(STORES_KEY, "read", {}))
             else:
                 record = await owner.do(STORES_KEY, "read", {})
-        prunable = [nodeId for nodeId in record["retired"] if nodeId not in record["pruned"]]
-        if record["phase"] == STABLE and prunable and self._node.reactor.seconds() - self._prunedAt >= PRUNE_PAUSE:
-            self._prunedAt = self._node.reactor.seconds()
-            await self._mayPrune(owner, record, prunable)
+        prunable = [node_id for node_id in record["retired"] if node_id not in record["pruned"]]
+        if record["phase"] == STABLE and prunable and self._node.reactor.seconds() - self._pruned_at >= PRUNE_PAUSE:
+            self._pruned_at = self._node.reactor.seconds()
+            await self._may_prune(owner, record, prunable)
 
     # --- forming and mending ---
 
     async def _form(self, owner):
         """The first set: as many stores as the losses ask for; fewer, if no more have come for a while."""
         live, wanted = self._node.members.live("store"), 2 * self._losses + 1
-        waited = self._firstSeenAt is not None and self._node.reactor.seconds() - self._firstSeenAt >= STORES_FIRST_WAIT
+        waited = (
+            self._first_seen_at is not None and self._node.reactor.seconds() - self._first_seen_at >= STORES_FIRST_WAIT
+        )
         if len(live) < wanted and not (waited and live):
             return
-        chosen = spreadOver({}, live, min(wanted, len(live) - (len(live) + 1) % 2))
+        chosen = spread_over({}, live, min(wanted, len(live) - (len(live) + 1) % 2))
         record = await owner.do(
             STORES_KEY,
             "set",
             {
                 "basedOn": 0,
                 "losses": self._losses,
-                "members": [{"nodeId": one.nodeId, "peer": one.peer} for one in chosen],
+                "members": [{"nodeId": one.node_id, "peer": one.peer} for one in chosen],
             },
         )
         self._node.log.event("storeSetFormed", members=",".join(row["nodeId"] for row in record["members"]))
@@ -404,7 +406,7 @@
                 {
                     "basedOn": record["version"],
                     "leaving": leaving,
-                    "joining": {"nodeId": joining.nodeId, "peer": joining.peer},
+                    "joining": {"nodeId": joining.node_id, "peer": joining.peer},
                 },
             )
         self._node.log.event(
@@ -420,19 +422,19 @@
         """(leaving id, joining member) of a replacement to begin now, "cancel", or None."""
         stores, emptied = StoreSet(record), record.get("emptied", ())
         heirs = {
-            nodeId: heir
-            for nodeId, row in stores.members.items()
-            for heir in [self._heirOf(nodeId, row)]
-            if heir is not None and heir.machine not in emptied and heir.nodeId not in stores.everyone
+            node_id: heir
+            for node_id, row in stores.members.items()
+            for heir in [self._heir_of(node_id, row)]
+            if heir is not None and heir.machine not in emptied and heir.node_id not in stores.everyone
         }
         spares = self._spares(record, stores, heirs)
         leaving, joining = record["leaving"], record["joining"]
         if joining is not None:
-            heir = self._heirOf(joining["nodeId"], joining)
-            isLost = heir is not None or self._isLost(joining["nodeId"])
-            if heirs and leaving not in heirs and not self._isGone(leaving, stores):
+            heir = self._heir_of(joining["nodeId"], joining)
+            is_lost = heir is not None or self._is_lost(joining["nodeId"])
+            if heirs and leaving not in heirs and not self._is_gone(leaving, stores):
                 return next(iter(heirs.items()))
-            if not isLost:
+            if not is_lost:
                 return None
             if heir is not None and heir in [*spares, *heirs.values()]:
                 return leaving, heir
@@ -440,38 +442,43 @@
                 return leaving, heirs[leaving]
             if spares:
                 return leaving, self._nearest(spares, leaving)
-            isStaying = (
-                self._isHere(leaving, stores.members[leaving]) and machineOf(self._node.members, leaving) not in emptied
+            is_staying = (
+                self._is_here(leaving, stores.members[leaving])
+                and machine_of(self._node.members, leaving) not in emptied
             )
-            return "cancel" if isStaying else None
+            return "cancel" if is_staying else None
         if heirs:
             return next(iter(heirs.items()))
-        here = [nodeId for nodeId, row in stores.members.items() if self._isHere(nodeId, row)]
-        for nodeId in stores.members:
-            isOrdered = machineOf(self._node.members, nodeId) in emptied
-            if (isOrdered or self._isLost(nodeId)) and spares and len({*here} - {nodeId}) >= len(stores.members) // 2:
-                return nodeId, self._nearest(spares, nodeId)
+        here = [node_id for node_id, row in stores.members.items() if self._is_here(node_id, row)]
+        for node_id in stores.members:
+            is_ordered = machine_of(self._node.members, node_id) in emptied
+            if (
+                (is_ordered or self._is_lost(node_id))
+                and spares
+                and len({*here} - {node_id}) >= len(stores.members) // 2
+            ):
+                return node_id, self._nearest(spares, node_id)
         return None
 
-    def _isGone(self, nodeId, stores):
-        return self._heirOf(nodeId, stores.members[nodeId]) is not None or self._isLost(nodeId)
+    def _is_gone(self, node_id, stores):
+        return self._heir_of(node_id, stores.members[node_id]) is not None or self._is_lost(node_id)
 
     def _spares(self, record, stores, heirs):
-        taken = {heir.nodeId for heir in heirs.values()} | stores.everyone.keys() | set(record["retired"])
+        taken = {heir.node_id for heir in heirs.values()} | stores.everyone.keys() | set(record["retired"])
         return [
             one
             for one in self._node.members.live("store")
-            if one.nodeId not in taken and one.machine not in record.get("emptied", ())
+            if one.node_id not in taken and one.machine not in record.get("emptied", ())
         ]
 
-    def _nearest(self, spares, nodeId):
+    def _nearest(self, spares, node_id):
         """In the zone of the one that leaves, if there is one: so the zones keep their copies."""
-        former = self._node.members.find(nodeId)
-        return min(spares, key=lambda one: (former is None or one.zone != former.zone, one.nodeId))
+        former = self._node.members.find(node_id)
+        return min(spares, key=lambda one: (former is None or one.zone != former.zone, one.node_id))
 
     # --- moving on ---
 
-    async def _moveOn(self, owner, record):
+    async def _move_on(self, owner, record):
         """The record of the next phase, or None if it is too early for it."""
         if not await self._tell(record):
             return None
@@ -484,42 +491,42 @@
     async def _tell(self, record):
         """Tells the stores of this version of the set. Whether so many of them stand in it that no quorum of the
         version before can come about, and who joins has copied, if it has to."""
-        stores, text = StoreSet(record), packJson(record).decode()
+        stores, text = StoreSet(record), pack_json(record).decode()
         copying = record["joining"]["nodeId"] if record["phase"] == JOINING else None
 
-        async def ask(nodeId, row):
-            said = await self._status(nodeId, row, text)
-            if said["epoch"] != stores.epoch or (nodeId == copying and not said["covers"]):
-                raise CannotTell(f"{nodeId} is not so far")
+        async def ask(node_id, row):
+            said = await self._status(node_id, row, text)
+            if said["epoch"] != stores.epoch or (node_id == copying and not said["covers"]):
+                raise CannotTell(f"{node_id} is not so far")
 
-        isMoved, _ = await quorumOf(
-            {nodeId: ask(nodeId, row) for nodeId, row in stores.everyone.items()},
-            lambda nodeIds: stores.isWritten(nodeIds) and (copying is None or copying in nodeIds),
+        is_moved, _ = await quorum_of(
+            {node_id: ask(node_id, row) for node_id, row in stores.everyone.items()},
+            lambda node_ids: stores.is_written(node_ids) and (copying is None or copying in node_ids),
         )
-        return isMoved
+        return is_moved
 
-    async def _status(self, nodeId, row, told=None):
+    async def _status(self, node_id, row, told=None):
         said = json.loads(await self._node.net.call(row["peer"], "storeStatus", STORES_ASK, record=told))
-        if said["nodeId"] != nodeId:
-            raise Fenced(f"{row['peer']} is {said['nodeId']} now, not {nodeId}")
+        if said["nodeId"] != node_id:
+            raise Fenced(f"{row['peer']} is {said['nodeId']} now, not {node_id}")
         return said
 
-    async def _mayPrune(self, owner, record, prunable):
+    async def _may_prune(self, owner, record, prunable):
         """A retired id's entries tell nothing once no version is numbered by it: a version lies below another
         exactly if its own dot does. All members must say so in this epoch; the next epoch shuts out what is
         still on its way from before."""
         stores = StoreSet(record)
-        answers = await settled([self._status(nodeId, row) for nodeId, row in stores.members.items()])
+        answers = await settled([self._status(node_id, row) for node_id, row in stores.members.items()])
         if not all(ok and said["epoch"] == stores.epoch for ok, said in answers):
             return
-        used = {storeId for _, said in answers for storeId in said["dots"]}
-        ids = [nodeId for nodeId in prunable if nodeId not in used]
+        used = {store_id for _, said in answers for store_id in said["dots"]}
+        ids = [node_id for node_id in prunable if node_id not in used]
         if ids:
             await owner.do(STORES_KEY, "prune", {"basedOn": stores.epoch, "ids": ids})
             self._node.log.event("storeIdsPruned", ids=",".join(ids))
 
 
-async def storesShown(node, record):
+async def stores_shown(node, record):
     """The record with each store's condition and, where it answers, its progress."""
     stores = StoreSet(record)
 
@@ -532,7 +539,7 @@
     said = await settled([ask(row) for row in stores.everyone.values()])
     return record | {
         "stores": [
-            row | {"condition": node.members.condition(nodeId), "status": status}
-            for (nodeId, row), (_, status) in zip(stores.everyone.items(), said)
+            row | {"condition": node.members.condition(node_id), "status": status}
+            for (node_id, row), (_, status) in zip(stores.everyone.items(), said)
         ]
     }
