--- a/packages/oakcontrol/oakcontrol/voter.py
+++ b/packages/oakcontrol/oakcontrol/voter.py
@@ -6,16 +6,16 @@
 import json
 from dataclasses import dataclass, field
 
-from sortedcontainers import SortedDict
-
-from oakbase.checks import packJson
+from oakbase.checks import pack_json
 from oakbase.constants import CONTROL_FULL, CONTROL_INBOX, IMAGE_PART, SLOT_FULL, SLOTS, TERM
 from oakbase.inbox import TableOwner
 from oakbase.tasks import spawn
 from oakbase.verdict import Fenced, RingFull
-from oakcontrol.roster import Roster
-from oakcontrol.slots import inParts
 from oakwire.codec import idl, unpack
+from sortedcontainers import SortedDict
+
+from oakcontrol.roster import Roster
+from oakcontrol.slots import in_parts
 
 
 @dataclass
@@ -28,20 +28,20 @@
     - on the disk, `entries` are those of `generation`; others are leftovers of an image that was not finished, or
       that was replaced."""
 
-    promisedEpoch: int = 0
-    promisedOwner: str = ""
-    imageEpoch: int = 0
+    promised_epoch: int = 0
+    promised_owner: str = ""
+    image_epoch: int = 0
     sequence: int = 0
     generation: int = 0
     entries: SortedDict = field(default_factory=SortedDict)
 
     def head(self, **changes):
         values = vars(self) | changes
-        return packJson([values[name] for name in HEAD])
+        return pack_json([values[name] for name in HEAD])
 
 
 ROSTER_IS_NEW = "rosterIsNew"  # a row of the ring, there until every term of a former roster has ended
-HEAD = ("promisedEpoch", "promisedOwner", "imageEpoch", "sequence", "generation")
+HEAD = ("promised_epoch", "promised_owner", "image_epoch", "sequence", "generation")
 
 
 @dataclass
@@ -53,34 +53,34 @@
     entries: dict = field(default_factory=dict)
 
 
-def entryKey(slot, generation, key):
+def entry_key(slot, generation, key):
     return f"e{generation or ''}/{slot}/{key}"
 
 
 class Voter:
     def __init__(self, node, ring):
-        self._nodeId, self._ring, self._seconds = node.nodeId, ring, node.reactor.seconds
+        self._node_id, self._ring, self._seconds = node.node_id, ring, node.reactor.seconds
         self._log = node.log
         self.roster = Roster(json.loads(ring.table["roster"])) if "roster" in ring.table else None
         self._tables = {slot: SlotTable() for slot in range(SLOTS)}
         self._owners = {slot: TableOwner(CONTROL_INBOX, f"voter{slot}", node.log) for slot in range(SLOTS)}
         self._staged = {}
-        self._confirmedAt = {}
+        self._confirmed_at = {}
         self._reactor = node.reactor
         self.may_hold_term = lambda slot, asker: True  # until the owners of this node say for themselves
-        self._countFromNow()
+        self._count_from_now()
         self._load()
         self._forget_former_roster()
         for method, command in (
             ("prepare", self._prepare),
-            ("imagePart", self._imagePart),
+            ("imagePart", self._image_part),
             ("stage", self._stage),
             ("accept", self._accept),
         ):
             node.net.handle(method, self._queued(command))
-        node.net.handle("acceptMany", self._acceptMany)
+        node.net.handle("acceptMany", self._accept_many)
         node.net.handle("confirm", self._confirm)
-        node.net.handle("rosterVersion", self._rosterVersion)
+        node.net.handle("rosterVersion", self._roster_version)
 
     def _load(self):
         for key, value in self._ring.table.items():
@@ -95,7 +95,7 @@
                 continue
             slot, _, entry = rest.partition("/")
             table = self._tables[int(slot)]
-            if kind == entryKey("", table.generation, "").partition("/")[0]:
+            if kind == entry_key("", table.generation, "").partition("/")[0]:
                 table.entries[entry] = value
             else:
                 leftovers.append(key)
@@ -104,21 +104,21 @@
             spawn(self._remove(leftovers), self._log)
 
     async def _remove(self, keys):
-        for part in inParts(((key, None) for key in keys), self._ring.commitLimit() // 2):
+        for part in in_parts(((key, None) for key in keys), self._ring.commit_limit() // 2):
             await self._ring.commit(part)
 
     def image(self, slot):
         """(imageEpoch, sequence, entries) as they are on this disk."""
         table = self._tables[slot]
-        return table.imageEpoch, table.sequence, table.entries
+        return table.image_epoch, table.sequence, table.entries
 
-    def promisedEpoch(self, slot):
-        return self._tables[slot].promisedEpoch
+    def promised_epoch(self, slot):
+        return self._tables[slot].promised_epoch
 
-    def isFull(self):
-        return self._ring.liveBytes() > CONTROL_FULL * self._ring.capacity()
+    def is_full(self):
+        return self._ring.live_bytes() > CONTROL_FULL * self._ring.capacity()
 
-    def slotLimit(self):
+    def slot_limit(self):
         """Bytes that one slot may take."""
         return SLOT_FULL * self._ring.capacity()
 
@@ -126,13 +126,13 @@
         for owner in self._owners.values():
             owner.stop()
 
-    async def setRoster(self, record):
+    async def set_roster(self, record):
         """A newer roster, on the disk before anything is answered under it."""
         if self.roster is None or record["version"] > self.roster.version:
-            await self._ring.commit([("roster", packJson(record)), (ROSTER_IS_NEW, b"1")])
+            await self._ring.commit([("roster", pack_json(record)), (ROSTER_IS_NEW, b"1")])
             former, self.roster = self.roster, Roster(record)
             if former is None or self.roster.version != former.version + 1 or self.roster.next is None:
-                self._countFromNow()
+                self._count_from_now()
             self._forget_former_roster()
             self._log.event("rosterSet", version=self.roster.version, members=len(self.roster.everyone))
 
@@ -145,13 +145,13 @@
         if version == self.roster.version and self._ring.broken is None:
             spawn(self._ring.commit([(ROSTER_IS_NEW, None)]), self._log)
 
-    def _countFromNow(self):
+    def _count_from_now(self):
         """Confirmations count as given this instant. At a start, since what this voter confirmed before is forgotten;
         and with a new roster, since others may have confirmed without this voter under the former ones. Only a step
         to a joint roster needs nothing: its majorities meet those of the version before in that one's members."""
-        self._confirmedAt = dict.fromkeys(range(SLOTS), self._seconds())
+        self._confirmed_at = dict.fromkeys(range(SLOTS), self._seconds())
 
-    async def _rosterVersion(self, _peer, _arguments):
+    async def _roster_version(self, _peer, _arguments):
         return self.roster.version if self.roster else 0
 
     def _queued(self, command):
@@ -162,92 +162,92 @@
 
         return handler
 
-    def _checkRoster(self, peer, version):
+    def _check_roster(self, peer, version):
         if self._ring.broken is not None:
             raise Fenced("this node's disk has failed")
-        if self.roster is None or self._nodeId not in self.roster.everyone:
+        if self.roster is None or self._node_id not in self.roster.everyone:
             raise Fenced("this node has no vote", detail={"roster": self.roster.version if self.roster else 0})
         if version != self.roster.version:
             raise Fenced(
                 f"roster version {version} is not {self.roster.version}", detail={"roster": self.roster.version}
             )
-        if peer.nodeId not in self.roster.everyone:
-            raise Fenced(f"{peer.nodeId} is not in the roster")
+        if peer.node_id not in self.roster.everyone:
+            raise Fenced(f"{peer.node_id} is not in the roster")
 
     async def _prepare(self, table, peer, arguments):
-        self._checkRoster(peer, arguments.rosterVersion)
-        earlier = table.promisedEpoch, table.promisedOwner
+        self._check_roster(peer, arguments.roster_version)
+        earlier = table.promised_epoch, table.promised_owner
         if (
-            arguments.epoch <= table.promisedEpoch
+            arguments.epoch <= table.promised_epoch
         ):  # its own owner's too: a restart has forgotten what it wrote under it
-            return idl.Promise(granted=False, promisedEpoch=earlier[0], promisedOwner=earlier[1])
-        await self._write(arguments.slot, table, {}, promisedEpoch=arguments.epoch, promisedOwner=arguments.owner)
+            return idl.Promise(granted=False, promised_epoch=earlier[0], promised_owner=earlier[1])
+        await self._write(arguments.slot, table, {}, promised_epoch=arguments.epoch, promised_owner=arguments.owner)
         entries = None if arguments.parts else [idl.Entry(key=key, value=value) for key, value in table.entries.items()]
         return idl.Promise(
             granted=True,
-            promisedEpoch=earlier[0],
-            promisedOwner=earlier[1],
-            imageEpoch=table.imageEpoch,
+            promised_epoch=earlier[0],
+            promised_owner=earlier[1],
+            image_epoch=table.image_epoch,
             sequence=table.sequence,
             entries=entries,
-            unconfirmedMs=int((self._seconds() - self._confirmedAt[arguments.slot]) * 1000),
-            termless=ROSTER_IS_NEW not in self._ring.table and not self.may_hold_term(arguments.slot, peer.nodeId),
+            unconfirmed_ms=int((self._seconds() - self._confirmed_at[arguments.slot]) * 1000),
+            termless=ROSTER_IS_NEW not in self._ring.table and not self.may_hold_term(arguments.slot, peer.node_id),
         )
 
-    async def _imagePart(self, table, peer, arguments):
+    async def _image_part(self, table, peer, arguments):
         """The image does not move while it is read: only a higher promise could change it, and that ends this."""
-        self._checkRoster(peer, arguments.rosterVersion)
-        if (arguments.epoch, arguments.owner) != (table.promisedEpoch, table.promisedOwner):
-            raise Fenced(f"epoch {table.promisedEpoch} is promised")
+        self._check_roster(peer, arguments.roster_version)
+        if (arguments.epoch, arguments.owner) != (table.promised_epoch, table.promised_owner):
+            raise Fenced(f"epoch {table.promised_epoch} is promised")
         rest = table.entries.irange(arguments.after, inclusive=(False, False))
-        part = next(inParts(((key, table.entries[key]) for key in rest), IMAGE_PART))
+        part = next(in_parts(((key, table.entries[key]) for key in rest), IMAGE_PART))
         return idl.ImagePart(
             entries=[idl.Entry(key=key, value=value) for key, value in part],
             more=bool(part) and part[-1][0] != table.entries.keys()[-1],
         )
 
     @staticmethod
-    def _isPast(table, epoch, owner):
-        return (epoch, owner) != (table.promisedEpoch, table.promisedOwner) and epoch <= table.promisedEpoch
+    def _is_past(table, epoch, owner):
+        return (epoch, owner) != (table.promised_epoch, table.promised_owner) and epoch <= table.promised_epoch
 
     async def _stage(self, table, peer, arguments):
         """Part of an image that is too long for one message; in memory until `accept` brings the last one."""
-        self._checkRoster(peer, arguments.rosterVersion)
-        if self._isPast(table, arguments.epoch, arguments.owner):
-            return idl.Taken(taken=False, promisedEpoch=table.promisedEpoch)
+        self._check_roster(peer, arguments.roster_version)
+        if self._is_past(table, arguments.epoch, arguments.owner):
+            return idl.Taken(taken=False, promised_epoch=table.promised_epoch)
         label = arguments.epoch, arguments.owner, arguments.sequence
         if arguments.part == 0:
             self._staged[arguments.slot] = Staged(label)
         staged = self._staged.get(arguments.slot)
         if staged is None or (staged.label, staged.parts) != (label, arguments.part):
-            return idl.Taken(taken=False, needsImage=True, promisedEpoch=table.promisedEpoch)
+            return idl.Taken(taken=False, needs_image=True, promised_epoch=table.promised_epoch)
         staged.parts += 1
         staged.entries |= {entry.key: entry.value for entry in arguments.entries or []}
         return idl.Taken(taken=True)
 
-    def _judge(self, table, step, owner, isWhole=False):
+    def _judge(self, table, step, owner, is_whole=False):
         """(answer, head) for a step of this owner: the head is what has to be on the disk, with the step's entries,
         before the answer is given; None if nothing has to."""
-        if self._isPast(table, step.epoch, owner):
-            return idl.Taken(taken=False, promisedEpoch=table.promisedEpoch), None
-        if step.epoch == table.imageEpoch and step.sequence <= table.sequence:
+        if self._is_past(table, step.epoch, owner):
+            return idl.Taken(taken=False, promised_epoch=table.promised_epoch), None
+        if step.epoch == table.image_epoch and step.sequence <= table.sequence:
             return idl.Taken(taken=True), None  # a copy of what is here already
         follows = (
-            isWhole
-            or (step.epoch, step.sequence) == (table.imageEpoch, table.sequence + 1)
-            or (step.fromEpoch and (step.fromEpoch, step.fromSequence) == (table.imageEpoch, table.sequence))
+            is_whole
+            or (step.epoch, step.sequence) == (table.image_epoch, table.sequence + 1)
+            or (step.from_epoch and (step.from_epoch, step.from_sequence) == (table.image_epoch, table.sequence))
         )
         if not follows:
-            return idl.Taken(taken=False, needsImage=True, promisedEpoch=table.promisedEpoch), None
+            return idl.Taken(taken=False, needs_image=True, promised_epoch=table.promised_epoch), None
         return idl.Taken(taken=True), {
-            "promisedEpoch": step.epoch,
-            "promisedOwner": owner,
-            "imageEpoch": step.epoch,
+            "promised_epoch": step.epoch,
+            "promised_owner": owner,
+            "image_epoch": step.epoch,
             "sequence": step.sequence,
         }
 
     async def _accept(self, table, peer, arguments):
-        self._checkRoster(peer, arguments.rosterVersion)
+        self._check_roster(peer, arguments.roster_version)
         answer, head = self._judge(table, arguments, arguments.owner, arguments.whole)
         if head is None:
             return answer
@@ -261,15 +261,15 @@
                 (arguments.epoch, arguments.owner, arguments.sequence),
                 arguments.parts,
             ):
-                return idl.Taken(taken=False, needsImage=True, promisedEpoch=table.promisedEpoch)
+                return idl.Taken(taken=False, needs_image=True, promised_epoch=table.promised_epoch)
             given = staged.entries | given
         await self._replace(arguments.slot, table, given, head)
         return answer
 
-    async def _acceptMany(self, peer, arguments):
+    async def _accept_many(self, peer, arguments):
         """Steps of different slots in one commit; each is judged by itself. A slot with another command under way, or a
         commit that is too much for the ring at once, is left to `accept`."""
-        self._checkRoster(peer, arguments.rosterVersion)
+        self._check_roster(peer, arguments.roster_version)
         answers, held, writing = [], [], []
         try:
             for step in [unpack(idl.Step, data) for data in arguments.steps or []]:
@@ -286,14 +286,14 @@
                     writing.append((step.slot, table, {entry.key: entry.value for entry in step.entries or []}, head))
             if writing:
                 try:
-                    await self._ring.commit([row for one in writing for row in self._rowsOf(*one)])
+                    await self._ring.commit([row for one in writing for row in self._rows_of(*one)])
                 except RingFull:
                     return [idl.Taken(taken=False, again=True) for _ in answers]
                 for _, *change in writing:
                     self._enter(*change)
         finally:
             for owner in held:
-                owner.letGo()
+                owner.let_go()
         return answers
 
     async def _replace(self, slot, table, image, head):
@@ -302,13 +302,13 @@
         changed = dict.fromkeys(table.entries.keys() - image.keys()) | {
             key: value for key, value in image.items() if table.entries.get(key) != value
         }
-        generation, limit = table.generation, self._ring.commitLimit() // 2
-        if next(inParts(changed.items(), limit)) == list(changed.items()):
+        generation, limit = table.generation, self._ring.commit_limit() // 2
+        if next(in_parts(changed.items(), limit)) == list(changed.items()):
             await self._write(slot, table, changed, **head)
             return
-        for part in inParts(((entryKey(slot, generation + 1, key), value) for key, value in image.items()), limit):
+        for part in in_parts(((entry_key(slot, generation + 1, key), value) for key, value in image.items()), limit):
             await self._ring.commit(part)
-        former = [entryKey(slot, generation, key) for key in table.entries]
+        former = [entry_key(slot, generation, key) for key in table.entries]
         await self._write(slot, table, {}, **head, generation=generation + 1)
         table.entries = SortedDict(image)
         self._log.event("imageReplaced", slot=slot, entries=len(image), generation=generation + 1)
@@ -316,14 +316,14 @@
 
     async def _write(self, slot, table, changed, **head):
         """First the disk, then the table: a commit that fails leaves no trace that could be vouched for."""
-        await self._ring.commit(self._rowsOf(slot, table, changed, head))
+        await self._ring.commit(self._rows_of(slot, table, changed, head))
         self._enter(table, changed, head)
 
     @staticmethod
-    def _rowsOf(slot, table, changed, head):
+    def _rows_of(slot, table, changed, head):
         return [
             (f"s/{slot}", table.head(**head)),
-            *((entryKey(slot, table.generation, key), value) for key, value in changed.items()),
+            *((entry_key(slot, table.generation, key), value) for key, value in changed.items()),
         ]
 
     @staticmethod
@@ -338,29 +338,29 @@
     async def _confirm(self, peer, arguments):
         """Which of these terms nobody has been promised past. The promise itself is on the disk already."""
         confirmed = self._confirmed(
-            peer, arguments.owner, arguments.rosterVersion, [(term.slot, term.epoch) for term in arguments.terms or []]
+            peer, arguments.owner, arguments.roster_version, [(term.slot, term.epoch) for term in arguments.terms or []]
         )
         return [idl.SlotEpoch(slot=slot, epoch=epoch) for slot, epoch in confirmed]
 
     def confirm_terms(self, peer, terms):
         """The same of terms that came with a pull; None leaves it to `confirm` to say why not."""
         try:
-            if terms.voter != self._nodeId:
+            if terms.voter != self._node_id:
                 return None
             confirmed = self._confirmed(
-                peer, peer.nodeId, terms.rosterVersion, zip(terms.slots or [], terms.epochs or [])
+                peer, peer.node_id, terms.roster_version, zip(terms.slots or [], terms.epochs or [])
             )
         except Fenced:
             return None
         return [slot for slot, _ in confirmed]
 
-    def _confirmed(self, peer, owner, rosterVersion, terms):
-        self._checkRoster(peer, rosterVersion)
+    def _confirmed(self, peer, owner, roster_version, terms):
+        self._check_roster(peer, roster_version)
         confirmed = [
             (slot, epoch)
             for slot, epoch in terms
             if 0 <= slot < SLOTS
-            and (self._tables[slot].promisedEpoch, self._tables[slot].promisedOwner) == (epoch, owner)
+            and (self._tables[slot].promised_epoch, self._tables[slot].promised_owner) == (epoch, owner)
         ]
-        self._confirmedAt.update(dict.fromkeys((slot for slot, _ in confirmed), self._seconds()))
+        self._confirmed_at.update(dict.fromkeys((slot for slot, _ in confirmed), self._seconds()))
         return confirmed
--- a/packages/oakctl/oakctl/asking.py
+++ b/packages/oakctl/oakctl/asking.py
@@ -5,7 +5,7 @@
 
 import click
 
-from oakbase.env import isAddress, splitAddress
+from oakbase.env import is_address, split_address
 
 ASK_TIME = 15.0  # s; outlasts a take-over and the control nodes' own bound on a change
 
@@ -18,7 +18,7 @@
     name = "IP:PORT"
 
     def convert(self, value, param, context):
-        if not isAddress(value):
+        if not is_address(value):
             self.fail(f"{value} is not IP:PORT", param, context)
         return value
 
@@ -26,10 +26,10 @@
 ADDRESS_TYPE = AddressType()
 
 
-def ask(address, method, path, value=None, timeLeft=ASK_TIME):
+def ask(address, method, path, value=None, time_left=ASK_TIME):
     """(status, JSON) of one request; OSError if there was no answer."""
-    host, port = splitAddress(address)
-    connection = http.client.HTTPConnection(host, port, timeout=timeLeft)
+    host, port = split_address(address)
+    connection = http.client.HTTPConnection(host, port, timeout=time_left)
     try:
         body = None if value is None else json.dumps(value)
         connection.request(method, path, body, {"Content-Type": "application/json"})
@@ -42,7 +42,7 @@
         connection.close()
 
 
-def askFirst(addresses, method, path, value=None, onMaybe=""):
+def ask_first(addresses, method, path, value=None, on_maybe=""):
     """The answer of the first control node that gives one. Asking the next is safe: reads change nothing,
     and changes bear an id."""
     faults, unsure = [], False
@@ -61,8 +61,8 @@
             lines = answer.get("detail") if isinstance(answer.get("detail"), list) else []
             raise Refusal("\n  ".join([f"no: {answer.get('reason', status)}", *map(str, lines)]))
         unsure = unsure or (method != "GET" and answer.get("verdict") != "no")
-    if unsure and onMaybe:
-        raise Refusal(f"the outcome is unknown ({'; '.join(faults)}). Find out with: {onMaybe}")
+    if unsure and on_maybe:
+        raise Refusal(f"the outcome is unknown ({'; '.join(faults)}). Find out with: {on_maybe}")
     raise Refusal(f"no control node could answer: {'; '.join(faults)}")
 
 
--- a/packages/oakctl/oakctl/doctor.py
+++ b/packages/oakctl/oakctl/doctor.py
@@ -35,23 +35,23 @@
     blueprints: dict = field(default_factory=dict)
     placement: dict = field(default_factory=dict)
 
-    def machine(self, nodeId):
-        return next((row["machine"] for row in self.nodes if row["nodeId"] == nodeId), nodeId)
+    def machine(self, node_id):
+        return next((row["machine"] for row in self.nodes if row["nodeId"] == node_id), node_id)
 
     def answered(self, kind=None):
         return [said for said in self.conditions.values() if isinstance(said, dict) and kind in (None, said["kind"])]
 
 
-def takeSurvey(askControl, askNode):
+def take_survey(ask_control, ask_node):
     """`askControl(path)` gives a control node's answer; `askNode(address)` a node's /condition or a reason."""
-    survey = Survey(askControl("/v1/nodes")["nodes"])
-    survey.conditions = {row["nodeId"]: askNode(row["http"]) for row in survey.nodes}
-    survey.slots = askControl("/v1/slots")["slots"]
-    survey.stores = askControl("/v1/stores")
-    survey.replicas = askControl("/v1/replicas")["replicas"]
-    survey.placement = askControl("/v1/placement")
+    survey = Survey(ask_control("/v1/nodes")["nodes"])
+    survey.conditions = {row["nodeId"]: ask_node(row["http"]) for row in survey.nodes}
+    survey.slots = ask_control("/v1/slots")["slots"]
+    survey.stores = ask_control("/v1/stores")
+    survey.replicas = ask_control("/v1/replicas")["replicas"]
+    survey.placement = ask_control("/v1/placement")
     partners = sorted({partner for said in survey.answered("gate") for partner in said["partners"]})
-    survey.blueprints = {partner: askControl(f"/v1/blueprints/{partner}")["blueprint"] for partner in partners}
+    survey.blueprints = {partner: ask_control(f"/v1/blueprints/{partner}")["blueprint"] for partner in partners}
     return survey
 
 
@@ -59,18 +59,18 @@
     return [finding for name in CHECKS.names() for finding in CHECKS.find(name)(survey)]
 
 
-def worstCode(findings):
+def worst_code(findings):
     return max((EXIT_CODES[finding.level] for finding in findings), default=0)
 
 
 @CHECKS.enter("nodes")
 def _nodes(survey):
-    for nodeId, said in survey.conditions.items():
+    for node_id, said in survey.conditions.items():
         if said == "refused":
             yield Finding(
                 FAULT,
                 "nodes",
-                f"{survey.machine(nodeId)} is down",
+                f"{survey.machine(node_id)} is down",
                 "its process has ended",
                 "start it; with its data folder it is the same node",
             )
@@ -78,7 +78,7 @@
             yield Finding(
                 FAULT,
                 "nodes",
-                f"{survey.machine(nodeId)} does not answer",
+                f"{survey.machine(node_id)} does not answer",
                 "frozen, overloaded or cut off",
                 "look at the machine; kill the process if it is stuck and start it again",
             )
@@ -162,7 +162,7 @@
     if not rosters:
         return
     members = max(rosters, key=lambda roster: roster["version"])["members"]
-    alive = [nodeId for nodeId in members if isinstance(survey.conditions.get(nodeId), dict)]
+    alive = [node_id for node_id in members if isinstance(survey.conditions.get(node_id), dict)]
     spare = len(alive) - (len(members) // 2 + 1)
     if len(alive) < len(members):
         yield Finding(
@@ -222,11 +222,11 @@
 @CHECKS.enter("hints")
 def _hints(survey):
     for said in survey.answered("store"):
-        for nodeId, count in said["hints"].items():
+        for node_id, count in said["hints"].items():
             yield Finding(
                 WARNING,
                 "hints",
-                f"{said['machine']} keeps {count} lines for {survey.machine(nodeId)}",
+                f"{said['machine']} keeps {count} lines for {survey.machine(node_id)}",
                 "that store was away or slow",
                 "they are handed over once it answers; start it if it is down",
             )
--- a/packages/oakctl/oakctl/main.py
+++ b/packages/oakctl/oakctl/main.py
@@ -7,8 +7,8 @@
 
 import click
 
-from oakctl.asking import ADDRESS_TYPE, Refusal, ask, askFirst, show
-from oakctl.doctor import CHECKS, examine, takeSurvey, worstCode
+from oakctl.asking import ADDRESS_TYPE, Refusal, ask, ask_first, show
+from oakctl.doctor import CHECKS, examine, take_survey, worst_code
 from oakctl.eviction import lines_of
 
 INIT_TIME = 30  # s; nodes that were just started need a few rounds of news to meet
@@ -39,7 +39,7 @@
     return context.obj
 
 
-def _conditionOf(address):
+def _condition_of(address):
     try:
         status, answer = ask(address, "GET", "/condition")
     except OSError as error:
@@ -49,19 +49,19 @@
     return answer
 
 
-def _waitFor(what, check):
-    endsAt = time.monotonic() + INIT_TIME
+def _wait_for(what, check):
+    ends_at = time.monotonic() + INIT_TIME
     while True:
         result = check()
         if result:
             return result
-        if time.monotonic() > endsAt:
+        if time.monotonic() > ends_at:
             raise Refusal(f"{what} did not happen within {INIT_TIME} s; running this command again is safe")
         time.sleep(0.2)
 
 
 @main.command()
-@click.option("--cluster", "clusterId", required=True, help="The new cluster's id.")
+@click.option("--cluster", "cluster_id", required=True, help="The new cluster's id.")
 @click.option(
     "--store",
     "stores",
@@ -72,41 +72,41 @@
     help="HTTP address of a store node; give all three.",
 )
 @click.pass_context
-def init(context, clusterId, stores):
+def init(context, cluster_id, stores):
     """Makes a cluster of the control nodes named with --control and the stores named with --store.
 
     Safe to run again: nodes that are in this cluster already stay as they are.
     """
     controls = _controls(context)
-    rows = {address: _conditionOf(address) for address in controls}
+    rows = {address: _condition_of(address) for address in controls}
     for address, row in rows.items():
-        if row["clusterId"] not in ("", None, clusterId):
+        if row["clusterId"] not in ("", None, cluster_id):
             raise Refusal(f"{address} belongs to cluster {row['clusterId']} already")
     roster = {row["nodeId"]: row["peer"] for row in rows.values()}
     for address in controls:
-        status, answer = ask(address, "POST", "/v1/init", {"clusterId": clusterId, "roster": roster})
+        status, answer = ask(address, "POST", "/v1/init", {"clusterId": cluster_id, "roster": roster})
         if status != 200:
             raise Refusal(f"{address}: {answer.get('reason', status)}")
     click.echo(f"control nodes: {len(roster)}")
-    members = _waitFor("the stores joining", lambda: _joinedStores(stores, clusterId))
+    members = _wait_for("the stores joining", lambda: _joined_stores(stores, cluster_id))
 
-    def setStores():
+    def set_stores():
         try:
-            return askFirst(controls, "PUT", "/v1/stores", {"basedOn": 0, "members": members})
+            return ask_first(controls, "PUT", "/v1/stores", {"basedOn": 0, "members": members})
         except Refusal as error:
             if str(error).startswith("no: "):
                 raise
             return None
 
-    answer = _waitFor("the store set being written", setStores)
+    answer = _wait_for("the store set being written", set_stores)
     click.echo(f"stores: {len(answer['members'])}, epoch {answer['version']}")
 
 
-def _joinedStores(stores, clusterId):
-    rows = [_conditionOf(address) for address in stores]
-    if all(row["clusterId"] == clusterId for row in rows):
+def _joined_stores(stores, cluster_id):
+    rows = [_condition_of(address) for address in stores]
+    if all(row["clusterId"] == cluster_id for row in rows):
         return [{"nodeId": row["nodeId"], "peer": row["peer"]} for row in rows]
-    other = [row["clusterId"] for row in rows if row["clusterId"] not in ("", None, clusterId)]
+    other = [row["clusterId"] for row in rows if row["clusterId"] not in ("", None, cluster_id)]
     if other:
         raise Refusal(f"a store belongs to cluster {other[0]} already")
     return None
@@ -120,25 +120,25 @@
     """Blueprints: send a whole one or a named change, read any kept version."""
 
 
-def _readFile(file):
+def _read_file(file):
     try:
         return json.load(file)
     except ValueError as error:
         raise click.UsageError(f"{file.name} is no JSON: {error}") from error
 
 
-def _change(context, path, partner, changeId, body):
-    changeId = changeId or uuid.uuid4().hex
-    answer = askFirst(
-        _controls(context), *path, body | {"changeId": changeId}, onMaybe=f"oakctl plan outcome {partner} {changeId}"
+def _change(context, path, partner, change_id, body):
+    change_id = change_id or uuid.uuid4().hex
+    answer = ask_first(
+        _controls(context), *path, body | {"changeId": change_id}, on_maybe=f"oakctl plan outcome {partner} {change_id}"
     )
-    show(answer | {"changeId": changeId})
+    show(answer | {"changeId": change_id})
 
 
 BASED_ON = click.option(
-    "--based-on", "basedOn", type=click.IntRange(0), required=True, help="The version you last saw; 0 for the first."
+    "--based-on", "based_on", type=click.IntRange(0), required=True, help="The version you last saw; 0 for the first."
 )
-CHANGE_ID = click.option("--change-id", "changeId", help="Give the same id again to retry; made up if left out.")
+CHANGE_ID = click.option("--change-id", "change_id", help="Give the same id again to retry; made up if left out.")
 
 
 @plan.command("put")
@@ -147,14 +147,14 @@
 @BASED_ON
 @CHANGE_ID
 @click.pass_context
-def putPlan(context, partner, file, basedOn, changeId):
+def put_plan(context, partner, file, based_on, change_id):
     """Sends FILE as PARTNER's whole blueprint."""
     _change(
         context,
         ("PUT", f"/v1/blueprints/{partner}"),
         partner,
-        changeId,
-        {"basedOn": basedOn, "blueprint": _readFile(file)},
+        change_id,
+        {"basedOn": based_on, "blueprint": _read_file(file)},
     )
 
 
@@ -165,7 +165,7 @@
 @BASED_ON
 @CHANGE_ID
 @click.pass_context
-def changePlan(context, partner, name, arguments, basedOn, changeId):
+def change_plan(context, partner, name, arguments, based_on, change_id):
     """Applies the change NAME with ARGUMENTS (JSON) to PARTNER's blueprint.
 
     Changes: setBinding {"name","binding"}, removeBinding {"name"}, setPrograms {"programs"}, setShare {"share"}.
@@ -178,8 +178,8 @@
         context,
         ("POST", f"/v1/blueprints/{partner}/changes"),
         partner,
-        changeId,
-        {"basedOn": basedOn, "change": name, "arguments": parsed},
+        change_id,
+        {"basedOn": based_on, "change": name, "arguments": parsed},
     )
 
 
@@ -187,18 +187,18 @@
 @click.argument("partner")
 @click.option("--version", type=click.IntRange(1), help="An older version; the newest if left out.")
 @click.pass_context
-def readPlan(context, partner, version):
+def read_plan(context, partner, version):
     """Shows PARTNER's blueprint."""
-    show(askFirst(_controls(context), "GET", f"/v1/blueprints/{partner}" + (f"?version={version}" if version else "")))
+    show(ask_first(_controls(context), "GET", f"/v1/blueprints/{partner}" + (f"?version={version}" if version else "")))
 
 
 @plan.command("outcome")
 @click.argument("partner")
-@click.argument("changeId")
+@click.argument("change_id")
 @click.pass_context
 def outcome(context, partner, changeid):
     """Tells whether the change CHANGEID was accepted."""
-    show(askFirst(_controls(context), "GET", f"/v1/blueprints/{partner}/changes/{changeid}"))
+    show(ask_first(_controls(context), "GET", f"/v1/blueprints/{partner}/changes/{changeid}"))
 
 
 # --- programs ------------------------------------------------------------------
@@ -213,24 +213,24 @@
 @click.argument("partner")
 @click.argument("name")
 @click.pass_context
-def readProgram(context, partner, name):
+def read_program(context, partner, name):
     """Shows what PARTNER's program NAME has put out, of its limit."""
-    show(askFirst(_controls(context), "GET", f"/v1/programs/{partner}/{name}"))
+    show(ask_first(_controls(context), "GET", f"/v1/programs/{partner}/{name}"))
 
 
 @program.command("end")
 @click.argument("partner")
 @click.argument("name")
 @click.pass_context
-def endProgram(context, partner, name):
+def end_program(context, partner, name):
     """Ends PARTNER's program NAME: it takes no more turns, and neither it nor its budget ever starts anew."""
     show(
-        askFirst(
+        ask_first(
             _controls(context),
             "POST",
             f"/v1/programs/{partner}/{name}/end",
             {},
-            onMaybe=f"oakctl program read {partner} {name}",
+            on_maybe=f"oakctl program read {partner} {name}",
         )
     )
 
@@ -242,7 +242,7 @@
     @main.command(name, help=text)
     @click.pass_context
     def listing(context):
-        show(askFirst(_controls(context), "GET", path))
+        show(ask_first(_controls(context), "GET", path))
 
 
 _listing("nodes", "/v1/nodes", "Lists all nodes with their condition.")
@@ -256,7 +256,7 @@
 @click.pass_context
 def eviction(context, as_json):
     """Shows tenants whose prompt prefixes evict each other: who, why, where they were moved, what it brought."""
-    said = askFirst(_controls(context), "GET", "/v1/placement")
+    said = ask_first(_controls(context), "GET", "/v1/placement")
     if as_json:
         show(said)
         return
@@ -267,9 +267,9 @@
 @main.command("leaving")
 @click.argument("replica")
 @click.pass_context
-def markLeaving(context, replica):
+def mark_leaving(context, replica):
     """Marks REPLICA as leaving: nothing more is placed on it."""
-    show(askFirst(_controls(context), "POST", f"/v1/replicas/{replica}/leaving", {}, onMaybe="oakctl replicas"))
+    show(ask_first(_controls(context), "POST", f"/v1/replicas/{replica}/leaving", {}, on_maybe="oakctl replicas"))
 
 
 @main.group()
@@ -293,7 +293,7 @@
 @click.argument("leaving")
 @click.argument("joining")
 @click.pass_context
-def replaceStore(context, leaving, joining):
+def replace_store(context, leaving, joining):
     """Empties the store LEAVING (also one that is lost) and puts the empty store JOINING in its place.
 
     Both by machine name or node id. Goes on by itself; see `oakctl stores` for its progress.
@@ -301,16 +301,16 @@
     _replace(context, "store", "/v1/stores", leaving, joining, "oakctl stores")
 
 
-def _replace(context, kind, path, leaving, joining, watchWith):
+def _replace(context, kind, path, leaving, joining, watch_with):
     controls = _controls(context)
-    nodes = [row for row in askFirst(controls, "GET", "/v1/nodes")["nodes"] if row["kind"] == kind]
-    record = askFirst(controls, "GET", path)
+    nodes = [row for row in ask_first(controls, "GET", "/v1/nodes")["nodes"] if row["kind"] == kind]
+    record = ask_first(controls, "GET", path)
     # A map of addresses in the roster, a list of rows in the store set.
-    memberIds = [row if isinstance(row, str) else row["nodeId"] for row in record["members"]]
-    byId = {row["nodeId"]: row for row in nodes}
-    members = [byId.get(nodeId, {"nodeId": nodeId, "machine": nodeId.partition(".")[0]}) for nodeId in memberIds]
-    newcomer = _named([row for row in nodes if row["nodeId"] not in memberIds and row["condition"] == "live"], joining)
-    answer = askFirst(
+    member_ids = [row if isinstance(row, str) else row["nodeId"] for row in record["members"]]
+    by_id = {row["nodeId"]: row for row in nodes}
+    members = [by_id.get(node_id, {"nodeId": node_id, "machine": node_id.partition(".")[0]}) for node_id in member_ids]
+    newcomer = _named([row for row in nodes if row["nodeId"] not in member_ids and row["condition"] == "live"], joining)
+    answer = ask_first(
         controls,
         "POST",
         f"{path}/replace",
@@ -319,9 +319,9 @@
             "leaving": _named(members, leaving)["nodeId"],
             "joining": {"nodeId": newcomer["nodeId"], "peer": newcomer["peer"]},
         },
-        onMaybe=watchWith,
+        on_maybe=watch_with,
     )
-    click.echo(f"version {answer['version']}: {leaving} is being replaced by {joining}; watch it with: {watchWith}")
+    click.echo(f"version {answer['version']}: {leaving} is being replaced by {joining}; watch it with: {watch_with}")
 
 
 @main.group()
@@ -331,16 +331,16 @@
 
 @roster.command("show")
 @click.pass_context
-def showRoster(context):
+def show_roster(context):
     """Shows the roster, its version, and a replacement under way (`next`)."""
-    show(askFirst(_controls(context), "GET", "/v1/roster"))
+    show(ask_first(_controls(context), "GET", "/v1/roster"))
 
 
 @roster.command("replace")
 @click.argument("leaving")
 @click.argument("joining")
 @click.pass_context
-def replaceMember(context, leaving, joining):
+def replace_member(context, leaving, joining):
     """Puts the empty control node JOINING in the place of LEAVING (also one that is lost).
 
     Both by machine name or node id. Goes on by itself; see `oakctl roster show`.
@@ -350,17 +350,17 @@
 
 @store.command("cancel")
 @click.pass_context
-def cancelStore(context):
+def cancel_store(context):
     """Calls a replacement off, as long as the newcomer is only copying."""
     controls = _controls(context)
-    record = askFirst(controls, "GET", "/v1/stores")
-    answer = askFirst(controls, "POST", "/v1/stores/cancel", {"basedOn": record["version"]}, onMaybe="oakctl stores")
+    record = ask_first(controls, "GET", "/v1/stores")
+    answer = ask_first(controls, "POST", "/v1/stores/cancel", {"basedOn": record["version"]}, on_maybe="oakctl stores")
     click.echo(f"epoch {answer['version']}: {answer['phase']}")
 
 
-def _conditionOrReason(address):
+def _condition_or_reason(address):
     try:
-        status, answer = ask(address, "GET", "/condition", timeLeft=3.0)
+        status, answer = ask(address, "GET", "/condition", time_left=3.0)
         return answer if status == 200 else "silent"
     except ConnectionRefusedError:
         return "refused"
@@ -369,19 +369,19 @@
 
 
 @main.command()
-@click.option("--json", "asJson", is_flag=True, help="Print the findings as JSON.")
+@click.option("--json", "as_json", is_flag=True, help="Print the findings as JSON.")
 @click.pass_context
-def doctor(context, asJson):
+def doctor(context, as_json):
     """Looks for common faults. Exit code: 0 all well, 3 worth a look, 4 a fault."""
     controls = _controls(context)
-    findings = examine(takeSurvey(lambda path: askFirst(controls, "GET", path), _conditionOrReason))
-    if asJson:
+    findings = examine(take_survey(lambda path: ask_first(controls, "GET", path), _condition_or_reason))
+    if as_json:
         show([vars(finding) for finding in findings])
-    for finding in findings if not asJson else ():
+    for finding in findings if not as_json else ():
         click.echo(f"{finding.level}: {finding.what}\n    cause: {finding.cause}\n    next:  {finding.next}")
     if not findings:
         click.echo(f"all well: {', '.join(CHECKS.names())}")
-    sys.exit(worstCode(findings))
+    sys.exit(worst_code(findings))
 
 
 if __name__ == "__main__":
--- a/packages/oakdvv/oakdvv/clock.py
+++ b/packages/oakdvv/oakdvv/clock.py
@@ -16,12 +16,12 @@
 
     def __init__(self, entries):
         kept = {}
-        for nodeId, entry in dict(entries).items():
+        for node_id, entry in dict(entries).items():
             ceiling, dot = entry if isinstance(entry, tuple) else (entry, None)
             if ceiling < 0 or (dot is not None and dot <= ceiling):
-                raise ValueError(f"no such component: {(nodeId, entry)}")
+                raise ValueError(f"no such component: {(node_id, entry)}")
             if dot is not None or ceiling > 0:
-                kept[nodeId] = (ceiling, dot)
+                kept[node_id] = (ceiling, dot)
         self.entries = kept
         self._hash = hash(frozenset(kept.items()))
 
@@ -33,17 +33,17 @@
 
     def __repr__(self):
         shown = (
-            f"({nodeId},{ceiling})" if dot is None else f"({nodeId},{ceiling},{dot})"
-            for nodeId, (ceiling, dot) in sorted(self.entries.items())
+            f"({node_id},{ceiling})" if dot is None else f"({node_id},{ceiling},{dot})"
+            for node_id, (ceiling, dot) in sorted(self.entries.items())
         )
         return "{" + ",".join(shown) + "}"
 
     def dot(self):
         """The one event (id, n) that this clock's version stands for."""
-        return next((nodeId, dot) for nodeId, (_, dot) in self.entries.items() if dot is not None)
+        return next((node_id, dot) for node_id, (_, dot) in self.entries.items() if dot is not None)
 
 
-def componentLeq(left, right):
+def component_leq(left, right):
     """The paper's clauses for two components of the same id."""
     (m, n), (m2, n2) = left, right
     if n is None and n2 is None:
@@ -58,8 +58,8 @@
 def leq(left, right):
     """Whether every component of `left` lies below some component of `right`."""
     others = right.entries
-    for nodeId, component in left.entries.items():
-        if nodeId not in others or not componentLeq(component, others[nodeId]):
+    for node_id, component in left.entries.items():
+        if node_id not in others or not component_leq(component, others[node_id]):
             return False
     return True
 
@@ -68,32 +68,32 @@
     return leq(left, right) and not leq(right, left)
 
 
-def sync(leftSet, rightSet):
+def sync(left_set, right_set):
     """The clocks of either set that no clock of the other strictly dominates."""
     return frozenset(
-        [x for x in leftSet if not any(less(x, y) for y in rightSet)]
-        + [x for x in rightSet if not any(less(x, y) for y in leftSet)]
+        [x for x in left_set if not any(less(x, y) for y in right_set)]
+        + [x for x in right_set if not any(less(x, y) for y in left_set)]
     )
 
 
-def ids(clockSet):
-    return {nodeId for clock in clockSet for nodeId in clock.entries}
+def ids(clock_set):
+    return {node_id for clock in clock_set for node_id in clock.entries}
 
 
-def ceiling(clockSet, nodeId):
+def ceiling(clock_set, node_id):
     """The largest number that the set holds for this id, 0 if none."""
     return max(
-        (m if n is None else n for clock in clockSet for m, n in [clock.entries.get(nodeId, (0, None))]), default=0
+        (m if n is None else n for clock in clock_set for m, n in [clock.entries.get(node_id, (0, None))]), default=0
     )
 
 
-def update(contextSet, localSet, nodeId):
+def update(context_set, local_set, node_id):
     """The clock of a new version written with this context at the replica node `nodeId`."""
-    past = {other: ceiling(contextSet, other) for other in ids(contextSet) if other != nodeId}
-    return Clock(past | {nodeId: (ceiling(contextSet, nodeId), ceiling(localSet, nodeId) + 1)})
+    past = {other: ceiling(context_set, other) for other in ids(context_set) if other != node_id}
+    return Clock(past | {node_id: (ceiling(context_set, node_id), ceiling(local_set, node_id) + 1)})
 
 
-def syncVersions(leftVersions, rightVersions):
+def sync_versions(left_versions, right_versions):
     """sync on mappings clock -> value; equal clocks stand for the same version."""
-    kept = sync(leftVersions.keys(), rightVersions.keys())
-    return {clock: leftVersions[clock] if clock in leftVersions else rightVersions[clock] for clock in kept}
+    kept = sync(left_versions.keys(), right_versions.keys())
+    return {clock: left_versions[clock] if clock in left_versions else right_versions[clock] for clock in kept}
--- a/packages/oakdvv/oakdvv/context.py
+++ b/packages/oakdvv/oakdvv/context.py
@@ -6,11 +6,11 @@
 from oakdvv.clock import Clock
 
 
-def clockToRow(clock):
-    return [[nodeId, m] if n is None else [nodeId, m, n] for nodeId, (m, n) in sorted(clock.entries.items())]
+def clock_to_row(clock):
+    return [[node_id, m] if n is None else [node_id, m, n] for node_id, (m, n) in sorted(clock.entries.items())]
 
 
-def clockFromRow(row):
+def clock_from_row(row):
     if not isinstance(row, list) or any(
         not isinstance(part, list)
         or len(part) not in (2, 3)
@@ -22,15 +22,15 @@
     return Clock({part[0]: part[1] if len(part) == 2 else (part[1], part[2]) for part in row})
 
 
-def toContext(clockSet):
-    rows = sorted(clockToRow(clock) for clock in clockSet)
+def to_context(clock_set):
+    rows = sorted(clock_to_row(clock) for clock in clock_set)
     return base64.urlsafe_b64encode(json.dumps(rows, separators=(",", ":")).encode()).decode()
 
 
-def fromContext(text):
+def from_context(text):
     if not text:
         return frozenset()
     rows = json.loads(base64.urlsafe_b64decode(text))
     if not isinstance(rows, list):
         raise ValueError("no context")
-    return frozenset(clockFromRow(row) for row in rows)
+    return frozenset(clock_from_row(row) for row in rows)
--- a/packages/oakgate/oakgate/balancer.py
+++ b/packages/oakgate/oakgate/balancer.py
@@ -189,10 +189,10 @@
             instance.own += 1
             return instance
         if not [one for one in self.known(wish.service) if one.row["id"] not in wish.excluded]:
-            raise Overloaded(f"no replica of {wish.service} is left to ask", retryAfter=RETRY_AFTER_LEAST)
+            raise Overloaded(f"no replica of {wish.service} is left to ask", retry_after=RETRY_AFTER_LEAST)
         heap = self._waiting.setdefault(wish.service, [])
         if len(heap) >= BALANCER_QUEUE:
-            raise Overloaded("too many requests wait for a replica", retryAfter=RETRY_AFTER_LEAST)
+            raise Overloaded("too many requests wait for a replica", retry_after=RETRY_AFTER_LEAST)
         waiter = defer.Deferred(lambda _: None)
         entry = (wish.rank, wish.patience_until, next(self._order), wish, waiter)
         heapq.heappush(heap, entry)
@@ -203,7 +203,7 @@
                 self._reactor,
                 wish.patience_until - self._reactor.seconds(),
                 waiter,
-                TimeSpent("no replica had room in time", retryAfter=RETRY_AFTER_LEAST),
+                TimeSpent("no replica had room in time", retry_after=RETRY_AFTER_LEAST),
             )
         finally:
             if entry in heap:
--- a/packages/oakgate/oakgate/base.py
+++ b/packages/oakgate/oakgate/base.py
@@ -23,16 +23,16 @@
         self.settling = set()
         self._numbers = itertools.count(1)
 
-    def mintId(self):
+    def mint_id(self):
         return f"{self.node.random.getrandbits(128):032x}"
 
     def admission(self):
         """A new admission: its id, and the number by which it is told from this gate's earlier and later ones."""
-        return {"admission": self.mintId(), "gate": self.node.nodeId, "number": next(self._numbers)}
+        return {"admission": self.mint_id(), "gate": self.node.node_id, "number": next(self._numbers)}
 
     def check_settling(self):
         if len(self.settling) >= SETTLE_INBOX:
-            raise Overloaded("too much waits to be settled", retryAfter=RETRY_AFTER)
+            raise Overloaded("too much waits to be settled", retry_after=RETRY_AFTER)
 
     def background(self, coroutine):
         """Goes on after the caller has its answer; gives a Deferred that others may wait for: of the result, or
--- a/packages/oakgate/oakgate/bindings.py
+++ b/packages/oakgate/oakgate/bindings.py
@@ -7,7 +7,7 @@
 from oakbase.constants import BLUEPRINT_AGE, FRESH_POLL, REPLICA_AGE
 from oakbase.tasks import sleep, spawn
 from oakbase.verdict import BadRequest, CannotTell, Unknown
-from oakcontrol.blueprint import newsOf
+from oakcontrol.blueprint import news_of
 from oakcontrol.places import REPLICAS_KEY
 
 
@@ -34,14 +34,14 @@
     def share(self, partner):
         return (self._rest(partner) or {}).get("share", 1)
 
-    def _mustBeKnown(self, partner):
+    def _must_be_known(self, partner):
         if self._rest(partner) is None:
             raise Unknown(f"no partner {partner}")
 
     def find(self, partner, name, kind):
         binding = self._item(f"blueprint/{partner}", f"binding/{name}")
         if binding is None:
-            self._mustBeKnown(partner)
+            self._must_be_known(partner)
             raise Unknown(f"no binding {name}")
         if binding["kind"] != kind:
             raise BadRequest(f"binding {name} is for {binding['kind']} requests")
@@ -56,19 +56,19 @@
 
     def staleness(self, partner):
         """Why a request of this partner may not be carried now, or None."""
-        if newsOf(self._board, partner)[0] > BLUEPRINT_AGE:
+        if news_of(self._board, partner)[0] > BLUEPRINT_AGE:
             return "the blueprint's news is too old"
         if self._board.age(REPLICAS_KEY) > REPLICA_AGE:
             return "the replicas' news is too old"
         return None
 
-    async def waitFresh(self, partner, endsAt):
+    async def wait_fresh(self, partner, ends_at):
         """Returns once the news is new enough; refuses with no when the time left is spent first."""
         reactor, asked = self._node.reactor, False
         while (why := self.staleness(partner)) is not None:
-            if reactor.seconds() >= endsAt:
-                raise CannotTell(f"{why}, so the request was not carried", retryAfter=1)
+            if reactor.seconds() >= ends_at:
+                raise CannotTell(f"{why}, so the request was not carried", retry_after=1)
             if not asked:
                 asked = True
-                spawn(self._node.puller.pullNow(), self._node.log)
+                spawn(self._node.puller.pull_now(), self._node.log)
             await sleep(reactor, FRESH_POLL)
--- a/packages/oakgate/oakgate/carry.py
+++ b/packages/oakgate/oakgate/carry.py
@@ -5,32 +5,32 @@
 from oakbase.constants import CARRY_TRIES
 from oakbase.tasks import within
 from oakbase.verdict import Broken, NoAnswer, OakError, Overloaded, Rebound, TimeSpent, Verdict
-from oakgate.placer import Wish, prefixOf
+from oakgate.placer import Wish, prefix_of
 
 
 class Carrier:
-    def __init__(self, node, bindings, placer, webClient, metrics):
+    def __init__(self, node, bindings, placer, web_client, metrics):
         self._node, self._bindings, self._placer = node, bindings, placer
-        self._client, self._metrics = webClient, metrics
+        self._client, self._metrics = web_client, metrics
 
-    async def carry(self, request, mayRepeat, send):
+    async def carry(self, request, may_repeat, send):
         """Places the request, and calls `send(replica, lastCheck)`; on a no it goes on to another replica, on
         a maybe only if `mayRepeat()` says that the request may be repeated."""
         unsure = None
         for attempt in range(CARRY_TRIES):
             try:
-                replica = await self._placeFresh(request)
+                replica = await self._place_fresh(request)
             except OakError as error:
-                raise _atLeast(unsure, error) from None
-            placedAt = self._node.reactor.seconds()
+                raise _at_least(unsure, error) from None
+            placed_at = self._node.reactor.seconds()
             try:
-                return await send(replica, lambda: self._lastCheck(request, replica))
+                return await send(replica, lambda: self._last_check(request, replica))
             except OakError as error:
                 if error.verdict is Verdict.NO:
                     self._placer.refused(replica)
                 self._metrics.count("carry_failed", verdict=error.verdict.value)
-                if attempt == CARRY_TRIES - 1 or not self._mayRetry(request, mayRepeat, error):
-                    raise _atLeast(unsure, error) from error
+                if attempt == CARRY_TRIES - 1 or not self._may_retry(request, may_repeat, error):
+                    raise _at_least(unsure, error) from error
                 if error.verdict is not Verdict.NO:
                     unsure = error
                 self._node.log.event(
@@ -41,17 +41,17 @@
                     verdict=error.verdict.value,
                 )
             finally:
-                self._placer.release(replica, placedAt)
+                self._placer.release(replica, placed_at)
 
-    def _mayRetry(self, request, mayRepeat, error):
+    def _may_retry(self, request, may_repeat, error):
         return error.verdict is Verdict.NO or (
-            mayRepeat() and self._node.reactor.seconds() < request.waitUntil and not request.call.isGone
+            may_repeat() and self._node.reactor.seconds() < request.wait_until and not request.call.is_gone
         )
 
     def _current(self, request):
-        return self._bindings.find(request.partner, request.bindingName, request.kind)
+        return self._bindings.find(request.partner, request.binding_name, request.kind)
 
-    async def _placeFresh(self, request):
+    async def _place_fresh(self, request):
         """A replica under a blueprint that is surely current. News that came while it waited counts, and while
         it waits it follows the plan: to another pool, another urgency, another bound."""
         while True:
@@ -64,57 +64,57 @@
                         request.partner,
                         binding["pool"],
                         binding["urgency"],
-                        request.waitUntil,
+                        request.wait_until,
                         lambda binding=binding: self._current(request) == binding,
                         request.fields.get("lineKey", ""),
-                        prefixOf(request.fields.get("start", "")),
+                        prefix_of(request.fields.get("start", "")),
                         binding.get("adapter"),
                         binding.get("modelWeights"),
                     )
                 )
             except Rebound:
                 continue
-            placedAt = self._node.reactor.seconds()
+            placed_at = self._node.reactor.seconds()
             try:
-                await self._bindings.waitFresh(request.partner, request.waitUntil)
-                if request.call.isGone:
+                await self._bindings.wait_fresh(request.partner, request.wait_until)
+                if request.call.is_gone:
                     raise TimeSpent("the caller went away")
                 current = self._current(request)
             except OakError:
-                self._placer.release(replica, placedAt)
+                self._placer.release(replica, placed_at)
                 raise
             if current == binding and replica.row["state"] == "ready" and replica.row["id"] in self._placer.replicas:
                 return replica
-            self._placer.release(replica, placedAt)
+            self._placer.release(replica, placed_at)
 
-    def _lastCheck(self, request, replica):
+    def _last_check(self, request, replica):
         """Run with the connection made and nothing written: the rules hold at the moment of writing."""
         why = self._bindings.staleness(request.partner)
         if why is not None:
-            raise Overloaded(why, retryAfter=1)
+            raise Overloaded(why, retry_after=1)
         if replica.row["state"] != "ready" or replica.row["id"] not in self._placer.replicas:
-            raise Overloaded("the replica is leaving", retryAfter=1)
+            raise Overloaded("the replica is leaving", retry_after=1)
         if self._current(request) != request.binding:
-            raise Overloaded("the binding was replaced", retryAfter=1)
+            raise Overloaded("the binding was replaced", retry_after=1)
         request.remaining(self._node.reactor.seconds())
         request.left = True
 
 
-def _atLeast(unsure, error):
+def _at_least(unsure, error):
     """A try that may have run is not unsaid by a later one that did not."""
     return unsure if unsure is not None and error.verdict is Verdict.NO else error
 
 
-async def refusalOf(reactor, response, lines, timeLeft):
+async def refusal_of(reactor, response, lines, time_left):
     """The error for an answer that is not 200. No only if the replica itself says so."""
     said = {}
     try:
-        line = await within(reactor, timeLeft, lines.next(), NoAnswer("the replica's refusal did not end"))
+        line = await within(reactor, time_left, lines.next(), NoAnswer("the replica's refusal did not end"))
         said = json.loads(line) if line else {}
     except (ValueError, OakError):
         said = {}
     finally:
         lines.abort()
     if isinstance(said, dict) and said.get("verdict") == "no":
-        return Overloaded(f"the replica refused with {response.code}", retryAfter=1)
+        return Overloaded(f"the replica refused with {response.code}", retry_after=1)
     return Broken(f"the replica answered {response.code}", Verdict.MAYBE)
--- a/packages/oakgate/oakgate/daemon.py
+++ b/packages/oakgate/oakgate/daemon.py
@@ -2,10 +2,10 @@
 
 from oakbase.env import COMMON_ENV
 from oakgate.gate import GateNode
-from oaknews.program import runDaemon
+from oaknews.program import run_daemon
 
 
 def main():
-    runDaemon(
+    run_daemon(
         "oakgated", COMMON_ENV, "A gate of oakramp: takes callers' requests and carries them to replicas.", GateNode
     )
--- a/packages/oakgate/oakgate/gate.py
+++ b/packages/oakgate/oakgate/gate.py
@@ -18,18 +18,18 @@
 class GateNode(GateBase):
     def __init__(self, reactor, env, _disk, random, sink, wall=time.time):
         super().__init__(reactor, env, random, sink, wall)
-        self.webClient = WebClient(reactor, env["http"].rpartition(":")[0])
+        self.web_client = WebClient(reactor, env["http"].rpartition(":")[0])
         self.lines = LineClient(self.node)
         self.bindings = Bindings(self.node)
-        self.placer = Placer(self.node, self.bindings, self.webClient, self.metrics)
-        self.carrier = Carrier(self.node, self.bindings, self.placer, self.webClient, self.metrics)
+        self.placer = Placer(self.node, self.bindings, self.web_client, self.metrics)
+        self.carrier = Carrier(self.node, self.bindings, self.placer, self.web_client, self.metrics)
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
         turns, plain = Turns(self), Plain(self)
         for method, path, handler in (
-            ("POST", "/v1/{partner}/programs", turns.openProgram),
-            ("GET", "/v1/{partner}/programs/{program}", turns.readProgram),
-            ("POST", "/v1/{partner}/programs/{program}/end", turns.endProgram),
-            ("POST", "/v1/{partner}/programs/{program}/lines/{line}/turns", turns.postTurn),
+            ("POST", "/v1/{partner}/programs", turns.open_program),
+            ("GET", "/v1/{partner}/programs/{program}", turns.read_program),
+            ("POST", "/v1/{partner}/programs/{program}/end", turns.end_program),
+            ("POST", "/v1/{partner}/programs/{program}/lines/{line}/turns", turns.post_turn),
             ("POST", "/v1/{partner}/plain/{binding}", plain.post),
             ("GET", "/condition", self._condition),
         ):
@@ -37,7 +37,7 @@
         serve_metrics(self.web, self.metrics)
         for name, ask in (
             ("requests_running", lambda: self.web.running),
-            ("requests_waiting", self.placer.waitingCount),
+            ("requests_waiting", self.placer.waiting_count),
             ("settling", lambda: len(self.settling)),
             ("members_live", lambda: len(self.node.members.live())),
         ):
@@ -67,7 +67,7 @@
         self.web.listen()
 
     async def stop(self):
-        await self.node.puller.sayLeaving()
+        await self.node.puller.say_leaving()
         await self.web.stop()
         await self.wait_settled(SETTLE_TIME)
         self.placer.stop()
--- a/packages/oakgate/oakgate/placement.py
+++ b/packages/oakgate/oakgate/placement.py
@@ -81,7 +81,7 @@
         await self._owners.call(
             PLACEMENT_KEY,
             "report",
-            {"gate": self._node.nodeId, "number": self._number, "services": services},
+            {"gate": self._node.node_id, "number": self._number, "services": services},
             CALL_TIME,
         )
 
--- a/packages/oakgate/oakgate/placer.py
+++ b/packages/oakgate/oakgate/placer.py
@@ -34,23 +34,23 @@
     row: dict
     capacity: int = GATE_REPLICA_IN_FLIGHT
     running: int = 0
-    ownRunning: int = 0
-    ownThen: int = 0
+    own_running: int = 0
+    own_then: int = 0
     gates: int = 1
-    describedAt: float = float("-inf")
+    described_at: float = float("-inf")
     adapters: tuple = ()
-    modelWeights: str = ""
-    refusedUntil: float = float("-inf")
+    model_weights: str = ""
+    refused_until: float = float("-inf")
 
     def weight(self):
         """Share of the capacity in use, as well as this gate can tell."""
-        return max(self.running + self.ownRunning - self.ownThen, self.ownRunning) / self.capacity
+        return max(self.running + self.own_running - self.own_then, self.own_running) / self.capacity
 
-    def hasRoom(self, now):
+    def has_room(self, now):
         """Near its capacity, a replica is shared evenly by the gates: no one who came first keeps it all."""
         contended = self.running >= CONTENDED_SHARE * self.capacity
         most = math.ceil(self.capacity / self.gates) if contended else GATE_REPLICA_IN_FLIGHT
-        return self.weight() < 1 and self.ownRunning < most and now >= self.refusedUntil
+        return self.weight() < 1 and self.own_running < most and now >= self.refused_until
 
 
 @dataclass
@@ -60,12 +60,12 @@
     partner: str
     pool: str
     urgency: str
-    endsAt: float
-    isCurrent: object
-    lineKey: str = ""
+    ends_at: float
+    is_current: object
+    line_key: str = ""
     prefix: str = ""
     adapter: str | None = None
-    modelWeights: str | None = None
+    model_weights: str | None = None
 
 
 class Placer:
@@ -75,18 +75,18 @@
     request placed, and the partner with the least goes first; one that comes back after a pause starts
     level with the least of those waiting, so nobody saves up."""
 
-    def __init__(self, node, bindings, webClient, metrics):
-        self._node, self._reactor, self._bindings, self._client = node, node.reactor, bindings, webClient
+    def __init__(self, node, bindings, web_client, metrics):
+        self._node, self._reactor, self._bindings, self._client = node, node.reactor, bindings, web_client
         self._metrics = metrics
         self.replicas = {}
         self._waiting = {}
         self._served = {}
-        self._holdTimes = {}
+        self._hold_times = {}
         self._order = itertools.count()
         self._describing = set()
-        self._repeater = Repeater(node.reactor, DESCRIBE_PAUSE, self._describeAll, node.log)
+        self._repeater = Repeater(node.reactor, DESCRIBE_PAUSE, self._describe_all, node.log)
         node.board.watch("replicas", lambda _source: self._refresh())
-        node.board.watch("blueprint/", self._planMoved)
+        node.board.watch("blueprint/", self._plan_moved)
 
     def start(self):
         self._repeater.start()
@@ -98,17 +98,17 @@
 
     def _refresh(self):
         rows = self._bindings.replicas()
-        for replicaId in sorted(self.replicas.keys() - rows.keys()):
-            del self.replicas[replicaId]
-        for replicaId, row in rows.items():
-            if replicaId not in self.replicas:
-                self.replicas[replicaId] = Replica(row)
-                spawn(self._describe(self.replicas[replicaId]), self._node.log)
-            self.replicas[replicaId].row = row
-        self._dispatchAll()
-
-    async def _describeAll(self):
-        self._giveUpHopeless()
+        for replica_id in sorted(self.replicas.keys() - rows.keys()):
+            del self.replicas[replica_id]
+        for replica_id, row in rows.items():
+            if replica_id not in self.replicas:
+                self.replicas[replica_id] = Replica(row)
+                spawn(self._describe(self.replicas[replica_id]), self._node.log)
+            self.replicas[replica_id].row = row
+        self._dispatch_all()
+
+    async def _describe_all(self):
+        self._give_up_hopeless()
         for replica in list(self.replicas.values()):
             if replica.row["id"] not in self._describing:
                 spawn(self._describe(replica), self._node.log)
@@ -116,10 +116,10 @@
     async def _describe(self, replica):
         """Asks the replica what it is and how much it does. One that does not answer keeps its last row,
         which counts for nothing once it is old."""
-        replicaId = replica.row["id"]
-        self._describing.add(replicaId)
+        replica_id = replica.row["id"]
+        self._describing.add(replica_id)
         try:
-            own = replica.ownRunning
+            own = replica.own_running
             status, said = await self._client.json("GET", replica.row["address"], "/describe", None, DESCRIBE_TIME)
             load = said.get("load")
             if status != 200 or not isinstance(load, dict):
@@ -127,18 +127,18 @@
             if any(
                 type(load.get(name)) is not int or load[name] < low for name, low in (("running", 0), ("capacity", 1))
             ):
-                self._node.log.event("describeUnreadable", replica=replicaId)
+                self._node.log.event("describeUnreadable", replica=replica_id)
                 return
-            replica.running, replica.capacity, replica.ownThen = load["running"], load["capacity"], own
+            replica.running, replica.capacity, replica.own_then = load["running"], load["capacity"], own
             replica.gates = max(1, len(self._node.members.live("gate")))
             replica.adapters = tuple(map(str, said.get("adapters") or ()))
-            replica.modelWeights = str(said.get("weights", ""))
-            replica.describedAt = self._reactor.seconds()
-            self._dispatchAll()
+            replica.model_weights = str(said.get("weights", ""))
+            replica.described_at = self._reactor.seconds()
+            self._dispatch_all()
         except OakError as error:
-            self._node.log.event("describeFailed", replica=replicaId, reason=error.reason)
+            self._node.log.event("describeFailed", replica=replica_id, reason=error.reason)
         finally:
-            self._describing.discard(replicaId)
+            self._describing.discard(replica_id)
 
     # --- placing ---
 
@@ -149,7 +149,7 @@
             replica
             for replica in ready
             if (wish.adapter is None or wish.adapter in replica.adapters)
-            and (wish.modelWeights is None or wish.modelWeights == replica.modelWeights)
+            and (wish.model_weights is None or wish.model_weights == replica.model_weights)
         ], ready
 
     def _place(self, wish):
@@ -159,21 +159,21 @@
         there the line's earlier turns, or at least the common start, are in the cache."""
         candidates, _ = self._candidates(wish)
         now = self._reactor.seconds()
-        roomy = [replica for replica in candidates if replica.hasRoom(now)]
-        sound = [replica for replica in roomy if now - replica.describedAt < DESCRIBED_AGE] or roomy
+        roomy = [replica for replica in candidates if replica.has_room(now)]
+        sound = [replica for replica in roomy if now - replica.described_at < DESCRIBED_AGE] or roomy
         if not sound:
             return None
-        if not wish.lineKey:
+        if not wish.line_key:
             return min(sound, key=lambda replica: (replica.weight(), replica.row["id"]))
-        byId = {replica.row["id"]: replica for replica in sound}
+        by_id = {replica.row["id"]: replica for replica in sound}
         # Named over all that fit, not only over those with room, so that a full one does not move the rest.
-        everyId = [replica.row["id"] for replica in candidates]
-        near = ranked(everyId, wish.prefix)[: max(2, (len(everyId) + 1) // 2)] if wish.prefix else everyId
-        order = ranked(near, wish.lineKey) + [one for one in ranked(everyId, wish.lineKey) if one not in near]
-        light = [byId[one] for one in order if one in byId and byId[one].weight() < WEIGHT_BOUND]
+        every_id = [replica.row["id"] for replica in candidates]
+        near = ranked(every_id, wish.prefix)[: max(2, (len(every_id) + 1) // 2)] if wish.prefix else every_id
+        order = ranked(near, wish.line_key) + [one for one in ranked(every_id, wish.line_key) if one not in near]
+        light = [by_id[one] for one in order if one in by_id and by_id[one].weight() < WEIGHT_BOUND]
         return light[0] if light else min(sound, key=lambda replica: (replica.weight(), replica.row["id"]))
 
-    def hasInboxRoom(self, partner, pool):
+    def has_inbox_room(self, partner, pool):
         return len(self._waiting.get((pool, partner), ())) < PLACE_INBOX
 
     async def place(self, wish):
@@ -181,24 +181,24 @@
         candidates, ready = self._candidates(wish)
         if not candidates and ready:
             # One that has not described itself yet may have what is asked for.
-            if all(replica.describedAt > float("-inf") for replica in ready):
+            if all(replica.described_at > float("-inf") for replica in ready):
                 raise Unknown("no replica of the pool has these weights and adapters")
         heap = self._waiting.setdefault((wish.pool, wish.partner), [])
         if len(heap) >= PLACE_INBOX:
-            raise Overloaded("too many requests wait for a replica", retryAfter=RETRY_AFTER)
-        ahead = sum(entry[:2] <= (URGENCY[wish.urgency], wish.endsAt) for entry in heap)
-        self._refuseHopeless(wish, ahead)
+            raise Overloaded("too many requests wait for a replica", retry_after=RETRY_AFTER)
+        ahead = sum(entry[:2] <= (URGENCY[wish.urgency], wish.ends_at) for entry in heap)
+        self._refuse_hopeless(wish, ahead)
         if not heap:
-            self._startLevel(wish.pool, wish.partner)
+            self._start_level(wish.pool, wish.partner)
         waiter = defer.Deferred(lambda _: None)
-        heapq.heappush(heap, (URGENCY[wish.urgency], wish.endsAt, next(self._order), wish, waiter))
+        heapq.heappush(heap, (URGENCY[wish.urgency], wish.ends_at, next(self._order), wish, waiter))
         self._dispatch(wish.pool)
         try:
             return await within(
                 self._reactor,
-                wish.endsAt - self._reactor.seconds(),
+                wish.ends_at - self._reactor.seconds(),
                 waiter,
-                TimeSpent("no replica had room within the time left", retryAfter=RETRY_AFTER),
+                TimeSpent("no replica had room within the time left", retry_after=RETRY_AFTER),
             )
         finally:
             self._waiting[wish.pool, wish.partner] = heap = [
@@ -208,61 +208,61 @@
 
     # --- giving up in time ---
 
-    def _expectedWait(self, pool, ahead):
+    def _expected_wait(self, pool, ahead):
         """Seconds until this gate has given room to `ahead` more of one partner, by what its requests hold
         their places for; 0 while that is not known or there is room."""
         rows = [replica for replica in self.replicas.values() if replica.row["pool"] == pool]
-        own = sum(replica.ownRunning for replica in rows)
+        own = sum(replica.own_running for replica in rows)
         now = self._reactor.seconds()
-        if not own or pool not in self._holdTimes or any(replica.hasRoom(now) for replica in rows):
+        if not own or pool not in self._hold_times or any(replica.has_room(now) for replica in rows):
             return 0.0
-        partners = sum(1 for (waitingPool, _), heap in self._waiting.items() if waitingPool == pool and heap)
-        return (ahead + 1) * max(1, partners) * self._holdTimes[pool] / own
+        partners = sum(1 for (waiting_pool, _), heap in self._waiting.items() if waiting_pool == pool and heap)
+        return (ahead + 1) * max(1, partners) * self._hold_times[pool] / own
 
-    def _refuseHopeless(self, wish, ahead):
+    def _refuse_hopeless(self, wish, ahead):
         """Raises if the wish cannot be met in time: its caller is told now, and when to come back."""
-        expected = self._expectedWait(wish.pool, ahead)
-        if self._reactor.seconds() + expected > wish.endsAt:
+        expected = self._expected_wait(wish.pool, ahead)
+        if self._reactor.seconds() + expected > wish.ends_at:
             self._metrics.count("given_up")
             raise Overloaded(
                 f"about {expected:.0f} s of requests wait already",
-                retryAfter=max(RETRY_AFTER, min(60, round(expected))),
+                retry_after=max(RETRY_AFTER, min(60, round(expected))),
             )
 
-    def _giveUpHopeless(self):
+    def _give_up_hopeless(self):
         """The same look at those that wait: how long places are held may be known only now."""
         for heap in list(self._waiting.values()):
             for ahead, entry in enumerate(sorted(heap)):
                 try:
-                    self._refuseHopeless(entry[3], ahead)
+                    self._refuse_hopeless(entry[3], ahead)
                 except Overloaded as error:
                     if not entry[4].called:
                         entry[4].errback(error)
 
-    def _planMoved(self, source):
+    def _plan_moved(self, source):
         """Whoever waits under what the plan no longer says goes and waits anew."""
         partner = source.partition("/")[2]
         for entry in [entry for (_, other), heap in self._waiting.items() if other == partner for entry in heap]:
             try:
-                isCurrent = entry[3].isCurrent()
+                is_current = entry[3].is_current()
             except OakError:
-                isCurrent = False  # the binding is gone; that is what it will be told
-            if not isCurrent and not entry[4].called:
+                is_current = False  # the binding is gone; that is what it will be told
+            if not is_current and not entry[4].called:
                 entry[4].errback(Rebound("the plan changed"))
 
-    def _startLevel(self, pool, partner):
+    def _start_level(self, pool, partner):
         level = min(
             (
                 self._served.get((pool, other), 0.0)
-                for (otherPool, other), heap in self._waiting.items()
-                if otherPool == pool and heap
+                for (other_pool, other), heap in self._waiting.items()
+                if other_pool == pool and heap
             ),
             default=None,
         )
         if level is not None:
             self._served[pool, partner] = max(self._served.get((pool, partner), 0.0), level)
 
-    def _dispatchAll(self):
+    def _dispatch_all(self):
         for pool in dict.fromkeys(pool for pool, _ in self._waiting):
             self._dispatch(pool)
 
@@ -273,8 +273,8 @@
         while True:
             partners = [
                 (self._served.get((pool, partner), 0.0), partner)
-                for (waitingPool, partner), heap in self._waiting.items()
-                if waitingPool == pool and heap and partner not in blocked
+                for (waiting_pool, partner), heap in self._waiting.items()
+                if waiting_pool == pool and heap and partner not in blocked
             ]
             if not partners:
                 return
@@ -287,30 +287,30 @@
                 continue
             heap.remove(entry)
             heapq.heapify(heap)
-            replica.ownRunning += 1
+            replica.own_running += 1
             self._served[pool, partner] = self._served.get((pool, partner), 0.0) + 1 / self._bindings.share(partner)
             self._metrics.count("placed", replica=replica.row["id"])
             if entry[4].called:
-                replica.ownRunning -= 1
+                replica.own_running -= 1
                 continue
             entry[4].callback(replica)
 
-    def release(self, replica, placedAt):
-        replica.ownRunning -= 1
+    def release(self, replica, placed_at):
+        replica.own_running -= 1
         pool = replica.row["pool"]
-        held = self._reactor.seconds() - placedAt
-        if replica.refusedUntil < placedAt:
-            self._holdTimes[pool] = 0.9 * self._holdTimes.get(pool, held) + 0.1 * held
+        held = self._reactor.seconds() - placed_at
+        if replica.refused_until < placed_at:
+            self._hold_times[pool] = 0.9 * self._hold_times.get(pool, held) + 0.1 * held
         self._dispatch(pool)
 
     def refused(self, replica):
         """The replica said no, or could not be reached: it counts as full for a moment."""
-        replica.refusedUntil = self._reactor.seconds() + REFUSED_PAUSE
+        replica.refused_until = self._reactor.seconds() + REFUSED_PAUSE
         self._reactor.callLater(REFUSED_PAUSE, self._dispatch, replica.row["pool"])
 
-    def waitingCount(self):
+    def waiting_count(self):
         return sum(map(len, self._waiting.values()))
 
 
-def prefixOf(text):
+def prefix_of(text):
     return text[:PREFIX_CHARACTERS]
--- a/packages/oakgate/oakgate/plain.py
+++ b/packages/oakgate/oakgate/plain.py
@@ -4,10 +4,10 @@
 
 from schema import Optional, Or
 
-from oakbase.checks import NAME, checkFields, packJson, seconds
+from oakbase.checks import NAME, check_fields, pack_json, seconds
 from oakbase.constants import CALL_TIME, CLAIM_ANSWER_LIMIT, CLAIM_LEAVE, TIME_LEFT_LIMIT
 from oakbase.verdict import Broken, Conflict, NoAnswer, OakError, Overloaded, TimeSpent, Verdict
-from oakgate.request import Request, chain, printOf
+from oakgate.request import Request, chain, print_of
 
 PLAIN = {
     Optional("key"): Or(None, NAME, error="must be a name"),
@@ -24,8 +24,8 @@
         self._run = chain([self._bind, self._claim], self._carry)
 
     async def post(self, call):
-        names = checkFields({"partner": NAME, "binding": NAME}, call.names)
-        body = checkFields(PLAIN, call.json())
+        names = check_fields({"partner": NAME, "binding": NAME}, call.names)
+        body = check_fields(PLAIN, call.json())
         request = Request(
             call,
             names["partner"],
@@ -45,10 +45,10 @@
         return 200, answer
 
     async def _bind(self, request, onward):
-        await self._bindings.waitFresh(request.partner, self._reactor.seconds() + CALL_TIME)
-        request.bound(self._bindings.find(request.partner, request.bindingName, request.kind))
-        if not self._gate.placer.hasInboxRoom(request.partner, request.binding["pool"]):
-            raise Overloaded("too many requests wait for a replica", retryAfter=1)
+        await self._bindings.wait_fresh(request.partner, self._reactor.seconds() + CALL_TIME)
+        request.bound(self._bindings.find(request.partner, request.binding_name, request.kind))
+        if not self._gate.placer.has_inbox_room(request.partner, request.binding["pool"]):
+            raise Overloaded("too many requests wait for a replica", retry_after=1)
         return await onward(request)
 
     async def _claim(self, request, onward):
@@ -57,19 +57,19 @@
         if key is None:
             return {"answer": await onward(request)}
         self._gate.check_settling()
-        claimKey = f"claim/{request.partner}/{key}"
-        pairs = request.admission | {"print": printOf([request.bindingName, request.body["body"]])}
+        claim_key = f"claim/{request.partner}/{key}"
+        pairs = request.admission | {"print": print_of([request.binding_name, request.body["body"]])}
 
         def later(command, **more):
-            self._gate.background(self._owners.callUntilDone(claimKey, command, pairs | more))
+            self._gate.background(self._owners.call_until_done(claim_key, command, pairs | more))
 
         # The owner counts from when it hears of the claim, so this is the earlier of the two.
-        request.leaveBy = self._reactor.seconds() + CLAIM_LEAVE
+        request.leave_by = self._reactor.seconds() + CLAIM_LEAVE
         try:
-            claimed = await self._owners.call(claimKey, "claim", pairs, request.remaining(self._reactor.seconds()))
+            claimed = await self._owners.call(claim_key, "claim", pairs, request.remaining(self._reactor.seconds()))
         except NoAnswer as error:
             later("free")  # it may be claimed, but it will not be carried
-            raise TimeSpent(f"the claim's owner did not answer: {error.reason}", retryAfter=1) from error
+            raise TimeSpent(f"the claim's owner did not answer: {error.reason}", retry_after=1) from error
         if claimed["state"] == "done" and claimed["answer"] is None:
             raise Conflict("this ran before; its answer was too large to keep", Verdict.YES)
         if claimed["state"] == "done":
@@ -80,7 +80,7 @@
             if error.verdict is Verdict.NO:
                 later("free")
             raise
-        later("finish", answer=answer if len(packJson(answer)) <= CLAIM_ANSWER_LIMIT else None)
+        later("finish", answer=answer if len(pack_json(answer)) <= CLAIM_ANSWER_LIMIT else None)
         return {"answer": answer}
 
     async def _carry(self, request):
@@ -89,18 +89,18 @@
         return await self._carrier.carry(
             request,
             lambda: request.body["key"] is None and bool(request.binding.get("repeatable")),
-            lambda replica, lastCheck: self._send(request, asked, replica, lastCheck),
+            lambda replica, last_check: self._send(request, asked, replica, last_check),
         )
 
-    async def _send(self, request, asked, replica, lastCheck):
+    async def _send(self, request, asked, replica, last_check):
         asked = asked | request.marks()
-        status, data = await self._gate.webClient.data(
+        status, data = await self._gate.web_client.data(
             "POST",
             replica.row["address"],
             "/call",
             asked,
-            request.endsAt - self._reactor.seconds(),
-            lastCheck=lastCheck,
+            request.ends_at - self._reactor.seconds(),
+            last_check=last_check,
         )
         try:
             said = json.loads(data)
@@ -109,7 +109,7 @@
         if not isinstance(said, dict):
             raise Broken("the replica's answer is no object", Verdict.MAYBE)
         if status != 200 and said.get("verdict") == "no":
-            raise Overloaded(f"the replica refused with {status}", retryAfter=1)
+            raise Overloaded(f"the replica refused with {status}", retry_after=1)
         if status != 200:
             raise Broken(f"the replica answered {status}", Verdict.MAYBE)
         if said.get("run") != request.admission["admission"] or not isinstance(said.get("answer"), dict):
--- a/packages/oakgate/oakgate/relay.py
+++ b/packages/oakgate/oakgate/relay.py
@@ -130,7 +130,7 @@
         self._news = FreshNews(
             self._reactor,
             lambda: router.staleness() or gate.replicas_staleness(),
-            lambda: spawn(gate.node.puller.pullNow(), gate.node.log),
+            lambda: spawn(gate.node.puller.pull_now(), gate.node.log),
         )
         self._chains = {"safe": self._plain, "unsafe": self._plain, "tracked": self._tracked, "stream": self._stream}
 
@@ -158,7 +158,7 @@
                     request=request.try_id,
                 )
             if isinstance(error, CannotTell):
-                error.retryAfter = self._outage_left(exchange, request)
+                error.retry_after = self._outage_left(exchange, request)
             exchange.reply(*self._dialect.refusal(error, request))
 
     def _outage_left(self, exchange, request):
@@ -190,7 +190,7 @@
     def _remaining(self, passage):
         left = passage.ends_at - self._reactor.seconds()
         if left <= 0:
-            raise TimeSpent("no time is left", retryAfter=None)
+            raise TimeSpent("no time is left", retry_after=None)
         return left
 
     # --- plain and keyed calls ---
@@ -214,7 +214,7 @@
         try:
             claimed = await self._owners.call(key, "claim", pairs, self._remaining(passage))
         except NoAnswer as error:
-            self._gate.background(self._owners.callUntilDone(key, "free", pairs))
+            self._gate.background(self._owners.call_until_done(key, "free", pairs))
             raise CannotTell(f"the claim's owner did not answer: {error.reason}") from error
         if claimed["state"] == "done":
             self._pass_kept(passage, claimed["answer"])
@@ -230,7 +230,7 @@
             raise
         except BaseException:
             if not passage.left:
-                self._gate.background(self._owners.callUntilDone(key, "free", pairs))
+                self._gate.background(self._owners.call_until_done(key, "free", pairs))
             raise
         body = b"".join(parts)
         kept = {
@@ -244,7 +244,7 @@
 
     async def _finish_claim(self, passage, key, command, pairs):
         """Waits for the owner as long as the caller does; it goes on until the owner has it either way."""
-        work = self._gate.background(self._owners.callUntilDone(key, command, pairs))
+        work = self._gate.background(self._owners.call_until_done(key, command, pairs))
         try:
             await within(self._reactor, max(0.05, passage.ends_at - self._reactor.seconds()), shielded(work))
         except OakError as error:
@@ -397,7 +397,7 @@
             raise Unknown("the route was removed")
         if route != passage.route:
             if route.kind != passage.route.kind or route.retained != passage.route.retained:
-                raise Overloaded("the route changed its kind", retryAfter=RETRY_AFTER_LEAST)
+                raise Overloaded("the route changed its kind", retry_after=RETRY_AFTER_LEAST)
             passage.route, passage.may_repeat = route, self._may_repeat(route)
         return route
 
@@ -405,7 +405,7 @@
         """Runs in the turn of the reactor in which the first byte is written: the rules hold at that moment."""
         why = self._router.staleness() or self._gate.replicas_staleness()
         if why is not None:
-            raise Overloaded(why, retryAfter=RETRY_AFTER_LEAST)
+            raise Overloaded(why, retry_after=RETRY_AFTER_LEAST)
         route = self._router.find(passage.exchange.host, passage.exchange.path)
         if route != passage.route or not self._balancer.is_ready(instance):
             raise Rebound("the route or its replica changed meanwhile")
@@ -446,7 +446,7 @@
         if said.not_run:
             passage.left = False
             spawn(self._discard(answer), self._log)
-            raise Overloaded(f"the replica turned the request away with {answer.status}", retryAfter=RETRY_AFTER_LEAST)
+            raise Overloaded(f"the replica turned the request away with {answer.status}", retry_after=RETRY_AFTER_LEAST)
         if answer.status < 300 and not said.stamped:
             answer.abort()
             raise Broken("the replica's answer bears no stamp", Verdict.MAYBE)
@@ -493,7 +493,7 @@
         recalling = None
         if route.retained and self._turns.is_full:
             # Before it runs: afterwards its answer could only be cut off.
-            raise Overloaded("the stores have no room for more until old turns go", retryAfter=FULL_RETRY)
+            raise Overloaded("the stores have no room for more until old turns go", retry_after=FULL_RETRY)
         if route.retained and request.previous_turn:
             recalling = defer.ensureDeferred(
                 self._settled(self._turns.recall(request.previous_turn, self._remaining(passage) * PATIENCE_SHARE))
@@ -526,7 +526,7 @@
                 await self._owners.call(
                     key,
                     "admit",
-                    {"turn": request.try_id, "reserve": reserve, "limit": request.budget, "gate": self._node.nodeId},
+                    {"turn": request.try_id, "reserve": reserve, "limit": request.budget, "gate": self._node.node_id},
                     self._remaining(passage) * PATIENCE_SHARE,
                 )
             )["state"]
@@ -665,4 +665,4 @@
 
     async def _tell(self, key):
         await sleep(self._reactor, SETTLE_PAUSE)
-        await self._gate.owners.callUntilDone(key, "settle", {"settled": self._due.pop(key)})
+        await self._gate.owners.call_until_done(key, "settle", {"settled": self._due.pop(key)})
--- a/packages/oakgate/oakgate/relay_node.py
+++ b/packages/oakgate/oakgate/relay_node.py
@@ -86,7 +86,7 @@
         return self._limits[1]
 
     def _refuse(self, exchange):
-        error = Overloaded("too many requests are under way here", retryAfter=RETRY_AFTER_LEAST)
+        error = Overloaded("too many requests are under way here", retry_after=RETRY_AFTER_LEAST)
         request = self._dialect.request_of(exchange.method, exchange.target, exchange.headers)
         exchange.reply(*self._dialect.refusal(error, request))
 
@@ -129,7 +129,7 @@
         ends_at = self.node.reactor.seconds() + self._grace_s - STOP_MARGIN
         self.stopping = True
         self.front.stopping = True
-        await self.node.puller.sayLeaving()
+        await self.node.puller.say_leaving()
         await sleep(self.node.reactor, READY_DRAIN)
         await self.front.stop(max(0.5, ends_at - self.node.reactor.seconds()))
         await self.wait_settled(STOP_MARGIN)
--- a/packages/oakgate/oakgate/request.py
+++ b/packages/oakgate/oakgate/request.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
-from oakbase.checks import packJson
+from oakbase.checks import pack_json
 from oakbase.constants import RUN_SHARE, TIME_LEFT_DEFAULT
 from oakbase.verdict import Rebound, TimeSpent
 
@@ -18,25 +18,25 @@
 
     call: object
     partner: str
-    bindingName: str
+    binding_name: str
     kind: str
     body: dict
     admission: dict
-    askedAt: float
-    timeLeft: float | None = None
+    asked_at: float
+    time_left: float | None = None
     binding: dict = None
-    admittedUnder: tuple = None
-    endsAt: float = 0.0
-    leaveBy: float = float("inf")
+    admitted_under: tuple = None
+    ends_at: float = 0.0
+    leave_by: float = float("inf")
     left: bool = False
     fields: dict = field(default_factory=dict)
 
     def bound(self, binding):
-        if self.admittedUnder not in (None, termsOf(binding)):
+        if self.admitted_under not in (None, terms_of(binding)):
             raise Rebound("the plan changed what this turn was admitted under")
         self.binding = binding
-        whole = self.timeLeft or TIME_LEFT_DEFAULT
-        self.endsAt = self.askedAt + whole
+        whole = self.time_left or TIME_LEFT_DEFAULT
+        self.ends_at = self.asked_at + whole
 
     def marks(self):
         """What a carried request says besides its content: the binding's adapter, and the caller's own name for this
@@ -45,25 +45,25 @@
         return {name: value for name, value in named.items() if value is not None}
 
     @property
-    def waitUntil(self):
-        whole = self.endsAt - self.askedAt
-        return min(self.askedAt + min(whole * (1 - RUN_SHARE), self.binding["maxWaitSeconds"]), self.leaveBy)
+    def wait_until(self):
+        whole = self.ends_at - self.asked_at
+        return min(self.asked_at + min(whole * (1 - RUN_SHARE), self.binding["maxWaitSeconds"]), self.leave_by)
 
     def remaining(self, now):
         """Seconds in which it may still be carried."""
-        if now >= self.waitUntil:
+        if now >= self.wait_until:
             raise TimeSpent("no time is left to wait")
-        return self.waitUntil - now
+        return self.wait_until - now
 
 
-def termsOf(binding):
+def terms_of(binding):
     """What an admission depends on."""
     return binding.get("maxOutput"), bool(binding.get("repeatable"))
 
 
-def printOf(value):
+def print_of(value):
     """What tells one request from another under the same id."""
-    return blake2b(packJson(value), digest_size=16).hexdigest()
+    return blake2b(pack_json(value), digest_size=16).hexdigest()
 
 
 def chain(filters, last):
--- a/packages/oakgate/oakgate/routing.py
+++ b/packages/oakgate/oakgate/routing.py
@@ -6,7 +6,7 @@
 
 from oakbase.constants import ROUTING_AGE, ROUTING_STRETCH
 from oakcontrol.routing import ROUTING_KEY, document_of, host_of
-from oakcontrol.slots import unpackEntry
+from oakcontrol.slots import unpack_entry
 
 
 @dataclass(frozen=True)
@@ -84,7 +84,7 @@
             self._unpacked = {
                 name: former
                 if (former := self._unpacked.get(name)) and former[0] == value
-                else (value, unpackEntry(value))
+                else (value, unpack_entry(value))
                 for name, value in values.items()
             }
             document = document_of({name: piece for name, (_, piece) in self._unpacked.items()})
--- a/packages/oakgate/oakgate/stream.py
+++ b/packages/oakgate/oakgate/stream.py
@@ -6,7 +6,7 @@
 
 import json
 
-from oakbase.checks import packJson
+from oakbase.checks import pack_json
 from oakbase.constants import IDLE_TIME, OUTPUT_LIMIT
 from oakbase.tasks import within
 from oakbase.verdict import Broken
@@ -23,10 +23,10 @@
         self._size = 0
         self.ended = False
 
-    async def next(self, endsAt):
+    async def next(self, ends_at):
         """The next [text, units], or None after the closing line. Broken for anything else."""
-        timeLeft = min(IDLE_TIME, endsAt - self._reactor.seconds())
-        line = await within(self._reactor, timeLeft, self._lines.next(), Broken("the replica fell silent"))
+        time_left = min(IDLE_TIME, ends_at - self._reactor.seconds())
+        line = await within(self._reactor, time_left, self._lines.next(), Broken("the replica fell silent"))
         if line is None:
             raise Broken("the replica's stream ended without its closing line")
         try:
@@ -59,20 +59,20 @@
         self._seq = 0
         self.begun = False
 
-    def useRun(self, run):
+    def use_run(self, run):
         """Which run the events come from; only before the first of them."""
         if self.begun:
             raise Broken("two runs cannot be joined")
         self._run = run
 
     def _write(self, event):
-        if self._call.isGone:
+        if self._call.is_gone:
             return
         if not self.begun:
             self.begun = True
             self._call.request.setHeader(b"content-type", b"application/x-ndjson")
             self._call.request.setHeader(b"cache-control", b"no-store")
-        self._call.request.write(packJson(event | {"run": self._run, "seq": self._seq}) + b"\n")
+        self._call.request.write(pack_json(event | {"run": self._run, "seq": self._seq}) + b"\n")
         self._seq += 1
 
     def piece(self, text, units):
@@ -80,10 +80,10 @@
 
     def end(self, **fields):
         self._write({"type": "end"} | fields)
-        if not self._call.isGone:
+        if not self._call.is_gone:
             self._call.request.finish()
 
-    def breakOff(self, error):
-        self._write({"type": "break"} | error.toJson())
-        if not self._call.isGone:
+    def break_off(self, error):
+        self._write({"type": "break"} | error.to_json())
+        if not self._call.is_gone:
             self._call.request.channel.loseConnection()
--- a/packages/oakgate/oakgate/turns.py
+++ b/packages/oakgate/oakgate/turns.py
@@ -3,7 +3,7 @@
 from schema import And, Optional, Or
 from twisted.internet.defer import ensureDeferred
 
-from oakbase.checks import NAME, checkFields, seconds, whole
+from oakbase.checks import NAME, check_fields, seconds, whole
 from oakbase.constants import CALL_TIME, FULL_RETRY, PIECE_LIMIT, SETTLE_TIME, SETTLE_WAIT, TIME_LEFT_LIMIT, UNITS_LIMIT
 from oakbase.fetch import BodyLines
 from oakbase.tasks import settled, shielded, within
@@ -19,8 +19,8 @@
     TimeSpent,
     Verdict,
 )
-from oakgate.carry import refusalOf
-from oakgate.request import Request, chain, printOf, termsOf
+from oakgate.carry import refusal_of
+from oakgate.request import Request, chain, print_of, terms_of
 from oakgate.stream import CallerStream, RunReader
 
 TURN = {
@@ -44,32 +44,32 @@
 
     # --- programs ---
 
-    async def openProgram(self, call):
+    async def open_program(self, call):
         partner = call.names["partner"]
-        body = checkFields(PROGRAM, call.json())
-        checkFields({"partner": NAME}, {"partner": partner})
+        body = check_fields(PROGRAM, call.json())
+        check_fields({"partner": NAME}, {"partner": partner})
         # The plan's limits are the owner's to look up: what this gate knows may be old when the command gets there.
         shown = await self._owners.call(
             f"budget/{partner}/{body['program']}", "open", {"limit": body["limit"]}, 2 * CALL_TIME
         )
         return 201, {"program": body["program"]} | shown
 
-    async def readProgram(self, call):
-        return await self._askProgram(call, "read")
+    async def read_program(self, call):
+        return await self._ask_program(call, "read")
 
-    async def endProgram(self, call):
-        return await self._askProgram(call, "end")
+    async def end_program(self, call):
+        return await self._ask_program(call, "end")
 
-    async def _askProgram(self, call, command):
-        names = checkFields({"partner": NAME, "program": NAME}, call.names)
+    async def _ask_program(self, call, command):
+        names = check_fields({"partner": NAME, "program": NAME}, call.names)
         shown = await self._owners.call(f"budget/{names['partner']}/{names['program']}", command, {}, 2 * CALL_TIME)
         return 200, {"program": names["program"]} | shown
 
     # --- turns ---
 
-    async def postTurn(self, call):
-        names = checkFields({"partner": NAME, "program": NAME, "line": NAME}, call.names)
-        body = checkFields(TURN, call.json())
+    async def post_turn(self, call):
+        names = check_fields({"partner": NAME, "program": NAME, "line": NAME}, call.names)
+        body = check_fields(TURN, call.json())
         request = Request(
             call,
             names["partner"],
@@ -84,21 +84,21 @@
             "budgetKey": f"budget/{names['partner']}/{names['program']}",
             "lineKey": f"{names['partner']}/{names['program']}/{names['line']}",
             "turnKey": f"{names['line']}/{body['turnId']}",
-            "print": printOf([body["binding"], body["after"], body["input"], body["maxOutput"]]),
+            "print": print_of([body["binding"], body["after"], body["input"], body["maxOutput"]]),
         }
         stream = CallerStream(call)
         request.fields["stream"] = stream
         try:
-            await self._runBound(request)
+            await self._run_bound(request)
         except OakError as error:
             self._gate.metrics.count("turns", outcome=error.code)
             if not stream.begun:
                 raise
-            stream.breakOff(error)
+            stream.break_off(error)
             return
         self._gate.metrics.count("turns", outcome="done")
 
-    async def _runBound(self, request):
+    async def _run_bound(self, request):
         """Through the chain; again from its start when a new plan changed the terms of the admission."""
         while True:
             try:
@@ -106,13 +106,13 @@
                 return
             except Rebound:
                 self._gate.metrics.count("turns_rebound")
-                request.admission, request.admittedUnder = self._gate.admission(), None
+                request.admission, request.admitted_under = self._gate.admission(), None
 
     async def _bind(self, request, onward):
-        await self._bindings.waitFresh(request.partner, self._reactor.seconds() + CALL_TIME)
-        request.bound(self._bindings.find(request.partner, request.bindingName, request.kind))
-        if not self._placer.hasInboxRoom(request.partner, request.binding["pool"]):
-            raise Overloaded("too many requests wait for a replica", retryAfter=1)
+        await self._bindings.wait_fresh(request.partner, self._reactor.seconds() + CALL_TIME)
+        request.bound(self._bindings.find(request.partner, request.binding_name, request.kind))
+        if not self._placer.has_inbox_room(request.partner, request.binding["pool"]):
+            raise Overloaded("too many requests wait for a replica", retry_after=1)
         self._gate.check_settling()
         reserve = request.binding["maxOutput"]
         request.fields["reserve"] = min(reserve, request.body["maxOutput"] or reserve)
@@ -141,51 +141,51 @@
             state = (await answered)["state"]
         except NoAnswer as error:
             # It may be reserved, but it will not be carried: so it never runs.
-            self._settleLater(request, "never", 0)
-            raise TimeSpent(f"the budget's owner did not answer: {error.reason}", retryAfter=1) from error
+            self._settle_later(request, "never", 0)
+            raise TimeSpent(f"the budget's owner did not answer: {error.reason}", retry_after=1) from error
         if state == "refused":
             raise BudgetEmpty("the program has put out all of its budget")
         if state != "admitted":
-            await self._replayKept(request, state)
+            await self._replay_kept(request, state)
             return
-        request.admittedUnder = termsOf(request.binding)
+        request.admitted_under = terms_of(request.binding)
         try:
             await onward(request)
         except Rebound:
-            taken = self._settleLater(request, "never", 0)
+            taken = self._settle_later(request, "never", 0)
             if await within(self._reactor, request.remaining(self._reactor.seconds()), shielded(taken)) is None:
-                raise TimeSpent("the budget's owner did not answer", retryAfter=1) from None
+                raise TimeSpent("the budget's owner did not answer", retry_after=1) from None
             raise
         except BaseException as error:
             # What a run that broke off has put out, perhaps unseen, is not known: all of it counts as spent.
             never = not request.left or (isinstance(error, OakError) and error.verdict is Verdict.NO)
-            self._settleLater(request, *(("never", 0) if never else ("broken", fields["reserve"])))
+            self._settle_later(request, *(("never", 0) if never else ("broken", fields["reserve"])))
             raise
 
     def _settle(self, request, outcome, units):
         fields = request.fields
-        return self._owners.callUntilDone(
+        return self._owners.call_until_done(
             fields["budgetKey"],
             "settle",
             request.admission
             | {"turn": fields["turnKey"], "print": fields["print"], "units": units, "outcome": outcome},
         )
 
-    def _settleLater(self, request, outcome, units):
+    def _settle_later(self, request, outcome, units):
         return self._gate.background(self._settle(request, outcome, units))
 
     async def _recall(self, request, onward):
         fields, body = request.fields, request.body
-        [(isRead, line)] = await fields["recalling"]
-        if not isRead:
+        [(is_read, line)] = await fields["recalling"]
+        if not is_read:
             raise line
-        if line.isFull:
+        if line.is_full:
             # Before it runs: afterwards it could only be told that its turn ran and is not kept.
-            raise Overloaded("the stores have no room for more until old lines go", retryAfter=FULL_RETRY)
+            raise Overloaded("the stores have no room for more until old lines go", retry_after=FULL_RETRY)
         if body["turnId"] in line.turns:
             raise Conflict("a turn with this id is on the line already")
         fields["line"] = line
-        fields["path"] = line.pathTo(body["after"])
+        fields["path"] = line.path_to(body["after"])
         fields["start"] = (fields["path"][0] if fields["path"] else body)["input"]
         await onward(request)
 
@@ -202,7 +202,7 @@
             "print": fields["print"],
         }
         # What came out is known now, whatever becomes of the turn; so the settling need not wait for the stores.
-        settling = self._settleLater(request, "done", reader.units)
+        settling = self._settle_later(request, "done", reader.units)
         try:
             await self._lines.keep(fields["lineKey"], fields["line"], body["turnId"], turn, SETTLE_TIME)
         except OakError as error:
@@ -227,43 +227,43 @@
         }
         # Never a second run under one reservation: two might put out twice what was reserved.
         await self._carrier.carry(
-            request, lambda: False, lambda replica, lastCheck: self._stream(request, asked, replica, lastCheck)
+            request, lambda: False, lambda replica, last_check: self._stream(request, asked, replica, last_check)
         )
 
-    async def _stream(self, request, asked, replica, lastCheck):
+    async def _stream(self, request, asked, replica, last_check):
         fields = request.fields
         # Only now: while it waited, a newer blueprint may have replaced the binding.
         asked = asked | request.marks()
         # Each carry is a run of its own, so pieces of two runs can never pass for one.
-        fields["run"] = run = self._gate.mintId()
-        fields["stream"].useRun(run)
+        fields["run"] = run = self._gate.mint_id()
+        fields["stream"].use_run(run)
         fields.pop("reader", None)
-        response = await self._gate.webClient.send(
+        response = await self._gate.web_client.send(
             "POST",
             replica.row["address"],
             "/turn",
             asked | {"run": run},
-            request.endsAt - self._reactor.seconds(),
-            lastCheck,
+            request.ends_at - self._reactor.seconds(),
+            last_check,
         )
         lines = BodyLines(PIECE_LIMIT)
         response.deliverBody(lines)
         if response.code != 200:
-            raise await refusalOf(self._reactor, response, lines, CALL_TIME)
+            raise await refusal_of(self._reactor, response, lines, CALL_TIME)
         fields["reader"] = reader = RunReader(self._reactor, run, lines, fields["reserve"])
         if request.binding.get("onCallerGone", "cancel") == "cancel":
             request.call.gone.addCallback(lambda _: lines.abort())
         try:
-            while (piece := await reader.next(request.endsAt)) is not None:
+            while (piece := await reader.next(request.ends_at)) is not None:
                 fields["stream"].piece(*piece)
         except OakError as error:
-            if request.call.isGone:
+            if request.call.is_gone:
                 raise Broken("the caller went away") from error
             raise
         finally:
             lines.abort()
 
-    async def _replayKept(self, request, state):
+    async def _replay_kept(self, request, state):
         """A turn id that was used before: the kept answer, if it was kept, else what is known of it."""
         fields = request.fields
         line = await self._lines.get(fields["lineKey"], request.remaining(self._reactor.seconds()))
@@ -275,7 +275,7 @@
         if turn["print"] != fields["print"]:
             raise Conflict("this turn id was used for another request")
         stream = fields["stream"]
-        stream.useRun(turn["run"])
+        stream.use_run(turn["run"])
         for text, units in turn["pieces"]:
             stream.piece(text, units)
         stream.end(turn=request.body["turnId"], units=sum(units for _, units in turn["pieces"]), kept=True)
