--- a/packages/oaklab/oaklab/simdisk.py
+++ b/packages/oaklab/oaklab/simdisk.py
@@ -11,7 +11,7 @@
         self._time, self._random = time, random
         self._files, self._durable = {}, {}
         self._unsynced = []
-        self.syncTime = 0.002
+        self.sync_time = 0.002
         self.failing = False
         self.host = None
         self.syncs = 0
@@ -67,7 +67,7 @@
             self._settle(count)
             done.callback(None)
 
-        self._time.schedule(self.syncTime, self.host, finish)
+        self._time.schedule(self.sync_time, self.host, finish)
         return done
 
     def _settle(self, count):
@@ -75,7 +75,7 @@
             self._durable[name][offset : offset + len(data)] = data
         del self._unsynced[:count]
 
-    def syncNow(self, names):
+    def sync_now(self, names):
         self._settle(len(self._unsynced))
 
     def replace(self, name, data):
@@ -85,7 +85,7 @@
     def close(self):
         pass
 
-    def powerCut(self):
+    def power_cut(self):
         """Each write that was not synced has reached the disk, or not, or only its front."""
         for name, offset, data in self._unsynced:
             kept = self._random.choice((0, len(data), self._random.randrange(len(data) + 1)))
--- a/packages/oaklab/oaklab/simnet.py
+++ b/packages/oaklab/oaklab/simnet.py
@@ -44,7 +44,7 @@
     def push(self, call, host, incarnation):
         heapq.heappush(self._heap, (self.now, next(self._order), call, host, incarnation))
 
-    def advanceTo(self, end):
+    def advance_to(self, end):
         while self._heap and self._heap[0][0] <= end:
             at, _, call, host, incarnation = heapq.heappop(self._heap)
             if host is not None and host.incarnation != incarnation:
@@ -58,7 +58,7 @@
                 continue
             self.now = max(self.now, at)
             if host is not None and host.frozen:
-                host.waitingCalls.append(call)
+                host.waiting_calls.append(call)
                 continue
             call.called = 1
             self.perform(call, host)
@@ -81,24 +81,24 @@
         self.delays = {}
         self.hosts = {}
         self.sent = 0
-        self.bytesFrom = Counter()
+        self.bytes_from = Counter()
 
-    def delay(self, fromHost, toHost):
-        return self.random.uniform(self._low, self._high) + self.delays.get((fromHost, toHost), 0.0)
+    def delay(self, from_host, to_host):
+        return self.random.uniform(self._low, self._high) + self.delays.get((from_host, to_host), 0.0)
 
-    def cut(self, some, others, bothWays=True):
+    def cut(self, some, others, both_ways=True):
         for one in some:
             for other in others:
                 if one != other:
                     self.cuts.add((one, other))
-                    if bothWays:
+                    if both_ways:
                         self.cuts.add((other, one))
 
     def hold(self, pairs):
         self._holds.update(pairs)
         self.cuts |= set(pairs)
 
-    def letGo(self, pairs):
+    def let_go(self, pairs):
         self._holds.subtract(pairs)
         self.cuts -= {pair for pair in pairs if not self._holds[pair]}
 
@@ -116,7 +116,7 @@
         self.incarnation = 0
         self.up = True
         self.frozen = False
-        self.waitingCalls = []
+        self.waiting_calls = []
         self.listeners = {}
         self.ports = itertools.count(20000)
         self.transports = {}
@@ -127,22 +127,22 @@
 
     def thaw(self):
         self.frozen = False
-        waiting, self.waitingCalls = self.waitingCalls, []
+        waiting, self.waiting_calls = self.waiting_calls, []
         for call in waiting:
             if not call.cancelled:
                 self.network.time.push(call, self, self.incarnation)
 
-    def end(self, powerCut):
+    def end(self, power_cut):
         """The process is gone. Its kernel closes the connections, unless the power went too."""
         transports, self.transports = self.transports, {}
-        self.network.time.graves.append((transports, self.waitingCalls, self.listeners))
+        self.network.time.graves.append((transports, self.waiting_calls, self.listeners))
         self.incarnation += 1
-        self.frozen, self.waitingCalls, self.listeners = False, [], {}
-        self.up = not powerCut
+        self.frozen, self.waiting_calls, self.listeners = False, [], {}
+        self.up = not power_cut
         for transport in transports:
             transport.closed = True
-            if not powerCut:
-                transport.sendClose(error.ConnectionLost("peer process ended"))
+            if not power_cut:
+                transport.send_close(error.ConnectionLost("peer process ended"))
 
 
 @implementer(interfaces.IReactorTime, interfaces.IReactorTCP)
@@ -217,7 +217,7 @@
             network.time.schedule(back, self._host, self._fail, error.ConnectionRefusedError("nobody listens"))
             return
         ours = SimTransport(self._host, next(self._host.ports), self._address, self._port)
-        theirs = SimTransport(target, self._port, self._host.address, ours.localPort)
+        theirs = SimTransport(target, self._port, self._host.address, ours.local_port)
         ours.other, theirs.other = theirs, ours
         network.time.schedule(0, target, theirs.open, listener)
         network.time.schedule(back, self._host, self._connected, ours)
@@ -229,7 +229,7 @@
         self._timeout.cancel()
         self.state = "connected"
         self.transport = transport
-        transport.whenLost = self._lost
+        transport.when_lost = self._lost
         transport.open(self._factory)
 
     def _fail(self, why):
@@ -264,14 +264,14 @@
     """One end of a connection. Invariants: what is written arrives in order or not at all; after `closed`
     nothing more is sent or handed up, and the protocol has been told once."""
 
-    def __init__(self, host, localPort, peerAddress, peerPort):
-        self.host, self.localPort, self._peer = host, localPort, (peerAddress, peerPort)
-        self.other = self.protocol = self.whenLost = self._producer = None
+    def __init__(self, host, local_port, peer_address, peer_port):
+        self.host, self.local_port, self._peer = host, local_port, (peer_address, peer_port)
+        self.other = self.protocol = self.when_lost = self._producer = None
         self.closed = self._closing = self._paused = False
         self.disconnecting = False
         self.connected = True
         self._arrived = []
-        self._lastArrival = 0.0
+        self._last_arrival = 0.0
 
     # --- opening and arriving ---
 
@@ -288,17 +288,17 @@
 
     def _send(self, what):
         network = self.host.network
-        due = max(self._lastArrival, network.time.now + network.delay(self.host.address, self._peer[0]))
-        self._lastArrival = due
+        due = max(self._last_arrival, network.time.now + network.delay(self.host.address, self._peer[0]))
+        self._last_arrival = due
         network.sent += 1
-        network.bytesFrom[self.host.address] += 0 if isinstance(what, Exception) else len(what)
-        network.time.schedule(due - network.time.now, None, self._arriveAt, what)
+        network.bytes_from[self.host.address] += 0 if isinstance(what, Exception) else len(what)
+        network.time.schedule(due - network.time.now, None, self._arrive_at, what)
 
-    def _arriveAt(self, what):
+    def _arrive_at(self, what):
         """Runs for the network; the other machine takes it when it is up and not frozen."""
         network, other = self.host.network, self.other
         if (self.host.address, self._peer[0]) in network.cuts:
-            network.time.schedule(RESEND, None, self._arriveAt, what)
+            network.time.schedule(RESEND, None, self._arrive_at, what)
             return
         target = other.host
         if other.closed or not target.up:
@@ -348,10 +348,10 @@
     def abortConnection(self):
         if not self.closed:
             self._closing = True
-            self.sendClose(error.ConnectionLost("aborted by peer"))
+            self.send_close(error.ConnectionLost("aborted by peer"))
             self._finish(error.ConnectionAborted())
 
-    def sendClose(self, why):
+    def send_close(self, why):
         self._send(why)
 
     def _finish(self, why):
@@ -364,8 +364,8 @@
             self._producer = None
         if self.protocol is not None:
             self.protocol.connectionLost(Failure(why))
-        if self.whenLost is not None:
-            self.whenLost(why)
+        if self.when_lost is not None:
+            self.when_lost(why)
 
     # --- the rest of the interfaces ---
 
@@ -396,7 +396,7 @@
         return IPv4Address("TCP", *self._peer)
 
     def getHost(self):
-        return IPv4Address("TCP", self.host.address, self.localPort)
+        return IPv4Address("TCP", self.host.address, self.local_port)
 
     def setTcpNoDelay(self, enabled):
         pass
--- a/packages/oaknews/oaknews/board.py
+++ b/packages/oaknews/oaknews/board.py
@@ -9,9 +9,10 @@
 from dataclasses import dataclass, field
 
 from oakbase.constants import GONE_LIMIT
-from oaknews.exchange import unpackAges
 from oakwire.codec import idl
 
+from oaknews.exchange import unpack_ages
+
 AGE_LIMIT = 2**31 - 1  # ms, the largest age that fits the wire's field
 
 
@@ -24,12 +25,12 @@
     version: int = 0
     base: int = 0
     items: dict = field(default_factory=dict)
-    confirmedAt: float = float("-inf")
-    movedAt: int = 0  # the board's count of moves when this one last moved
+    confirmed_at: float = float("-inf")
+    moved_at: int = 0  # the board's count of moves when this one last moved
 
 
 ABSENT = Image()  # stands for an image that is not here: it has no age that could be given
-SETTLED = Image(confirmedAt=float("inf"))  # stands for one that no age from elsewhere confirms
+SETTLED = Image(confirmed_at=float("inf"))  # stands for one that no age from elsewhere confirms
 
 
 class Board:
@@ -41,17 +42,17 @@
         self._reactor = reactor
         self.moves = self.losses = self.revision = 0
         self.images = {}
-        self._ownSources = {}
+        self._own_sources = {}
         self._watchers = {}
 
     # --- own sources ---
 
-    def publish(self, source, confirmedAt):
+    def publish(self, source, confirmed_at):
         """This node speaks for `source` from now on. `confirmedAt()` is the newest time for which it may
         vouch, or None if it cannot at the moment."""
-        if source not in self._ownSources:
+        if source not in self._own_sources:
             self.revision += 1
-        self._ownSources[source] = confirmedAt
+        self._own_sources[source] = confirmed_at
         return self._entered(source)
 
     def _entered(self, source):
@@ -61,11 +62,11 @@
         return self.images[source]
 
     def retract(self, source):
-        if self._ownSources.pop(source, None) is not None:
+        if self._own_sources.pop(source, None) is not None:
             self.losses += 1  # what others sent of it meanwhile was not taken in
             self.revision += 1
 
-    def setItems(self, source, version, values):
+    def set_items(self, source, version, values):
         """The source moved to `version` and now has these items and no others."""
         image = self._entered(source)
         if version <= image.version:
@@ -86,24 +87,24 @@
     def _moved(self, source, image):
         self.moves += 1
         self.revision += 1
-        image.movedAt = self.moves
+        image.moved_at = self.moves
         self._tell(source)
 
     # --- reading ---
 
-    def confirmedAt(self, source):
+    def confirmed_at(self, source):
         """This node's monotonic time at which its image of the source was surely the newest."""
         image = self.images.get(source)
         if image is None:
             return float("-inf")
-        own = self._ownSources.get(source)
+        own = self._own_sources.get(source)
         at = own() if own else None
         if at is not None:
-            image.confirmedAt = max(image.confirmedAt, at)
-        return image.confirmedAt
+            image.confirmed_at = max(image.confirmed_at, at)
+        return image.confirmed_at
 
     def age(self, source):
-        return self._reactor.seconds() - self.confirmedAt(source)
+        return self._reactor.seconds() - self.confirmed_at(source)
 
     def values(self, source):
         image = self.images.get(source)
@@ -129,13 +130,13 @@
     def seen(self):
         return [idl.Seen(source=source, version=image.version) for source, image in self.images.items()]
 
-    def seenSince(self, moves):
-        return [idl.Seen(source=source, version=image.version) for source, image in self.movedSince(moves)]
+    def seen_since(self, moves):
+        return [idl.Seen(source=source, version=image.version) for source, image in self.moved_since(moves)]
 
-    def movedSince(self, moves):
-        return [] if moves == self.moves else [pair for pair in self.images.items() if pair[1].movedAt > moves]
+    def moved_since(self, moves):
+        return [] if moves == self.moves else [pair for pair in self.images.items() if pair[1].moved_at > moves]
 
-    def imagesAt(self, pairs):
+    def images_at(self, pairs):
         """For each (source, version) this node's image, as long as `revision` stands."""
         images = self.images
         return [
@@ -143,9 +144,9 @@
             for source, version in pairs
         ]
 
-    def imagesToConfirm(self, seen):
+    def images_to_confirm(self, seen):
         """The same for a vector of this node's own, but what it speaks for itself is not confirmed by others."""
-        images, own = self.images, self._ownSources
+        images, own = self.images, self._own_sources
         return [
             image
             if (image := images.get(one.source)) is not None and image.version == one.version and one.source not in own
@@ -153,65 +154,65 @@
             for one in seen
         ]
 
-    def agesMs(self, images):
+    def ages_ms(self, images):
         """The age of each, None if it has none."""
-        for source in self._ownSources:
-            self.confirmedAt(source)
+        for source in self._own_sources:
+            self.confirmed_at(source)
         now, limit = self._reactor.seconds(), AGE_LIMIT / 1000
-        return [int(age * 1000) + 1 if (age := now - image.confirmedAt) <= limit else None for image in images]
+        return [int(age * 1000) + 1 if (age := now - image.confirmed_at) <= limit else None for image in images]
 
     def confirm(self, source, at):
         """Whether there is such an image; what it says was so at this time."""
         image = self.images.get(source)
         if image is not None:
-            image.confirmedAt = max(image.confirmedAt, at)
+            image.confirmed_at = max(image.confirmed_at, at)
         return image is not None
 
-    def newsFor(self, seen):
+    def news_for(self, seen):
         """What the puller lacks; of what it has in its newest version, only the place in its list and the age."""
         places = {one.source: place for place, one in enumerate(seen)}
         images, ages = [], []
         for source, image in self.images.items():
             version = seen[places[source]].version if source in places else 0
             if image.version > version or source not in places:
-                images.append(self.imageFor(source, version))
+                images.append(self.image_for(source, version))
             elif image.version == version:
-                ages.append(idl.Age(place=places[source], ageMs=self._ageMs(source)))
+                ages.append(idl.Age(place=places[source], age_ms=self._age_ms(source)))
         return idl.News(images=images, ages=ages)
 
-    def _ageMs(self, source):
+    def _age_ms(self, source):
         age = self.age(source)
         return AGE_LIMIT if age > AGE_LIMIT / 1000 else int(age * 1000) + 1
 
-    def imageFor(self, source, version):
+    def image_for(self, source, version):
         image = self.images[source]
         whole = version < image.base or version < 0
         items = [
-            idl.Item(name=name, version=itemVersion, value=value)
-            for name, (itemVersion, value) in image.items.items()
-            if (value is not None if whole else itemVersion > version)
+            idl.Item(name=name, version=item_version, value=value)
+            for name, (item_version, value) in image.items.items()
+            if (value is not None if whole else item_version > version)
         ]
-        return idl.Image(source=source, version=image.version, whole=whole, items=items, ageMs=self._ageMs(source))
+        return idl.Image(source=source, version=image.version, whole=whole, items=items, age_ms=self._age_ms(source))
 
-    def wholeImage(self, source):
-        return self.imageFor(source, -1)
+    def whole_image(self, source):
+        return self.image_for(source, -1)
 
-    def merge(self, news, seen, askedAt):
+    def merge(self, news, seen, asked_at):
         """Takes in what came for the list `seen` that was sent at monotonic time `askedAt`."""
-        self.mergeImages(news.images or [], askedAt)
+        self.merge_images(news.images or [], asked_at)
         for one in news.ages or []:
             known = seen[one.place] if 0 <= one.place < len(seen) else None
             image = self.images.get(known.source) if known else None
-            if image is not None and image.version == known.version and known.source not in self._ownSources:
-                image.confirmedAt = max(image.confirmedAt, askedAt - one.ageMs / 1000)
-        if news.agesPacked:
-            for image, age in zip(seen.imagesIn(self), unpackAges(news.agesPacked)):
-                if age is not None and askedAt - age / 1000 > image.confirmedAt:
-                    image.confirmedAt = askedAt - age / 1000
-
-    def mergeImages(self, images, askedAt):
+            if image is not None and image.version == known.version and known.source not in self._own_sources:
+                image.confirmed_at = max(image.confirmed_at, asked_at - one.age_ms / 1000)
+        if news.ages_packed:
+            for image, age in zip(seen.images_in(self), unpack_ages(news.ages_packed)):
+                if age is not None and asked_at - age / 1000 > image.confirmed_at:
+                    image.confirmed_at = asked_at - age / 1000
+
+    def merge_images(self, images, asked_at):
         for received in images:
-            if received.source in self._ownSources:
+            if received.source in self._own_sources:
                 continue
             image = self._entered(received.source)
             if received.version < image.version:
@@ -226,6 +227,6 @@
                 image.items = items if received.whole else image.items | items
                 image.base = received.version if received.whole else image.base
                 image.version = received.version
-            image.confirmedAt = max(image.confirmedAt, askedAt - received.ageMs / 1000)
+            image.confirmed_at = max(image.confirmed_at, asked_at - received.age_ms / 1000)
             if moved:
                 self._moved(received.source, image)
--- a/packages/oaknews/oaknews/exchange.py
+++ b/packages/oaknews/oaknews/exchange.py
@@ -32,10 +32,10 @@
                 self._places[one.source] = len(self)
                 self.append(one)
 
-    def imagesIn(self, board):
+    def images_in(self, board):
         """For each place what an age from elsewhere may confirm."""
         if self._revision != board.revision:
-            self._images, self._revision = board.imagesToConfirm(self), board.revision
+            self._images, self._revision = board.images_to_confirm(self), board.revision
         return self._images
 
 
@@ -46,16 +46,16 @@
         self._board, self.basis = board, basis
         self.seen = Vector()
         self._moves, self._losses = -1, board.losses
-        self.ownVersion = None
+        self.own_version = None
 
-    def isUsable(self):
+    def is_usable(self):
         return self._losses == self._board.losses
 
     def take(self):
         """What has moved since the last pull, all at first."""
         if self._moves == self._board.moves:
             return []
-        moved = self._board.seenSince(self._moves)
+        moved = self._board.seen_since(self._moves)
         self.seen.enter(moved)
         self._moves = self._board.moves
         return moved
@@ -68,8 +68,8 @@
     def __init__(self, basis):
         self.basis = basis
         self.versions = {}
-        self.ownSource = None
-        self.heardAt = 0.0
+        self.own_source = None
+        self.heard_at = 0.0
         self._moves = -1
         self._images, self._revision = [], None
 
@@ -78,23 +78,23 @@
             self._revision = None
         self.versions.update((one.source, one.version) for one in moved)
 
-    def newsFrom(self, board):
+    def news_from(self, board):
         """Images that moved here since the last answer, as far as they are newer; and the ages of the others."""
         images = [
-            board.imageFor(source, version)
-            for source, image in board.movedSince(self._moves)
+            board.image_for(source, version)
+            for source, image in board.moved_since(self._moves)
             if (version := self.versions.get(source, 0)) < image.version or source not in self.versions
         ]
         self._moves = board.moves
         if self._revision != board.revision:
-            self._images, self._revision = board.imagesAt(self.versions.items()), board.revision
-        return idl.News(images=images, basis=self.basis, agesPacked=packAges(board.agesMs(self._images)))
+            self._images, self._revision = board.images_at(self.versions.items()), board.revision
+        return idl.News(images=images, basis=self.basis, ages_packed=pack_ages(board.ages_ms(self._images)))
 
 
-def packAges(ages):
+def pack_ages(ages):
     return pack(f"<{len(ages)}H", *[AGE_UNKNOWN if age is None or age >= AGE_UNKNOWN else age for age in ages])
 
 
-def unpackAges(data):
+def unpack_ages(data):
     """The ages in ms in the order of the vector, None where none is given."""
     return [None if age == AGE_UNKNOWN else age for age in unpack(f"<{len(data) // 2}H", data)]
--- a/packages/oaknews/oaknews/node.py
+++ b/packages/oaknews/oaknews/node.py
@@ -8,9 +8,10 @@
 from oakbase.tasks import Repeater
 from oakcohort.identity import Identity
 from oakcohort.members import Member, Members
+from oakwire.net import Net
+
 from oaknews.board import Board
 from oaknews.puller import Puller
-from oakwire.net import Net
 
 RELEASE = "0.1.0"
 
@@ -22,15 +23,15 @@
         self._reactor, self._log, self._wall = reactor, log, wall
         self._offset = wall() - reactor.seconds()
         self.jumps = 0
-        self.lastJump = 0.0
+        self.last_jump = 0.0
         self.repeater = Repeater(reactor, CLOCK_LOOK, self._look, log)
 
     async def _look(self):
         offset = self._wall() - self._reactor.seconds()
         if abs(offset - self._offset) > CLOCK_JUMP:
             self.jumps += 1
-            self.lastJump = offset - self._offset
-            self._log.event("wallClockJumped", seconds=self.lastJump)
+            self.last_jump = offset - self._offset
+            self._log.event("wallClockJumped", seconds=self.last_jump)
         self._offset = offset
 
 
@@ -38,13 +39,13 @@
     def __init__(self, reactor, kind, env, random, sink, disk=None, wall=time.time, founding=None):
         self.reactor, self.kind, self.env, self.random, self.disk = reactor, kind, env, random, disk
         self.identity = Identity(env["machine"], random, disk, env.get("clusterId"), founding)
-        self.nodeId = self.identity.nodeId
+        self.node_id = self.identity.node_id
         self.log = LogLine(sink, node=env["machine"], kind=kind)
-        self.net = Net(reactor, self.nodeId, kind, env["peer"], self.identity.clusterId, self.log)
-        self.members = Members(reactor, self.nodeId)
+        self.net = Net(reactor, self.node_id, kind, env["peer"], self.identity.cluster_id, self.log)
+        self.members = Members(reactor, self.node_id)
         self.board = Board(reactor)
         me = Member(
-            self.nodeId,
+            self.node_id,
             f"{random.getrandbits(64):016x}",
             kind,
             env["zone"],
@@ -58,7 +59,7 @@
             reactor, self.net, self.board, self.members, self.identity, me, env["seeds"], random, self.log
         )
 
-        self.wallClock = WallClock(reactor, self.log, wall)
+        self.wall_clock = WallClock(reactor, self.log, wall)
         self._env_watchers = []
 
     def watch_env(self, watcher):
@@ -75,34 +76,34 @@
     def condition(self):
         """What every daemon says of itself, whatever else it says."""
         return {
-            "nodeId": self.nodeId,
+            "nodeId": self.node_id,
             "machine": self.env["machine"],
             "kind": self.kind,
             "zone": self.env["zone"],
             "peer": self.net.address,
-            "clusterId": self.net.clusterId,
+            "clusterId": self.net.cluster_id,
             "release": RELEASE,
             "wireVersion": WIRE_VERSION,
-            "seeds": {seed: self.puller.answersLately(seed, SEED_AGE) for seed in self.env["seeds"]},
-            "clock": {"jumps": self.wallClock.jumps, "lastJump": round(self.wallClock.lastJump, 3)},
+            "seeds": {seed: self.puller.answers_lately(seed, SEED_AGE) for seed in self.env["seeds"]},
+            "clock": {"jumps": self.wall_clock.jumps, "lastJump": round(self.wall_clock.last_jump, 3)},
         }
 
     def start(self):
         self.net.listen()
-        self.wallClock.repeater.start()
+        self.wall_clock.repeater.start()
         self.puller.start()
         self.log.event(
             "nodeUp",
-            id=self.nodeId,
+            id=self.node_id,
             peer=self.env["peer"],
             http=self.env["http"],
-            cluster=self.identity.clusterId or "none",
-            newIdentity=self.identity.isNew,
+            cluster=self.identity.cluster_id or "none",
+            newIdentity=self.identity.is_new,
         )
 
     async def stop(self):
         self.puller.stop()
-        self.wallClock.repeater.stop()
+        self.wall_clock.repeater.stop()
         await self.net.stop()
         if self.disk is not None:
             self.disk.close()
--- a/packages/oaknews/oaknews/program.py
+++ b/packages/oaknews/oaknews/program.py
@@ -6,19 +6,18 @@
 import signal
 import sys
 
-from twisted.internet.error import CannotListenError
-
 from oakbase.constants import ENV_LOOK, STOP_MARGIN, STOP_TIME
-from oakbase.env import envOfDaemon
+from oakbase.env import env_of_daemon
 from oakbase.logline import FORMATS, LEVELS, set_level, skip_unused_record_fields, stderr_sink
-from oakbase.tasks import Repeater, monotonicReactor, spawn, within
+from oakbase.tasks import Repeater, monotonic_reactor, spawn, within
 from oakbase.verdict import EnvError, OakError
 from oakring.disk import FolderDisk
+from twisted.internet.error import CannotListenError
 
 
-def runDaemon(program, rules, description, build):
+def run_daemon(program, rules, description, build):
     """`build(reactor, env, disk, random, sink)` gives a node with start() and a coroutine stop()."""
-    run_node(program, envOfDaemon(program, rules, description), build)
+    run_node(program, env_of_daemon(program, rules, description), build)
 
 
 def run_from(program, source, build):
@@ -75,7 +74,7 @@
 
 def run_node(program, env, build, source=None):
     """Runs the node of this env until it is told to stop; `source` is read again when it has changed."""
-    reactor = monotonicReactor()
+    reactor = monotonic_reactor()
     skip_unused_record_fields()
     sink = stderr_sink(env.get("logLevel") or LEVELS[0], env.get("logFormat") or FORMATS[0])
     disk = None
@@ -103,7 +102,7 @@
         finally:
             reactor.stop()
 
-    def onSignal(*_):
+    def on_signal(*_):
         # A second signal ends it at once.
         stops.append(True)
         if len(stops) > 1:
@@ -111,7 +110,7 @@
             return
         reactor.callFromThread(spawn, stop(), node.node.log)
 
-    reactor.callWhenRunning(lambda: [signal.signal(number, onSignal) for number in (signal.SIGTERM, signal.SIGINT)])
+    reactor.callWhenRunning(lambda: [signal.signal(number, on_signal) for number in (signal.SIGTERM, signal.SIGINT)])
     if source is not None:
         watch = EnvWatch(node, source, env)
         Repeater(reactor, ENV_LOOK, watch.look, node.node.log).start()
--- a/packages/oaknews/oaknews/puller.py
+++ b/packages/oaknews/oaknews/puller.py
@@ -1,14 +1,16 @@
 """The task that pulls news from each cohort member, and the node's own row among the members."""
 
 import json
+from dataclasses import replace
 
 from oakbase.constants import CONDITION_AGE, FORGET_AGE, PULL_PAUSE, PULL_TIME
 from oakbase.tasks import Repeater, settled, sleep, spawn
 from oakbase.verdict import OakError
 from oakcohort.members import Member
-from oaknews.exchange import Heard, Told
 from oakwire.codec import idl
 
+from oaknews.exchange import Heard, Told
+
 NODE_SOURCE = "node/"
 
 
@@ -19,12 +21,12 @@
     def __init__(self, reactor, net, board, members, identity, me, seeds, random, log):
         self._reactor, self._net, self._board, self._members = reactor, net, board, members
         self._identity, self._me, self._seeds, self._random, self._log = identity, me, list(seeds), random, log
-        self._source = f"{NODE_SOURCE}{me.nodeId}/{me.boot}"
+        self._source = f"{NODE_SOURCE}{me.node_id}/{me.boot}"
         self._version = 0
         self._more = {}  # further items of the node's own row
         self._pulling = set()
         self._silent = set()
-        self._answeredAt = {}
+        self._answered_at = {}
         self._told = {}  # address -> what it was told, if it keeps that
         self._heard = {}  # nodeId -> what this node was told
         self._noted = {}  # source -> (version, member)
@@ -32,9 +34,9 @@
         self._repeater = None
         self._rider = self._voter = None
         board.publish(self._source, reactor.seconds)
-        board.watch(NODE_SOURCE, self._noteMember)
+        board.watch(NODE_SOURCE, self._note_member)
         self.describe(me)
-        net.handle("pull", self._servePull)
+        net.handle("pull", self._serve_pull)
 
     def describe(self, member):
         """Publishes this node's own row."""
@@ -48,7 +50,9 @@
 
     def _publish(self):
         self._version += 1
-        self._board.setItems(self._source, self._version, {"about": json.dumps(vars(self._me)).encode()} | self._more)
+        self._board.set_items(
+            self._source, self._version, {"about": json.dumps(self._me.to_json()).encode()} | self._more
+        )
 
     def carry_terms(self, rider):
         """`rider.begin_round()` is called before each round of pulls; `rider.ride(address)` gives what goes with a pull to
@@ -68,58 +72,58 @@
         """Under which this node's own row is published."""
         return self._source
 
-    def _noteMember(self, source):
+    def _note_member(self, source):
         image = self._board.images.get(source)
         known = self._noted.get(source)
         if known is None or known[0] != image.version:
-            known = self._noted[source] = image.version, self._readMember(source)
+            known = self._noted[source] = image.version, self._read_member(source)
         if known[1] is not None:
-            self._members.note(known[1], self._board.confirmedAt(source))
+            self._members.note(known[1], self._board.confirmed_at(source))
 
-    def _readMember(self, source):
+    def _read_member(self, source):
         about = self._board.values(source).get("about")
         if about is None:
             return None
         try:
-            return Member.fromJson(json.loads(about))
+            return Member.from_json(json.loads(about))
         except (ValueError, TypeError, KeyError) as error:
             self._log.event("memberUnreadable", source=source, error=repr(error))
             return None
 
-    async def _servePull(self, peer, arguments):
+    async def _serve_pull(self, peer, arguments):
         """Answers with what the puller lacks. Its own row counts as a sign of life from now on; that is good
         enough for its condition, and rows of nodes are all that is taken from a puller."""
-        news = self._newsFor(peer, arguments)
-        news.clusterId = self._net.clusterId
+        news = self._news_for(peer, arguments)
+        news.cluster_id = self._net.cluster_id
         if (
             arguments.terms is not None
             and self._voter is not None
-            and news.clusterId
-            and peer.clusterId == news.clusterId
+            and news.cluster_id
+            and peer.cluster_id == news.cluster_id
         ):
             news.confirmed = self._voter(peer, arguments.terms)
         return news
 
-    def _newsFor(self, peer, arguments):
+    def _news_for(self, peer, arguments):
         me, now = arguments.me, self._reactor.seconds()
-        isRow = me is not None and me.source.startswith(f"{NODE_SOURCE}{peer.nodeId}/") and bool(peer.clusterId)
-        if isRow:
-            self._board.mergeImages([me], now)
+        is_row = me is not None and me.source.startswith(f"{NODE_SOURCE}{peer.node_id}/") and bool(peer.cluster_id)
+        if is_row:
+            self._board.merge_images([me], now)
         if not arguments.basis:
-            return self._board.newsFor(arguments.seen or [])
+            return self._board.news_for(arguments.seen or [])
         if arguments.whole:
-            heard = self._heard[peer.nodeId] = Heard(arguments.basis)
+            heard = self._heard[peer.node_id] = Heard(arguments.basis)
         else:
-            heard = self._heard.get(peer.nodeId)
+            heard = self._heard.get(peer.node_id)
         if heard is None or heard.basis != arguments.basis:
             return idl.News(again=True)
-        if isRow:
-            heard.ownSource = me.source
-        elif me is None and peer.clusterId and not (heard.ownSource and self._board.confirm(heard.ownSource, now)):
+        if is_row:
+            heard.own_source = me.source
+        elif me is None and peer.cluster_id and not (heard.own_source and self._board.confirm(heard.own_source, now)):
             return idl.News(again=True)
-        heard.heardAt = now
+        heard.heard_at = now
         heard.take(arguments.seen or [])
-        return heard.newsFrom(self._board)
+        return heard.news_from(self._board)
 
     def start(self):
         self._repeater = Repeater(self._reactor, PULL_PAUSE, self._round, self._log).start()
@@ -128,9 +132,9 @@
         if self._repeater:
             self._repeater.stop()
 
-    async def sayLeaving(self):
+    async def say_leaving(self):
         """Tells the others, before it stops, that this node is about to."""
-        self.describe(Member(**(vars(self._me) | {"state": "leaving"})))
+        self.describe(replace(self._me, state="leaving"))
         await sleep(self._reactor, 2 * PULL_PAUSE)
 
     async def _round(self):
@@ -147,20 +151,20 @@
         if self._rider is not None:
             self._rider.begin_round()
         for address in sorted(addresses - self._pulling):
-            spawn(self._pullFrom(address), self._log)
+            spawn(self._pull_from(address), self._log)
 
     def _refresh(self):
         for source in list(self._board.images):
             if source.startswith(NODE_SOURCE):
-                self._noteMember(source)
-        forgotten = set(self._members.forgetOld())
+                self._note_member(source)
+        forgotten = set(self._members.forget_old())
         for source in [source for source in self._board.images if source.rpartition("/")[2] in forgotten]:
             self._board.drop(source)
             self._noted.pop(source, None)
         old = self._reactor.seconds() - FORGET_AGE
-        for nodeId in [nodeId for nodeId, heard in self._heard.items() if heard.heardAt < old]:
-            del self._heard[nodeId]
-        if self._net.clusterId:
+        for node_id in [node_id for node_id, heard in self._heard.items() if heard.heard_at < old]:
+            del self._heard[node_id]
+        if self._net.cluster_id:
             self._learn({member.peer for member in self._members.live("control")} or set(self._identity.addresses))
 
     def _learn(self, addresses):
@@ -170,16 +174,16 @@
         except OSError as error:
             self._log.event("addressesNotKept", error=repr(error))
 
-    async def _pullFrom(self, address):
+    async def _pull_from(self, address):
         self._pulling.add(address)
         try:
-            askedAt, news, seen = await self._ask(address)
-            if news.clusterId and not self._net.clusterId and self._identity.founding is None:
-                self._identity.joinCluster(news.clusterId)
-                self._net.joinCluster(news.clusterId)
-                self._log.event("joinedCluster", clusterId=news.clusterId, through=address)
-            self._board.merge(news, seen, askedAt)
-            self._answeredAt[address] = askedAt
+            asked_at, news, seen = await self._ask(address)
+            if news.cluster_id and not self._net.cluster_id and self._identity.founding is None:
+                self._identity.join_cluster(news.cluster_id)
+                self._net.join_cluster(news.cluster_id)
+                self._log.event("joinedCluster", cluster_id=news.cluster_id, through=address)
+            self._board.merge(news, seen, asked_at)
+            self._answered_at[address] = asked_at
             if address in self._silent:
                 self._silent.discard(address)
                 self._log.event("pullAnswered", address=address)
@@ -194,38 +198,38 @@
         """(when it was asked, the answer, the vector that it speaks of)."""
         while True:
             told = self._told.pop(address, None)  # put back once it has answered: what was lost on the way is not known
-            isWhole = told is None or not told.isUsable()
-            if isWhole:
+            is_whole = told is None or not told.is_usable()
+            if is_whole:
                 told = Told(self._board, self._random.getrandbits(62) + 1)
-            me = None if told.ownVersion == self._version else self._board.wholeImage(self._source)
-            told.ownVersion, moved = self._version, told.take()
-            askedAt = self._reactor.seconds()
+            me = None if told.own_version == self._version else self._board.whole_image(self._source)
+            told.own_version, moved = self._version, told.take()
+            asked_at = self._reactor.seconds()
             ride = self._rider and self._rider.ride(address)
             terms, confirmed = ride or (None, None)
             news = await self._net.call(
-                address, "pull", PULL_TIME, seen=moved, me=me, basis=told.basis, whole=isWhole, terms=terms
+                address, "pull", PULL_TIME, seen=moved, me=me, basis=told.basis, whole=is_whole, terms=terms
             )
             if ride is not None and news.confirmed is not None:
                 confirmed(news.confirmed)
-            if news.again and not isWhole:
+            if news.again and not is_whole:
                 continue
             if news.basis == told.basis:
                 self._told[address] = told
-            return askedAt, news, told.seen
+            return asked_at, news, told.seen
 
-    def answersLately(self, address, lately=CONDITION_AGE):
+    def answers_lately(self, address, lately=CONDITION_AGE):
         """Whether this address has itself answered; what others say of it does not count."""
         return (
-            address == self._me.peer or self._reactor.seconds() - self._answeredAt.get(address, float("-inf")) < lately
+            address == self._me.peer or self._reactor.seconds() - self._answered_at.get(address, float("-inf")) < lately
         )
 
     def take_seeds(self, seeds):
         self._seeds = list(seeds)
 
-    async def pullNow(self):
+    async def pull_now(self):
         """One pull from every cohort member, and from a control node beside them, for a request that waits for fresh news:
         what an owner has just published is two hops away by the ordinary ways."""
         cohort = {member.peer for member in self._members.cohort(self._me.kind)}
         control = {member.peer for member in self._members.live("control")} - cohort - {self._me.peer}
         addresses = cohort | ({self._random.choice(sorted(control))} if control else set())
-        await settled([self._pullFrom(address) for address in sorted(addresses - self._pulling)])
+        await settled([self._pull_from(address) for address in sorted(addresses - self._pulling)])
--- a/packages/oakrelay/oakrelay/front.py
+++ b/packages/oakrelay/oakrelay/front.py
@@ -11,7 +11,7 @@
 from twisted.internet import defer, protocol
 
 from oakbase.constants import BODIES_LIMIT, CALLERS_LIMIT, EAGER_LIMIT, LINGER_TIME, QUIET_TIME, TRAILER_LIMIT
-from oakbase.env import splitAddress
+from oakbase.env import split_address
 from oakbase.tasks import sleep
 from oakrelay.framing import BARE_LINE_FEED, HOP_BY_HOP, TOKEN, ChunkedDecoder, Malformed
 from oakrelay.framing import body_length, join_head, parse_fields, status_line
@@ -501,7 +501,7 @@
         self._port = None
 
     def listen(self):
-        host, port = splitAddress(self.address)
+        host, port = split_address(self.address)
         self._port = self.reactor.listenTCP(port, _Callers(self), backlog=1024, interface=host)
 
     def admit(self, caller):
--- a/packages/oakrelay/oakrelay/upstream.py
+++ b/packages/oakrelay/oakrelay/upstream.py
@@ -13,7 +13,7 @@
 from twisted.internet import defer, error, protocol
 
 from oakbase.constants import ANSWER_HEAD_LIMIT, CONNECT_TIME, KEPT_MARGIN, KEPT_UNTOLD, PIECES_LIMIT, TRAILER_LIMIT
-from oakbase.env import splitAddress
+from oakbase.env import split_address
 from oakbase.verdict import BadRequest, Broken, NoAnswer, Overloaded, TimeSpent, TooLarge, Unreachable, Verdict
 from oakrelay.framing import HOP_BY_HOP, TOKEN, ChunkedDecoder, Malformed, body_length, join_head, parse_fields
 from oakrelay.sockets import has_unsent, is_quiet, send_now, set_options
@@ -448,7 +448,7 @@
             and not self._close_other(address)
         ):
             raise Overloaded(f"{address} has as many connections from here as it may have")
-        host, port = splitAddress(address)
+        host, port = split_address(address)
         connection = _Connection(self, address, instance_id)
 
         connection.ready = ready = defer.Deferred(connection.give_up_dialling)
--- a/packages/oakring/oakring/disk.py
+++ b/packages/oakring/oakring/disk.py
@@ -15,17 +15,17 @@
     def __init__(self, reactor, folder):
         self._reactor, self._folder = reactor, folder
         os.makedirs(folder, exist_ok=True)
-        self._syncFolder()
+        self._sync_folder()
         # One thread: the syncs of a ring follow one another, so more would only wait.
         self._orders = SimpleQueue()
-        self._thread = Thread(target=self._syncOrders, name="oakdisk", daemon=True)
+        self._thread = Thread(target=self._sync_orders, name="oakdisk", daemon=True)
         self._thread.start()
         self._handles = {}
 
     def _path(self, name):
         return os.path.join(self._folder, name)
 
-    def _syncFolder(self):
+    def _sync_folder(self):
         handle = os.open(self._folder, os.O_RDONLY)
         try:
             os.fsync(handle)
@@ -42,7 +42,7 @@
         os.posix_fallocate(handle, 0, size)
         os.fsync(handle)
         os.rename(self._path(name + ".new"), self._path(name))
-        self._syncFolder()
+        self._sync_folder()
         self._handles[name] = handle
 
     def size(self, name):
@@ -67,7 +67,7 @@
         if handle is not None:
             os.close(handle)
         os.unlink(self._path(name))
-        self._syncFolder()
+        self._sync_folder()
 
     def write(self, name, offset, data):
         if name not in self._handles:
@@ -83,7 +83,7 @@
         self._orders.put(([self._handles[name] for name in names], done))
         return done
 
-    def _syncOrders(self):
+    def _sync_orders(self):
         """The thread's work: one sync after another, until it is told to end."""
         while (order := self._orders.get()) is not None:
             handles, done = order
@@ -95,7 +95,7 @@
             else:
                 self._reactor.callFromThread(done.callback, None)
 
-    def syncNow(self, names):
+    def sync_now(self, names):
         """The same, waiting; for the start of a node, before it takes part in anything."""
         for name in names:
             self.write(name, 0, b"")
@@ -110,7 +110,7 @@
         finally:
             os.close(handle)
         os.rename(self._path(name + ".new"), self._path(name))
-        self._syncFolder()
+        self._sync_folder()
 
     def close(self):
         self._orders.put(None)
--- a/packages/oakstore/oakstore/anti_entropy.py
+++ b/packages/oakstore/oakstore/anti_entropy.py
@@ -15,7 +15,7 @@
 from oakbase.tasks import settled
 from oakbase.verdict import Fenced, OakError
 from oakstore.records import read_header
-from oakstore.table import TURN_LINE, bucketOf, fromState, toState
+from oakstore.table import TURN_LINE, bucket_of, from_state, to_state
 from oakwire.codec import idl
 
 
@@ -43,31 +43,31 @@
 
     async def _serve_digests(self, _peer, arguments):
         """For stores of the release before, which compare all lines."""
-        keys = self._table.keysAfter(arguments.after, min(arguments.most, SWEEP_KEYS))
+        keys = self._table.keys_after(arguments.after, min(arguments.most, SWEEP_KEYS))
         return idl.DigestPage(
-            storeEpoch=self._stores().epoch,
-            digests=[idl.LineDigest(key=key, digest=self._table.digestOf(key)) for key in keys],
+            store_epoch=self._stores().epoch,
+            digests=[idl.LineDigest(key=key, digest=self._table.digest_of(key)) for key in keys],
         )
 
     async def _serve_sums(self, _peer, _arguments):
-        return idl.LineSums(storeEpoch=self._stores().epoch, sums=self._table.sums())
+        return idl.LineSums(store_epoch=self._stores().epoch, sums=self._table.sums())
 
     async def _serve_buckets(self, _peer, arguments):
-        page = self._table.digestsAfter(arguments.buckets, arguments.after, min(arguments.most, SWEEP_KEYS))
+        page = self._table.digests_after(arguments.buckets, arguments.after, min(arguments.most, SWEEP_KEYS))
         return idl.DigestPage(
-            storeEpoch=self._stores().epoch, digests=[idl.LineDigest(key=key, digest=digest) for key, digest in page]
+            store_epoch=self._stores().epoch, digests=[idl.LineDigest(key=key, digest=digest) for key, digest in page]
         )
 
     async def _serve_line_turns(self, _peer, arguments):
         table, records = self._table, self._records
         return idl.LinePage(
-            storeEpoch=self._stores().epoch,
+            store_epoch=self._stores().epoch,
             lines=[
                 idl.LineTurns(
                     key=key,
-                    line=toState(table.versions(key), age=table.age(key)),
+                    line=to_state(table.versions(key), age=table.age(key)),
                     turns=[
-                        idl.TurnAge(turnId=turn_id, leftMs=int(1000 * records.left(turn_id)))
+                        idl.TurnAge(turn_id=turn_id, left_ms=int(1000 * records.left(turn_id)))
                         for turn_id in records.on_line(key)
                     ],
                 )
@@ -78,18 +78,18 @@
 
     async def _serve_ages(self, _peer, arguments):
         """For how much longer each of these turns is kept here: 0 if its time was over, -1 if it is not known."""
-        lefts = [self._records.left(turn_id) for turn_id in arguments.turnIds]
+        lefts = [self._records.left(turn_id) for turn_id in arguments.turn_ids]
         return [-1 if left is None else int(1000 * left) for left in lefts]
 
     async def _serve_chains(self, _peer, arguments):
-        return self._records.closure(arguments.turnIds)
+        return self._records.closure(arguments.turn_ids)
 
     async def _serve_records(self, _peer, arguments):
-        page = self._records.page([turn_id for turn_id in arguments.turnIds if turn_id in self._records], RECORD_PAGE)
+        page = self._records.page([turn_id for turn_id in arguments.turn_ids if turn_id in self._records], RECORD_PAGE)
         return idl.RecordPage(
-            storeEpoch=self._stores().epoch,
+            store_epoch=self._stores().epoch,
             records=page,
-            leftMs=[int(1000 * self._records.left(read_header(packed).turn_id)) for packed in page],
+            left_ms=[int(1000 * self._records.left(read_header(packed).turn_id)) for packed in page],
         )
 
     # --- records ---
@@ -103,7 +103,7 @@
         wanted, brought, keeping = [one for one in turn_ids if one not in self._records], [], defer.succeed(None)
         while wanted:
             asked, wanted = wanted[:COPY_PAGE_TURNS], wanted[COPY_PAGE_TURNS:]
-            page = await self._call(peer, "turnRecords", turnIds=asked)
+            page = await self._call(peer, "turnRecords", turn_ids=asked)
             if page.records:
                 ids = {read_header(packed).turn_id for packed in page.records}
                 # Those asked for before the last that came, and not given, are not kept there.
@@ -112,7 +112,7 @@
                 brought += ids
                 await keeping
                 keeping = defer.ensureDeferred(
-                    self._table.keepRecords(list(zip(page.records, (ms / 1000 for ms in page.leftMs))))
+                    self._table.keep_records(list(zip(page.records, (ms / 1000 for ms in page.left_ms))))
                 )
                 self._metrics.count("records_pulled", len(ids))
         await keeping
@@ -120,7 +120,7 @@
 
     async def pull_chains(self, peer, turn_ids):
         """The same with all their ancestors."""
-        await self.pull(peer, await self._call(peer, "turnChains", turnIds=turn_ids))
+        await self.pull(peer, await self._call(peer, "turnChains", turn_ids=turn_ids))
 
     async def take(self, peer, turn_ids):
         """Takes those of these turns with their chains that are neither here nor were let go here."""
@@ -152,20 +152,20 @@
         sums is not among it: that it sends to all members by itself."""
         answer = await self._call(peer, "lineSums")
         # A member in our epoch sends us what it writes from now on; one in an older epoch does not.
-        self._check_epoch(answer.storeEpoch)
+        self._check_epoch(answer.store_epoch)
         buckets, after, pulled = self._table.differing(answer.sums), "", []
         while buckets:
             page = await self._call(peer, "lineBuckets", buckets=buckets, after=after, most=SWEEP_KEYS)
-            self._check_epoch(page.storeEpoch)
+            self._check_epoch(page.store_epoch)
             digests = page.digests or []
             pulled += await self._take_lines(
-                peer, [one.key for one in digests if self._table.digestOf(one.key) != one.digest]
+                peer, [one.key for one in digests if self._table.digest_of(one.key) != one.digest]
             )
             if len(digests) < SWEEP_KEYS:
                 await self._settle_alone(peer, buckets, {one.key for one in digests} if not after else None)
                 break
             after = digests[-1].key
-            buckets = buckets[buckets.index(bucketOf(after)) :]
+            buckets = buckets[buckets.index(bucket_of(after)) :]
         await self._mend_chains(peer, pulled)
         await self._ask_lacking(node_id, peer)
 
@@ -174,23 +174,23 @@
         if not keys:
             return []
         page = await self._call(peer, "lineTurns", keys=keys)
-        self._check_epoch(page.storeEpoch)
+        self._check_epoch(page.store_epoch)
         lines = page.lines or []
         turns = [turn for one in lines for turn in one.turns or []]
         for turn in turns:
-            self._records.shorten(turn.turnId, turn.leftMs / 1000)
-        pulled = await self.pull(peer, [turn.turnId for turn in turns if not self._records.was_dropped(turn.turnId)])
+            self._records.shorten(turn.turn_id, turn.left_ms / 1000)
+        pulled = await self.pull(peer, [turn.turn_id for turn in turns if not self._records.was_dropped(turn.turn_id)])
         # A line of turns of which none is kept here any more is gone here.
         lines = [
             one
             for one in lines
             if one.key in self._table.rows
             or not one.key.startswith(TURN_LINE)
-            or any(turn.turnId in self._records for turn in one.turns or [])
+            or any(turn.turn_id in self._records for turn in one.turns or [])
         ]
         # Together, so that one sync of the disk covers many of them.
         merged = await settled(
-            [self._table.merge(one.key, fromState(one.line), one.line.ageMs / 1000) for one in lines]
+            [self._table.merge(one.key, from_state(one.line), one.line.age_ms / 1000) for one in lines]
         )
         self._metrics.count("lines_synced", len(lines))
         for error in [error for ok, error in merged if not ok]:
@@ -210,12 +210,12 @@
             return
         alone = [
             key
-            for key, _ in self._table.digestsAfter(buckets, "", SWEEP_KEYS)
+            for key, _ in self._table.digests_after(buckets, "", SWEEP_KEYS)
             if key.startswith(TURN_LINE) and key not in theirs
         ]
         turn_ids = [turn_id for key in alone for turn_id in self._records.on_line(key)][:COPY_PAGE_TURNS]
         if turn_ids:
-            self._shorten(turn_ids, await self._call(peer, "turnAges", turnIds=turn_ids))
+            self._shorten(turn_ids, await self._call(peer, "turnAges", turn_ids=turn_ids))
 
     def _shorten(self, turn_ids, lefts):
         for turn_id, left in zip(turn_ids, lefts):
@@ -223,10 +223,10 @@
                 self._records.shorten(turn_id, left / 1000)
 
     async def _ask_lacking(self, node_id, peer):
-        lacking = self._table.lackingOf(node_id, COPY_PAGE_TURNS)
+        lacking = self._table.lacking_of(node_id, COPY_PAGE_TURNS)
         if not lacking:
             return
-        lefts = await self._call(peer, "turnAges", turnIds=lacking)
+        lefts = await self._call(peer, "turnAges", turn_ids=lacking)
         await self.pull_chains(peer, [turn_id for turn_id, left in zip(lacking, lefts) if left > 0])
-        others = self._stores().everyone.keys() - {self._node.nodeId}
-        self._table.noteAbsent(node_id, [turn_id for turn_id, left in zip(lacking, lefts) if left <= 0], others)
+        others = self._stores().everyone.keys() - {self._node.node_id}
+        self._table.note_absent(node_id, [turn_id for turn_id, left in zip(lacking, lefts) if left <= 0], others)
--- a/packages/oakstore/oakstore/daemon.py
+++ b/packages/oakstore/oakstore/daemon.py
@@ -1,9 +1,9 @@
 """oakstored: a store node."""
 
 from oakbase.env import DISK_ENV
-from oaknews.program import runDaemon
+from oaknews.program import run_daemon
 from oakstore.store import StoreNode
 
 
 def main():
-    runDaemon("oakstored", DISK_ENV, "A store node of oakramp: keeps the history of program lines.", StoreNode)
+    run_daemon("oakstored", DISK_ENV, "A store node of oakramp: keeps the history of program lines.", StoreNode)
--- a/packages/oakstore/oakstore/lines.py
+++ b/packages/oakstore/oakstore/lines.py
@@ -3,16 +3,16 @@
 
 import json
 
-from oakbase.checks import packJson
+from oakbase.checks import pack_json
 from oakbase.constants import CALL_TIME, LINE_TURNS, STORE_CALL_TIME
-from oakbase.tasks import quorumOf, sleep
+from oakbase.tasks import quorum_of, sleep
 from oakbase.verdict import CannotTell, Conflict, Fenced, Gone, NoAnswer, OakError, Verdict
 from oakcohort.members import LIVE
 from oakcohort.rendezvous import ranked
 from oakcontrol.storeset import StoreSet, majority
-from oakdvv.clock import syncVersions
-from oakdvv.context import toContext
-from oakstore.table import fromState
+from oakdvv.clock import sync_versions
+from oakdvv.context import to_context
+from oakstore.table import from_state
 
 RETRY_PAUSE = 0.1  # s; between rounds over the stores while one of them changes condition
 
@@ -21,21 +21,21 @@
     """What a quorum said. Invariant: `turns` is the union over all siblings that `context` stands for. `isFull` if
     so many of the stores have no room that a longer line may not be kept."""
 
-    def __init__(self, versions, isFull=False):
-        self.isFull = isFull
-        self.context = toContext(frozenset(versions))
+    def __init__(self, versions, is_full=False):
+        self.is_full = is_full
+        self.context = to_context(frozenset(versions))
         self.turns = {
-            turnId: turn for value in versions.values() for turnId, turn in json.loads(value)["turns"].items()
+            turn_id: turn for value in versions.values() for turn_id, turn in json.loads(value)["turns"].items()
         }
 
-    def pathTo(self, turnId):
+    def path_to(self, turn_id):
         """The turns from the root to this one, in order."""
         path = []
-        while turnId is not None:
-            if turnId not in self.turns:
-                raise Gone(f"turn {turnId} is not kept")
-            path.append(self.turns[turnId])
-            turnId = self.turns[turnId]["parent"]
+        while turn_id is not None:
+            if turn_id not in self.turns:
+                raise Gone(f"turn {turn_id} is not kept")
+            path.append(self.turns[turn_id])
+            turn_id = self.turns[turn_id]["parent"]
         return path[::-1]
 
 
@@ -44,68 +44,70 @@
         self._node = node
 
     def _stores(self):
-        stores = StoreSet.fromBoard(self._node.board)
+        stores = StoreSet.from_board(self._node.board)
         if not stores.epoch:
-            raise CannotTell("the store set is not known here yet", retryAfter=1)
+            raise CannotTell("the store set is not known here yet", retry_after=1)
         return stores
 
-    async def get(self, key, timeLeft):
+    async def get(self, key, time_left):
         """The line as a covering quorum has it. CannotTell if too few stores that may speak answered."""
-        endsAt = self._node.reactor.seconds() + timeLeft
+        ends_at = self._node.reactor.seconds() + time_left
         while True:
             stores = self._stores()
-            reached, states = await quorumOf(
-                {nodeId: self._getFrom(row["peer"], key, stores.epoch) for nodeId, row in stores.readers.items()},
-                lambda nodeIds: len(nodeIds) >= majority(stores.readers),
+            reached, states = await quorum_of(
+                {node_id: self._get_from(row["peer"], key, stores.epoch) for node_id, row in stores.readers.items()},
+                lambda node_ids: len(node_ids) >= majority(stores.readers),
             )
             if reached:
                 versions = {}
                 for state in states.values():
-                    versions = syncVersions(versions, fromState(state))
+                    versions = sync_versions(versions, from_state(state))
                 return Line(versions, sum(bool(state.full) for state in states.values()) > len(states) // 2)
-            if self._node.reactor.seconds() + RETRY_PAUSE >= endsAt:
-                raise CannotTell("too few stores answered to say what is kept", retryAfter=1)
+            if self._node.reactor.seconds() + RETRY_PAUSE >= ends_at:
+                raise CannotTell("too few stores answered to say what is kept", retry_after=1)
             await sleep(self._node.reactor, RETRY_PAUSE)
 
-    async def _getFrom(self, peer, key, epoch):
+    async def _get_from(self, peer, key, epoch):
         state = await self._node.net.call(peer, "lineGet", STORE_CALL_TIME, key=key)
-        if state.storeEpoch != epoch:
-            raise Fenced(f"store epoch {state.storeEpoch} is not {epoch}")
+        if state.store_epoch != epoch:
+            raise Fenced(f"store epoch {state.store_epoch} is not {epoch}")
         if not state.covers:
             raise CannotTell("this store may not speak yet")
         return state
 
-    async def keep(self, key, line, turnId, turn, timeLeft):
+    async def keep(self, key, line, turn_id, turn, time_left):
         """Writes the union and the new turn with the context of the read. Returns once a quorum has it on
         disk. A try whose outcome is not known is made again elsewhere: at worst that leaves two siblings
         with the same turn, which the next write supersedes."""
-        if turnId in line.turns and line.turns[turnId] != turn:
-            raise Conflict(f"turn {turnId} is on this line already")
+        if turn_id in line.turns and line.turns[turn_id] != turn:
+            raise Conflict(f"turn {turn_id} is on this line already")
         if len(line.turns) >= LINE_TURNS:
             raise Conflict(f"a line holds at most {LINE_TURNS} turns")
-        value = packJson({"turns": line.turns | {turnId: turn}})
+        value = pack_json({"turns": line.turns | {turn_id: turn}})
         reactor = self._node.reactor
-        endsAt = reactor.seconds() + timeLeft
+        ends_at = reactor.seconds() + time_left
         unsure = False
-        while reactor.seconds() < endsAt:
+        while reactor.seconds() < ends_at:
             stores = self._stores()
-            order = sorted(ranked(stores.readers, key), key=lambda nodeId: self._node.members.condition(nodeId) != LIVE)
-            for nodeId in order:
-                remaining = min(CALL_TIME, endsAt - reactor.seconds())
+            order = sorted(
+                ranked(stores.readers, key), key=lambda node_id: self._node.members.condition(node_id) != LIVE
+            )
+            for node_id in order:
+                remaining = min(CALL_TIME, ends_at - reactor.seconds())
                 if remaining <= 0:
                     break
                 try:
                     return await self._node.net.call(
-                        stores.readers[nodeId]["peer"],
+                        stores.readers[node_id]["peer"],
                         "linePut",
                         remaining,
                         key=key,
                         context=line.context,
                         value=value,
-                        storeEpoch=stores.epoch,
+                        store_epoch=stores.epoch,
                     )
                 except OakError as error:
                     unsure = unsure or error.verdict is not Verdict.NO
-                    self._node.log.event("putFailed", store=nodeId, reason=error.reason)
+                    self._node.log.event("putFailed", store=node_id, reason=error.reason)
             await sleep(reactor, RETRY_PAUSE)
         raise NoAnswer("no quorum of stores said that it keeps the turn", Verdict.MAYBE if unsure else Verdict.NO)
