--- a/packages/oakstore/oakstore/store.py
+++ b/packages/oakstore/oakstore/store.py
@@ -7,7 +7,7 @@
 
 from twisted.internet import defer
 
-from oakbase.checks import packJson
+from oakbase.checks import pack_json
 from oakbase.constants import (
     ACCEPT_INBOX,
     HINT_LIMIT,
@@ -22,17 +22,17 @@
     SWEEP_HINTS,
 )
 from oakbase.metrics import Metrics, serve_metrics
-from oakbase.tasks import Repeater, quorumOf, spawn
+from oakbase.tasks import Repeater, quorum_of, spawn
 from oakbase.verdict import BadRequest, CannotTell, Fenced, NoAnswer, OakError, TooLarge
 from oakbase.web import Web
 from oakcohort.members import LIVE
 from oakcontrol.storeset import STORES_KEY, StoreSet, majority
-from oakdvv.context import fromContext, toContext
+from oakdvv.context import from_context, to_context
 from oaknews.node import Node
 from oakring.ring import Ring
 from oakstore.anti_entropy import AntiEntropy
 from oakstore.records import read_header
-from oakstore.table import TURN_LINE, LineTable, fromState, toState
+from oakstore.table import TURN_LINE, LineTable, from_state, to_state
 from oakwire.codec import idl
 
 COVERS = "covers"
@@ -48,24 +48,24 @@
     def __init__(self, node, ring):
         self._node, self._ring, self._log = node, ring, node.log
         self.table = LineTable(node, ring)
-        self._coversSince = int(ring.table.get(COVERS, b"0"))
+        self._covers_since = int(ring.table.get(COVERS, b"0"))
         self._hints = {}
-        self._passEpoch, self._coveredFrom = 0, set()
-        self.stores = StoreSet.fromBoard(node.board)
-        node.board.watch(STORES_KEY, self._storesMoved)
+        self._pass_epoch, self._covered_from = 0, set()
+        self.stores = StoreSet.from_board(node.board)
+        node.board.watch(STORES_KEY, self._stores_moved)
         self.metrics = Metrics()
-        self._antiEntropy = AntiEntropy(node, self.table, self.metrics, lambda: self.stores)
-        self._sweeper = Repeater(node.reactor, 0.0, self._waitAndSweep, node.log)
+        self._anti_entropy = AntiEntropy(node, self.table, self.metrics, lambda: self.stores)
+        self._sweeper = Repeater(node.reactor, 0.0, self._wait_and_sweep, node.log)
         self._wake = defer.Deferred()
         for method, handler in (
             ("lineGet", self._get),
             ("linePut", self._put),
             ("lineKeep", self._keep),
             ("storeStatus", self._status),
-            ("turnRecall", self._turnRecall),
-            ("turnRetain", self._turnRetain),
-            ("turnKeep", self._turnKeep),
-            ("turnOffer", self._turnOffer),
+            ("turnRecall", self._turn_recall),
+            ("turnRetain", self._turn_retain),
+            ("turnKeep", self._turn_keep),
+            ("turnOffer", self._turn_offer),
         ):
             node.net.handle(method, handler)
 
@@ -76,185 +76,185 @@
         self._sweeper.stop()
         self.table.stop()
 
-    def _storesMoved(self, _source):
-        self.stores = StoreSet.fromBoard(self._node.board)
+    def _stores_moved(self, _source):
+        self.stores = StoreSet.from_board(self._node.board)
         # Nobody is handed anything any more who has left the set; come back, it copies.
-        self._hints = {nodeId: hints for nodeId, hints in self._hints.items() if nodeId in self.stores.everyone}
+        self._hints = {node_id: hints for node_id, hints in self._hints.items() if node_id in self.stores.everyone}
         self.table.prune(self.stores.pruned)
-        self._sweepSoon()
+        self._sweep_soon()
 
     @property
-    def isMember(self):
-        return self._node.nodeId in self.stores.everyone
+    def is_member(self):
+        return self._node.node_id in self.stores.everyone
 
     @property
     def covers(self):
-        return self.isMember and self._coversSince == self.stores.since(self._node.nodeId)
+        return self.is_member and self._covers_since == self.stores.since(self._node.node_id)
 
     def _others(self):
-        return {nodeId: row["peer"] for nodeId, row in self.stores.everyone.items() if nodeId != self._node.nodeId}
+        return {node_id: row["peer"] for node_id, row in self.stores.everyone.items() if node_id != self._node.node_id}
 
-    def hintsByMember(self):
-        return {nodeId: len(hints) for nodeId, hints in self._hints.items() if hints}
+    def hints_by_member(self):
+        return {node_id: len(hints) for node_id, hints in self._hints.items() if hints}
 
-    def hintCount(self):
-        return sum(self.hintsByMember().values())
+    def hint_count(self):
+        return sum(self.hints_by_member().values())
 
     # --- calls ---
 
     async def _get(self, _peer, arguments):
         self.metrics.count("line_gets")
-        return toState(
+        return to_state(
             self.table.versions(arguments.key),
             self.covers,
             self.stores.epoch,
             self.table.age(arguments.key),
-            self.table.isFull(),
+            self.table.is_full(),
         )
 
     def _adopt(self, record):
         """A version of the set that was confirmed, told before the news of it came."""
         if record["version"] > self.stores.epoch:
-            self._node.board.setItems(STORES_KEY, record["version"], {"set": packJson(record)})
+            self._node.board.set_items(STORES_KEY, record["version"], {"set": pack_json(record)})
 
-    def _checkEpoch(self, epoch):
+    def _check_epoch(self, epoch):
         if epoch != self.stores.epoch:
             raise Fenced(
                 f"store epoch {epoch} is not {self.stores.epoch}",
                 detail={"storeEpoch": self.stores.epoch, "set": self.stores.record},
             )
 
-    def _checkSender(self, arguments):
+    def _check_sender(self, arguments):
         """The set as it stands here, which is the sender's too."""
-        self._checkEpoch(arguments.state.storeEpoch)
+        self._check_epoch(arguments.state.store_epoch)
         if arguments.sender not in self.stores.everyone:
             raise Fenced(f"{arguments.sender} is not in the store set")
         return self.stores
 
     async def _put(self, _peer, arguments):
         stores = self.stores
-        self._checkEpoch(arguments.storeEpoch)
-        if not self.isMember:
+        self._check_epoch(arguments.store_epoch)
+        if not self.is_member:
             raise Fenced("this store is not in the set")
         if len(arguments.value) > LINE_SIZE:
             raise TooLarge(f"a line of {len(arguments.value)} bytes is over {LINE_SIZE}")
         try:
-            contextSet = fromContext(arguments.context)
+            context_set = from_context(arguments.context)
         except ValueError as error:
             raise BadRequest(f"no context: {error}") from error
-        versions, clock = await self.table.put(arguments.key, contextSet, arguments.value)
-        self._checkStill(stores)
+        versions, clock = await self.table.put(arguments.key, context_set, arguments.value)
+        self._check_still(stores)
         self.metrics.count("line_puts")
         await self._replicate(arguments.key, versions, stores)
-        return toContext(frozenset([clock]))
+        return to_context(frozenset([clock]))
 
     async def _replicate(self, key, versions, stores):
         """Returns once a write quorum of that epoch keeps the versions."""
-        state = toState(versions, storeEpoch=stores.epoch)
-        await self._replicateTo(stores, key, lambda nodeId, peer: self._give(nodeId, peer, key, state))
+        state = to_state(versions, store_epoch=stores.epoch)
+        await self._replicate_to(stores, key, lambda node_id, peer: self._give(node_id, peer, key, state))
 
-    async def _replicateTo(self, stores, key, give):
-        reached, errors = await quorumOf(
-            {nodeId: give(nodeId, peer) for nodeId, peer in self._others().items()},
-            lambda nodeIds: stores.isWritten(nodeIds | {self._node.nodeId}),
+    async def _replicate_to(self, stores, key, give):
+        reached, errors = await quorum_of(
+            {node_id: give(node_id, peer) for node_id, peer in self._others().items()},
+            lambda node_ids: stores.is_written(node_ids | {self._node.node_id}),
         )
         if not reached:
             raise NoAnswer(
                 "the line did not reach a quorum of stores, it may still be kept: "
                 + "; ".join(sorted(map(str, errors.values())))
             )
-        self._checkStill(stores)
+        self._check_still(stores)
 
-    def _checkStill(self, stores):
+    def _check_still(self, stores):
         """What was on its way to the disk while the set moved on is no vote of the former epoch: a newcomer may have
         copied from here just before."""
         if self.stores.epoch != stores.epoch:
             raise NoAnswer(f"the set moved on to epoch {self.stores.epoch}; what is here may still be kept")
 
-    async def _give(self, nodeId, peer, key, state):
-        await self._giveNoted(
-            nodeId,
+    async def _give(self, node_id, peer, key, state):
+        await self._give_noted(
+            node_id,
             key,
             state,
             lambda: self._node.net.call(
-                peer, "lineKeep", STORE_CALL_TIME, key=key, state=state, sender=self._node.nodeId
+                peer, "lineKeep", STORE_CALL_TIME, key=key, state=state, sender=self._node.node_id
             ),
         )
 
-    async def _giveNoted(self, nodeId, key, state, give):
+    async def _give_noted(self, node_id, key, state, give):
         # Of a set that is past, a member may have left meanwhile: then this is a list that nobody keeps.
-        hints = self._hints.setdefault(nodeId, OrderedDict()) if nodeId in self.stores.everyone else OrderedDict()
+        hints = self._hints.setdefault(node_id, OrderedDict()) if node_id in self.stores.everyone else OrderedDict()
         # Noted before it is sent: a crash of neither side may lose what the other lacks.
         hints[key] = None
         hints.move_to_end(key)
         if len(hints) > HINT_LIMIT:
             hints.popitem(last=False)
         await give()
-        if self.table.versions(key).keys() <= fromState(state).keys():
+        if self.table.versions(key).keys() <= from_state(state).keys():
             hints.pop(key, None)
 
     async def _keep(self, _peer, arguments):
-        stores = self._checkSender(arguments)
-        await self.table.merge(arguments.key, fromState(arguments.state), arguments.state.ageMs / 1000)
-        self._checkStill(stores)
+        stores = self._check_sender(arguments)
+        await self.table.merge(arguments.key, from_state(arguments.state), arguments.state.age_ms / 1000)
+        self._check_still(stores)
         self.metrics.count("line_keeps")
         return True
 
     # --- turns: the versions are sets of turn ids, the records lie beside them ---
 
-    async def _turnRecall(self, _peer, arguments):
+    async def _turn_recall(self, _peer, arguments):
         """What this store knows of a turn. Asked with bodies, it gives the chain's records from this turn up to the
         oldest, or as many as fit one page."""
         self.metrics.count("turn_recalls")
-        table, records, turnId = self.table, self.table.records, arguments.turnId
-        key = table.lineOf(turnId)
-        ids, missing = records.chain(turnId)
-        isWhole = missing is None
-        if isWhole:
-            records.touch(turnId)
+        table, records, turn_id = self.table, self.table.records, arguments.turn_id
+        key = table.line_of(turn_id)
+        ids, missing = records.chain(turn_id)
+        is_whole = missing is None
+        if is_whole:
+            records.touch(turn_id)
         return idl.TurnState(
             known=key is not None,
-            whole=isWhole,
-            lineKey=key,
-            line=toState(table.versions(key) if key else {}, self.covers, self.stores.epoch, 0.0, table.isFull()),
+            whole=is_whole,
+            line_key=key,
+            line=to_state(table.versions(key) if key else {}, self.covers, self.stores.epoch, 0.0, table.is_full()),
             records=records.page(ids, RECORD_PAGE) if arguments.bodies else None,
         )
 
-    async def _turnRetain(self, _peer, arguments):
+    async def _turn_retain(self, _peer, arguments):
         stores = self.stores
-        self._checkEpoch(arguments.storeEpoch)
-        if not self.isMember:
+        self._check_epoch(arguments.store_epoch)
+        if not self.is_member:
             raise Fenced("this store is not in the set")
         if len(arguments.value) > LINE_SIZE:
             raise TooLarge(f"the turns of a line take {len(arguments.value)} bytes, over {LINE_SIZE}")
         try:
-            contextSet = fromContext(arguments.context)
+            context_set = from_context(arguments.context)
         except ValueError as error:
             raise BadRequest(f"no context: {error}") from error
         header = read_header(arguments.record)
-        await self._bringChain(header.parent, self._others().items())
+        await self._bring_chain(header.parent, self._others().items())
         versions, clock = await self.table.put(
-            arguments.key, contextSet, arguments.value, [(arguments.record, header.keep_s)]
+            arguments.key, context_set, arguments.value, [(arguments.record, header.keep_s)]
         )
-        self._checkStill(stores)
+        self._check_still(stores)
         self.metrics.count("turn_retains")
-        state = toState(versions, storeEpoch=stores.epoch)
-        await self._replicateTo(
+        state = to_state(versions, store_epoch=stores.epoch)
+        await self._replicate_to(
             stores,
             arguments.key,
-            lambda nodeId, peer: self._giveTurn(
-                nodeId, peer, arguments.key, state, [arguments.record], [header.keep_s]
+            lambda node_id, peer: self._give_turn(
+                node_id, peer, arguments.key, state, [arguments.record], [header.keep_s]
             ),
         )
-        return toContext(frozenset([clock]))
+        return to_context(frozenset([clock]))
 
-    async def _bringChain(self, turnId, peers):
-        if not await self._antiEntropy.bring_chain(turnId, peers):
-            raise CannotTell(f"the chain of turn {turnId} is not here", retryAfter=1)
+    async def _bring_chain(self, turn_id, peers):
+        if not await self._anti_entropy.bring_chain(turn_id, peers):
+            raise CannotTell(f"the chain of turn {turn_id} is not here", retry_after=1)
 
-    async def _giveTurn(self, nodeId, peer, key, state, records, lefts):
-        await self._giveNoted(
-            nodeId,
+    async def _give_turn(self, node_id, peer, key, state, records, lefts):
+        await self._give_noted(
+            node_id,
             key,
             state,
             lambda: self._node.net.call(
@@ -263,21 +263,21 @@
                 STORE_CALL_TIME,
                 key=key,
                 state=state,
-                sender=self._node.nodeId,
+                sender=self._node.node_id,
                 records=records,
-                leftMs=[int(left * 1000) for left in lefts],
+                left_ms=[int(left * 1000) for left in lefts],
             ),
         )
 
-    async def _turnKeep(self, _peer, arguments):
+    async def _turn_keep(self, _peer, arguments):
         """Says yes only when the versions, the records and their whole chains are on the disk here."""
-        stores = self._checkSender(arguments)
-        records = list(zip(arguments.records or [], (ms / 1000 for ms in arguments.leftMs or [])))
-        await self.table.merge(arguments.key, fromState(arguments.state), arguments.state.ageMs / 1000, records)
+        stores = self._check_sender(arguments)
+        records = list(zip(arguments.records or [], (ms / 1000 for ms in arguments.left_ms or [])))
+        await self.table.merge(arguments.key, from_state(arguments.state), arguments.state.age_ms / 1000, records)
         sender = [(arguments.sender, stores.everyone[arguments.sender]["peer"])]
         for packed, _ in records:
-            await self._bringChain(read_header(packed).turn_id, sender)
-        self._checkStill(stores)
+            await self._bring_chain(read_header(packed).turn_id, sender)
+        self._check_still(stores)
         self.metrics.count("turn_keeps")
         return True
 
@@ -286,25 +286,25 @@
             self._adopt(json.loads(arguments.record))
         return json.dumps(
             {
-                "nodeId": self._node.nodeId,
+                "nodeId": self._node.node_id,
                 "epoch": self.stores.epoch,
                 "covers": self.covers,
                 "lines": len(self.table.rows),
                 "turns": len(self.table.records),
-                "hints": self.hintsByMember(),
+                "hints": self.hints_by_member(),
                 "dots": self.table.dots(),
             }
         )
 
     # --- sweeping ---
 
-    def _sweepSoon(self):
+    def _sweep_soon(self):
         if not self._wake.called:
             self._wake.callback(None)
 
-    async def _waitAndSweep(self):
-        pause = STORE_SWEEP if self.covers or not self.isMember else STORE_COPY_PAUSE
-        timer = self._node.reactor.callLater(pause, self._sweepSoon)
+    async def _wait_and_sweep(self):
+        pause = STORE_SWEEP if self.covers or not self.is_member else STORE_COPY_PAUSE
+        timer = self._node.reactor.callLater(pause, self._sweep_soon)
         try:
             await self._wake
         finally:
@@ -314,58 +314,58 @@
         await self._sweep()
 
     async def _sweep(self):
-        if not self.isMember:
+        if not self.is_member:
             return
-        since = self.stores.since(self._node.nodeId)
-        if self._passEpoch != since:
+        since = self.stores.since(self._node.node_id)
+        if self._pass_epoch != since:
             # Only what was read since then counts: before, writes went on that were not sent here.
-            self._passEpoch, self._coveredFrom = since, set()
+            self._pass_epoch, self._covered_from = since, set()
         if since == 1 and not self.covers:
             await self._cover(since)  # no line is older than the first set, so nothing can be missing
-        await self.table.dropRecords()
+        await self.table.drop_records()
         for key in self.table.old():
-            await self.table.letGo(key)
-        for nodeId, peer in self._others().items():
-            if self._node.members.condition(nodeId) != LIVE:
+            await self.table.let_go(key)
+        for node_id, peer in self._others().items():
+            if self._node.members.condition(node_id) != LIVE:
                 continue
             try:
-                await self._handOver(nodeId, peer)
-                await self._antiEntropy.compare(nodeId, peer)
-                self._coveredFrom.add(nodeId)
+                await self._hand_over(node_id, peer)
+                await self._anti_entropy.compare(node_id, peer)
+                self._covered_from.add(node_id)
             except OakError as error:
-                self._log.event("sweepFailed", member=nodeId, reason=error.reason)
+                self._log.event("sweepFailed", member=node_id, reason=error.reason)
         # Every write quorum of the old set has a member among so many of them.
         needed = len(self.stores.members) - majority(self.stores.members) + 1
-        copiedFrom = self._coveredFrom & self.stores.members.keys()
+        copied_from = self._covered_from & self.stores.members.keys()
         if (
             not self.covers
-            and self._passEpoch == since
-            and len(copiedFrom) >= needed
-            and not self.table.isLacking(copiedFrom)
+            and self._pass_epoch == since
+            and len(copied_from) >= needed
+            and not self.table.is_lacking(copied_from)
         ):
             await self._cover(since)
 
     async def _cover(self, since):
         await self._ring.commit([(COVERS, b"%d" % since)])
-        self._coversSince = since
+        self._covers_since = since
         self._log.event("storeCovers", since=since, lines=len(self.table.rows))
 
-    async def _handOver(self, nodeId, peer):
-        for key in list(islice(self._hints.get(nodeId, ()), SWEEP_HINTS)):
+    async def _hand_over(self, node_id, peer):
+        for key in list(islice(self._hints.get(node_id, ()), SWEEP_HINTS)):
             if self.table.age(key) >= LINE_KEPT or key not in self.table.rows:
-                self._hints.get(nodeId, {}).pop(key, None)
+                self._hints.get(node_id, {}).pop(key, None)
                 continue
-            state = toState(self.table.versions(key), storeEpoch=self.stores.epoch, age=self.table.age(key))
+            state = to_state(self.table.versions(key), store_epoch=self.stores.epoch, age=self.table.age(key))
             if key.startswith(TURN_LINE):
-                await self._handOverTurns(nodeId, peer, key, state)
+                await self._hand_over_turns(node_id, peer, key, state)
             else:
-                await self._give(nodeId, peer, key, state)
+                await self._give(node_id, peer, key, state)
             self.metrics.count("lines_handed_over")
 
-    async def _handOverTurns(self, nodeId, peer, key, state):
+    async def _hand_over_turns(self, node_id, peer, key, state):
         """The member says which of the line's turns it wants by taking their chains from here."""
-        await self._giveNoted(
-            nodeId,
+        await self._give_noted(
+            node_id,
             key,
             state,
             lambda: self._node.net.call(
@@ -374,16 +374,16 @@
                 STORE_CALL_TIME,
                 key=key,
                 state=state,
-                sender=self._node.nodeId,
-                turnIds=sorted(self.table.records.on_line(key)),
+                sender=self._node.node_id,
+                turn_ids=sorted(self.table.records.on_line(key)),
             ),
         )
 
-    async def _turnOffer(self, _peer, arguments):
-        stores = self._checkSender(arguments)
-        await self._antiEntropy.take(stores.everyone[arguments.sender]["peer"], arguments.turnIds or [])
-        await self.table.merge(arguments.key, fromState(arguments.state), arguments.state.ageMs / 1000)
-        self._checkStill(stores)
+    async def _turn_offer(self, _peer, arguments):
+        stores = self._check_sender(arguments)
+        await self._anti_entropy.take(stores.everyone[arguments.sender]["peer"], arguments.turn_ids or [])
+        await self.table.merge(arguments.key, from_state(arguments.state), arguments.state.age_ms / 1000)
+        self._check_still(stores)
         self.metrics.count("turn_keeps")
         return True
 
@@ -399,7 +399,7 @@
 
     def __init__(self, reactor, env, disk, random, sink, wall=time.time):
         self._parts = reactor, env, disk, random, sink, wall
-        self._startingOver = None
+        self._starting_over = None
         if EMPTYING in disk.names():
             _clear(disk)
         self._build()
@@ -407,7 +407,7 @@
     def _build(self):
         reactor, env, disk, random, sink, wall = self._parts
         self.node = Node(reactor, "store", env, random, sink, disk, wall)
-        shares = {"fileCount": env["ringFiles"], "commitShare": RING_COMMIT_SHARE} if env.get("ringFiles") else {}
+        shares = {"file_count": env["ringFiles"], "commit_share": RING_COMMIT_SHARE} if env.get("ringFiles") else {}
         self.ring = Ring(
             disk,
             self.node.log,
@@ -417,39 +417,39 @@
             **shares,
         )
         self.store = Store(self.node, self.ring)
-        self.node.board.watch(STORES_KEY, lambda _source: self._mayStartOver())
+        self.node.board.watch(STORES_KEY, lambda _source: self._may_start_over())
         self.web = Web(reactor, env["http"], self.node.log, ACCEPT_INBOX)
         self.web.route("GET", "/condition", self._condition)
         serve_metrics(self.web, self.store.metrics)
         for name, ask in (
             ("lines", lambda: len(self.store.table.rows)),
             ("turns", lambda: len(self.store.table.records)),
-            ("hints", self.store.hintCount),
-            ("ring_syncs", lambda: self.ring.syncCount),
-            ("ring_commits", lambda: self.ring.commitCount),
-            ("ring_live_bytes", self.ring.liveBytes),
+            ("hints", self.store.hint_count),
+            ("ring_syncs", lambda: self.ring.sync_count),
+            ("ring_commits", lambda: self.ring.commit_count),
+            ("ring_live_bytes", self.ring.live_bytes),
         ):
             self.store.metrics.gauge(name, ask)
 
-    def _mayStartOver(self):
+    def _may_start_over(self):
         record = self.store.stores.record
-        isOver = self.node.nodeId in record["retired"] and self.node.env["machine"] not in record.get("emptied", ())
-        if isOver and self._startingOver is None:
-            self._startingOver = spawn(self._startOver(), self.node.log)
+        is_over = self.node.node_id in record["retired"] and self.node.env["machine"] not in record.get("emptied", ())
+        if is_over and self._starting_over is None:
+            self._starting_over = spawn(self._start_over(), self.node.log)
 
-    async def _startOver(self):
+    async def _start_over(self):
         disk = self._parts[2]
-        self.node.log.event("storeStartsOver", id=self.node.nodeId)
+        self.node.log.event("storeStartsOver", id=self.node.node_id)
         disk.replace(EMPTYING, b"")
         self.store.stop()
         await self.web.stop()
         self.node.puller.stop()
-        self.node.wallClock.repeater.stop()
+        self.node.wall_clock.repeater.stop()
         await self.node.net.stop()
         await self.ring.stop()
         _clear(disk)
         self._build()
-        self._startingOver = None
+        self._starting_over = None
         self.start()
 
     async def _condition(self, _call):
@@ -458,7 +458,7 @@
             "storeEpoch": self.store.stores.epoch,
             "covers": self.store.covers,
             "lines": len(self.store.table.rows),
-            "hints": self.store.hintsByMember(),
+            "hints": self.store.hints_by_member(),
             "disk": self.ring.condition(),
         }
 
@@ -468,9 +468,9 @@
         self.web.listen()
 
     async def stop(self):
-        if self._startingOver is not None:
-            await self._startingOver
-        await self.node.puller.sayLeaving()
+        if self._starting_over is not None:
+            await self._starting_over
+        await self.node.puller.say_leaving()
         await self.web.stop()
         self.store.stop()
         await self.node.stop()
--- a/packages/oakstore/oakstore/table.py
+++ b/packages/oakstore/oakstore/table.py
@@ -15,7 +15,7 @@
 
 from sortedcontainers import SortedDict, SortedList
 
-from oakbase.checks import packJson
+from oakbase.checks import pack_json
 from oakbase.constants import (
     FULL_SHARE,
     LINE_KEPT,
@@ -27,9 +27,9 @@
     SWEEP_KEYS,
 )
 from oakbase.inbox import TableOwner
-from oakcohort.rendezvous import slotOf
-from oakdvv.clock import Clock, syncVersions, update
-from oakdvv.context import clockToRow
+from oakcohort.rendezvous import slot_of
+from oakdvv.clock import Clock, sync_versions, update
+from oakdvv.context import clock_to_row
 from oakstore.records import RECORD_ROW, RecordTable
 from oakwire.codec import idl, pack, unpack
 
@@ -44,61 +44,61 @@
     """Invariants: `versions` (clock -> value) is on the disk, holds no clock below another, and its clocks
     together form a downset; `clockId` has numbered events of this row and of no other, ever."""
 
-    clockId: str
+    clock_id: str
     versions: dict
-    touchedAt: float
+    touched_at: float
 
     def digest(self):
-        rows = sorted(clockToRow(clock) for clock in self.versions)
-        return blake2b(packJson(rows), digest_size=12).hexdigest()
+        rows = sorted(clock_to_row(clock) for clock in self.versions)
+        return blake2b(pack_json(rows), digest_size=12).hexdigest()
 
 
-def toState(versions, covers=False, storeEpoch=0, age=0.0, full=False):
+def to_state(versions, covers=False, store_epoch=0, age=0.0, full=False):
     return idl.LineState(
         covers=covers,
         full=full,
-        storeEpoch=storeEpoch,
-        ageMs=int(age * 1000),
+        store_epoch=store_epoch,
+        age_ms=int(age * 1000),
         versions=[
             idl.Version(
                 value=value,
-                clock=[idl.Part(nodeId=nodeId, ceiling=m, dot=n or 0) for nodeId, (m, n) in clock.entries.items()],
+                clock=[idl.Part(node_id=node_id, ceiling=m, dot=n or 0) for node_id, (m, n) in clock.entries.items()],
             )
             for clock, value in versions.items()
         ],
     )
 
 
-def fromState(state):
+def from_state(state):
     return {
         Clock(
-            {part.nodeId: (part.ceiling, part.dot) if part.dot else part.ceiling for part in version.clock}
+            {part.node_id: (part.ceiling, part.dot) if part.dot else part.ceiling for part in version.clock}
         ): version.value
         for version in state.versions or []
     }
 
 
-def packTurns(turns):
+def pack_turns(turns):
     """The value of a version of a line of turns: the id of each turn with its parent's."""
-    return packJson(turns)
+    return pack_json(turns)
 
 
-def turnsIn(versions):
+def turns_in(versions):
     """The union over all siblings: a turn's id stands for one turn with one parent."""
-    return {turnId: parent for value in versions.values() for turnId, parent in json.loads(value).items()}
+    return {turn_id: parent for value in versions.values() for turn_id, parent in json.loads(value).items()}
 
 
-def bucketOf(key):
+def bucket_of(key):
     return zlib.crc32(key.encode()) % SWEEP_BUCKETS
 
 
-def storeOf(clockId):
+def store_of(clock_id):
     """The store that numbers events under this clock id."""
-    return clockId.partition("#")[0]
+    return clock_id.partition("#")[0]
 
 
-def dotsOf(versions):
-    return [storeOf(clock.dot()[0]) for clock in versions]
+def dots_of(versions):
+    return [store_of(clock.dot()[0]) for clock in versions]
 
 
 class LineTable:
@@ -116,97 +116,97 @@
 
     def __init__(self, node, ring):
         self.pruned = frozenset()
-        self._reactor, self._nodeId, self._ring = node.reactor, node.nodeId, ring
+        self._reactor, self._node_id, self._ring = node.reactor, node.node_id, ring
         self.rows = SortedDict()
         self._touches, self._dots = SortedList(), Counter()
         self.records = RecordTable(node.reactor, ring)
-        self._lineOf, self._lacking = {}, {}
+        self._line_of, self._lacking = {}, {}
         self._buckets = [SortedDict() for _ in range(SWEEP_BUCKETS)]
         self._sums, self._stale = [0] * SWEEP_BUCKETS, set()
         self._births = int(ring.table.get(BIRTHS, b"0"))
         self._owners = [TableOwner(STORE_INBOX, f"lines{index}", node.log) for index in range(STORE_OWNERS)]
         for name, data in ring.table.items(ROW):
-            clockId, _, state = data.partition(b"\0")
+            clock_id, _, state = data.partition(b"\0")
             self._enter(
                 name[len(ROW) :],
-                LineRow(clockId.decode(), fromState(unpack(idl.LineState, state)), self._reactor.seconds()),
+                LineRow(clock_id.decode(), from_state(unpack(idl.LineState, state)), self._reactor.seconds()),
             )
             self._index(name[len(ROW) :], self.rows[name[len(ROW) :]].versions)
 
     def _index(self, key, versions):
         if key.startswith(TURN_LINE):
-            kept = [turnId for turnId in turnsIn(versions) if not self.records.was_dropped(turnId)]
-            self._lineOf.update(dict.fromkeys(kept, key))
-            for turnId in kept:
-                if turnId not in self.records:
-                    self._lacking.setdefault(turnId, set())
+            kept = [turn_id for turn_id in turns_in(versions) if not self.records.was_dropped(turn_id)]
+            self._line_of.update(dict.fromkeys(kept, key))
+            for turn_id in kept:
+                if turn_id not in self.records:
+                    self._lacking.setdefault(turn_id, set())
 
     def _unindex(self, key, versions):
         if key.startswith(TURN_LINE):
-            for turnId in [turnId for turnId in turnsIn(versions) if self._lineOf.get(turnId) == key]:
-                del self._lineOf[turnId]
-                self._lacking.pop(turnId, None)
+            for turn_id in [turn_id for turn_id in turns_in(versions) if self._line_of.get(turn_id) == key]:
+                del self._line_of[turn_id]
+                self._lacking.pop(turn_id, None)
 
     def _enter(self, key, row):
         self.rows[key] = row
         self._stale.add(key)
-        self._touches.add((row.touchedAt, key))
-        self._dots.update(dotsOf(row.versions))
+        self._touches.add((row.touched_at, key))
+        self._dots.update(dots_of(row.versions))
 
     def _leave(self, key):
         row = self.rows.pop(key, None)
         if row is not None:
             self._stale.add(key)
-            self._touches.remove((row.touchedAt, key))
-            self._dots.subtract(dotsOf(row.versions))
+            self._touches.remove((row.touched_at, key))
+            self._dots.subtract(dots_of(row.versions))
 
     def stop(self):
         for owner in self._owners:
             owner.stop()
 
     def _do(self, command, key, *arguments):
-        return self._owners[slotOf(key, STORE_OWNERS)].do(command, key, *arguments)
+        return self._owners[slot_of(key, STORE_OWNERS)].do(command, key, *arguments)
 
     def _strip(self, clock):
-        if not any(storeOf(clockId) in self.pruned for clockId in clock.entries):
+        if not any(store_of(clock_id) in self.pruned for clock_id in clock.entries):
             return clock
         return Clock(
             {
-                clockId: m if n is None else (m, n)
-                for clockId, (m, n) in clock.entries.items()
-                if n is not None or storeOf(clockId) not in self.pruned
+                clock_id: m if n is None else (m, n)
+                for clock_id, (m, n) in clock.entries.items()
+                if n is not None or store_of(clock_id) not in self.pruned
             }
         )
 
-    def prune(self, storeIds):
+    def prune(self, store_ids):
         """From now on these ids tell nothing. Rows on the disk are stripped when they are next written; until
         then each start strips them again."""
-        if storeIds <= self.pruned:
+        if store_ids <= self.pruned:
             return
-        self.pruned |= storeIds
+        self.pruned |= store_ids
         # A walk over all rows, once for each store that was replaced.
         self._stale.update(self.rows)
         for row in self.rows.values():
             stripped = {self._strip(clock): value for clock, value in row.versions.items()}
-            self._dots.subtract(dotsOf(row.versions))
-            row.versions = syncVersions(stripped, stripped)
-            self._dots.update(dotsOf(row.versions))
+            self._dots.subtract(dots_of(row.versions))
+            row.versions = sync_versions(stripped, stripped)
+            self._dots.update(dots_of(row.versions))
 
     def dots(self):
-        return sorted(storeId for storeId, count in self._dots.items() if count)
+        return sorted(store_id for store_id, count in self._dots.items() if count)
 
     # --- commands ---
 
-    def put(self, key, contextSet, value, records=()):
+    def put(self, key, context_set, value, records=()):
         """The paper's put at the coordinator: update, then sync, then the disk. Gives the result of the sync
         and the new clock. `records` are (packed, seconds to keep) pairs that go to the disk with it."""
-        return self._do(self._put, key, contextSet, value, records)
+        return self._do(self._put, key, context_set, value, records)
 
-    async def _put(self, key, contextSet, value, records):
-        row, extra = self._rowFor(key)
-        contextSet = frozenset(map(self._strip, contextSet))
-        clock = update(contextSet, row.versions.keys(), row.clockId)
-        await self._keep(key, row, syncVersions(row.versions, {clock: value}), extra, 0.0, records)
+    async def _put(self, key, context_set, value, records):
+        row, extra = self._row_for(key)
+        context_set = frozenset(map(self._strip, context_set))
+        clock = update(context_set, row.versions.keys(), row.clock_id)
+        await self._keep(key, row, sync_versions(row.versions, {clock: value}), extra, 0.0, records)
         return dict(row.versions), clock
 
     def merge(self, key, versions, age, records=()):
@@ -214,44 +214,44 @@
         return self._do(self._merge, key, versions, age, records)
 
     async def _merge(self, key, versions, age, records):
-        if age >= self.keptFor() and not key.startswith(TURN_LINE):
+        if age >= self.kept_for() and not key.startswith(TURN_LINE):
             return
         if key not in self.rows and not versions:
-            await self.keepRecords(records)
+            await self.keep_records(records)
             return
         if key in self.rows and versions.keys() <= self.rows[key].versions.keys():
-            await self.keepRecords(records)
+            await self.keep_records(records)
             return
-        row, extra = self._rowFor(key)
-        merged = syncVersions(row.versions, {self._strip(clock): value for clock, value in versions.items()})
+        row, extra = self._row_for(key)
+        merged = sync_versions(row.versions, {self._strip(clock): value for clock, value in versions.items()})
         if merged.keys() != row.versions.keys():
             await self._keep(key, row, merged, extra, age, records)
             return
-        await self.keepRecords(records)
+        await self.keep_records(records)
 
-    async def keepRecords(self, records):
+    async def keep_records(self, records):
         """Records alone, as ancestors from other lines are; of what is here already, only the time is new."""
         entries = self.records.entries(packed for packed, _ in records)
         if entries:
             await self._ring.commit(entries)
-        self._enterRecords(records)
+        self._enter_records(records)
 
-    def _enterRecords(self, records):
+    def _enter_records(self, records):
         for packed, left in records:
             self._lacking.pop(self.records.enter(packed, left), None)
 
-    async def dropRecords(self):
+    async def drop_records(self):
         """Lets records go whose time is over, and lines that have none left."""
         ended, lines = self.records.take_ended()
         if not ended:
             return
-        for turnId in ended:
-            self._lineOf.pop(turnId, None)
-        await self._ring.commit([(RECORD_ROW + turnId, None) for turnId in ended])
+        for turn_id in ended:
+            self._line_of.pop(turn_id, None)
+        await self._ring.commit([(RECORD_ROW + turn_id, None) for turn_id in ended])
         for key in lines:
-            await self._do(self._dropLine, key)
+            await self._do(self._drop_line, key)
 
-    async def _dropLine(self, key):
+    async def _drop_line(self, key):
         if key in self.rows and not self.records.on_line(key):
             await self._remove(key)
 
@@ -260,36 +260,36 @@
         self._unindex(key, self.rows[key].versions)
         self._leave(key)
 
-    def letGo(self, key):
-        return self._do(self._letGo, key)
+    def let_go(self, key):
+        return self._do(self._let_go, key)
 
-    async def _letGo(self, key):
+    async def _let_go(self, key):
         row = self.rows.get(key)
-        if row is None or self._reactor.seconds() - row.touchedAt < self.keptFor():
+        if row is None or self._reactor.seconds() - row.touched_at < self.kept_for():
             return
         if self.records.on_line(key):
             self._leave(key)
-            row.touchedAt = self._reactor.seconds()  # it goes with the last of its records
+            row.touched_at = self._reactor.seconds()  # it goes with the last of its records
             self._enter(key, row)
             return
         await self._remove(key)
 
-    def _rowFor(self, key):
+    def _row_for(self, key):
         if key in self.rows:
             return self.rows[key], []
         self._births += 1
         # The count is on the disk in the same commit that first uses the id.
-        return LineRow(f"{self._nodeId}#{self._births}", {}, 0.0), [(BIRTHS, b"%d" % self._births)]
+        return LineRow(f"{self._node_id}#{self._births}", {}, 0.0), [(BIRTHS, b"%d" % self._births)]
 
     async def _keep(self, key, row, versions, extra, age, records=()):
-        data = row.clockId.encode() + b"\0" + pack(toState(versions))
+        data = row.clock_id.encode() + b"\0" + pack(to_state(versions))
         await self._ring.commit([*extra, (ROW + key, data), *self.records.entries(packed for packed, _ in records)])
         self._leave(key)
         self._index(key, {clock: value for clock, value in versions.items() if clock not in row.versions})
         row.versions = versions
-        row.touchedAt = max(row.touchedAt, self._reactor.seconds() - age)
+        row.touched_at = max(row.touched_at, self._reactor.seconds() - age)
         self._enter(key, row)
-        self._enterRecords(records)
+        self._enter_records(records)
 
     # --- reading ---
 
@@ -297,11 +297,11 @@
         return self.rows[key].versions if key in self.rows else {}
 
     def age(self, key):
-        return self._reactor.seconds() - self.rows[key].touchedAt if key in self.rows else 0.0
+        return self._reactor.seconds() - self.rows[key].touched_at if key in self.rows else 0.0
 
     def _freshen(self):
         for key in self._stale:
-            number = bucketOf(key)
+            number = bucket_of(key)
             former = self._buckets[number].pop(key, None)
             self._sums[number] -= int(former, 16) if former else 0
             if key in self.rows:
@@ -317,7 +317,7 @@
     def differing(self, sums):
         return [number for number, (ours, theirs) in enumerate(zip(self.sums(), sums)) if ours != theirs]
 
-    def digestsAfter(self, buckets, after, most):
+    def digests_after(self, buckets, after, most):
         """(key, digest) pairs of these buckets in order, from the first one's key `after` on; a page of them."""
         self._freshen()
         page = []
@@ -329,45 +329,45 @@
                 break
         return page
 
-    def digestOf(self, key):
+    def digest_of(self, key):
         self._freshen()
-        return self._buckets[bucketOf(key)].get(key)
+        return self._buckets[bucket_of(key)].get(key)
 
-    def lackingOf(self, nodeId, most):
+    def lacking_of(self, node_id, most):
         """Turns of lines here whose records are not here, and for which this member was not asked yet."""
-        return list(islice((turnId for turnId, asked in self._lacking.items() if nodeId not in asked), most))
+        return list(islice((turn_id for turn_id, asked in self._lacking.items() if node_id not in asked), most))
 
-    def isLacking(self, nodeIds):
+    def is_lacking(self, node_ids):
         """Whether something is lacking for which one of these members was not asked yet."""
-        return any(nodeIds - asked for asked in self._lacking.values())
+        return any(node_ids - asked for asked in self._lacking.values())
 
-    def noteAbsent(self, nodeId, turnIds, others):
+    def note_absent(self, node_id, turn_ids, others):
         """The member keeps none of these; what none of the others keeps was let go by all."""
-        for turnId in turnIds:
-            asked = self._lacking.get(turnId)
+        for turn_id in turn_ids:
+            asked = self._lacking.get(turn_id)
             if asked is None:
                 continue
-            asked.add(nodeId)
+            asked.add(node_id)
             if others <= asked:
-                del self._lacking[turnId]
-                self._lineOf.pop(turnId, None)
-                self.records.note_dropped(turnId)
+                del self._lacking[turn_id]
+                self._line_of.pop(turn_id, None)
+                self.records.note_dropped(turn_id)
 
-    def lineOf(self, turnId):
+    def line_of(self, turn_id):
         """The key of the line that this turn is on, as far as this store knows."""
-        return self.records.line_of(turnId) or self._lineOf.get(turnId)
+        return self.records.line_of(turn_id) or self._line_of.get(turn_id)
 
-    def keysAfter(self, after, most):
+    def keys_after(self, after, most):
         return list(islice(self.rows.irange(after, inclusive=(False, False)), most))
 
-    def keptFor(self):
+    def kept_for(self):
         """Seconds; less when the ring fills up, but always well over the rule's minute."""
-        return LINE_KEPT if self._ring.liveBytes() < FULL_SHARE * self._ring.capacity() else LINE_KEPT_FULL
+        return LINE_KEPT if self._ring.live_bytes() < FULL_SHARE * self._ring.capacity() else LINE_KEPT_FULL
 
-    def isFull(self):
-        return self._ring.liveBytes() > STORE_FULL * self._ring.capacity()
+    def is_full(self):
+        return self._ring.live_bytes() > STORE_FULL * self._ring.capacity()
 
     def old(self):
         """The lines past their time, the oldest first; a page of them."""
-        until = self._reactor.seconds() - self.keptFor()
-        return [key for touchedAt, key in islice(self._touches, SWEEP_KEYS) if touchedAt <= until]
+        until = self._reactor.seconds() - self.kept_for()
+        return [key for touched_at, key in islice(self._touches, SWEEP_KEYS) if touched_at <= until]
--- a/packages/oakstore/oakstore/turns.py
+++ b/packages/oakstore/oakstore/turns.py
@@ -6,7 +6,7 @@
 
 from twisted.internet import defer
 
-from oakbase.checks import packJson
+from oakbase.checks import pack_json
 from oakbase.constants import (
     CONDITION_AGE,
     FULL_KNOWN,
@@ -21,10 +21,10 @@
 from oakbase.verdict import CannotTell, Conflict, Fenced, Gone, NoAnswer, OakError, RingFull, Verdict
 from oakcohort.rendezvous import ranked
 from oakcontrol.storeset import STORES_KEY, StoreSet, majority
-from oakdvv.clock import syncVersions
-from oakdvv.context import toContext
+from oakdvv.clock import sync_versions
+from oakdvv.context import to_context
 from oakstore.records import pack_record, read_bodies, read_header
-from oakstore.table import TURN_LINE, fromState, packTurns, turnsIn
+from oakstore.table import TURN_LINE, from_state, pack_turns, turns_in
 
 RETRY_PAUSE = 0.05  # s; between rounds over the stores while one of them changes condition
 HEDGES = {"recall": RECALL_HEDGE, "retain": RETAIN_HEDGE}
@@ -51,8 +51,8 @@
 
     def __init__(self, chain, line_key, versions):
         self.chain, self.line_key = chain, line_key
-        self.context = toContext(frozenset(versions))
-        self.turns = turnsIn(versions)
+        self.context = to_context(frozenset(versions))
+        self.turns = turns_in(versions)
 
     @property
     def turn_ids(self):
@@ -103,16 +103,16 @@
     def __init__(self, node):
         self._node, self._reactor = node, node.reactor
         self._slow, self._full, self._usual = {}, {}, {}
-        self._stores = StoreSet.fromBoard(node.board)
+        self._stores = StoreSet.from_board(node.board)
         node.board.watch(STORES_KEY, self._stores_moved)
 
     def _stores_moved(self, _source):
-        self._stores = StoreSet.fromBoard(self._node.board)
+        self._stores = StoreSet.from_board(self._node.board)
 
     async def _known_stores(self, ends_at):
         while not self._stores.epoch:
             if self._reactor.seconds() + RETRY_PAUSE >= ends_at:
-                raise CannotTell("the store set is not known here yet", retryAfter=1)
+                raise CannotTell("the store set is not known here yet", retry_after=1)
             await sleep(self._reactor, RETRY_PAUSE)
         return self._stores
 
@@ -156,21 +156,21 @@
             if self._is_gone(read, stores):
                 raise Gone(f"turn {turn_id} is not kept")
             if self._reactor.seconds() + RETRY_PAUSE >= ends_at:
-                raise CannotTell(f"too few stores answered to say what is kept of turn {turn_id}", retryAfter=1)
+                raise CannotTell(f"too few stores answered to say what is kept of turn {turn_id}", retry_after=1)
             await sleep(self._reactor, RETRY_PAUSE)
 
     def _recalled(self, read, chain):
         versions, line_key = {}, read_header(chain[0]).line_key
         for state in read.states.values():
-            if state.lineKey == line_key:
-                versions = syncVersions(versions, fromState(state.line))
+            if state.line_key == line_key:
+                versions = sync_versions(versions, from_state(state.line))
         return Recalled([_unpack(packed) for packed in reversed(chain)], line_key, versions)
 
     def _is_gone(self, read, stores):
         sure = [
             node_id
             for node_id, state in read.states.items()
-            if node_id in stores.readers and state.line.covers and state.line.storeEpoch == stores.epoch
+            if node_id in stores.readers and state.line.covers and state.line.store_epoch == stores.epoch
         ]
         return (
             len(sure) >= majority(stores.readers)
@@ -184,7 +184,7 @@
 
         async def ask(node_id, time_left):
             state = await self._node.net.call(
-                stores.everyone[node_id]["peer"], "turnRecall", time_left, turnId=turn_id, bodies=True
+                stores.everyone[node_id]["peer"], "turnRecall", time_left, turn_id=turn_id, bodies=True
             )
             read.note(node_id, state)
             if state.line.full:
@@ -247,7 +247,7 @@
         """A store that stands in a later version of the set tells it along with its no."""
         record = error.detail.get("set") if isinstance(error, Fenced) and isinstance(error.detail, dict) else None
         if record is not None and record["version"] > self._stores.epoch:
-            self._node.board.setItems(STORES_KEY, record["version"], {"set": packJson(record)})
+            self._node.board.set_items(STORES_KEY, record["version"], {"set": pack_json(record)})
 
     async def _fill(self, read, stores, ends_at):
         """Takes what a chain still lacks from whichever store has it, page by page."""
@@ -258,7 +258,7 @@
                     return
                 try:
                     state = await self._node.net.call(
-                        stores.everyone[node_id]["peer"], "turnRecall", time_left, turnId=missing, bodies=True
+                        stores.everyone[node_id]["peer"], "turnRecall", time_left, turn_id=missing, bodies=True
                     )
                 except OakError:
                     break
@@ -276,7 +276,7 @@
         turns = recalled.turns if is_same else {}
         if len(turns) >= LINE_TURNS:
             raise Conflict(f"a line holds at most {LINE_TURNS} turns")
-        value = packTurns(turns | {record.turn_id: record.parent})
+        value = pack_turns(turns | {record.turn_id: record.parent})
         packed = pack_record(record.turn_id, record.parent, key, keep_s + RETAIN_MARGIN, record.input, record.output)
         context = recalled.context if is_same else ""
         ends_at, answers, errors, asked = self._reactor.seconds() + time_left, [], [], 0
@@ -295,7 +295,7 @@
                             key=key,
                             context=context,
                             value=value,
-                            storeEpoch=stores.epoch,
+                            store_epoch=stores.epoch,
                             record=packed,
                         )
                     )
--- a/packages/oakwire/oakwire/codec.py
+++ b/packages/oakwire/oakwire/codec.py
@@ -18,22 +18,22 @@
     return serialize(struct, _FACTORY)
 
 
-def unpack(structClass, data):
+def unpack(struct_class, data):
     try:
-        return deserialize(structClass(), data, _FACTORY)
+        return deserialize(struct_class(), data, _FACTORY)
     except Exception as error:  # the codec raises whatever the bytes provoke
-        raise BadRequest(f"not a {structClass.__name__}: {error!r}") from error
+        raise BadRequest(f"not a {struct_class.__name__}: {error!r}") from error
 
 
 _ARGUMENTS = {method: getattr(idl.Node, f"{method}_args") for method in idl.Node.thrift_services}
 _RESULTS = {method: getattr(idl.Node, f"{method}_result") for method in idl.Node.thrift_services}
 
 
-def argumentsClass(method):
+def arguments_class(method):
     return _ARGUMENTS.get(method)
 
 
-def resultClass(method):
+def result_class(method):
     return _RESULTS[method]
 
 
@@ -44,42 +44,44 @@
 _MIDDLE = Struct("!3si3si")  # of a call: time left; body with its length
 
 
-def packFrame(frame):
+def pack_frame(frame):
     if frame.error is not None or frame.body is None:
         return pack(frame)
     if frame.method is None:
-        return _START.pack(_CALL_ID, frame.callId, _BODY, len(frame.body)) + frame.body + _END
+        return _START.pack(_CALL_ID, frame.call_id, _BODY, len(frame.body)) + frame.body + _END
     method = frame.method.encode()
     return b"".join(
         (
-            _START.pack(_CALL_ID, frame.callId, _METHOD, len(method)),
+            _START.pack(_CALL_ID, frame.call_id, _METHOD, len(method)),
             method,
-            _MIDDLE.pack(_TIME_LEFT, frame.timeLeftMs, _BODY, len(frame.body)),
+            _MIDDLE.pack(_TIME_LEFT, frame.time_left_ms, _BODY, len(frame.body)),
             frame.body,
             _END,
         )
     )
 
 
-def unpackFrame(data):
-    return unpackUsual(data) or unpack(idl.Frame, data)
+def unpack_frame(data):
+    return unpack_usual(data) or unpack(idl.Frame, data)
 
 
-def unpackUsual(data):
+def unpack_usual(data):
     """The frame, or None if it is of another form, or none at all."""
     if len(data) <= _START.size or data[-1:] != _END:
         return None
-    first, callId, second, length = _START.unpack_from(data)
+    first, call_id, second, length = _START.unpack_from(data)
     after = _START.size + length
     if first != _CALL_ID or length < 0:
         return None
     if second == _BODY:
-        return idl.Frame(callId=callId, body=data[_START.size : after]) if after + 1 == len(data) else None
+        return idl.Frame(call_id=call_id, body=data[_START.size : after]) if after + 1 == len(data) else None
     start = after + _MIDDLE.size
     if second != _METHOD or start >= len(data):
         return None
-    third, timeLeftMs, fourth, length = _MIDDLE.unpack_from(data, after)
+    third, time_left_ms, fourth, length = _MIDDLE.unpack_from(data, after)
     method = data[_START.size : after]
     if (third, fourth) != (_TIME_LEFT, _BODY) or length < 0 or start + length + 1 != len(data) or not method.isascii():
         return None
-    return idl.Frame(callId=callId, method=method.decode(), timeLeftMs=timeLeftMs, body=data[start : start + length])
+    return idl.Frame(
+        call_id=call_id, method=method.decode(), time_left_ms=time_left_ms, body=data[start : start + length]
+    )
--- a/packages/oakwire/oakwire/net.py
+++ b/packages/oakwire/oakwire/net.py
@@ -22,7 +22,7 @@
     WIRE_SPAN,
     WIRE_VERSION,
 )
-from oakbase.env import splitAddress
+from oakbase.env import split_address
 from oakbase.tasks import begin, drive, spawn
 from oakbase.verdict import (
     BadRequest,
@@ -33,9 +33,9 @@
     TimeSpent,
     Unknown,
     Unreachable,
-    errorFrom,
+    error_from,
 )
-from oakwire.codec import argumentsClass, idl, pack, packFrame, resultClass, unpack, unpackFrame
+from oakwire.codec import arguments_class, idl, pack, pack_frame, result_class, unpack, unpack_frame
 
 OPEN_METHODS = frozenset(["pull"])  # what one may ask that is not a member yet
 LENGTH = Struct("!I")  # of the frame that follows
@@ -50,18 +50,18 @@
     def __init__(self, net):
         self._net = net
         self._unread = b""
-        self._inFlight = {}
+        self._in_flight = {}
         self._running = 0
-        self._callIds = itertools.count(1)
-        self._helloCall = None
+        self._call_ids = itertools.count(1)
+        self._hello_call = None
         self._timer = None
-        self._dueAt = 0.0
+        self._due_at = 0.0
         self.peer = None
         self.ready = defer.Deferred()
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
-        self._helloCall = self._net.reactor.callLater(HELLO_TIME, self._drop, "noHello")
+        self._hello_call = self._net.reactor.callLater(HELLO_TIME, self._drop, "noHello")
         self._net.connections[self] = None
         self.sendString(pack(self._net.hello()))
 
@@ -100,20 +100,20 @@
     def connectionLost(self, reason=protocol.connectionDone):
         self.connected = 0  # the base class leaves it set
         self._net.connections.pop(self, None)
-        if self._helloCall is not None and self._helloCall.active():
-            self._helloCall.cancel()
+        if self._hello_call is not None and self._hello_call.active():
+            self._hello_call.cancel()
         if not self.ready.called:
             self.ready.errback(Unreachable("connection closed before hello"))
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        waiting, self._inFlight = self._inFlight, {}
+        waiting, self._in_flight = self._in_flight, {}
         for answer, _, _ in waiting.values():
             answer.errback(NoAnswer("connection lost before the answer"))
 
     def _drop(self, why, **pairs):
         self._net.log.event(
-            "peerClosed", why=why, peer=self.peer.nodeId if self.peer else self.transport.getPeer().host, **pairs
+            "peerClosed", why=why, peer=self.peer.node_id if self.peer else self.transport.getPeer().host, **pairs
         )
         self.transport.abortConnection()
 
@@ -122,8 +122,8 @@
             if self.peer is None:
                 self._meet(unpack(idl.Hello, data))
                 return
-            frame = unpackFrame(data)
-            if frame.callId is None:
+            frame = unpack_frame(data)
+            if frame.call_id is None:
                 raise BadRequest("a frame without a call id")
             if frame.method:
                 self._serve(frame)
@@ -133,12 +133,12 @@
             self._drop("badFrame", reason=error.reason)
 
     def _meet(self, hello):
-        self._helloCall.cancel()
-        if hello.wireVersion is None or abs(hello.wireVersion - WIRE_VERSION) > WIRE_SPAN:
-            self._drop("wireVersion", theirs=hello.wireVersion, ours=WIRE_VERSION)
+        self._hello_call.cancel()
+        if hello.wire_version is None or abs(hello.wire_version - WIRE_VERSION) > WIRE_SPAN:
+            self._drop("wireVersion", theirs=hello.wire_version, ours=WIRE_VERSION)
             return
-        if hello.clusterId and self._net.clusterId and hello.clusterId != self._net.clusterId:
-            self._drop("otherCluster", theirs=hello.clusterId)
+        if hello.cluster_id and self._net.cluster_id and hello.cluster_id != self._net.cluster_id:
+            self._drop("otherCluster", theirs=hello.cluster_id)
             return
         self.peer = hello
         if not self.ready.called:
@@ -146,81 +146,83 @@
 
     # --- calling ---
 
-    def call(self, method, timeLeft, arguments):
+    def call(self, method, time_left, arguments):
         if not self.connected:
             return defer.fail(Unreachable("connection is closed"))
-        if len(self._inFlight) >= PEER_IN_FLIGHT:
+        if len(self._in_flight) >= PEER_IN_FLIGHT:
             return defer.fail(Overloaded("too many calls wait on this peer"))
-        body = pack(argumentsClass(method)(**arguments))
-        callId, answer = next(self._callIds), defer.Deferred()
-        self._inFlight[callId] = (answer, self._net.reactor.seconds() + timeLeft, method)
-        self._wakeWithin(timeLeft)
-        self._net.callCounts[method] = self._net.callCounts.get(method, 0) + 1
-        self.sendString(packFrame(idl.Frame(callId=callId, method=method, timeLeftMs=int(timeLeft * 1000), body=body)))
+        body = pack(arguments_class(method)(**arguments))
+        call_id, answer = next(self._call_ids), defer.Deferred()
+        self._in_flight[call_id] = (answer, self._net.reactor.seconds() + time_left, method)
+        self._wake_within(time_left)
+        self._net.call_counts[method] = self._net.call_counts.get(method, 0) + 1
+        self.sendString(
+            pack_frame(idl.Frame(call_id=call_id, method=method, time_left_ms=int(time_left * 1000), body=body))
+        )
         return answer
 
-    def _wakeWithin(self, timeLeft):
+    def _wake_within(self, time_left):
         """One timer for all calls: one for each, made and nearly always cancelled, cost as much as their packing."""
-        due = self._net.reactor.seconds() + timeLeft
+        due = self._net.reactor.seconds() + time_left
         if self._timer is not None:
-            if self._dueAt <= due:
+            if self._due_at <= due:
                 return
             self._timer.cancel()
-        self._dueAt = due
-        self._timer = self._net.reactor.callLater(timeLeft, self._giveUpLate)
+        self._due_at = due
+        self._timer = self._net.reactor.callLater(time_left, self._give_up_late)
 
-    def _giveUpLate(self):
+    def _give_up_late(self):
         self._timer, now = None, self._net.reactor.seconds()
-        for callId in [callId for callId, (_, due, _) in self._inFlight.items() if due <= now]:
-            answer, _, method = self._inFlight.pop(callId, (None, None, None))
+        for call_id in [call_id for call_id, (_, due, _) in self._in_flight.items() if due <= now]:
+            answer, _, method = self._in_flight.pop(call_id, (None, None, None))
             if answer is not None:  # else what an earlier one set off has closed the connection
                 answer.errback(NoAnswer(f"no answer to {method} in time"))
-        if self._inFlight:
-            self._wakeWithin(max(0.0, min(due for _, due, _ in self._inFlight.values()) - now))
+        if self._in_flight:
+            self._wake_within(max(0.0, min(due for _, due, _ in self._in_flight.values()) - now))
 
     def _answered(self, frame):
-        answer, _, method = self._inFlight.pop(frame.callId, (None, None, None))
+        answer, _, method = self._in_flight.pop(frame.call_id, (None, None, None))
         if answer is None:
             return  # it came after its time
         if frame.error:
             answer.errback(
-                errorFrom(frame.error, frame.reason, frame.verdict, json.loads(frame.detail) if frame.detail else None)
+                error_from(frame.error, frame.reason, frame.verdict, json.loads(frame.detail) if frame.detail else None)
             )
             return
-        answer.callback(unpack(resultClass(method), frame.body).success)
+        answer.callback(unpack(result_class(method), frame.body).success)
 
     # --- serving ---
 
     def _serve(self, frame):
         if self._running >= PEER_IN_FLIGHT:
-            self._answerError(frame, Overloaded("too many calls from this peer"))
+            self._answer_error(frame, Overloaded("too many calls from this peer"))
             return
         self._running += 1
         drive(self._run(frame), lambda result, error: self._ran(frame, result, error))
 
     async def _run(self, frame):
-        if frame.method not in OPEN_METHODS and self.peer.clusterId != self._net.clusterId:
+        if frame.method not in OPEN_METHODS and self.peer.cluster_id != self._net.cluster_id:
             raise Fenced("not a member of this cluster")
-        arguments = argumentsClass(frame.method)
+        arguments = arguments_class(frame.method)
         if arguments is None or frame.method not in self._net.handlers:
             raise Unknown(f"no method {frame.method} here")
         result = await self._net.handlers[frame.method](self.peer, unpack(arguments, frame.body))
-        return pack(resultClass(frame.method)(success=result))
+        return pack(result_class(frame.method)(success=result))
 
     def _ran(self, frame, body, error):
         self._running -= 1
         if error is None:
-            self._answer(idl.Frame(callId=frame.callId, body=body))
+            self._answer(idl.Frame(call_id=frame.call_id, body=body))
             return
         if not isinstance(error, OakError):
             self._net.log.event("callCrashed", method=frame.method, error=repr(error))
             error = OakError(f"{frame.method} crashed")
-        self._answerError(frame, error)
+        self._answer_error(frame, error)
 
-    def _answerError(self, frame, error):
+    def _answer_error(self, frame, error):
         self._answer(
             idl.Frame(
-                callId=frame.callId,
+                call_id=frame.call_id,
                 error=error.code,
                 reason=error.reason,
                 verdict=error.verdict.value,
@@ -230,7 +232,7 @@
 
     def _answer(self, frame):
         if self.connected:
-            self.sendString(packFrame(frame))
+            self.sendString(pack_frame(frame))
 
 
 class _Acceptor(protocol.Factory):
@@ -262,33 +264,33 @@
     """All peer connections of one node. `_links` holds at most one dialled connection for an address,
     as the Deferred of a Connection; a dead one is replaced by the next call."""
 
-    def __init__(self, reactor, nodeId, kind, address, clusterId, log):
-        self.reactor, self.nodeId, self.kind, self.address, self.log = reactor, nodeId, kind, address, log
-        self.clusterId = clusterId or ""
+    def __init__(self, reactor, node_id, kind, address, cluster_id, log):
+        self.reactor, self.node_id, self.kind, self.address, self.log = reactor, node_id, kind, address, log
+        self.cluster_id = cluster_id or ""
         self.handlers = {}
         self.connections = {}
-        self.callCounts = {}
+        self.call_counts = {}
         self._links = {}
         self._resting = {}
         self._port = None
 
     def hello(self):
-        return idl.Hello(wireVersion=WIRE_VERSION, clusterId=self.clusterId, nodeId=self.nodeId, kind=self.kind)
+        return idl.Hello(wire_version=WIRE_VERSION, cluster_id=self.cluster_id, node_id=self.node_id, kind=self.kind)
 
     def handle(self, method, handler):
         """`handler(peer, arguments)` is a coroutine function; what it returns is the answer."""
         self.handlers[method] = handler
 
     def listen(self):
-        host, port = splitAddress(self.address)
+        host, port = split_address(self.address)
         self._port = self.reactor.listenTCP(port, _Acceptor(self), interface=host)
 
-    def joinCluster(self, clusterId):
+    def join_cluster(self, cluster_id):
         """From now on a member; old connections said otherwise and are closed."""
-        self.clusterId = clusterId
-        self._hangUp()
+        self.cluster_id = cluster_id
+        self._hang_up()
 
-    def _hangUp(self):
+    def _hang_up(self):
         self._links.clear()
         for connection in list(self.connections):
             connection.transport.abortConnection()
@@ -296,36 +298,36 @@
     async def stop(self):
         if self._port is not None:
             await defer.maybeDeferred(self._port.stopListening)
-        self._hangUp()
+        self._hang_up()
 
-    def call(self, address, method, timeLeft=CALL_TIME, to=None, **arguments):
+    def call(self, address, method, time_left=CALL_TIME, to=None, **arguments):
         """The answer of whoever is at this address, or of nobody but the node `to`: after a lost disk another one
         listens where it did, and must not be taken for it. An awaitable; what leaves, leaves at once."""
         link = self._links.get(address)
         connection = link.result if link is not None and link.called else None
-        if getattr(connection, "connected", False) and timeLeft > 0 and to in (None, connection.peer.nodeId):
-            return connection.call(method, timeLeft, arguments)
-        return begin(self._call(address, method, timeLeft, to, arguments))
+        if getattr(connection, "connected", False) and time_left > 0 and to in (None, connection.peer.node_id):
+            return connection.call(method, time_left, arguments)
+        return begin(self._call(address, method, time_left, to, arguments))
 
-    async def _call(self, address, method, timeLeft, to, arguments):
-        if timeLeft <= 0:
+    async def _call(self, address, method, time_left, to, arguments):
+        if time_left <= 0:
             raise TimeSpent("no time left for the call")
         if address == self.address:
-            self._checkNode(address, to, self.nodeId)
-            return await self._callSelf(method, arguments)
+            self._check_node(address, to, self.node_id)
+            return await self._call_self(method, arguments)
         connection = await self._link(address)
-        self._checkNode(address, to, connection.peer.nodeId)
-        return await connection.call(method, timeLeft, arguments)
+        self._check_node(address, to, connection.peer.node_id)
+        return await connection.call(method, time_left, arguments)
 
     @staticmethod
-    def _checkNode(address, wanted, found):
+    def _check_node(address, wanted, found):
         if wanted not in (None, found):
             raise Unreachable(f"{found} is at {address}, not {wanted}")
 
-    async def _callSelf(self, method, arguments):
+    async def _call_self(self, method, arguments):
         if method not in self.handlers:
             raise Unknown(f"no method {method} here")
-        return await self.handlers[method](self.hello(), argumentsClass(method)(**arguments))
+        return await self.handlers[method](self.hello(), arguments_class(method)(**arguments))
 
     async def _link(self, address):
         link = self._links.get(address)
@@ -336,20 +338,20 @@
             spawn(self._dial(address, link), self.log)
         waiting = defer.Deferred()
 
-        def passOn(result):
+        def pass_on(result):
             waiting.callback(result)
             return result
 
-        link.addCallback(passOn)
+        link.addCallback(pass_on)
         connection = await waiting
         if isinstance(connection, OakError):
             raise Unreachable(connection.reason)
         return connection
 
     async def _dial(self, address, link):
-        host, port = splitAddress(address)
+        host, port = split_address(address)
         endpoint = TCP4ClientEndpoint(
-            self.reactor, host, port, timeout=CONNECT_TIME, bindAddress=(splitAddress(self.address)[0], 0)
+            self.reactor, host, port, timeout=CONNECT_TIME, bindAddress=(split_address(self.address)[0], 0)
         )
         try:
             connection = await endpoint.connect(_Dialler(self))
