--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -34,3 +34,10 @@
 
     def test_a_run_that_passes_passes(self):
         self.assertEqual(self.code(["Ran 5 tests in 1.000s", "OK"], 0), 0)
+
+    def test_more_than_three_lines_are_not_passed_over(self):
+        red = known_red.known("".join(f"test_a.A.test_{number}: cause; issue 1\n" for number in range(4)))
+        lines = ["FAIL: test_1 (test_a.A.test_1)", *ENDED]
+        self.assertEqual(known_red.verdict(lines, 1, red)[0], 1)
+        self.assertEqual(known_red.verdict(["Ran 5 tests in 1.000s", "OK"], 0, red)[0], 1)
+        self.assertEqual(known_red.verdict(lines, 1, dict(list(red.items())[:3]))[0], 0)
