--- a/packages/oakring/oakring/ring.py
+++ b/packages/oakring/oakring/ring.py
@@ -9,6 +9,8 @@
 Record: marker, lap, length, checksum, number, synced number, then the batch.
 Batch:  for each entry key length, value length (0xffffffff: removed), key, value.
 
+A lap is begun in three steps, each on the disk before the next: the former lap's records, the header, the first record.
+
 The `synced number` is the newest record known to be on disk when this one was written. If a record
 that something later names as synced cannot be read, the disk lost what it had confirmed: that is
 damage and stops recovery. An unreadable record that nothing names is a tail torn by a power cut. After
@@ -97,6 +99,12 @@
         place = data.find(mark, place + 1)
 
 
+def _left_over(data, lap, offset):
+    """{lap: (offset, end)} up to the end of what begins like the last record of this lap; empty if there is none."""
+    last = data.rfind(_mark_of(lap), offset)
+    return {} if last < 0 else {lap: (offset, min(last + RECORD.size, len(data)))}
+
+
 class Cold:
     """A value that is read from its file when it is asked for; its first bytes are at hand."""
 
@@ -185,6 +193,8 @@
     - `_places[key]` is the lap of the newest record that names the key; a lap is freed only when no
       live key is placed in it and everything copied out of it is synced.
     - records are numbered without gaps from the first number of the oldest lap on.
+    - only the head lap's file holds writes that no sync has covered: a lap is begun when all records before it are on the
+      disk, and its first record is written when its header is. So a sync of one file covers all that was written.
     """
 
     def __init__(
@@ -239,14 +249,29 @@
             self._open_lap(0)
             self._disk.sync_now([self._file_name(0)])
             return
-        torn_until = self._replay_all(heads)
-        self._refuse_lost_head(self._laps[-1] + 1)
-        if torn_until > self._offset:
-            self._log.event("ringTornTail", file=self._file_name(self._laps[-1]), offset=self._offset)
-            self._disk.write(self._file_name(self._laps[-1]), self._offset, bytes(torn_until - self._offset))
+        left_over, torn_laps = self._replay_all(heads)
+        if self._laps[-1] + 1 not in torn_laps:
+            left_over |= self._refuse_lost_head(self._laps[-1] + 1)
+        for lap, (offset, end) in left_over.items():
+            self._log.event("ringTornTail", file=self._file_name(lap), offset=offset)
+            self._disk.write(self._file_name(lap), offset, bytes(end - offset))
         # A process that died without a power cut left writes that look whole but may not last yet.
         self._disk.sync_now(file_names)
+        # The headers go after the records: until then, a start that is cut off here finds the same laps again.
+        for lap in torn_laps:
+            self._disk.write(self._file_name(lap), 0, bytes(LAP_SIZE))
+        self._disk.sync_now([self._file_name(lap) for lap in torn_laps])
         self._synced_number = self._number
+        self._free_unused_laps()
+
+    def _free_unused_laps(self):
+        """The oldest laps that hold nothing live: most were free before, and a start finds them by their headers. All that
+        replaced what is in them is on the disk."""
+        used = {lap for key, (lap, _) in self._places.items() if key in self.table}
+        while len(self._laps) > 1 and self._laps[0] not in used:
+            self._live_bytes.pop(self._laps.popleft(), None)
+        for key in [key for key, (lap, _) in self._places.items() if lap < self._laps[0]]:
+            del self._places[key]
 
     def _read_heads(self, names):
         heads = {}
@@ -268,27 +293,42 @@
         return heads
 
     def _replay_all(self, heads):
-        """Applies all whole records in order; returns up to where the last lap's rest must be wiped: past whatever could
-        be taken for a record of this lap. What former laps left there never is."""
+        """Applies all whole records in order, and changes nothing on the disk. Returns what must be wiped: for each lap the
+        bytes behind the last record in which something could be taken for one of this lap later (what former laps left
+        never is), and the laps that hold no record that counts."""
         oldest = min(heads)
         self._number = heads[oldest][0] - 1
-        torn, torn_until = False, 0
+        left_over, torn_laps = {}, []
         for lap in range(oldest, max(heads) + 1):
             first_number, synced_number = heads.get(lap, (None, 0))
             if first_number is not None and synced_number > self._number:
                 raise RingDamaged(f"record {self._number + 1} cannot be read, though lap {lap} says it was synced")
-            if first_number != self._number + 1:
-                torn = True
+            if not torn_laps and self._lacks_only_a_marker(first_number, synced_number):
+                self._number += 1
             data = self._disk.read(self._file_name(lap))
-            if torn:
+            if torn_laps or first_number != self._number + 1:
                 self._refuse_synced(data, lap, LAP_SIZE)
-                self._disk.write(self._file_name(lap), 0, bytes(LAP_SIZE))
+                torn_laps.append(lap)
+                left_over |= _left_over(data, lap, LAP_SIZE)
                 continue
             self._laps.append(lap)
             self._replay(lap, data)
-            last = data.rfind(_mark_of(lap), self._offset)
-            torn_until = 0 if last < 0 else min(len(data), last + RECORD.size)
-        return torn_until
+            left_over = _left_over(data, lap, self._offset)
+        return left_over, torn_laps
+
+    def _lacks_only_a_marker(self, first_number, synced_number):
+        """Whether the one record missing before this lap is an empty one at the end of the former lap, which earlier
+        releases did not sync when they went on. A lap that this release began names every record before it as synced."""
+        if first_number is None or not first_number - 2 == synced_number == self._number or not self._laps:
+            return False
+        place = self._disk.read(self._file_name(self._laps[-1]))[self._offset : self._offset + RECORD.size]
+        if len(place) < RECORD.size:
+            return False
+        mark, lap, length, *_ = RECORD.unpack(place)
+        is_other_record = mark == RECORD_MARK and lap == self._laps[-1] & 0xFFFFFFFF and length > 0
+        if not is_other_record:
+            self._log.event("ringMarkerLost", file=self._file_name(self._laps[-1]), offset=self._offset)
+        return not is_other_record
 
     def _replay(self, lap, data):
         self._offset = LAP_SIZE
@@ -309,9 +349,12 @@
 
     def _refuse_lost_head(self, lap):
         """A lap whose header is unreadable, but which holds records that were synced. While the lap before has room for any
-        commit, this one was never begun: its first part is read all the same, in case both have lost something."""
+        commit, this one was never begun: its first part is read all the same, in case both have lost something. Returns
+        what must be wiped of it; earlier releases wrote records before their header was on the disk."""
         may_be_begun = not self._laps or self._file_size - self._offset < self.commit_limit() + 2 * RECORD.size
-        self._refuse_synced(self._disk.read(self._file_name(lap), -1 if may_be_begun else LOST_HEAD_READ), lap, 0)
+        data = self._disk.read(self._file_name(lap), -1 if may_be_begun else LOST_HEAD_READ)
+        self._refuse_synced(data, lap, 0)
+        return _left_over(data, lap, LAP_SIZE) if self._free_files() else {}
 
     def _apply(self, lap, key, value, offset):
         size = ENTRY.size + len(key.encode()) + len(value or b"")
@@ -405,28 +448,26 @@
             await self._stopping
 
     async def _write_batch(self, batch):
-        touched = set()
         for packed, size, _ in batch:
-            await self._make_room(size + RECORD.size, touched)
-            self._append(packed, touched)
-        await self._sync(touched)
+            await self._make_room(size + RECORD.size)
+            self._append(packed)
+        await self._sync()
         if not self._waiting and self._offset + RECORD.size <= self._file_size:
-            self._append([], touched)
+            self._append([])
 
-    async def _sync(self, touched):
-        number, names = self._number, sorted(touched)
-        touched.clear()
+    async def _sync(self):
+        """Every record written so far is on the disk when this returns."""
+        number = self._number
         started_at = self._seconds()
-        await self._disk.sync(names)
+        await self._disk.sync([self._file_name(self._laps[-1])])
         self.sync_time = 0.8 * self.sync_time + 0.2 * (self._seconds() - started_at)
         self.sync_count += 1
         self._synced_number = max(self._synced_number, number)
 
-    def _append(self, packed, touched):
+    def _append(self, packed):
         lap = self._laps[-1]
         data = _pack_record(lap, self._number + 1, self._synced_number, b"".join(pack for _, _, pack in packed))
         self._disk.write(self._file_name(lap), self._offset, data)
-        touched.add(self._file_name(lap))
         end = self._offset + RECORD.size
         self._number += 1
         self._offset += len(data)
@@ -434,23 +475,32 @@
             end += len(pack)
             self._apply(lap, key, value, end - len(value or b""))
 
-    async def _make_room(self, size, touched):
-        """Room for a record in the head lap. New data opens a lap only while the reserve stays free behind
-        it: so the reclaiming that will make room again always has somewhere to copy to."""
+    async def _make_room(self, size):
+        """Room for a record in the head lap. New data opens a lap, and goes on in one, only while the reserve stays free
+        behind it: so the reclaiming that will make room again always has somewhere to copy to. A start finds less of it
+        if the power went while reclaiming copied."""
+        while self._free_files() < RING_RESERVE_FILES:
+            await self._reclaim()
         if self._offset + size <= self._file_size:
             return
-        while self._file_count - len(self._laps) <= RING_RESERVE_FILES:
-            await self._reclaim(touched)
+        while self._free_files() <= RING_RESERVE_FILES:
+            await self._reclaim()
         if self._offset + size > self._file_size:
-            self._next_lap(touched)
+            await self._next_lap()
+
+    def _free_files(self):
+        return self._file_count - len(self._laps)
 
-    def _next_lap(self, touched):
-        if len(self._laps) >= self._file_count:
+    async def _next_lap(self):
+        if not self._free_files():
             raise RingFull("no free file is left in the ring")
+        # The former lap first: its last record may be an empty one, which no sync has covered yet.
+        await self._sync()
         self._open_lap(self._laps[-1] + 1)
-        touched.add(self._file_name(self._laps[-1]))
+        # Then the header: one that came after its records could leave a former lap's header in front of them.
+        await self._sync()
 
-    async def _reclaim(self, touched):
+    async def _reclaim(self):
         """Writes the live entries of the oldest lap again at the head and frees the lap."""
         oldest = self._laps[0]
         batch, batch_size = [], 0
@@ -461,19 +511,18 @@
             value = self.table[key]
             pack = _pack_entry(key, value)
             if batch and batch_size + len(pack) > self._file_size // COPY_SHARE:
-                self._copy(batch, batch_size, touched)
+                await self._copy(batch, batch_size)
                 batch, batch_size = [], 0
             batch.append((key, value, pack))
             batch_size += len(pack)
         if batch:
-            self._copy(batch, batch_size, touched)
+            await self._copy(batch, batch_size)
         # The copies must be on the disk before the only other place of these entries may be written over.
-        touched.add(self._file_name(self._laps[-1]))
-        await self._sync(touched)
+        await self._sync()
         self._laps.popleft()
         self._live_bytes.pop(oldest, None)
 
-    def _copy(self, batch, size, touched):
+    async def _copy(self, batch, size):
         if self._offset + RECORD.size + size > self._file_size:
-            self._next_lap(touched)
-        self._append(batch, touched)
+            await self._next_lap()
+        self._append(batch)
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -5,11 +5,13 @@
 
 from oakbase.logline import LogLine
 from oakbase.verdict import RingDamaged, RingError, RingFull
+from oaklab.powerloss import PowerLosses
 from oaklab.simdisk import SimDisk
 from oaklab.simnet import SimHost, SimNetwork, SimTime
-from oakring.ring import LAP_SIZE, LOST_HEAD_READ, RECORD, Cold, Ring
+from oakring.ring import LAP_SIZE, LOST_HEAD_READ, RECORD, Cold, Ring, _mark_of, _pack_lap, _pack_record
 
 FILE_SIZE = 4096
+SEEDS_OF_LITTLE_RESERVE = 357, 919, 1455  # power lost while reclaiming copies, in rings that are nearly full
 
 
 class Rig:
@@ -43,6 +45,114 @@
         self.host.up = True
 
 
+class PowerLossTest(unittest.TestCase):
+    """The disk model is that of oaklab.simdisk: a sync covers one file's writes until its call, and nothing else."""
+
+    def test_power_lost_at_any_write_and_sync(self):
+        """
+        ring                                    disk
+        commits, laps that wrap, reclaiming,
+        a start that goes on from a loss  --->  loses power before any write, sync or end of a sync, over and over
+        starts again                      <---  unsynced writes are there, torn, or gone, each by itself or all
+        holds a prefix of what was asked for, with all that had fired
+        """
+        for seed in (*range(250), *SEEDS_OF_LITTLE_RESERVE):
+            with self.subTest(seed=seed):
+                PowerLosses(seed).play(10)
+
+    def test_nothing_unsynced_is_needed_once_a_commit_has_fired(self):
+        """The power goes after each commit of a ring whose laps wrap, and removes every write that was not synced."""
+        rig = Rig(3)
+        wanted = {}
+        for number in range(400):
+            key, value = f"k{number % 9}", bytes([number % 256]) * rig.random.randrange(1, 150)
+            self.assertIs(rig.commit_now((key, value)), True)
+            wanted[key] = value
+            if number % 5 == 4:
+                rig.host.end(power_cut=True)
+                rig.disk.power_cut(rig.disk.keep_none)
+                rig.host.up = True
+                rig.open()
+                self.assertEqual(rig.ring.table, wanted)
+        self.assertGreater(rig.ring._laps[-1], 8)
+
+    def ring_in_second_lap(self):
+        """A ring two commits into its second lap, and where the last record of the first one begins: an empty one."""
+        rig = Rig()
+        while rig.ring._laps[-1] == 0:
+            end = rig.ring._offset
+            self.assertIs(rig.commit_now(("a", b"v" * 100)), True)
+        self.assertLess(end + RECORD.size, FILE_SIZE)
+        self.assertIs(rig.commit_now(("b", b"last")), True)
+        rig.power_cut()
+        return rig, end - RECORD.size
+
+    def lose(self, rig, name, offset, data):
+        for files in (rig.disk._files, rig.disk._durable):
+            files[name][offset : offset + len(data)] = data
+
+    def first_number(self, rig):
+        return int.from_bytes(rig.disk.read("ring.001")[20:28], "little")
+
+    def test_an_empty_record_that_an_earlier_release_lost(self):
+        """It began a lap without a sync of the empty record before it, and said in the lap's header what was synced."""
+        rig, place = self.ring_in_second_lap()
+        first = self.first_number(rig)
+        self.lose(rig, "ring.000", place, bytes(RECORD.size))
+        self.lose(rig, "ring.001", 0, _pack_lap(1, first, first - 2))
+        for _ in range(2):
+            rig.open()
+            self.assertEqual(rig.ring.table, {"a": b"v" * 100, "b": b"last"})
+            self.assertTrue(any("ringMarkerLost" in line for line in rig.lines))
+            self.assertIs(rig.commit_now(("c", b"more")), True)
+            self.assertIs(rig.commit_now(("c", None)), True)
+            rig.power_cut()
+
+    def test_any_other_record_that_a_lap_lacks_is_damage(self):
+        """
+        lap that this release began       names every record before it as synced: the empty one may not lack either
+        lap of an earlier release         the record that lacks is no empty one: refused
+        lap of an earlier release         two records lack: refused
+        """
+        rig, place = self.ring_in_second_lap()
+        self.lose(rig, "ring.000", place, bytes(RECORD.size))
+        with self.assertRaises(RingDamaged):
+            rig.open()
+        rig, place = self.ring_in_second_lap()
+        first = self.first_number(rig)
+        self.lose(rig, "ring.001", 0, _pack_lap(1, first, first - 2))
+        self.lose(rig, "ring.000", place, _mark_of(0) + (9).to_bytes(4, "little") + bytes(RECORD.size))
+        with self.assertRaises(RingDamaged):
+            rig.open()
+        rig, place = self.ring_in_second_lap()
+        self.lose(rig, "ring.001", 0, _pack_lap(1, first, first - 2))
+        self.lose(rig, "ring.000", place - 10, bytes(RECORD.size + 10))
+        with self.assertRaises(RingDamaged):
+            rig.open()
+
+    def test_records_that_a_start_dropped_never_return(self):
+        """
+        disk                                             ring
+        the end of lap 0 is lost, lap 1 was not synced   drops lap 1, and wipes its records
+        goes on from there                               begins lap 1 again, with numbers that the dropped ones had
+        """
+        for header_is_there in (True, False):
+            rig, place = self.ring_in_second_lap()
+            first = self.first_number(rig)
+            # As an earlier release could leave it: nothing in lap 1 names anything from the place on as synced.
+            lap = rig.disk.read("ring.001")
+            marks = [at for at in range(LAP_SIZE, FILE_SIZE) if lap.startswith(_mark_of(1), at)]
+            self.lose(rig, "ring.001", marks[1], bytes(FILE_SIZE - marks[1]))
+            self.lose(rig, "ring.001", 0, _pack_lap(1, first, 0) if header_is_there else bytes(LAP_SIZE))
+            rewritten = _pack_record(1, first, 0, lap[LAP_SIZE + RECORD.size : marks[1]])
+            self.lose(rig, "ring.001", LAP_SIZE, rewritten)
+            self.lose(rig, "ring.000", place - 10, bytes(RECORD.size + 10))
+            rig.open()
+            self.assertEqual(rig.disk.read("ring.001").find(_mark_of(1)), -1, header_is_there)
+            self.assertEqual(rig.ring._laps[-1], 0)
+            rig.open()
+
+
 class RingTest(unittest.TestCase):
     def test_group_commit(self):
         rig = Rig()
