--- a/packages/oakctl/oakctl/doctor.py
+++ b/packages/oakctl/oakctl/doctor.py
@@ -10,6 +10,7 @@
 EXIT_CODES = {WARNING: 3, FAULT: 4}
 SLOW_SYNC = 0.1  # s; a sync this slow is felt in every turn
 FULL_SHARE = 0.8  # share of a ring's capacity
+DAMAGED = "damaged"  # the condition of a node whose disk lost what it had confirmed
 OWNERLESS = 5.0  # s; a take-over is over by then
 
 
@@ -38,8 +39,14 @@
     def machine(self, node_id):
         return next((row["machine"] for row in self.nodes if row["nodeId"] == node_id), node_id)
 
+    def is_alive(self, node_id):
+        """Whether this node answers, and takes part."""
+        said = self.conditions.get(node_id)
+        return isinstance(said, dict) and said["condition"] != DAMAGED
+
     def answered(self, kind=None):
-        return [said for said in self.conditions.values() if isinstance(said, dict) and kind in (None, said["kind"])]
+        alive = [said for node_id, said in self.conditions.items() if self.is_alive(node_id)]
+        return [said for said in alive if kind in (None, said["kind"])]
 
 
 def take_survey(ask_control, ask_node):
@@ -84,6 +91,19 @@
             )
 
 
+@CHECKS.enter("damage")
+def _damage(survey):
+    for node_id, said in survey.conditions.items():
+        if isinstance(said, dict) and said["condition"] == DAMAGED:
+            yield Finding(
+                FAULT,
+                "damage",
+                f"{survey.machine(node_id)} takes no part: {said['reason']}",
+                "its disk lost something that it had confirmed, or its files were changed",
+                "stop it, look with oakctl disk check, keep the folder, and replace the node by an empty one",
+            )
+
+
 @CHECKS.enter("seeds")
 def _seeds(survey):
     bad = Counter(seed for said in survey.answered() for seed, answers in said["seeds"].items() if not answers)
@@ -162,7 +182,7 @@
     if not rosters:
         return
     members = max(rosters, key=lambda roster: roster["version"])["members"]
-    alive = [node_id for node_id in members if isinstance(survey.conditions.get(node_id), dict)]
+    alive = [node_id for node_id in members if survey.is_alive(node_id)]
     spare = len(alive) - (len(members) // 2 + 1)
     if len(alive) < len(members):
         yield Finding(
@@ -198,7 +218,7 @@
 @CHECKS.enter("stores")
 def _stores(survey):
     members = survey.stores.get("members", [])
-    alive = [row for row in members if isinstance(survey.conditions.get(row["nodeId"]), dict)]
+    alive = [row for row in members if survey.is_alive(row["nodeId"])]
     if len(alive) < len(members):
         spare = len(alive) - (len(members) // 2 + 1)
         yield Finding(
--- /dev/null
+++ b/packages/oaknews/oaknews/damaged.py
@@ -0,0 +1,37 @@
+"""What stands in for a node whose disk lost something that it had confirmed.
+
+Such a node must not take part in anything: its promises of before may be gone. Nor should it end, be started again and read
+its whole disk once more, for ever. It stays, says at GET /condition what is wrong, changes nothing in its folder, and waits
+for an operator. To the others it is a node that is down, so a store set with a spare and enough copies replaces it.
+"""
+
+from oakbase.constants import ACCEPT_INBOX
+from oakbase.logline import LogLine
+from oakbase.web import Web
+
+
+class DamagedNode:
+    """Invariant: it opens no port but that of its HTTP address, and writes nothing to its disk."""
+
+    def __init__(self, reactor, env, sink, error):
+        self._env, self._reason = env, error.reason
+        self.log = LogLine(sink, node=env["machine"])
+        self._web = Web(reactor, env["http"], self.log, ACCEPT_INBOX)
+        self._web.route("GET", "/condition", self._condition)
+
+    @property
+    def node(self):
+        return self
+
+    def settings_changed(self, _env):
+        """Nothing here follows them."""
+
+    async def _condition(self, _call):
+        return 200, {"condition": "damaged", "machine": self._env["machine"], "reason": self._reason}
+
+    def start(self):
+        self._web.listen()
+        self.log.event("diskDamaged", folder=self._env["folder"], reason=self._reason)
+
+    async def stop(self):
+        await self._web.stop()
--- a/packages/oaknews/oaknews/program.py
+++ b/packages/oaknews/oaknews/program.py
@@ -10,7 +10,8 @@
 from oakbase.env import env_of_daemon
 from oakbase.logline import FORMATS, LEVELS, set_level, skip_unused_record_fields, stderr_sink
 from oakbase.tasks import Repeater, monotonic_reactor, spawn, within
-from oakbase.verdict import EnvError, OakError
+from oakbase.verdict import EnvError, OakError, RingDamaged
+from oaknews.damaged import DamagedNode
 from oakring.disk import FolderDisk
 from twisted.internet.error import CannotListenError
 
@@ -80,7 +81,10 @@
     disk = None
     try:
         disk = FolderDisk(reactor, env["folder"]) if env.get("folder") else None
-        node = build(reactor, env, disk, random.SystemRandom(), sink)
+        try:
+            node = build(reactor, env, disk, random.SystemRandom(), sink)
+        except RingDamaged as error:
+            node = DamagedNode(reactor, env, sink, error)
         node.start()
     except BaseException as error:
         if disk is not None:
--- a/tests/test_doctor.py
+++ b/tests/test_doctor.py
@@ -57,10 +57,15 @@
 
             return plant
 
+        def damaged(survey):
+            node_id = self.first(survey, "store")["nodeId"]
+            survey.conditions[node_id] = {"condition": "damaged", "machine": "m", "reason": "record 7 cannot be read"}
+
         store_id = self.healthy.stores["members"][0]["nodeId"]
         planted = [
             ("nodes", 4, unreachable),
             ("nodes", 4, frozen),
+            ("damage", 4, damaged),
             ("seeds", 3, set_("gate", "seeds", "1.2.3.4:5", to=False)),
             ("clocks", 3, set_("store", "clock", "jumps", to=2)),
             ("eviction", 3, set_("control", "eviction", to="on")),
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,18 +1,34 @@
 """The shell of daemons, and what they say of peers that do not answer."""
 
+import contextlib
 import json
 import os
+import shutil
 import socket
 import subprocess
 import sys
 import tempfile
 import unittest
+import urllib.request
+from unittest import mock
 
+from oakbase.logline import LogLine
 from oaklab.simfleet import SimFleet
+from oakring.disk import FolderDisk
+from oakring.ring import Ring
 
 START = "from oak{0}.daemon import main; main()"
 
 
+def free_ports(count):
+    """Ports of this machine that nobody listens at."""
+    with contextlib.ExitStack() as stack:
+        taken = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for one in taken:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in taken]
+
+
 class Starting(unittest.TestCase):
     def test_a_start_that_fails_ends_with_code_1_also_if_the_disk_was_opened(self):
         with socket.socket() as taken, tempfile.TemporaryDirectory() as folder:
@@ -42,6 +58,62 @@
                     self.assertIn("cannot start", ended.stderr)
 
 
+class DamagedDisk(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = folder.name
+        disk = FolderDisk(mock.Mock(), os.path.join(self.folder, "data"))
+        Ring(disk, LogLine(lambda line: None), 1 << 20)
+        disk.close()
+        shutil.copy(self.path("ring.000"), self.path("ring.001"))
+
+    def path(self, name):
+        return os.path.join(self.folder, "data", name)
+
+    def condition(self, port):
+        with urllib.request.urlopen(f"http://127.0.0.1:{port}/condition", timeout=5) as answer:
+            return json.loads(answer.read())
+
+    def test_a_node_whose_disk_is_damaged_stays_and_says_so(self):
+        """
+        operator                  node
+        starts it        ----->   finds a file that belongs elsewhere
+        GET /condition   ----->   damaged, and why; its folder is as it was
+        SIGTERM          ----->   ends with code 0
+        """
+        before = {name: os.stat(self.path(name)).st_mtime_ns for name in os.listdir(os.path.dirname(self.path("x")))}
+        for package in "store", "control":
+            ports = free_ports(2)
+            settings = {
+                "machine": "m",
+                "zone": "z",
+                "peer": f"127.0.0.1:{ports[0]}",
+                "http": f"127.0.0.1:{ports[1]}",
+                "seeds": [f"127.0.0.1:{ports[0]}"],
+                "folder": os.path.dirname(self.path("x")),
+                "ringFileSize": 1 << 20,
+            }
+            env = os.path.join(self.folder, "env.json")
+            with open(env, "w", encoding="utf-8") as file:
+                json.dump(settings, file)
+            command = [sys.executable, "-c", START.format(package), "--env", env]
+            with subprocess.Popen(command, stderr=subprocess.PIPE, text=True) as process:
+                try:
+                    lines = [next(process.stderr)]
+                    while "diskDamaged" not in lines[-1]:
+                        lines.append(next(process.stderr))
+                    said = self.condition(ports[1])
+                finally:
+                    process.terminate()
+                self.assertEqual(process.wait(timeout=30), 0)
+            with self.subTest(package=package):
+                self.assertEqual((said["condition"], said["machine"]), ("damaged", "m"))
+                self.assertIn("files were swapped", said["reason"])
+                after = {name: os.stat(self.path(name)).st_mtime_ns for name in before}
+                self.assertEqual(after, before)
+
+
 class SilentPeers(unittest.TestCase):
     def test_told_when_it_begins_and_when_it_ends(self):
         fleet = SimFleet(3).bring_up(plans=False)
