--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -129,6 +129,8 @@
 STORE_OWNERS = 16  # table owners in a store; lines are spread over them by hash
 STORE_INBOX = 256  # commands; waiting for one table owner of a store
 STORE_CALL_TIME = 1.0  # s; a store that takes longer is passed over for its fellows
+STORE_HOLD_FIRST = 0.05  # s; a gate leaves a store that just failed alone for about this long: one round of a request
+STORE_HOLD_MOST = 0.5  # s; the same for one that goes on failing: well below what a request may wait
 STORES_LOOK = 0.2  # s; how often the owner of the store set looks whether a replacement has to begin or can go
 # on
 STORES_MOVING_PAUSE = 0.05  # s; the same while a replacement is under way
--- a/packages/oakgate/oakgate/gate.py
+++ b/packages/oakgate/oakgate/gate.py
@@ -42,6 +42,7 @@
             ("members_live", lambda: len(self.node.members.live())),
         ):
             self.metrics.gauge(name, ask)
+        self.lines.calls.show(self.metrics)
 
     async def _condition(self, _call):
         partners = sorted(
--- a/packages/oakgate/oakgate/relay_node.py
+++ b/packages/oakgate/oakgate/relay_node.py
@@ -56,9 +56,8 @@
         self.balancer = Balancer(self.node, self.node.log, self.placement)
         self.upstreams = Upstreams(reactor, env["relay"].rpartition(":")[0], self.node.log)
         self.balancer.on_gone = self.upstreams.close_instance
-        self.relay = Relay(
-            self, dialect, self.router, self.balancer, self.upstreams, TurnClient(self.node), self.placement
-        )
+        turns = TurnClient(self.node)
+        self.relay = Relay(self, dialect, self.router, self.balancer, self.upstreams, turns, self.placement)
         self._limits = (0, Limits())
         self.front = Front(
             reactor, env["relay"], self.relay.handle, self.limits, self.node.log, RELAY_BOUND, self._refuse
@@ -75,6 +74,7 @@
             ("members_live", lambda: len(self.node.members.live())),
         ):
             self.metrics.gauge(name, ask)
+        turns.calls.show(self.metrics)
 
     def _cache_tokens_of(self, service):
         return self.router.services.get(service, {}).get("cache_tokens")
--- a/packages/oakstore/oakstore/lines.py
+++ b/packages/oakstore/oakstore/lines.py
@@ -9,9 +9,10 @@
 from oakbase.verdict import CannotTell, Conflict, Fenced, Gone, NoAnswer, OakError, Verdict
 from oakcohort.members import LIVE
 from oakcohort.rendezvous import ranked
-from oakcontrol.storeset import StoreSet, majority
+from oakcontrol.storeset import STORES_KEY, StoreSet, majority
 from oakdvv.clock import sync_versions
 from oakdvv.context import to_context
+from oakstore.store_calls import StoreCalls
 from oakstore.table import from_state
 
 RETRY_PAUSE = 0.1  # s; between rounds over the stores while one of them changes condition
@@ -42,6 +43,8 @@
 class LineClient:
     def __init__(self, node):
         self._node = node
+        self.calls = StoreCalls(node)
+        node.board.watch(STORES_KEY, lambda _source: self.calls.forget())
 
     def _stores(self):
         stores = StoreSet.from_board(self._node.board)
@@ -55,7 +58,10 @@
         while True:
             stores = self._stores()
             reached, states = await quorum_of(
-                {node_id: self._get_from(row["peer"], key, stores.epoch) for node_id, row in stores.readers.items()},
+                {
+                    node_id: self._get_from(node_id, row["peer"], key, stores.epoch)
+                    for node_id, row in stores.readers.items()
+                },
                 lambda node_ids: len(node_ids) >= majority(stores.readers),
             )
             if reached:
@@ -67,8 +73,8 @@
                 raise CannotTell("too few stores answered to say what is kept", retry_after=1)
             await sleep(self._node.reactor, RETRY_PAUSE)
 
-    async def _get_from(self, peer, key, epoch):
-        state = await self._node.net.call(peer, "lineGet", STORE_CALL_TIME, key=key)
+    async def _get_from(self, node_id, peer, key, epoch):
+        state = await self.calls.call(node_id, peer, "lineGet", STORE_CALL_TIME, key=key)
         if state.store_epoch != epoch:
             raise Fenced(f"store epoch {state.store_epoch} is not {epoch}")
         if not state.covers:
@@ -97,7 +103,8 @@
                 if remaining <= 0:
                     break
                 try:
-                    return await self._node.net.call(
+                    return await self.calls.call(
+                        node_id,
                         stores.readers[node_id]["peer"],
                         "linePut",
                         remaining,
@@ -108,6 +115,5 @@
                     )
                 except OakError as error:
                     unsure = unsure or error.verdict is not Verdict.NO
-                    self._node.log.event("putFailed", store=node_id, reason=error.reason)
             await sleep(reactor, RETRY_PAUSE)
         raise NoAnswer("no quorum of stores said that it keeps the turn", Verdict.MAYBE if unsure else Verdict.NO)
--- a/packages/oakstore/oakstore/turns.py
+++ b/packages/oakstore/oakstore/turns.py
@@ -24,6 +24,7 @@
 from oakdvv.clock import sync_versions
 from oakdvv.context import to_context
 from oakstore.records import pack_record, read_bodies, read_header
+from oakstore.store_calls import HeldBack, StoreCalls
 from oakstore.table import TURN_LINE, from_state, pack_turns, turns_in
 
 RETRY_PAUSE = 0.05  # s; between rounds over the stores while one of them changes condition
@@ -103,11 +104,13 @@
     def __init__(self, node):
         self._node, self._reactor = node, node.reactor
         self._slow, self._full, self._usual = {}, {}, {}
+        self.calls = StoreCalls(node)
         self._stores = StoreSet.from_board(node.board)
         node.board.watch(STORES_KEY, self._stores_moved)
 
     def _stores_moved(self, _source):
         self._stores = StoreSet.from_board(self._node.board)
+        self.calls.forget()
 
     async def _known_stores(self, ends_at):
         while not self._stores.epoch:
@@ -183,8 +186,8 @@
         read = _Read(turn_id)
 
         async def ask(node_id, time_left):
-            state = await self._node.net.call(
-                stores.everyone[node_id]["peer"], "turnRecall", time_left, turn_id=turn_id, bodies=True
+            state = await self.calls.call(
+                node_id, stores.everyone[node_id]["peer"], "turnRecall", time_left, turn_id=turn_id, bodies=True
             )
             read.note(node_id, state)
             if state.line.full:
@@ -205,7 +208,8 @@
         """Asks these stores, each when the one before has failed, is late, or its answer is not enough. Returns once
         it is enough, all have answered, or the time is over; late answers are left to finish. What is late is
         measured by what is usual, so that busy stores are not asked more than quick ones."""
-        waiting, order, answered = {}, list(node_ids), None
+        waiting, answered = {}, None
+        order = [node_id for node_id in node_ids if not self.calls.is_held(node_id)]
         hedge = max(HEDGES[kind], LATE_TIMES * self._usual.get(kind, 0.0))
 
         async def ask_one(node_id):
@@ -214,9 +218,10 @@
                 self._slow.pop(node_id, None)
                 took = self._reactor.seconds() - waiting[node_id]
                 self._usual[kind] = took + 0.9 * (self._usual.get(kind, took) - took)
+            except HeldBack:
+                pass
             except OakError as error:
                 self._slow[node_id] = self._reactor.seconds() + STORE_CALL_TIME
-                self._node.log.event("storeFailed", store=node_id, reason=error.reason)
                 self._adopt(error)
             del waiting[node_id]
             if not answered.called:
@@ -257,8 +262,8 @@
                 if time_left <= 0:
                     return
                 try:
-                    state = await self._node.net.call(
-                        stores.everyone[node_id]["peer"], "turnRecall", time_left, turn_id=missing, bodies=True
+                    state = await self.calls.call(
+                        node_id, stores.everyone[node_id]["peer"], "turnRecall", time_left, turn_id=missing, bodies=True
                     )
                 except OakError:
                     break
@@ -288,7 +293,8 @@
                 asked += 1
                 try:
                     answers.append(
-                        await self._node.net.call(
+                        await self.calls.call(
+                            node_id,
                             stores.readers[node_id]["peer"],
                             "turnRetain",
                             call_time,
--- /dev/null
+++ b/tests/test_store_calls.py
@@ -0,0 +1,180 @@
+"""Calls to stores that fail are held back. One column a node; time runs down."""
+
+import random
+import unittest
+from types import SimpleNamespace
+
+from twisted.internet import defer
+
+from oakbase.constants import STORE_CALL_TIME, STORE_HOLD_FIRST, STORE_HOLD_MOST
+from oakbase.logline import LogLine
+from oakbase.metrics import Metrics
+from oakbase.verdict import CannotTell, Fenced, NoAnswer, RingFull, Unreachable
+from oaklab.plan import Size
+from oaklab.simfleet import SimFleet
+from oakstore.store_calls import HeldBack, StoreCalls
+from oakstore.turns import Record, TurnClient
+
+REQUESTS = 40  # that wait at one gate while its stores are away
+AWAY = 5.0  # s
+
+
+class Clock:
+    now = 0.0
+
+    def seconds(self):
+        return self.now
+
+
+class StoreCallsTest(unittest.TestCase):
+    def setUp(self):
+        self.lines, self.clock, self.sent = [], Clock(), []
+        self.answer = lambda: defer.succeed("yes")
+        node = SimpleNamespace(
+            reactor=self.clock,
+            random=random.Random(4),
+            log=LogLine(self.lines.append),
+            net=SimpleNamespace(call=self.net),
+        )
+        self.calls = StoreCalls(node)
+
+    def net(self, peer, method, time_left, **arguments):
+        self.sent.append(self.clock.now)
+        return self.answer()
+
+    def fails(self, error):
+        self.answer = lambda: defer.fail(error)
+
+    def call(self, time_left=STORE_CALL_TIME):
+        """The outcome's list: empty as long as it is not known."""
+        outcome = []
+        defer.ensureDeferred(self.calls.call("s", "1.2.3.4:5", "lineGet", time_left)).addCallbacks(
+            outcome.append, lambda failure: outcome.append(failure.value)
+        )
+        return outcome
+
+    def test_pauses_double_to_a_bound_and_one_line_tells_each_change(self):
+        """
+        gate, asked each millisecond    store
+        one call, then a pause  ----->  refuses, for 10 s
+        one call, a longer pause  --->
+        one call  ------------------->  answers: all go through again
+        """
+        self.fails(Unreachable("refused"))
+        for millisecond in range(10_000):
+            self.clock.now = millisecond / 1000
+            self.assertIsInstance(self.call()[0], Unreachable)
+        pauses = [after - before for before, after in zip(self.sent, self.sent[1:])]
+        self.assertLessEqual(STORE_HOLD_FIRST / 2, pauses[0])
+        self.assertLessEqual(max(pauses), STORE_HOLD_MOST + 0.002)
+        self.assertTrue(all(pause >= STORE_HOLD_MOST / 2 for pause in pauses[5:]))
+        self.assertGreater(len({round(pause, 3) for pause in pauses[5:]}), 5)  # drawn at random
+        self.assertEqual(["storeFailed" in line for line in self.lines], [True])
+        self.answer = lambda: defer.succeed("yes")
+        self.clock.now += STORE_HOLD_MOST
+        self.assertEqual([self.call()[0] for _ in range(5)], ["yes"] * 5)
+        self.assertEqual(len(self.lines), 2)
+        self.assertIn("event=storeAnswers", self.lines[1])
+        metrics = Metrics()
+        self.calls.show(metrics)
+        self.assertIn(f'oak_store_calls{{outcome="failed"}} {len(pauses) + 1}\n', metrics.to_text())
+        self.assertIn('oak_store_calls{outcome="answered"} 5\n', metrics.to_text())
+        self.assertIn("oak_stores_failing 0\n", metrics.to_text())
+
+    def test_one_call_goes_through_after_a_pause(self):
+        self.fails(NoAnswer("lost"))
+        self.call()
+        self.clock.now += STORE_HOLD_FIRST
+        waiting = defer.Deferred()
+        self.answer = lambda: waiting
+        first, second = self.call(), self.call()
+        self.assertEqual(first, [])
+        self.assertIsInstance(second[0], HeldBack)
+        waiting.callback("yes")
+        self.answer = lambda: defer.succeed("yes")
+        self.assertEqual((first, self.call()), (["yes"], ["yes"]))
+
+    def test_calls_that_fail_together_lengthen_the_pause_once(self):
+        together = [defer.Deferred() for _ in range(20)]
+        answers = iter(together)
+        self.answer = lambda: next(answers)
+        for _ in together:
+            self.call()
+        self.clock.now += 0.001
+        for one in together:
+            one.errback(Fenced("epoch 0 is not 1"))
+        self.clock.now += STORE_HOLD_FIRST
+        self.answer = lambda: defer.succeed("yes")
+        self.assertEqual(self.call(), ["yes"])
+
+    def test_what_says_nothing_of_the_store_holds_nothing_back(self):
+        """Neither an error of what was asked, nor too little time for an answer."""
+        for error in CannotTell("a chain is not here"), RingFull("no room"):
+            self.fails(error)
+            self.call()
+            self.answer = lambda: defer.succeed("yes")
+            self.assertEqual(self.call(), ["yes"])
+        late = defer.Deferred()
+        self.answer = lambda: late
+        self.call(0.05)
+        self.clock.now += 0.05
+        late.errback(NoAnswer("no answer in time"))
+        self.answer = lambda: defer.succeed("yes")
+        self.assertEqual(self.call(), ["yes"])
+        self.assertEqual(self.lines, [])
+
+    def test_a_new_set_lets_calls_through(self):
+        self.fails(Fenced("epoch 1 is not 2"))
+        self.call()
+        self.assertIsInstance(self.call()[0], HeldBack)
+        self.calls.forget()
+        self.answer = lambda: defer.succeed("yes")
+        self.assertEqual(self.call(), ["yes"])
+
+
+class Storm(unittest.TestCase):
+    def test_requests_that_wait_for_stores_do_not_storm_them(self):
+        """
+        gate with 40 requests              stores
+                                           all lose power
+        asks each a few times a second     refuse
+        one line for each store
+                                           are back
+        every request is served
+        """
+        fleet = SimFleet(11, Size(2, 3, 3, ()), 1 << 20).bring_up(plans=False)
+        fleet.run(2.0)
+        gate = fleet.of_kind("gate")[0].node.node
+        client = TurnClient(gate)
+
+        async def keep(name):
+            await client.retain("s" + name, Record(name, None, "s" + name, b"in", b"out"), None, 5, 60)
+
+        fleet.until(keep("a"))
+        stores = fleet.of_kind("store")
+        for store in stores:
+            store.kill()
+        lines = len(fleet.lines)
+        outcomes = []
+        for number in range(REQUESTS):
+            defer.ensureDeferred(client.recall("a", AWAY + 3.0)).addCallbacks(
+                lambda recalled: outcomes.append(recalled.turn_ids), lambda failure: outcomes.append(failure.value)
+            )
+        fleet.run(AWAY)
+        failed = [
+            line
+            for line in fleet.lines[lines:]
+            if "event=storeFailed" in line and f"node={gate.env['machine']} " in line
+        ]
+        self.assertLessEqual(len(failed), len(stores))
+        # The first calls of all requests leave together; from then on a store is asked once in a pause.
+        pauses = AWAY / (STORE_HOLD_MOST / 2) + 6
+        self.assertLessEqual(client.calls.counts["failed"], len(stores) * (REQUESTS + pauses))
+        for store in stores:
+            store.start()
+        fleet.run(3.0)
+        self.assertEqual(outcomes, [frozenset({"a"})] * REQUESTS)
+
+
+if __name__ == "__main__":
+    unittest.main()
