--- a/packages/oakctl/oakctl/disk.py
+++ b/packages/oakctl/oakctl/disk.py
@@ -5,11 +5,11 @@
 
 from oakcohort.identity import IDENTITY_FILE
 from oakring.check import RING_FILE, check_ring
+from oakring.disk import UNFINISHED
 from oakstore.store import EMPTYING
 
 WELL, WORTH_A_LOOK, DAMAGED = 0, 3, 4  # exit codes, as those of the doctor
 IDENTITY_FIELDS = "nodeId", "clusterId", "addresses"
-UNFINISHED = ".new"  # what a file is called until it is whole
 
 
 def check_folder(folder):
@@ -63,6 +63,6 @@
 def _others(names):
     for name in names:
         if name.endswith(UNFINISHED):
-            yield WORTH_A_LOOK, f"{name}: a write that was cut off; the next one replaces it"
+            yield WORTH_A_LOOK, f"{name}: a write that was cut off; the next start removes it"
         elif name != IDENTITY_FILE and not RING_FILE.fullmatch(name):
             yield WORTH_A_LOOK, f"{name}: no file of a node"
--- a/packages/oakring/oakring/disk.py
+++ b/packages/oakring/oakring/disk.py
@@ -11,11 +11,15 @@
 from twisted.internet import defer
 
 
+UNFINISHED = ".new"  # what a file is called until it is whole
+
+
 class FolderDisk:
     def __init__(self, reactor, folder):
         self._reactor, self._folder = reactor, folder
-        os.makedirs(folder, exist_ok=True)
-        self._sync_folder()
+        self._make_folder()
+        self._drop_unfinished()
+        self._sync_folder(folder)
         # One thread: the syncs of a ring follow one another, so more would only wait.
         self._orders = SimpleQueue()
         self._thread = Thread(target=self._sync_orders, name="oakdisk", daemon=True)
@@ -25,8 +29,25 @@
     def _path(self, name):
         return os.path.join(self._folder, name)
 
-    def _sync_folder(self):
-        handle = os.open(self._folder, os.O_RDONLY)
+    def _make_folder(self):
+        """Makes it with all that it stands in, each of them synced into the one around it."""
+        missing, around = [], self._folder
+        while around and not os.path.isdir(around):
+            missing.append(around)
+            around = os.path.dirname(around)
+        for folder in reversed(missing):
+            os.makedirs(folder, exist_ok=True)
+            self._sync_folder(os.path.dirname(folder) or os.curdir)
+
+    def _drop_unfinished(self):
+        """What a former process did not get whole, or a loss of power left of a name that was changed."""
+        for name in self.names():
+            if name.endswith(UNFINISHED):
+                os.unlink(self._path(name))
+
+    @staticmethod
+    def _sync_folder(folder):
+        handle = os.open(folder, os.O_RDONLY)
         try:
             os.fsync(handle)
         finally:
@@ -38,11 +59,11 @@
     def create(self, name, size):
         """A file of zeros that is there in its full size or not at all, whenever the process ends: one that is too
         short could not be told from one that was damaged."""
-        handle = os.open(self._path(name + ".new"), os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
+        handle = os.open(self._path(name + UNFINISHED), os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
         os.posix_fallocate(handle, 0, size)
         os.fsync(handle)
-        os.rename(self._path(name + ".new"), self._path(name))
-        self._sync_folder()
+        os.rename(self._path(name + UNFINISHED), self._path(name))
+        self._sync_folder(self._folder)
         self._handles[name] = handle
 
     def size(self, name):
@@ -67,7 +88,7 @@
         if handle is not None:
             os.close(handle)
         os.unlink(self._path(name))
-        self._sync_folder()
+        self._sync_folder(self._folder)
 
     def write(self, name, offset, data):
         if name not in self._handles:
@@ -103,14 +124,16 @@
 
     def replace(self, name, data):
         """A whole small file, on the disk when this returns; used at start and for rare changes only."""
-        handle = os.open(self._path(name + ".new"), os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        handle = os.open(self._path(name + UNFINISHED), os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
         try:
-            os.write(handle, data)
+            view = memoryview(data)
+            while view:  # the system may take less than it is given
+                view = view[os.write(handle, view) :]
             os.fsync(handle)
         finally:
             os.close(handle)
-        os.rename(self._path(name + ".new"), self._path(name))
-        self._sync_folder()
+        os.rename(self._path(name + UNFINISHED), self._path(name))
+        self._sync_folder(self._folder)
 
     def close(self):
         self._orders.put(None)
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -1,12 +1,17 @@
 """The folder of a node on a real disk: a process may end anywhere, and the next one finds what it can use."""
 
+import os
+import random
 import tempfile
 import unittest
 from unittest import mock
 
 from oakbase.logline import LogLine
+from oaklab.simdisk import PowerLost
+from oaklab.simfolder import SimFolder
 from oakring.disk import FolderDisk
 from oakring.ring import Ring
+from oakstore.store import EMPTYING, _clear
 
 SIZE = 1 << 16  # bytes of a file of the ring
 
@@ -61,6 +66,115 @@
         disk.create("ring.000", SIZE)
         self.assertEqual(disk.read("ring.000"), bytes(SIZE))
 
+    def test_a_small_file_is_written_whole(self):
+        """The system may take less of a write than it was given."""
+        write = os.write
+        with mock.patch("oakring.disk.os.write", lambda handle, data: write(handle, data[:3])):
+            self.disk().replace("identity", b"a whole identity")
+        self.assertEqual(self.disk().read("identity"), b"a whole identity")
+
+    def test_a_new_folder_lasts(self):
+        """Each folder that was made is synced into the one it stands in, from the outermost on."""
+        synced, fsync = [], os.fsync
+
+        def record(handle):
+            synced.append(os.readlink(f"/proc/self/fd/{handle}"))
+            fsync(handle)
+
+        base = self.folder
+        self.folder = os.path.join(base, "one", "two")
+        with mock.patch("oakring.disk.os.fsync", record):
+            self.disk()
+        self.assertEqual(synced, [base, os.path.join(base, "one"), self.folder])
+
+
+class FolderLosesPower(unittest.TestCase):
+    """The folder model is that of oaklab.simfolder."""
+
+    NAMES = "identity", "emptying", "ring.000", "ring.001"
+
+    def test_each_change_is_whole_or_has_not_begun(self):
+        """
+        node                                     folder
+        makes, replaces and removes files  --->  loses power before any system call
+        looks again                        <---  each file as the last call that returned left it, or, for the one that was
+                                                 under way, as before it or as after it
+        """
+        for seed in range(400):
+            with self.subTest(seed=seed):
+                self.play(random.Random(seed))
+
+    def test_a_store_that_is_emptied_is_whole_or_goes_on_with_it(self):
+        """
+        store                                  folder
+        writes the mark, removes the rest,     loses power before any system call, and again while the next start
+        the mark last                  --->    goes on with it
+        starts                         <---    all files and no mark, the mark, or nothing at all
+        """
+        files = set(self.NAMES) - {EMPTYING}
+        for seed in range(120):
+            with self.subTest(seed=seed):
+                chance = random.Random(seed)
+                folder = SimFolder("/folder", chance)
+                with mock.patch("oakring.disk.os", folder):
+                    disk = self.started(folder)
+                    for name in files:
+                        disk.replace(name, b"x")
+                    while set(disk.names()):
+                        folder.loses_power_at = folder.calls + chance.randrange(1, 25)
+                        try:
+                            disk.replace(EMPTYING, b"")
+                            _clear(disk)
+                        except PowerLost:
+                            folder.lose_power()
+                        folder.loses_power_at = None
+                        disk = self.started(folder)
+                        if EMPTYING not in disk.names():
+                            self.assertIn(set(disk.names()), (files, set()))
+
+    def play(self, chance):
+        folder = SimFolder("/folder", chance)
+        with mock.patch("oakring.disk.os", folder), mock.patch("oakring.disk.open", folder.open_to_read, create=True):
+            known = {}
+            for _ in range(5):
+                disk = self.started(folder)
+                found = self.content(disk)
+                for name in self.NAMES:
+                    self.assertIn(found.get(name), known.get(name, {None}), name)
+                known = {name: {found.get(name)} for name in self.NAMES}
+                folder.loses_power_at = folder.calls + chance.randrange(1, 60)
+                try:
+                    while True:
+                        self.change(disk, chance, known)
+                except PowerLost:
+                    pass
+                folder.lose_power()
+
+    def started(self, folder):
+        with mock.patch("oakring.disk.Thread"):
+            return FolderDisk(mock.Mock(), "/folder")
+
+    def content(self, disk):
+        return {name: disk.read(name) for name in disk.names() if name in self.NAMES}
+
+    def change(self, disk, chance, known):
+        """`known` maps each name to what it may hold; a change adds what it makes, and then leaves only that."""
+        name = chance.choice(self.NAMES)
+        there = name in disk.names()
+        data = chance.choice((chance.randbytes(chance.randrange(50)), None))
+        if data is None and not there:
+            return
+        if data is not None and name.startswith("ring"):
+            data = bytes(40)
+        known[name].add(data)
+        if data is None:
+            disk.remove(name)
+        elif name.startswith("ring"):
+            disk.create(name, 40)
+        else:
+            disk.replace(name, data)
+        known[name] = {data}
+
 
 if __name__ == "__main__":
     unittest.main()
