--- a/packages/oakcohort/oakcohort/identity.py
+++ b/packages/oakcohort/oakcohort/identity.py
@@ -4,6 +4,9 @@
 
 import json
 
+from oakbase.verdict import RingDamaged
+from oakring.ring import RING_PREFIX
+
 IDENTITY_FILE = "identity"
 
 
@@ -21,6 +24,8 @@
         self._disk = disk
         kept = self._read()
         self.is_new = kept is None
+        if self.is_new:
+            self._refuse_orphaned_ring()
         if kept is None:
             kept = {
                 "nodeId": founding["nodeId"] if founding else mint_node_id(machine, random),
@@ -38,6 +43,11 @@
             return None
         return json.loads(self._disk.read(IDENTITY_FILE))
 
+    def _refuse_orphaned_ring(self):
+        """The identity is on the disk before a ring is made, so a ring without one is another node's, whose name is lost."""
+        if self._disk is not None and any(name.startswith(RING_PREFIX) for name in self._disk.names()):
+            raise RingDamaged("the identity is missing, though a ring is there")
+
     def _keep(self):
         if self._disk is not None:
             self._disk.replace(
--- a/packages/oakctl/oakctl/disk.py
+++ b/packages/oakctl/oakctl/disk.py
@@ -30,7 +30,7 @@
     if IDENTITY_FILE not in names:
         has_ring = any(RING_FILE.fullmatch(name) for name in names)
         if has_ring:
-            yield DAMAGED, "identity: missing, though a ring is there; a start would give this ring to a new node"
+            yield DAMAGED, "identity: missing, though a ring is there"
         return
     try:
         with open(os.path.join(folder, IDENTITY_FILE), "rb") as file:
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -474,6 +474,13 @@
         "",
         "test_disk.FolderDiskTest.test_a_new_folder_lasts",
     ),
+    TakeOut(
+        "a ring without its identity",
+        "oakcohort/oakcohort/identity.py",
+        "            self._refuse_orphaned_ring()\n",
+        "            pass\n",
+        "test_program.DamagedDisk.test_a_node_whose_disk_is_damaged_stays_and_says_so",
+    ),
     TakeOut(
         "swapped ring files",
         "oakring/oakring/ring.py",
--- a/packages/oakring/oakring/ring.py
+++ b/packages/oakring/oakring/ring.py
@@ -30,6 +30,7 @@
 from oakbase.tasks import spawn
 from oakbase.verdict import RingDamaged, RingError, RingFull
 
+RING_PREFIX = "ring."  # what the names of a ring's files begin with
 LAP_MARK = b"OAKRING\0"
 LAP = struct.Struct("<8sIQQQ")
 LAP_SIZE = LAP.size + 4
@@ -251,11 +252,11 @@
     # --- recovery ---
 
     def _file_name(self, lap):
-        return f"ring.{lap % self._file_count:03d}"
+        return f"{RING_PREFIX}{lap % self._file_count:03d}"
 
     def _recover(self):
         """Never holds more than one file's content at a time."""
-        file_names = [f"ring.{index:03d}" for index in range(self._file_count)]
+        file_names = [f"{RING_PREFIX}{index:03d}" for index in range(self._file_count)]
         existing = set(self._disk.names())
         heads = self._read_heads([name for name in file_names if name in existing])
         # All files are made before the first lap is begun, so one that is missing later was lost.
