--- a/packages/oakgate/oakgate/relay.py
+++ b/packages/oakgate/oakgate/relay.py
@@ -10,6 +10,7 @@
 
 import base64
 import math
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
@@ -35,7 +36,7 @@
     STALLED_TIMES,
     TURN_OUTPUT_LIMIT,
 )
-from oakbase.tasks import shielded, sleep, spawn, within
+from oakbase.tasks import begin, shielded, sleep, spawn, within
 from oakbase.verdict import (
     BadRequest,
     Broken,
@@ -81,6 +82,29 @@
     head_passed: bool = False
 
 
+class CallerGone(OakError):
+    """The caller went away, and what was under way for it was given up."""
+
+    code = "callerGone"
+
+
+@contextmanager
+def when_gone(exchange, function):
+    """While inside, `function` is called as soon as the caller has gone; at once if it has."""
+    inside = [True]
+
+    def gone(result):
+        if inside:
+            function()
+        return result
+
+    exchange.gone.addCallback(gone)
+    try:
+        yield
+    finally:
+        inside.clear()
+
+
 def print_of(*parts):
     return blake2b(b"\0".join(parts), digest_size=16).hexdigest()
 
@@ -173,8 +197,7 @@
         why = await self._news.wait(exchange.received_at + HOLD_SHARE * (request.time_left_s or 0.0))
         if why is not None:
             raise CannotTell(why)
-        if exchange.is_gone:
-            raise TimeSpent("the caller went away")
+        self._check_caller(exchange)
         route = self._router.find(exchange.host, exchange.path)
         if route is None:
             raise Unknown("no route for this host and path")
@@ -183,6 +206,18 @@
         passage.affinity = (request.program or "") if route.pinned or route.kind == "stream" else ""
         await self._chains[route.kind](passage)
 
+    @staticmethod
+    def _check_caller(exchange):
+        """Before anything more is done for a caller."""
+        if exchange.is_gone:
+            raise CallerGone("the caller went away", Verdict.NO)
+
+    @staticmethod
+    def _stops_with_caller(passage):
+        """What may be repeated, and a stream that nobody reads, is dropped at its replica. A call that runs only once runs
+        to its end: breaking it off undoes nothing, and the answer to a key is kept for its repeat."""
+        return passage.route.kind in ("safe", "stream")
+
     @staticmethod
     def _may_repeat(route):
         return route.kind == "safe" or (route.kind == "stream" and route.resumable)
@@ -196,8 +231,7 @@
     # --- plain and keyed calls ---
 
     async def _plain(self, passage):
-        status, headers, parts, answer = await self._carry(passage, self._gather)
-        await self._pass_answer(passage, status, headers, parts, answer)
+        await self._carry(passage, self._relay_answer)
 
     async def _tracked(self, passage):
         """A keyed call is claimed on a majority of disks before it may leave, and its answer kept before it is passed
@@ -220,10 +254,7 @@
             self._pass_kept(passage, claimed["answer"])
             return
         try:
-            status, headers, parts, answer = await self._carry(passage, self._gather)
-            if answer is not None:
-                body = await answer.read(self._body_limit())
-                parts = [b"".join(parts) + body]
+            status, headers, body = await self._carry(passage, self._gather_whole)
         except OakError as error:
             if error.verdict is Verdict.NO:
                 await self._finish_claim(passage, key, "free", pairs)
@@ -232,7 +263,6 @@
             if not passage.left:
                 self._gate.background(self._owners.call_until_done(key, "free", pairs))
             raise
-        body = b"".join(parts)
         kept = {
             "status": status,
             "headers": [[name.decode("latin-1"), value.decode("latin-1")] for name, value in headers],
@@ -277,6 +307,17 @@
             size += len(part)
         return answer.status, self._dialect.answer_headers(answer.headers), parts, answer
 
+    async def _gather_whole(self, passage, answer, instance):
+        """The answer with its whole body."""
+        status, headers, parts, rest = await self._gather(passage, answer, instance)
+        if rest is not None:
+            parts.append(await rest.read(self._body_limit()))
+        return status, headers, b"".join(parts)
+
+    async def _relay_answer(self, passage, answer, instance):
+        """Passes the answer on, a long one as it comes."""
+        await self._pass_answer(passage, *await self._gather(passage, answer, instance))
+
     async def _pass_answer(self, passage, status, headers, parts, answer):
         exchange = passage.exchange
         if answer is None:
@@ -311,9 +352,8 @@
         a promise, and after anything else only if the request may be repeated."""
         unsure = None
         while True:
-            if passage.exchange.is_gone:
-                raise unsure or TimeSpent("the caller went away")
             try:
+                self._check_caller(passage.exchange)
                 instance, service = await self._place(passage)
             except OakError as error:
                 raise (unsure or error) from None
@@ -325,7 +365,8 @@
                 continue
             except OakError as error:
                 passage.excluded.add(instance.row["id"])
-                self._judge(instance, error)
+                if not isinstance(error, CallerGone):
+                    self._judge(instance, error)
                 if error.verdict is not Verdict.NO:
                     unsure = error
                 if not self._may_go_on(passage, error):
@@ -347,6 +388,8 @@
     def _may_go_on(self, passage, error):
         if self._reactor.seconds() >= passage.ends_at or passage.tries >= passage.route.max_attempts:
             return False
+        if passage.exchange.begun and not passage.head_passed:
+            return False  # a long plain answer, of which a part has been passed on
         return error.verdict is Verdict.NO or passage.may_repeat
 
     def _wish(self, passage, service):
@@ -381,7 +424,7 @@
             self._remaining(passage)
             route = self._route_now(passage)
             service = self._service_of(passage)
-            instance = await self._balancer.acquire(self._wish(passage, service))
+            instance = await self._acquire(passage, service)
             if (
                 self._router.staleness() is None
                 and self._route_now(passage) == route
@@ -390,6 +433,15 @@
                 return instance, service
             self._balancer.release(instance)
 
+    async def _acquire(self, passage, service):
+        """A replica with one place taken on it, unless the caller goes away meanwhile."""
+        acquiring = begin(self._balancer.acquire(self._wish(passage, service)))
+        try:
+            with when_gone(passage.exchange, acquiring.cancel):
+                return await acquiring
+        except defer.CancelledError:
+            raise CallerGone("the caller went away before there was room", Verdict.NO) from None
+
     def _route_now(self, passage):
         """The route as it stands now; a request follows its changes until it has been sent."""
         route = self._router.find(passage.exchange.host, passage.exchange.path)
@@ -424,8 +476,8 @@
         cap = self._router.services[service].get("max_connections") or 64
         most = max(2, math.ceil(cap / max(1, len(self._node.members.live("gate")))))
         sent = self._balancer.outliers.sent(instance)
-        try:
-            answer = await self._upstreams.send(
+        sending = begin(
+            self._upstreams.send(
                 row["address"],
                 row["id"],
                 exchange.method,
@@ -437,7 +489,19 @@
                 expect=(self._dialect.echo_header.decode(), passage.request.try_id),
                 max_connections=most,
             )
+        )
+
+        def stop_sending():
+            if not passage.left or self._stops_with_caller(passage):
+                sending.cancel()
+
+        try:
+            with when_gone(exchange, stop_sending):
+                answer = await sending
             self._balancer.outliers.answered(sent)
+        except defer.CancelledError:
+            verdict = Verdict.MAYBE if passage.left else Verdict.NO
+            raise CallerGone("the caller went away before its answer came", verdict) from None
         finally:
             self._balancer.outliers.ended(sent)
         said = self._dialect.answer_of(answer.status, answer.headers)
@@ -453,14 +517,23 @@
         if answer.status < 300 and not said.stamped:
             answer.abort()
             raise Broken("the replica's answer bears no stamp", Verdict.MAYBE)
-        watch = self._abort_when_gone(passage, answer)
+        return await self._receive(passage, answer, instance, receive)
+
+    async def _receive(self, passage, answer, instance, receive):
+        """What `receive` gives, which reads the answer to its end; if it doesn't, the replica is told so."""
+
+        def stop_reading():
+            if self._stops_with_caller(passage):
+                answer.abort()
+
         try:
-            return await receive(passage, answer, instance)
-        except BaseException:
+            with when_gone(passage.exchange, stop_reading):
+                return await receive(passage, answer, instance)
+        except BaseException as error:
             answer.abort()
+            if passage.exchange.is_gone and isinstance(error, OakError):
+                raise CallerGone("the caller went away while its answer came", Verdict.MAYBE) from error
             raise
-        finally:
-            watch.append(True)
 
     def _head_patience(self, passage, service, remaining):
         """How long to wait for the head of this replica's answer: all the time that is left, unless the request may go to
@@ -478,17 +551,6 @@
         except OakError:
             answer.abort()
 
-    @staticmethod
-    def _abort_when_gone(passage, answer):
-        over = []
-
-        def gone(_):
-            if not over:
-                answer.abort()
-
-        passage.exchange.gone.addCallback(gone)
-        return over
-
     # --- streams and turns ---
 
     async def _stream(self, passage):
@@ -580,10 +642,9 @@
         exchange, splitter = passage.exchange, self._dialect.event_splitter()
         is_stream = answer.status < 300
         if not is_stream:
-            gathered = await self._gather(passage, answer, instance)
             if passage.head_passed:
                 raise Broken(f"the replica that was to go on answered {answer.status}")
-            await self._pass_answer(passage, *gathered)
+            await self._relay_answer(passage, answer, instance)
             return False
         if not passage.head_passed:
             passage.head = (answer.status, self._dialect.stream_headers(answer.headers))
