--- a/packages/oakgate/oakgate/relay.py
+++ b/packages/oakgate/oakgate/relay.py
@@ -311,7 +311,14 @@
         """The answer with its whole body."""
         status, headers, parts, rest = await self._gather(passage, answer, instance)
         if rest is not None:
-            parts.append(await rest.read(self._body_limit()))
+            parts.append(
+                await within(
+                    self._reactor,
+                    self._remaining_run(passage),
+                    rest.read(self._body_limit()),
+                    NoAnswer("the replica's answer did not end in time"),
+                )
+            )
         return status, headers, b"".join(parts)
 
     async def _relay_answer(self, passage, answer, instance):
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -103,6 +103,13 @@
         "if False:",
         "test_relay_calls.Streams.test_a_long_failure_that_is_cut_is_not_begun_again",
     ),
+    TakeOut(
+        "a long answer to a key ends with the time",
+        "oakgate/oakgate/relay.py",
+        "                    self._remaining_run(passage),\n                    rest.read(self._body_limit()),",
+        "                    1e9,\n                    rest.read(self._body_limit()),",
+        "test_relay_calls.Deadlines.test_a_long_answer_to_a_key_that_stops_coming_ends_with_the_time",
+    ),
     TakeOut(
         "a lost yes is not followed by a no",
         "oakcontrol/oakcontrol/client.py",
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -128,6 +128,15 @@
             self.setUp()
 
 
+class Deadlines(Calls):
+    def test_a_long_answer_to_a_key_that_stops_coming_ends_with_the_time(self):
+        caller = self.gate.ask(request("tracked", Operation_Key="k", time_left=1000))
+        replica = self.gate.replica()
+        replica.feed(answer(body=b"x" * (3 * ANSWER_HELD))[: 2 * ANSWER_HELD])
+        self.gate.run(1.2)
+        self.assertEqual((self.said(caller).status, replica.ended is None), (504, False))
+
+
 class Streams(Calls):
     def test_a_long_failure_that_is_cut_is_not_begun_again(self):
         caller = self.gate.ask(request("stream"))
