--- a/packages/oakgate/oakgate/relay.py
+++ b/packages/oakgate/oakgate/relay.py
@@ -201,7 +201,8 @@
         route = self._router.find(exchange.host, exchange.path)
         if route is None:
             raise Unknown("no route for this host and path")
-        ends_at = exchange.received_at + min(request.time_left_s or route.timeout_s, route.timeout_s)
+        time_left = route.timeout_s if request.time_left_s is None else min(request.time_left_s, route.timeout_s)
+        ends_at = exchange.received_at + time_left
         passage = Passage(exchange, request, route, ends_at, self._may_repeat(route), body=exchange.body)
         passage.affinity = (request.program or "") if route.pinned or route.kind == "stream" else ""
         await self._chains[route.kind](passage)
@@ -477,9 +478,12 @@
     async def _send(self, passage, instance, service, receive):
         exchange, row = passage.exchange, instance.row
         remaining = self._remaining(passage)
-        headers = self._dialect.headers_to_replica(
-            exchange.headers, row["id"], remaining, len(passage.body), passage.last_id
-        )
+
+        def headers():
+            return self._dialect.headers_to_replica(
+                exchange.headers, row["id"], self._remaining_run(passage), len(passage.body), passage.last_id
+            )
+
         cap = self._router.services[service].get("max_connections") or 64
         most = max(2, math.ceil(cap / max(1, len(self._node.members.live("gate")))))
         sent = self._balancer.outliers.sent(instance)
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -110,6 +110,20 @@
         "                    1e9,\n                    rest.read(self._body_limit()),",
         "test_relay_calls.Deadlines.test_a_long_answer_to_a_key_that_stops_coming_ends_with_the_time",
     ),
+    TakeOut(
+        "a replica is handed the time left at the first byte",
+        "oakrelay/oakrelay/upstream.py",
+        "                if not is_reused:\n                    data",
+        "                if False:\n                    data",
+        "test_relay_calls.Deadlines.test_a_replica_is_handed_what_is_left_when_it_is_sent",
+    ),
+    TakeOut(
+        "no time left is not all the time",
+        "oakgate/oakgate/relay.py",
+        "if request.time_left_s is None else",
+        "if not request.time_left_s else",
+        "test_relay_calls.Deadlines.test_no_time_left_is_not_all_the_time",
+    ),
     TakeOut(
         "a lost yes is not followed by a no",
         "oakcontrol/oakcontrol/client.py",
--- a/packages/oakrelay/oakrelay/upstream.py
+++ b/packages/oakrelay/oakrelay/upstream.py
@@ -372,13 +372,10 @@
         expect=None,
         max_connections=None,
     ):
-        """The head of the answer. `last_check` runs in the turn in which the first byte leaves, and may raise;
-        `expect` is a (name, value) that the answer must bear."""
+        """The head of the answer. `headers()` gives the fields as they are when the first byte leaves, `last_check` runs
+        in that turn, and may raise; `expect` is a (name, value) that the answer must bear."""
         ends_at = self.reactor.seconds() + time_left
-        try:
-            data = _request_bytes(address, method, target, headers, body)
-        except Malformed as fault:
-            raise BadRequest(str(fault)) from fault
+        data = _request_bytes(address, method, target, headers(), body)
         while True:
             connection = self._take(address, instance_id)
             is_reused = connection is not None
@@ -387,6 +384,8 @@
             try:
                 if ends_at <= self.reactor.seconds():
                     raise TimeSpent("no time left for the request")
+                if not is_reused:
+                    data = _request_bytes(address, method, target, headers(), body)  # connecting has taken time
                 if last_check is not None:
                     last_check()
             except Exception:
@@ -508,6 +507,9 @@
         fields.append((b"Host", address.encode("ascii")))
     verb = method.encode("latin-1", "replace")
     if not _METHOD.fullmatch(verb) or not _TARGET.fullmatch(target):
-        raise Malformed("a method or target that cannot be sent")
+        raise BadRequest("a method or target that cannot be sent")
     length = b"Content-Length: %d\r\n" % len(body) if body or method in ("POST", "PUT", "PATCH") else b""
-    return join_head(b"%b %b HTTP/1.1\r\n" % (verb, target), fields, length) + body
+    try:
+        return join_head(b"%b %b HTTP/1.1\r\n" % (verb, target), fields, length) + body
+    except Malformed as fault:
+        raise BadRequest(str(fault)) from fault
