--- a/packages/oakgate/oakgate/relay.py
+++ b/packages/oakgate/oakgate/relay.py
@@ -74,7 +74,7 @@
     body: bytes = b""
     affinity: str = ""
     service: str = ""
-    events: int = 0
+    units: int = 0  # tokens in the events that were passed on
     last_id: str = None
     output: list = field(default_factory=list)
     output_size: int = 0
@@ -586,15 +586,18 @@
         except OakError as error:
             return False, error
 
-    def _tokens_per_event(self, passage):
-        service = self._router.services[passage.route.backends[0][0]]
-        return service.get("tokens_per_event") or 1
+    def _tokens_per_event(self, service):
+        return self._router.services.get(service, {}).get("tokens_per_event") or 1
+
+    def _most_units(self, passage):
+        """The most that the turn may put out at any service of its route, in whole events."""
+        per_event = [self._tokens_per_event(service) for service, weight in passage.route.backends if weight]
+        return max(max(1, math.ceil((passage.request.tokens_most or 1) / one)) * one for one in per_event)
 
     async def _admitted(self, passage, recalling):
         """Reserves the most that the turn may put out; whatever happens after, what came out is settled."""
         request = passage.request
-        per_event = self._tokens_per_event(passage)
-        reserve = max(1, math.ceil((request.tokens_most or 1) / per_event)) * per_event
+        reserve = self._most_units(passage)
         self._gate.check_settling()
         key = "allowance/" + print_of(request.program.encode())
         try:
@@ -615,7 +618,7 @@
             await self._turn(passage, recalling)
         finally:
             # What was passed on counts, and all of it once a run may have passed on more than we know.
-            self._settler.settle(key, request.try_id, passage.events * per_event)
+            self._settler.settle(key, request.try_id, passage.units)
 
     async def _turn(self, passage, recalling):
         recalled = None
@@ -668,7 +671,7 @@
             whole = splitter.feed(part)
             if whole:
                 self._note_first(passage, instance)
-                self._pass_on(passage, whole)
+                self._pass_on(passage, whole, self._tokens_per_event(instance.row["pool"]))
                 await exchange.wait_writable()
         if splitter.rest.strip():
             raise Broken("the stream ended within an event")
@@ -694,7 +697,7 @@
         status, headers = passage.head
         passage.exchange.start(status, headers, None)
 
-    def _pass_on(self, passage, whole):
+    def _pass_on(self, passage, whole, tokens_per_event):
         """Events that were passed on already by an earlier replica are left out."""
         chunks = []
         for raw, event_id, data in whole:
@@ -703,7 +706,7 @@
             chunks.append(raw)
             if event_id is not None:
                 passage.last_id = event_id
-                passage.events += 1
+                passage.units += tokens_per_event
             if passage.route.retained and data is not None:
                 passage.output_size += len(data) + 1
                 if passage.output_size > TURN_OUTPUT_LIMIT:
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -124,6 +124,13 @@
         "if not request.time_left_s else",
         "test_relay_calls.Deadlines.test_no_time_left_is_not_all_the_time",
     ),
+    TakeOut(
+        "events count by their own service",
+        "oakgate/oakgate/relay.py",
+        'self._pass_on(passage, whole, self._tokens_per_event(instance.row["pool"]))',
+        "self._pass_on(passage, whole, self._tokens_per_event(passage.route.backends[0][0]))",
+        "test_relay_calls.Budgets.test_events_count_by_the_service_that_put_them_out",
+    ),
     TakeOut(
         "a lost yes is not followed by a no",
         "oakcontrol/oakcontrol/client.py",
--- a/tests/relay_bench.py
+++ b/tests/relay_bench.py
@@ -224,6 +224,10 @@
         """The connection that was dialled last, now made."""
         return self.reactor.dialled[-1].connected()
 
+    def host_of(self, name):
+        """Where a replica is."""
+        return self.balancer.instances[name].row["address"].rpartition(":")[0]
+
     def dialled(self):
         return len(self.reactor.dialled)
 
