--- a/packages/oakgate/oakgate/relay.py
+++ b/packages/oakgate/oakgate/relay.py
@@ -75,7 +75,8 @@
     affinity: str = ""
     service: str = ""
     units: int = 0  # tokens in the events that were passed on
-    last_id: str = None
+    last_id: str = None  # of the events that the caller has
+    is_numbered: bool = True  # whether all of them with data have an id
     output: list = field(default_factory=list)
     output_size: int = 0
     head: tuple = None
@@ -204,6 +205,8 @@
         time_left = route.timeout_s if request.time_left_s is None else min(request.time_left_s, route.timeout_s)
         ends_at = exchange.received_at + time_left
         passage = Passage(exchange, request, route, ends_at, self._may_repeat(route), body=exchange.body)
+        if passage.may_repeat and route.kind == "stream":
+            passage.last_id = request.resume_after  # what its caller has had already
         passage.affinity = (request.program or "") if route.pinned or route.kind == "stream" else ""
         await self._chains[route.kind](passage)
 
@@ -396,8 +399,8 @@
     def _may_go_on(self, passage, error):
         if self._reactor.seconds() >= passage.ends_at or passage.tries >= passage.route.max_attempts:
             return False
-        if passage.exchange.begun and not passage.head_passed:
-            return False  # a long plain answer, of which a part has been passed on
+        if passage.exchange.begun and not (passage.head_passed and passage.is_numbered):
+            return False  # of what has been passed on, nobody could tell where it goes on
         return error.verdict is Verdict.NO or passage.may_repeat
 
     def _wish(self, passage, service):
@@ -707,6 +710,8 @@
             if event_id is not None:
                 passage.last_id = event_id
                 passage.units += tokens_per_event
+            elif data is not None:
+                passage.is_numbered = False
             if passage.route.retained and data is not None:
                 passage.output_size += len(data) + 1
                 if passage.output_size > TURN_OUTPUT_LIMIT:
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -99,7 +99,7 @@
     TakeOut(
         "a long answer that has begun is not begun again",
         "oakgate/oakgate/relay.py",
-        "if passage.exchange.begun and not passage.head_passed:",
+        "if passage.exchange.begun and not (passage.head_passed and passage.is_numbered):",
         "if False:",
         "test_relay_calls.Streams.test_a_long_failure_that_is_cut_is_not_begun_again",
     ),
@@ -131,6 +131,20 @@
         "self._pass_on(passage, whole, self._tokens_per_event(passage.route.backends[0][0]))",
         "test_relay_calls.Budgets.test_events_count_by_the_service_that_put_them_out",
     ),
+    TakeOut(
+        "a caller that resumes has had its events",
+        "oakgate/oakgate/relay.py",
+        "            passage.last_id = request.resume_after",
+        "            passage.last_id = None",
+        "test_relay_calls.Streams.test_a_client_that_resumes_gets_no_event_again",
+    ),
+    TakeOut(
+        "what has no number is not gone on with",
+        "oakgate/oakgate/relay.py",
+        "                passage.is_numbered = False",
+        "                pass",
+        "test_relay_calls.Streams.test_what_has_no_number_is_not_gone_on_with",
+    ),
     TakeOut(
         "a lost yes is not followed by a no",
         "oakcontrol/oakcontrol/client.py",
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -176,6 +176,32 @@
         self.assertFalse(self.said(caller).whole)
         self.assertEqual(self.gate.dialled(), 1)
 
+    def test_a_client_that_resumes_gets_no_event_again(self):
+        """Also from a replica that begins anew."""
+        caller = self.gate.ask(request("stream", Last_Event_Id="2"))
+        replica = self.gate.replica()
+        self.assertEqual(replica.value().lower().count(b"last-event-id: 2\r\n"), 1)
+        replica.feed(STREAM_HEAD + b"".join(map(event, range(1, 5))) + STREAM_END)
+        self.assertEqual(self.said(caller).body, b"id: 3\ndata: d3\n\nid: 4\ndata: d4\n\n")
+
+    def test_what_has_no_number_is_not_gone_on_with(self):
+        caller = self.gate.ask(request("stream"))
+        replica, raw = self.gate.replica(), b"data: nameless\n\n"
+        replica.feed(STREAM_HEAD + b"%x\r\n%b\r\n" % (len(raw), raw))
+        replica.peer_closes()
+        self.gate.run(0.1)
+        self.assertEqual((caller.ended is None, self.said(caller).whole, self.gate.dialled()), (False, False, 1))
+
+    def test_a_first_replica_that_put_out_nothing_leaves_no_head(self):
+        """Its stamp would stand over the events of another run."""
+        caller = self.gate.ask(request("stream"))
+        replica = self.gate.replica()
+        replica.feed(STREAM_HEAD)
+        replica.peer_closes()
+        self.gate.replica().feed(STREAM_HEAD.replace(b"st.1", b"st.2") + event(1) + STREAM_END)
+        said = self.said(caller)
+        self.assertEqual((said.header("Postmark"), said.body, said.whole), ("st.2", b"id: 1\ndata: d1\n\n", True))
+
 
 if __name__ == "__main__":
     unittest.main()
