--- a/packages/oakgate/oakgate/relay.py
+++ b/packages/oakgate/oakgate/relay.py
@@ -47,6 +47,7 @@
     OakError,
     Overloaded,
     Rebound,
+    Refused,
     TimeSpent,
     Unknown,
     Unreachable,
@@ -254,6 +255,11 @@
         except NoAnswer as error:
             self._gate.background(self._owners.call_until_done(key, "free", pairs))
             raise CannotTell(f"the claim's owner did not answer: {error.reason}") from error
+        except Refused as error:
+            if error.code != Refused.code:
+                raise
+            # Overtaken by a later claim that was taken back: nothing of it ran, and its caller may come again.
+            raise CannotTell(error.reason) from error
         if claimed["state"] == "done":
             self._pass_kept(passage, claimed["answer"])
             return
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -145,6 +145,13 @@
         "                pass",
         "test_relay_calls.Streams.test_what_has_no_number_is_not_gone_on_with",
     ),
+    TakeOut(
+        "a claim overtaken is told to come again",
+        "oakgate/oakgate/relay.py",
+        "            if error.code != Refused.code:\n                raise\n",
+        "            raise\n",
+        "test_relay_calls.Keys.test_a_claim_that_was_overtaken_is_no_fault_of_its_caller",
+    ),
     TakeOut(
         "a lost yes is not followed by a no",
         "oakcontrol/oakcontrol/client.py",
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -128,6 +128,25 @@
             self.setUp()
 
 
+class Keys(Calls):
+    def test_a_claim_that_was_overtaken_is_no_fault_of_its_caller(self):
+        """
+        gate                    owner
+        claims, number 1 -->    (on its way)
+        claims, number 2 -->    claimed; refused by all replicas, taken back
+                                number 1 comes in: below what was taken back
+        503: come again
+        """
+        pauses = iter((0.1, 0.0))
+        self.gate.keys.pause = lambda: next(pauses, 0.0)
+        first = self.gate.ask(request("tracked", "t1", Operation_Key="k"))
+        second = self.gate.ask(request("tracked", "t2", Operation_Key="k"))
+        for _ in range(3):
+            self.gate.replica().feed(answer(503, try_id="t2", stamp=None, Not_Run="1"))
+        self.gate.run(0.2)
+        self.assertEqual((self.said(second).status, self.said(first).status, self.gate.dialled()), (503, 503, 3))
+
+
 class Deadlines(Calls):
     def test_a_long_answer_to_a_key_that_stops_coming_ends_with_the_time(self):
         caller = self.gate.ask(request("tracked", Operation_Key="k", time_left=1000))
