--- a/tests/test_relay_upstream.py
+++ b/tests/test_relay_upstream.py
@@ -2,11 +2,14 @@
 
 import os
 import random
+import socket
+import struct
 import sys
 import unittest
 
 from hypothesis import given, settings, strategies
 from twisted.internet import defer, error, protocol
+from twisted.python.failure import Failure
 from twisted.web._newclient import HTTPClientParser, Request
 from twisted.web.client import ResponseDone
 from twisted.web.http import PotentialDataLoss
@@ -579,6 +582,80 @@
         self.assertEqual((outcome.value.status, self.read(outcome).value), (413, b"hello"))
         self.assertEqual(self.upstreams.open_count(PLACE), 0)
 
+    LONG = b"0123456789abcdef" * (1 << 20)
+
+    def long_request(self):
+        """(outcome, transport, peer) of a request of which the kernel has taken a part"""
+        outcome = self.send(method="POST", body=self.LONG)
+        transport, peer = tcp_pair(self.reactor.dialled[-1].factory.buildProtocol(None), self.reactor)
+        peer.settimeout(10)
+        self.addCleanup(peer.close)
+        self.addCleanup(transport.socket.close)
+        self.assertTrue(transport.dataBuffer or transport._tempDataLen)
+        return outcome, transport, peer
+
+    def read_to_the_end(self, transport, peer):
+        """What arrives at the peer, while the reactor writes as long as there is something to write."""
+        got = bytearray()
+        peer.setblocking(False)
+        for _ in range(100000):
+            if transport in self.reactor.writers:
+                transport.doWrite()
+            self.reactor.advance(0)
+            try:
+                data = peer.recv(1 << 20)
+            except BlockingIOError:
+                if transport not in self.reactor.writers:
+                    return bytes(got), "open"
+                continue
+            except ConnectionResetError:
+                return bytes(got), "reset"
+            if not data:
+                return bytes(got), "ended"
+            got += data
+        raise AssertionError("it never ends")
+
+    def test_a_replica_that_answered_early_gets_the_rest_of_that_body_and_nothing_else(self):
+        """It reads on later; the next request goes another way."""
+        outcome, transport, peer = self.long_request()
+        peer.sendall(OK)
+        transport.doRead()
+        self.assertEqual(self.read(outcome).value, b"hello")
+        count = len(self.reactor.dialled)
+        self.assertTrue(self.send().is_open)
+        self.assertEqual(len(self.reactor.dialled), count + 1)
+        got, _ = self.read_to_the_end(transport, peer)
+        head, _, body = got.partition(b"\r\n\r\n")
+        self.assertIn(b"Content-Length: %d" % len(self.LONG), head)
+        self.assertEqual(body, self.LONG[: len(body)])
+        self.assertEqual(len(body), len(self.LONG))
+
+    def test_what_is_given_up_while_a_part_has_left_never_arrives_whole(self):
+        """Neither what waits in our own buffer nor what the kernel holds makes it whole later."""
+        for give_up in (
+            lambda outcome: outcome.task.cancel(),
+            lambda outcome: self.reactor.advance(4.1),
+            lambda outcome: self.upstreams.stop(),
+        ):
+            outcome, transport, peer = self.long_request()
+            give_up(outcome)
+            self.reactor.advance(0)
+            self.assertFalse(outcome.is_open)
+            if not isinstance(outcome.error, defer.CancelledError):
+                self.failed(outcome, NoAnswer, Verdict.MAYBE)
+            got, end = self.read_to_the_end(transport, peer)
+            self.assertLess(len(got), len(self.LONG))
+            self.assertEqual(end, "reset")
+
+    def test_a_reset_after_a_part_has_left_is_a_maybe(self):
+        """Also when nothing of it was read by the replica."""
+        outcome, transport, peer = self.long_request()
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        peer.close()
+        why = transport.doRead() or transport.doWrite()
+        transport.connectionLost(Failure(why))
+        self.failed(outcome, NoAnswer, Verdict.MAYBE)
+
 
 class ThroughBoth(unittest.TestCase):
     """A caller, a gate's front and upstreams, and a replica that is a front too, in the simulator."""
