--- a/packages/oakgate/oakgate/relay.py
+++ b/packages/oakgate/oakgate/relay.py
@@ -532,7 +532,7 @@
             spawn(self._discard(answer), self._log)
             raise Overloaded(f"the replica turned the request away with {answer.status}", retry_after=RETRY_AFTER_LEAST)
         if answer.status in self._dialect.promise_statuses:
-            spawn(self._discard(answer), self._log)
+            answer.abort()
             raise Broken(f"the replica answered {answer.status} without its word that it did not run", Verdict.MAYBE)
         if answer.status < 300 and not said.stamped:
             answer.abort()
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -250,6 +250,13 @@
         "            self._send(b'0\\r\\n\\r\\n')",
         "test_relay_worlds.Worlds.test_seeds",
     ),
+    TakeOut(
+        "a pipelined request has waited since it came",
+        "oakrelay/oakrelay/front.py",
+        "exchange.received_at = self._arrived_at",
+        "exchange.received_at = self.front.reactor.seconds()",
+        "test_relay_calls.Deadlines.test_a_pipelined_request_has_waited_since_it_came",
+    ),
     TakeOut(
         "a lost yes is not followed by a no",
         "oakcontrol/oakcontrol/client.py",
--- a/packages/oakrelay/oakrelay/front.py
+++ b/packages/oakrelay/oakrelay/front.py
@@ -179,6 +179,7 @@
         self._left = self._size = 0
         self._limits = None
         self._due = self._timer = None
+        self._arrived_at = 0.0  # when the newest bytes came: a pipelined request has waited since then
         self._advancing = self._closing = self._paused = False
         self._last = False
         self._writers = []
@@ -266,6 +267,7 @@
     def dataReceived(self, data):
         if self._closing:
             return
+        self._arrived_at = self.front.reactor.seconds()
         if self._reading is not None:
             self._take_body(data)
             if self._reading is None:
@@ -387,7 +389,7 @@
     def _begin(self, exchange):
         self._due = None
         self.exchange = exchange
-        exchange.received_at = self.front.reactor.seconds()
+        exchange.received_at = self._arrived_at
         self.front.begin(exchange)
 
     def persistence(self):
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -51,6 +51,12 @@
         again = self.gate.ask(request("tracked", "t2", Operation_Key="k"))
         self.assertEqual((self.said(again).status, self.gate.dialled()), (409, 1))
 
+    def test_a_refusal_without_its_word_is_read_no_further(self):
+        self.gate.ask(request("unsafe"))
+        replica = self.gate.replica()
+        replica.feed(answer(503, body=b"x" * 50)[:-20])
+        self.assertIsNotNone(replica.ended)
+
     def test_a_success_is_never_a_promise(self):
         caller = self.gate.ask(request("unsafe"))
         self.gate.replica().feed(answer(200, Not_Run="1"))
@@ -162,6 +168,15 @@
         left = int(sent.partition(b"Time-Left-Ms: ")[2].partition(b"\r\n")[0])
         self.assertLessEqual(left, 2000 - 1000 * (CONNECT_TIME - 0.1) + 20)
 
+    def test_a_pipelined_request_has_waited_since_it_came(self):
+        caller = self.gate.ask(request("unsafe") + request("unsafe", "t2", time_left=2000))
+        replica = self.gate.replica()
+        self.gate.run(1.0)
+        replica.take()
+        replica.feed(answer())
+        self.assertRegex(replica.take(), rb"Time-Left-Ms: (1000|999)\r\n")
+        self.assertIsNone(caller.ended)
+
     def test_no_time_left_is_not_all_the_time(self):
         caller = self.gate.ask(request("unsafe", time_left=0))
         self.assertEqual((self.said(caller).status, self.gate.dialled()), (503, 0))
