--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -257,6 +257,13 @@
         "exchange.received_at = self.front.reactor.seconds()",
         "test_relay_calls.Deadlines.test_a_pipelined_request_has_waited_since_it_came",
     ),
+    TakeOut(
+        "what a request says twice is refused",
+        "../platform/oakplatform/dialect.py",
+        "if len(set(names)) == len(names):",
+        "if True:",
+        "test_relay_calls.Ambiguous.test_what_two_readers_could_take_in_two_ways_is_refused",
+    ),
     TakeOut(
         "a lost yes is not followed by a no",
         "oakcontrol/oakcontrol/client.py",
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -199,6 +199,20 @@
         self.assertEqual(statuses, [200, 200, 402])
 
 
+class Ambiguous(Calls):
+    def test_what_two_readers_could_take_in_two_ways_is_refused(self):
+        """A replica that goes by the second of two keys or ids would run what nobody claimed."""
+        for twice in (b"Try-Id: t9", b"Operation-Key: k9", b"Time-Left-Ms: 9", b"Last-Event-Id: 9"):
+            data = request("tracked", Operation_Key="k", Last_Event_Id=1)
+            caller = self.gate.ask(data.replace(b"\r\nHost:", b"\r\n" + twice.lower() + b"\r\nHost:"))
+            self.assertEqual((self.said(caller).status, self.gate.dialled()), (400, 0), twice)
+
+    def test_other_headers_may_come_twice(self):
+        data = request("unsafe", Accept="a").replace(b"\r\nHost:", b"\r\nAccept: b\r\nHost:")
+        self.gate.ask(data)
+        self.assertEqual(self.gate.replica().take().count(b"Accept: "), 2)
+
+
 class Streams(Calls):
     def test_a_long_failure_that_is_cut_is_not_begun_again(self):
         caller = self.gate.ask(request("stream"))
