--- a/packages/oakgate/oakgate/relay.py
+++ b/packages/oakgate/oakgate/relay.py
@@ -85,7 +85,7 @@
 
 
 class CallerGone(OakError):
-    """The caller went away, and what was under way for it was given up."""
+    """The caller went away, or takes its answer too slowly, and what was under way for it was given up."""
 
     code = "callerGone"
 
@@ -344,21 +344,27 @@
         try:
             for part in parts:
                 exchange.write(part)
-            while (
-                part := await within(
-                    self._reactor,
-                    self._remaining_run(passage),
-                    answer.next(),
-                    Broken("the replica's answer did not end in time"),
-                )
-            ) is not None:
+            while (part := await self._next_part(passage, answer)) is not None:
                 exchange.write(part)
-                await exchange.wait_writable()
+                await self._wait_writable(passage, answer)
         except BaseException:
             answer.abort()
             raise
         exchange.finish()
 
+    async def _next_part(self, passage, answer):
+        """What comes next of an answer that is being passed on; None at its end."""
+        late = Broken("the replica's answer did not end in time")
+        if self._reactor.seconds() >= passage.ends_at and not answer.has_ended:
+            raise late  # also if there is always something to pass on
+        return await within(self._reactor, self._remaining_run(passage), answer.next(), late)
+
+    async def _wait_writable(self, passage, answer):
+        """Holds the replica up while its answer's caller is slow; the rest of one that has ended is here already."""
+        if passage.exchange.is_full and not answer.has_ended:
+            late = CallerGone("the caller did not take its answer in time", Verdict.MAYBE)
+            await within(self._reactor, self._remaining_run(passage), passage.exchange.wait_writable(), late)
+
     def _remaining_run(self, passage):
         return max(0.001, passage.ends_at - self._reactor.seconds())
 
@@ -662,7 +668,7 @@
     async def _pass_events(self, passage, answer, instance):
         """Passes events on as they come, whole ones only; the end of the answer is left to who calls. False if the
         replica's answer was no stream: that has been passed on whole."""
-        exchange, splitter = passage.exchange, self._dialect.event_splitter()
+        splitter = self._dialect.event_splitter()
         is_stream = answer.status < 300
         if not is_stream:
             if passage.head_passed:
@@ -672,16 +678,14 @@
         if not passage.head_passed:
             passage.head = (answer.status, self._dialect.stream_headers(answer.headers))
         while True:
-            part = await within(
-                self._reactor, self._remaining_run(passage), answer.next(), Broken("the stream did not end in time")
-            )
+            part = await self._next_part(passage, answer)
             if part is None:
                 break
             whole = splitter.feed(part)
             if whole:
                 self._note_first(passage, instance)
                 self._pass_on(passage, whole, self._tokens_per_event(instance.row["pool"]))
-                await exchange.wait_writable()
+                await self._wait_writable(passage, answer)
         if splitter.rest.strip():
             raise Broken("the stream ended within an event")
         if not passage.head_passed:
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -264,6 +264,20 @@
         "if True:",
         "test_relay_calls.Ambiguous.test_what_two_readers_could_take_in_two_ways_is_refused",
     ),
+    TakeOut(
+        "an answer that never pauses ends with the time",
+        "oakgate/oakgate/relay.py",
+        "if self._reactor.seconds() >= passage.ends_at and not answer.has_ended:",
+        "if False:",
+        "test_relay_calls.Deadlines.test_an_answer_that_never_pauses_ends_with_the_time",
+    ),
+    TakeOut(
+        "a slow caller holds its replica no longer than its time",
+        "oakgate/oakgate/relay.py",
+        "await within(self._reactor, self._remaining_run(passage), passage.exchange.wait_writable(), late)",
+        "await passage.exchange.wait_writable()",
+        "test_relay_calls.Deadlines.test_a_caller_that_does_not_take_its_answer_holds_its_replica_no_longer_than_its_time",
+    ),
     TakeOut(
         "a lost yes is not followed by a no",
         "oakcontrol/oakcontrol/client.py",
--- a/packages/oakrelay/oakrelay/upstream.py
+++ b/packages/oakrelay/oakrelay/upstream.py
@@ -64,6 +64,11 @@
         """Whether `next` would give something at once."""
         return bool(self._pieces) or self._outcome is not None
 
+    @property
+    def has_ended(self):
+        """Whether nothing more comes from the replica."""
+        return self._outcome is not None
+
     @property
     def is_spent(self):
         """Whether the answer has ended whole, and all of it was given out."""
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -161,6 +161,30 @@
         self.gate.run(1.2)
         self.assertEqual((self.said(caller).status, replica.ended is None), (504, False))
 
+    def test_an_answer_that_never_pauses_ends_with_the_time(self):
+        for kind, head in (("safe", b"HTTP/1.1 200 OK\r\nTry-Id: t1\r\nPostmark: s\r\n\r\n"), ("once", STREAM_HEAD)):
+            caller = self.gate.ask(request(kind, time_left=1000))
+            replica, number = self.gate.replica(), 0
+            replica.feed(head)
+            while caller.ended is None and self.gate.reactor.seconds() < 1.2:
+                number += 1
+                replica.feed(event(number) if kind == "once" else b"x" * 5000)
+                self.gate.run(0.0008, 0.0008)
+            self.assertEqual((caller.ended is None, replica.ended is None), (False, False), kind)
+            self.setUp()
+
+    def test_a_caller_that_does_not_take_its_answer_holds_its_replica_no_longer_than_its_time(self):
+        for kind, data in (("safe", answer(body=b"x" * (3 * ANSWER_HELD))[:-10]), ("stream", STREAM_HEAD + event(1))):
+            caller = self.gate.ask(request(kind, time_left=1000))
+            replica = self.gate.replica()
+            caller.protocol.pauseProducing()
+            replica.feed(data[: 2 * ANSWER_HELD])
+            replica.feed(data[2 * ANSWER_HELD :])
+            self.gate.run(1.2)
+            self.assertEqual((caller.ended is None, replica.ended is None), (False, False), kind)
+            self.assertEqual(self.gate.balancer.blamed, [])
+            self.setUp()
+
     def test_a_replica_is_handed_what_is_left_when_it_is_sent(self):
         self.gate.ask(request("unsafe", time_left=2000))
         self.gate.run(CONNECT_TIME - 0.1)
