--- a/packages/oakcontrol/oakcontrol/admin.py
+++ b/packages/oakcontrol/oakcontrol/admin.py
@@ -1,11 +1,11 @@
 """The operators' side of a control node: HTTP + JSON."""
 
+from schema import And
+
 from oakbase.checks import NAME, check_fields
 from oakbase.constants import CALL_TIME
 from oakbase.env import ADDRESS
 from oakbase.verdict import BadRequest, Conflict, Refused
-from schema import And
-
 from oakcontrol.placement import PLACEMENT_KEY
 from oakcontrol.places import REPLICAS_KEY
 from oakcontrol.roster import ROSTER_KEY
--- a/packages/oakcontrol/oakcontrol/allowance.py
+++ b/packages/oakcontrol/oakcontrol/allowance.py
@@ -14,11 +14,11 @@
 the slot over, whichever is later.
 """
 
+from schema import And
+
 from oakbase.checks import NAME, check_fields, whole
 from oakbase.constants import ALLOWANCE_CLOSED, ALLOWANCE_KEPT, ALLOWANCE_OPEN, CONDITION_AGE, UNITS_LIMIT
 from oakbase.verdict import BadRequest, InProgress, Overloaded, Refused, Unknown
-from schema import And
-
 from oakcontrol.controllers import CONTROLLERS, Controller
 
 TURN = And(str, len, error="must be a turn's id")
--- a/packages/oakcontrol/oakcontrol/blueprint.py
+++ b/packages/oakcontrol/oakcontrol/blueprint.py
@@ -2,13 +2,13 @@
 
 import json
 
+from schema import And, Optional
+
 from oakbase.checks import NAME, check_fields, faults_of, is_name, one_of, pack_json, seconds, whole
 from oakbase.constants import BLUEPRINTS_KEPT, ENDS_AFTER_LEAST, ENDS_AFTER_MOST, SLOTS, TIME_LEFT_LIMIT, UNITS_LIMIT
 from oakbase.registry import Registry
 from oakbase.verdict import BadRequest, Invalid, Lost, Unknown
 from oakcohort.rendezvous import slot_of
-from schema import And, Optional
-
 from oakcontrol.controllers import CONTROLLERS, SLOT_SOURCE, Controller
 from oakcontrol.places import REPLICAS_KEY
 
--- a/packages/oakcontrol/oakcontrol/claim.py
+++ b/packages/oakcontrol/oakcontrol/claim.py
@@ -8,11 +8,11 @@
 progress until the entry is let go, and never runs again within the window.
 """
 
+from schema import Optional, Or
+
 from oakbase.checks import NAME, check_fields
 from oakbase.constants import CLAIM_KEPT
 from oakbase.verdict import Conflict, InProgress, Refused
-from schema import Optional, Or
-
 from oakcontrol.admission import NUMBER, is_back, note_back
 from oakcontrol.controllers import CONTROLLERS, Controller
 
--- a/packages/oakcontrol/oakcontrol/client.py
+++ b/packages/oakcontrol/oakcontrol/client.py
@@ -6,7 +6,6 @@
 from oakbase.constants import OWNER_TRIES_PAUSE, OWNER_TRY_TIME, SETTLE_TIME, TERM
 from oakbase.tasks import sleep
 from oakbase.verdict import CannotTell, NoAnswer, NotOwner, OakError, Verdict
-
 from oakcontrol.controllers import SLOT_SOURCE
 from oakcontrol.slots import slot_of_key
 
--- a/packages/oakcontrol/oakcontrol/control.py
+++ b/packages/oakcontrol/oakcontrol/control.py
@@ -7,9 +7,6 @@
 from oakbase.tasks import settled, sleep, spawn
 from oakbase.verdict import OakError
 from oakbase.web import Web
-from oaknews.node import Node
-from oakring.ring import Ring
-
 from oakcontrol import (  # noqa: F401  each enters its controller
     allowance,
     blueprint,
@@ -31,6 +28,8 @@
 from oakcontrol.roster import RosterWatch
 from oakcontrol.storeset import StoreSetWatch
 from oakcontrol.voter import Voter
+from oaknews.node import Node
+from oakring.ring import Ring
 
 
 class ControlNode:
--- a/packages/oakcontrol/oakcontrol/daemon.py
+++ b/packages/oakcontrol/oakcontrol/daemon.py
@@ -1,9 +1,8 @@
 """oakcored: a control node."""
 
 from oakbase.env import CONTROL_ENV
-from oaknews.program import run_daemon
-
 from oakcontrol.control import ControlNode
+from oaknews.program import run_daemon
 
 
 def main():
--- a/packages/oakcontrol/oakcontrol/duty.py
+++ b/packages/oakcontrol/oakcontrol/duty.py
@@ -2,7 +2,6 @@
 former holder still asks for is fenced by the slot's epoch or lost against a newer version."""
 
 from oakbase.tasks import Repeater
-
 from oakcontrol.slots import slot_of_key
 
 
--- a/packages/oakcontrol/oakcontrol/operator.py
+++ b/packages/oakcontrol/oakcontrol/operator.py
@@ -23,7 +23,6 @@
 from oakbase.constants import FRAME_LIMIT, OPERATOR_INBOX, OPERATOR_LIMIT, OPERATOR_RETRY, OPERATOR_TIME
 from oakbase.verdict import BadRequest, CannotTell, Invalid, OakError, TooLarge, Unknown, Verdict
 from oakbase.web import Web
-
 from oakcontrol.routing import ROUTING_KEY, apply_patch, check_table, document_from, pieces_of
 from oakcontrol.storeset import STORES_KEY
 
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -6,6 +6,9 @@
 from functools import partial
 from itertools import takewhile
 
+from sortedcontainers import SortedDict
+from twisted.internet import defer
+
 from oakbase.checks import pack_json
 from oakbase.constants import (
     CALL_TIME,
@@ -30,13 +33,10 @@
 from oakbase.verdict import CannotTell, Fenced, NoAnswer, NotOwner, OakError, RingFull, Unknown, Verdict
 from oakcohort.members import LIVE
 from oakcohort.rendezvous import ranked
-from oakwire.codec import idl, pack
-from sortedcontainers import SortedDict
-from twisted.internet import defer
-
 from oakcontrol.controllers import CONTROLLERS, SLOT_SOURCE, published_by, sweeps_for
 from oakcontrol.replication import Offer, StepBatcher
 from oakcontrol.slots import in_parts, pack_entry, slot_of_key, unpack_entry
+from oakwire.codec import idl, pack
 
 
 def entries_of(pairs):
--- a/packages/oakcontrol/oakcontrol/placement.py
+++ b/packages/oakcontrol/oakcontrol/placement.py
@@ -8,6 +8,8 @@
 import json
 from collections import Counter
 
+from schema import And
+
 from oakbase.checks import NAME, check_fields, one_of, pack_json, whole
 from oakbase.constants import (
     EVICTION_ROUND,
@@ -18,13 +20,11 @@
     TENANTS_TOLD,
 )
 from oakbase.env import EVICTION_MODES, eviction_mode
-from oakprefix.decision import Decision
-from oakprefix.detector import Window
-from schema import And
-
 from oakcontrol.controllers import CONTROLLERS, Controller
 from oakcontrol.duty import Duty
 from oakcontrol.places import REPLICAS_KEY
+from oakprefix.decision import Decision
+from oakprefix.detector import Window
 
 PLACEMENT_KEY = "placement"
 ROWS = f"{PLACEMENT_KEY}#"
--- a/packages/oakcontrol/oakcontrol/places.py
+++ b/packages/oakcontrol/oakcontrol/places.py
@@ -1,11 +1,11 @@
 """The published key `replicas`: what the platform lists."""
 
+from schema import Optional, Or
+
 from oakbase.checks import NAME, check_fields, faults_of, one_of, pack_json, whole
 from oakbase.constants import NAME_LIMIT
 from oakbase.env import ADDRESS
 from oakbase.verdict import BadRequest, Unknown
-from schema import Optional, Or
-
 from oakcontrol.controllers import CONTROLLERS, Controller
 
 REPLICAS_KEY = "replicas"
--- a/packages/oakcontrol/oakcontrol/platform.py
+++ b/packages/oakcontrol/oakcontrol/platform.py
@@ -14,6 +14,8 @@
 import json
 from collections import Counter
 
+from twisted.internet.defer import ensureDeferred
+
 from oakbase.checks import pack_json, parse_json
 from oakbase.constants import (
     PLATFORM_BACKOFF,
@@ -31,8 +33,6 @@
 from oakbase.fetch import WebClient
 from oakbase.tasks import quorum_of, shielded, sleep, within
 from oakbase.verdict import CannotTell, OakError, PlatformAway
-from twisted.internet.defer import ensureDeferred
-
 from oakcontrol.duty import Duty
 from oakcontrol.places import REPLICAS_KEY, readable
 
--- a/packages/oakcontrol/oakcontrol/replication.py
+++ b/packages/oakcontrol/oakcontrol/replication.py
@@ -4,9 +4,10 @@
 the same time goes in one call, is committed there at once and is answered for each slot by itself.
 """
 
-from oakbase.constants import CALL_TIME, IMAGE_PART, STEP_PAUSE
 from twisted.internet import defer
 
+from oakbase.constants import CALL_TIME, IMAGE_PART, STEP_PAUSE
+
 
 class StepBatcher:
     """Steps on their way to one voter. Invariant: while any waits, a timer is set, or a call is under way whose end sends it;
--- a/packages/oakcontrol/oakcontrol/roster.py
+++ b/packages/oakcontrol/oakcontrol/roster.py
@@ -25,6 +25,8 @@
 
 import json
 
+from schema import And
+
 from oakbase.checks import NAME, check_fields, pack_json, whole
 from oakbase.constants import (
     CALL_TIME,
@@ -42,8 +44,6 @@
 from oakbase.tasks import quorum_of, sleep, spawn
 from oakbase.verdict import CannotTell, Conflict, Lost, Refused, Unknown
 from oakcohort.members import LIVE
-from schema import And
-
 from oakcontrol.controllers import CONTROLLERS, Controller
 from oakcontrol.duty import Duty
 
--- a/packages/oakcontrol/oakcontrol/routing.py
+++ b/packages/oakcontrol/oakcontrol/routing.py
@@ -15,11 +15,11 @@
 
 from urllib.parse import quote, unquote
 
+from schema import Optional
+
 from oakbase.checks import NAME, check_fields, whole
 from oakbase.constants import CHANGES_REMEMBERED
 from oakbase.verdict import Invalid, Lost
-from schema import Optional
-
 from oakcontrol.controllers import CONTROLLERS, Controller
 from oakcontrol.slots import pack_entry, unpack_entry
 
--- a/packages/oakcontrol/oakcontrol/storeset.py
+++ b/packages/oakcontrol/oakcontrol/storeset.py
@@ -27,6 +27,8 @@
 
 import json
 
+from schema import And, Optional
+
 from oakbase.checks import NAME, check_fields, pack_json, whole
 from oakbase.constants import (
     CALL_TIME,
@@ -43,8 +45,6 @@
 from oakbase.tasks import quorum_of, settled, sleep
 from oakbase.verdict import CannotTell, Conflict, Fenced, Lost, OakError, Refused, Unknown
 from oakcohort.members import LIVE
-from schema import And, Optional
-
 from oakcontrol.controllers import CONTROLLERS, Controller
 from oakcontrol.duty import Duty
 
--- a/packages/oakcontrol/oakcontrol/voter.py
+++ b/packages/oakcontrol/oakcontrol/voter.py
@@ -6,16 +6,16 @@
 import json
 from dataclasses import dataclass, field
 
+from sortedcontainers import SortedDict
+
 from oakbase.checks import pack_json
 from oakbase.constants import CONTROL_FULL, CONTROL_INBOX, IMAGE_PART, SLOT_FULL, SLOTS, TERM
 from oakbase.inbox import TableOwner
 from oakbase.tasks import spawn
 from oakbase.verdict import Fenced, RingFull
-from oakwire.codec import idl, unpack
-from sortedcontainers import SortedDict
-
 from oakcontrol.roster import Roster
 from oakcontrol.slots import in_parts
+from oakwire.codec import idl, unpack
 
 
 @dataclass
--- a/packages/oaknews/oaknews/node.py
+++ b/packages/oaknews/oaknews/node.py
@@ -8,10 +8,9 @@
 from oakbase.tasks import Repeater
 from oakcohort.identity import Identity
 from oakcohort.members import Member, Members
-from oakwire.net import Net
-
 from oaknews.board import Board
 from oaknews.puller import Puller
+from oakwire.net import Net
 
 RELEASE = "0.1.0"
 
--- a/packages/oaknews/oaknews/program.py
+++ b/packages/oaknews/oaknews/program.py
@@ -6,6 +6,8 @@
 import signal
 import sys
 
+from twisted.internet.error import CannotListenError
+
 from oakbase.constants import ENV_LOOK, STOP_MARGIN, STOP_TIME
 from oakbase.env import env_of_daemon
 from oakbase.logline import FORMATS, LEVELS, set_level, skip_unused_record_fields, stderr_sink
@@ -13,7 +15,6 @@
 from oakbase.verdict import EnvError, OakError, RingDamaged
 from oaknews.damaged import DamagedNode
 from oakring.disk import FolderDisk
-from twisted.internet.error import CannotListenError
 
 
 def run_daemon(program, rules, description, build):
--- a/packages/oaknews/oaknews/puller.py
+++ b/packages/oaknews/oaknews/puller.py
@@ -7,9 +7,8 @@
 from oakbase.tasks import Repeater, settled, sleep, spawn
 from oakbase.verdict import OakError
 from oakcohort.members import Member
-from oakwire.codec import idl
-
 from oaknews.exchange import Heard, Told
+from oakwire.codec import idl
 
 NODE_SOURCE = "node/"
 
