--- a/packages/oakcontrol/oakcontrol/voter.py
+++ b/packages/oakcontrol/oakcontrol/voter.py
@@ -26,7 +26,8 @@
       with the same (imageEpoch, sequence) have the same entries;
     - (imageEpoch, sequence) never falls, and imageEpoch <= promisedEpoch;
     - on the disk, `entries` are those of `generation`; others are leftovers of an image that was not finished, or
-      that was replaced."""
+      that was replaced;
+    - no row on the disk, and no removal of leftovers under way, is of a generation above `newest_generation`."""
 
     promised_epoch: int = 0
     promised_owner: str = ""
@@ -34,6 +35,7 @@
     sequence: int = 0
     generation: int = 0
     entries: SortedDict = field(default_factory=SortedDict)
+    newest_generation: int = 0
 
     def head(self, **changes):
         values = vars(self) | changes
@@ -95,6 +97,7 @@
                 continue
             slot, _, entry = rest.partition("/")
             table = self._tables[int(slot)]
+            table.newest_generation = max(table.newest_generation, table.generation, int(kind[1:] or 0))
             if kind == entry_key("", table.generation, "").partition("/")[0]:
                 table.entries[entry] = value
             else:
@@ -298,20 +301,27 @@
 
     async def _replace(self, slot, table, image, head):
         """Brings the table to this whole image: by what differs, if one commit holds that; else as a new
-        generation beside the old one, which a last small commit puts in its place."""
+        generation beside the old one, which a last small commit puts in its place. A try that failed, in this life or
+        in an earlier one, leaves rows of its generation, and their removal may be under way: each try has its own."""
         changed = dict.fromkeys(table.entries.keys() - image.keys()) | {
             key: value for key, value in image.items() if table.entries.get(key) != value
         }
-        generation, limit = table.generation, self._ring.commit_limit() // 2
+        limit = self._ring.commit_limit() // 2
         if next(in_parts(changed.items(), limit)) == list(changed.items()):
             await self._write(slot, table, changed, **head)
             return
-        for part in in_parts(((entry_key(slot, generation + 1, key), value) for key, value in image.items()), limit):
-            await self._ring.commit(part)
-        former = [entry_key(slot, generation, key) for key in table.entries]
-        await self._write(slot, table, {}, **head, generation=generation + 1)
+        former = [entry_key(slot, table.generation, key) for key in table.entries]
+        table.newest_generation = generation = max(table.newest_generation, table.generation) + 1
+        rows = {entry_key(slot, generation, key): value for key, value in image.items()}
+        try:
+            for part in in_parts(rows.items(), limit):
+                await self._ring.commit(part)
+            await self._write(slot, table, {}, **head, generation=generation)
+        except RingFull:
+            spawn(self._remove([row for row in rows if row in self._ring.table]), self._log)
+            raise
         table.entries = SortedDict(image)
-        self._log.event("imageReplaced", slot=slot, entries=len(image), generation=generation + 1)
+        self._log.event("imageReplaced", slot=slot, entries=len(image), generation=generation)
         await self._remove(former)
 
     async def _write(self, slot, table, changed, **head):
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -782,6 +782,13 @@
         "while False:",
         "test_faults.GateFaults.test_planned_stops_cut_nothing_off",
     ),
+    TakeOut(
+        "a generation of its own for each try at an image",
+        "oakcontrol/oakcontrol/voter.py",
+        "generation = max(table.newest_generation, table.generation) + 1",
+        "generation = table.generation + 1",
+        "test_catching_up.TornImages.test_images_sent_again_while_leftovers_are_removed",
+    ),
     TakeOut(
         "giving up at once",
         "oakgate/oakgate/placer.py",
