--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -66,6 +66,9 @@
 CONTROL_FULL = 0.7  # share of a ring's capacity; from here on nothing new is opened, admitted or claimed
 SLOT_FULL = 0.25  # share of a ring's capacity; one slot may take it, so that its image fits a second time
 CONTROL_BATCH = 64  # commands; one majority write covers this many at most
+UPDATE_LIMIT = 1 << 20  # bytes; of changes gathered for a voter that is behind, one message: beyond it gets an image
+VOTERS_LOOK = 0.5  # s; how often an owner looks which voters lack something: far longer than a step takes
+OUTRANKED_PATIENCE = 2.0  # s; a voter above the epoch for so long has its slot taken over anew: a take-over is shorter
 STEP_PAUSE = 0.002  # s; a step waits so long at most for the answer to the one before, so that both go in one
 # call
 ROSTER_PAUSE = 0.25  # s; how often control nodes look at the roster: a small part of what mending it takes
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -17,7 +17,6 @@
     CONTROL_INBOX,
     FORGET_AGE,
     FULL_RETRY,
-    IMAGE_PART,
     OWNER_SWEEP,
     OWNER_SWEEP_KEYS,
     RELEASE_TIME,
@@ -27,6 +26,7 @@
     TERM,
     TERM_FRESH,
     TERM_RENEW,
+    VOTERS_LOOK,
 )
 from oakbase.inbox import Inbox
 from oakbase.tasks import Repeater, drive, quorum_of, sleep, spawn, within
@@ -34,8 +34,8 @@
 from oakcohort.members import LIVE
 from oakcohort.rendezvous import ranked
 from oakcontrol.controllers import CONTROLLERS, SLOT_SOURCE, published_by, sweeps_for
-from oakcontrol.replication import Offer, StepBatcher
-from oakcontrol.slots import in_parts, pack_entry, slot_of_key, unpack_entry
+from oakcontrol.replication import Offer, SlotProgress, StepBatcher, VoterUpdates
+from oakcontrol.slots import pack_entry, slot_of_key, unpack_entry
 from oakwire.codec import idl, pack
 
 
@@ -103,6 +103,7 @@
         self.ended = False
         self.idle = True
         self.marks = {}
+        self.progress = SlotProgress(epoch)
         self._task = None
 
     def serve(self):
@@ -327,6 +328,7 @@
         self._seen_epochs = {}
         self._orders = (), ()
         self._batchers = {}
+        self._updates = VoterUpdates(self, node, self._on_outranked)
         self._started_at = node.reactor.seconds()
         self.poll_times = {}
         self._tasks = [
@@ -335,6 +337,7 @@
                 (TAKEOVER_LOOK, self._look),
                 (TERM_RENEW, self._renew),
                 (OWNER_SWEEP, self._sweep),
+                (VOTERS_LOOK, self._update_voters),
             )
         ]
         voter.may_hold_term = self._may_hold_term
@@ -348,6 +351,7 @@
     async def stop(self):
         self._tasks[0].stop()
         self._tasks[2].stop()
+        self._tasks[3].stop()
         # Whoever is named next asks for each slot; what nobody asked for is taken over after its term.
         for _ in range(20):
             if not self.held:
@@ -419,6 +423,7 @@
 
     def _offer(self, roster, owner, sequence, changes, start, ends_at):
         offer, change = Offer(roster, ends_at), (roster.version, owner, sequence, changes, start)
+        owner.progress.offer(sequence, changes, start, roster.everyone, owner.size)
         step = pack(
             idl.Step(
                 slot=owner.slot,
@@ -441,12 +446,14 @@
 
     def _judged(self, voter, offer, change, step, taken, error):
         if error is None and taken.taken:
+            _, owner, sequence, *_ = change
+            owner.progress.confirm(voter[0], sequence)
             offer.settle(voter[0])
         elif taken is None and not isinstance(error, Unknown):
             self._refused(voter, offer, change, step, error)
         else:  # it lacks something, is not to be disturbed just now, or takes steps one by one only
             drive(
-                self._give_change(voter, *change, taken),
+                self._updates.give(voter, *change, taken),
                 lambda _, why: (
                     offer.settle(voter[0]) if why is None else self._refused(voter, offer, change, step, why)
                 ),
@@ -470,45 +477,19 @@
         else:
             self._offer_to(voter, offer, change, step)
 
-    async def _give_change(self, voter, roster_version, owner, sequence, changes, start, taken):
-        """A voter that lacks something before the change gets the whole image. `start` names the image that a
-        take-over begins with, by its epoch and sequence: who has it needs nothing more."""
-        if taken is None or taken.again:
-            taken = await self._accept(
-                voter, roster_version, owner, sequence, changes.items(), from_epoch=start[0], from_sequence=start[1]
-            )
-        if taken.needs_image:
-            taken = await self._give_image(voter, roster_version, owner, *owner.image_with(sequence, changes))
-        if not taken.taken:
-            self._seen_epochs[owner.slot] = max(self._seen_epochs.get(owner.slot, 0), taken.promised_epoch or 0)
-            raise CannotTell("the voter has promised a later epoch")
-
-    async def _give_image(self, voter, roster_version, owner, sequence, entries):
-        *parts, last = in_parts(entries.items(), IMAGE_PART)
-        for part, pairs in enumerate(parts):
-            taken = await self._give("stage", voter, roster_version, owner, sequence, pairs, part=part)
-            if not taken.taken:
-                return taken
-        return await self._accept(voter, roster_version, owner, sequence, last, whole=True, parts=len(parts))
-
-    def _accept(self, voter, roster_version, owner, sequence, pairs, whole=False, **more):
-        return self._give("accept", voter, roster_version, owner, sequence, pairs, whole=whole, **more)
-
-    def _give(self, method, voter, roster_version, owner, sequence, pairs, **more):
-        node_id, address = voter
-        return self._node.net.call(
-            address,
-            method,
-            CALL_TIME,
-            to=node_id,
-            slot=owner.slot,
-            epoch=owner.epoch,
-            owner=self._node.node_id,
-            roster_version=roster_version,
-            sequence=sequence,
-            entries=entries_of(pairs),
-            **more,
-        )
+    def note_epoch(self, slot, epoch):
+        """A voter has promised this epoch; a take-over of the slot by this node goes above it."""
+        self._seen_epochs[slot] = max(self._seen_epochs.get(slot, 0), epoch)
+
+    async def _update_voters(self):
+        if self.held:
+            self._updates.look(dict(self.held), list(self.voter_addresses().items()), self._voter.roster.version)
+
+    def _on_outranked(self, slot, owner):
+        """A voter that has promised a later epoch takes no step of this one, and nobody serves under that. So the slot is
+        taken over anew, under an epoch above."""
+        self.log.event("epochOutranked", slot=slot, epoch=owner.epoch, seen=self._seen_epochs.get(slot, 0))
+        owner.end()
 
     # --- terms ---
 
@@ -738,7 +719,7 @@
                     raise
             await sleep(self.reactor, TERM_RENEW / 4)
         if not promise.granted:
-            self._seen_epochs[slot] = max(self._seen_epochs.get(slot, 0), promise.promised_epoch)
+            self.note_epoch(slot, promise.promised_epoch)
             raise CannotTell(f"epoch {promise.promised_epoch} is promised already")
         if promise.termless:
             former.holds_none(node_id)
--- a/packages/oakcontrol/oakcontrol/replication.py
+++ b/packages/oakcontrol/oakcontrol/replication.py
@@ -2,11 +2,21 @@
 
 An owner of several slots writes to each of them by itself, but to the same five disks. What is on its way to one voter at
 the same time goes in one call, is committed there at once and is answered for each slot by itself.
+
+A voter that is behind is updated beside the steps (`VoterUpdates`), by one transfer at a time for each slot: what changed
+since the state that it is known to have, as one merged step, or else the whole image. What changes during the transfer of
+an image is gathered and follows it as a merged step, so a slow transfer is never begun anew for a change.
 """
 
+from dataclasses import dataclass, field
+
 from twisted.internet import defer
 
-from oakbase.constants import CALL_TIME, IMAGE_PART, STEP_PAUSE
+from oakbase.constants import CALL_TIME, IMAGE_PART, OUTRANKED_PATIENCE, STEP_PAUSE, UPDATE_LIMIT
+from oakbase.tasks import spawn
+from oakbase.verdict import CannotTell, NotOwner, OakError
+from oakcontrol.slots import ENTRY_COST, in_parts
+from oakwire.codec import idl
 
 
 class StepBatcher:
@@ -91,3 +101,263 @@
         """Nothing can come of it any more, whatever the others will say."""
         if not self.outcome.called:
             self.outcome.callback((False, self._errors | {node_id: error}))
+
+
+@dataclass
+class Outranked:
+    """A voter's promise of an epoch above the owner's own, and since when it is known."""
+
+    epoch: int
+    since: float
+
+
+@dataclass
+class VoterProgress:
+    """What the owner of a slot knows of one voter. Invariants:
+    - `base` is the newest (epoch, sequence) that the voter has confirmed, or the image that the take-over began with;
+    - `missing`, unless it is None, holds every key that has changed since `base`, with its newest value. It may hold
+      further keys: their newest values do no harm, wherever between `base` and the newest state the voter is;
+    - each one in `waiting` is told once, as soon as the voter has the sequence that it waits for, or an update failed."""
+
+    base: tuple
+    missing: dict | None = None
+    missing_size: int = 0
+    is_updating: bool = False
+    outranked: Outranked | None = None
+    waiting: list = field(default_factory=list)
+
+    def add(self, changes, most):
+        """Further changes; past `most` bytes a whole image is as cheap."""
+        if self.missing is None:
+            return
+        self.missing |= changes
+        self.missing_size += sum(len(key) + len(value or b"") + ENTRY_COST for key, value in changes.items())
+        if self.missing_size > most:
+            self.forget_missing()
+
+    def forget_missing(self):
+        """From here on only a whole image will do."""
+        self.missing, self.missing_size = None, 0
+
+    def gather_anew(self):
+        """What changes from now on follows an image that is about to be sent."""
+        self.missing, self.missing_size = {}, 0
+
+    def until(self, sequence):
+        """Fires once the voter has this sequence."""
+        reached = defer.Deferred()
+        self.waiting.append((sequence, reached))
+        return reached
+
+    def end_waiting(self, sequence, error=None):
+        """Tells those who wait for at most this sequence."""
+        ended = [reached for wanted, reached in self.waiting if wanted <= sequence]
+        self.waiting = [(wanted, reached) for wanted, reached in self.waiting if wanted > sequence]
+        for reached in ended:
+            if error is None:
+                reached.callback(None)
+            else:
+                reached.errback(error)
+
+
+class SlotProgress:
+    """What the owner of one slot knows of its voters. Invariants: `newest` is the sequence that was offered last, and
+    `pending` its changes, which are not among the owner's entries until a majority has them."""
+
+    def __init__(self, epoch):
+        self._epoch = epoch
+        self._voters = {}
+        self.newest, self.pending = 0, {}
+        self.newest_at_look = 0
+
+    def of(self, voter_id):
+        return self._voters.setdefault(voter_id, VoterProgress((0, 0)))
+
+    def offer(self, sequence, changes, start, voter_ids, image_size):
+        """A step that is about to be given to these voters; the first one follows the image `start`."""
+        if sequence == self.newest:
+            return  # the same step, under the next roster
+        if not self.newest:
+            self._voters = {voter_id: VoterProgress(start, {}) for voter_id in voter_ids}
+        most = min(max(IMAGE_PART, image_size), UPDATE_LIMIT)
+        for progress in self._voters.values():
+            progress.add(changes, most)
+        self.newest, self.pending = sequence, changes
+
+    def confirm(self, voter_id, sequence):
+        """The voter has this sequence on its disk."""
+        progress = self.of(voter_id)
+        progress.base = max(progress.base, (self._epoch, sequence))
+        progress.outranked = None
+        if sequence == self.newest:
+            progress.gather_anew()
+        progress.end_waiting(sequence)
+
+    def confirmed(self, voter_id):
+        """The newest sequence that the voter is known to have, 0 for none."""
+        epoch, sequence = self.of(voter_id).base
+        return sequence if epoch == self._epoch else 0
+
+    def is_behind(self, voter_id):
+        """Whether the voter lacks what was the newest at the last look already."""
+        return self.confirmed(voter_id) < self.newest_at_look
+
+    def outrank(self, voter_id, epoch, now):
+        known = self.of(voter_id).outranked
+        if known is None or known.epoch != epoch:
+            self.of(voter_id).outranked = Outranked(epoch, now)
+
+    def is_outranked(self, voter_ids, now):
+        """Whether one of these voters has stood by a later epoch for long, under which nobody came to serve."""
+        found = [self.of(voter_id).outranked for voter_id in voter_ids]
+        return any(one is not None and now - one.since > OUTRANKED_PATIENCE for one in found)
+
+
+class VoterUpdates:
+    """Brings voters that are behind up to date: those that refuse a step for want of what is before it, and at each look
+    those that have lacked something since the look before, so that a system in which nothing changes heals as well.
+
+    Invariants: at most one update for each slot and voter is under way, and at most one image to each voter."""
+
+    def __init__(self, owners, node, on_outranked):
+        """`on_outranked(slot, epoch)` is told of a voter that has promised a later epoch than this owner's."""
+        self._owners, self._net, self._log = owners, node.net, node.log
+        self._puller, self._seconds = node.puller, node.reactor.seconds
+        self._on_outranked = on_outranked
+        self._image_locks = {}
+        self.behind = 0  # slots and voters; that lacked something at the last look
+
+    async def give(self, voter, roster_version, owner, sequence, changes, start, taken):
+        """Returns once the voter has this step; `taken` is its answer to the first offer, if it gave one. `start` names
+        the image that a take-over begins with: who has it needs nothing more."""
+        if taken is None or taken.again:
+            taken = await self._accept(voter, roster_version, owner, sequence, changes.items(), base=start)
+        if taken.needs_image:
+            progress = owner.progress.of(voter[0])
+            if progress.base in (start, (owner.epoch, sequence - 1)):  # it has not even what this step follows
+                progress.forget_missing()
+            await self._reach(voter, roster_version, owner, sequence)
+            return
+        self._note(voter, owner, sequence, taken)
+
+    def look(self, held, voters, roster_version):
+        """Starts updates of those who are behind and answer."""
+        self.behind = 0
+        for slot, owner in held.items():
+            progress = owner.progress
+            late = [voter for voter in voters if progress.is_behind(voter[0])]
+            self.behind += len(late)
+            for voter in late:
+                if self._puller.answers_lately(voter[1]):
+                    spawn(self._reach(voter, roster_version, owner, progress.newest))
+            progress.newest_at_look = progress.newest
+            if progress.is_outranked([voter[0] for voter in voters], self._seconds()):
+                self._on_outranked(slot, owner)
+
+    async def _reach(self, voter, roster_version, owner, sequence):
+        progress = owner.progress.of(voter[0])
+        reached = progress.until(sequence)
+        if not progress.is_updating:
+            spawn(self._update(voter, roster_version, owner, progress), self._log)
+        await reached
+
+    async def _update(self, voter, roster_version, owner, progress):
+        """Until the voter has all that was offered: from then on steps follow on what it has."""
+        progress.is_updating = True
+        error = CannotTell("the update of this voter was broken off")
+        try:
+            while owner.progress.confirmed(voter[0]) < owner.progress.newest:
+                if owner.ended:
+                    raise NotOwner("this slot is changing hands")
+                if progress.missing is None:
+                    await self._send_image(voter, roster_version, owner, progress)
+                else:
+                    await self._send_missing(voter, roster_version, owner, progress)
+        except OakError as failed:
+            error = failed
+        finally:
+            progress.is_updating = False
+            progress.end_waiting(owner.progress.newest, error)
+
+    async def _send_missing(self, voter, roster_version, owner, progress):
+        """All that the voter lacks as one step."""
+        sequence, changes = owner.progress.newest, dict(progress.missing)
+        taken = await self._accept(voter, roster_version, owner, sequence, changes.items(), base=progress.base)
+        if taken.needs_image:
+            progress.forget_missing()
+            return
+        self._note(voter, owner, sequence, taken)
+
+    async def _send_image(self, voter, roster_version, owner, progress):
+        """One long image to a voter at a time: many at once would each take longer than a call may."""
+        if owner.size <= IMAGE_PART:
+            await self._transfer_image(voter, roster_version, owner, progress)
+            return
+        lock = self._image_locks.setdefault(voter[0], defer.DeferredLock())
+        has_waited = lock.locked
+        await lock.acquire()
+        try:
+            if has_waited and not self._puller.answers_lately(voter[1]):
+                raise CannotTell("the voter does not answer")
+            await self._transfer_image(voter, roster_version, owner, progress)
+        finally:
+            lock.release()
+
+    async def _transfer_image(self, voter, roster_version, owner, progress):
+        progress.gather_anew()
+        sequence, entries = owner.image_with(owner.progress.newest, owner.progress.pending)
+        try:
+            taken = await self._give_image(voter, roster_version, owner, sequence, entries)
+            if taken.needs_image:
+                raise CannotTell("the voter has lost parts of the image")
+            self._note(voter, owner, sequence, taken)
+        except OakError:
+            progress.forget_missing()
+            raise
+        self._log.event("imageGiven", slot=owner.slot, voter=voter[0], sequence=sequence, entries=len(entries))
+
+    async def _give_image(self, voter, roster_version, owner, sequence, entries):
+        """In the order of the keys: so each try at one image has the same parts, and none is mixed up with a late one."""
+        *parts, last = in_parts(sorted(entries.items()), IMAGE_PART)
+        for number, part in enumerate(parts):
+            taken = await self._give("stage", voter, roster_version, owner, sequence, part, part=number)
+            if not taken.taken:
+                return taken
+        return await self._give("accept", voter, roster_version, owner, sequence, last, whole=True, parts=len(parts))
+
+    def _note(self, voter, owner, sequence, taken):
+        """Takes in what a voter answered that did not lack anything."""
+        if not taken.taken:
+            self._owners.note_epoch(owner.slot, taken.promised_epoch or 0)
+            owner.progress.outrank(voter[0], taken.promised_epoch, self._seconds())
+            raise CannotTell("the voter has promised a later epoch")
+        owner.progress.confirm(voter[0], sequence)
+
+    def _accept(self, voter, roster_version, owner, sequence, pairs, base):
+        return self._give(
+            "accept",
+            voter,
+            roster_version,
+            owner,
+            sequence,
+            pairs,
+            whole=False,
+            from_epoch=base[0],
+            from_sequence=base[1],
+        )
+
+    def _give(self, method, voter, roster_version, owner, sequence, pairs, **more):
+        voter_id, address = voter
+        return self._net.call(
+            address,
+            method,
+            CALL_TIME,
+            to=voter_id,
+            slot=owner.slot,
+            epoch=owner.epoch,
+            owner=self._net.node_id,
+            roster_version=roster_version,
+            sequence=sequence,
+            entries=[idl.Entry(key=key, value=value) for key, value in pairs],
+            **more,
+        )
--- a/packages/oakcontrol/oakcontrol/voter.py
+++ b/packages/oakcontrol/oakcontrol/voter.py
@@ -256,7 +256,7 @@
             return answer
         given = {entry.key: entry.value for entry in arguments.entries or []}
         if not arguments.whole:
-            await self._write(arguments.slot, table, given, **head)
+            await self._write_step(arguments.slot, table, given, head)
             return answer
         staged = self._staged.pop(arguments.slot, None)
         if arguments.parts:
@@ -299,6 +299,14 @@
                 owner.let_go()
         return answers
 
+    async def _write_step(self, slot, table, changed, head):
+        """A step that is too much for one commit goes in as an image does."""
+        try:
+            await self._write(slot, table, changed, **head)
+        except RingFull:
+            image = {key: value for key, value in (dict(table.entries) | changed).items() if value is not None}
+            await self._replace(slot, table, image, head)
+
     async def _replace(self, slot, table, image, head):
         """Brings the table to this whole image: by what differs, if one commit holds that; else as a new
         generation beside the old one, which a last small commit puts in its place. A try that failed, in this life or
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -1,13 +1,31 @@
 """Members and gates that missed many changes: they get the newest state in one image, on disk, and never serve an older one."""
 
+import bisect
+import copy
+import functools
+import math
+import random
 import unittest
+from collections import Counter
+from unittest import mock
 
+from oakbase.constants import SLOTS
+from oakbase.logline import LogLine
 from oakbase.tasks import spawn
-from oakbase.verdict import RingFull
+from oakbase.verdict import OakError, RingFull
+from oakcontrol import replication
+from oakcontrol.routing import ROUTING_KEY
+from oakcontrol.slots import in_parts, slot_of_key, unpack_entry
+from oakcontrol.voter import Voter
+from oaklab.simfleet import SimFleet
+from oakring.ring import Ring
 from oakwire.codec import idl
 from test_images import VoterRig, entries_of, image_of
 
 SLOTS_TORN = (1, 3)
+ROUTING_SLOT = slot_of_key(ROUTING_KEY)
+PARTS_OF = replication, "IMAGE_PART"
+CAUGHT_UP = 3.0  # s; from a member's return until its disk holds every slot's image, with no further change
 
 
 class TornImages(unittest.TestCase):
@@ -109,6 +127,374 @@
         rig.start()
         self.assertEqual(rig.image(), (1, 3, smaller))
 
+    def test_a_step_that_is_too_much_for_one_commit(self):
+        """A change of many items at once, on a small disk: it is taken whole, or a power cut leaves nothing of it."""
+        outcomes = set()
+        for cut_at in (None, 1, 2, 3, 4, 5):
+            rig = VoterRig()
+            rig.do("prepare", epoch=1, parts=True)
+            self.assertTrue(rig.give_image(1, 1, image_of(b"1", 20)).taken)
+            step = dict(list(image_of(b"2", 350).items())[10:]) | {"budget/p/g3": None}
+            whole = image_of(b"1", 20) | step
+            whole.pop("budget/p/g3")
+            self.assertGreater(sum(map(len, filter(None, step.values()))), rig.ring.commit_limit())
+            restart = self.cut_at(rig, cut_at)
+            said = rig.do("accept", epoch=1, sequence=2, entries=entries_of(step.items()))
+            restart()
+            self.assertIn(rig.image(), [(1, 1, image_of(b"1", 20)), (1, 2, whole)])
+            if cut_at is None:
+                self.assertTrue(said.taken)
+                self.assertEqual(rig.image(), (1, 2, whole))
+            outcomes.add(rig.image()[1])
+        self.assertEqual(outcomes, {1, 2})
+
+
+class _Node:
+    """As much of a node as a voter needs to be read from its disk."""
+
+    def __init__(self, one):
+        self.node_id, self.reactor, self.log = one.node.node.node_id, one.node.node.reactor, LogLine(lambda line: None)
+        self.net = self
+
+    def handle(self, method, handler):
+        pass
+
+
+def images_on_disk(one):
+    """The images of all slots as a start from this machine's disk would find them if the power went now."""
+    disk = copy.copy(one.disk)
+    disk._files = {name: bytearray(data) for name, data in one.disk._durable.items()}
+    disk._durable, disk._unsynced = {name: bytearray(data) for name, data in disk._files.items()}, []
+    voter = Voter(_Node(one), Ring(disk, LogLine(lambda line: None), one.node.ring._file_size))
+    return [_shown(voter.image(slot)) for slot in range(SLOTS)]
+
+
+def _shown(image):
+    epoch, sequence, entries = image
+    return epoch, sequence, dict(entries)
+
+
+class RoutingFleet(SimFleet):
+    """A fleet of which only the routing changes. Invariant: `version` is the newest that was taken, with `routes`."""
+
+    def __init__(self, seed, **options):
+        super().__init__(seed, **options)
+        self.version, self.routes = 0, {}
+
+    def controls(self):
+        return [one for one in self.of_kind("control") if one.running and not one.host.frozen]
+
+    def owner(self, slot=ROUTING_SLOT):
+        holders = [one for one in self.controls() if slot in one.node.owners.held]
+        return next((one for one in holders if one.node.owners.held[slot].holds_term()), None)
+
+    def change(self, items=1, size=40):
+        """One change of the routing: these items of a thousand are new in it, others stay."""
+        number = self.version + 1
+        changed = {
+            name: {"name": name, "made": number, "text": "x" * size}
+            for name in (f"r{(number * items + item) % 1000}" for item in range(items))
+        }
+        pieces = {f"routes/{name}": item for name, item in changed.items()}
+        if changed.keys() - self.routes.keys():
+            pieces["order:routes"] = [*self.routes, *(changed.keys() - self.routes.keys())]
+        pieces["rest"] = {"number": number}
+        self.wait_for_owner()
+        self.until(
+            self.owner().node.owners.call(
+                ROUTING_KEY,
+                "change",
+                {"based_on": self.version, "version": number, "pieces": pieces, "fingerprint": f"f{number}"},
+            )
+        )
+        self.routes |= changed
+        self.version = number
+
+    def wait_for_owner(self):
+        self.wait_for("an owner of the routing", lambda: self.owner() is not None)
+
+    def bystander(self):
+        """A member that neither holds the routing nor would be the next to hold it."""
+        owner = self.owner()
+        order = owner.node.owners._order(ROUTING_SLOT, tuple(owner.node.owners._live_roster()))
+        return next(one for one in self.controls() if one.node.node.node_id == order[-1])
+
+    def behind(self):
+        """Of each slot the members whose disk holds another image than its owner, as text."""
+        owners = {slot: self.owner(slot) for slot in range(SLOTS)}
+        found = [f"slot {slot} has no owner" for slot, owner in owners.items() if owner is None]
+        disks = {one.name: images_on_disk(one) for one in self.controls()}
+        for slot, owner in owners.items():
+            if owner is None:
+                continue
+            held = owner.node.owners.held[slot]
+            newest = held.epoch, held.sequence, dict(held.entries)
+            found += [
+                f"slot {slot} of {name} is at {images[slot][:2]}, the owner at {newest[:2]}"
+                for name, images in disks.items()
+                if images[slot] != newest
+            ]
+        return found
+
+
+class QuietSystem(unittest.TestCase):
+    """Members return when nothing changes any more: what was acknowledged stands on all disks all the same."""
+
+    def check_returns(self, leave, come_back, away=3.0):
+        fleet = RoutingFleet(11).bring_up()
+        fleet.change(items=20)
+        fleet.run(2.0)
+        self.assertEqual(fleet.behind(), [])
+        member = fleet.bystander()
+        leave(fleet, member)
+        for _ in range(5):
+            fleet.change()
+        fleet.run(away)
+        come_back(fleet, member)
+        fleet.run(CAUGHT_UP)
+        self.assertEqual(fleet.behind(), [])
+
+    def test_a_member_that_was_killed(self):
+        self.check_returns(lambda fleet, member: member.kill(), lambda fleet, member: member.start())
+
+    def test_a_member_that_was_frozen(self):
+        self.check_returns(lambda fleet, member: member.freeze(), lambda fleet, member: member.thaw())
+
+    def test_a_member_that_was_frozen_for_a_moment(self):
+        """It counts as alive all the time, but the calls to it have failed."""
+        self.check_returns(lambda fleet, member: member.freeze(), lambda fleet, member: member.thaw(), away=2.5)
+
+    def test_a_member_that_was_cut_off(self):
+        pairs = set()
+
+        def cut(fleet, member):
+            addresses = [one.host.address for one in fleet.by_name.values() if one is not member]
+            pairs.update((member.host.address, address) for address in addresses)
+            pairs.update((address, member.host.address) for address in addresses)
+            fleet.network.hold(pairs)
+
+        self.check_returns(cut, lambda fleet, member: fleet.network.let_go(pairs))
+
+    def test_a_member_that_has_promised_a_later_epoch(self):
+        """
+        another member prepared a later epoch at one voter, and came no further: a take-over that found no majority
+        the owner goes on with the others; the voter must not stay out for ever
+        """
+        fleet = RoutingFleet(12).bring_up()
+        fleet.change(items=20)
+        fleet.run(2.0)
+        owner, voter = fleet.owner(), fleet.bystander()
+        other = next(one for one in fleet.controls() if one not in (owner, voter))
+        promise = fleet.until(
+            other.node.node.net.call(
+                voter.machine.peer,
+                "prepare",
+                2.0,
+                to=voter.node.node.node_id,
+                slot=ROUTING_SLOT,
+                epoch=owner.node.owners.held[ROUTING_SLOT].epoch + 3,
+                owner=other.node.node.node_id,
+                roster_version=owner.node.voter.roster.version,
+                parts=True,
+            )
+        )
+        self.assertTrue(promise.granted)
+        fleet.change()
+        fleet.run(2 * CAUGHT_UP)
+        self.assertEqual(fleet.behind(), [])
+
+
+def shown_sequence(one, slot=ROUTING_SLOT):
+    """(epoch, sequence) of a member's image."""
+    return one.node.voter.image(slot)[:2]
+
+
+class BusySystem(unittest.TestCase):
+    """Changes keep coming while a member catches up over a slow link."""
+
+    def test_a_slow_member_catches_up_while_changes_keep_coming(self):
+        """
+        owner                                              member
+        60 changes                                         frozen; then back, 60 ms away
+        an image of some 20 parts: 2.4 s                   changes every 30 ms meanwhile
+                                                           has what was the newest at its return within one image's time
+        """
+        with mock.patch.object(*PARTS_OF, 16 << 10):
+            fleet = RoutingFleet(13, ring_file_size=1 << 20).bring_up()
+            for _ in range(5):
+                fleet.change(items=200, size=250)
+            member = fleet.bystander()
+            member.freeze()
+            for _ in range(60):
+                fleet.change(items=20, size=250)
+            fleet.run(3.0)
+            owner = fleet.owner()
+            parts = len(list(in_parts(owner.node.owners.held[ROUTING_SLOT].entries.items(), 16 << 10)))
+            self.assertGreater(parts, 20)
+            for pair in (owner.host.address, member.host.address), (member.host.address, owner.host.address):
+                fleet.network.delays[pair] = 0.06
+            stages = owner.node.node.net.call_counts.get("stage", 0)
+            member.thaw()
+            returned, target = fleet.time.now, fleet.owner().node.owners.held[ROUTING_SLOT].sequence
+            caught_up = None
+            while fleet.time.now < returned + (6.0 if caught_up is None else caught_up + 1.0):
+                fleet.change()
+                fleet.run(0.02)
+                if caught_up is None and shown_sequence(member)[1] >= target:
+                    caught_up = fleet.time.now - returned
+            stages = owner.node.node.net.call_counts["stage"] - stages
+            self.assertIsNotNone(caught_up, f"never caught up; {stages} parts were sent")
+            self.assertLessEqual(stages, parts, "more than one image was sent")
+            self.assertLess(owner.node.owners.held[ROUTING_SLOT].sequence - shown_sequence(member)[1], 20, "in line")
+
+
+class Trial:
+    """Many changes of the routing while members are restarted, frozen, cut off, emptied and cut off the power, two at a
+    time. Looked at after each change and each pause:
+    - two voters with an image of one (epoch, sequence) have the same entries;
+    - whoever holds a term of the routing has at least the newest version that was acknowledged;
+    - a board's version never falls within one life of its process, and what is confirmed as of some time is no older
+      than what was acknowledged by then."""
+
+    WAYS = ("restart", "power cut", "freeze", "cut", "cut one way", "wipe")
+
+    def __init__(self, seed, **options):
+        self.random = random.Random(f"catching up/{seed}")
+        self.fleet = RoutingFleet(seed, self_forming=True, **options).bring_up(plans=False)
+        self.acknowledged = [(0.0, 0)]
+        self.entries_of, self.last_label, self.board_versions = {}, {}, {}
+        self.away, self.counts, self.emptied = {}, Counter(), None
+
+    def begin_trouble(self):
+        fleet = self.fleet
+        free = [one for one in fleet.controls() if one.name not in self.away]
+        way = self.random.choice(self.WAYS)
+        if len(self.away) + self.is_mending() > 1 or (way == "wipe" and (self.away or not fleet.roster_of_all())):
+            return
+        member, ends = self.random.choice(free), fleet.time.now + self.random.choice((0.3, 1.0, 2.5, 6.0))
+        self.counts[way] += 1
+        end = member.start
+        if way == "restart":
+            member.kill()
+        elif way == "power cut":
+            member.power_cut()
+        elif way == "wipe":
+            member.kill()
+            member.lose_disk()
+            self.emptied = member
+        elif way == "freeze":
+            member.freeze()
+            end = member.thaw
+        else:
+            pairs = {(member.host.address, one.host.address) for one in fleet.by_name.values() if one is not member}
+            pairs |= set() if way == "cut one way" else {pair[::-1] for pair in pairs}
+            fleet.network.hold(pairs)
+            end = functools.partial(fleet.network.let_go, pairs)
+        self.away[member.name] = ends, end
+
+    def is_mending(self):
+        """Whether a member that lost its disk has not come back as a member yet."""
+        if self.emptied is None:
+            return False
+        joined = self.emptied.node.node.node_id
+        rosters = [one.node.voter.roster for one in self.fleet.controls()]
+        newest = max((roster for roster in rosters if roster is not None), key=lambda roster: roster.version)
+        return newest.next is not None or joined not in newest.members
+
+    def end_troubles(self, all_=False):
+        for name, (ends, end) in list(self.away.items()):
+            if all_ or self.fleet.time.now >= ends:
+                end()
+                del self.away[name]
+
+    def look(self):
+        now, newest = self.fleet.time.now, self.acknowledged[-1][1]
+        for one in self.fleet.controls():
+            self._look_at_voter(one)
+            owner = one.node.owners.held.get(ROUTING_SLOT)
+            if owner is not None and owner.holds_term() and ROUTING_KEY in owner.entries:
+                version = unpack_entry(owner.entries[ROUTING_KEY])["version"]
+                assert version >= newest, f"{now}: {one.name} serves version {version}, {newest} was acknowledged"
+        for one in self.fleet.by_name.values():
+            if one.running and not one.host.frozen:
+                self._look_at_board(one)
+
+    def _look_at_voter(self, one):
+        for slot in range(SLOTS):
+            epoch, sequence, entries = one.node.voter.image(slot)
+            label = slot, epoch, sequence
+            if self.last_label.get((one.name, one.starts, slot)) != label:
+                self.last_label[one.name, one.starts, slot] = label
+                shown = hash(frozenset(entries.items()))
+                assert self.entries_of.setdefault(label, shown) == shown, f"{one.name} has another image of {label}"
+
+    def _look_at_board(self, one):
+        board = one.node.node.board
+        image = board.images.get(ROUTING_KEY)
+        version = image.version if image else 0
+        key = one.name, one.starts
+        assert version >= self.board_versions.get(key, 0), f"{one.name} went back to version {version}"
+        self.board_versions[key] = version
+        at = board.confirmed_at(ROUTING_KEY)
+        place = bisect.bisect_right(self.acknowledged, (at, math.inf)) - 1
+        if place >= 0:
+            known = self.acknowledged[place][1]
+            assert version >= known, f"{one.name} confirms version {version} as of {at:.3f}, when {known} stood"
+
+    def run(self, changes, size):
+        fleet = self.fleet
+        for _ in range(5):
+            fleet.change(items=200, size=size)
+            self.acknowledged.append((fleet.time.now, fleet.version))
+        for _ in range(changes):
+            if self.random.random() < 0.05:
+                self.begin_trouble()
+            self.end_troubles()
+            self.change(size)
+            self.look()
+            for _ in range(self.random.choice((0, 0, 0, 1, 5))):
+                fleet.run(0.05)
+                self.look()
+        self.end_troubles(all_=True)
+        fleet.wait_for("the members being whole again", fleet.roster_of_all, 20.0)
+        fleet.run(CAUGHT_UP)
+        self.look()
+        return fleet.behind()
+
+    def change(self, size):
+        """One change that is asked for until it is taken, as an operator does."""
+        while True:
+            try:
+                self.fleet.change(size=size)
+            except OakError as error:
+                self.counts[f"answered {error.code}"] += 1
+                self.fleet.run(0.05)
+                self.end_troubles()
+                self.look()
+                continue
+            self.acknowledged.append((self.fleet.time.now, self.fleet.version))
+            return
+
+    def laps(self):
+        """How often the members' rings have gone round, at least."""
+        return min(one.node.ring._laps[-1] // one.node.ring._file_count for one in self.fleet.controls())
+
+
+class ManyChanges(unittest.TestCase):
+    def test_members_in_trouble_among_many_changes(self):
+        for seed in (1, 2):
+            trial = Trial(seed, ring_file_size=1 << 18)
+            self.assertEqual(trial.run(110, size=60), [], seed)
+
+
+def run_by_hand(seeds, changes=2000, size=60):
+    """Longer trials: python -c 'import test_catching_up as t; t.run_by_hand(range(10))'"""
+    for seed in seeds:
+        trial = Trial(seed, ring_file_size=1 << 18)
+        behind = trial.run(changes, size)
+        fleet = trial.fleet
+        print(seed, "behind:", behind, "laps:", trial.laps(), dict(trial.counts), f"{fleet.time.now:.0f} s", flush=True)
+
 
 if __name__ == "__main__":
     unittest.main()
