--- a/packages/oakcontrol/oakcontrol/operator.py
+++ b/packages/oakcontrol/oakcontrol/operator.py
@@ -12,7 +12,7 @@
 
 What the dialect has to say: `operator_routes`, {replace, change, read, retire, retire_state: (method, path)}, the last
 two with {machine} in their paths; `operator_status(error)`, of one that is final; `base_version_of(headers)`;
-`routing_of(document)`, the table in the product's terms, or Invalid with every fault; `version_of(document)`;
+`routing_of(document, parsed)`, the table in the product's terms, or Invalid with every fault; `version_of(document)`;
 `patch_of(body)`, {version, upsert, remove}; `with_version(document, version)`; `retire_shown(state)`, a JSON-able answer.
 """
 
--- a/packages/oakcontrol/oakcontrol/routing.py
+++ b/packages/oakcontrol/oakcontrol/routing.py
@@ -13,6 +13,7 @@
 version makes that version past, so of two different changes one is lost, and what was lost can never be taken later.
 """
 
+from functools import lru_cache
 from urllib.parse import quote, unquote
 
 from schema import Optional
@@ -29,11 +30,13 @@
 ORDER = "order:"  # before a list's name; never part of a quoted name
 VERSION_PIECE = "version"  # only in the news
 FAULTS_TOLD = 50  # of one document, in an answer
+NAMES_CACHED = 1 << 14  # names; quoted ones at hand, more than a configuration of the largest size tried has
 
 
 # --- documents and their pieces -------------------------------------------------
 
 
+@lru_cache(NAMES_CACHED)
 def _quoted(name):
     return quote(name, safe="", errors="surrogatepass")
 
--- a/packages/oakgate/oakgate/routing.py
+++ b/packages/oakgate/oakgate/routing.py
@@ -1,4 +1,8 @@
-"""Which service a request is for: the gate's routing table, rebuilt from the news whenever its version moves."""
+"""Which service a request is for: the gate's routing table, made from the news whenever its version moves.
+
+Each table is made whole, but what its parts were made of is remembered: an entry is unpacked, read and made a route again
+only if it has changed. So a version costs a pass over all routes that does little for each, and the work for what changed.
+"""
 
 from bisect import bisect_right
 from dataclasses import dataclass, field
@@ -66,7 +70,9 @@
 
     def __init__(self, node, dialect):
         self._node, self._board, self._dialect = node, node.board, dialect
-        self._unpacked = {}
+        self._unpacked = {}  # name of a piece -> (as it was published, as it was unpacked)
+        self._parsed = {}  # the dialect's own, of the last sound document
+        self._made = {}  # name -> (row, the route made of it)
         self._hosts = {}
         self._unreadable = None
         self.version, self.routes, self.services, self.limits = 0, {}, {}, {}
@@ -80,7 +86,6 @@
         if version <= self.version:
             return
         try:
-            # What has not changed is not read again.
             self._unpacked = {
                 name: former
                 if (former := self._unpacked.get(name)) and former[0] == value
@@ -88,18 +93,23 @@
                 for name, value in values.items()
             }
             document = document_of({name: piece for name, (_, piece) in self._unpacked.items()})
-            self._take(version, self._dialect.routing_of(document))
+            self._take(version, self._dialect.routing_of(document, self._parsed))
         except Exception as error:
             # Nothing may be carried by an older table, so nothing is carried at all.
             self._unreadable = version
             self._node.log.event("routingUnreadable", version=version, error=repr(error))
 
     def _take(self, version, table):
-        routes = {row["name"]: Route(**row) for row in table["routes"]}
+        made = {
+            row["name"]: former if (former := self._made.get(row["name"])) and former[0] is row else (row, Route(**row))
+            for row in table["routes"]
+        }
+        routes = {name: route for name, (_, route) in made.items()}
         by_host = {}
         for route in routes.values():
             by_host.setdefault(host_of(route.host), []).append(route)
         self._hosts = {host: _Host(of_host) for host, of_host in by_host.items()}
+        self._made = made
         self.version, self.routes, self.services, self.limits = version, routes, table["services"], table["limits"]
         self._unreadable = None
         self._node.log.event("routingInForce", version=version, routes=len(routes))
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -831,6 +831,27 @@
         "            raise\n",
         "test_catching_up.TornImages.test_a_step_that_is_too_much_for_one_commit",
     ),
+    TakeOut(
+        "a route is made again only if it has changed",
+        "oakgate/oakgate/routing.py",
+        "former[0] is row else",
+        "False else",
+        "test_routing.RouterTest.test_routes_that_did_not_change_are_not_made_again",
+    ),
+    TakeOut(
+        "a gate never goes back to an older table",
+        "oakgate/oakgate/routing.py",
+        "if version <= self.version:",
+        "if not version:",
+        "test_routing.RouterTest.test_never_goes_back",
+    ),
+    TakeOut(
+        "a source that is behind takes nothing back",
+        "oaknews/oaknews/board.py",
+        "            if received.version < image.version:\n                continue\n",
+        "",
+        "test_routing.RouterTest.test_older_news_confirm_nothing",
+    ),
     TakeOut(
         "giving up at once",
         "oakgate/oakgate/placer.py",
--- /dev/null
+++ b/tests/test_gates_catching_up.py
@@ -0,0 +1,261 @@
+"""Gates that missed many changes of the routing: one pull brings the newest, never an older one, and little is remembered."""
+
+import random
+import unittest
+from types import SimpleNamespace
+
+from hypothesis import given, settings, strategies as st
+from relay_fleet import RelayFleet, route
+
+from oakbase.constants import COHORT_CONTROL, COHORT_SIZE, GONE_LIMIT
+from oakbase.logline import LogLine
+from oakcontrol.routing import ROUTING_KEY, document_from, pieces_of
+from oakcontrol.slots import pack_entry, slot_of_key
+from oakgate.routing import Router
+from oaknews.board import Board
+from oakplatform.dialect import Dialect
+from oakplatform.routes import routing_of
+
+SOURCE = "routing"
+ROUTING_SLOT = slot_of_key(ROUTING_KEY)
+
+
+class Clock:
+    now = 0.0
+
+    def seconds(self):
+        return self.now
+
+
+class Boards(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.owner = Board(self.clock)
+        self.owner.publish(SOURCE, self.clock.seconds)
+
+    def pull(self, puller, other):
+        seen = puller.seen()
+        news = other.news_for(seen)
+        puller.merge(news, seen, self.clock.now)
+        return sum(len(item.value or b"") + len(item.name) for image in news.images for item in image.items)
+
+    def test_one_pull_costs_at_most_one_image_however_many_changes_were_missed(self):
+        values = {f"r{number}": b"0" * 100 for number in range(1000)}
+        self.owner.set_items(SOURCE, 1, values)
+        whole = sum(len(name) + len(value) for name, value in values.items())
+        costs = {}
+        for missed in (1, 10, 100, 1000, 2000):
+            behind, version = Board(self.clock), self.owner.images[SOURCE].version
+            self.pull(behind, self.owner)
+            for change in range(1, missed + 1):
+                values |= {f"r{change % 1000}": b"%d" % (version + change) + b"0" * 90}
+                self.owner.set_items(SOURCE, version + change, values)
+            costs[missed] = self.pull(behind, self.owner)
+            self.assertEqual(behind.values(SOURCE), values)
+        self.assertLess(costs[1], 200)
+        self.assertLessEqual(max(costs.values()), whole)
+
+    def test_what_is_remembered_of_removed_items_is_bounded(self):
+        """The owner, and others that pull from it and from one another, each now and then."""
+        numbers = random.Random(1)
+        boards = [self.owner, *(Board(self.clock) for _ in range(4))]
+        most = 0
+        for version in range(1, 3001):
+            values = {f"r{version + number}": b"%d" % version for number in range(50)}
+            self.owner.set_items(SOURCE, version, values)
+            for puller in boards[1:]:
+                if numbers.random() < 0.3:
+                    self.pull(puller, numbers.choice([one for one in boards if one is not puller]))
+            most = max(most, *(len(one.images[SOURCE].items) for one in boards if SOURCE in one.images))
+        self.assertLessEqual(most, 50 + GONE_LIMIT + 50)
+        for puller in boards[1:]:
+            self.pull(puller, self.owner)
+            self.assertEqual(puller.values(SOURCE), values)
+
+    def test_a_source_that_is_behind_neither_takes_back_nor_confirms(self):
+        behind, gate = Board(self.clock), Board(self.clock)
+        self.owner.set_items(SOURCE, 1, {"a": b"1", "gone": b"1"})
+        self.pull(behind, self.owner)
+        self.clock.now = 1.0
+        self.owner.set_items(SOURCE, 2, {"a": b"2"})
+        self.pull(gate, self.owner)
+        behind.images[SOURCE].confirmed_at = self.clock.now = 5.0  # as if it were the newest, which it cannot be
+        for pull in ([], gate.seen()):
+            gate.merge(behind.news_for(pull), pull, self.clock.now)
+            self.assertEqual(gate.values(SOURCE), {"a": b"2"})
+            self.assertAlmostEqual(gate.age(SOURCE), 4.0, delta=0.01)
+
+
+NAMES = st.sampled_from(["r1", "r2", "r3", "r4", "r5"])
+ROUTES = st.builds(
+    lambda name, host, tries, service, wrong: (
+        route(name, f"/{name}/", "safe", service, host=host, tries=tries) | ({"timeout_ms": -1} if wrong else {})
+    ),
+    NAMES,
+    st.sampled_from(["a.example", "b.example"]),
+    st.sampled_from([1, 2, 1.0, True]),
+    st.sampled_from(["api", "alt"]),
+    st.sampled_from([False] * 9 + [True]),
+)
+SERVICES = st.lists(
+    st.builds(
+        lambda name, cap: {"name": name, "health_path": "/", "conn_cap": cap, "protocol": "h1"},
+        st.sampled_from(["api", "alt"]),
+        st.sampled_from([5, 6]),
+    ),
+    min_size=1,
+    max_size=2,
+    unique_by=lambda service: service["name"],
+)
+DOCUMENTS = st.builds(
+    lambda routes, services: {"mail_routes": routes, "depots": services, "limits": {}},
+    st.lists(ROUTES, max_size=5, unique_by=lambda one: one["name"]),
+    SERVICES,
+)
+
+
+class Tables(unittest.TestCase):
+    """A gate's table, of which only what changed is made anew."""
+
+    def setUp(self):
+        clock = Clock()
+        self.board = Board(clock)
+        self.board.publish(ROUTING_KEY, clock.seconds)
+        self.node = SimpleNamespace(board=self.board, env={}, log=LogLine(lambda line: None))
+
+    def publish(self, version, document):
+        pieces = pieces_of(document | {"edition": version}) | {"version": version}
+        self.board.set_items(ROUTING_KEY, version, {name: pack_entry(piece) for name, piece in pieces.items()})
+
+    @staticmethod
+    def shown(router):
+        paths = [(host, f"/{name}/x") for host in ("a.example", "b.example") for name in ("r1", "r2", "r3", "r4", "r5")]
+        found = [router.find(*path) for path in paths]
+        return repr((router.version, router.routes, router.services, router.limits, found, router.staleness()))
+
+    @settings(max_examples=150, deadline=None)
+    @given(st.lists(DOCUMENTS, min_size=1, max_size=6))
+    def test_it_is_what_a_new_gate_makes_of_the_same_news(self, documents):
+        self.setUp()
+        old = Router(self.node, Dialect())
+        for version, document in enumerate(documents, 1):
+            self.publish(version, document)
+            new = Router(self.node, Dialect())
+            if new.version:
+                self.assertEqual(self.shown(old), self.shown(new))
+            else:
+                self.assertEqual((old.staleness(), old.version < version), (new.staleness(), True))
+
+    def test_only_what_changed_is_made_anew(self):
+        routes = [route(f"r{number}", f"/r{number}/", "safe", "api") for number in range(50)]
+        services = [{"name": "api", "health_path": "/", "conn_cap": 5, "protocol": "h1"}]
+        self.publish(1, {"mail_routes": routes, "depots": services, "limits": {}})
+        router = Router(self.node, Dialect())
+        before = dict(router.routes)
+        routes[7] = routes[7] | {"tries": 3}
+        self.publish(2, {"mail_routes": routes[1:], "depots": services, "limits": {}})
+        made = [name for name, one in router.routes.items() if one is not before[name]]
+        self.assertEqual((router.version, made, len(router.routes)), (2, ["r7"], 49))
+
+
+class Gates(unittest.TestCase):
+    """A gate of the platform's kind that is away for 20 s while the routing changes."""
+
+    ROUTES, CHANGES, AWAY = 200, 60, 20.0
+
+    def bring_up(self):
+        self.fleet = fleet = RelayFleet(3).bring_up()
+        routes = [route(f"r{number}", f"/r{number}/", "safe", "api") for number in range(self.ROUTES)]
+        document = fleet.document | {"edition": 2, "mail_routes": fleet.document["mail_routes"] + routes}
+        fleet.adopt(fleet.until(fleet.operator.put(document, based_on=1)))
+        fleet.wait_ready()
+        self.gate = fleet["gate1"]
+
+    def change(self, number):
+        """Another route is changed, by the owner itself."""
+        fleet = self.fleet
+        version, name = fleet.version + 1, f"r{number % self.ROUTES}"
+        item = route(name, f"/r{number % self.ROUTES}/", "safe", "api", timeout_ms=1000 + version)
+        rest = {"edition": version, "limits": fleet.document["limits"]}
+        owner = next(one for one in fleet.of_kind("core") if ROUTING_SLOT in one.node.owners.held)
+        arguments = {"based_on": fleet.version, "version": version, "fingerprint": f"f{version}"}
+        pieces = {f"mail_routes/{name}": item, "rest": rest}
+        fleet.until(owner.node.owners.call(ROUTING_KEY, "change", arguments | {"pieces": pieces}))
+        fleet.version = version
+
+    def watch(self):
+        """What the gate takes in of the routing: (version before, version after, bytes) of each pull."""
+        board, taken = self.gate.node.node.board, []
+        merge = board.merge_images
+
+        def watched(images, asked_at):
+            before = board.images[ROUTING_KEY].version if ROUTING_KEY in board.images else 0
+            merge(images, asked_at)
+            size = sum(
+                len(item.name) + len(item.value or b"")
+                for image in images
+                if image.source == ROUTING_KEY
+                for item in image.items
+            )
+            if size:
+                taken.append((before, board.images[ROUTING_KEY].version, size))
+
+        board.merge_images = watched
+        return taken
+
+    def image_size(self):
+        return sum(
+            len(name) + len(value) for name, value in self.fleet["gate0"].node.node.board.values(ROUTING_KEY).items()
+        )
+
+    def miss(self, leave, come_back):
+        self.bring_up()
+        fleet = self.fleet
+        leave(self.gate)
+        left = fleet.time.now
+        for number in range(self.CHANGES):
+            self.change(number)
+            fleet.run(self.AWAY / self.CHANGES / 2)
+        fleet.run(left + self.AWAY - fleet.time.now)
+        come_back(self.gate)
+        return self.watch()
+
+    def check(self, taken):
+        fleet, gate = self.fleet, self.gate
+        returned = fleet.time.now
+        fleet.wait_for("the newest version", lambda: gate.node.router.version == fleet.version, 3.0)
+        fleet.wait_for("the gate being ready", lambda: gate.node.why_not_ready() is None, 3.0)
+        took = fleet.time.now - returned
+        self.assertEqual(
+            [(before < after, after) for before, after, _ in taken if before < after], [(True, fleet.version)]
+        )
+        # Those it asked at the same time answer the same, each with at most one image: its cohort, a control node, the seeds.
+        self.assertLessEqual(max(size for *_, size in taken), 1.1 * self.image_size())
+        self.assertLessEqual(len(taken), COHORT_SIZE + COHORT_CONTROL + len(fleet.seeds()))
+        timeouts = {one.name: one.timeout_s for one in gate.node.router.routes.values()}
+        self.assertEqual(timeouts[f"r{(self.CHANGES - 1) % self.ROUTES}"], (1000 + fleet.version) / 1000)
+        _, document = document_from(gate.node.node.board.values(ROUTING_KEY))
+        self.assertEqual(gate.node.router.services, routing_of(document)["services"])
+        return took, sum(size for *_, size in taken)
+
+    def test_a_gate_that_was_frozen(self):
+        taken = self.miss(lambda gate: gate.freeze(), lambda gate: gate.thaw())
+        self.check(taken)
+
+    def test_a_gate_that_was_restarted(self):
+        taken = self.miss(lambda gate: gate.kill(), lambda gate: gate.start())
+        self.check(taken)
+
+    def test_a_gate_that_was_cut_off(self):
+        heal = []
+
+        def cut(gate):
+            others = [name for name in self.fleet.machines if name != gate.name]
+            heal.append(self.fleet.cut([gate.name], others))
+
+        taken = self.miss(cut, lambda gate: heal[0]())
+        self.check(taken)
+
+
+if __name__ == "__main__":
+    unittest.main()
