--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -108,6 +108,9 @@
 OPERATOR_INBOX = 64  # calls; of operators at one node at a time, repeats of what they left under way included
 OPERATOR_TIME = 4.0  # s; a take-over fits; an operator asks elsewhere after a second, and its repeats do no harm
 OPERATOR_RETRY = 0.2  # s; what an operator is told to wait: a slot changes hands in a few of these
+MAJORITY_DOUBT = 0.1  # s; an operator's order without an answer for so long sets off the question whether a majority
+# answers at all: owners answer in milliseconds
+MAJORITY_WAIT = 0.35  # s; for that question's answers, so that one that is cut off says so within half a second
 ROUTING_AGE = 1.5  # s; as for blueprints, unless the deployment's bounds say otherwise
 ROUTING_STRETCH = 3.5  # s; a take-over: for so long more the routing may be old while the control nodes are
 # unsettled
@@ -145,6 +148,10 @@
 # have
 STORES_PATIENCE = 6.0  # s; a member without a sign of life for this long gives its place to a spare: longer than a
 # restart with its disk takes
+CONTACT_GAP = 1.0  # s; between two looks at who answers: four of them; a longer gap means that the process was frozen
+VIEW_AGE = 7.5  # s; a control node in touch with a majority for so long knows who is silent: a store's patience, and
+# CONDITION_AGE more, since a majority may have stopped answering so long before that is noticed
+VIEW_RETRY = 0.5  # s; what is told to who asks for something that waits for VIEW_AGE to pass
 MEMBER_ANSWERED = 1.0  # s; a watch with a longer gap between two looks was frozen, and has watched nobody
 # meanwhile
 PRUNE_PAUSE = 1.0  # s; how often the owner of the store set asks whether ids of retired stores are still in
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -27,12 +27,14 @@
     TERM_FRESH,
     TERM_RENEW,
     VOTERS_LOOK,
+    VIEW_RETRY,
 )
 from oakbase.inbox import Inbox
 from oakbase.tasks import Repeater, drive, quorum_of, sleep, spawn, within
 from oakbase.verdict import CannotTell, Fenced, NoAnswer, NotOwner, OakError, RingFull, Unknown, Verdict
 from oakcohort.members import LIVE
 from oakcohort.rendezvous import ranked
+from oakcontrol.contact import Contact
 from oakcontrol.controllers import CONTROLLERS, SLOT_SOURCE, published_by, sweeps_for
 from oakcontrol.replication import Offer, SlotProgress, StepBatcher, VoterUpdates
 from oakcontrol.slots import pack_entry, slot_of_key, unpack_entry
@@ -340,6 +342,7 @@
         self._batchers = {}
         self._updates = VoterUpdates(self, node, self._on_outranked)
         self._started_at = node.reactor.seconds()
+        self.contact = Contact(node.reactor, node.log)
         self.poll_times = {}
         self._tasks = [
             Repeater(node.reactor, pause, round_function, node.log)
@@ -379,6 +382,7 @@
             self._voter.roster,
             self._node.board,
             self._node.env.get("bounds"),
+            self.contact,
         )
 
     # --- the majority ---
@@ -563,6 +567,11 @@
         roster = self._voter.roster
         if roster is None:
             return
+        answering = {
+            node_id for node_id, address in self.voter_addresses().items() if self._node.puller.answers_lately(address)
+        }
+        is_parted = not roster.is_quorum(answering)
+        self.contact.look(not is_parted)
         if self._node.node_id not in roster.everyone:
             self._say_parted(False)  # who has no vote needs no majority; while it says so, it would not be let in again
             for owner in list(self.held.values()):
@@ -570,10 +579,6 @@
             return
         # Only who has answers from a majority may disturb an owner: one that is heard but hears nobody would
         # end every term with its prepares.
-        answering = {
-            node_id for node_id, address in self.voter_addresses().items() if self._node.puller.answers_lately(address)
-        }
-        is_parted = not roster.is_quorum(answering)
         self._say_parted(is_parted)
         if is_parted:
             return
@@ -824,15 +829,23 @@
 
 class Context:
     """What a command may look at besides entries: the owner's monotonic time, the members, the news that this
-    node has, the deployment's bounds, and marks, which live only as long as this ownership: key -> time since which the
-    key counts."""
+    node has, the deployment's bounds, whether it is in touch with a majority, and marks, which live only as long as this
+    ownership: key -> time since which the key counts."""
 
-    def __init__(self, now, members, marks, roster, board, bounds=None):
+    def __init__(self, now, members, marks, roster, board, bounds=None, contact=None):
         self.now, self.members, self.marks, self.roster, self.board = now, members, marks, roster, board
         self.bounds = bounds or {}
+        self._contact = contact
 
     def age_of(self, key):
         return self.now - self.marks.setdefault(key, self.now)
 
     def touch(self, key):
         self.marks[key] = self.now
+
+    def refusal(self, error):
+        """This refusal, which rests on who has not been heard of; CannotTell while that may only mean that this node has
+        not been in touch for long enough to hear of everybody."""
+        if self._contact is None or self._contact.knows_members():
+            return error
+        return CannotTell(f"not in touch for long enough to tell: {error.reason}", retry_after=VIEW_RETRY)
--- a/packages/oakcontrol/oakcontrol/roster.py
+++ b/packages/oakcontrol/oakcontrol/roster.py
@@ -104,7 +104,7 @@
     for node_id in changed.keys() - record["members"].keys():
         newcomer = known.find(node_id)
         if newcomer is None or newcomer.kind != "control" or known.condition(node_id) != LIVE:
-            raise Refused(f"{node_id} is not a live control node of this cluster")
+            raise view.context.refusal(Refused(f"{node_id} is not a live control node of this cluster"))
     record = {"version": record["version"] + 1, "members": record["members"], "next": changed}
     view.put(ROSTER_KEY, record)
     return record
--- a/packages/oakcontrol/oakcontrol/storeset.py
+++ b/packages/oakcontrol/oakcontrol/storeset.py
@@ -151,7 +151,8 @@
     _check_version(record, arguments["basedOn"])
     fewer = [node_id for node_id in ids if node_id != leaving and members.condition(node_id) != LIVE]
     if fewer:
-        raise Refused(f"{', '.join(fewer)} is not live; without {leaving} too few copies would be left")
+        error = Refused(f"{', '.join(fewer)} is not live; without {leaving} too few copies would be left")
+        raise view.context.refusal(error)
     return _begin_joining(view, record, leaving, joining)
 
 
@@ -159,7 +160,7 @@
     members = view.context.members
     newcomer = members.find(joining["nodeId"])
     if newcomer is None or newcomer.kind != "store" or members.condition(joining["nodeId"]) != LIVE:
-        raise Refused(f"{joining['nodeId']} is not a live store of this cluster")
+        raise view.context.refusal(Refused(f"{joining['nodeId']} is not a live store of this cluster"))
     if newcomer.machine in record.get("emptied", ()):
         raise Refused(f"{newcomer.machine} is being emptied, or was")
     return _put(view, record, phase=JOINING, leaving=leaving, joining=joining | {"since": record["version"] + 1})
@@ -196,7 +197,8 @@
         left -= {machine, *emptied}
         needed = 2 * record.get("losses", 1) + 1
         if len(left) < needed:
-            raise Conflict(f"{len(left)} live stores would be left, {needed} are needed")
+            error = Conflict(f"{len(left)} live stores would be left, {needed} are needed")
+            raise view.context.refusal(error)
         record = _put(view, record, emptied=[*emptied, machine])
     return _retired(view, _key, arguments)
 
@@ -208,7 +210,7 @@
     }:
         return
     if not any(member.machine == machine and member.kind == "store" for member, _ in members.newest().values()):
-        raise Unknown(f"no store machine {machine} is known")
+        raise view.context.refusal(Unknown(f"no store machine {machine} is known"))
 
 
 def _retired(view, _key, arguments):
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -285,6 +285,27 @@
         "error\n                            if True\n",
         "test_stores.Replacing.test_lost_yes_is_not_followed_by_a_no",
     ),
+    TakeOut(
+        "a young view refuses nothing",
+        "oakcontrol/oakcontrol/contact.py",
+        "return self.seconds() >= VIEW_AGE",
+        "return True",
+        "test_cut_off.YoungViews.test_stores_that_are_not_back_yet_are_not_unknown",
+    ),
+    TakeOut(
+        "a view begins anew after a freeze",
+        "oakcontrol/oakcontrol/contact.py",
+        "        if now - self._looked_at > CONTACT_GAP:\n            self._since = None\n",
+        "",
+        "test_cut_off.Contacts.test_so_does_a_frozen_process",
+    ),
+    TakeOut(
+        "a view begins anew after a cut",
+        "oakcontrol/oakcontrol/contact.py",
+        "        if not hears_majority:\n            self._since = None\n        elif",
+        "        if",
+        "test_cut_off.Contacts.test_a_cut_begins_it_anew",
+    ),
     TakeOut(
         "unknown at the command line",
         "oakctl/oakctl/asking.py",
--- a/tests/test_store_forming.py
+++ b/tests/test_store_forming.py
@@ -5,8 +5,9 @@
 
 from twisted.internet.defer import ensureDeferred
 
+from oakbase.constants import VIEW_AGE
 from oakbase.tasks import sleep, spawn
-from oakbase.verdict import Conflict, Gone, NoAnswer, OakError, Unknown
+from oakbase.verdict import CannotTell, Conflict, Gone, NoAnswer, OakError, Unknown
 from oakcontrol.slots import slot_of_key
 from oakcontrol.storeset import STORES_KEY, StoreSet
 from oakdvv.clock import Clock
@@ -442,6 +443,10 @@
 
     def test_refusals(self):
         rig = self.rig = Rig(34)
+        for command, machine in (("retire", "nobody"), ("retired", "nobody"), ("retire", "store0")):
+            with self.assertRaises(CannotTell, msg="who is known is not certain right after a start"):
+                rig.command(command, machine=machine)
+        rig.fleet.run(VIEW_AGE)
         with self.assertRaises(Unknown):
             rig.command("retire", machine="nobody")
         with self.assertRaises(Unknown):
