--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -107,6 +107,8 @@
 OPERATOR_LIMIT = 5 << 20  # bytes; a body from the operator: a document of 4 MiB with room for what is around it
 OPERATOR_INBOX = 64  # calls; of operators at one node at a time, repeats of what they left under way included
 OPERATOR_TIME = 4.0  # s; a take-over fits; an operator asks elsewhere after a second, and its repeats do no harm
+OPERATOR_ANSWER_AGE = 4.5  # s; an answer that is ready so long after its call was held up by a freeze: asking takes
+# OPERATOR_TIME at most, and the rest milliseconds
 OPERATOR_RETRY = 0.2  # s; what an operator is told to wait: a slot changes hands in a few of these
 MAJORITY_DOUBT = 0.1  # s; an operator's order without an answer for so long sets off the question whether a majority
 # answers at all: owners answer in milliseconds
--- a/packages/oakcontrol/oakcontrol/operator.py
+++ b/packages/oakcontrol/oakcontrol/operator.py
@@ -5,7 +5,8 @@
     200  on a majority of disks, also if this exact change was taken before
     412  built on a version that is not the newest, so it is not taken and never will be
     4xx  not taken and never will be: unreadable, invalid, an unknown machine, too few left
-    503  no owner could be asked, or what became of it is not known: to be repeated as it is, at any node
+    503  no owner could be asked, or what became of it is not known: to be repeated as it is, at any node; within half a
+         second, if no majority of the roster answers this node
 
 An operator that moves on to another node leaves its call here under way. That does no harm: a change is taken once, by
 its fingerprint, and one built on a version that is past stays lost.
@@ -20,7 +21,14 @@
 from hashlib import blake2b
 
 from oakbase.checks import pack_json
-from oakbase.constants import FRAME_LIMIT, OPERATOR_INBOX, OPERATOR_LIMIT, OPERATOR_RETRY, OPERATOR_TIME
+from oakbase.constants import (
+    FRAME_LIMIT,
+    OPERATOR_ANSWER_AGE,
+    OPERATOR_INBOX,
+    OPERATOR_LIMIT,
+    OPERATOR_RETRY,
+    OPERATOR_TIME,
+)
 from oakbase.verdict import BadRequest, CannotTell, Invalid, OakError, TooLarge, Unknown, Verdict
 from oakbase.web import Web
 from oakcontrol.routing import ROUTING_KEY, apply_patch, check_table, document_from, pieces_of
@@ -77,9 +85,9 @@
         for word, handler in (
             ("replace", self._put),
             ("change", self._patch),
-            ("read", self._read),
-            ("retire", self._retire),
-            ("retire_state", self._retired),
+            ("read", self._while_new(self._read)),
+            ("retire", self._while_new(self._retire)),
+            ("retire_state", self._while_new(self._retired)),
         ):
             self.web.route(*dialect.operator_routes[word], self._answering(handler))
 
@@ -100,6 +108,20 @@
 
         return answer
 
+    def _while_new(self, handler):
+        """The handler of calls whose answers may become untrue. One that is ready later than any call may take was found
+        out before this process was frozen, and is not given. What became of a change stays true."""
+
+        async def answer(call):
+            asked_at = self._node.reactor.seconds()
+            try:
+                return await handler(call)
+            finally:
+                if self._node.reactor.seconds() - asked_at > OPERATOR_ANSWER_AGE:
+                    raise CannotTell("the answer came too late to be true still", retry_after=OPERATOR_RETRY)
+
+        return answer
+
     def _status_of(self, error):
         """Only a promise that nothing was done and nothing will be may end an operator's call."""
         return self._dialect.operator_status(error) if error.verdict is Verdict.NO else AGAIN
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -306,6 +306,20 @@
         "        if",
         "test_cut_off.Contacts.test_a_cut_begins_it_anew",
     ),
+    TakeOut(
+        "no majority is told within half a second",
+        "oakcontrol/oakcontrol/client.py",
+        "                asking.cancel()\n",
+        "",
+        "test_cut_off.CutMembers.test_owner_cut_from_the_other_members",
+    ),
+    TakeOut(
+        "no answer from before a freeze",
+        "oakcontrol/oakcontrol/operator.py",
+        "if self._node.reactor.seconds() - asked_at > OPERATOR_ANSWER_AGE:",
+        "if False:",
+        "test_cut_off.FrozenAnswers.test_a_read",
+    ),
     TakeOut(
         "unknown at the command line",
         "oakctl/oakctl/asking.py",
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -176,6 +176,64 @@
         self.assertGreater(self.answers[200], 50)
 
 
+class FrozenAnswers(CutOffTest):
+    """What was right when it was found out is not said after a freeze, when it may be wrong."""
+
+    def freeze_once(self, one, key, command):
+        """Freezes this node the next time that an owner has answered it, before it has said so."""
+        client, kept = one.node.client, one.node.client.call
+
+        async def call(*arguments):
+            try:
+                return await kept(*arguments)
+            finally:
+                if arguments[:2] == (key, command):
+                    client.call = kept
+                    one.freeze()
+                    await sleep(one.node.node.reactor, 0.0)
+
+        client.call = call
+
+    def asked_through_a_freeze(self, one, change, **sent):
+        late = spawn(self.send(one.name, time_left=60.0, **sent), self.fleet.lab_log)
+        self.fleet.wait_for("the freeze", lambda: one.host.frozen)
+        change()
+        self.fleet.run(CUT_S)
+        one.thaw()
+        return self.fleet.until(late, 40)
+
+    def test_a_read(self):
+        """
+        control a              owner           control b
+        read ----------------> 3
+        frozen                                 4 on 3: taken
+        wakes 20 s later: 503 and not 3
+        """
+        one = self.others()[0]
+        self.freeze_once(one, ROUTING_KEY, "read")
+        said = self.asked_through_a_freeze(one, lambda: self.put(self.others()[1].name, 3, document(4)), method="GET")
+        self.assertEqual(said.status, 503)
+
+    def test_refusals_of_a_machine_that_is_known_by_then(self):
+        one = self.others()[0]
+        for method, command in (("POST", "retire"), ("GET", "retired")):
+            with self.subTest(method):
+                number = 7 if method == "POST" else 8
+                self.freeze_once(one, STORES_KEY, command)
+                sent = {"method": method, "path": f"/empty/store{number}"}
+                said = self.asked_through_a_freeze(one, lambda: self.fleet.add("store", number).start(), **sent)
+                self.assertEqual(said.status, 503)
+                self.fleet.run(2.0)
+                self.assertEqual(self.ask(one.name, **sent).status, 200)
+
+    def test_a_confirmation_stays_true(self):
+        one = self.others()[0]
+        self.freeze_once(one, ROUTING_KEY, "put")
+        sent = {"method": "PUT", "body": document(4), "headers": ["Built-On: 3"]}
+        said = self.asked_through_a_freeze(one, lambda: None, **sent)
+        self.assertEqual((said.status, said.body), (200, {"version": 4}))
+
+
 class YoungViews(CutOffTest):
     def test_stores_that_are_not_back_yet_are_not_unknown(self):
         """
