--- a/packages/oakgate/oakgate/bindings.py
+++ b/packages/oakgate/oakgate/bindings.py
@@ -6,7 +6,7 @@
 
 from oakbase.constants import BLUEPRINT_AGE, FRESH_POLL, REPLICA_AGE
 from oakbase.tasks import sleep, spawn
-from oakbase.verdict import BadRequest, CannotTell, Unknown
+from oakbase.verdict import BadRequest, CannotTell, Refused, Unknown
 from oakcontrol.blueprint import news_of
 from oakcontrol.places import REPLICAS_KEY
 
@@ -64,8 +64,26 @@
 
     async def wait_fresh(self, partner, ends_at):
         """Returns once the news is new enough; refuses with no when the time left is spent first."""
+        await self._wait_while(lambda: self.staleness(partner), ends_at)
+
+    async def find_surely(self, partner, name, kind, asked_at, ends_at):
+        """The binding by news that is new enough. That there is none is said only by news that were confirmed after the
+        request came at `asked_at`, on this node's clock: it may be of a plan that has just been taken."""
+        await self.wait_fresh(partner, ends_at)
+        try:
+            return self.find(partner, name, kind)
+        except Refused:
+            await self._wait_while(lambda: self._unconfirmed_since(partner, asked_at), ends_at)
+        return self.find(partner, name, kind)
+
+    def _unconfirmed_since(self, partner, asked_at):
+        confirmed_at = self._node.reactor.seconds() - news_of(self._board, partner)[0]
+        return None if confirmed_at >= asked_at else "no news have come since it was asked"
+
+    async def _wait_while(self, obstacle, ends_at):
+        """Returns once `obstacle()` gives None; its word is why the request is refused when the time is over first."""
         reactor, asked = self._node.reactor, False
-        while (why := self.staleness(partner)) is not None:
+        while (why := obstacle()) is not None:
             if reactor.seconds() >= ends_at:
                 raise CannotTell(f"{why}, so the request was not carried", retry_after=1)
             if not asked:
--- a/packages/oakgate/oakgate/turns.py
+++ b/packages/oakgate/oakgate/turns.py
@@ -109,8 +109,12 @@
                 request.admission, request.admitted_under = self._gate.admission(), None
 
     async def _bind(self, request, onward):
-        await self._bindings.wait_fresh(request.partner, self._reactor.seconds() + CALL_TIME)
-        request.bound(self._bindings.find(request.partner, request.binding_name, request.kind))
+        ends_at = self._reactor.seconds() + CALL_TIME
+        request.bound(
+            await self._bindings.find_surely(
+                request.partner, request.binding_name, request.kind, request.asked_at, ends_at
+            )
+        )
         if not self._placer.has_inbox_room(request.partner, request.binding["pool"]):
             raise Overloaded("too many requests wait for a replica", retry_after=1)
         self._gate.check_settling()
