--- a/packages/oakbase/oakbase/verdict.py
+++ b/packages/oakbase/oakbase/verdict.py
@@ -54,6 +54,13 @@
     code = "unknown"
 
 
+class NoMethod(Unknown):
+    """The peer, or its release, has no such method or command, which says nothing of what was asked for."""
+
+    status = 501
+    code = "noMethod"
+
+
 class Gone(Refused):
     """A covering quorum of stores is sure that the earlier turn is not kept."""
 
--- a/packages/oakcontrol/oakcontrol/client.py
+++ b/packages/oakcontrol/oakcontrol/client.py
@@ -14,12 +14,15 @@
     SETTLE_TIME,
     TERM,
 )
-from oakbase.tasks import begin, sleep, spawn
+from oakbase.tasks import begin, shielded, sleep, spawn
 from oakbase.verdict import CannotTell, NoAnswer, NotOwner, OakError, Verdict
 from oakcontrol.contact import answers_now
 from oakcontrol.controllers import SLOT_SOURCE
 from oakcontrol.slots import slot_of_key
 
+# Codes of errors that say nothing of the key: no answer came, or it came from who is no owner.
+NO_OWNERS_WORD = frozenset(["noAnswer", "unreachable", "overloaded", "timeSpent", "noMethod", "fenced"])
+
 
 class OwnerClient:
     def __init__(self, node):
@@ -69,7 +72,7 @@
                 except NotOwner as error:
                     hint = error.detail if error.detail not in tried | silent else None
                 except OakError as error:
-                    if error.code not in ("noAnswer", "unreachable", "overloaded", "timeSpent"):
+                    if error.code not in NO_OWNERS_WORD:
                         # What an earlier ask did, or may still do, is not unsaid by the answer to a later one.
                         raise (
                             error
@@ -97,21 +100,23 @@
 
     async def call(self, key, command, arguments, time_left):
         asking = begin(self._client.call(key, command, arguments, time_left))
-        doubting = spawn(self._end_without_majority(asking), self._node.log)
+        waiting = shielded(asking)  # what is under way shares connections with other calls and ends by itself
+        asking.addErrback(lambda _: None)
+        doubting = spawn(self._end_without_majority(waiting), self._node.log)
         try:
-            return await asking
+            return await waiting
         except CancelledError:
             self._node.log.event("noMajority", key=key, command=command)
             raise NoAnswer("this node reaches no majority of the roster", retry_after=OPERATOR_RETRY) from None
         finally:
             doubting.cancel()
 
-    async def _end_without_majority(self, asking):
+    async def _end_without_majority(self, waiting):
         pause = MAJORITY_DOUBT
         while True:
             await sleep(self._node.reactor, pause)
             if not await self._reaches_majority():
-                asking.cancel()
+                waiting.cancel()
                 return
             pause = MAJORITY_WAIT
 
--- a/packages/oakcontrol/oakcontrol/controllers.py
+++ b/packages/oakcontrol/oakcontrol/controllers.py
@@ -5,7 +5,7 @@
 """
 
 from oakbase.registry import Registry
-from oakbase.verdict import Unknown
+from oakbase.verdict import NoMethod, Unknown
 
 CONTROLLERS = Registry("controller")
 SLOT_SOURCE = "slot/"  # before a slot's number: the news source that names its owner
@@ -23,6 +23,8 @@
         self.growing, self.replacing = frozenset(growing), frozenset(replacing)
 
     def run(self, view, key, command, arguments):
+        if command not in self._commands.names():
+            raise NoMethod(f"this release knows no command {command}")
         return self._commands.find(command)(view, key, arguments)
 
 
--- a/packages/oakcontrol/oakcontrol/routing.py
+++ b/packages/oakcontrol/oakcontrol/routing.py
@@ -19,8 +19,8 @@
 from schema import Optional
 
 from oakbase.checks import NAME, check_fields, whole
-from oakbase.constants import CHANGES_REMEMBERED
-from oakbase.verdict import Invalid, Lost
+from oakbase.constants import CHANGES_REMEMBERED, OPERATOR_RETRY
+from oakbase.verdict import CannotTell, Invalid, Lost
 from oakcontrol.controllers import CONTROLLERS, Controller
 from oakcontrol.slots import pack_entry, unpack_entry
 
@@ -283,10 +283,8 @@
     known = _known(view, arguments["fingerprint"])
     if known is None:
         head = _head(view)
-        raise Lost(
-            f"built on version {arguments['based_on']}, the newest is {head['version']}",
-            detail={"version": head["version"]},
-        )
+        _check_base(head, arguments)
+        raise CannotTell("what it is built on has become the newest meanwhile", retry_after=OPERATOR_RETRY)
     return {"version": known}
 
 
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -309,10 +309,31 @@
     TakeOut(
         "no majority is told within half a second",
         "oakcontrol/oakcontrol/client.py",
-        "                asking.cancel()\n",
+        "                waiting.cancel()\n",
         "",
         "test_cut_off.CutMembers.test_owner_cut_from_the_other_members",
     ),
+    TakeOut(
+        "a gate's unknown rests on news from after the call",
+        "oakgate/oakgate/bindings.py",
+        "return None if confirmed_at >= asked_at else",
+        "return None if True else",
+        "test_cut_off.Gates.test_a_plan_that_a_gate_has_not_heard_of_yet_is_not_unknown",
+    ),
+    TakeOut(
+        "what no owner said is no answer",
+        "oakcontrol/oakcontrol/client.py",
+        '"timeSpent", "noMethod", "fenced"]',
+        '"timeSpent"]',
+        "test_cut_off.WrongAddresses.test_an_address_that_is_a_gates_now",
+    ),
+    TakeOut(
+        "a patch that can still be taken is not lost",
+        "oakcontrol/oakcontrol/routing.py",
+        'raise CannotTell("what it is built on has become',
+        'raise Lost("what it is built on has become',
+        "test_cut_off.WrongAddresses.test_a_patch_whose_base_has_just_become_the_newest",
+    ),
     TakeOut(
         "no answer from before a freeze",
         "oakcontrol/oakcontrol/operator.py",
--- a/packages/oakwire/oakwire/net.py
+++ b/packages/oakwire/oakwire/net.py
@@ -28,10 +28,10 @@
     BadRequest,
     Fenced,
     NoAnswer,
+    NoMethod,
     OakError,
     Overloaded,
     TimeSpent,
-    Unknown,
     Unreachable,
     error_from,
 )
@@ -205,7 +205,7 @@
             raise Fenced("not a member of this cluster")
         arguments = arguments_class(frame.method)
         if arguments is None or frame.method not in self._net.handlers:
-            raise Unknown(f"no method {frame.method} here")
+            raise NoMethod(f"no method {frame.method} here")
         result = await self._net.handlers[frame.method](self.peer, unpack(arguments, frame.body))
         return pack(result_class(frame.method)(success=result))
 
@@ -326,7 +326,7 @@
 
     async def _call_self(self, method, arguments):
         if method not in self.handlers:
-            raise Unknown(f"no method {method} here")
+            raise NoMethod(f"no method {method} here")
         return await self.handlers[method](self.hello(), arguments_class(method)(**arguments))
 
     async def _link(self, address):
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 from collections import Counter
+from unittest.mock import patch
 
 import test_operator
 from test_operator import document
@@ -10,10 +11,14 @@
 from oakbase.constants import TERM, VIEW_AGE
 from oakbase.logline import LogLine
 from oakbase.tasks import sleep, spawn
+from oakbase.verdict import CannotTell, Lost
 from oakcontrol.contact import Contact
+from oakcontrol.controllers import CONTROLLERS
 from oakcontrol.routing import ROUTING_KEY
 from oakcontrol.slots import slot_of_key
 from oakcontrol.storeset import STORES_KEY
+from oaklab.plan import PARTNERS, blueprint_of
+from oaklab.simfleet import SimFleet
 from oaklab.simnet import SimHost, SimNetwork, SimReactor, SimTime
 
 CUT_S = 20.0  # s; how long a member is cut off
@@ -176,6 +181,48 @@
         self.assertGreater(self.answers[200], 50)
 
 
+class WrongAddresses(CutOffTest):
+    """What is said by who cannot know is no answer to the order."""
+
+    def asked_by_way_of(self, other, **sent):
+        """The answer of a node that believes the owner to be at this address."""
+        one = self.others()[0]
+        one.node.client._believed = lambda _slot: other.machine.peer
+        return self.ask(one.name, **sent)
+
+    def test_an_address_that_is_a_gates_now(self):
+        said = self.asked_by_way_of(self.fleet["gate0"], method="GET")
+        self.assertEqual((said.status, said.body), (200, document(3)))
+
+    def test_an_address_of_one_that_is_in_no_cluster(self):
+        stranger = self.fleet.add("control", 8)
+        stranger.seeds = ["127.20.250.9:7400"]
+        stranger.start()
+        self.fleet.run(0.5)
+        said = self.asked_by_way_of(stranger, method="GET")
+        self.assertEqual((said.status, said.body), (200, document(3)))
+
+    def test_an_owner_of_another_release(self):
+        """It does not know the command, which says nothing of the machine that was asked for."""
+        controller = CONTROLLERS.find(STORES_KEY)
+        with patch.dict(controller._commands._entries):
+            del controller._commands._entries["retired"]
+            said = self.retire("control0", "store0", "GET")
+        self.assertEqual(said.status, 503)
+
+    def test_a_patch_whose_base_has_just_become_the_newest(self):
+        """It can still be taken, so it is not told that it is lost."""
+        one = self.others()[0]
+        with self.assertRaises(CannotTell):
+            self.fleet.until(
+                one.node.client.call(ROUTING_KEY, "outcome", {"based_on": 3, "fingerprint": "unheard"}, 4.0)
+            )
+        with self.assertRaises(Lost):
+            self.fleet.until(
+                one.node.client.call(ROUTING_KEY, "outcome", {"based_on": 2, "fingerprint": "unheard"}, 4.0)
+            )
+
+
 class FrozenAnswers(CutOffTest):
     """What was right when it was found out is not said after a freeze, when it may be wrong."""
 
@@ -276,6 +323,41 @@
         self.assertEqual(self.retire("control1", "store0").status, 409)
 
 
+class Gates(unittest.TestCase):
+    def test_a_plan_that_a_gate_has_not_heard_of_yet_is_not_unknown(self):
+        """
+        operator                       gate: its news are 0.1 s old, and say that there is no such partner
+        the first plan: taken
+                                       a turn under it: waits for news, and runs
+        """
+        fleet = SimFleet(5).bring_up(plans=False)
+        fleet.run(3.0)
+        for partner in PARTNERS:
+            plan = blueprint_of(partner, f"{partner}-plan-1")
+            self.assertEqual(fleet.until(fleet.operator.put_plan(partner, 0, plan, "first")).outcome, "accepted")
+            body = {"turnId": "t", "binding": "chat", "after": None, "input": "x"}
+            path = f"/v1/{partner}/programs/p/lines/l/turns"
+            gate = fleet["gate0"].machine.http
+            status, said = fleet.until(fleet.caller._client.json("POST", gate, path, body, 15), 30)
+            self.assertEqual(
+                (status, said["reason"]), (404, "no such program"), "it knows the plan, and asks the owner"
+            )
+
+    def test_what_is_unknown_is_told_so(self):
+        fleet = SimFleet(5).bring_up(plans=False)
+        fleet.run(3.0)
+        body = {"turnId": "t", "binding": "chat", "after": None, "input": "x"}
+        request = "POST", fleet["gate0"].machine.http, "/v1/nobody/programs/p/lines/l/turns", body, 15
+        began = fleet.time.now
+        status, said = fleet.until(fleet.caller._client.json(*request), 30)
+        self.assertEqual((status, said["reason"]), (404, "no partner nobody"))
+        self.assertLess(fleet.time.now - began, 1.0)
+        others = [one.machine.host for name, one in fleet.by_name.items() if name != "gate0"]
+        fleet.network.cut([fleet["gate0"].machine.host], others)
+        status, said = fleet.until(fleet.caller._client.json(*request), 30)
+        self.assertEqual((status, said["verdict"]), (503, "no"), "cut off, it cannot know")
+
+
 class Contacts(unittest.TestCase):
     """How long a node has been in touch, by its own looks."""
 
