--- a/packages/oakcontrol/oakcontrol/admin.py
+++ b/packages/oakcontrol/oakcontrol/admin.py
@@ -170,5 +170,7 @@
             "platform": self._control.platform and self._control.platform.reachable,
             "eviction": self._control.placement.mode,
             "roster": voter.roster and voter.roster.record,
+            "majority": not owners.contact.is_lost(),
+            "inTouchFor": round(owners.contact.seconds(), 3),
             "disk": self._control.ring.condition(),
         }
--- a/packages/oakcontrol/oakcontrol/control.py
+++ b/packages/oakcontrol/oakcontrol/control.py
@@ -59,6 +59,8 @@
         Admin(self)
         for name, ask in (
             ("slots_held", lambda: len(self.owners.held)),
+            ("majority_reached", lambda: int(not self.owners.contact.is_lost())),
+            ("in_touch_seconds", self.owners.contact.seconds),
             ("ring_syncs", lambda: self.ring.sync_count),
             ("ring_commits", lambda: self.ring.commit_count),
             ("ring_live_bytes", self.ring.live_bytes),
--- a/packages/oakctl/oakctl/doctor.py
+++ b/packages/oakctl/oakctl/doctor.py
@@ -194,6 +194,19 @@
         )
 
 
+@CHECKS.enter("majority")
+def _majority(survey):
+    for said in survey.answered("control"):
+        if not said.get("majority", True):  # a release before this one does not say
+            yield Finding(
+                FAULT,
+                "majority",
+                f"{said['machine']} is cut off: no majority of the roster answers it",
+                "the network between it and the other control nodes, or too many of them are down",
+                "orders to it are answered 503 until it is back; use another control node, and look at its network",
+            )
+
+
 @CHECKS.enter("platform")
 def _platform(survey):
     for said in survey.answered("control"):
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -334,6 +334,13 @@
         'raise Lost("what it is built on has become',
         "test_cut_off.WrongAddresses.test_a_patch_whose_base_has_just_become_the_newest",
     ),
+    TakeOut(
+        "a member without a majority says so",
+        "oakcontrol/oakcontrol/contact.py",
+        "            self._is_lost = not hears_majority\n",
+        "            self._is_lost = False\n",
+        "test_cut_off.Told.test_condition_and_doctor",
+    ),
     TakeOut(
         "no answer from before a freeze",
         "oakcontrol/oakcontrol/operator.py",
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -17,6 +17,7 @@
 from oakcontrol.routing import ROUTING_KEY
 from oakcontrol.slots import slot_of_key
 from oakcontrol.storeset import STORES_KEY
+from oakctl.doctor import Survey, examine
 from oaklab.plan import PARTNERS, blueprint_of
 from oaklab.simfleet import SimFleet
 from oaklab.simnet import SimHost, SimNetwork, SimReactor, SimTime
@@ -281,6 +282,30 @@
         self.assertEqual((said.status, said.body), (200, {"version": 4}))
 
 
+class Told(CutOffTest):
+    """What an operator is told of a member that is cut off."""
+
+    def get(self, address, path):
+        return self.fleet.until(self.fleet.operator._client.json("GET", address, path, None, 3))[1]
+
+    def test_condition_and_doctor(self):
+        one = self.others()[0]
+        address = one.machine.http
+        self.assertTrue(self.get(address, "/condition")["majority"])
+        self.assertGreater(self.get(address, "/condition")["inTouchFor"], VIEW_AGE)
+        self.fleet.network.cut([self.address(one)], self.rest(one))
+        self.fleet.run(3.0)
+        said = self.get(address, "/condition")
+        self.assertEqual((said["majority"], said["inTouchFor"]), (False, 0.0))
+        survey = Survey(conditions={said["nodeId"]: said})
+        finding = next(finding for finding in examine(survey) if finding.check == "majority")
+        self.assertIn(f"{one.name} is cut off", finding.what)
+        self.assertTrue(any("majorityLost" in line and one.name in line for line in self.fleet.lines))
+        self.fleet.network.heal()
+        self.fleet.run(3.0)
+        self.assertTrue(self.get(address, "/condition")["majority"])
+
+
 class YoungViews(CutOffTest):
     def test_stores_that_are_not_back_yet_are_not_unknown(self):
         """
--- a/tests/test_doctor.py
+++ b/tests/test_doctor.py
@@ -83,6 +83,7 @@
                     survey.conditions.update({said["nodeId"]: "refused"}) for said in survey.answered("control")[:2]
                 ],
             ),
+            ("majority", 4, set_("control", "majority", to=False)),
             ("stores", 4, lambda survey: survey.conditions.update({store_id: "refused"})),
             ("stores", 3, lambda survey: survey.conditions[store_id].update(covers=False)),
             ("hints", 3, set_("store", "hints", store_id, to=7)),
