--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -49,7 +49,9 @@
 
 # --- owned keys --------------------------------------------------------------
 SLOTS = 32  # slots; several for each of five owners, few enough to take over at once
-TERM = 0.8  # s; an owner serves this long after asking a majority; answers take milliseconds
+TERM = 0.8  # s; others wait this long after a majority confirmed an owner; answers take milliseconds
+TERM_HELD = 0.79  # s; an owner serves this long after asking a majority: a little less than TERM, since the two are
+# measured by clocks whose rates may differ, here by up to 12 in 1,000
 TERM_RENEW = 0.25  # s; three renewals fit into a term, so that one may be lost
 TERM_FRESH = 0.225  # s; a term confirmed on the way of a pull that left within this is not renewed by a call:
 # above
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -25,6 +25,7 @@
     TAKEOVER_LOOK,
     TERM,
     TERM_FRESH,
+    TERM_HELD,
     TERM_RENEW,
     VOTERS_LOOK,
     VIEW_RETRY,
@@ -263,7 +264,7 @@
         for slot in slots & self._confirmed_by.keys():
             self._confirmed_by[slot].add(node_id)
             if self.roster.is_quorum(self._confirmed_by[slot]):
-                self.owners[slot].lengthen(self.asked_at + TERM)
+                self.owners[slot].lengthen(self.asked_at + TERM_HELD)
                 del self._confirmed_by[slot]
 
 
@@ -528,7 +529,9 @@
             if now > owner.term_until + TERM:
                 self.log.event("termLost", slot=slot, epoch=owner.epoch)
                 owner.end()
-        if any(owner.term_until < now + TERM - TERM_FRESH for owner in self.held.values()):  # else pulls have done it
+        if any(
+            owner.term_until < now + TERM_HELD - TERM_FRESH for owner in self.held.values()
+        ):  # else pulls have done it
             self._confirm(dict(self.held))
         for owner in self.held.values():
             if owner.roster_version < self._voter.roster.version:
@@ -791,7 +794,9 @@
             self._node.board.set_items(published, version, values)
 
     def _vouch(self, owner):
-        return self.reactor.seconds() if owner.holds_term() else None
+        """The time is read first: were this process frozen after it has looked at the term, a later one would be untrue."""
+        now = self.reactor.seconds()
+        return now if owner.holds_term() else None
 
     def _vouch_for(self, owner, published):
         """What hangs on a duty is only as new as the duty's last round."""
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -341,6 +341,20 @@
         "            self._is_lost = False\n",
         "test_cut_off.Told.test_condition_and_doctor",
     ),
+    TakeOut(
+        "a term is held for less than it is waited out",
+        "oakcontrol/oakcontrol/owner.py",
+        "lengthen(self.asked_at + TERM_HELD)",
+        "lengthen(self.asked_at + TERM)",
+        "test_cut_off.Clocks.test_a_term_ends_before_others_have_waited_it_out",
+    ),
+    TakeOut(
+        "news are vouched for as of before the look at the term",
+        "oakcontrol/oakcontrol/owner.py",
+        "        return now if owner.holds_term() else None",
+        "        return self.reactor.seconds() if owner.holds_term() else None",
+        "test_cut_off.FrozenOwners.test_owner_frozen_while_it_vouches",
+    ),
     TakeOut(
         "no answer from before a freeze",
         "oakcontrol/oakcontrol/operator.py",
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from unittest.mock import patch
 
+from sortedcontainers import SortedDict
+
 import test_operator
 from test_operator import document
 
@@ -14,6 +16,8 @@
 from oakbase.verdict import CannotTell, Lost
 from oakcontrol.contact import Contact
 from oakcontrol.controllers import CONTROLLERS
+from oakcontrol.owner import ConfirmationRound, SlotOwner
+from oakcontrol.roster import Roster
 from oakcontrol.routing import ROUTING_KEY
 from oakcontrol.slots import slot_of_key
 from oakcontrol.storeset import STORES_KEY
@@ -383,6 +387,42 @@
         self.assertEqual((status, said["verdict"]), (503, "no"), "cut off, it cannot know")
 
 
+class Clocks(unittest.TestCase):
+    """Terms are held by one clock and waited out by another; both may be off, in opposite ways."""
+
+    RATE_ERROR = 0.005  # share; far more than a clock that is being slewed has
+
+    def test_a_term_ends_before_others_have_waited_it_out(self):
+        owner = SlotOwner(None, 0, 1, SortedDict(), 0)
+        asked_at = 5.0
+        roster = Roster({"version": 1, "members": {"a": "", "b": "", "c": ""}, "next": None})
+        asked = ConfirmationRound({0: owner}, roster, asked_at)
+        asked.take("a", {0})
+        self.assertEqual(owner.term_until, 0.0)
+        asked.take("b", {0})
+        held_at_most = (owner.term_until - asked_at) / (1 - self.RATE_ERROR)
+        waited_at_least = TERM / (1 + self.RATE_ERROR)
+        self.assertGreater(held_at_most, 0.9 * TERM)
+        self.assertLess(held_at_most, waited_at_least)
+
+
+class FrozenOwners(CutOffTest):
+    def test_owner_frozen_while_it_vouches(self):
+        """The process is frozen right after it has looked whether its term holds: what it vouches for is as old as that."""
+        owner = self.owner()
+        owners, slot_owner = owner.node.owners, owner.node.owners.held[slot_of_key(ROUTING_KEY)]
+        kept, now = slot_owner.holds_term, self.fleet.time.now
+
+        def holds_term():
+            holds = kept()
+            self.fleet.time.now += CUT_S
+            return holds
+
+        with patch.object(slot_owner, "holdsTerm", holds_term):
+            self.assertLessEqual(owners._vouch(slot_owner), now)
+        self.assertIsNone(owners._vouch(slot_owner))
+
+
 class Contacts(unittest.TestCase):
     """How long a node has been in touch, by its own looks."""
 
