--- a/packages/oakcontrol/oakcontrol/client.py
+++ b/packages/oakcontrol/oakcontrol/client.py
@@ -25,8 +25,10 @@
 
 
 class OwnerClient:
-    def __init__(self, node):
-        self._node = node
+    """`is_silent(address)` says whether this node knows already that an owner at this address does not answer it."""
+
+    def __init__(self, node, is_silent=lambda _address: False):
+        self._node, self._is_silent = node, is_silent
 
     def _believed(self, slot):
         rows = self._node.board.values(f"{SLOT_SOURCE}{slot}")
@@ -54,6 +56,9 @@
             address = hint or self._believed(slot)
             # One that did not answer may have ended: for a while whoever takes its slots over is asked instead.
             silent = {one for one, until in silent_until.items() if reactor.seconds() < until}
+            if address is not None and self._is_silent(address):
+                silent.add(address)
+            onward = bool(silent)  # it may be silent to this node only
             if address is None or address in tried | silent:
                 address = self._any_control(tried | silent) or self._any_control(tried)
             hint = None
@@ -67,6 +72,7 @@
                         key=key,
                         command=command,
                         arguments_json=text,
+                        onward=onward,
                     )
                     return json.loads(answer)
                 except NotOwner as error:
--- a/packages/oakcontrol/oakcontrol/control.py
+++ b/packages/oakcontrol/oakcontrol/control.py
@@ -39,7 +39,7 @@
         self.node = Node(reactor, "control", env, random, sink, disk, wall, founding_of(env))
         self.ring = Ring(disk, self.node.log, env.get("ringFileSize"), seconds=reactor.seconds)
         self.voter = Voter(self.node, self.ring)
-        self.client = OwnerClient(self.node)
+        self.client = OwnerClient(self.node, lambda address: not self.node.puller.answers_lately(address))
         self.owners = Owners(self.node, self.voter)
         self.majority_client = MajorityClient(self.node, self.voter, self.owners, self.client)
         self.node.puller.carry_terms(TermRider(self.owners, self.node))
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -17,9 +17,11 @@
     CONTROL_INBOX,
     FORGET_AGE,
     FULL_RETRY,
+    ONWARD_TIME,
     OWNER_SWEEP,
     OWNER_SWEEP_KEYS,
     RELEASE_TIME,
+    ROSTER_HEARD,
     SLOTS,
     STEP_IN_TIME,
     TAKEOVER_LOOK,
@@ -806,9 +808,24 @@
     # --- calls ---
 
     async def _serve_call(self, _peer, arguments):
-        return pack_json(
-            await self.call(arguments.key, arguments.command, json.loads(arguments.arguments_json))
-        ).decode()
+        try:
+            answer = await self.call(arguments.key, arguments.command, json.loads(arguments.arguments_json))
+            return pack_json(answer).decode()
+        except NotOwner as error:
+            owner_address = error.detail
+            if not arguments.onward or not self._is_heard(owner_address):
+                raise
+        return await self._node.net.call(
+            owner_address,
+            "ownerCall",
+            ONWARD_TIME,
+            key=arguments.key,
+            command=arguments.command,
+            arguments_json=arguments.arguments_json,
+        )
+
+    def _is_heard(self, address):
+        return address not in (None, self._node.net.address) and self._node.puller.answers_lately(address, ROSTER_HEARD)
 
     async def call(self, key, command, arguments):
         slot = slot_of_key(key)
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -376,6 +376,13 @@
         '        said = known[0] and {"version": known[0]} or await self._ask(ROUTING_KEY, "read", {"known": known[0]})\n',
         "test_cut_off.CutMembers.test_member_cut_from_its_zones_others",
     ),
+    TakeOut(
+        "an order goes on to an owner that is silent to one member",
+        "oakcontrol/oakcontrol/client.py",
+        "onward = bool(silent)",
+        "onward = False",
+        "test_cut_off.CutMembers.test_member_cut_from_the_owner_only",
+    ),
     TakeOut(
         "no answer from before a freeze",
         "oakcontrol/oakcontrol/operator.py",
--- a/packages/oakwire/oakwire/oak.thrift
+++ b/packages/oakwire/oakwire/oak.thrift
@@ -109,7 +109,8 @@
   News pull(1: list<Seen> seen, 2: Image me, 3: i64 basis, 4: bool whole, 5: Terms terms)
       // me: the puller's own row, so that it is known by whom it asks; left out if it has not moved since it was sent
       // basis: number of the puller's vector; seen is the whole of it, or only what moved in it
-  string ownerCall(1: string key, 2: string command, 3: string arguments_json)
+  string ownerCall(1: string key, 2: string command, 3: string arguments_json, 4: bool onward)
+      // onward: to be passed on to the owner, which does not answer the asker
   Promise prepare(1: i32 slot, 2: i64 epoch, 3: string owner, 4: i64 roster_version, 5: bool parts)  // parts: the asker fetches the entries
   ImagePart imagePart(1: i32 slot, 2: i64 epoch, 3: string owner, 4: i64 roster_version, 5: string after)
   Taken stage(1: i32 slot, 2: i64 epoch, 3: string owner, 4: i64 roster_version, 5: i64 sequence, 6: i32 part, 7: list<Entry> entries)
