--- a/packages/oakcontrol/oakcontrol/admin.py
+++ b/packages/oakcontrol/oakcontrol/admin.py
@@ -3,12 +3,14 @@
 from schema import And
 
 from oakbase.checks import NAME, check_fields
-from oakbase.constants import CALL_TIME
+from oakbase.constants import CALL_TIME, ROSTER_MOVING_PAUSE
 from oakbase.env import ADDRESS
-from oakbase.verdict import BadRequest, Conflict, Refused
+from oakbase.tasks import sleep
+from oakbase.verdict import BadRequest, CannotTell, Conflict, Refused
+from oakcontrol.contact import answers_now
 from oakcontrol.placement import PLACEMENT_KEY
 from oakcontrol.places import REPLICAS_KEY
-from oakcontrol.roster import ROSTER_KEY
+from oakcontrol.roster import ROSTER_KEY, Roster
 from oakcontrol.storeset import STORES_KEY, stores_shown
 
 READ_TIME = 2 * CALL_TIME  # s; an owner may change once while an operator reads
@@ -152,6 +154,8 @@
 
     async def _roster(self, _call):
         status, record = await self._ask(ROSTER_KEY, "read", {})
+        if record["next"] is None:
+            await self._in_force(Roster(record))
         members = self._node.members
         return status, record | {
             "conditions": {
@@ -159,6 +163,20 @@
             }
         }
 
+    async def _in_force(self, roster):
+        """Returns once a majority stands in this version. Before, a loss of members who do may leave the others in a version
+        in which they are no majority, so the change is not told to be over."""
+        ends_at = self._node.reactor.seconds() + READ_TIME
+        members = self._node.members
+        addresses = {
+            node_id: known.peer if (known := members.find(node_id)) else peer
+            for node_id, peer in roster.members.items()
+        }
+        while not await answers_now(self._node, addresses, roster, roster.version):
+            if self._node.reactor.seconds() >= ends_at:
+                raise CannotTell("no majority stands in the newest roster yet", retry_after=1)
+            await sleep(self._node.reactor, ROSTER_MOVING_PAUSE)
+
     async def _replace_member(self, call):
         return await self._ask(ROSTER_KEY, "replace", call.json(), CHANGE_TIME)
 
--- a/packages/oakcontrol/oakcontrol/contact.py
+++ b/packages/oakcontrol/oakcontrol/contact.py
@@ -7,7 +7,7 @@
 
 from oakbase.constants import CONTACT_GAP, MAJORITY_WAIT, VIEW_AGE
 from oakbase.tasks import quorum_of, within
-from oakbase.verdict import TimeSpent
+from oakbase.verdict import CannotTell, TimeSpent
 
 
 class Contact:
@@ -50,12 +50,16 @@
         return self.seconds() >= VIEW_AGE
 
 
-async def answers_now(node, voter_addresses, roster):
-    """Whether a majority of the roster answers a question that is asked from here now, within MAJORITY_WAIT."""
-    works = {
-        node_id: node.net.call(address, "rosterVersion", MAJORITY_WAIT, to=node_id)
-        for node_id, address in voter_addresses.items()
-    }
+async def answers_now(node, voter_addresses, roster, least_version=0):
+    """Whether a majority of the roster answers a question that is asked from here now, within MAJORITY_WAIT, and stands in
+    this version of it or in a later one."""
+
+    async def ask(node_id, address):
+        version = await node.net.call(address, "rosterVersion", MAJORITY_WAIT, to=node_id)
+        if version < least_version:
+            raise CannotTell(f"{node_id} stands in version {version} yet")
+
+    works = {node_id: ask(node_id, address) for node_id, address in voter_addresses.items()}
     try:
         reached, _ = await within(node.reactor, MAJORITY_WAIT, quorum_of(works, roster.is_quorum))
     except TimeSpent:
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -383,6 +383,13 @@
         "onward = False",
         "test_cut_off.CutMembers.test_member_cut_from_the_owner_only",
     ),
+    TakeOut(
+        "a replacement is told to be over once a majority stands in it",
+        "oakcontrol/oakcontrol/admin.py",
+        "            await self._in_force(Roster(record))",
+        "            pass",
+        "test_cut_off.Replacements.test_a_replacement_is_over_only_when_a_majority_stands_in_it",
+    ),
     TakeOut(
         "no answer from before a freeze",
         "oakcontrol/oakcontrol/operator.py",
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -21,7 +21,7 @@
 from oakcontrol.controllers import CONTROLLERS
 from oakcontrol.owner import ConfirmationRound, SlotOwner
 from oakcontrol.places import REPLICAS_KEY
-from oakcontrol.roster import Roster
+from oakcontrol.roster import ROSTER_KEY, Roster
 from oakcontrol.routing import ROUTING_KEY
 from oakcontrol.slots import slot_of_key
 from oakcontrol.storeset import STORES_KEY
@@ -194,6 +194,57 @@
         self.assertGreater(self.answers[200], 30)
 
 
+class Replacements(CutOffTest):
+    FINAL = 3  # the version in which the first replacement is over
+
+    def get_roster(self, name):
+        address = self.fleet[name].machine.http
+        return self.fleet.until(self.fleet.operator._client.json("GET", address, "/v1/roster", None, 10), 40)
+
+    def test_a_replacement_is_over_only_when_a_majority_stands_in_it(self):
+        """
+        owner of `roster`         the others                  operator
+        the final version         not heard of it yet         not told that it is over
+                                  heard of it                 told so: two of five may be lost
+        """
+        fleet = self.fleet
+        new = fleet.add("control", 5)
+        new.seeds = [one.machine.peer for one in fleet.of_kind("control")][:3]
+        new.start()
+        fleet.run(3.0)
+        owner = self.owner_of(ROSTER_KEY)
+        leaving = next(one for one in fleet.of_kind("control") if one not in (owner, new))
+        held_back = []
+        for one in fleet.of_kind("control"):
+            if one is not owner:
+                held_back.append(patch.object(one.node.voter, "setRoster", self.until_final(one.node.voter.set_roster)))
+                held_back[-1].start()
+        joining = {"nodeId": new.node.node.node_id, "peer": new.machine.peer}
+        body = {"basedOn": 1, "leaving": leaving.node.node.node_id, "joining": joining}
+        call = fleet.operator._client.json("POST", owner.machine.http, "/v1/roster/replace", body, 10)
+        self.assertEqual(fleet.until(call, 40)[0], 200)
+        fleet.wait_for("the final version", lambda: owner.node.voter.roster.version == self.FINAL)
+        for _ in range(2):
+            status, said = self.get_roster(owner.name)
+            self.assertEqual(status, 503, said)
+        for one in held_back:
+            one.stop()
+        status, said = self.get_roster(owner.name)
+        self.assertEqual((status, said["version"], said["next"]), (200, self.FINAL, None))
+        lost = [owner, *(one for one in fleet.of_kind("control") if one not in (owner, leaving, new))][:2]
+        for one in lost:
+            one.power_cut()
+        fleet.run(6.0)
+        self.assertEqual(self.read(new.name).status, 200)
+
+    def until_final(self, set_roster):
+        async def held_back(record):
+            if record["version"] < self.FINAL:
+                await set_roster(record)
+
+        return held_back
+
+
 class FrozenOwner(CutOffTest):
     def test_orders_that_waited_for_it(self):
         """
