--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -390,6 +390,13 @@
         "            pass",
         "test_cut_off.Replacements.test_a_replacement_is_over_only_when_a_majority_stands_in_it",
     ),
+    TakeOut(
+        "a gate acts on no table of old news",
+        "oakgate/oakgate/routing.py",
+        "if self._board.age(ROUTING_KEY) > longest:",
+        "if False:",
+        "test_cut_off.CutGates.test_a_table_of_old_news_is_not_acted_on",
+    ),
     TakeOut(
         "no answer from before a freeze",
         "oakcontrol/oakcontrol/operator.py",
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -13,7 +13,7 @@
 import test_operator
 from test_operator import document
 
-from oakbase.constants import REPLICA_AGE, TERM, VIEW_AGE
+from oakbase.constants import REPLICA_AGE, ROUTING_AGE, ROUTING_STRETCH, TERM, VIEW_AGE
 from oakbase.logline import LogLine
 from oakbase.tasks import sleep, spawn
 from oakbase.verdict import CannotTell, Lost, NotOwner
@@ -26,6 +26,7 @@
 from oakcontrol.slots import slot_of_key
 from oakcontrol.storeset import STORES_KEY
 from oakctl.doctor import Survey, examine
+from oakgate.routing import Router
 from oaklab.plan import PARTNERS, blueprint_of
 from oaklab.simfleet import SimFleet
 from oaklab.simnet import SimHost, SimNetwork, SimReactor, SimTime
@@ -494,6 +495,29 @@
         self.assertLess(held_at_most, waited_at_least)
 
 
+class CutGates(CutOffTest):
+    def test_a_table_of_old_news_is_not_acted_on(self):
+        """
+        gate: cut off from all        others
+                                      4 on 3: taken
+        its bound has passed:
+        trusts no table
+        returns: version 4 and no other
+        """
+        gate = self.fleet["gate0"]
+        router = Router(gate.node.node, test_operator.SmallDialect())
+        self.assertIsNone(router.staleness())
+        self.fleet.network.cut([self.address(gate)], self.rest(gate))
+        self.fleet.run(ROUTING_AGE + ROUTING_STRETCH)
+        self.assertEqual(self.put("control0", 3, document(4)).status, 200)
+        for _ in range(10):
+            self.fleet.run(1.0)
+            self.assertIsNotNone(router.staleness())
+        self.fleet.network.heal()
+        self.fleet.wait_for("trust", lambda: router.staleness() is None, 5.0)
+        self.assertEqual(router.version, 4)
+
+
 class LastReader(unittest.TestCase):
     """The owner of the platform's list, which was the last that read it."""
 
