--- /dev/null
+++ b/packages/oaklab/oaklab/failover.py
@@ -0,0 +1,228 @@
+"""How long a fleet goes without service after one owner of the control state fails, on simulated time.
+
+Each trial brings a fleet of its own up, so a seed gives the same figures in every run.
+"""
+
+from dataclasses import dataclass, field
+
+from twisted.internet.defer import ensureDeferred
+
+from oakbase.tasks import sleep, spawn
+from oakbase.verdict import OakError
+from oakcontrol.slots import slot_of_key
+from oaklab.plan import blueprint_of
+from oaklab.simfleet import SimFleet
+
+PARTNER = "dalatech"
+PLAN_KEY = f"blueprint/{PARTNER}"
+ORDER_PATIENCE = 1.0  # s; an operator that has no answer for so long asks another node
+ORDER_PAUSE = 0.2  # s; what an operator is told to wait after a 503
+ORDER_EVERY = 0.05  # s; between two orders while a member stops
+WATCHED = 2.5  # s; in which orders come while a member stops
+OUTAGE_LIMIT = 30.0  # s; a trial that takes longer has failed
+
+
+@dataclass
+class FailoverTrial:
+    """Seconds after the fault, by what happened first for the plan's slot."""
+
+    fault: str
+    seed: int
+    noticed: float | None = None
+    taken: float | None = None
+    order: float | None = None
+    turn: float | None = None
+
+
+@dataclass
+class StopTrial:
+    """How long each order took that was given while a member stopped, in seconds."""
+
+    seed: int
+    orders: list = field(default_factory=list)
+
+
+def _kill(fleet, victim):
+    victim.kill()
+
+
+def _power(fleet, victim):
+    victim.power_cut()
+
+
+def _freeze(fleet, victim):
+    victim.freeze()
+
+
+def _cut(fleet, victim):
+    others = [one.host.address for one in fleet.by_name.values() if one is not victim]
+    fleet.network.cut([victim.host.address], others)
+
+
+def _restart(pause):
+    """Killed, and started again after so many seconds."""
+
+    def restart(fleet, victim):
+        victim.kill()
+        fleet.operator_reactor.callLater(pause, victim.start)
+
+    return restart
+
+
+FAULTS = {
+    "killed": _kill,
+    "power cut": _power,
+    "frozen": _freeze,
+    "cut off": _cut,
+    "restarted after 0.3 s": _restart(0.3),
+    "restarted after 1 s": _restart(1.0),
+    "restarted after 1.6 s": _restart(1.6),
+}
+
+
+class OrderGiver:
+    """An operator that gives orders through one node after another, never through the one left out."""
+
+    def __init__(self, fleet, left_out=()):
+        self._fleet, self._reactor = fleet, fleet.operator_reactor
+        self._addresses = [one.machine.http for one in fleet.of_kind("control") if one not in left_out]
+
+    async def give(self):
+        """Seconds until this order was acknowledged."""
+        started_at = self._reactor.seconds()
+        address = self._fleet.random.choice(self._addresses)
+        while True:
+            if await self._is_acknowledged(address):
+                return self._reactor.seconds() - started_at
+            address = self._addresses[(self._addresses.index(address) + 1) % len(self._addresses)]
+
+    async def _is_acknowledged(self, address):
+        """One try: the plan's version is read from its owner inside its lease, and a change is built on it."""
+        client = self._fleet.operator._client
+        try:
+            status, said = await client.json("GET", address, f"/v1/blueprints/{PARTNER}", None, ORDER_PATIENCE)
+            if status == 200:
+                change = {
+                    "changeId": f"c{self._fleet.random.getrandbits(64):x}",
+                    "basedOn": said["version"],
+                    "blueprint": blueprint_of(PARTNER, f"{PARTNER}-plan-1"),
+                }
+                status, _ = await client.json("PUT", address, f"/v1/blueprints/{PARTNER}", change, ORDER_PATIENCE)
+                if status in (200, 409):  # 409: another order came first, which a majority has
+                    return True
+        except OakError:
+            return False
+        await sleep(self._reactor, ORDER_PAUSE)
+        return False
+
+
+def _owner_of(fleet, key):
+    slot = slot_of_key(key)
+    return next(one for one in fleet.of_kind("control") if one.running and slot in one.node.owners.held)
+
+
+def _program_owned_by(fleet, owner):
+    """A program's name whose budget this machine owns."""
+    held = owner.node.owners.held
+    return next(name for number in range(10000) if slot_of_key(f"budget/{PARTNER}/{(name := f'p{number}')}") in held)
+
+
+def _first_event(fleet, name, slot, since):
+    wanted = f"slot={slot} "
+    return next(
+        (
+            float(line.split()[0]) - since
+            for line in fleet.lines
+            if f"event={name} " in line and wanted in f"{line} " and float(line.split()[0]) >= since
+        ),
+        None,
+    )
+
+
+def run_failover(fault, seed):
+    """One owner fails; an order and a turn that need it are given at that moment."""
+    fleet = SimFleet(seed, piece_time=0.0).bring_up()
+    victim = _owner_of(fleet, PLAN_KEY)
+    program = _program_owned_by(fleet, victim)
+    fleet.until(fleet.caller.open_program(PARTNER, program, 100000))
+    fleet.run(2.0 + fleet.random.uniform(0.0, 0.5))
+    victim = _owner_of(fleet, PLAN_KEY)
+    failed_at = fleet.time.now
+    FAULTS[fault](fleet, victim)
+    trial = FailoverTrial(fault, seed)
+
+    async def order():
+        trial.order = await OrderGiver(fleet, [victim]).give()
+
+    async def turn():
+        asked = await fleet.caller.turn(PARTNER, program, "l", None, "abc")
+        ended = asked.ended()
+        trial.turn = ended.first_at - failed_at if ended else None
+
+    works = [spawn(order(), fleet.lab_log), spawn(turn(), fleet.lab_log)]
+    for work in works:
+        fleet.until(work, OUTAGE_LIMIT)
+    trial.noticed = _first_event(fleet, "takeOverBegins", slot_of_key(PLAN_KEY), failed_at)
+    trial.taken = _first_event(fleet, "slotTaken", slot_of_key(PLAN_KEY), failed_at)
+    return trial
+
+
+def run_planned_stop(seed):
+    """The plan's owner stops as planned while orders come steadily through the other members."""
+    fleet = SimFleet(seed).bring_up()
+    fleet.run(2.0 + fleet.random.uniform(0.0, 0.5))
+    victim = _owner_of(fleet, PLAN_KEY)
+    trial, giver = StopTrial(seed), OrderGiver(fleet, [victim])
+
+    async def one_order():
+        trial.orders.append(await giver.give())
+
+    victim.stop()
+    works = []
+    for _ in range(int(WATCHED / ORDER_EVERY)):
+        works.append(ensureDeferred(one_order()))
+        fleet.run(ORDER_EVERY)
+    for work in works:
+        fleet.until(work, OUTAGE_LIMIT)
+    return trial
+
+
+def false_takeovers(seed, freeze=0.5, rounds=10):
+    """How many slots change hands, and how many members count as silent, while each control node in turn is frozen for so
+    long."""
+    fleet = SimFleet(seed).bring_up()
+    fleet.run(3.0)
+    since = len(fleet.lines)
+    for number in range(rounds):
+        frozen = fleet.of_kind("control")[number % len(fleet.of_kind("control"))]
+        frozen.freeze()
+        fleet.run(freeze)
+        frozen.thaw()
+        fleet.run(1.0 + fleet.random.uniform(0.0, 0.3))
+    return sum("event=takeOverBegins " in line for line in fleet.lines[since:])
+
+
+def share(times, part):
+    """The value that so much of the times do not exceed."""
+    ordered = sorted(times)
+    return round(ordered[min(len(ordered) - 1, int(part * len(ordered)))], 2)
+
+
+def measure_failover(seed, trials=20):
+    """Figures of all faults, by name."""
+    figures = {}
+    for fault in FAULTS:
+        runs = [run_failover(fault, seed + number) for number in range(trials)]
+        for what in ("noticed", "taken", "order", "turn"):
+            times = [getattr(run, what) for run in runs]
+            figures[f"{fault}: {what}"] = {
+                "median": share(times, 0.5),
+                "95 of 100": share(times, 0.95),
+                "worst": max(times),
+            }
+    held = [took for number in range(trials) for took in run_planned_stop(seed + number).orders]
+    figures["planned stop: order"] = {"95 of 100": share(held, 0.95), "worst": round(max(held), 2)}
+    figures["frozen for 0.5 s, ten times: slots taken over"] = sum(
+        false_takeovers(seed + number) for number in range(5)
+    )
+    return figures
--- a/packages/oaklab/oaklab/measure.py
+++ b/packages/oaklab/oaklab/measure.py
@@ -7,6 +7,7 @@
 from oakbase.tasks import settled, sleep, spawn
 from oaklab.commands import count_work, measure_commands
 from oaklab.eviction import measure_eviction
+from oaklab.failover import measure_failover
 from oaklab.outages import OUTAGES, run_outage
 from oaklab.plan import PARTNERS, Size, blueprint_of
 from oaklab.simfleet import SimFleet
@@ -514,3 +515,11 @@
     """A fleet of the brief's size, links of 0.2 to 2 ms, syncs of 2 ms: functions called, of Python and of C, by daemons that
     have nothing to do, and for a command (claims and their ends, 100 a second) at its owner and at the other voters."""
     return count_work(seed)
+
+
+@MEASURES.enter("failover")
+def failover(seed=1):
+    """Seconds from the fault of the plan owner's control process to its take-over, to the next acknowledged order and to the
+    first event of the next turn, both given at that moment; how long a planned stop holds an order; and how many slots are taken
+    over in vain when control nodes freeze for half a second. 20 seeds each."""
+    return measure_failover(seed)
