--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -58,6 +58,12 @@
 # PULL_PAUSE, or a call would go beside each pull; below TERM_RENEW, or each second renewal
 # by
 # calls would be left out where pulls carry none
+LEASE_LAPSED = 0.9  # s; a lease that a majority has not confirmed for so long is over, and its slot is taken over:
+# above TERM, and above the longest pause of an owner that froze for half a second: 0.5 s, PULL_PAUSE and the way
+LAPSE_LOOK = 0.05  # s; how often a member looks for such slots in its own voter: a small part of LEASE_LAPSED
+LAPSE_ASK_TIME = 0.4  # s; a voter that takes longer to say so is not waited for
+SUSPECT_SILENT = 0.6  # s; who has answered within this is not passed over for a lapsed lease: two pulls with their way,
+# and less than from an owner's end until its lease counts as lapsed, which is LEASE_LAPSED - PULL_PAUSE at least
 STEP_IN_TIME = 1.5  # s; one candidate's turn at a slot without owner, the first one's too: time for a look,
 # the wait for the former term, and the news of it to get round
 RELEASE_TIME = 0.4  # s; a former owner that does not give a slot up in this time has its term waited out
--- a/packages/oakcontrol/oakcontrol/control.py
+++ b/packages/oakcontrol/oakcontrol/control.py
@@ -21,6 +21,7 @@
 from oakcontrol.admin import Admin
 from oakcontrol.client import MajorityClient, OwnerClient
 from oakcontrol.founding import found, founding_of
+from oakcontrol.lapse import LapseWatch
 from oakcontrol.operator import Operator
 from oakcontrol.owner import Owners, TermRider
 from oakcontrol.placement import PlacementWatch
@@ -42,6 +43,7 @@
         self.client = OwnerClient(self.node, lambda address: not self.node.puller.answers_lately(address))
         self.owners = Owners(self.node, self.voter)
         self.majority_client = MajorityClient(self.node, self.voter, self.owners, self.client)
+        self.lapses = LapseWatch(self.node, self.voter, self.owners)
         self.node.puller.carry_terms(TermRider(self.owners, self.node))
         self.node.puller.confirm_terms(self.voter.confirm_terms)
         self.platform = (
@@ -89,6 +91,7 @@
 
     def _start_duties(self):
         self.owners.start()
+        self.lapses.start()
         self.store_watch.start()
         self.roster_watch.start()
         self.placement.start()
@@ -102,6 +105,7 @@
             self.platform.stop()
         self.store_watch.stop()
         self.placement.stop()
+        self.lapses.stop()
         await settled([web.stop() for web in (self.web, self.operator) if web])
         await self.owners.stop()
         self.roster_watch.stop()
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -342,6 +342,7 @@
         self._taking = set()
         self._seen_epochs = {}
         self._orders = (), ()
+        self._isParted = True
         self._batchers = {}
         self._updates = VoterUpdates(self, node, self._on_outranked)
         self._started_at = node.reactor.seconds()
@@ -398,12 +399,12 @@
             for node_id, peer in self._voter.roster.everyone.items()
         }
 
-    def _ask_voters(self, method, voter_ids, **arguments):
+    def ask_voters(self, method, voter_ids, time_left=CALL_TIME, **arguments):
         return {
             node_id: self._node.net.call(
                 address,
                 method,
-                CALL_TIME,
+                time_left,
                 roster_version=self._voter.roster.version,
                 owner=self._node.node_id,
                 to=node_id,
@@ -555,12 +556,12 @@
         async def ask(node_id, answer):
             asked.take(node_id, {term.slot for term in await answer})
 
-        for node_id, answer in self._ask_voters("confirm", voter_ids, terms=terms).items():
+        for node_id, answer in self.ask_voters("confirm", voter_ids, terms=terms).items():
             spawn(ask(node_id, answer))
 
     # --- taking over ---
 
-    def _live_roster(self):
+    def live_members(self):
         members = self._node.members
         return [
             node_id
@@ -587,15 +588,35 @@
         self._say_parted(is_parted)
         if is_parted:
             return
-        live_ids = self._live_roster()
+        live_ids = self.live_members()
         for slot in range(SLOTS):
-            if slot not in self.held and slot not in self._taking and self._is_for_me(slot, live_ids):
-                self._taking.add(slot)
-                spawn(self._take_over(slot, live_ids), self.log)
+            if self.is_free(slot) and self._is_for_me(slot, live_ids):
+                self.begin_take_over(slot)
+
+    def is_free(self, slot):
+        """Whether this node neither holds the slot nor is taking it over."""
+        return slot not in self.held and slot not in self._taking
+
+    def may_disturb(self):
+        """Whether this node is a member that has answers from a majority, by its last look."""
+        roster = self._voter.roster
+        return roster is not None and self._node.node_id in roster.everyone and not self._isParted
+
+    def former_owner(self, slot):
+        """The node that is known to have held the slot last, by the confirmations of the voter here and by news; None if
+        there is none. Who only seeks the slot is not meant: it may be about to have it."""
+        holder, believed = self._voter.last_holder(slot), self.believed_owner(slot)
+        return max(holder, believed[:2] if believed else holder)[1]
+
+    def begin_take_over(self, slot, lapsed=False):
+        """`lapsed`: a majority says that the former lease has ended, so its owner is not asked to release the slot."""
+        self._taking.add(slot)
+        spawn(self._take_over(slot, self.live_members(), lapsed), self.log)
 
     def _say_parted(self, is_parted):
         """A member that hears no majority says so, as far as it is still heard: slots are named for others at once,
         without a turn of its own that it could not use."""
+        self._isParted = is_parted
         state, me = "parted" if is_parted else "up", self._node.puller.me
         is_new = self.reactor.seconds() - self._started_at < CONDITION_AGE
         if me.state not in (state, "leaving") and not (is_parted and is_new):
@@ -624,7 +645,7 @@
         rows = self._node.board.values(f"{SLOT_SOURCE}{slot}")
         return tuple(json.loads(rows["owner"])) if "owner" in rows else None
 
-    async def _take_over(self, slot, live_ids):
+    async def _take_over(self, slot, live_ids, lapsed):
         believed = self.believed_owner(slot)
         self.log.event(
             "takeOverBegins",
@@ -632,9 +653,10 @@
             after=believed[1] if believed else "nobody",
             live=len(live_ids),
             silent=round(min(self._node.board.age(f"{SLOT_SOURCE}{slot}"), FORGET_AGE), 2),
+            lapsed="yes" if lapsed else "no",
         )
         try:
-            released = await self._ask_release(slot, live_ids)
+            released = None if lapsed else await self._ask_release(slot)
             await self._prepare_and_serve(slot, released)
         except OakError as error:
             self.log.event("takeOverFailed", slot=slot, reason=error.reason)
@@ -642,7 +664,7 @@
         finally:
             self._taking.discard(slot)
 
-    async def _ask_release(self, slot, live_ids):
+    async def _ask_release(self, slot):
         believed = self.believed_owner(slot)
         if believed is None or believed[1] not in self._voter.roster.everyone or believed[1] == self._node.node_id:
             return None
--- a/packages/oakcontrol/oakcontrol/voter.py
+++ b/packages/oakcontrol/oakcontrol/voter.py
@@ -72,6 +72,8 @@
         self._owners = {slot: TableOwner(CONTROL_INBOX, f"voter{slot}", node.log) for slot in range(SLOTS)}
         self._staged = {}
         self._confirmed_at = {}
+        self._promised_at = {}
+        self._holders = {}
         self._reactor = node.reactor
         self.may_hold_term = lambda slot, asker: True  # until the owners of this node say for themselves
         self._count_from_now()
@@ -86,6 +88,7 @@
             node.net.handle(method, self._queued(command))
         node.net.handle("acceptMany", self._accept_many)
         node.net.handle("confirm", self._confirm)
+        node.net.handle("unconfirmed", self._unconfirmed)
         node.net.handle("rosterVersion", self._roster_version)
 
     def _load(self):
@@ -124,6 +127,22 @@
     def promised_epoch(self, slot):
         return self._tables[slot].promised_epoch
 
+    def last_holder(self, slot):
+        """(epoch, owner) of the lease of the slot that this voter confirmed last; (0, None) if it has confirmed none."""
+        return self._holders.get(slot, (0, None))
+
+    def quiet_slots(self, least, asker):
+        """The slots for which this voter has been quiet for at least so many seconds."""
+        return [slot for slot in self._tables if self.quiet_for(slot, asker) >= least]
+
+    def quiet_for(self, slot, asker):
+        """Seconds for which this voter has confirmed no lease of the slot, and has promised it to nobody but the asker: who
+        is just taking it over is not to be disturbed."""
+        since = self._confirmed_at[slot]
+        if self._tables[slot].promised_owner != asker:
+            since = max(since, self._promised_at.get(slot, since))
+        return self._seconds() - since
+
     def is_full(self):
         largest = max(table.size for table in self._tables.values())
         room = self._ring.capacity() - largest  # beside it must go in once more
@@ -196,6 +215,7 @@
             arguments.epoch <= table.promised_epoch
         ):  # its own owner's too: a restart has forgotten what it wrote under it
             return idl.Promise(granted=False, promised_epoch=earlier[0], promised_owner=earlier[1])
+        self._promised_at[arguments.slot] = self._seconds()
         await self._write(arguments.slot, table, {}, promised_epoch=arguments.epoch, promised_owner=arguments.owner)
         entries = None if arguments.parts else [idl.Entry(key=key, value=value) for key, value in table.entries.items()]
         return idl.Promise(
@@ -381,6 +401,13 @@
         )
         return [idl.SlotEpoch(slot=slot, epoch=epoch) for slot, epoch in confirmed]
 
+    async def _unconfirmed(self, peer, arguments):
+        """For how many ms this voter has been quiet about each of these slots; nothing changes by being asked."""
+        self._check_roster(peer, arguments.roster_version)
+        if not all(0 <= slot < SLOTS for slot in arguments.slots or []):
+            raise Fenced("no such slot")
+        return [int(self.quiet_for(slot, peer.node_id) * 1000) for slot in arguments.slots or []]
+
     def confirm_terms(self, peer, terms):
         """The same of terms that came with a pull; None leaves it to `confirm` to say why not."""
         try:
@@ -402,4 +429,5 @@
             and (self._tables[slot].promised_epoch, self._tables[slot].promised_owner) == (epoch, owner)
         ]
         self._confirmed_at.update(dict.fromkeys((slot for slot, _ in confirmed), self._seconds()))
+        self._holders.update({slot: (epoch, owner) for slot, epoch in confirmed})
         return confirmed
--- a/packages/oakwire/oakwire/oak.thrift
+++ b/packages/oakwire/oakwire/oak.thrift
@@ -118,6 +118,8 @@
                8: i32 parts, 9: i64 from_epoch, 10: i64 from_sequence)  // parts: staged before; from: the image that the entries change
   list<Taken> acceptMany(1: list<binary> steps, 2: string owner, 3: i64 roster_version)  // packed Steps of different slots
   list<SlotEpoch> confirm(1: list<SlotEpoch> terms, 2: string owner, 3: i64 roster_version)
+  list<i32> unconfirmed(1: list<i32> slots, 2: string owner, 3: i64 roster_version)
+      // ms for which this voter has confirmed no lease of each slot and has promised it to no other than the asker
   i64 release(1: i32 slot)
   i64 rosterVersion()     // under which this voter answers now
   string platformList()   // JSON: the platform's rows as this node reads them; or the error platformAway
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -2,7 +2,10 @@
 
 import unittest
 
-from oaklab.failover import run_failover
+from oakbase.constants import CONDITION_AGE, LEASE_LAPSED, SLOTS, STEP_IN_TIME, TAKEOVER_LOOK, TERM
+from oaklab.failover import PLAN_KEY, false_takeovers, run_failover
+from oaklab.simfleet import SimFleet
+from oakcontrol.slots import slot_of_key
 
 
 class MeasurementTest(unittest.TestCase):
@@ -10,3 +13,133 @@
         first, again = run_failover("killed", 3), run_failover("killed", 3)
         self.assertEqual(first, again)
         self.assertLess(first.taken, first.order)
+
+
+class LapseTest(unittest.TestCase):
+    def bring_up(self, seed=1):
+        self.fleet = SimFleet(seed).bring_up()
+        self.fleet.run(3 * TERM)  # until the roster is no longer new
+        return self.fleet
+
+    def owner_of_plan(self):
+        slot = slot_of_key(PLAN_KEY)
+        return next(one for one in self.fleet.of_kind("control") if one.running and slot in one.node.owners.held)
+
+    def take_overs(self, since):
+        return [line for line in self.fleet.lines[since:] if "event=takeOverBegins " in line]
+
+    def test_slots_are_taken_over_before_their_owner_counts_as_silent(self):
+        """
+        owner                  the others
+        killed, without power,
+        frozen or cut off      after 0.9 s a majority has confirmed no lease of its slots: the next named takes them over
+        """
+        for seed, fault in enumerate(("killed", "power cut", "frozen", "cut off")):
+            with self.subTest(fault):
+                trial = run_failover(fault, seed)
+                self.assertGreater(trial.taken, TERM - 0.25)  # the last confirmation was a pull's pause ago at most
+                self.assertLess(trial.taken, LEASE_LAPSED + 0.1)
+
+    def test_two_owners_lost_at_once(self):
+        """
+        two owners    the three others
+        killed        each slot goes to who is named first of those three, though the two do not count as silent yet
+        """
+        fleet = self.bring_up()
+        lost = [fleet["control0"], fleet["control3"]]
+        slots = {slot for one in lost for slot in one.node.owners.held}
+        killed_at = fleet.time.now
+        for one in lost:
+            one.kill()
+        fleet.wait_for("the slots of both being served", lambda: slots <= fleet.slots_held(), 5.0)
+        self.assertLess(fleet.time.now - killed_at, LEASE_LAPSED + 0.2)
+
+    def test_first_choice_that_does_not_take_its_slot(self):
+        """
+        owner                               the others
+        gives the slot up, lives, answers,  leave it the slot for a turn of its own;
+        but does not take it again          then one of them steps in, alone
+        """
+        fleet = self.bring_up()
+        owner, slot = self.owner_of_plan(), slot_of_key(PLAN_KEY)
+        owner.node.owners.begin_take_over = lambda slot, lapsed=False: None
+        since, ended_at = len(fleet.lines), fleet.time.now
+        owner.node.owners.held[slot].end()
+        fleet.wait_for("the slot being served", lambda: slot in fleet.slots_held(), 8.0)
+        self.assertGreater(fleet.time.now - ended_at, CONDITION_AGE + STEP_IN_TIME - TAKEOVER_LOOK)
+        begun = [line for line in self.take_overs(since) if f" slot={slot} " in line]
+        self.assertEqual(len(begun), 1, begun)
+
+    def test_slow_take_overs_are_not_disturbed(self):
+        """
+        owner      the others, whose disks take 0.5 s
+        killed     each slot is taken over by one of them, once, however long it takes: who seeks a slot is no suspect
+        """
+        fleet = self.bring_up()
+        owner = self.owner_of_plan()
+        slots = set(owner.node.owners.held)
+        for one in fleet.of_kind("control"):
+            one.disk.sync_time = 0.5
+        since = len(fleet.lines)
+        owner.kill()
+        fleet.wait_for("its slots being served", lambda: slots <= fleet.slots_held(), 5.0)
+        begun = [int(line.partition(" slot=")[2].split()[0]) for line in self.take_overs(since)]
+        self.assertEqual(sorted(slot for slot in begun if slot in slots), sorted(slots))
+
+    def test_freeze_of_half_a_second_takes_nothing_over(self):
+        self.assertEqual([false_takeovers(seed, rounds=5) for seed in range(2)], [0, 0])
+
+    def test_link_of_owner_to_one_voter(self):
+        """
+        owner    one voter             the other voters
+             XXX does not hear it,     confirm its leases as ever: nothing is taken over
+                 and asks a majority
+        """
+        fleet = self.bring_up()
+        owner = self.owner_of_plan()
+        other = next(one for one in fleet.of_kind("control") if one is not owner)
+        since = len(fleet.lines)
+        fleet.network.cut([owner.host.address], [other.host.address])
+        fleet.run(4.0)
+        self.assertEqual(self.take_overs(since), [])
+        self.assertTrue(fleet.slots_served())
+
+    def test_wrong_suspicion_waits_for_the_lease(self):
+        """
+        owner A (live, serving)          B
+        holds its lease                  takes its slot for lapsed, and takes it over
+        its lease runs out               serves only then
+        """
+        fleet = self.bring_up()
+        slot = slot_of_key(PLAN_KEY)
+        first = self.owner_of_plan()
+        second = next(one for one in fleet.of_kind("control") if one is not first)
+        former = first.node.owners.held[slot]
+        second.node.owners.begin_take_over(slot, lapsed=True)
+        at_once = []
+        for _ in range(300):
+            fleet.run(0.005)
+            taken = second.node.owners.held.get(slot)
+            at_once.append(former.holds_term() and taken is not None and taken.holds_term())
+        self.assertFalse(any(at_once))
+        self.assertFalse(former.holds_term())
+
+    def test_who_takes_a_slot_over_is_not_disturbed(self):
+        """A voter that has promised a slot is quiet about it from then on, but for the one that it has promised it to."""
+        fleet = self.bring_up()
+        owner = self.owner_of_plan()
+        slot = slot_of_key(PLAN_KEY)
+        owner.freeze()
+        fleet.run(0.7)
+        taker, *others = [one.node for one in fleet.of_kind("control") if one is not owner]
+        taker.owners.begin_take_over(slot, lapsed=True)
+        fleet.run(0.02)
+        quiet = others[0].voter.quiet_for
+        self.assertLess(quiet(slot, others[1].node.node_id), 0.1)
+        self.assertGreater(quiet(slot, taker.node.node_id), 0.4)
+        other_slot = next(
+            one
+            for one in range(SLOTS)
+            if one != slot and others[0].voter.last_holder(one)[1] == owner.node.node.node_id
+        )
+        self.assertGreater(quiet(other_slot, others[1].node.node_id), 0.4)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1025,6 +1025,7 @@
         caller            gate                     budget's owner      next owner      operator
         open p -------->  plan 1 is fresh          frozen
                           asks --------------- X                                       plan 2: other limits
+                          cut off for 2.1 s                            takes over
                           asks again ------------------------------>   opens it under plan 2
         """
         fleet = self.bring_up()
@@ -1057,6 +1058,9 @@
             fleet.until(fleet.operator.put_plan("dalatech", 1, plan, "dalatech-plan-2")).outcome, "accepted"
         )
         accepted_at = fleet.time.now
+        fleet.network.cut([fleet["gate0"].host.address], [one.host.address for one in fleet.of_kind("control")])
+        fleet.run(2.1)
+        fleet.network.heal()
         answers = [answer for _, answer in fleet.until(settled(works), 60)]
         self.assertGreater(fleet.time.now, accepted_at + 2.0, "the schedule did not come near the fault")
         self.assertEqual(
