--- a/packages/oakcontrol/oakcontrol/lapse.py
+++ b/packages/oakcontrol/oakcontrol/lapse.py
@@ -7,7 +7,6 @@
 
 from oakbase.constants import LAPSE_ASK_TIME, LAPSE_LOOK, LEASE_LAPSED, SUSPECT_SILENT
 from oakbase.tasks import Repeater, quorum_of
-from oakcohort.rendezvous import ranked
 
 
 class LapseWatch:
@@ -26,14 +25,15 @@
 
     async def _look(self):
         slots = self._quiet_slots()
-        if not slots or not self._owners.may_disturb():
+        if not slots or not self._hears_majority():
             return
         quiet = await self._ask_majority(slots)
         lapsed = {slot for slot in slots if quiet[slot] >= LEASE_LAPSED}
+        # Silent ones whose leases have lapsed are passed over.
         suspects = {owner for owner in map(self._owners.former_owner, lapsed) if not self._answers(owner)}
         now = self._node.reactor.seconds()
         for slot in slots:
-            if slot in lapsed and self._is_next(slot, suspects):
+            if slot in lapsed and self._owners.is_free(slot) and self._owners.is_next(slot, suspects):
                 self._owners.begin_take_over(slot, lapsed=True)
             self._ask_at[slot] = now + max(LAPSE_LOOK, LEASE_LAPSED - quiet[slot])
 
@@ -46,6 +46,14 @@
             if self._owners.is_free(slot) and now >= self._ask_at.get(slot, 0.0)
         ]
 
+    def _hears_majority(self):
+        """Whether a majority has answered this node just now. If not, it may have been frozen itself, and all that it has not
+        heard of the others says nothing."""
+        roster = self._voter.roster
+        if roster is None or self._node.node_id not in roster.everyone:
+            return False
+        return roster.is_quorum({node_id for node_id in roster.everyone if self._answers(node_id)})
+
     async def _ask_majority(self, slots):
         """Slot -> seconds for which each of a majority has been quiet; 0 if no majority answered."""
         reached, answers = await quorum_of(
@@ -60,8 +68,3 @@
         """Whether this node has answered a pull lately: then it is at work, though a majority may not confirm its lease."""
         address = self._owners.voter_addresses().get(node_id)
         return address is not None and self._node.puller.answers_lately(address, SUSPECT_SILENT)
-
-    def _is_next(self, slot, suspects):
-        """Whether the slot is for this node, once silent ones whose leases have lapsed are left out."""
-        candidates = [node_id for node_id in self._owners.live_members() if node_id not in suspects]
-        return bool(candidates) and ranked(candidates, f"slot{slot}")[0] == self._node.node_id
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -342,7 +342,6 @@
         self._taking = set()
         self._seen_epochs = {}
         self._orders = (), ()
-        self._isParted = True
         self._batchers = {}
         self._updates = VoterUpdates(self, node, self._on_outranked)
         self._started_at = node.reactor.seconds()
@@ -561,7 +560,7 @@
 
     # --- taking over ---
 
-    def live_members(self):
+    def _live_roster(self):
         members = self._node.members
         return [
             node_id
@@ -588,7 +587,7 @@
         self._say_parted(is_parted)
         if is_parted:
             return
-        live_ids = self.live_members()
+        live_ids = self._live_roster()
         for slot in range(SLOTS):
             if self.is_free(slot) and self._is_for_me(slot, live_ids):
                 self.begin_take_over(slot)
@@ -597,26 +596,25 @@
         """Whether this node neither holds the slot nor is taking it over."""
         return slot not in self.held and slot not in self._taking
 
-    def may_disturb(self):
-        """Whether this node is a member that has answers from a majority, by its last look."""
-        roster = self._voter.roster
-        return roster is not None and self._node.node_id in roster.everyone and not self._isParted
-
     def former_owner(self, slot):
         """The node that is known to have held the slot last, by the confirmations of the voter here and by news; None if
         there is none. Who only seeks the slot is not meant: it may be about to have it."""
         holder, believed = self._voter.last_holder(slot), self.believed_owner(slot)
         return max(holder, believed[:2] if believed else holder)[1]
 
+    def is_next(self, slot, suspects):
+        """Whether the slot is for this node, once the suspects are left out."""
+        candidates = [node_id for node_id in self._live_roster() if node_id not in suspects]
+        return bool(candidates) and ranked(candidates, f"slot{slot}")[0] == self._node.node_id
+
     def begin_take_over(self, slot, lapsed=False):
         """`lapsed`: a majority says that the former lease has ended, so its owner is not asked to release the slot."""
         self._taking.add(slot)
-        spawn(self._take_over(slot, self.live_members(), lapsed), self.log)
+        spawn(self._take_over(slot, self._live_roster(), lapsed), self.log)
 
     def _say_parted(self, is_parted):
         """A member that hears no majority says so, as far as it is still heard: slots are named for others at once,
         without a turn of its own that it could not use."""
-        self._isParted = is_parted
         state, me = "parted" if is_parted else "up", self._node.puller.me
         is_new = self.reactor.seconds() - self._started_at < CONDITION_AGE
         if me.state not in (state, "leaving") and not (is_parted and is_new):
@@ -645,7 +643,7 @@
         rows = self._node.board.values(f"{SLOT_SOURCE}{slot}")
         return tuple(json.loads(rows["owner"])) if "owner" in rows else None
 
-    async def _take_over(self, slot, live_ids, lapsed):
+    async def _take_over(self, slot, live_ids, lapsed=False):
         believed = self.believed_owner(slot)
         self.log.event(
             "takeOverBegins",
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -652,8 +652,8 @@
     TakeOut(
         "a lapsed lease starts a take-over",
         "oakcontrol/oakcontrol/lapse.py",
-        "if slot in lapsed and self._is_next(slot, suspects):",
-        "if False:",
+        "if slot in lapsed and self._owners.is_free(slot) and",
+        "if False and",
         "test_failover.LapseTest.test_slots_are_taken_over_before_their_owner_counts_as_silent",
     ),
     TakeOut(
@@ -665,7 +665,7 @@
     ),
     TakeOut(
         "whose lease has lapsed is passed over",
-        "oakcontrol/oakcontrol/lapse.py",
+        "oakcontrol/oakcontrol/owner.py",
         "if node_id not in suspects]",
         "if True]",
         "test_failover.LapseTest.test_slots_are_taken_over_before_their_owner_counts_as_silent",
@@ -677,6 +677,13 @@
         "if owner}",
         "test_failover.LapseTest.test_slow_take_overs_are_not_disturbed",
     ),
+    TakeOut(
+        "who was frozen itself suspects nobody",
+        "oakcontrol/oakcontrol/lapse.py",
+        "if not slots or not self._hears_majority():",
+        "if not slots:",
+        "test_failover.LapseTest.test_who_was_frozen_itself_suspects_nobody",
+    ),
     TakeOut(
         "who seeks a slot is not disturbed",
         "oakcontrol/oakcontrol/voter.py",
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -89,6 +89,23 @@
     def test_freeze_of_half_a_second_takes_nothing_over(self):
         self.assertEqual([false_takeovers(seed, rounds=5) for seed in range(2)], [0, 0])
 
+    def test_who_was_frozen_itself_suspects_nobody(self):
+        """
+        all members
+        frozen for 1.2 s: no lease was confirmed and nobody was heard
+        thawed: leases are confirmed again before anybody takes anything over
+        """
+        fleet = self.bring_up()
+        members = fleet.of_kind("control")
+        since = len(fleet.lines)
+        for one in members:
+            one.freeze()
+        fleet.run(1.2)
+        for one in members:
+            one.thaw()
+        fleet.run(2.0)
+        self.assertEqual(self.take_overs(since), [])
+
     def test_link_of_owner_to_one_voter(self):
         """
         owner    one voter             the other voters
