--- a/packages/oakcontrol/oakcontrol/client.py
+++ b/packages/oakcontrol/oakcontrol/client.py
@@ -18,6 +18,7 @@
 from oakbase.verdict import CannotTell, NoAnswer, NotOwner, OakError, Verdict
 from oakcontrol.contact import answers_now
 from oakcontrol.controllers import SLOT_SOURCE
+from oakcontrol.moves import OwnerMoves
 from oakcontrol.slots import slot_of_key
 
 # Codes of errors that say nothing of the key: no answer came, or it came from who is no owner.
@@ -29,6 +30,7 @@
 
     def __init__(self, node, is_silent=lambda _address: False):
         self._node, self._is_silent = node, is_silent
+        self._moves = OwnerMoves(node, self._believed)
 
     def _believed(self, slot):
         rows = self._node.board.values(f"{SLOT_SOURCE}{slot}")
@@ -52,8 +54,11 @@
         reactor, slot = self._node.reactor, slot_of_key(key)
         ends_at = reactor.seconds() + time_left
         text, unsure, hint, tried, silent_until = pack_json(arguments).decode(), None, None, set(), {}
+        believed = None
         while reactor.seconds() < ends_at:
-            address = hint or self._believed(slot)
+            if believed != (believed := self._believed(slot)):
+                tried.discard(believed)  # it was no owner when it was tried
+            address = hint or believed
             # One that did not answer may have ended: for a while whoever takes its slots over is asked instead.
             silent = {one for one, until in silent_until.items() if reactor.seconds() < until}
             if address is not None and self._is_silent(address):
@@ -65,7 +70,7 @@
             if address is not None:
                 tried.add(address)
                 try:
-                    answer = await self._node.net.call(
+                    call = self._node.net.call(
                         address,
                         "ownerCall",
                         min(OWNER_TRY_TIME, ends_at - reactor.seconds()),
@@ -74,7 +79,7 @@
                         arguments_json=text,
                         onward=onward,
                     )
-                    return json.loads(answer)
+                    return json.loads(await self._moves.answer_of(slot, address, call))
                 except NotOwner as error:
                     hint = error.detail if error.detail not in tried | silent else None
                 except OakError as error:
--- /dev/null
+++ b/packages/oakcontrol/oakcontrol/moves.py
@@ -0,0 +1,51 @@
+"""Leaving an owner that does not answer as soon as another one is known.
+
+A process that froze or lost its power answers nothing and refuses nothing. Who waits for it need not wait out the whole time
+of a call: news of the slot's next owner say that this one's lease is over. What was asked may have come through, as with any
+call that is not answered in time.
+"""
+
+from collections import defaultdict
+from functools import partial
+
+from twisted.internet.defer import Deferred
+
+from oakbase.constants import OWNER_LEFT_PAUSE
+from oakbase.tasks import begin
+from oakbase.verdict import NoAnswer
+from oakcontrol.controllers import SLOT_SOURCE
+
+
+class OwnerMoves:
+    """Invariant: `_waiting` holds, for each slot, the outcome of each call that is under way and the address that was asked."""
+
+    def __init__(self, node, address_of):
+        """`address_of(slot)` is where the slot's owner is by the newest news, or None."""
+        self._reactor, self._address_of = node.reactor, address_of
+        self._waiting = defaultdict(dict)
+        node.board.watch(SLOT_SOURCE, self._on_news)
+
+    def answer_of(self, slot, address, call):
+        """The call's answer; NoAnswer if news name another owner meanwhile and a moment later there is still none."""
+        answer = begin(call)
+        outcome = Deferred(lambda _: answer.cancel())
+        self._waiting[slot][outcome] = address
+        answer.addBoth(self._settle, slot, outcome)
+        return outcome
+
+    def _settle(self, result, slot, outcome):
+        self._waiting[slot].pop(outcome, None)
+        if not outcome.called:
+            outcome.callback(result)
+
+    def _on_news(self, source):
+        slot = int(source[len(SLOT_SOURCE) :])
+        owner = self._address_of(slot)
+        for outcome, address in self._waiting[slot].items():
+            if owner is not None and address != owner:
+                self._reactor.callLater(OWNER_LEFT_PAUSE, partial(self._leave, slot, outcome))
+
+    def _leave(self, slot, outcome):
+        self._waiting[slot].pop(outcome, None)
+        if not outcome.called:
+            outcome.errback(NoAnswer("the owner did not answer, and another one is known now"))
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -705,6 +705,20 @@
         "pass",
         "test_failover.LapseTest.test_wrong_suspicion_waits_for_the_lease",
     ),
+    TakeOut(
+        "a silent owner is left once another is known",
+        "oakcontrol/oakcontrol/moves.py",
+        "if owner is not None and address != owner:",
+        "if False:",
+        "test_failover.MovesTest.test_order_that_asked_a_silent_owner_is_done_soon",
+    ),
+    TakeOut(
+        "an answer on its way is waited for",
+        "oakcontrol/oakcontrol/moves.py",
+        "self._reactor.callLater(OWNER_LEFT_PAUSE, partial(self._leave, slot, outcome))",
+        "self._reactor.callLater(0, partial(self._leave, slot, outcome))",
+        "test_failover.MovesTest.test_answer_on_its_way_counts",
+    ),
     TakeOut(
         "stepping in for who does not take its slot",
         "oakcontrol/oakcontrol/owner.py",
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -1,8 +1,14 @@
 """From the end of an owner of control state to the next order, and what must not set a take-over off."""
 
 import unittest
+from types import SimpleNamespace
 
-from oakbase.constants import CONDITION_AGE, LEASE_LAPSED, SLOTS, STEP_IN_TIME, TAKEOVER_LOOK, TERM
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from oakbase.constants import CONDITION_AGE, LEASE_LAPSED, OWNER_LEFT_PAUSE, SLOTS, STEP_IN_TIME, TAKEOVER_LOOK, TERM
+from oakbase.verdict import NoAnswer
+from oakcontrol.moves import OwnerMoves
 from oaklab.failover import PLAN_KEY, false_takeovers, run_failover
 from oaklab.simfleet import SimFleet
 from oakcontrol.slots import slot_of_key
@@ -160,3 +166,50 @@
             if one != slot and others[0].voter.last_holder(one)[1] == owner.node.node.node_id
         )
         self.assertGreater(quiet(other_slot, others[1].node.node_id), 0.4)
+
+
+class MovesTest(unittest.TestCase):
+    def setUp(self):
+        self.clock, self.owner = Clock(), "old"
+        board = SimpleNamespace(watch=lambda _prefix, watcher: setattr(self, "tell", watcher))
+        self.moves = OwnerMoves(SimpleNamespace(reactor=self.clock, board=board), lambda _slot: self.owner)
+        self.call, self.ended = Deferred(), []
+        self.moves.answer_of(3, "old", self.call).addBoth(self.ended.append)
+
+    def news_of(self, owner):
+        self.owner = owner
+        self.tell("slot/3")
+
+    def test_silent_owner_is_left_once_another_is_known(self):
+        self.news_of("new")
+        self.clock.advance(OWNER_LEFT_PAUSE + 0.001)
+        self.ended[0].trap(NoAnswer)
+        self.call.callback("too late")
+
+    def test_answer_on_its_way_counts(self):
+        self.news_of("new")
+        self.clock.advance(OWNER_LEFT_PAUSE / 2)
+        self.call.callback("answer")
+        self.clock.advance(1.0)
+        self.assertEqual(self.ended, ["answer"])
+
+    def test_news_of_the_same_owner_change_nothing(self):
+        self.news_of("old")
+        self.clock.advance(1.0)
+        self.assertEqual(self.ended, [])
+
+    def test_order_that_asked_a_silent_owner_is_done_soon(self):
+        """
+        owner              a gate
+        without power      asks it 0.6 s later; leaves it when the next owner is known, 0.35 s later
+        """
+        fleet = SimFleet(2).bring_up()
+        fleet.run(3 * TERM)
+        slot = slot_of_key(PLAN_KEY)
+        owner = next(one for one in fleet.of_kind("control") if slot in one.node.owners.held)
+        cut_at = fleet.time.now
+        owner.power_cut()
+        fleet.run(0.6)
+        for one in fleet.of_kind("gate"):
+            fleet.until(one.node.owners.call(PLAN_KEY, "read", {}, 5.0))
+            self.assertLess(fleet.time.now - cut_at, 1.2)
