--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -1,10 +1,8 @@
 """The owner's side of owned keys: taking a slot over, holding its term, working through its commands."""
 
 import json
-from collections import ChainMap
 from dataclasses import replace
 from functools import partial
-from itertools import takewhile
 
 from sortedcontainers import SortedDict
 from twisted.internet import defer
@@ -39,8 +37,10 @@
 from oakcohort.rendezvous import ranked
 from oakcontrol.contact import Contact
 from oakcontrol.controllers import CONTROLLERS, SLOT_SOURCE, published_by, sweeps_for
+from oakcontrol.former import FormerTerms
 from oakcontrol.replication import Offer, SlotProgress, StepBatcher, VoterUpdates
-from oakcontrol.slots import pack_entry, slot_of_key, unpack_entry
+from oakcontrol.slots import slot_of_key
+from oakcontrol.view import View
 from oakwire.codec import idl, pack
 
 
@@ -52,42 +52,6 @@
 ROSTER_BITS = 20  # bits; of a slot source's version, below the epoch: rosters change far less often than that
 
 
-class View:
-    """What a command sees and writes: the committed entries under those of its own batch."""
-
-    def __init__(self, entries, context):
-        self._entries = entries
-        self._layers = ChainMap({}, entries)
-        self.context = context
-
-    def get(self, key):
-        value = self._layers.get(key)
-        return None if value is None else unpack_entry(value)
-
-    def packed(self, key):
-        """The entry as it is kept, for who passes it on or compares it as it is."""
-        return self._layers.get(key)
-
-    def put(self, key, value):
-        self._layers.maps[0][key] = pack_entry(value)
-
-    def committed_keys(self, prefix):
-        """The keys with this prefix among the committed entries, in order; what this batch does is not seen."""
-        return takewhile(lambda key: key.startswith(prefix), self._entries.irange(prefix))
-
-    def nested(self):
-        """A view for one command, so that one that fails leaves nothing behind."""
-        view = View(self._entries, self.context)
-        view._layers = self._layers.new_child()
-        return view
-
-    def fold(self, view):
-        self._layers.maps[0].update(view._layers.maps[0])
-
-    def changes(self):
-        return self._layers.maps[0]
-
-
 class SlotOwner:
     """One slot held by this node. Invariants:
     - `entries` is on a majority of the roster's disks under (epoch, sequence), and `size` is its bytes;
@@ -306,29 +270,6 @@
     return isinstance(error, Fenced) and bool(error.detail)
 
 
-class FormerTerms:
-    """The terms of a slot's earlier epochs. They have ended when the last one that was confirmed runs out, or as soon as each
-    process that might hold one has said that it doesn't: after an outage of all, that is at once."""
-
-    def __init__(self, reactor, holders):
-        self._reactor, self._left, self._outcome = reactor, set(holders), defer.Deferred()
-
-    def holds_none(self, node_id):
-        self._left.discard(node_id)
-        if not self._left:
-            self._end()
-
-    def _end(self):
-        if not self._outcome.called:
-            self._outcome.callback(None)
-
-    async def ended(self, at):
-        call = self._reactor.callLater(max(0.0, at - self._reactor.seconds()), self._end)
-        await self._outcome
-        if call.active():
-            call.cancel()
-
-
 class Owners:
     """The slots this node owns, and the task that takes over those which it should own.
 
