--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -4,7 +4,6 @@
 from dataclasses import replace
 from functools import partial
 
-from sortedcontainers import SortedDict
 from twisted.internet import defer
 
 from oakbase.checks import pack_json
@@ -31,13 +30,13 @@
     VIEW_RETRY,
 )
 from oakbase.inbox import Inbox
-from oakbase.tasks import Repeater, drive, quorum_of, sleep, spawn, within
-from oakbase.verdict import CannotTell, Fenced, NoAnswer, NotOwner, OakError, RingFull, Unknown, Verdict
+from oakbase.tasks import Repeater, drive, sleep, spawn, within
+from oakbase.verdict import CannotTell, NoAnswer, NotOwner, OakError, RingFull, Unknown, Verdict
 from oakcohort.members import LIVE
 from oakcohort.rendezvous import ranked
 from oakcontrol.contact import Contact
 from oakcontrol.controllers import CONTROLLERS, SLOT_SOURCE, published_by, sweeps_for
-from oakcontrol.former import FormerTerms
+from oakcontrol.preparation import Preparation, is_moving
 from oakcontrol.replication import Offer, SlotProgress, StepBatcher, VoterUpdates
 from oakcontrol.slots import slot_of_key
 from oakcontrol.view import View
@@ -265,11 +264,6 @@
         return terms, lambda slots: asked.take(node_id, set(slots))
 
 
-def is_moving(error):
-    """Whether a voter refused only because it stands in another roster than the asker."""
-    return isinstance(error, Fenced) and bool(error.detail)
-
-
 class Owners:
     """The slots this node owns, and the task that takes over those which it should own.
 
@@ -615,43 +609,22 @@
             self.log.event("releaseUnanswered", slot=slot, owner=believed[1], reason=error.reason)
             return None
 
-    async def _prepare_and_serve(self, slot, released_epoch):
+    def _next_epoch(self, slot, released_epoch):
         believed = self.believed_owner(slot)
-        epoch = (
-            max(
-                self._seen_epochs.get(slot, 0),
-                believed[0] if believed else 0,
-                released_epoch or 0,
-                self._voter.promised_epoch(slot),
-            )
-            + 1
-        )
+        seen = self._seen_epochs.get(slot, 0), believed[0] if believed else 0
+        return max(*seen, released_epoch or 0, self._voter.promised_epoch(slot)) + 1
+
+    async def _prepare_and_serve(self, slot, released_epoch):
+        epoch = self._next_epoch(slot, released_epoch)
         self._seen_epochs[slot] = epoch
-        former = FormerTerms(self.reactor, self._possible_holders())
-        reached, answers = await quorum_of(
-            {
-                voter[0]: self._promised(voter, slot, epoch, self._voter.roster, former)
-                for voter in self.voter_addresses().items()
-            },
-            self._voter.roster.is_quorum,
-        )
-        if not reached:
-            raise CannotTell(
-                f"no majority promised epoch {epoch}: {'; '.join(sorted(set(map(str, answers.values()))))}"
-            )
-        prepared_at = self.reactor.seconds()
-        former_epoch = max(promise.promised_epoch for promise in answers.values())
-        newest, start = max(
-            ((node_id, (promise.image_epoch, promise.sequence)) for node_id, promise in answers.items()),
-            key=lambda row: (row[1], row[0] == self._node.node_id),
-        )
-        entries = await self._fetch_image(newest, slot, epoch, answers[newest].entries)
+        preparation = Preparation(self, self._node, self._voter, slot, epoch)
+        await preparation.prepare()
+        newest, start = preparation.newest()
+        entries = await preparation.fetch_image(newest)
         owner = SlotOwner(self, slot, epoch, entries, 0)
         if not await self.replicate(owner, 1, {}, start):
             raise CannotTell(f"the image of epoch {epoch} did not reach a majority")
-        if former_epoch and former_epoch != released_epoch:
-            unconfirmed = min(promise.unconfirmed_ms or 0 for promise in answers.values()) / 1000
-            await former.ended(prepared_at - unconfirmed + TERM)
+        await preparation.former_lease_ended(released_epoch)
         self._confirm({slot: owner})
         await within(self.reactor, TERM, owner.confirmed, CannotTell(f"epoch {epoch} was not confirmed"))
         owner.sequence = 1
@@ -660,65 +633,10 @@
         self.publish(owner, entries)
         self.log.event("slotTaken", slot=slot, epoch=epoch, entries=len(entries), released=released_epoch or "no")
 
-    async def _fetch_image(self, node_id, slot, epoch, given):
-        """The image that this voter promised to keep as it is: given with the promise, or fetched in parts."""
-        entries, more = SortedDict((entry.key, entry.value) for entry in given or []), given is None
-        while more:
-            part = await self._node.net.call(
-                self.voter_addresses()[node_id],
-                "imagePart",
-                CALL_TIME,
-                to=node_id,
-                slot=slot,
-                epoch=epoch,
-                owner=self._node.node_id,
-                roster_version=self._voter.roster.version,
-                after=entries.keys()[-1] if entries else "",
-            )
-            entries.update((entry.key, entry.value) for entry in part.entries or [])
-            more = part.more
-        return entries
-
     def _may_hold_term(self, slot, asker):
         """Whether this process has a term of the slot, or may come to one by a take-over that the asker's does not follow."""
         return slot in self.held or (slot in self._taking and asker != self._node.node_id)
 
-    def _possible_holders(self):
-        """Who may hold a term: all of the roster, but those whose process has surely ended."""
-        return [
-            node_id
-            for node_id, peer in self._voter.roster.everyone.items()
-            if self._node.members.successor_of(node_id, peer) is None
-        ]
-
-    async def _promised(self, voter, slot, epoch, roster, former):
-        node_id, address = voter
-        ends_at = self.reactor.seconds() + CALL_TIME
-        while True:
-            try:
-                promise = await self._node.net.call(
-                    address,
-                    "prepare",
-                    ends_at - self.reactor.seconds(),
-                    to=node_id,
-                    slot=slot,
-                    epoch=epoch,
-                    parts=True,
-                    owner=self._node.node_id,
-                    roster_version=roster.version,
-                )
-                break
-            except Fenced as error:
-                if not is_moving(error) or roster.version != self._voter.roster.version:
-                    raise
-            await sleep(self.reactor, TERM_RENEW / 4)
-        if not promise.granted:
-            self.note_epoch(slot, promise.promised_epoch)
-            raise CannotTell(f"epoch {promise.promised_epoch} is promised already")
-        if promise.termless:
-            former.holds_none(node_id)
-        return promise
-
     async def _serve_release(self, _peer, arguments):
         owner = self.held.get(arguments.slot)
         if owner is None:
--- /dev/null
+++ b/packages/oakcontrol/oakcontrol/preparation.py
@@ -0,0 +1,106 @@
+"""The first half of a take-over: a majority's promises, the newest image among them, and the end of the former lease."""
+
+from sortedcontainers import SortedDict
+
+from oakbase.constants import CALL_TIME, TERM, TERM_RENEW
+from oakbase.tasks import quorum_of, sleep
+from oakbase.verdict import CannotTell, Fenced
+from oakcontrol.former import FormerTerms
+
+
+def is_moving(error):
+    """Whether a voter refused only because it stands in another roster than the asker."""
+    return isinstance(error, Fenced) and bool(error.detail)
+
+
+class Preparation:
+    """One epoch of a slot, sought by this node. Invariant: once `prepare` has ended, `_promises` are those of a majority, and
+    `_prepared_at` is no earlier than any of them."""
+
+    def __init__(self, owners, node, voter, slot, epoch):
+        self._owners, self._node, self._voter = owners, node, voter
+        self._slot, self._epoch = slot, epoch
+        self._former = FormerTerms(node.reactor, self._possible_holders())
+        self._promises, self._prepared_at = {}, None
+
+    def _possible_holders(self):
+        """Who may hold a lease: all of the roster, but those whose process has surely ended."""
+        return [
+            node_id
+            for node_id, peer in self._voter.roster.everyone.items()
+            if self._node.members.successor_of(node_id, peer) is None
+        ]
+
+    async def prepare(self):
+        roster = self._voter.roster
+        reached, answers = await quorum_of(
+            {voter[0]: self._promise_of(voter, roster) for voter in self._owners.voter_addresses().items()},
+            self._voter.roster.is_quorum,
+        )
+        if not reached:
+            reasons = "; ".join(sorted(set(map(str, answers.values()))))
+            raise CannotTell(f"no majority promised epoch {self._epoch}: {reasons}")
+        self._promises, self._prepared_at = answers, self._node.reactor.seconds()
+
+    async def _promise_of(self, voter, roster):
+        node_id, address = voter
+        ends_at = self._node.reactor.seconds() + CALL_TIME
+        while True:
+            try:
+                promise = await self._node.net.call(
+                    address,
+                    "prepare",
+                    ends_at - self._node.reactor.seconds(),
+                    to=node_id,
+                    slot=self._slot,
+                    epoch=self._epoch,
+                    parts=True,
+                    owner=self._node.node_id,
+                    roster_version=roster.version,
+                )
+                break
+            except Fenced as error:
+                if not is_moving(error) or roster.version != self._voter.roster.version:
+                    raise
+            await sleep(self._node.reactor, TERM_RENEW / 4)
+        if not promise.granted:
+            self._owners.note_epoch(self._slot, promise.promised_epoch)
+            raise CannotTell(f"epoch {promise.promised_epoch} is promised already")
+        if promise.termless:
+            self._former.holds_none(node_id)
+        return promise
+
+    def newest(self):
+        """(voter, (epoch, sequence)) of the newest image promised; this node's own if it is as new."""
+        return max(
+            ((node_id, (promise.image_epoch, promise.sequence)) for node_id, promise in self._promises.items()),
+            key=lambda row: (row[1], row[0] == self._node.node_id),
+        )
+
+    async def fetch_image(self, node_id):
+        """The image that this voter promised to keep as it is: given with the promise, or fetched in parts."""
+        given = self._promises[node_id].entries
+        entries, more = SortedDict((entry.key, entry.value) for entry in given or []), given is None
+        while more:
+            part = await self._node.net.call(
+                self._owners.voter_addresses()[node_id],
+                "imagePart",
+                CALL_TIME,
+                to=node_id,
+                slot=self._slot,
+                epoch=self._epoch,
+                owner=self._node.node_id,
+                roster_version=self._voter.roster.version,
+                after=entries.keys()[-1] if entries else "",
+            )
+            entries.update((entry.key, entry.value) for entry in part.entries or [])
+            more = part.more
+        return entries
+
+    async def former_lease_ended(self, released_epoch):
+        """Waits until no lease of an earlier epoch can be held. There is none if the owner of the last one said so itself."""
+        former_epoch = max(promise.promised_epoch for promise in self._promises.values())
+        if not former_epoch or former_epoch == released_epoch:
+            return
+        unconfirmed = min(promise.unconfirmed_ms or 0 for promise in self._promises.values()) / 1000
+        await self._former.ended(self._prepared_at - unconfirmed + TERM)
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -595,8 +595,8 @@
     ),
     TakeOut(
         "wait for the former term",
-        "oakcontrol/oakcontrol/owner.py",
-        "await former.ended(prepared_at - unconfirmed + TERM)",
+        "oakcontrol/oakcontrol/preparation.py",
+        "await self._former.ended(self._prepared_at - unconfirmed + TERM)",
         "pass",
         "test_faults.ControlFaults.test_no_two_terms_at_once",
     ),
@@ -700,8 +700,8 @@
     ),
     TakeOut(
         "a suspected owner's lease is waited for",
-        "oakcontrol/oakcontrol/owner.py",
-        "await former.ended(prepared_at - unconfirmed + TERM)",
+        "oakcontrol/oakcontrol/preparation.py",
+        "await self._former.ended(self._prepared_at - unconfirmed + TERM)",
         "pass",
         "test_failover.LapseTest.test_wrong_suspicion_waits_for_the_lease",
     ),
