--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -70,8 +70,8 @@
 OWNER_TRY_TIME = 0.7  # s; an owner that takes longer is asked again, or whoever took its slots over
 ONWARD_TIME = 0.35  # s; an owner that does not answer whoever passes a call on in this time: half of OWNER_TRY_TIME, so
 # that the asker hears of it
-OWNER_LEFT_PAUSE = 0.05  # s; once news name another owner, one that was asked is waited for so long: its answer may be
-# on its way
+OWNER_LEFT_PAUSE = 0.02  # s; once news name another owner, one that was asked is waited for so long: its answer may be
+# on its way, for which a round trip within a region is enough; leaving it is as safe as a call that times out
 TAKEOVER_LOOK = 0.25  # s; how often a control node compares owned slots with the live members
 CONTROL_INBOX = 1024  # commands; a slot with more waiting answers that it is overloaded
 IMAGE_PART = 256 << 10  # bytes; one message of a slot's image, packed well within a term
--- a/packages/oakcontrol/oakcontrol/client.py
+++ b/packages/oakcontrol/oakcontrol/client.py
@@ -40,6 +40,11 @@
         addresses = sorted({member.peer for member in self._node.members.live("control")} - tried)
         return self._node.random.choice(addresses) if addresses else None
 
+    def _successor(self, slot, address, tried):
+        """Who owns the slot by the newest news, if that is not who was just asked nor who was tried before; else None."""
+        believed = self._believed(slot)
+        return None if believed in tried | {address} else believed
+
     async def call_until_done(self, key, command, arguments):
         """The same for a command that must come through, as long as this process lives: its copies do no harm."""
         while True:
@@ -93,6 +98,7 @@
                     if error.verdict is not Verdict.NO:
                         unsure = error
                         silent_until[address] = reactor.seconds() + TERM
+                        hint = self._successor(slot, address, tried)
             if hint is None:
                 await sleep(reactor, OWNER_TRIES_PAUSE)
                 if address is None or len(tried) > 2:
