--- a/packages/oakcontrol/oakcontrol/controllers.py
+++ b/packages/oakcontrol/oakcontrol/controllers.py
@@ -23,9 +23,11 @@
         self.growing, self.replacing = frozenset(growing), frozenset(replacing)
 
     def run(self, view, key, command, arguments):
-        if command not in self._commands.names():
-            raise NoMethod(f"this release knows no command {command}")
-        return self._commands.find(command)(view, key, arguments)
+        try:
+            function = self._commands.find(command)
+        except Unknown as error:
+            raise NoMethod(f"not in this release: {error.reason}") from error
+        return function(view, key, arguments)
 
 
 def published_by(entry_key):
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -423,7 +423,7 @@
         "oakcontrol/oakcontrol/client.py",
         "if reactor.seconds() < until}",
         "}",
-        "test_faults.Budgets.test_settled_though_the_owner_starts_again",
+        "test_cut_off.FrozenOwners.test_owner_frozen_for_a_moment_is_asked_again",
     ),
     TakeOut(
         "full stores are said before the run",
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -13,7 +13,7 @@
 import test_operator
 from test_operator import document
 
-from oakbase.constants import REPLICA_AGE, ROUTING_AGE, ROUTING_STRETCH, TERM, VIEW_AGE
+from oakbase.constants import OWNER_TRY_TIME, REPLICA_AGE, ROUTING_AGE, ROUTING_STRETCH, TERM, VIEW_AGE
 from oakbase.logline import LogLine
 from oakbase.tasks import sleep, spawn
 from oakbase.verdict import CannotTell, Lost, NotOwner
@@ -569,6 +569,17 @@
         with self.assertRaises(NotOwner):
             self.fleet.until(owners.call(ROUTING_KEY, "read", {}))
 
+    def test_owner_frozen_for_a_moment_is_asked_again(self):
+        """Also where nobody can pass a call on to it: who found it silent asks it again after a while."""
+        owner, fleet = self.owner(), self.fleet
+        for one in self.others():
+            one.node.owners._is_heard = lambda _address: False
+        owner.freeze()
+        reading = spawn(fleet["gate0"].node.owners.call(ROUTING_KEY, "read", {}, 4.0), fleet.lab_log)
+        fleet.run(OWNER_TRY_TIME + 0.05)
+        owner.thaw()
+        self.assertEqual(fleet.until(reading, 10)["version"], 3)
+
     def test_owner_frozen_in_the_midst_of_a_read(self):
         owners = self.owner().node.owners
         slot_owner, kept = owners.held[slot_of_key(ROUTING_KEY)], owners.context_for
