--- /dev/null
+++ b/packages/oakgate/oakgate/passage.py
@@ -0,0 +1,90 @@
+"""One raw request on its way through the relay, and its caller's leaving."""
+
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+from oakbase.verdict import OakError, TimeSpent, Verdict
+
+
+@dataclass
+class Passage:
+    """One request on its way. Invariants: `left` turns true before its first byte may reach a replica and stays so
+    until a replica promised that it did not run it; `tries` counts replicas that it was sent to."""
+
+    exchange: object
+    request: object
+    route: object
+    ends_at: float
+    may_repeat: bool
+    left: bool = False
+    tries: int = 0
+    leave_by: float = float("inf")
+    excluded: set = field(default_factory=set)
+    body: bytes = b""
+    affinity: str = ""
+    service: str = ""
+    units: int = 0  # tokens in the events that were passed on
+    last_id: str = None  # of the events that the caller has
+    is_numbered: bool = True  # whether all of them with data have an id
+    output: list = field(default_factory=list)
+    output_size: int = 0
+    head: tuple = None
+    head_passed: bool = False
+
+
+class CallerGone(OakError):
+    """The caller went away, or takes its answer too slowly, and what was under way for it was given up."""
+
+    code = "callerGone"
+
+
+@contextmanager
+def when_gone(exchange, function):
+    """While inside, `function` is called as soon as the caller has gone; at once if it has."""
+    inside = [True]
+
+    def gone(result):
+        if inside:
+            function()
+        return result
+
+    exchange.gone.addCallback(gone)
+    try:
+        yield
+    finally:
+        inside.clear()
+
+
+def check_caller(exchange):
+    """Before anything more is done for a caller."""
+    if exchange.is_gone:
+        raise CallerGone("the caller went away", Verdict.NO)
+
+
+def stops_with_caller(passage):
+    """What may be repeated, and a stream that nobody reads, is dropped at its replica. A call that runs only once runs
+    to its end: breaking it off undoes nothing, and the answer to a key is kept for its repeat."""
+    return passage.route.kind in ("safe", "stream")
+
+
+def may_repeat(route):
+    """Whether the route lets a request run more than once."""
+    return route.kind == "safe" or (route.kind == "stream" and route.resumable)
+
+
+def remaining(reactor, passage):
+    """Seconds that are left of the request's time; an error if none are."""
+    left = passage.ends_at - reactor.seconds()
+    if left <= 0:
+        raise TimeSpent("no time is left", retry_after=None)
+    return left
+
+
+def remaining_run(reactor, passage):
+    """Seconds within which what runs already must end."""
+    return max(0.001, passage.ends_at - reactor.seconds())
+
+
+def print_of(*parts):
+    return blake2b(b"\0".join(parts), digest_size=16).hexdigest()
--- /dev/null
+++ b/packages/oakgate/oakgate/relay_answers.py
@@ -0,0 +1,80 @@
+"""Replicas' answers on their way to the callers: gathered whole while they are small, passed on as they come."""
+
+from oakbase.constants import ANSWER_HELD
+from oakbase.tasks import within
+from oakbase.verdict import Broken, NoAnswer, Verdict
+from oakgate.passage import CallerGone, remaining_run
+
+
+class Answers:
+    """`limits()` gives the body_bytes in force. Each method ends within the passage's time, whoever is slow."""
+
+    def __init__(self, reactor, dialect, limits):
+        self._reactor, self._dialect, self._limits = reactor, dialect, limits
+
+    def _body_limit(self):
+        return max(ANSWER_HELD, self._limits().body_bytes)
+
+    async def gather(self, passage, answer, instance):
+        """The answer, whole if it is small: a small one that is cut off was not passed on and may be asked again."""
+        parts, size = [], 0
+        while size < ANSWER_HELD:
+            part = await within(
+                self._reactor,
+                remaining_run(self._reactor, passage),
+                answer.next(),
+                NoAnswer("the replica's answer did not end in time"),
+            )
+            if part is None:
+                return answer.status, self._dialect.answer_headers(answer.headers), parts, None
+            parts.append(part)
+            size += len(part)
+        return answer.status, self._dialect.answer_headers(answer.headers), parts, answer
+
+    async def gather_whole(self, passage, answer, instance):
+        """The answer with its whole body."""
+        status, headers, parts, rest = await self.gather(passage, answer, instance)
+        if rest is not None:
+            parts.append(
+                await within(
+                    self._reactor,
+                    remaining_run(self._reactor, passage),
+                    rest.read(self._body_limit()),
+                    NoAnswer("the replica's answer did not end in time"),
+                )
+            )
+        return status, headers, b"".join(parts)
+
+    async def relay(self, passage, answer, instance):
+        """Passes the answer on, a long one as it comes."""
+        await self._pass_on(passage, *await self.gather(passage, answer, instance))
+
+    async def _pass_on(self, passage, status, headers, parts, answer):
+        exchange = passage.exchange
+        if answer is None:
+            exchange.reply(status, headers, b"".join(parts))
+            return
+        exchange.start(status, headers, answer.length)
+        try:
+            for part in parts:
+                exchange.write(part)
+            while (part := await self.next_part(passage, answer)) is not None:
+                exchange.write(part)
+                await self.wait_writable(passage, answer)
+        except BaseException:
+            answer.abort()
+            raise
+        exchange.finish()
+
+    async def next_part(self, passage, answer):
+        """What comes next of an answer that is being passed on; None at its end."""
+        late = Broken("the replica's answer did not end in time")
+        if self._reactor.seconds() >= passage.ends_at and not answer.has_ended:
+            raise late  # also if there is always something to pass on
+        return await within(self._reactor, remaining_run(self._reactor, passage), answer.next(), late)
+
+    async def wait_writable(self, passage, answer):
+        """Holds the replica up while its answer's caller is slow; the rest of one that has ended is here already."""
+        if passage.exchange.is_full and not answer.has_ended:
+            late = CallerGone("the caller did not take its answer in time", Verdict.MAYBE)
+            await within(self._reactor, remaining_run(self._reactor, passage), passage.exchange.wait_writable(), late)
--- /dev/null
+++ b/packages/oakgate/oakgate/relay_keys.py
@@ -0,0 +1,76 @@
+"""Keyed calls: each key runs once, through whatever gate, and its repeats get the first answer."""
+
+import base64
+
+from oakbase.constants import CLAIM_ANSWER_LIMIT, CLAIM_LEAVE
+from oakbase.tasks import shielded, within
+from oakbase.verdict import BadRequest, CannotTell, InProgress, NoAnswer, OakError, Refused, Verdict
+from oakgate.passage import print_of, remaining
+
+
+class KeyedCalls:
+    """The way of a request on a route that asks for keys."""
+
+    def __init__(self, gate, dialect, carrier, answers):
+        self._gate, self._reactor, self._log, self._owners = gate, gate.node.reactor, gate.node.log, gate.owners
+        self._dialect, self._carrier, self._answers = dialect, carrier, answers
+
+    async def serve(self, passage):
+        """A keyed call is claimed on a majority of disks before it may leave, and its answer kept before it is passed
+        on: a repeat, through whatever gate, gets that answer."""
+        request, route = passage.request, passage.route
+        if not request.operation_key:
+            raise BadRequest("this route needs an operation key")
+        self._gate.check_settling()
+        key = "claim/" + print_of(route.host.encode(), request.operation_key.encode())
+        pairs = self._gate.admission() | {
+            "print": print_of(passage.exchange.method.encode(), passage.exchange.target, passage.body)
+        }
+        passage.leave_by = self._reactor.seconds() + CLAIM_LEAVE
+        try:
+            claimed = await self._owners.call(key, "claim", pairs, remaining(self._reactor, passage))
+        except NoAnswer as error:
+            self._gate.background(self._owners.call_until_done(key, "free", pairs))
+            raise CannotTell(f"the claim's owner did not answer: {error.reason}") from error
+        except Refused as error:
+            if error.code != Refused.code:
+                raise
+            # Overtaken by a later claim that was taken back: nothing of it ran, and its caller may come again.
+            raise CannotTell(error.reason) from error
+        if claimed["state"] == "done":
+            self._pass_kept(passage, claimed["answer"])
+            return
+        try:
+            status, headers, body = await self._carrier.carry(passage, self._answers.gather_whole)
+        except OakError as error:
+            if error.verdict is Verdict.NO:
+                await self._finish_claim(passage, key, "free", pairs)
+            raise
+        except BaseException:
+            if not passage.left:
+                self._gate.background(self._owners.call_until_done(key, "free", pairs))
+            raise
+        kept = {
+            "status": status,
+            "headers": [[name.decode("latin-1"), value.decode("latin-1")] for name, value in headers],
+            "body": base64.b64encode(body).decode(),
+        }
+        small = len(kept["body"]) <= CLAIM_ANSWER_LIMIT
+        await self._finish_claim(passage, key, "finish", pairs | {"answer": kept if small else None})
+        passage.exchange.reply(status, headers, body)
+
+    async def _finish_claim(self, passage, key, command, pairs):
+        """Waits for the owner as long as the caller does; it goes on until the owner has it either way."""
+        work = self._gate.background(self._owners.call_until_done(key, command, pairs))
+        try:
+            await within(self._reactor, max(0.05, passage.ends_at - self._reactor.seconds()), shielded(work))
+        except OakError as error:
+            self._log.event("claimLate", command=command, reason=error.reason)
+
+    def _pass_kept(self, passage, kept):
+        if kept is None:
+            raise InProgress("this ran before; its answer was too large to keep")
+        headers = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in kept["headers"]]
+        passage.exchange.reply(
+            kept["status"], self._dialect.repeat_headers(headers, passage.request), base64.b64decode(kept["body"])
+        )
