--- /dev/null
+++ b/packages/oakrelay/oakrelay/caller.py
@@ -0,0 +1,310 @@
+"""One caller's connection: requests read from it one at a time, strictly, and kept waiting no longer than they may."""
+
+import re
+
+from twisted.internet import defer, protocol
+
+from oakbase.constants import EAGER_LIMIT, LINGER_TIME, TRAILER_LIMIT
+from oakrelay.exchange import Exchange
+from oakrelay.framing import BARE_LINE_FEED, TOKEN, ChunkedDecoder, Malformed, body_length, parse_fields, status_line
+from oakrelay.sockets import read_now, send_now, set_options
+
+_REQUEST_LINE = re.compile(rb"(" + TOKEN + rb") (/[\x21-\x7e]*) HTTP/1\.1\r\n")
+_HOST = re.compile(rb"([^\s:/?#@\[\],]+|\[[0-9A-Fa-f:.]+\])(?::[0-9]*)?")
+_EMPTY_LINES = re.compile(rb"(?:\r\n)+")
+
+
+class Caller(protocol.Protocol):
+    """One caller's connection. Invariants: `exchange` is the request being answered, `_reading` the one whose body
+    is being read; never both. Once `_closing`, nothing more is read as a request.
+
+    One timer serves all waits: `_due` says when the present one is over, and a timer that fires early is set anew."""
+
+    def __init__(self, front):
+        self.front = front
+        self.exchange = self._reading = None
+        self.full = False
+        self._buffer, self._scanned = b"", 0
+        self._parts = self._decoder = None
+        self._left = self._size = 0
+        self._limits = None
+        self._due = self._timer = None
+        self._arrived_at = 0.0  # when the newest bytes came: a pipelined request has waited since then
+        self._advancing = self._closing = self._paused = False
+        self._last = False
+        self._writers = []
+
+    # --- the connection ---
+
+    def connectionMade(self):
+        set_options(self.transport, probes=False)
+        self.transport.registerProducer(self, True)
+        self._wait_idle()
+        self.front.admit(self)
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        self._closing = True
+        self.front.callers.pop(self, None)
+        self._drop_body()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            exchange.lost()
+        self._wake_writers()
+
+    def pauseProducing(self):
+        """The transport's buffer is full."""
+        self.full = True
+        self._wait(self.front.reactor.seconds() + self.front.limits().idle_s)
+
+    def resumeProducing(self):
+        self.full = False
+        if self.exchange is not None:
+            self._due = None
+        self._wake_writers()
+
+    def stopProducing(self):
+        """The transport is lost, and says so by itself."""
+
+    def writable(self):
+        waiting = defer.Deferred()
+        self._writers.append(waiting)
+        return waiting
+
+    def _wake_writers(self):
+        writers, self._writers = self._writers, []
+        for waiting in writers:
+            if not waiting.called:
+                waiting.callback(None)
+
+    # --- time ---
+
+    def _wait(self, due):
+        self._due = due
+        if self._timer is not None:
+            if self._timer.getTime() <= due:
+                return
+            self._timer.cancel()
+        self._timer = self.front.reactor.callLater(max(0.0, due - self.front.reactor.seconds()), self._on_timer)
+
+    def _wait_idle(self):
+        self._limits = None
+        self._wait(self.front.reactor.seconds() + self.front.limits().idle_s)
+
+    def _on_timer(self):
+        self._timer = None
+        if self._due is None:
+            return
+        if self.front.reactor.seconds() < self._due:
+            self._wait(self._due)
+            return
+        self._due = None
+        if self._closing or self.exchange is not None:
+            self.transport.abortConnection()  # it does not take what it is sent
+            return
+        read_now(self.transport)  # what came while this process was busy or frozen came in time
+        if self._due is not None or self._closing or self.exchange is not None:
+            return
+        if self._reading is not None or self._buffer:
+            self._refuse(408)
+        else:
+            self._close(linger=False)
+
+    # --- reading ---
+
+    def dataReceived(self, data):
+        if self._closing:
+            return
+        self._arrived_at = self.front.reactor.seconds()
+        if self._reading is not None:
+            self._take_body(data)
+            if self._reading is None:
+                self._advance()
+            return
+        self._buffer = self._buffer + data if self._buffer else data
+        if self.exchange is None:
+            self._advance()
+        elif len(self._buffer) > EAGER_LIMIT and not self._paused:
+            self._paused = True
+            self.transport.pauseProducing()
+
+    def _advance(self):
+        if self._advancing:
+            return
+        self._advancing = True
+        try:
+            while self._buffer and self.exchange is None and self._reading is None and not self._closing:
+                if not self._read_head():
+                    break
+        except Malformed as fault:
+            self.front.log.event("requestMalformed", reason=str(fault))
+            self._refuse(400)
+        finally:
+            self._advancing = False
+
+    def _read_head(self):
+        """Whether a whole head was taken from the buffer."""
+        if self._limits is None:
+            self._limits = self.front.limits()
+            self._head_due = self.front.reactor.seconds() + self._limits.header_s
+        buffer, limit = self._buffer, self._limits.header_bytes
+        if buffer.startswith(b"\r\n"):  # empty lines before a request are no fault
+            self._buffer = buffer = buffer[_EMPTY_LINES.match(buffer).end() :]
+            self._scanned = 0
+            if not buffer:
+                self._wait_idle()
+                return False
+        end = buffer.find(b"\r\n\r\n", max(0, self._scanned - 3))
+        if end < 0 or end + 4 > limit:
+            if BARE_LINE_FEED.search(buffer, max(0, self._scanned - 1), limit):
+                raise Malformed("a line that ends without a carriage return")
+            self._scanned = len(buffer)
+            if end >= 0 or len(buffer) >= limit:
+                self._refuse(431)
+                return False
+            self._wait(self._head_due)
+            return False
+        self._buffer, self._scanned = buffer[end + 4 :], 0
+        self._take_head(buffer[: end + 2])
+        return True
+
+    def _take_head(self, head):
+        line = _REQUEST_LINE.match(head)
+        if line is None:
+            raise Malformed("the request line")
+        fields, own = parse_fields(head[line.end() :])
+        length = body_length(own)
+        hosts = [value for name, value in fields if name.lower() == b"host"]
+        host = _HOST.fullmatch(hosts[0]) if len(hosts) == 1 else None
+        if host is None:
+            raise Malformed("not exactly one proper Host")
+        exchange = Exchange(self, line[1].decode("ascii"), line[2], host[1].decode("latin-1").lower(), fields)
+        self._last = b"close" in own.get(b"connection", ())
+        if length is not None and length > self._limits.body_bytes:
+            self._refuse(413)
+            return
+        if length is not None and length <= 0:
+            self._begin(exchange)
+            return
+        if self.front.body_bytes > self.front.bodies_limit:
+            self._refuse(503)
+            return
+        if length is not None and len(self._buffer) >= length:
+            exchange.body, self._buffer = self._buffer[:length], self._buffer[length:]
+            self._begin(exchange)
+            return
+        self._reading, self._parts, self._size = exchange, [], 0
+        self._left, self._decoder = length, ChunkedDecoder(TRAILER_LIMIT) if length is None else None
+        data, self._buffer = self._buffer, b""
+        if not data and b"100-continue" in [value.lower() for value in own.get(b"expect", ())]:
+            send_now(self.transport, b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._take_body(data)
+
+    def _take_body(self, data):
+        self._wait(self.front.reactor.seconds() + self._limits.idle_s)
+        if self._decoder is None:
+            pieces = [data[: self._left]]
+            self._left -= len(pieces[0])
+            done, rest = not self._left, data[len(pieces[0]) :]
+        else:
+            try:
+                pieces = self._decoder.feed(data)
+            except Malformed as fault:
+                self.front.log.event("requestMalformed", reason=str(fault))
+                self._refuse(400)
+                return
+            done, rest = self._decoder.done, self._decoder.rest
+        size = sum(map(len, pieces))
+        self._size += size
+        self.front.body_bytes += size
+        self._parts += pieces
+        if self._size > self._limits.body_bytes:
+            self._refuse(413)
+            return
+        if done:
+            exchange = self._reading
+            exchange.body, self._buffer = b"".join(self._parts), rest
+            self._drop_body()
+            self._begin(exchange)
+
+    def _drop_body(self):
+        self.front.body_bytes -= self._size
+        self._reading = self._parts = self._decoder = None
+        self._size = 0
+
+    # --- answering ---
+
+    def _begin(self, exchange):
+        self._due = None
+        self.exchange = exchange
+        exchange.received_at = self._arrived_at
+        self.front.begin(exchange)
+
+    def persistence(self):
+        """What the answer's head says of the connection."""
+        self._last = self._last or self.front.stopping and not self._buffer
+        if self._last:
+            return b"Connection: close\r\n"
+        return b"Keep-Alive: timeout=%d\r\n" % max(0, int(self.front.limits().idle_s) - 1)
+
+    def answered(self):
+        self.exchange = None
+        if self._last:
+            self._close(linger=bool(self._buffer) or self._paused)
+            return
+        if self._buffer:
+            self._limits = None
+            self._advance()
+        else:
+            self.front.touch(self)
+            self._wait_idle()
+        if self._paused and self.exchange is None and not self._closing:
+            self._paused = False
+            self.transport.resumeProducing()
+
+    def cut_off(self):
+        """What was written still leaves, but the answer stays without its end."""
+        exchange, self.exchange = self.exchange, None
+        self._close(linger=False)
+        exchange.lost()
+
+    def _refuse(self, status):
+        """An answer of the protocol itself, to what did not become a request; nothing after it is read."""
+        self.front.refused[status] = self.front.refused.get(status, 0) + 1
+        self._drop_body()
+        if not self._closing:
+            send_now(
+                self.transport,
+                b"%bContent-Length: 0\r\n%bConnection: close\r\n\r\n"
+                % (status_line(status), b"Retry-After: 1\r\n" if status == 503 else b""),
+            )
+            self._close(linger=True)
+
+    def _close(self, linger):
+        """With `linger` the caller's rest is read and dropped for a while: closing with unread bytes would reset the
+        connection and could take the answer with it."""
+        self._closing = True
+        self._buffer = b""
+        self.transport.unregisterProducer()
+        self._wait(self.front.reactor.seconds() + LINGER_TIME)
+        if linger:
+            if self._paused:
+                self._paused = False
+                self.transport.resumeProducing()
+            self.transport.loseWriteConnection()
+            return
+        self.transport.loseConnection()
+
+    @property
+    def is_idle(self):
+        return self.exchange is None and self._reading is None and not self._buffer and not self._closing
+
+    def close_idle(self):
+        """Closes a connection between two requests, unless one has just come."""
+        if not self.is_idle:
+            return
+        read_now(self.transport)
+        if self.is_idle:
+            self._close(linger=False)
--- /dev/null
+++ b/packages/oakrelay/oakrelay/connection.py
@@ -0,0 +1,229 @@
+"""One connection to a replica: a request at a time, and its answer or the connection's end.
+
+A verdict is NO only while nothing of the request was given to the kernel. From then on, whatever happens to the
+connection, the replica may have run it.
+"""
+
+import re
+
+from twisted.internet import defer, error, protocol
+
+from oakbase.constants import ANSWER_HEAD_LIMIT, KEPT_MARGIN, KEPT_UNTOLD, TRAILER_LIMIT
+from oakbase.verdict import Broken, NoAnswer, Unreachable, Verdict
+from oakrelay.answer import WHOLE, Answer
+from oakrelay.framing import ChunkedDecoder, Malformed, body_length, parse_fields
+from oakrelay.sockets import has_unsent, send_now, set_options
+
+_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r\n")
+_TIMEOUT = re.compile(rb"timeout[ \t]*=[ \t]*([0-9]{1,9})")
+
+
+class ReplicaConnection(protocol.Protocol):
+    """Invariants: `ready` is set until the connection stands; `_head_waiting` from the first byte of a request to the
+    head of its answer, `_answer` from there to the answer's end. With none of them the connection is idle, and whatever
+    arrives then is nobody's."""
+
+    def __init__(self, pool, address, instance_id):
+        self._pool, self.address, self.instance_id = pool, address, instance_id
+        self.is_open = True
+        self.is_retired = False
+        self.usable_until = 0.0
+        self.ready = self.connector = None
+        self._kept_for = KEPT_UNTOLD
+        self._head_waiting = self._answer = self._decoder = None
+        self._buffer, self._left = b"", 0
+        self._method = self._expect = None
+        self._used = self._persists = False
+
+    @property
+    def is_idle(self):
+        return self._head_waiting is None and self._answer is None and self.ready is None
+
+    def now(self):
+        return self._pool.reactor.seconds()
+
+    def call_later(self, seconds, function):
+        return self._pool.reactor.callLater(max(0.0, seconds), function)
+
+    def connectionMade(self):
+        set_options(self.transport, probes=True)
+        self.usable_until = self._pool.reactor.seconds() + KEPT_UNTOLD
+        ready, self.ready = self.ready, None
+        if ready is None:
+            self.close()
+            return
+        ready.callback(self)
+
+    def give_up_dialling(self, _ready):
+        self.ready = None
+        self.connector.disconnect()
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        self._leave()
+        answer = self._answer
+        if answer is not None and self._left is None and self._decoder is None and reason.check(error.ConnectionDone):
+            self._answer = None
+            answer.end(WHOLE)  # told neither by length nor by chunks: it ends with the connection
+            return
+        self._fail(
+            NoAnswer(f"{self.address} closed the connection before it answered"),
+            Broken(f"{self.address} cut its answer off"),
+        )
+
+    def _leave(self):
+        self.is_open = False
+        self._pool.forget(self)
+
+    def close(self):
+        """The orderly end of an idle connection."""
+        if self.is_open:
+            self._leave()
+            self.transport.loseConnection()
+
+    def drop(self, why="the connection was closed here"):
+        """Closes at once; who waits for an answer is told."""
+        if self.is_open:
+            self._leave()
+            self.transport.abortConnection()
+        self._fail(NoAnswer(f"{self.address}: {why}"), Broken(f"{self.address}: {why}"))
+
+    def _fail(self, before, after):
+        waiting, self._head_waiting = self._head_waiting, None
+        answer, self._answer = self._answer, None
+        if waiting is not None and not waiting.called:
+            waiting.errback(before)
+        if answer is not None:
+            answer.end(after)
+
+    def ask(self, method, data, expect):
+        """Writes the request. Fires with the head of the answer."""
+        if not self.is_open or not send_now(self.transport, data):
+            self.drop()
+            raise Unreachable(f"{self.address} had closed the connection")
+        self._method, self._expect = method, expect
+        self._head_waiting = defer.Deferred(self._give_up)
+        return self._head_waiting
+
+    def _give_up(self, _waiting):
+        self._head_waiting = None
+        self.drop()
+
+    # --- reading ---
+
+    def dataReceived(self, data):
+        if not self.is_open:
+            return
+        try:
+            if self._answer is not None:
+                self._take_body(data)
+            elif self._head_waiting is not None:
+                self._take_head(data)
+            else:
+                self.drop()  # bytes that belong to no request
+        except Malformed as fault:
+            self._fail(
+                Broken(f"{self.address} sent what is no answer: {fault}", Verdict.MAYBE),
+                Broken(f"{self.address} sent a body that is badly framed: {fault}"),
+            )
+            self.drop()
+
+    def _take_head(self, data):
+        data = self._buffer + data if self._buffer else data
+        while True:
+            end = data.find(b"\r\n\r\n")
+            if end < 0 or end + 4 > ANSWER_HEAD_LIMIT:
+                if end >= 0 or len(data) >= ANSWER_HEAD_LIMIT:
+                    raise Malformed("a header block that is too long")
+                if not data.startswith(b"HTTP/1."[: len(data)]):
+                    raise Malformed("the status line")
+                self._buffer = data
+                return
+            line = _STATUS_LINE.match(data)
+            if line is None:
+                raise Malformed("the status line")
+            fields, own = parse_fields(data[line.end() : end + 2])
+            data, status = data[end + 4 :], int(line[2])
+            if status == 101:
+                raise Malformed("a change of protocol that nobody asked for")
+            if status >= 200:
+                break
+        self._buffer = b""
+        self._begin(status, fields, own, line[1] == b"1", data)
+
+    def _begin(self, status, fields, own, is_11, data):
+        length = body_length(own)
+        answer = Answer(self, status, fields, None if length == -1 else length)
+        if not self._is_expected(answer):
+            self._fail(NoAnswer(f"{self.address} sent another request's answer"), None)
+            self.drop()
+            return
+        options = own.get(b"connection", ())
+        self._persists = b"close" not in options and (is_11 or b"keep-alive" in options)
+        told = _TIMEOUT.search(b",".join(own[b"keep-alive"])) if b"keep-alive" in own else None
+        self._kept_for = int(told[1]) - KEPT_MARGIN if told else KEPT_UNTOLD
+        is_bodiless = self._method == "HEAD" or status in (204, 304)
+        self._left = 0 if is_bodiless else None if length == -1 else length
+        self._decoder = ChunkedDecoder(TRAILER_LIMIT) if length is None and not is_bodiless else None
+        self._used = True
+        waiting, self._head_waiting = self._head_waiting, None
+        self._answer = answer
+        try:
+            if data or self._left == 0:
+                self._take_body(data)  # before the head is handed out, so that a short answer is whole by then
+        finally:
+            waiting.callback(answer)
+
+    def _is_expected(self, answer):
+        """An answer that came too late for its own request stands where that of the next one is due. One that names
+        no request can only be this one's on a connection that carried no other."""
+        if self._expect is None:
+            return True
+        name, value = self._expect
+        named = answer.header(name)
+        return named == value or named is None and not self._used
+
+    def _take_body(self, data):
+        answer, rest = self._answer, b""
+        if self._decoder is not None:
+            answer.put(self._decoder.feed(data))
+            is_whole, rest = self._decoder.done, self._decoder.rest
+        elif self._left is None:
+            answer.put([data])
+            is_whole = False
+        else:
+            data, rest = data[: self._left], data[self._left :]
+            self._left -= len(data)
+            if data:
+                answer.put([data])
+            is_whole = not self._left
+        if is_whole:
+            self._whole(rest)
+            return
+        answer.wake()
+
+    def _whole(self, rest):
+        answer, self._answer, self._decoder = self._answer, None, None
+        if rest:
+            self._leave()
+            self.transport.abortConnection()  # bytes that belong to no request
+        elif not self._persists or self.is_retired or self._kept_for <= 0 or has_unsent(self.transport):
+            self.close()
+        else:
+            self.usable_until = self._pool.reactor.seconds() + self._kept_for
+            self._pool.keep(self)
+        answer.end(WHOLE)
+
+
+class Dial(protocol.ClientFactory):
+    noisy = False
+
+    def __init__(self, connection):
+        self._connection = connection
+
+    def buildProtocol(self, _address):
+        return self._connection
+
+    def clientConnectionFailed(self, _connector, reason):
+        ready, self._connection.ready = self._connection.ready, None
+        if ready is not None:
+            ready.errback(reason)
