--- a/packages/oakgate/oakgate/relay_answers.py
+++ b/packages/oakgate/oakgate/relay_answers.py
@@ -5,6 +5,8 @@
 from oakbase.verdict import Broken, NoAnswer, Verdict
 from oakgate.passage import CallerGone, remaining_run
 
+NOT_MODIFIED = 304
+
 
 class Answers:
     """`limits()` gives the body_bytes in force. Each method ends within the passage's time, whoever is slow."""
@@ -47,7 +49,12 @@
 
     async def relay(self, passage, answer, instance):
         """Passes the answer on, a long one as it comes."""
-        await self._pass_on(passage, *await self.gather(passage, answer, instance))
+        status, headers, parts, rest = await self.gather(passage, answer, instance)
+        if passage.exchange.method == "HEAD" or status == NOT_MODIFIED:
+            passage.exchange.start(status, headers, answer.length)  # that of the body that isn't sent
+            passage.exchange.finish()
+            return
+        await self._pass_on(passage, status, headers, parts, rest)
 
     async def _pass_on(self, passage, status, headers, parts, answer):
         exchange = passage.exchange
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -278,6 +278,13 @@
         "await passage.exchange.wait_writable()",
         "test_relay_calls.Deadlines.test_a_caller_that_does_not_take_its_answer_holds_its_replica_no_longer_than_its_time",
     ),
+    TakeOut(
+        "the length of a body that is not sent",
+        "oakgate/oakgate/relay_answers.py",
+        'if passage.exchange.method == "HEAD" or status == NOT_MODIFIED:',
+        "if False:",
+        "test_relay_calls.Bodiless.test_the_length_told_of_a_body_that_is_not_sent",
+    ),
     TakeOut(
         "a lost yes is not followed by a no",
         "oakcontrol/oakcontrol/client.py",
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -206,6 +206,27 @@
         self.assertEqual((self.said(caller).status, self.gate.dialled()), (503, 0))
 
 
+class Bodiless(Calls):
+    def test_the_length_told_of_a_body_that_is_not_sent(self):
+        """A caller of HEAD asks for just that."""
+        for status, method, length in (
+            (200, "HEAD", "77"),
+            (304, "GET", "77"),
+            (200, "HEAD", None),
+            (204, "GET", None),
+        ):
+            caller = self.gate.ask(request("safe", method=method) + request("safe", "t2"))
+            replica = self.gate.replica()
+            replica.feed(answer(status, b"", Content_Length=length))
+            replica.feed(answer(try_id="t2"))
+            head, _, rest = caller.value().partition(b"\r\n\r\n")
+            told = [line for line in head.split(b"\r\n") if line.lower().startswith(b"content-length")]
+            self.assertEqual(told, [b"Content-Length: 77"] if length else [])
+            self.assertNotIn(b"Transfer-Encoding", head)
+            self.assertEqual((Said(rest).status, Said(rest).body), (200, b"hello"))
+            self.setUp()
+
+
 class Budgets(Calls):
     def test_events_count_by_the_service_that_put_them_out(self):
         """A route may be split over services whose events hold different numbers of tokens: of program "q" the second of
