--- a/packages/oakgate/oakgate/relay_answers.py
+++ b/packages/oakgate/oakgate/relay_answers.py
@@ -67,21 +67,22 @@
                 exchange.write(part)
             while (part := await self.next_part(passage, answer)) is not None:
                 exchange.write(part)
-                await self.wait_writable(passage, answer)
+                if exchange.is_full:
+                    await self.wait_writable(passage, answer)
         except BaseException:
             answer.abort()
             raise
         exchange.finish()
 
-    async def next_part(self, passage, answer):
-        """What comes next of an answer that is being passed on; None at its end."""
+    def next_part(self, passage, answer):
+        """Fires with what comes next of an answer that is being passed on; with None at its end."""
         late = Broken("the replica's answer did not end in time")
         if self._reactor.seconds() >= passage.ends_at and not answer.has_ended:
             raise late  # also if there is always something to pass on
-        return await within(self._reactor, remaining_run(self._reactor, passage), answer.next(), late)
+        return within(self._reactor, remaining_run(self._reactor, passage), answer.next(), late)
 
     async def wait_writable(self, passage, answer):
         """Holds the replica up while its answer's caller is slow; the rest of one that has ended is here already."""
-        if passage.exchange.is_full and not answer.has_ended:
+        if not answer.has_ended:
             late = CallerGone("the caller did not take its answer in time", Verdict.MAYBE)
             await within(self._reactor, remaining_run(self._reactor, passage), passage.exchange.wait_writable(), late)
--- a/packages/oakgate/oakgate/relay_streams.py
+++ b/packages/oakgate/oakgate/relay_streams.py
@@ -128,7 +128,8 @@
             if whole:
                 self._note_first(passage, instance)
                 self._pass_on(passage, whole, self._tokens_per_event(instance.row["pool"]))
-                await self._answers.wait_writable(passage, answer)
+                if passage.exchange.is_full:
+                    await self._answers.wait_writable(passage, answer)
         if splitter.rest.strip():
             raise Broken("the stream ended within an event")
         if not passage.head_passed:
