--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -978,6 +978,20 @@
         "False]",
         "test_stores.Replacing.test_refusals",
     ),
+    TakeOut(
+        "a store copies from others, not from itself under its former id",
+        "oakstore/oakstore/anti_entropy.py",
+        "STORE_CALL_TIME, to=store.node_id,",
+        "STORE_CALL_TIME,",
+        "test_second_loss.FormerSelf.test_copy_of_itself_is_no_copy",
+    ),
+    TakeOut(
+        "a write names the store it is for",
+        "oakstore/oakstore/store.py",
+        '"turnKeep",\n                STORE_CALL_TIME,\n                to=node_id,',
+        '"turnKeep",\n                STORE_CALL_TIME,',
+        "test_second_loss.FormerSelf.test_its_copy_does_not_count_twice",
+    ),
     TakeOut(
         "hand-over of slots and quiet stop",
         "oakbase/oakbase/web.py",
--- a/packages/oakstore/oakstore/anti_entropy.py
+++ b/packages/oakstore/oakstore/anti_entropy.py
@@ -9,6 +9,8 @@
 the others have said that they keep none.
 """
 
+from typing import NamedTuple
+
 from twisted.internet import defer
 
 from oakbase.constants import COPY_PAGE_TURNS, RECORD_PAGE, STORE_CALL_TIME, SWEEP_KEYS
@@ -19,6 +21,14 @@
 from oakwire.codec import idl
 
 
+class StoreAddress(NamedTuple):
+    """A store and where it listens. Calls name the store: once its disk is lost, another one may listen there, which
+    keeps nothing of what this one kept and never speaks for it."""
+
+    node_id: str
+    address: str
+
+
 class AntiEntropy:
     def __init__(self, node, table, metrics, stores):
         """`stores()` gives the store set as it stands here."""
@@ -94,16 +104,16 @@
 
     # --- records ---
 
-    def _call(self, peer, method, **arguments):
-        return self._net.call(peer, method, STORE_CALL_TIME, **arguments)
+    def _call(self, store, method, **arguments):
+        return self._net.call(store.address, method, STORE_CALL_TIME, to=store.node_id, **arguments)
 
-    async def pull(self, peer, turn_ids):
+    async def pull(self, store, turn_ids):
         """Takes the records of these turns that are not here from this store; the next page is on its way while one
         goes to the disk. Gives the ids of those that came."""
         wanted, brought, keeping = [one for one in turn_ids if one not in self._records], [], defer.succeed(None)
         while wanted:
             asked, wanted = wanted[:COPY_PAGE_TURNS], wanted[COPY_PAGE_TURNS:]
-            page = await self._call(peer, "turnRecords", turn_ids=asked)
+            page = await self._call(store, "turnRecords", turn_ids=asked)
             if page.records:
                 ids = {read_header(packed).turn_id for packed in page.records}
                 # Those asked for before the last that came, and not given, are not kept there.
@@ -118,27 +128,27 @@
         await keeping
         return brought
 
-    async def pull_chains(self, peer, turn_ids):
+    async def pull_chains(self, store, turn_ids):
         """The same with all their ancestors."""
-        await self.pull(peer, await self._call(peer, "turnChains", turn_ids=turn_ids))
+        await self.pull(store, await self._call(store, "turnChains", turn_ids=turn_ids))
 
-    async def take(self, peer, turn_ids):
+    async def take(self, store, turn_ids):
         """Takes those of these turns with their chains that are neither here nor were let go here."""
         wanted = [one for one in turn_ids if one not in self._records and not self._records.was_dropped(one)]
         if wanted:
-            await self.pull_chains(peer, wanted)
+            await self.pull_chains(store, wanted)
 
-    async def bring_chain(self, turn_id, peers):
+    async def bring_chain(self, turn_id, stores):
         """Whether this turn and all its ancestors are on the disk here now; what is missing is asked of these
-        (id, address) pairs in turn. Who goes on from a turn keeps its chain too."""
-        for node_id, peer in peers:
+        stores in turn. Who goes on from a turn keeps its chain too."""
+        for store in stores:
             missing = self._records.chain(turn_id)[1]
             if missing is None:
                 break
             try:
-                await self.pull_chains(peer, [missing])
+                await self.pull_chains(store, [missing])
             except OakError as error:
-                self._node.log.event("chainNotBrought", member=node_id, reason=error.reason)
+                self._node.log.event("chainNotBrought", member=store.node_id, reason=error.reason)
         if self._records.chain(turn_id)[1] is not None:
             return False
         if turn_id is not None:
@@ -147,39 +157,39 @@
 
     # --- a round with one member ---
 
-    async def compare(self, node_id, peer):
+    async def compare(self, store):
         """Takes from the member all that it has and this store has not. What it took in since it was asked for its
         sums is not among it: that it sends to all members by itself."""
-        answer = await self._call(peer, "lineSums")
+        answer = await self._call(store, "lineSums")
         # A member in our epoch sends us what it writes from now on; one in an older epoch does not.
         self._check_epoch(answer.store_epoch)
         buckets, after, pulled = self._table.differing(answer.sums), "", []
         while buckets:
-            page = await self._call(peer, "lineBuckets", buckets=buckets, after=after, most=SWEEP_KEYS)
+            page = await self._call(store, "lineBuckets", buckets=buckets, after=after, most=SWEEP_KEYS)
             self._check_epoch(page.store_epoch)
             digests = page.digests or []
             pulled += await self._take_lines(
-                peer, [one.key for one in digests if self._table.digest_of(one.key) != one.digest]
+                store, [one.key for one in digests if self._table.digest_of(one.key) != one.digest]
             )
             if len(digests) < SWEEP_KEYS:
-                await self._settle_alone(peer, buckets, {one.key for one in digests} if not after else None)
+                await self._settle_alone(store, buckets, {one.key for one in digests} if not after else None)
                 break
             after = digests[-1].key
             buckets = buckets[buckets.index(bucket_of(after)) :]
-        await self._mend_chains(peer, pulled)
-        await self._ask_lacking(node_id, peer)
+        await self._mend_chains(store, pulled)
+        await self._ask_lacking(store)
 
-    async def _take_lines(self, peer, keys):
+    async def _take_lines(self, store, keys):
         """First the records, then the versions that name them."""
         if not keys:
             return []
-        page = await self._call(peer, "lineTurns", keys=keys)
+        page = await self._call(store, "lineTurns", keys=keys)
         self._check_epoch(page.store_epoch)
         lines = page.lines or []
         turns = [turn for one in lines for turn in one.turns or []]
         for turn in turns:
             self._records.shorten(turn.turn_id, turn.left_ms / 1000)
-        pulled = await self.pull(peer, [turn.turn_id for turn in turns if not self._records.was_dropped(turn.turn_id)])
+        pulled = await self.pull(store, [turn.turn_id for turn in turns if not self._records.was_dropped(turn.turn_id)])
         # A line of turns of which none is kept here any more is gone here.
         lines = [
             one
@@ -197,13 +207,13 @@
             raise error
         return pulled
 
-    async def _mend_chains(self, peer, pulled):
+    async def _mend_chains(self, store, pulled):
         """Ancestors that were let go here while nobody had gone on from them, as far as was known here."""
         missing = {self._records.chain(turn_id)[1] for turn_id in pulled} - {None}
         if missing:
-            await self.pull_chains(peer, sorted(missing))
+            await self.pull_chains(store, sorted(missing))
 
-    async def _settle_alone(self, peer, buckets, theirs):
+    async def _settle_alone(self, store, buckets, theirs):
         """Lines that only this store still has, of these buckets: after a restart it does not know how long it has
         had them. The member may have let their turns go."""
         if theirs is None:
@@ -215,18 +225,18 @@
         ]
         turn_ids = [turn_id for key in alone for turn_id in self._records.on_line(key)][:COPY_PAGE_TURNS]
         if turn_ids:
-            self._shorten(turn_ids, await self._call(peer, "turnAges", turn_ids=turn_ids))
+            self._shorten(turn_ids, await self._call(store, "turnAges", turn_ids=turn_ids))
 
     def _shorten(self, turn_ids, lefts):
         for turn_id, left in zip(turn_ids, lefts):
             if left >= 0:
                 self._records.shorten(turn_id, left / 1000)
 
-    async def _ask_lacking(self, node_id, peer):
-        lacking = self._table.lacking_of(node_id, COPY_PAGE_TURNS)
+    async def _ask_lacking(self, store):
+        lacking = self._table.lacking_of(store.node_id, COPY_PAGE_TURNS)
         if not lacking:
             return
-        lefts = await self._call(peer, "turnAges", turn_ids=lacking)
-        await self.pull_chains(peer, [turn_id for turn_id, left in zip(lacking, lefts) if left > 0])
+        lefts = await self._call(store, "turnAges", turn_ids=lacking)
+        await self.pull_chains(store, [turn_id for turn_id, left in zip(lacking, lefts) if left > 0])
         others = self._stores().everyone.keys() - {self._node.node_id}
-        self._table.note_absent(node_id, [turn_id for turn_id, left in zip(lacking, lefts) if left <= 0], others)
+        self._table.note_absent(store.node_id, [turn_id for turn_id, left in zip(lacking, lefts) if left <= 0], others)
--- a/packages/oakstore/oakstore/store.py
+++ b/packages/oakstore/oakstore/store.py
@@ -30,7 +30,7 @@
 from oakdvv.context import from_context, to_context
 from oaknews.node import Node
 from oakring.ring import Ring
-from oakstore.anti_entropy import AntiEntropy
+from oakstore.anti_entropy import AntiEntropy, StoreAddress
 from oakstore.records import read_header
 from oakstore.table import TURN_LINE, LineTable, from_state, to_state
 from oakwire.codec import idl
@@ -94,6 +94,13 @@
     def _others(self):
         return {node_id: row["peer"] for node_id, row in self.stores.everyone.items() if node_id != self._node.node_id}
 
+    def _other_stores(self):
+        return [StoreAddress(*one) for one in self._others().items()]
+
+    @staticmethod
+    def _sender_of(arguments, stores):
+        return StoreAddress(arguments.sender, stores.everyone[arguments.sender]["peer"])
+
     def hints_by_member(self):
         return {node_id: len(hints) for node_id, hints in self._hints.items() if hints}
 
@@ -177,7 +184,7 @@
             key,
             state,
             lambda: self._node.net.call(
-                peer, "lineKeep", STORE_CALL_TIME, key=key, state=state, sender=self._node.node_id
+                peer, "lineKeep", STORE_CALL_TIME, to=node_id, key=key, state=state, sender=self._node.node_id
             ),
         )
 
@@ -232,7 +239,7 @@
         except ValueError as error:
             raise BadRequest(f"no context: {error}") from error
         header = read_header(arguments.record)
-        await self._bring_chain(header.parent, self._others().items())
+        await self._bring_chain(header.parent, self._other_stores())
         versions, clock = await self.table.put(
             arguments.key, context_set, arguments.value, [(arguments.record, header.keep_s)]
         )
@@ -248,8 +255,8 @@
         )
         return to_context(frozenset([clock]))
 
-    async def _bring_chain(self, turn_id, peers):
-        if not await self._anti_entropy.bring_chain(turn_id, peers):
+    async def _bring_chain(self, turn_id, stores):
+        if not await self._anti_entropy.bring_chain(turn_id, stores):
             raise CannotTell(f"the chain of turn {turn_id} is not here", retry_after=1)
 
     async def _give_turn(self, node_id, peer, key, state, records, lefts):
@@ -261,6 +268,7 @@
                 peer,
                 "turnKeep",
                 STORE_CALL_TIME,
+                to=node_id,
                 key=key,
                 state=state,
                 sender=self._node.node_id,
@@ -274,9 +282,8 @@
         stores = self._check_sender(arguments)
         records = list(zip(arguments.records or [], (ms / 1000 for ms in arguments.left_ms or [])))
         await self.table.merge(arguments.key, from_state(arguments.state), arguments.state.age_ms / 1000, records)
-        sender = [(arguments.sender, stores.everyone[arguments.sender]["peer"])]
         for packed, _ in records:
-            await self._bring_chain(read_header(packed).turn_id, sender)
+            await self._bring_chain(read_header(packed).turn_id, [self._sender_of(arguments, stores)])
         self._check_still(stores)
         self.metrics.count("turn_keeps")
         return True
@@ -330,7 +337,7 @@
                 continue
             try:
                 await self._hand_over(node_id, peer)
-                await self._anti_entropy.compare(node_id, peer)
+                await self._anti_entropy.compare(StoreAddress(node_id, peer))
                 self._covered_from.add(node_id)
             except OakError as error:
                 self._log.event("sweepFailed", member=node_id, reason=error.reason)
@@ -372,6 +379,7 @@
                 peer,
                 "turnOffer",
                 STORE_CALL_TIME,
+                to=node_id,
                 key=key,
                 state=state,
                 sender=self._node.node_id,
@@ -381,7 +389,7 @@
 
     async def _turn_offer(self, _peer, arguments):
         stores = self._check_sender(arguments)
-        await self._anti_entropy.take(stores.everyone[arguments.sender]["peer"], arguments.turn_ids or [])
+        await self._anti_entropy.take(self._sender_of(arguments, stores), arguments.turn_ids or [])
         await self.table.merge(arguments.key, from_state(arguments.state), arguments.state.age_ms / 1000)
         self._check_still(stores)
         self.metrics.count("turn_keeps")
--- a/packages/oakstore/oakstore/store_calls.py
+++ b/packages/oakstore/oakstore/store_calls.py
@@ -62,7 +62,7 @@
         if node_id in self._failing:  # this call goes through, and no other until it is over or late
             self._failing[node_id].until = began + self._drawn(self._failing[node_id].pause)
         try:
-            answer = await self._node.net.call(peer, method, time_left, **arguments)
+            answer = await self._node.net.call(peer, method, time_left, to=node_id, **arguments)
         except OakError as error:
             self._failed(node_id, error, began, time_left)
             raise
