--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -85,6 +85,8 @@
 OUTRANKED_PATIENCE = 2.0  # s; a voter above the epoch for so long has its slot taken over anew: a take-over is shorter
 STEP_PAUSE = 0.002  # s; a step waits so long at most for the answer to the one before, so that both go in one
 # call
+REJOIN = 4.0  # s; a machine that is back, or new, takes part in full within this, since the next may be lost then;
+# holds where a deployment's bound `rejoin_s` does not say otherwise
 ROSTER_PAUSE = 0.25  # s; how often control nodes look at the roster: a small part of what mending it takes
 ROSTER_MOVING_PAUSE = 0.05  # s; the same for who moves a change of the roster on, while it is under way
 ROSTER_MOST = 9  # members; four may be lost at once, and more voters only make each change dearer
@@ -159,8 +161,13 @@
 STORES_ASK = 0.5  # s; a store that takes longer to say how far it is, is asked again
 STORES_FIRST_WAIT = 5.0  # s; after the first store was seen, the first set waits so long for as many as it should
 # have
-STORES_PATIENCE = 6.0  # s; a member without a sign of life for this long gives its place to a spare: longer than a
-# restart with its disk takes
+STORES_PATIENCE = 6.0  # s; a member without a sign of life for this long gives its place to a spare at the latest:
+# longer than a restart with its disk takes. Earlier, if the bound `rejoin_s` asks for it
+STORES_JOIN_TIME = 1.0  # s; of the bound in which a machine has to be a full member, kept for joining itself: two
+# looks, the phases, and the copy
+STORES_LEAVING_TIME = 3.0  # s; a store that is told to end serves on for so long at most, until a spare has its place:
+# with the rest of a planned stop well within the grace that a process has
+STORES_LEAVING_LOOK = 0.05  # s; how often it looks whether that is so
 CONTACT_GAP = 1.0  # s; between two looks at who answers: four of them; a longer gap means that the process was frozen
 VIEW_AGE = 7.5  # s; a control node in touch with a majority for so long knows who is silent: a store's patience, and
 # CONDITION_AGE more, since a majority may have stopped answering so long before that is noticed
--- a/packages/oakcontrol/oakcontrol/storeset.py
+++ b/packages/oakcontrol/oakcontrol/storeset.py
@@ -16,8 +16,10 @@
 to be replaced.
 
 In a cluster that forms itself, the owner of the key also mends the set. A store that lost its disk comes back where
-it was under a new id and takes its former self's place; a machine that is to be emptied, and a member that stays
-silent, give theirs to a spare: a live store that is not in the set.
+it was under a new id and takes its former self's place; a machine that is to be emptied, a member that stays silent,
+and one that says that it ends, give theirs to a spare: a live store that is not in the set. A spare may be the one that
+replaces a machine which was taken away, and then the next disk may be lost as soon as the spare has been there for the
+bound `rejoin_s`. So a silent member's place is given away in time for a spare to be a full member within that.
 
 Invariants: `version` rises with every change; `since` is the epoch in which a member began to copy (1: it was
 there before any line); an id in `retired` is never a member again; an id in `pruned` is retired, and no
@@ -35,8 +37,10 @@
     CONDITION_AGE,
     MEMBER_ANSWERED,
     PRUNE_PAUSE,
+    REJOIN,
     STORES_ASK,
     STORES_FIRST_WAIT,
+    STORES_JOIN_TIME,
     STORES_LOOK,
     STORES_MOVING_PAUSE,
     STORES_PATIENCE,
@@ -44,7 +48,7 @@
 from oakbase.env import ADDRESS
 from oakbase.tasks import quorum_of, settled, sleep
 from oakbase.verdict import CannotTell, Conflict, Fenced, Lost, OakError, Refused, Unknown
-from oakcohort.members import LIVE
+from oakcohort.members import LEAVING, LIVE
 from oakcontrol.controllers import CONTROLLERS, Controller
 from oakcontrol.duty import Duty
 
@@ -305,6 +309,8 @@
         self._mends, self._losses = mends, losses
         self._silent_since, self._watched_at, self._first_seen_at = {}, float("-inf"), None
         self._pruned_at = float("-inf")
+        rejoin = (node.env.get("bounds") or {}).get("rejoin_s", REJOIN)
+        self._patience = min(STORES_PATIENCE, max(2 * CONDITION_AGE, rejoin - STORES_JOIN_TIME))
         self._note_stores()
         node.board.watch(STORES_KEY, self._note_stores)
 
@@ -334,7 +340,7 @@
 
     def _is_lost(self, node_id):
         since = self._silent_since.get(node_id)
-        return since is not None and self._node.reactor.seconds() - since >= STORES_PATIENCE - CONDITION_AGE
+        return since is not None and self._node.reactor.seconds() - since >= self._patience - CONDITION_AGE
 
     def _heir_of(self, node_id, row):
         """Who came back in this store's place without its disk: at its address, or, once it is silent, on a machine
@@ -453,12 +459,12 @@
             return next(iter(heirs.items()))
         here = [node_id for node_id, row in stores.members.items() if self._is_here(node_id, row)]
         for node_id in stores.members:
-            is_ordered = machine_of(self._node.members, node_id) in emptied
-            if (
-                (is_ordered or self._is_lost(node_id))
-                and spares
-                and len({*here} - {node_id}) >= len(stores.members) // 2
-            ):
+            is_ending = (
+                machine_of(self._node.members, node_id) in emptied
+                or self._node.members.condition(node_id) == LEAVING
+                or self._is_lost(node_id)
+            )
+            if is_ending and spares and len({*here} - {node_id}) >= len(stores.members) // 2:
                 return node_id, self._nearest(spares, node_id)
         return None
 
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -992,6 +992,27 @@
         '"turnKeep",\n                STORE_CALL_TIME,',
         "test_second_loss.FormerSelf.test_its_copy_does_not_count_twice",
     ),
+    TakeOut(
+        "a lost store's place is given away before the next may be lost",
+        "oakcontrol/oakcontrol/storeset.py",
+        "max(2 * CONDITION_AGE, rejoin - STORES_JOIN_TIME)",
+        "STORES_PATIENCE + rejoin * 0",
+        "test_second_loss.ReplacedStore.test_lost_for_good",
+    ),
+    TakeOut(
+        "a store that is told to end gives its place away",
+        "oakcontrol/oakcontrol/storeset.py",
+        "or self._node.members.condition(node_id) == LEAVING",
+        "or LEAVING is None",
+        "test_second_loss.ReplacedStore.test_planned",
+    ),
+    TakeOut(
+        "a store that is told to end serves on until a spare has its place",
+        "oakstore/oakstore/store.py",
+        "await self._give_place_away()",
+        "pass",
+        "test_second_loss.ReplacedStore.test_serves_on_until_the_spare_has_all",
+    ),
     TakeOut(
         "hand-over of slots and quiet stop",
         "oakbase/oakbase/web.py",
--- a/packages/oakstore/oakstore/store.py
+++ b/packages/oakstore/oakstore/store.py
@@ -19,10 +19,12 @@
     STORE_COPY_PAUSE,
     STORE_HOT_BYTES,
     STORE_SWEEP,
+    STORES_LEAVING_LOOK,
+    STORES_LEAVING_TIME,
     SWEEP_HINTS,
 )
 from oakbase.metrics import Metrics, serve_metrics
-from oakbase.tasks import Repeater, quorum_of, spawn
+from oakbase.tasks import Repeater, quorum_of, sleep, spawn
 from oakbase.verdict import BadRequest, CannotTell, Fenced, NoAnswer, OakError, TooLarge
 from oakbase.web import Web
 from oakcohort.members import LIVE
@@ -87,6 +89,20 @@
     def is_member(self):
         return self._node.node_id in self.stores.everyone
 
+    def has_spare(self):
+        """Whether a live store is there that could take this one's place."""
+        record = self.stores.record
+        return any(
+            one.node_id not in self.stores.everyone
+            and one.node_id not in record["retired"]
+            and one.machine not in record.get("emptied", ())
+            for one in self._node.members.live("store")
+        )
+
+    @property
+    def is_leaving_set(self):
+        return self.is_member and self.stores.record["leaving"] == self._node.node_id
+
     @property
     def covers(self):
         return self.is_member and self._covers_since == self.stores.since(self._node.node_id)
@@ -408,6 +424,7 @@
     def __init__(self, reactor, env, disk, random, sink, wall=time.time):
         self._parts = reactor, env, disk, random, sink, wall
         self._starting_over = None
+        self._is_stopping = False
         if EMPTYING in disk.names():
             _clear(disk)
         self._build()
@@ -442,7 +459,7 @@
     def _may_start_over(self):
         record = self.store.stores.record
         is_over = self.node.node_id in record["retired"] and self.node.env["machine"] not in record.get("emptied", ())
-        if is_over and self._starting_over is None:
+        if is_over and self._starting_over is None and not self._is_stopping:
             self._starting_over = spawn(self._start_over(), self.node.log)
 
     async def _start_over(self):
@@ -476,9 +493,19 @@
         self.web.listen()
 
     async def stop(self):
+        self._is_stopping = True
         if self._starting_over is not None:
             await self._starting_over
         await self.node.puller.say_leaving()
+        await self._give_place_away()
         await self.web.stop()
         self.store.stop()
         await self.node.stop()
+
+    async def _give_place_away(self):
+        """Serves on until a spare has this member's place, if there is one: it may be here for good that this one ends,
+        and then the next disk may be lost at once."""
+        store, reactor = self.store, self.node.reactor
+        ends_at = reactor.seconds() + STORES_LEAVING_TIME
+        while reactor.seconds() < ends_at and store.is_member and (store.is_leaving_set or store.has_spare()):
+            await sleep(reactor, STORES_LEAVING_LOOK)
--- a/tests/test_second_loss.py
+++ b/tests/test_second_loss.py
@@ -1,8 +1,11 @@
 """A second loss that comes right after a loss, a repair or a replacement. One column a node; time runs down."""
 
+import itertools
 import unittest
 
+from oakbase.constants import REJOIN, STORES_LEAVING_TIME
 from oakbase.verdict import Gone, OakError
+from second_loss import SERVED
 from test_store_forming import Rig
 
 
@@ -76,5 +79,107 @@
         rig.check_all(self)
 
 
+class ReplacedStore(unittest.TestCase):
+    """A store that is taken away for good, an empty one at another address, and the loss of another store's disk as soon
+    as the empty one has been there for REJOIN (or, if it came first, as soon as the former one has ended)."""
+
+    def lose_another(self, rig, name):
+        """Everything acknowledged stays, and the two whole stores serve; the third is a member again in time."""
+        back_at = rig.wipe(name, 0.5)
+        count, until = len(rig.acknowledged), back_at + SERVED
+        rig.fleet.wait_for("a turn being kept", lambda: len(rig.acknowledged) > count, until - rig.fleet.time.now)
+        rig.wait_full()
+        self.assertLess(rig.fleet.time.now - back_at, REJOIN + 0.1, rig.fleet.timeline())
+        rig.fleet.run(3.0)
+        rig.check_all(self)
+
+    def test_lost_for_good(self):
+        """
+        store2              store3                        store1
+        gone for good
+                            starts empty, elsewhere
+                            a full member in REJOIN
+                                                          disk lost, back
+        """
+        for seed, (wait, name) in enumerate(itertools.product((0.1, 1.0, 4.0), ("store0", "store1"))):
+            with self.subTest(wait=wait, second=name):
+                rig = Rig(70 + seed)
+                rig.load(20)
+                rig.fleet.run(2.0)
+                rig.fleet["store2"].power_cut()
+                rig.fleet.run(wait)
+                rig.fleet.add("store", 3).start()
+                rig.fleet.run(REJOIN)
+                self.assertTrue(rig.fleet["store3"].node.store.covers)
+                self.lose_another(rig, name)
+
+    def test_planned(self):
+        """
+        store3                  store2                    store1
+        starts empty
+                                told to end: ends once store3 has its place
+                                                          disk lost, back
+        """
+        for seed, (wait, name) in enumerate(itertools.product((0.5, 3.5, 8.0), ("store0", "store1"))):
+            with self.subTest(wait=wait, second=name):
+                rig = Rig(80 + seed)
+                rig.load(25)
+                rig.fleet.run(2.0)
+                rig.fleet.add("store", 3).start()
+                began = rig.fleet.time.now
+                rig.fleet.run(wait)
+                asked = rig.fleet.time.now
+                rig.fleet["store2"].stop()
+                rig.fleet.wait_for("the end of the former one", lambda: not rig.fleet["store2"].running, 8.0)
+                self.assertLess(rig.fleet.time.now - asked, STORES_LEAVING_TIME / 2)
+                self.assertTrue(rig.fleet["store3"].node.store.covers)
+                rig.fleet.run(max(0.0, began + REJOIN - rig.fleet.time.now))
+                self.lose_another(rig, name)
+
+    def test_serves_on_until_the_spare_has_all(self):
+        """The same with a spare that takes long to copy; the next loss comes right after the end."""
+        rig = Rig(89)
+        rig.load(12)
+        rig.fleet.run(2.0)
+        rig.fleet.add("store", 3).start()
+        rig.fleet["store3"].disk.sync_time = 0.1
+        rig.fleet.run(REJOIN)
+        rig.fleet["store2"].stop()
+        rig.fleet.wait_for("the end of the former one", lambda: not rig.fleet["store2"].running, 8.0)
+        self.assertTrue(rig.fleet["store3"].node.store.covers)
+        self.lose_another(rig, "store1")
+
+    def test_planned_stop_without_a_spare_waits_for_nobody(self):
+        rig = Rig(90)
+        rig.turn("t0")
+        began = rig.fleet.time.now
+        rig.fleet["store2"].stop()
+        rig.fleet.wait_for("its end", lambda: not rig.fleet["store2"].running, 5.0)
+        self.assertLess(rig.fleet.time.now - began, 1.0)
+        rig.fleet["store2"].start()
+        rig.wait_full(["store0", "store1", "store2"])
+        self.assertEqual(rig.record()["version"], 1)
+
+    def test_told_to_end_and_started_again(self):
+        """
+        store2                               store3 (a spare)
+        told to end, ends                    has its place
+        back with its disk: starts over
+        with an empty one, a spare
+        """
+        rig = Rig(91, spares=1)
+        rig.load(12)
+        rig.fleet.run(2.0)
+        former = rig.fleet["store2"].node.node.node_id
+        rig.fleet["store2"].stop()
+        rig.fleet.wait_for("its end", lambda: not rig.fleet["store2"].running, 5.0)
+        self.assertEqual({one.name for one in rig.members()}, {"store0", "store1", "store3"})
+        rig.fleet["store2"].start()
+        rig.fleet.run(2.0)
+        self.assertNotEqual(rig.fleet["store2"].node.node.node_id, former)
+        rig.fleet.run(6.0)
+        rig.check_all(self)
+
+
 if __name__ == "__main__":
     unittest.main()
