--- a/tests/test_second_loss.py
+++ b/tests/test_second_loss.py
@@ -3,9 +3,10 @@
 import itertools
 import unittest
 
-from oakbase.constants import REJOIN, STORES_LEAVING_TIME
+from oakbase.constants import IMAGE_PART, REJOIN, SLOTS, STORES_LEAVING_TIME
 from oakbase.verdict import Gone, OakError
-from second_loss import SERVED
+from oakwire.codec import idl
+from second_loss import SERVED, ControlLab
 from test_store_forming import Rig
 
 
@@ -79,6 +80,94 @@
         rig.check_all(self)
 
 
+class CatchingUp(unittest.TestCase):
+    """A control member that was away has every image on its disk REJOIN after it is back, with no change to bring it."""
+
+    def test_nothing_is_written_any_more(self):
+        """
+        control1                      the others
+        no power, cut off, frozen     a change in every slot is acknowledged; then none any more
+        back: has all of them
+        """
+        for seed, trouble in enumerate(("power", "cut", "freeze")):
+            with self.subTest(trouble=trouble):
+                lab = ControlLab(50 + seed)
+                one, network = lab.fleet["control1"], lab.fleet.network
+                others = [other.host.address for other in lab.fleet.by_name.values() if other is not one]
+                begin, end = {
+                    "power": (one.power_cut, one.start),
+                    "cut": (lambda: network.cut([one.host.address], others), network.heal),
+                    "freeze": (one.freeze, one.thaw),
+                }[trouble]
+                lab.write_all_slots()
+                begin()
+                lab.write_all_slots()
+                lab.fleet.run(2.5)
+                end()
+                lab.fleet.run(REJOIN)
+                self.assertEqual(lab.lacking(one), set())
+
+    def test_a_minority_that_promised_a_later_epoch(self):
+        """
+        control1                            owner of a slot                a candidate
+        promises a later epoch, or the same                                finds no majority, and gives up
+        refuses what the owner writes       serves with the others
+        has the newest image, REJOIN after
+        """
+        for seed, raised in ((57, 0), (58, 1)):
+            with self.subTest(above=raised):
+                lab = ControlLab(seed)
+                lab.write_all_slots()
+                slot = next(slot for slot in range(SLOTS) if self.promise_to_another(lab, slot, raised))
+                lab.write_all_slots()
+                lab.fleet.run(REJOIN)
+                for one in lab.running():
+                    self.assertEqual(lab.lacking(one), set(), (one.name, slot))
+                self.assertEqual(lab.lost(), [])
+
+    def promise_to_another(self, lab, slot, raised):
+        """Whether a member that is not needed for it is brought to promise an epoch to one that is not the owner."""
+        owner = next(one for one in lab.running() if slot in one.node.owners.held)
+        one, candidate = [one for one in lab.running() if one is not owner][:2]
+        if not raised:
+            one.node.voter._tables[slot].promised_epoch -= 1  # as if the owner's prepare had not come in
+        epoch = owner.node.owners.held[slot].epoch + raised
+        arguments = {"slot": slot, "epoch": epoch, "owner": candidate.node.node.node_id, "parts": True}
+        return lab.fleet.until(
+            one.node.node.net.handlers["prepare"](
+                idl.Hello(node_id=candidate.node.node.node_id),
+                idl.Node.prepare_args(**arguments, roster_version=lab.roster().version),
+            )
+        ).granted
+
+    def test_long_images(self):
+        """Images of several messages each, and a member that was away while they grew."""
+        lab = ControlLab(55, ring_file_size=1 << 20)
+        one = lab.fleet["control1"]
+        one.power_cut()
+        lab.write_long(2 * IMAGE_PART)
+        one.start()
+        lab.fleet.run(REJOIN)
+        self.assertEqual(lab.lacking(one), set())
+
+    def test_nothing_is_sent_in_a_lasting_state(self):
+        """Neither with all members there nor with one gone for good."""
+        lab = ControlLab(56)
+        lab.write_all_slots()
+        for is_gone in (False, True):
+            if is_gone:
+                lab.gone("control1", 5.0)
+            lab.fleet.run(REJOIN)
+
+            def calls():
+                counts = [one.node.node.net.call_counts for one in lab.running()]
+                return [sum(one.get(method, 0) for method in ("accept", "acceptMany", "stage")) for one in counts]
+
+            before = calls()
+            lab.fleet.run(10.0)
+            self.assertEqual(calls(), before)
+
+
 class ReplacedStore(unittest.TestCase):
     """A store that is taken away for good, an empty one at another address, and the loss of another store's disk as soon
     as the empty one has been there for REJOIN (or, if it came first, as soon as the former one has ended)."""
