--- a/packages/oakcontrol/oakcontrol/storeset.py
+++ b/packages/oakcontrol/oakcontrol/storeset.py
@@ -190,6 +190,8 @@
     check_fields({"machine": NAME}, arguments)
     record, machine = _record(view), arguments["machine"]
     emptied = record.get("emptied", [])
+    if not record["version"]:
+        raise CannotTell("the first store set has not been formed yet", retry_after=1)
     if machine not in emptied:
         _check_known(view, record, machine)
         # One that is silent for a moment is counted on to come back.
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -992,6 +992,13 @@
         '"turnKeep",\n                STORE_CALL_TIME,',
         "test_second_loss.FormerSelf.test_its_copy_does_not_count_twice",
     ),
+    TakeOut(
+        "no retirement before there is a store set",
+        "oakcontrol/oakcontrol/storeset.py",
+        'raise CannotTell("the first store set has not been formed yet", retry_after=1)',
+        "pass",
+        "test_second_loss.Retiring.test_order_before_the_set_is_formed",
+    ),
     TakeOut(
         "a lost store's place is given away before the next may be lost",
         "oakcontrol/oakcontrol/storeset.py",
