--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -79,8 +79,7 @@
 SLOT_FULL = 0.25  # share of a ring's capacity; one slot may take it, so that its image fits a second time
 CONTROL_BATCH = 64  # commands; one majority write covers this many at most
 UPDATE_LIMIT = 1 << 20  # bytes; of changes gathered for a voter that is behind, one message: beyond it gets an image
-UNANSWERED_STEPS = 4  # steps; a voter that leaves more without an answer gets no further ones, but an update once it
-# answers
+UNANSWERED_STEPS = 4  # steps; a voter that leaves more unanswered gets no more of them, but an update when it is back
 VOTERS_LOOK = 0.5  # s; how often an owner looks which voters lack something: far longer than a step takes
 OUTRANKED_PATIENCE = 2.0  # s; a voter above the epoch for so long has its slot taken over anew: a take-over is shorter
 STEP_PAUSE = 0.002  # s; a step waits so long at most for the answer to the one before, so that both go in one
--- a/packages/oakcontrol/oakcontrol/control.py
+++ b/packages/oakcontrol/oakcontrol/control.py
@@ -63,6 +63,7 @@
             ("slots_held", lambda: len(self.owners.held)),
             ("majority_reached", lambda: int(not self.owners.contact.is_lost())),
             ("in_touch_seconds", self.owners.contact.seconds),
+            ("voters_behind", lambda: self.owners.voters_behind),
             ("ring_syncs", lambda: self.ring.sync_count),
             ("ring_commits", lambda: self.ring.commit_count),
             ("ring_live_bytes", self.ring.live_bytes),
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -450,6 +450,11 @@
         if self.held:
             self._updates.look(dict(self.held), list(self.voter_addresses().items()), self._voter.roster.version)
 
+    @property
+    def voters_behind(self):
+        """Voters that lacked something at the last look, counted once for each slot that this node holds."""
+        return self._updates.behind if self.held else 0
+
     def _on_outranked(self, slot, owner):
         """A voter that has promised a later epoch takes no step of this one, and nobody serves under that. So the slot is
         taken over anew, under an epoch above."""
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -271,9 +271,11 @@
         for _ in range(5):
             fleet.change()
         fleet.run(away)
+        self.assertGreater(sum(one.node.owners.voters_behind for one in fleet.controls()), 0)
         come_back(fleet, member)
         fleet.run(CAUGHT_UP)
         self.assertEqual(fleet.behind(), [])
+        self.assertEqual(sum(one.node.owners.voters_behind for one in fleet.controls()), 0)
 
     def test_a_member_that_was_killed(self):
         self.check_returns(lambda fleet, member: member.kill(), lambda fleet, member: member.start())
