--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -113,8 +113,8 @@
 PLATFORM_BACKOFF = 0.05  # s; first pause after "too often", doubled and drawn out at random
 PLATFORM_PAGES = 2000  # pages; a list of more does not end
 BLUEPRINTS_KEPT = 500  # versions; a day of changes every three minutes can be read back
-CHANGES_REMEMBERED = 512  # changes; of the routing whose exact repeats are known: far more than come within a
-# repeat's time
+CHANGES_REMEMBERED = 512  # changes; of the routing whose exact repeats are known; repeats have no bound in time, so
+# what is older gets no clear answer, and is never refused
 LOG_LINE_LIMIT = 8192  # characters; of a log line, so that one odd value cannot flood a log
 OPERATOR_LIMIT = 5 << 20  # bytes; a body from the operator: a document of 4 MiB with room for what is around it
 OPERATOR_INBOX = 64  # calls; of operators at one node at a time, repeats of what they left under way included
--- a/packages/oakcontrol/oakcontrol/routing.py
+++ b/packages/oakcontrol/oakcontrol/routing.py
@@ -11,6 +11,11 @@
 
 A change that is asked for again by its fingerprint was taken or not, whatever came after it: the first to build on a
 version makes that version past, so of two different changes one is lost, and what was lost can never be taken later.
+
+An order may be repeated without limit in time, so nothing here is forgotten by time, and a refusal never rests on what
+was forgotten: a change is refused only if it is built on a past version that is not older than the oldest remembered
+change. Any other unknown change gets no clear answer (CannotTell): an older one may have been taken, and one that is
+built on a version which is not there yet may still be taken, by a copy that is under way.
 """
 
 from functools import lru_cache
@@ -19,8 +24,8 @@
 from schema import Optional
 
 from oakbase.checks import NAME, check_fields, whole
-from oakbase.constants import CHANGES_REMEMBERED, OPERATOR_RETRY
-from oakbase.verdict import CannotTell, Invalid, Lost
+from oakbase.constants import CHANGES_REMEMBERED
+from oakbase.verdict import CannotTell, Invalid, Lost, Verdict
 from oakcontrol.controllers import CONTROLLERS, Controller
 from oakcontrol.slots import pack_entry, unpack_entry
 
@@ -215,18 +220,47 @@
     return view.get(_taken_row(fingerprint))
 
 
-def _check_base(head, arguments):
-    if arguments["based_on"] != head["version"]:
-        raise Lost(
-            f"built on version {arguments['based_on']}, the newest is {head['version']}",
-            detail={"version": head["version"]},
+def _turn(number):
+    """The ring's place that remembers the change of this number."""
+    return f"{ROUTING_KEY}#turn/{number % CHANGES_REMEMBERED}"
+
+
+def _oldest_remembered(view, head):
+    """The version that the oldest remembered change made; 0 as long as none has been forgotten."""
+    fingerprint = view.get(_turn(head["taken"]))
+    return 0 if fingerprint is None else _known(view, fingerprint)
+
+
+def _refuse_past(view, head, based_on):
+    """Refuses an unknown change that is built on a past version, if it surely was not taken. One that is built on the
+    version of a remembered change would be remembered too; what an older one was built on is not known any more."""
+    if based_on >= head["version"]:
+        return
+    if based_on < _oldest_remembered(view, head):
+        raise CannotTell(
+            f"built on version {based_on}; changes of that age are not remembered, so it may have been taken",
+            Verdict.MAYBE,
         )
+    raise Lost(
+        f"built on version {based_on}, the newest is {head['version']}",
+        detail={"version": head["version"]},
+    )
 
 
-def _check_version(head, arguments):
-    if arguments["version"] <= head["version"]:
-        fault = f"version {arguments['version']} is not above {head['version']}"
+def _not_yet(head, based_on):
+    """A change that may still be taken: no copy of it is told that it never will be."""
+    return CannotTell(f"built on version {based_on}, the newest is {head['version']}", Verdict.MAYBE)
+
+
+def _check_versions(view, head, arguments):
+    """Only what is built on the newest version, and is above it, goes on to be taken."""
+    based_on, version = arguments["based_on"], arguments["version"]
+    _refuse_past(view, head, based_on)
+    if version <= based_on:
+        fault = f"version {version} is not above {based_on}"
         raise Invalid(fault, detail=[fault])
+    if based_on > head["version"]:
+        raise _not_yet(head, based_on)
 
 
 CHANGE = {"based_on": VERSION, "version": whole(1, 1 << 53), "fingerprint": NAME}
@@ -239,8 +273,7 @@
     if known is not None:
         return {"version": known}
     head = _head(view)
-    _check_base(head, arguments)
-    _check_version(head, arguments)
+    _check_versions(view, head, arguments)
     former = dict.fromkeys(_piece_names(view, head))
     return _take(view, head, arguments, former | pieces_of(arguments["document"]))
 
@@ -252,8 +285,7 @@
     if known is not None:
         return {"version": known}
     head = _head(view)
-    _check_base(head, arguments)
-    _check_version(head, arguments)
+    _check_versions(view, head, arguments)
     return _take(view, head, arguments, arguments["pieces"])
 
 
@@ -267,7 +299,7 @@
         if piece.startswith(ORDER)
     }
     lists = sorted({*head["lists"], *orders} - {name for name, stays in orders.items() if not stays})
-    turn = f"{ROUTING_KEY}#turn/{head['taken'] % CHANGES_REMEMBERED}"
+    turn = _turn(head["taken"])
     forgotten = view.get(turn)
     if forgotten is not None:
         view.put(_taken_row(forgotten), None)
@@ -281,11 +313,11 @@
     """What became of a change that is built on another version than the newest. It changes nothing."""
     check_fields({"based_on": VERSION, "fingerprint": NAME}, arguments)
     known = _known(view, arguments["fingerprint"])
-    if known is None:
-        head = _head(view)
-        _check_base(head, arguments)
-        raise CannotTell("what it is built on has become the newest meanwhile", retry_after=OPERATOR_RETRY)
-    return {"version": known}
+    if known is not None:
+        return {"version": known}
+    head = _head(view)
+    _refuse_past(view, head, arguments["based_on"])
+    raise _not_yet(head, arguments["based_on"])
 
 
 def _image(view, _key):
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -474,6 +474,27 @@
         "    if False:",
         "test_budgets.Claims.test_late_claim_taken_back_twice",
     ),
+    TakeOut(
+        "a taken change that was forgotten is not refused",
+        "oakcontrol/oakcontrol/routing.py",
+        "    if based_on < _oldest_remembered(view, head):\n",
+        "    if False:\n",
+        "test_routing.CompareAndSet.test_no_taken_change_is_ever_refused",
+    ),
+    TakeOut(
+        "what may still be taken is not refused",
+        "oakcontrol/oakcontrol/routing.py",
+        '    if based_on >= head["version"]:\n        return\n',
+        '    if based_on == head["version"]:\n        return\n',
+        "test_routing.CompareAndSet.test_a_version_that_is_not_there_yet",
+    ),
+    TakeOut(
+        "exact repeats are known by their fingerprint",
+        "oakcontrol/oakcontrol/routing.py",
+        "    return view.get(_taken_row(fingerprint))\n",
+        "    return None\n",
+        "test_routing.CompareAndSet.test_exact_repeats",
+    ),
     TakeOut(
         "taking back keeps what ran",
         "oakcontrol/oakcontrol/budget.py",
