--- a/packages/oaklab/oaklab/linearizability.py
+++ b/packages/oaklab/oaklab/linearizability.py
@@ -21,8 +21,9 @@
 
 import enum
 from collections import defaultdict
+from collections.abc import Hashable
 from dataclasses import dataclass, field
-from typing import Hashable, NamedTuple
+from typing import NamedTuple
 
 BEGINNING = float("-inf")
 NEVER_ANSWERED = float("inf")
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -488,6 +488,27 @@
         '    if based_on == head["version"]:\n        return\n',
         "test_routing.CompareAndSet.test_a_version_that_is_not_there_yet",
     ),
+    TakeOut(
+        "the same, seen by operators in a random day",
+        "oakcontrol/oakcontrol/routing.py",
+        "    if based_on < _oldest_remembered(view, head):\n",
+        "    if False:\n",
+        "test_orders.Trials.test_beyond_the_memory",
+    ),
+    TakeOut(
+        "a copy under way is not refused meanwhile",
+        "oakcontrol/oakcontrol/routing.py",
+        '    if based_on > head["version"]:\n        raise _not_yet(head, based_on)\n',
+        '    if based_on > head["version"]:\n        raise Lost()\n',
+        "test_orders.Repeats.test_copy_under_way_while_its_base_is_to_come",
+    ),
+    TakeOut(
+        "compare-and-set on the version built on",
+        "oakcontrol/oakcontrol/routing.py",
+        "    _refuse_past(view, head, based_on)\n    if version",
+        "    if version",
+        "test_orders.Trials.test_within_the_memory",
+    ),
     TakeOut(
         "exact repeats are known by their fingerprint",
         "oakcontrol/oakcontrol/routing.py",
@@ -495,6 +516,21 @@
         "    return None\n",
         "test_routing.CompareAndSet.test_exact_repeats",
     ),
+    TakeOut(
+        "the same configuration, however it is written",
+        "oakcontrol/oakcontrol/operator.py",
+        "        return based_on, body, fingerprint_of(method, based_on, body)\n",
+        "        call.request.content.seek(0)\n        text = call.request.content.read().decode()\n"
+        "        return based_on, body, fingerprint_of(method, based_on, text)\n",
+        "test_orders.Repeats.test_written_otherwise_it_is_the_same_configuration",
+    ),
+    TakeOut(
+        "an order to empty a machine is remembered after it is gone",
+        "oakcontrol/oakcontrol/storeset.py",
+        '    if machine in record.get("emptied", ()) or machine in {\n',
+        "    if machine in {\n",
+        "test_orders.Retiring.test_before_while_and_after_the_machine_is_gone",
+    ),
     TakeOut(
         "taking back keeps what ran",
         "oakcontrol/oakcontrol/budget.py",
--- /dev/null
+++ b/tests/order_trial.py
@@ -0,0 +1,328 @@
+"""Seeded random days of operators that order changes of the one configuration, on a simulated fleet under faults, with
+their whole history held against a compare-and-set register (oaklab.linearizability)."""
+
+import json
+import random
+from collections import Counter
+from dataclasses import dataclass
+from unittest.mock import patch
+
+from oakbase.checks import pack_json
+from oakbase.registry import Registry
+from oakbase.tasks import settled, sleep, spawn
+from oakcontrol import routing
+from oakcontrol.control import ControlNode
+from oakcontrol.routing import ROUTING_KEY
+from oakcontrol.slots import slot_of_key
+from oaklab import simfleet
+from oaklab.linearizability import NEVER_ANSWERED, NOTHING, Answer, Order, Read, Try, check_history
+from oaklab.simfleet import SimFleet
+from oaklab.simnet import SimHost, SimReactor
+from test_operator import PORT, Said, SmallDialect, document, send_once
+
+TROUBLES = Registry("trouble")
+ANSWERS = {200: Answer.TAKEN, 412: Answer.REFUSED, 400: Answer.INVALID}
+UNDER_WAY = 8  # orders at a time
+LOST = 0.7  # share of the answers that never reach the operator
+SILENCE = 1.0  # s; after so long without an answer an operator sends its order again
+TRIES = 12  # of one order in a row, then its operator leaves it open
+STEADY_AFTER = 12.0  # s; after the last trouble all is well again
+FINAL_TIME = 60.0  # s; the last read has come by then
+
+
+def control_node_with(dialect):
+    """A builder of control nodes that listen to operators."""
+
+    def build(reactor, env, *parts, **named):
+        address = f"{env['http'].partition(':')[0]}:{PORT}"
+        env = {name: value for name, value in env.items() if name != "platform"} | {"operator": address}
+        return ControlNode(reactor, env, *parts, dialect=dialect, **named)
+
+    return build
+
+
+@dataclass(eq=False)
+class Sent(Order):
+    """An order with the bytes that it is sent as."""
+
+    method: str = "PUT"
+    body: bytes = b""
+
+
+@dataclass
+class Outcome:
+    seed: int
+    faults: list
+    answers: Counter
+    taken: int
+    reads: int
+    caused: Counter
+    late_repeats: Counter  # answers to orders that are sent again after others were taken
+
+
+class OrderTrial:
+    """One day. Invariants: `documents` holds the content of each version that an operator knows to have been in force;
+    at most two of the five control nodes are in trouble at a time, but for those that all share."""
+
+    def __init__(self, seed, seconds=20.0, remembered=None, with_troubles=True):
+        self.seed, self.seconds, self.remembered, self.with_troubles = seed, seconds, remembered, with_troubles
+        self.random = random.Random(f"orders {seed}")
+        self.orders, self.reads, self.documents = [], [], {0: None}
+        self.caused, self.late_repeats = Counter(), Counter()
+        self.busy, self.number, self.loading, self.wrong = set(), 0, True, []
+
+    # --- one call ---
+
+    def _node(self):
+        return self.random.choice(self.fleet.of_kind("control"))
+
+    async def _send(self, one, method, body=b"", headers=()):
+        return await send_once(self.reactor, one.machine.host, method, body=body, headers=headers, time_left=SILENCE)
+
+    async def _try(self, order, node=None):
+        """Sends the order once; the answer that its operator sees."""
+        sent_at = self.fleet.time.now
+        order.tries.append(Try(sent_at, NEVER_ANSWERED, Answer.OPEN))
+        place = len(order.tries) - 1
+        said = await self._send(node or self._node(), order.method, order.body, [f"Built-On: {order.base}"])
+        if self.random.random() < LOST and self.loading:
+            said = Said(0)
+        answer = ANSWERS.get(said.status, Answer.OPEN)
+        if answer is not Answer.OPEN:
+            order.tries[place] = Try(sent_at, self.fleet.time.now, answer)
+        if answer is Answer.TAKEN:
+            self.documents.setdefault(order.version, json.loads(order.content))
+            if said.body != {"version": order.version}:
+                self.wrong.append(f"{order} was acknowledged as {said.body}")
+        if said.status and said.status not in (200, 400, 412, 503):
+            self.wrong.append(f"{order} was answered with {said.status}")
+        return answer
+
+    async def _read(self, node=None):
+        sent_at = self.fleet.time.now
+        said = await self._send(node or self._node(), "GET")
+        if said.status == 404:
+            self.reads.append(Read(0, NOTHING, sent_at, self.fleet.time.now))
+        if said.status != 200:
+            return said.status
+        version = said.body["number"]
+        self.reads.append(Read(version, pack_json(said.body), sent_at, self.fleet.time.now))
+        self.documents.setdefault(version, said.body)
+        return said.status
+
+    # --- operators ---
+
+    def _base(self):
+        """Mostly the newest version that any operator knows, at times one that is past, or open, or not there."""
+        newest, draw = max(self.documents), self.random.random()
+        if draw < 0.75:
+            return newest
+        if draw < 0.85:
+            return self.random.choice([one.version for one in self.orders[-8:]] or [newest])
+        return self.random.choice(sorted(self.documents)) if draw < 0.95 else newest + self.random.randint(1, 5)
+
+    def _draw_order(self):
+        """A change that nobody sent before; its number is often one that another operator picks too."""
+        self.number += 1
+        base = self._base()
+        version = base + self.random.choice((1, 1, 1, 2, 3))
+        mark = f"m{self.number}"
+        if self.random.random() < 0.05:
+            return self._order(base, document(version, to="nowhere", **{mark: "/m/"}), is_valid=False)
+        if self.documents.get(base) is not None and self.random.random() < 0.5:
+            return self._patch(base, version, mark)
+        return self._order(base, document(version, to=self.random.choice(("g1", "g2")), **{mark: f"/{mark}/"}))
+
+    def _order(self, base, whole, is_valid=True):
+        return self._keep(Sent(base, whole["number"], pack_json(whole), is_valid=is_valid, body=pack_json(whole)))
+
+    def _patch(self, base, version, mark):
+        former = self.documents[base]
+        added = {"name": mark, "at": "h.example", "under": f"/{mark}/", "to": "g1"}
+        dropped = [way["name"] for way in former["ways"][:-5]]
+        body = {"number": version, "put": {"ways": [added]}, "drop": {"ways": dropped}}
+        ways = [way for way in former["ways"] if way["name"] not in dropped]
+        content = pack_json(former | {"number": version, "ways": [*ways, added]})
+        return self._keep(Sent(base, version, content, method="PATCH", body=pack_json(body)))
+
+    def _keep(self, order):
+        self.orders.append(order)
+        return order
+
+    async def _operate(self):
+        while self.loading:
+            if self.random.random() < 0.4:
+                await self._read()
+            order = self._draw_order()
+            both_at_once = [self._try(order), self._try(order)] if self.random.random() < 0.2 else []
+            await settled(both_at_once)
+            for _ in range(TRIES):
+                if not self.loading or await self._try(order) is not Answer.OPEN:
+                    break
+                await sleep(self.reactor, self.random.choice((0.0, 0.01, 0.2)))
+
+    async def _repeat(self):
+        """Orders of any age are sent again, whatever became of them."""
+        while self.loading:
+            if self.orders:
+                await self._try_late(self.random.choice(self.orders))
+            await sleep(self.reactor, self.random.uniform(0.0, 0.3))
+
+    async def _try_late(self, order):
+        answer = await self._try(order)
+        if order.version < max(self.documents):
+            self.late_repeats[order.is_taken, answer.value] += 1
+
+    # --- the day ---
+
+    def run(self):
+        remembered = self.remembered or routing.CHANGES_REMEMBERED
+        with (
+            patch.dict(simfleet.BUILDERS, control=control_node_with(SmallDialect())),
+            patch.object(routing, "CHANGES_REMEMBERED", remembered),
+        ):
+            return self._run()
+
+    def _run(self):
+        fleet = self.fleet = SimFleet(self.seed, self_forming=True).bring_up(plans=False)
+        self.reactor = SimReactor(SimHost(fleet.network, "127.20.252.1"))
+        tasks = [spawn(self._operate(), fleet.lab_log) for _ in range(UNDER_WAY)]
+        tasks += [spawn(self._repeat(), fleet.lab_log) for _ in range(2)]
+        if self.with_troubles:
+            tasks.append(spawn(self._cause_troubles(fleet.time.now + self.seconds), fleet.lab_log))
+        fleet.run(self.seconds)
+        self.loading = False
+        fleet.until(settled(tasks), 60.0)
+        fleet.run(STEADY_AFTER)
+        fleet.until(self._finish(), FINAL_TIME + 120.0)
+        crashes = [line for line in fleet.lines if "rashed" in line]
+        return Outcome(
+            self.seed,
+            self.wrong + crashes + check_history(self.orders, self.reads),
+            Counter(one.answer.value for order in self.orders for one in order.tries),
+            sum(order.is_taken for order in self.orders),
+            len(self.reads),
+            self.caused,
+            self.late_repeats,
+        )
+
+    async def _finish(self):
+        """The newest is read at each node, and orders of all ages are sent again with all answers heard."""
+        for node in self.fleet.of_kind("control"):
+            until = self.fleet.time.now + FINAL_TIME
+            while await self._read(node) not in (200, 404):
+                if self.fleet.time.now > until:
+                    self.wrong.append(f"{node.name} gave no clear answer to the last read in {FINAL_TIME} s")
+                    return
+                await sleep(self.reactor, 0.2)
+        for order in self.orders[:: max(1, len(self.orders) // 80)]:
+            await self._try_late(order)
+
+    # --- troubles ---
+
+    async def _cause_troubles(self, until):
+        while self.fleet.time.now < until:
+            name = self.random.choice(TROUBLES.names())
+            self.caused[name] += 1
+            await TROUBLES.find(name)(self)
+            await sleep(self.reactor, self.random.uniform(0.0, 2.0))
+
+    def owner(self):
+        """The owner of the configuration, or any node while there is none."""
+        slot = slot_of_key(ROUTING_KEY)
+        running = self.running()
+        return next((one for one in running if slot in one.node.owners.held), self.random.choice(running))
+
+    def running(self):
+        return [one for one in self.fleet.of_kind("control") if one.running and not one.host.frozen]
+
+    def victim(self):
+        return self.owner() if self.random.random() < 0.7 else self.random.choice(self.running())
+
+    async def pause(self, least, most):
+        await sleep(self.reactor, self.random.uniform(least, most))
+
+
+@TROUBLES.enter("killed")
+async def _killed(trial):
+    one = trial.victim()
+    one.kill()
+    await trial.pause(0.0, 4.0)
+    one.start()
+
+
+@TROUBLES.enter("power cut")
+async def _power_cut(trial):
+    one = trial.victim()
+    one.power_cut()
+    await trial.pause(0.0, 4.0)
+    one.start()
+
+
+@TROUBLES.enter("frozen")
+async def _frozen(trial):
+    one = trial.victim()
+    one.freeze()
+    await trial.pause(0.2, 4.0)
+    one.thaw()
+
+
+@TROUBLES.enter("cut off")
+async def _cut_off(trial):
+    """From the other members, or only what it sends, or only what they send; operators reach it all the while."""
+    one, fleet = trial.victim(), trial.fleet
+    others = {(one.machine.host, other.machine.host) for other in fleet.of_kind("control") if other is not one}
+    back = {pair[::-1] for pair in others}
+    pairs = trial.random.choice((others, back, others | back))
+    fleet.network.hold(pairs)
+    await trial.pause(0.5, 6.0)
+    fleet.network.let_go(pairs)
+
+
+@TROUBLES.enter("wiped")
+async def _wiped(trial):
+    """It comes back without its disk, which changes the roster."""
+    one = trial.victim()
+    one.kill()
+    one.lose_disk()
+    await trial.pause(0.2, 1.0)
+    one.start()
+    await sleep(trial.reactor, 6.0)
+
+
+@TROUBLES.enter("stopped as planned")
+async def _stopped(trial):
+    one = trial.victim()
+    await one.stop()
+    await trial.pause(0.0, 1.0)
+    one.start()
+
+
+@TROUBLES.enter("all killed")
+async def _all_killed(trial):
+    for one in trial.running():
+        one.kill()
+    await trial.pause(0.0, 1.0)
+    for one in trial.fleet.of_kind("control"):
+        one.start()
+
+
+@TROUBLES.enter("all lose power")
+async def _all_lose_power(trial):
+    for one in trial.running():
+        one.power_cut()
+    await trial.pause(0.0, 1.0)
+    for one in trial.fleet.of_kind("control"):
+        one.start()
+
+
+def run_trials(seeds, **options):
+    """Many days by hand: one line each; gives the seeds that failed."""
+    failed, late = [], Counter()
+    for seed in seeds:
+        outcome = OrderTrial(seed, **options).run()
+        late.update(outcome.late_repeats)
+        print(seed, dict(outcome.answers), f"{outcome.taken} taken, {outcome.reads} reads", outcome.faults, flush=True)
+        failed += [seed] if outcome.faults else []
+    print(f"{len(failed)} failed: {failed}; repeats after later changes (taken, answer): {dict(late)}", flush=True)
+    return failed
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,216 @@
+"""Orders of operators that race, are repeated, and outlive what their nodes remember: none is both confirmed and refused."""
+
+import unittest
+from unittest.mock import patch
+
+from oakbase.checks import pack_json
+from oakbase.constants import FORGET_AGE
+from oakbase.tasks import settled, sleep, spawn
+from oakcontrol import routing
+from oakcontrol.storeset import STORES_KEY
+from order_trial import OrderTrial
+from test_operator import OperatorTest, document
+from test_store_forming import Rig
+
+REMEMBERED = 16  # changes; in days too short for as many as a real owner remembers
+
+
+class Trials(unittest.TestCase):
+    """Random days: eight orders under way, seven tenths of the answers lost, repeats of all ages at any node."""
+
+    def play(self, seed, **options):
+        outcome = OrderTrial(seed, **options).run()
+        self.assertEqual(outcome.faults, [], outcome.caused)
+        return outcome
+
+    def test_within_the_memory(self):
+        outcome = self.play(1, seconds=12.0)
+        self.assertGreater(outcome.taken, 30)
+        self.assertGreater(outcome.late_repeats[True, "taken"], 10)
+        self.assertGreater(outcome.late_repeats[False, "refused"], 10)
+
+    def test_beyond_the_memory(self):
+        outcome = self.play(4, seconds=8.0, remembered=REMEMBERED)
+        self.assertGreater(outcome.taken, 2 * REMEMBERED)
+        self.assertGreater(outcome.late_repeats[True, "open"], 10)
+
+    def test_without_troubles_all_operators_get_on(self):
+        outcome = self.play(9, seconds=3.0, with_troubles=False)
+        self.assertGreater(outcome.taken, 30)
+
+
+class Repeats(OperatorTest):
+    def test_copy_under_way_while_its_base_is_to_come(self):
+        """
+        operator        node a            owner: newest 5        node b
+        PUT 9 on 7 ---> cut off from it
+        PUT 9 on 7 ------------------------------------------->  no clear answer: a copy is under way
+        PUT 7 on 5 ------------------------------------------->  200
+                        healed: asks ---> 9 taken
+        """
+        self.put("control0", 0, document(5))
+        owner = self.owner()
+        node_a, node_b = self.others()[:2]
+        pairs = {(node_a.machine.host, owner.machine.host), (owner.machine.host, node_a.machine.host)}
+        self.fleet.network.hold(pairs)
+        first = spawn(self.change(node_a.name, 7, document(9), time_left=0.3), self.fleet.lab_log)
+        self.fleet.run(0.5)
+        self.assertTrue(first.called)
+        said = self.put(node_b.name, 7, document(9))
+        self.assertEqual(self.put(node_b.name, 5, document(7)).status, 200)
+        self.fleet.network.let_go(pairs)
+        self.fleet.run(4.0)
+        self.assertEqual(self.read_sometime(), document(9), "the copy came through, as it may")
+        self.assertEqual(said.status, 503, "what is refused is never in force")
+        self.assertEqual(self.put(node_b.name, 7, document(9)).status, 200)
+
+    def test_original_and_repeat_at_once(self):
+        """Both are under way, at different nodes; whichever comes first, both are told that it is taken."""
+        self.put("control0", 0, document(3))
+        version = 3
+        way = {"name": "more", "at": "h.example", "under": "/more/", "to": "g2"}
+        for number in range(10):
+            value = {"number": version + 2, "put": {"ways": [way | {"under": f"/{number}/"}]}}
+            method = "PATCH"
+            if number % 2:
+                value, method = document(version + 2, more=f"/{number}/"), "PUT"
+            calls = [self.change(f"control{(number + index) % 5}", version, value, method) for index in range(3)]
+            said = self.fleet.until(settled(calls))
+            self.assertEqual([(one.status, one.body) for _, one in said], [(200, {"version": version + 2})] * 3)
+            version += 2
+        self.assertEqual(self.read().body["number"], version)
+
+    def test_left_in_the_queue_of_an_owner_that_loses_its_term(self):
+        """
+        operators       owner of `routing`       another node
+        PUT 5 on 3 ---> cut off: in hand
+        PUT 5 on 3 ---> in the queue
+        PUT 7 on 5 ---> in the queue
+        PUT 7 on 5 ----------------------------> no clear answer yet
+        PUT 5 on 3 ----------------------------> 200 by the next owner
+        PUT 7 on 5 ----------------------------> 200
+        PUT 6 on 3 ----------------------------> 412
+                        healed: fenced; nothing of it comes through again
+        """
+        self.put("control0", 0, document(3))
+        owner, fleet = self.owner(), self.fleet
+        other = self.others()[0].name
+        rest = [one.machine.host for one in fleet.of_kind("control") if one is not owner]
+        fleet.network.cut([owner.machine.host], rest)
+        left = [
+            spawn(self.change(owner.name, base, document(number)), fleet.lab_log)
+            for base, number in ((3, 5), (3, 5), (5, 7))
+        ]
+        early = fleet.until(self.change(other, 5, document(7), time_left=1.0), 40)
+        self.assertIn(early.status, (0, 503))
+        self.assertEqual(fleet.until(self.insist_at(other, 3, document(5)), 40).status, 200)
+        self.assertEqual(fleet.until(self.insist_at(other, 5, document(7)), 40).status, 200)
+        self.assertEqual(fleet.until(self.insist_at(other, 3, document(6)), 40).status, 412)
+        fleet.network.heal()
+        fleet.run(6.0)
+        self.assertEqual([one.called for one in left], [True] * 3)
+        self.assertEqual([number for number in self.acknowledged if number not in (3, 5, 7)], [])
+        for one in fleet.of_kind("control"):
+            self.assertEqual(self.put(one.name, 3, document(5)).status, 200)
+            self.assertEqual(self.read(one.name).body, document(7))
+
+    async def insist_at(self, name, based_on, value):
+        for _ in range(60):
+            said = await self.change(name, based_on, value, time_left=1.0)
+            if 0 < said.status < 500:
+                return said
+            await sleep(self.reactor, 0.2)
+        return said
+
+    def test_written_otherwise_it_is_the_same_configuration(self):
+        """Spaces, the order of names, escapes and the case of headers are no part of a configuration; values are."""
+        value = document(3, é="/é/")
+        self.put("control0", 0, value)
+        self.put("control0", 3, document(5))
+        text = pack_json(value).decode()
+        same = (
+            (text.replace(",", " ,\n\t").encode(), "Built-On: 0"),
+            (pack_json(dict(reversed(value.items()))), "built-on:0"),
+            (text.replace("\\u00e9", "é").encode(), "BUILT-ON:   0  "),
+            (text.replace("g1", "\\u0067\\u0031").encode(), "Built-On: 00"),
+        )
+        for number, (body, header) in enumerate(same):
+            said = self.ask(f"control{number}", "PUT", body=body, headers=[header])
+            self.assertEqual((said.status, said.body), (200, {"version": 3}), body)
+        for other in (text.replace("2.5", "2.50001"), text.replace('"size":2.5', '"size":"2.5"')):
+            self.assertEqual(self.ask("control0", "PUT", body=other.encode(), headers=["Built-On: 0"]).status, 412)
+
+    def test_invalid_and_past(self):
+        self.put("control0", 0, document(3))
+        self.put("control0", 3, document(5))
+        for value in (document(4, to="nowhere"), document(3, to="g2"), document(9, to="nowhere")):
+            self.assertIn(self.put("control1", 3, value).status, (400, 412))
+        self.assertEqual(self.read().body, document(5))
+
+    def test_beyond_the_memory_and_the_death_of_all(self):
+        """Repeats of every change ever taken, at each node, before and after all control nodes were killed."""
+        with patch.object(routing, "CHANGES_REMEMBERED", REMEMBERED):
+            count = 3 * REMEMBERED
+            for number in range(count):
+                self.assertEqual(self.put(f"control{number % 5}", number, document(number + 1)).status, 200)
+            expected = [503] * (count - REMEMBERED) + [200] * REMEMBERED
+            self.assertEqual(self.repeat_all(count), expected)
+            for one in self.fleet.of_kind("control"):
+                one.power_cut()
+            self.fleet.run(0.5)
+            for one in self.fleet.of_kind("control"):
+                one.start()
+            self.read_sometime()
+            self.assertEqual(self.repeat_all(count), expected)
+            self.assertEqual(self.read().body, document(count))
+            self.assertEqual(self.put("control0", count - 5, document(count + 5)).status, 412)
+
+    def repeat_all(self, count):
+        return [self.put(f"control{(number + 3) % 5}", number, document(number + 1)).status for number in range(count)]
+
+
+class Retiring(unittest.TestCase):
+    """An order to empty a machine, sent again: it is never unknown, and never refused."""
+
+    def repeat(self, rig, expected):
+        """The order and the question at each control node, through its own client."""
+        for one in rig.fleet.of_kind("control"):
+            for command in ("retire", "retired"):
+                asked = one.node.client.call(STORES_KEY, command, {"machine": "store0"}, 5)
+                self.assertEqual(rig.fleet.until(asked)["state"], expected, (one.name, command))
+
+    def test_before_while_and_after_the_machine_is_gone(self):
+        """
+        store0                        operator                  control nodes
+                                      retire (answer lost) ---> taken
+        copied to store3              retire, at each node ---> in service
+        delivered                     retire, at each node ---> delivered
+        taken away with its disk      retire, at each node ---> delivered
+                                      retire, at each node ---> delivered, after its news were forgotten
+                                      retire, at each node ---> delivered, after all were killed and one was wiped
+        """
+        rig = Rig(41, spares=1)
+        fleet = rig.fleet
+        rig.load(6)
+        fleet.run(2.0)
+        rig.command("retire", machine="store0")
+        self.repeat(rig, "in_service")
+        fleet.wait_for("delivery", lambda: rig.command("retired", machine="store0")["state"] == "delivered")
+        self.repeat(rig, "delivered")
+        fleet["store0"].power_cut()
+        fleet["store0"].lose_disk()
+        del fleet.by_name["store0"]
+        self.repeat(rig, "delivered")
+        fleet.run(FORGET_AGE + 5.0)
+        self.repeat(rig, "delivered")
+        for one in fleet.of_kind("control"):
+            one.kill()
+        fleet["control1"].lose_disk()
+        for one in fleet.of_kind("control"):
+            one.start()
+        fleet.wait_formed(20.0)
+        self.repeat(rig, "delivered")
+
+
+if __name__ == "__main__":
+    unittest.main()
