--- a/packages/oaklab/oaklab/linearizability.py
+++ b/packages/oaklab/oaklab/linearizability.py
@@ -98,6 +98,8 @@
             faults.append(f"{one} was acknowledged and refused")
         if one.is_taken and not one.is_valid:
             faults.append(f"{one} is invalid and was acknowledged")
+        if one.is_valid and one.answers(Answer.INVALID):
+            faults.append(f"{one} is valid and was refused as invalid")
     taken = [one for one in orders if one.is_taken]
     faults += _twice(taken, "version", "under version")
     faults += _twice(taken, "base", "on top of version")
--- a/tests/test_linearizability.py
+++ b/tests/test_linearizability.py
@@ -84,6 +84,9 @@
         )
         self.assert_sound([first, order(1, 2, (2, 3, INVALID), is_valid=False)])
 
+    def test_valid_but_refused_as_invalid(self):
+        self.assert_found("refused as invalid", [order(0, 1, (0, 1, INVALID))])
+
     def test_refused_before_its_base_was_there(self):
         self.assert_sound([order(0, 1, (0, 9, TAKEN)), order(1, 2, (0.5, 1, REFUSED))])
         self.assert_sound([order(0, 1, (0, 1, TAKEN)), order(7, 9, (2, 3, REFUSED))])
--- a/tests/test_relay_checker.py
+++ b/tests/test_relay_checker.py
@@ -59,6 +59,9 @@
             Change(4, 1, document(4, "other"), True, 50.0, 50.6, "lost", 412),
             Change(9, 3, document(9, "bad"), False, 60.0, 60.1, "invalid", 400),
         ]
+        for change in self.changes:
+            change.tries = [(change.sent_at, change.done_at, change.status)]
+        self.reads = [(None, 0.0, 0.2), (document(1), 40.0, 40.1), (document(3, "alt"), 51.0, 51.1)]
         for kind in ("safe", "unsafe", "tracked"):
             self.ask(kind, f"/{kind}/1", 10.0, key="k" if kind == "tracked" else None, repeatable=kind == "safe")
         self.repeat_of(self.attempts[-1], 12.0)
@@ -91,6 +94,7 @@
             BOUNDS,
             10,
             100.0,
+            reads=self.reads,
         )
 
     def attempt(self, kind, target, at, **more):
@@ -380,6 +384,38 @@
     day.changes[2].outcome = "taken"
 
 
+@plant("CONFIG linearizable")
+def two_under_one_number(day):
+    other = copy.deepcopy(day.changes[1])
+    other.document = document(3, "api")
+    day.changes.append(other)
+
+
+@plant("CONFIG linearizable")
+def a_repeat_refused(day):
+    day.changes[1].tries.append((80.0, 80.1, 412))
+
+
+@plant("CONFIG linearizable")
+def a_refused_change_confirmed_when_repeated(day):
+    day.changes[2].tries.append((80.0, 80.1, 200))
+
+
+@plant("CONFIG linearizable")
+def stale_read(day):
+    day.reads.append((document(1), 51.0, 51.1))
+
+
+@plant("CONFIG linearizable")
+def refused_change_read(day):
+    day.reads.append((document(4, "other"), 51.0, 51.1))
+
+
+@plant("CONFIG linearizable")
+def refused_on_top_of_the_newest(day):
+    day.changes[2].tries = [(45.0, 45.1, 412)]
+
+
 @plant("CONFIG read back")
 def older_read_back(day):
     day.read_back = (200, document(1))
