--- a/packages/oakcontrol/oakcontrol/blueprint.py
+++ b/packages/oakcontrol/oakcontrol/blueprint.py
@@ -1,13 +1,20 @@
-"""Blueprints: one for each partner, changed whole or by a named change built on a version."""
+"""Blueprints: one for each partner, changed whole or by a named change built on a version.
+
+A change is known by its id for as long as the version that it made is kept, and an id names one change: another one under
+the same id is refused. A change is told that it is lost only if it is built on a past version whose successor is kept, for
+then its id would be known, had it been accepted. An older one may have been accepted, and one that is built on a version
+which is not there yet may still be, by a copy under way: these get no clear answer.
+"""
 
 import json
+from hashlib import blake2b
 
 from schema import And, Optional
 
 from oakbase.checks import NAME, check_fields, faults_of, is_name, one_of, pack_json, seconds, whole
 from oakbase.constants import BLUEPRINTS_KEPT, ENDS_AFTER_LEAST, ENDS_AFTER_MOST, SLOTS, TIME_LEFT_LIMIT, UNITS_LIMIT
 from oakbase.registry import Registry
-from oakbase.verdict import BadRequest, Invalid, Lost, Unknown
+from oakbase.verdict import BadRequest, CannotTell, Conflict, Invalid, Lost, Unknown, Verdict
 from oakcohort.rendezvous import slot_of
 from oakcontrol.controllers import CONTROLLERS, SLOT_SOURCE, Controller
 from oakcontrol.places import REPLICAS_KEY
@@ -98,7 +105,7 @@
 
 # --- the owned key --------------------------------------------------------------
 # Entries of blueprint/P:  itself: {version, base, first};  #v/<n>: {whole} or {change, arguments}, with
-# the change id;  #c/<id>: {version}.
+# the change id;  #c/<id>: {version, print} (earlier releases kept no print).
 # Invariant: base <= version, entry #v/<base> is whole, every entry from `first` to `version` is there.
 
 
@@ -128,6 +135,28 @@
     return blueprint
 
 
+def _print_of(asked):
+    """Names what is asked for, whatever version it is built on: asked again on a later one, it is the same change."""
+    return blake2b(pack_json(asked), digest_size=16).hexdigest()
+
+
+def _check_same_change(known, change_id, asked):
+    if known.get("print", _print_of(asked)) != _print_of(asked):
+        raise Conflict(f"the id {change_id} names another change, which made version {known['version']}")
+
+
+def _check_base(head, based_on):
+    """Only what is built on the newest version goes on; it is lost only if it surely was not accepted and never can be."""
+    if based_on == head["version"]:
+        return
+    reason = f"built on version {based_on}, the newest is {head['version']}"
+    if based_on > head["version"]:
+        raise CannotTell(reason, Verdict.MAYBE)
+    if based_on + 1 < head["first"]:
+        raise CannotTell(f"{reason}; changes of that age are not remembered, so it may be accepted", Verdict.MAYBE)
+    raise Lost(reason, detail={"version": head["version"]})
+
+
 def _put(view, key, arguments):
     check_fields(
         {
@@ -143,12 +172,9 @@
     known = view.get(f"{key}#c/{arguments['changeId']}")
     asked = {name: arguments[name] for name in ("blueprint", "change", "arguments") if name in arguments}
     if known:
+        _check_same_change(known, arguments["changeId"], asked)
         return {"outcome": "accepted", "version": known["version"]}
-    if arguments["basedOn"] != head["version"]:
-        raise Lost(
-            f"built on version {arguments['basedOn']}, the newest is {head['version']}",
-            detail={"version": head["version"]},
-        )
+    _check_base(head, arguments["basedOn"])
     if ("blueprint" in asked) == ("change" in asked):
         raise BadRequest("either a whole blueprint or a named change is needed")
     if "change" in asked and not head["version"]:
@@ -164,7 +190,7 @@
     is_base = "blueprint" in asked or version - head["base"] >= BASE_EVERY
     row = {"whole": blueprint} if is_base else {"change": asked["change"], "arguments": asked.get("arguments") or {}}
     view.put(_version_key(key, version), row | {"changeId": arguments["changeId"]})
-    view.put(f"{key}#c/{arguments['changeId']}", {"version": version})
+    view.put(f"{key}#c/{arguments['changeId']}", {"version": version, "print": _print_of(asked)})
     head = {"version": version, "base": version if is_base else head["base"], "first": head["first"] or 1}
     view.put(key, _pruned(view, key, head))
     former = _current(view, key, former) if former["version"] else {"bindings": {}}
@@ -209,12 +235,11 @@
 
 
 def _outcome(view, key, arguments):
-    known = view.get(f"{key}#c/{arguments['changeId']}")
-    return (
-        {"outcome": "accepted", "version": known["version"]}
-        if known
-        else {"outcome": "notAccepted", "version": _head(view, key)["version"]}
-    )
+    """What became of a change, by its id: unknown, if it may be one of those whose ids are forgotten."""
+    known, head = view.get(f"{key}#c/{arguments['changeId']}"), _head(view, key)
+    if known:
+        return {"outcome": "accepted", "version": known["version"]}
+    return {"outcome": "unknown" if head["first"] > 1 else "notAccepted", "version": head["version"]}
 
 
 def news_of(board, partner):
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -509,6 +509,20 @@
         "    if version",
         "test_orders.Trials.test_within_the_memory",
     ),
+    TakeOut(
+        "one change id names one change",
+        "oakcontrol/oakcontrol/blueprint.py",
+        '        _check_same_change(known, arguments["changeId"], asked)\n',
+        "",
+        "test_blueprints.ChangeIds.test_one_id_for_two_changes",
+    ),
+    TakeOut(
+        "an accepted plan whose id was forgotten is not refused",
+        "oakcontrol/oakcontrol/blueprint.py",
+        '    if based_on + 1 < head["first"]:\n',
+        "    if False:\n",
+        "test_blueprints.ChangeIds.test_no_accepted_change_is_ever_refused",
+    ),
     TakeOut(
         "exact repeats are known by their fingerprint",
         "oakcontrol/oakcontrol/routing.py",
