--- a/packages/oakcontrol/oakcontrol/blueprint.py
+++ b/packages/oakcontrol/oakcontrol/blueprint.py
@@ -175,6 +175,7 @@
         _check_same_change(known, arguments["changeId"], asked)
         return {"outcome": "accepted", "version": known["version"]}
     _check_base(head, arguments["basedOn"])
+    view.context.refuse_full()
     if ("blueprint" in asked) == ("change" in asked):
         raise BadRequest("either a whole blueprint or a named change is needed")
     if "change" in asked and not head["version"]:
@@ -264,6 +265,4 @@
     }
 
 
-CONTROLLERS.enter("blueprint")(
-    Controller({"put": _put, "read": _read, "outcome": _outcome}, image=_image, growing=("put",))
-)
+CONTROLLERS.enter("blueprint")(Controller({"put": _put, "read": _read, "outcome": _outcome}, image=_image))
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -321,6 +321,7 @@
             self._node.board,
             self._node.env.get("bounds"),
             self.contact,
+            partial(self.refuse_full, owner),
         )
 
     # --- the majority ---
@@ -736,12 +737,14 @@
 class Context:
     """What a command may look at besides entries: the owner's monotonic time, the members, the news that this
     node has, the deployment's bounds, whether it is in touch with a majority, and marks, which live only as long as this
-    ownership: key -> time since which the key counts."""
+    ownership: key -> time since which the key counts. `refuse_full` is for commands that grow the state only where they are
+    no repeat."""
 
-    def __init__(self, now, members, marks, roster, board, bounds=None, contact=None):
+    def __init__(self, now, members, marks, roster, board, bounds=None, contact=None, refuse_full=lambda: None):
         self.now, self.members, self.marks, self.roster, self.board = now, members, marks, roster, board
         self.bounds = bounds or {}
         self._contact = contact
+        self.refuse_full = refuse_full
 
     def age_of(self, key):
         return self.now - self.marks.setdefault(key, self.now)
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -523,6 +523,13 @@
         "    if False:\n",
         "test_blueprints.ChangeIds.test_no_accepted_change_is_ever_refused",
     ),
+    TakeOut(
+        "a plan that grows a full state is refused",
+        "oakcontrol/oakcontrol/blueprint.py",
+        "    view.context.refuse_full()\n",
+        "",
+        "test_blueprints.NoRoom.test_a_repeat_is_acknowledged_though_there_is_no_more_room",
+    ),
     TakeOut(
         "exact repeats are known by their fingerprint",
         "oakcontrol/oakcontrol/routing.py",
--- a/tests/test_blueprints.py
+++ b/tests/test_blueprints.py
@@ -1,13 +1,15 @@
 """A partner's plan by itself: change ids, compare-and-set, and what becomes of repeats once their ids are forgotten."""
 
 import unittest
-
-from test_budgets import Rig
+from unittest.mock import patch
 
 from oakbase.constants import BLUEPRINTS_KEPT
-from oakbase.verdict import CannotTell, Verdict
+from oakbase.verdict import CannotTell, RingFull, Verdict
 from oakcontrol import blueprint  # noqa: F401  it enters its controller
+from oakcontrol.owner import Owners
 from oaklab.plan import blueprint_of
+from oaklab.simfleet import SimFleet
+from test_budgets import Rig
 
 
 class PlanRig(Rig):
@@ -83,5 +85,23 @@
         self.assertEqual(self.accepted(rig.set_share(2, "b", 5)), 3)
 
 
+class NoRoom(unittest.TestCase):
+    def test_a_repeat_is_acknowledged_though_there_is_no_more_room(self):
+        fleet = SimFleet(23).bring_up()
+        plan = blueprint_of("nile", "nile-plan-2")
+        first = fleet.until(fleet.operator.put_plan("nile", 1, plan, "nile-plan-2", "again"))
+        self.assertEqual((first.outcome, first.version), ("accepted", 2))
+        with patch.object(Owners, "refuseFull", side_effect=RingFull("full")):
+            again = fleet.until(fleet.operator.put_plan("nile", 1, plan, "nile-plan-2", "again"))
+            self.assertEqual((again.outcome, again.version), ("accepted", 2))
+            body = {"changeId": "new", "basedOn": 2, "blueprint": plan}
+            status, said = fleet.until(self.put_once(fleet, body))
+            self.assertEqual((status, said["error"], said["verdict"]), (507, "ringFull", "no"))
+
+    async def put_once(self, fleet, body):
+        control = fleet["control0"].machine.http
+        return await fleet.operator._client.json("PUT", control, "/v1/blueprints/nile", body, 5)
+
+
 if __name__ == "__main__":
     unittest.main()
