--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -530,6 +530,13 @@
         "",
         "test_blueprints.NoRoom.test_a_repeat_is_acknowledged_though_there_is_no_more_room",
     ),
+    TakeOut(
+        "an heir that was behind gives whole images",
+        "oaknews/oaknews/board.py",
+        "        if is_taken_up and image.version:\n",
+        "        if False:\n",
+        "test_news_takeover.TakeOver.test_new_owner_that_had_not_heard_of_a_version_which_others_have",
+    ),
     TakeOut(
         "exact repeats are known by their fingerprint",
         "oakcontrol/oakcontrol/routing.py",
--- a/packages/oaknews/oaknews/board.py
+++ b/packages/oaknews/oaknews/board.py
@@ -42,6 +42,7 @@
         self.moves = self.losses = self.revision = 0
         self.images = {}
         self._own_sources = {}
+        self._taken_up = set()  # of its own sources, those that it has not said anything of yet
         self._watchers = {}
 
     # --- own sources ---
@@ -51,6 +52,7 @@
         vouch, or None if it cannot at the moment."""
         if source not in self._own_sources:
             self.revision += 1
+            self._taken_up.add(source)
         self._own_sources[source] = confirmed_at
         return self._entered(source)
 
@@ -61,6 +63,7 @@
         return self.images[source]
 
     def retract(self, source):
+        self._taken_up.discard(source)
         if self._own_sources.pop(source, None) is not None:
             self.losses += 1  # what others sent of it meanwhile was not taken in
             self.revision += 1
@@ -68,8 +71,14 @@
     def set_items(self, source, version, values):
         """The source moved to `version` and now has these items and no others."""
         image = self._entered(source)
+        is_taken_up = source in self._taken_up
+        self._taken_up.discard(source)
         if version <= image.version:
             return
+        if is_taken_up and image.version:
+            # Who spoke for it before may have told others of versions between: what has changed since those is not known
+            # here, so everybody gets the whole image.
+            image.items, image.base = {}, version
         gone = [name for name, (_, value) in image.items.items() if value is not None and name not in values]
         changed = {name: value for name, value in values.items() if image.items.get(name, (0, None))[1] != value}
         changed |= dict.fromkeys(gone)
--- /dev/null
+++ b/tests/test_news_takeover.py
@@ -0,0 +1,111 @@
+"""Images of a source whose writer changes: whatever a node has at a version is what the source was at that version."""
+
+import random
+import unittest
+
+from oaknews.board import Board
+
+SOURCE = "s"
+
+
+class Fleet:
+    """Boards that pull from one another; one of them speaks for the source. `truth` holds its values at each version."""
+
+    def __init__(self, seed, count=5):
+        self.random, self.now = random.Random(f"takeover {seed}"), 0.0
+        self.boards = [Board(self) for _ in range(count)]
+        self.truth, self.version, self.owner = {0: {}}, 0, None
+
+    def seconds(self):
+        return self.now
+
+    def pull(self, puller, other):
+        """All that the one lacks, as it would come over the wire."""
+        self.now += 0.01
+        seen = puller.seen()
+        puller.merge(other.news_for(seen), seen, self.now)
+
+    def commit(self, is_published=True):
+        """A change that is on a majority of disks; who made it may end before it tells anybody."""
+        names = self.random.sample("abcdef", self.random.randint(0, 4))
+        values = {name: self.random.choice((b"1", b"2")) for name in names}
+        self.version += 1
+        self.truth[self.version] = values
+        if is_published:
+            self.publish()
+
+    def publish(self):
+        self.owner.publish(SOURCE, self.seconds)
+        self.owner.set_items(SOURCE, self.version, self.truth[self.version])
+
+    def take_over(self, board):
+        if self.owner is not None:
+            self.owner.retract(SOURCE)
+        self.owner = board
+        self.publish()
+
+    def torn(self):
+        return [
+            (number, board.images[SOURCE].version, board.values(SOURCE))
+            for number, board in enumerate(self.boards)
+            if SOURCE in board.images and board.values(SOURCE) != self.truth[board.images[SOURCE].version]
+        ]
+
+
+class TakeOver(unittest.TestCase):
+    def test_new_owner_that_had_not_heard_of_a_version_which_others_have(self):
+        """
+        former owner              next owner                a gate
+        1: x is a                 pulled: 1                 pulled: 1
+        2: x is b, y is there                               pulled: 2
+        3: x is a again, no y;
+        ends before it tells it   takes over at 3 --------> pulled: 3
+        """
+        fleet = Fleet(0, count=3)
+        former, heir, gate = fleet.boards
+        fleet.owner = former
+        for version, values in ((1, {"x": b"a"}), (2, {"x": b"b", "y": b"1"})):
+            fleet.version, fleet.truth[version] = version, values
+            fleet.publish()
+            fleet.pull(gate, former)
+            if version == 1:
+                fleet.pull(heir, former)
+        fleet.version, fleet.truth[3] = 3, {"x": b"a"}
+        fleet.take_over(heir)
+        fleet.pull(gate, heir)
+        self.assertEqual((gate.images[SOURCE].version, gate.values(SOURCE)), (3, {"x": b"a"}))
+
+    def test_an_owner_that_heard_of_all_gives_only_what_changed(self):
+        fleet = Fleet(0, count=3)
+        former, heir, gate = fleet.boards
+        fleet.owner = former
+        fleet.version, fleet.truth[1] = 1, {"x": b"a", "y": b"b"}
+        fleet.publish()
+        fleet.pull(gate, former)
+        fleet.pull(heir, former)
+        fleet.take_over(heir)
+        fleet.version, fleet.truth[2] = 2, {"x": b"a", "y": b"c"}
+        fleet.publish()
+        (image,) = heir.news_for(gate.seen()).images
+        self.assertEqual((image.whole, [item.name for item in image.items]), (False, ["y"]))
+
+    def test_whoever_takes_over_and_whoever_pulls_from_whom(self):
+        for seed in range(300):
+            fleet = Fleet(seed)
+            fleet.take_over(fleet.boards[0])
+            for _ in range(60):
+                draw = fleet.random.random()
+                if draw < 0.3:
+                    fleet.commit()
+                elif draw < 0.4:
+                    fleet.commit(is_published=False)
+                    fleet.take_over(fleet.random.choice([one for one in fleet.boards if one is not fleet.owner]))
+                elif draw < 0.5:
+                    fleet.take_over(fleet.random.choice(fleet.boards))
+                else:
+                    fleet.pull(*fleet.random.sample(fleet.boards, 2))
+                self.assertEqual(fleet.torn(), [], (seed, fleet.truth))
+
+
+if __name__ == "__main__":
+    unittest.main()
