--- a/packages/oaklab/oaklab/caller.py
+++ b/packages/oaklab/oaklab/caller.py
@@ -3,6 +3,7 @@
 import json
 from dataclasses import dataclass, field
 
+from oakbase.checks import pack_json
 from oakbase.constants import PIECE_LIMIT
 from oakbase.fetch import BodyLines
 from oakbase.tasks import settled, sleep, within
@@ -61,6 +62,20 @@
     outcome: str = "maybe"  # accepted, refused, maybe
     version: int = 0
     max_output: int = 0  # of its model bindings, if they bear the marker: a second mark
+    based_on: int | None = None
+    content: bytes = b""  # the whole plan, packed
+    error: str = ""  # the code, if it was refused
+
+
+@dataclass(frozen=True)
+class PlanRead:
+    """A plan as an operator read it; version 0 and no content before the first."""
+
+    partner: str
+    version: int
+    content: bytes | None
+    asked_at: float
+    done_at: float
 
 
 class View:
@@ -71,6 +86,7 @@
         self.slack = slack
         self.asked = []
         self.plans = []
+        self.planReads = []
         self.programs = {}
         self.read_back = {}
         self.ended_at = {}
@@ -351,6 +367,7 @@
 
     async def put_plan(self, partner, based_on, blueprint, marker, change_id=None):
         sent = PlanSent(partner, change_id or f"c{self._random.getrandbits(64):x}", marker, self._reactor.seconds())
+        sent.based_on, sent.content = based_on, pack_json(blueprint)
         sent.max_output = next(
             (
                 binding["maxOutput"]
@@ -369,9 +386,13 @@
         if status == 200:
             sent.outcome, sent.version = "accepted", said["version"]
         elif status < 500 and said.get("verdict") == Verdict.NO.value:
-            sent.outcome = "refused"
+            sent.outcome, sent.error = "refused", said["error"]
         return sent
 
     async def read_plan(self, partner):
+        asked_at = self._reactor.seconds()
         status, said = await self.ask("GET", f"/v1/blueprints/{partner}")
+        if status in (200, 404):
+            version, content = (said["version"], pack_json(said["blueprint"])) if status == 200 else (0, None)
+            self._view.planReads.append(PlanRead(partner, version, content, asked_at, self._reactor.seconds()))
         return said if status == 200 else None
--- a/packages/oaklab/oaklab/checker.py
+++ b/packages/oaklab/oaklab/checker.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from oakbase.registry import Registry
+from oaklab.linearizability import Answer, Order, Read, Try, check_history
 
 RULES = Registry("rule")
 KEY_TIME = 60.0  # s; the brief's minute for keys and for earlier turns
@@ -351,6 +352,41 @@
     return Report(len(view.plans) + len(view.read_back), near, bad)
 
 
+def _planAnswer(plan):
+    if plan.outcome == "refused":
+        return Answer.REFUSED if plan.error == "lost" else Answer.INVALID
+    return Answer.TAKEN if plan.outcome == "accepted" else Answer.OPEN
+
+
+def _planOrders(plans):
+    """The plans as orders: what is sent again under its change id is one order. One that was refused for what it holds is
+    taken for invalid. A plan is built on the version below its own."""
+    orders = {}
+    for plan in plans:
+        answer = _planAnswer(plan)
+        order = orders.setdefault((plan.change_id, plan.content), Order(plan.based_on, plan.based_on + 1, plan.content))
+        order.tries.append(Try(plan.asked_at, plan.done_at, answer))
+        order.is_valid &= answer is not Answer.INVALID
+    return list(orders.values())
+
+
+@RULES.enter("planOrder")
+def _planOrder(view, _record):
+    """Each partner's plan is as a single compare-and-set register would hold it (oaklab.linearizability)."""
+    bad, checked, near = [], 0, 0
+    for partner in sorted({plan.partner for plan in view.plans}):
+        orders = _planOrders([plan for plan in view.plans if plan.partner == partner and plan.based_on is not None])
+        reads = [
+            Read(read.version, read.content, read.asked_at, read.done_at)
+            for read in view.planReads
+            if read.partner == partner
+        ]
+        bad += [f"{partner}'s plan: {fault}" for fault in check_history(orders, reads)]
+        checked += len(orders) + len(reads)
+        near += sum(not order.is_taken or len(order.tries) > 1 for order in orders)
+    return Report(checked, near, bad)
+
+
 @RULES.enter("timeLeft")
 def _time_left(view, _record):
     """No request outlives its time left: by then it has its final answer."""
--- a/packages/oaklab/oaklab/linearizability.py
+++ b/packages/oaklab/oaklab/linearizability.py
@@ -86,6 +86,7 @@
 
 def check_history(orders, reads):
     """What is wrong with the history, in words; an empty list if it is linearizable."""
+    orders = [one for one in orders if one.tries]
     plain = _plain_faults(orders, reads)
     return plain or _Paths(orders, reads).faults()
 
--- a/tests/test_linearizability.py
+++ b/tests/test_linearizability.py
@@ -106,6 +106,10 @@
     def test_a_path_is_not_longer_than_what_was_sent(self):
         self.assert_found("explains version 9", [order(0, 1, (0, 1, TAKEN)), order(5, 9, (2, 3, TAKEN))])
 
+    def test_an_order_that_was_never_sent(self):
+        self.assert_sound([order(0, 1, (0, 1, TAKEN)), order(1, 2)])
+        self.assert_found("no open or taken order", [order(0, 1, (0, 1, TAKEN)), order(1, 2)], [read(2, 3, 4)])
+
     def test_acknowledged_before_it_was_sent(self):
         self.assert_found("explains version 2", [order(0, 1, (5, 6, TAKEN)), order(1, 2, (2, 3, TAKEN))])
 
