--- a/packages/oakcontrol/oakcontrol/operator.py
+++ b/packages/oakcontrol/oakcontrol/operator.py
@@ -3,10 +3,10 @@
 Names and formats are the dialect's, and so is what a document means; what is answered and when is decided here:
 
     200  on a majority of disks, also if this exact change was taken before
-    412  built on a version that is not the newest, so it is not taken and never will be
+    412  built on a version that is past, so it is not taken and never will be
     4xx  not taken and never will be: unreadable, invalid, an unknown machine, too few left
-    503  no owner could be asked, or what became of it is not known: to be repeated as it is, at any node; within half a
-         second, if no majority of the roster answers this node
+    503  no owner could be asked, what became of it is not known, or it may still be taken: to be repeated as it is, at any
+         node; within half a second, if no majority of the roster answers this node
 
 An operator that moves on to another node leaves its call here under way. That does no harm: a change is taken once, by
 its fingerprint, and one built on a version that is past stays lost.
