--- a/packages/oakcontrol/oakcontrol/preparation.py
+++ b/packages/oakcontrol/oakcontrol/preparation.py
@@ -82,8 +82,11 @@
         given = self._promises[node_id].entries
         entries, more = SortedDict((entry.key, entry.value) for entry in given or []), given is None
         while more:
+            address = self._owners.voter_addresses().get(node_id)
+            if address is None:
+                raise CannotTell(f"{node_id} left the roster while its image was fetched")
             part = await self._node.net.call(
-                self._owners.voter_addresses()[node_id],
+                address,
                 "imagePart",
                 CALL_TIME,
                 to=node_id,
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -17,8 +17,9 @@
     TERM,
 )
 from oakbase.tasks import settled
-from oakbase.verdict import NoAnswer
+from oakbase.verdict import CannotTell, NoAnswer
 from oakcontrol.moves import OwnerMoves
+from oakcontrol.preparation import Preparation
 from oaklab.failover import PLAN_KEY, false_takeovers, run_failover, run_planned_stop
 from oaklab.simfleet import SimFleet
 from oakcontrol.slots import slot_of_key
@@ -188,6 +189,16 @@
         self.assertGreater(quiet(other_slot, others[1].node.node_id), 0.4)
 
 
+class PreparationTest(unittest.TestCase):
+    def test_voter_that_leaves_while_its_image_is_fetched(self):
+        node = SimpleNamespace(node_id="me", reactor=Clock(), members=None)
+        voter = SimpleNamespace(roster=SimpleNamespace(everyone={}, version=2))
+        preparation = Preparation(SimpleNamespace(voter_addresses=dict), node, voter, 3, 7)
+        preparation._promises = {"left": SimpleNamespace(entries=None)}
+        with self.assertRaises(CannotTell):
+            preparation.fetch_image("left").send(None)
+
+
 class MovesTest(unittest.TestCase):
     def setUp(self):
         self.clock, self.owner = Clock(), "old"
