--- a/packages/oakbase/oakbase/constants.py
+++ b/packages/oakbase/oakbase/constants.py
@@ -16,6 +16,7 @@
 CONNECT_TIME = 1.0  # s; machines of one site answer in milliseconds
 PEER_IN_FLIGHT = 512  # calls; more waiting on one peer means that peer is not answering
 RECONNECT_PAUSE = 0.2  # s; keeps a dead address from being dialled in a loop
+REDIAL_PAUSE = 1.0  # s; an address at which another node was found than was asked for is dialled again so often at most
 CALL_TIME = 2.0  # s; a control or store call that takes longer is tried elsewhere
 ACCEPT_LIMIT = 512  # connections; a few times the largest fleet tried
 
--- a/packages/oakwire/oakwire/net.py
+++ b/packages/oakwire/oakwire/net.py
@@ -19,6 +19,7 @@
     HELLO_TIME,
     PEER_IN_FLIGHT,
     RECONNECT_PAUSE,
+    REDIAL_PAUSE,
     WIRE_SPAN,
     WIRE_VERSION,
 )
@@ -271,7 +272,7 @@
         self.connections = {}
         self.call_counts = {}
         self._links = {}
-        self._resting = {}
+        self._resting, self._redialled = {}, {}
         self._port = None
 
     def hello(self):
@@ -316,6 +317,8 @@
             self._check_node(address, to, self.node_id)
             return await self._call_self(method, arguments)
         connection = await self._link(address)
+        if to not in (None, connection.peer.node_id):
+            connection = await self._dial_again(address, connection)
         self._check_node(address, to, connection.peer.node_id)
         return await connection.call(method, time_left, arguments)
 
@@ -329,6 +332,19 @@
             raise NoMethod(f"no method {method} here")
         return await self.handlers[method](self.hello(), arguments_class(method)(**arguments))
 
+    async def _dial_again(self, address, former):
+        """A new connection in place of one that leads to another node than was asked for, at most once in REDIAL_PAUSE: that
+        node may have lost its power, and nothing tells of it on a connection on which nothing is sent."""
+        if self.reactor.seconds() < self._redialled.get(address, float("-inf")) + REDIAL_PAUSE:
+            return former
+        self._redialled[address] = self.reactor.seconds()
+        link = self._links.get(address)
+        if link is not None and link.called and link.result is former:
+            del self._links[address]
+            # Calls that are under way on the former one may still be answered.
+            self.reactor.callLater(CALL_TIME, former.transport.abortConnection)
+        return await self._link(address)
+
     async def _link(self, address):
         link = self._links.get(address)
         if link is None or (link.called and not getattr(link.result, "connected", False)):
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -15,7 +15,7 @@
 from oakbase.env import COMMON_ENV, CONTROL_ENV, check_env
 from oakbase.logline import LogLine
 from oakbase.tasks import monotonic_reactor
-from oakbase.verdict import ERROR_CLASSES, EnvError, OakError, Verdict, error_from
+from oakbase.verdict import ERROR_CLASSES, EnvError, OakError, Unreachable, Verdict, error_from
 from oakcontrol.blueprint import blueprint_faults
 from oaklab.plan import SIZES, blueprint_of, env_of, machines_of
 from oaklab.simnet import SimHost, SimNetwork, SimReactor, SimTime
@@ -202,6 +202,27 @@
         self.time.advance_to(self.time.now + 1.0)
         self.assertEqual(answer, [5])
 
+    def call(self, net, **named):
+        answer = []
+        defer.ensureDeferred(net.call("127.0.0.1:1", "release", slot=4, **named)).addBoth(answer.append)
+        self.time.advance_to(self.time.now + 1.0)
+        return getattr(answer[0], "value", answer[0])
+
+    def test_who_lost_its_power_is_not_taken_to_be_there_for_ever(self):
+        """A connection on which nothing is sent does not tell that the other end lost its power and came back as another
+        node; a call for that node must reach it all the same, and one for the former node nobody."""
+        other = Net(self.client, "n3", "gate", "127.0.0.2:1", "c1", LogLine(self.lines.append))
+        self.assertEqual(self.call(other, to="n1"), 5)
+        host = self.reactor._host
+        host.end(power_cut=True)
+        host.up = True
+        successor = Net(SimReactor(host), "n1.later", "control", "127.0.0.1:1", "c1", LogLine(self.lines.append))
+        successor.handle("release", self.release)
+        successor.listen()
+        self.assertEqual(self.call(other, to="n1.later"), 5)
+        self.assertIsInstance(self.call(other, to="n1"), Unreachable)
+        self.assertEqual(self.call(other, to="n1.later"), 5)
+
     def test_refused_peers_are_closed_and_logged(self):
         for frames, raw, why in (
             ([self.hello(cluster_id="other")], b"", "otherCluster"),
