--- a/packages/oakcontrol/oakcontrol/roster.py
+++ b/packages/oakcontrol/oakcontrol/roster.py
@@ -180,6 +180,14 @@
         self._silent_since, self._new_since = {}, {}
         self._watched_at = float("-inf")
         node.board.watch(ROSTER_KEY, lambda _source: spawn(self._follow(), node.log))
+        self._tell_kept_roster(node.board)
+
+    def _tell_kept_roster(self, board):
+        """What is on this disk goes into the news again: this node may be the only one left that has taken it up, and
+        would refuse every other version, while the others would never hear of this one."""
+        roster = self._voter.roster
+        if roster is not None:
+            board.set_items(ROSTER_KEY, roster.version, {"record": pack_json(roster.record)})
 
     async def _follow(self):
         rows = self._node.board.values(ROSTER_KEY)
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -706,6 +706,13 @@
         "termless=True and",
         "test_founding.Mending.test_who_may_hold_a_term_is_waited_for",
     ),
+    TakeOut(
+        "a kept roster is told in the news again",
+        "oakcontrol/oakcontrol/roster.py",
+        "        if roster is not None:\n            board.set_items",
+        "        if False:\n            board.set_items",
+        "test_explore.RosterKeptByOne.test_kept_roster_is_told_in_the_news_again",
+    ),
     TakeOut(
         "calls that name the node they are for",
         "oakwire/oakwire/net.py",
