--- /dev/null
+++ b/packages/oaklab/oaklab/explore/command.py
@@ -0,0 +1,60 @@
+"""The command `oaklab explore`."""
+
+import contextlib
+import multiprocessing
+import sys
+import time
+from functools import partial
+
+import click
+
+from oaklab.explore.mutations import MUTATIONS, applied
+from oaklab.explore.report import replay_text, told
+from oaklab.explore.search import STEPS, Findings, search_random
+from oaklab.explore.shrink import shrink
+from oaklab.explore.world import Shape
+
+PORTION = 250  # schedules; that a process runs before it tells what it found
+
+
+def _search_portion(shape, steps, mutation, first_seed, count):
+    with applied(MUTATIONS[mutation]) if mutation else contextlib.nullcontext():
+        return search_random(shape, first_seed, count, steps)
+
+
+@click.command()
+@click.option("--schedules", default=2000, show_default=True, help="How many random schedules.")
+@click.option("--first", default=0, show_default=True, help="The first seed.")
+@click.option("--steps", default=STEPS, show_default=True, help="Choices in each schedule, at most.")
+@click.option("--voters", default=3, show_default=True, help="Control nodes that vote.")
+@click.option("--spares", default=0, show_default=True, help="Control nodes that don't, and may replace a voter.")
+@click.option("--losses", default=1, show_default=True, help="Disks that may be lost, one after another.")
+@click.option("--processes", default=1, show_default=True, help="Processes that share the schedules.")
+@click.option("--mutation", type=click.Choice(sorted(MUTATIONS)), help="A fault to put in first.")
+@click.option("--save", type=click.Path(), help="Where the first failing schedule is written, made short.")
+@click.option("--replay", "replayed", type=click.File(), help="Replays this schedule and prints its timeline.")
+def explore(schedules, first, steps, voters, spares, losses, processes, mutation, save, replayed):
+    """Runs the control classes under many schedules of messages, crashes and losses, and checks their invariants."""
+    if replayed is not None:
+        with applied(MUTATIONS[mutation]) if mutation else contextlib.nullcontext():
+            outcome = replay_text(replayed.read())
+        click.echo(told(outcome))
+        sys.exit(1 if outcome.violations else 0)
+    shape = Shape(voters=voters, spares=spares, losses=losses)
+    findings, began = Findings(), time.monotonic()
+    portions = [(seed, min(PORTION, first + schedules - seed)) for seed in range(first, first + schedules, PORTION)]
+    with multiprocessing.Pool(processes) as pool:
+        for found in pool.starmap(partial(_search_portion, shape, steps, mutation), portions, chunksize=1):
+            findings.add(found)
+    click.echo(f"{findings.schedules} schedules of up to {steps} choices in {time.monotonic() - began:.0f} s")
+    for rule, count in findings.rules.most_common():
+        click.echo(f"{count:7}  {rule or 'nothing broken'}")
+    if findings.first is None:
+        return
+    with applied(MUTATIONS[mutation]) if mutation else contextlib.nullcontext():
+        shortest = shrink(findings.first)
+    click.echo(f"seed {findings.first_seed}, made short:\n{told(shortest)}")
+    if save:
+        with open(save, "w", encoding="utf-8") as file:
+            file.write(told(shortest).rpartition("\n\n")[2])
+    sys.exit(1)
--- /dev/null
+++ b/packages/oaklab/oaklab/explore/history.py
@@ -0,0 +1,82 @@
+"""What operators asked and were told: changes of the one key by compare-and-set, their exact repeats, and reads."""
+
+from dataclasses import dataclass, field
+
+from oakbase.verdict import Invalid, Lost, Verdict
+
+
+@dataclass
+class Answer:
+    """One copy of a call, and what came back for it, if anything has."""
+
+    begun_at: int  # step
+    about: str = "roster change"
+    ended_at: int | None = None
+    result: object = None
+    error: object = None
+
+    def is_done(self):
+        return self.ended_at is not None
+
+    def end(self, step, result, error):
+        self.ended_at, self.result, self.error = step, result, error
+
+    def is_acknowledged(self):
+        return self.is_done() and self.error is None
+
+
+@dataclass
+class Change:
+    """A change of the configuration, with all copies of it that were sent."""
+
+    fingerprint: str
+    base: int
+    version: int
+    begun_at: int
+    copies: list = field(default_factory=list)
+
+    def acknowledged_at(self):
+        """The step of its first acknowledgement, or None."""
+        return min((copy.ended_at for copy in self.copies if copy.is_acknowledged()), default=None)
+
+    def is_refused(self):
+        """Whether it was told by a final answer that it is lost, or each copy that it did not run."""
+        if any(isinstance(copy.error, (Lost, Invalid)) for copy in self.copies):
+            return True
+        return all(copy.error is not None and copy.error.verdict is Verdict.NO for copy in self.copies)
+
+
+@dataclass
+class Read:
+    """A read of the newest configuration."""
+
+    answer: Answer
+
+    def seen(self):
+        """(version, fingerprint) as read; the fingerprint is None for version 0."""
+        result = self.answer.result
+        return result["version"], result["document"]["routes"][0]["by"] if result["version"] else None
+
+
+class History:
+    def __init__(self):
+        self.changes, self.reads = {}, []
+
+    def begin_change(self, fingerprint, base, version, step):
+        change = self.changes[fingerprint] = Change(fingerprint, base, version, step)
+        return change
+
+    def begin_copy(self, change, step):
+        copy = Answer(step, f"put {change.fingerprint} on {change.base}")
+        change.copies.append(copy)
+        return copy
+
+    def begin_read(self, step):
+        self.reads.append(Read(Answer(step, "read")))
+        return self.reads[-1].answer
+
+    def known_version(self):
+        """The newest version that any operator was told of."""
+        told = [change.version for change in self.changes.values() if change.acknowledged_at() is not None]
+        told += [read.seen()[0] for read in self.reads if read.answer.is_acknowledged()]
+        return max(told, default=0)
--- /dev/null
+++ b/packages/oaklab/oaklab/explore/mutations.py
@@ -0,0 +1,209 @@
+"""Faults put into the running program, by which the explorer is shown to find them: the take-outs of `oaklab.takeout` that
+concern the control protocols, and faults planted for what must never happen.
+
+A mutation replaces text of one source file, as a take-out does; here the functions whose code then differs get the new
+code for a while, so that a thousand schedules need no new process."""
+
+import contextlib
+import importlib
+import inspect
+import types
+from dataclasses import dataclass, field
+
+from oaklab.explore.world import Shape
+from oaklab.takeout import TAKE_OUTS
+
+
+@dataclass(frozen=True)
+class Mutation:
+    """`old` stands once in the module's source. The shape is that of worlds in which the fault matters."""
+
+    name: str
+    module: str
+    old: str
+    new: str
+    shape: Shape = field(default=Shape())
+
+    def source(self):
+        text = inspect.getsource(importlib.import_module(self.module))
+        if text.count(self.old) != 1:
+            raise LookupError(f"{self.name}: not found once in {self.module}")
+        return text.replace(self.old, self.new)
+
+
+def _codes_in(code):
+    """All code objects compiled within this one, by qualified name."""
+    for constant in code.co_consts:
+        if isinstance(constant, types.CodeType):
+            yield constant.co_qualname, constant
+            yield from _codes_in(constant)
+
+
+def _functions_in(module):
+    """The module's own functions and methods."""
+    for value in vars(module).values():
+        if inspect.isclass(value) and value.__module__ == module.__name__:
+            for member in vars(value).values():
+                function = getattr(member, "__func__", member)
+                if inspect.isfunction(function):
+                    yield function
+        elif inspect.isfunction(value) and value.__module__ == module.__name__:
+            yield value
+
+
+@contextlib.contextmanager
+def applied(mutation):
+    """The program with this fault in it."""
+    module = importlib.import_module(mutation.module)
+    changed = dict(_codes_in(compile(mutation.source(), module.__file__, "exec")))
+    former = {}
+    for function in _functions_in(module):
+        code = changed.get(function.__code__.co_qualname)
+        if code is not None and code.co_freevars == function.__code__.co_freevars:
+            former[function] = function.__code__
+            function.__code__ = code
+    try:
+        yield
+    finally:
+        for function, code in former.items():
+            function.__code__ = code
+
+
+PLAIN = Shape()
+REPLACING = Shape(voters=3, spares=1)
+
+
+def _take_out(name, shape=PLAIN):
+    one = next(one for one in TAKE_OUTS if one.name == name)
+    module = one.file.partition("/")[2].removesuffix(".py").replace("/", ".")
+    return Mutation(name, module, one.old, one.new, shape)
+
+
+TAKEN_OUT = [
+    _take_out("majority of disks"),
+    _take_out("wait for the former term"),
+    _take_out("who may hold a term says so"),
+    _take_out("a new roster's voters vouch for nobody", REPLACING),
+    _take_out("calls that name the node they are for"),
+    _take_out("a kept roster is told in the news again"),
+    _take_out("epochs promised once"),
+    _take_out("a given slot is not published again"),
+    _take_out("sync before answering"),
+]
+
+OWNER, VOTER, ROUTING = "oakcontrol.owner", "oakcontrol.voter", "oakcontrol.routing"
+PLANTED = [
+    Mutation(
+        "acknowledged before the sync",
+        VOTER,
+        "                    await self._ring.commit([row for one in writing for row in self._rowsOf(*one)])",
+        "                    self._ring.commit([row for one in writing for row in self._rowsOf(*one)])",
+    ),
+    Mutation(
+        "promised before the sync",
+        VOTER,
+        "        await self._ring.commit(self._rowsOf(slot, table, changed, head))",
+        "        self._ring.commit(self._rowsOf(slot, table, changed, head))",
+    ),
+    Mutation(
+        "lease not checked after a freeze",
+        OWNER,
+        "return not self.ended and self._owners.reactor.seconds() < self.termUntil",
+        "return not self.ended",
+    ),
+    Mutation(
+        "lease counted from the answer",
+        OWNER,
+        "lengthen(self.askedAt + TERM)",
+        "lengthen(self.owners[slot]._owners.reactor.seconds() + TERM)",
+    ),
+    Mutation(
+        "newest image by sequence only",
+        OWNER,
+        "((nodeId, (promise.imageEpoch, promise.sequence)) for",
+        "((nodeId, (promise.sequence, promise.imageEpoch)) for",
+    ),
+    Mutation(
+        "own image instead of the newest",
+        OWNER,
+        "key=lambda row: (row[1], row[0] == self._node.nodeId),",
+        "key=lambda row: row[0] == self._node.nodeId,",
+    ),
+    Mutation(
+        "a member without a disk is counted",
+        "oakcontrol.roster",
+        "len(nodeIds & memberIds.keys()) > len(memberIds) // 2\n            for",
+        "len(nodeIds & memberIds.keys()) >= len(memberIds) // 2\n            for",
+    ),
+    Mutation(
+        "a repeated change is refused",
+        ROUTING,
+        'return {"version": known}\n    head = _head(view)\n    _check_base(head, arguments)\n    _check_version(head, arguments)\n    former',
+        "pass\n    head = _head(view)\n    _check_base(head, arguments)\n    _check_version(head, arguments)\n    former",
+    ),
+    Mutation(
+        "a repeated change is applied again",
+        ROUTING,
+        'return {"version": known}\n    head = _head(view)\n    _check_base(head, arguments)\n    _check_version(head, arguments)\n    former',
+        'arguments = arguments | {"based_on": _head(view)["version"], "version": _head(view)["version"] + 1}\n'
+        "    head = _head(view)\n    _check_base(head, arguments)\n    _check_version(head, arguments)\n    former",
+    ),
+    Mutation(
+        "two changes taken on one base",
+        ROUTING,
+        'if arguments["based_on"] != head["version"]:',
+        "if False:",
+    ),
+    Mutation(
+        "a step taken although one before it is missing",
+        VOTER,
+        "        if not follows:\n",
+        "        if False:\n",
+    ),
+    Mutation(
+        "a voter that has promised a later epoch takes steps",
+        VOTER,
+        "return (epoch, owner) != (table.promisedEpoch, table.promisedOwner) and epoch <= table.promisedEpoch",
+        "return False",
+    ),
+    Mutation(
+        "a term confirmed past a later promise",
+        VOTER,
+        "if 0 <= slot < SLOTS\n            and (self._tables[slot].promisedEpoch, self._tables[slot].promisedOwner) == (epoch, owner)",
+        "if 0 <= slot < SLOTS",
+    ),
+    Mutation(
+        "the image of a take-over is not written to a majority",
+        OWNER,
+        "        if not await self.replicate(owner, 1, {}, start):",
+        "        if False:",
+    ),
+    Mutation(
+        "a change acknowledged without a majority",
+        OWNER,
+        "            if not await self._owners.replicate(self, self.sequence + 1, changes):\n                self.end()\n",
+        "            if not await self._owners.replicate(self, self.sequence + 1, changes):\n                return None\n",
+    ),
+    Mutation(
+        "a voter of another roster version takes part",
+        VOTER,
+        "        if version != self.roster.version:\n",
+        "        if False:\n",
+        REPLACING,
+    ),
+    Mutation(
+        "a roster moves on before the images do",
+        "oakcontrol.roster",
+        "if all(self._slotRoster(slot) >= roster.version for slot in range(SLOTS)) and await",
+        "if await",
+        REPLACING,
+    ),
+    Mutation(
+        "a roster changes without a joint version",
+        "oakcontrol.roster",
+        '    record = {"version": record["version"] + 1, "members": record["members"], "next": changed}',
+        '    record = {"version": record["version"] + 1, "members": changed, "next": None}',
+        REPLACING,
+    ),
+]
+MUTATIONS = {mutation.name: mutation for mutation in [*TAKEN_OUT, *PLANTED]}
--- /dev/null
+++ b/packages/oaklab/oaklab/explore/process.py
@@ -0,0 +1,190 @@
+"""A control process as far as exploring needs it: the real ring, voter, slot owners and roster watch on a model network."""
+
+from dataclasses import dataclass
+
+from oakbase.tasks import spawn
+from oakcohort.members import LIVE, SILENT
+from oakcontrol import owner as owner_module
+from oakcontrol import roster as roster_module
+from oakcontrol import slots as slots_module
+from oakcontrol import voter as voter_module
+from oakcontrol.controllers import SLOT_SOURCE
+from oakcontrol.owner import Owners, TermRider
+from oakcontrol.roster import RosterWatch
+from oakcontrol.voter import Voter
+from oaknews.board import Board
+from oakring.ring import Ring
+from oakwire.codec import idl
+from oaklab.explore.clock import ModelClock
+from oaklab.explore.network import ModelNet
+
+RING_FILE_SIZE = 1 << 13  # bytes; small, so that rings go round within a schedule of many changes
+SLOT = 0  # the one slot of an explored world
+
+
+class OneSlot:
+    """While entered, the control state has one slot, so that each choice of a schedule concerns it."""
+
+    _modules = (owner_module, roster_module, slots_module, voter_module)
+
+    def __enter__(self):
+        self._former = [module.SLOTS for module in self._modules]
+        for module in self._modules:
+            module.SLOTS = 1
+
+    def __exit__(self, *_):
+        for module, slots in zip(self._modules, self._former):
+            module.SLOTS = slots
+
+
+@dataclass(frozen=True)
+class ModelMember:
+    """A row of the members, as much of it as the control classes read."""
+
+    node_id: str
+    peer: str
+    machine: str
+    kind: str = "control"
+    state: str = "up"
+
+
+class ModelMembers:
+    """Who is alive, known at once by all: wrong or late hearsay is explored by taking over from the living instead."""
+
+    def __init__(self, world):
+        self._world = world
+
+    def find(self, node_id):
+        machine = self._world.machine_of(node_id)
+        return None if machine is None else ModelMember(node_id, machine.address, machine.name)
+
+    def condition(self, node_id):
+        machine = self._world.machine_of(node_id)
+        return LIVE if machine is not None and machine.process is not None else SILENT
+
+    def successor_of(self, node_id, address):
+        process = self._world.process_at(address)
+        if process is None or process.node_id == node_id:
+            return None
+        return self.find(process.node_id)
+
+    def live(self, kind=None):
+        return [self.find(machine.node_id) for machine in self._world.machines.values() if machine.process is not None]
+
+
+class ModelPuller:
+    """Everybody is heard: whether a take-over may begin is the schedule's choice."""
+
+    def __init__(self, process):
+        self.me = ModelMember(process.node_id, process.machine.address, process.machine.name)
+
+    def answers_lately(self, address, lately=0.0):
+        return True
+
+    def describe(self, member):
+        self.me = member
+
+
+class ModelLog:
+    """Events of one process, for the timeline; crashes are violations."""
+
+    def __init__(self, world, name):
+        self._world, self._name = world, name
+
+    def event(self, event_name, **pairs):
+        self._world.logged(self._name, event_name, pairs)
+
+
+class Process:
+    """One run of the control program on a machine. It has the attributes of `oaknews.node.Node` that its parts read.
+
+    Invariant: nothing that it schedules or sends after `end` has any effect."""
+
+    def __init__(self, world, machine, start_count):
+        self._world, self.machine = world, machine
+        self.name = machine.name
+        self.start_count = start_count
+        self.node_id = self.node_id = machine.node_id
+        self.kind, self.env = "control", {}
+        self.clock = self.reactor = ModelClock(world)
+        self.random = world.random
+        self.log = ModelLog(world, machine.name)
+        self.members = ModelMembers(world)
+        self.board = Board(self.clock)
+        self.puller = ModelPuller(self)
+        self.net = ModelNet(world, self, self.clock, machine.address, self.log)
+        self.ring = Ring(machine.disk, self.log, RING_FILE_SIZE, seconds=self.clock.seconds)
+        self.voter = Voter(self, self.ring)
+        self.owners = Owners(self, self.voter)
+        self.rider = TermRider(self.owners, self)
+        self.roster_watch = RosterWatch(self, self.voter, self.owners)
+        self._watching = False
+        self.net.handle("pull", self._serve_pull)
+
+    @property
+    def owner(self):
+        """The slot's owner on this process, or None."""
+        return self.owners.held.get(SLOT)
+
+    def table(self):
+        """(epoch, sequence, entries) of the slot's image on this process's disk."""
+        return self.voter.image(SLOT)
+
+    def is_voter(self):
+        return self.voter.roster is not None and self.node_id in self.voter.roster.everyone
+
+    def publishes_slot(self):
+        """Whether it speaks for the slot in the news, so that it takes no news of it from others."""
+        return f"{SLOT_SOURCE}{SLOT}" in self.board._own_sources
+
+    def can_take_over(self):
+        return self.is_voter() and SLOT not in self.owners.held and SLOT not in self.owners._taking
+
+    def take_over(self):
+        """As the regular look does once the slot is for this node."""
+        self.owners._taking.add(SLOT)
+        live = [member.node_id for member in self.members.live()]
+        spawn(self.owners._take_over(SLOT, live), self.log)
+
+    def renew(self):
+        spawn(self.owners._renew(), self.log)
+
+    def watch_roster(self):
+        """One round of the roster watch, unless one is under way; and the look of who has left the roster."""
+        if self._watching:
+            return
+        self._watching = True
+        spawn(self._watch_roster(), self.log)
+
+    async def _watch_roster(self):
+        try:
+            await self.roster_watch._round()
+            if self.voter.roster is not None and not self.is_voter():
+                await self.owners._look()
+        finally:
+            self._watching = False
+
+    def pull_from(self, other):
+        """News from another process, with this one's terms on their way."""
+        spawn(self._pull(other.machine.address), self.log)
+
+    async def _pull(self, address):
+        self.rider.begin_round()
+        terms, confirmed = self.rider.ride(address) or (None, None)
+        seen, asked_at = self.board.seen(), self.clock.seconds()
+        news = await self.net.call(address, "pull", 0.8, seen=seen, terms=terms)
+        if confirmed is not None and news.confirmed is not None:
+            confirmed(news.confirmed)
+        self.board.merge(news, seen, asked_at)
+
+    async def _serve_pull(self, peer, arguments):
+        news = self.board.news_for(arguments.seen or [])
+        if arguments.terms is not None:
+            news.confirmed = self.voter.confirm_terms(peer, arguments.terms)
+        return news
+
+    def end(self):
+        self.clock.stopped = True
+
+
+OPERATOR_HELLO = idl.Hello(node_id="operator", kind="operator", cluster_id="explored")
--- /dev/null
+++ b/packages/oaklab/oaklab/explore/schedule.py
@@ -0,0 +1,278 @@
+"""A schedule is a list of choices; each is a line of text, and means the same in every replay.
+
+A choice that does not apply where it is met in a replay is passed over, so that a schedule can be cut down line by line."""
+
+from dataclasses import dataclass
+
+from oaklab.explore.world import OPERATOR, TICK
+
+
+@dataclass(frozen=True)
+class Choice:
+    """What happens next: its kind, whom it concerns (a machine, or a message by its label), and what else it takes."""
+
+    kind: str
+    subject: str = ""
+    detail: str = ""
+
+    def __str__(self):
+        return " ".join(part for part in (self.kind, self.subject, self.detail) if part)
+
+    @classmethod
+    def parse(cls, line):
+        return cls(*line.split())
+
+
+def message_choice(world, kind, message):
+    """The choice that names this message: by its label and its place among the messages of that label."""
+    alike = [one for one in world.messages if one.label == message.label]
+    return Choice(kind, message.label, str(alike.index(message)))
+
+
+def _message(world, choice):
+    alike = [one for one in world.messages if one.label == choice.subject]
+    place = int(choice.detail)
+    return alike[place] if place < len(alike) else None
+
+
+def _running(world, choice):
+    """The process that the choice concerns, if it runs and is not frozen."""
+    machine = world.machines[choice.subject]
+    return None if machine.frozen else machine.process
+
+
+# --- what each kind does; False if it does not apply --------------------------------
+
+
+def _deliver(world, choice):
+    message = _message(world, choice)
+    if message is None or not world.can_deliver(message):
+        return False
+    world.messages.remove(message)
+    world.arrive(message)
+    return True
+
+
+def _drop(world, choice):
+    message = _message(world, choice)
+    if message is None:
+        return False
+    world.messages.remove(message)
+    return True
+
+
+def _repeat(world, choice):
+    """A call between processes arrives twice. Operators repeat themselves, by `again`, and count each copy's answer."""
+    message = _message(world, choice)
+    if message is None or OPERATOR in (message.sender, message.receiver) or not world.can_deliver(message):
+        return False
+    world.arrive(message)
+    return True
+
+
+def _sync(world, choice):
+    machine = world.machines[choice.subject]
+    if machine.process is None or machine.frozen or not machine.disk.syncs_waiting:
+        return False
+    machine.disk.end_sync()
+    return True
+
+
+def _timer(world, choice):
+    process = _running(world, choice)
+    timer = process and process.clock.next_timer()
+    if not timer:
+        return False
+    world.now = max(world.now, timer.due)
+    timer.fire()
+    return True
+
+
+def _tick(world, _choice):
+    world.now += TICK
+    return True
+
+
+def _take_over(world, choice):
+    process = _running(world, choice)
+    if process is None or not process.can_take_over():
+        return False
+    process.take_over()
+    return True
+
+
+def _renew(world, choice):
+    process = _running(world, choice)
+    if process is None or process.owner is None:
+        return False
+    process.renew()
+    return True
+
+
+def _watch(world, choice):
+    process = _running(world, choice)
+    if process is None:
+        return False
+    process.watch_roster()
+    return True
+
+
+def _pull(world, choice):
+    process, other = _running(world, choice), world.machines[choice.detail].process
+    if process is None or other is None:
+        return False
+    process.pull_from(other)
+    return True
+
+
+def _end(keeps_unsynced):
+    def end(world, choice):
+        if world.machines[choice.subject].process is None:
+            return False
+        world.end(choice.subject, keeps_unsynced)
+        return True
+
+    return end
+
+
+def _start(world, choice):
+    if world.machines[choice.subject].process is not None:
+        return False
+    world.start(choice.subject)
+    return True
+
+
+def may_lose_disk(world, name):
+    """Whether the bounds allow this disk to be lost now: in all, and at once, until the last one lost is replaced."""
+    if sum(machine.wipes for machine in world.machines.values()) >= world.shape.losses:
+        return False
+    roster = world.roster()
+    if roster is None:
+        return False
+    if world.machines[name].node_id not in roster.everyone:
+        return True
+    return roster.next is None and all(world.machine_of(node_id) for node_id in roster.members)
+
+
+def _wipe(world, choice):
+    if world.machines[choice.subject].process is None or not may_lose_disk(world, choice.subject):
+        return False
+    world.wipe(choice.subject)
+    return True
+
+
+def _freeze(world, choice):
+    machine = world.machines[choice.subject]
+    if machine.process is None or machine.frozen:
+        return False
+    machine.frozen = True
+    return True
+
+
+def _thaw(world, choice):
+    machine = world.machines[choice.subject]
+    if not machine.frozen:
+        return False
+    machine.frozen = False
+    return True
+
+
+def _cut(outgoing, incoming):
+    def cut(world, choice):
+        world.cut(choice.subject, outgoing, incoming)
+        return True
+
+    return cut
+
+
+def _heal(world, _choice):
+    if not world.cuts:
+        return False
+    world.heal()
+    return True
+
+
+def _put(world, choice):
+    """`detail` is base>version."""
+    if world.machines[choice.subject].process is None or world.changes_made >= world.shape.changes:
+        return False
+    base, _, version = choice.detail.partition(">")
+    world.put(choice.subject, int(base), int(version))
+    return True
+
+
+def _again(world, choice):
+    change = world.history.changes.get(choice.detail)
+    if change is None or world.machines[choice.subject].process is None:
+        return False
+    world.send_change(choice.subject, change)
+    return True
+
+
+def _read(world, choice):
+    if world.machines[choice.subject].process is None:
+        return False
+    world.read(choice.subject)
+    return True
+
+
+def _replace(world, choice):
+    """`detail` is leaving>joining: a node id and a machine."""
+    leaving, _, joining = choice.detail.partition(">")
+    roster = world.roster()
+    machine = world.machines[joining]
+    if roster is None or leaving not in roster.members or machine.process is None or machine.node_id in roster.everyone:
+        return False
+    if world.machines[choice.subject].process is None:
+        return False
+    world.replace_member(choice.subject, leaving, joining)
+    return True
+
+
+KINDS = {
+    "deliver": _deliver,
+    "drop": _drop,
+    "repeat": _repeat,
+    "sync": _sync,
+    "timer": _timer,
+    "tick": _tick,
+    "takeover": _take_over,
+    "renew": _renew,
+    "watch": _watch,
+    "pull": _pull,
+    "kill": _end(True),
+    "power": _end(False),
+    "start": _start,
+    "wipe": _wipe,
+    "freeze": _freeze,
+    "thaw": _thaw,
+    "cut": _cut(True, True),
+    "cut-outgoing": _cut(True, False),
+    "cut-incoming": _cut(False, True),
+    "heal": _heal,
+    "put": _put,
+    "again": _again,
+    "read": _read,
+    "replace": _replace,
+}
+
+
+def apply(world, choice):
+    """Does it, and looks whether all invariants hold; False if it does not apply."""
+    world.step += 1
+    if not KINDS[choice.kind](world, choice):
+        world.step -= 1
+        return False
+    world.note(*described(choice))
+    world.fire_short_timers()
+    world.watcher.look()
+    return True
+
+
+def described(choice):
+    """(place, text) of the choice in the timeline."""
+    if choice.kind in ("deliver", "drop", "repeat"):
+        link, _, method = choice.subject.partition(":")
+        sender, _, receiver = link.partition(">")
+        return receiver, f"{choice.kind} {method} from {sender}"
+    return choice.subject or "all", " ".join(part for part in (choice.kind, choice.detail) if part)
--- /dev/null
+++ b/packages/oaklab/oaklab/explore/strategies.py
@@ -0,0 +1,190 @@
+"""Who chooses: random schedules with random priorities, and all schedules with few departures from the ordinary one."""
+
+import random
+
+from oaklab.explore.finale import next_ordinary, serving
+from oaklab.explore.schedule import Choice, may_lose_disk, message_choice
+
+# Weights of what is chosen where the priorities do not say: measured to reach several take-overs in a schedule.
+ACTIVITIES = (("takeover", 3), ("renew", 5), ("pull", 4), ("put", 5), ("again", 3), ("read", 5), ("watch", 1))
+MOVING = (("takeover", 4), ("renew", 4), ("pull", 12), ("put", 4), ("again", 1), ("read", 4), ("watch", 8))
+FAULTS = (
+    ("freeze", 4),
+    ("thaw", 5),
+    ("kill", 1),
+    ("power", 2),
+    ("start", 4),
+    ("cut", 2),
+    ("cut-outgoing", 1),
+    ("cut-incoming", 1),
+    ("heal", 4),
+    ("wipe", 1),
+    ("replace", 1),
+)
+TIMES = (("tick", 3), ("timer", 3))
+
+
+def _weighted(random_source, table):
+    kinds, weights = zip(*table)
+    return random_source.choices(kinds, weights)[0]
+
+
+OPENINGS = (
+    (),
+    ("takeover n0",),
+    ("takeover n0", "put n0 0>1"),
+    ("takeover n0", "put n0 0>1", "tick", "tick", "tick", "tick", "tick", "takeover n1"),
+    ("takeover n0", "put n0 0>1", "freeze n0", "tick", "tick", "tick", "tick", "takeover n1"),
+    ("takeover n0", "put n0 0>1", "pull n1 n0", "takeover n1", "put n1 1>2"),
+)
+REPLACING = (
+    ("takeover n0", "put n0 0>1", "replace n0 n1.0>n3"),
+    ("takeover n0", "put n0 0>1", "replace n0 n1.0>n3", "pull n1 n0", "pull n2 n0", "pull n3 n0", "watch n0"),
+    ("takeover n0", "replace n0 n0.0>n3", "pull n1 n0", "pull n2 n0", "pull n3 n0", "watch n0"),
+    ("takeover n0", "put n0 0>1", "wipe n1", "start n1", "replace n0 n1.0>n1", "pull n1 n0", "pull n2 n0"),
+)
+
+
+def openings_for(shape):
+    """The calm beginnings that a world of this shape allows."""
+    allowed = [lines for lines in REPLACING if ("wipe n1" in lines if not shape.spares else True)]
+    return OPENINGS + tuple(allowed if shape.losses else [lines for lines in allowed if "wipe n1" not in lines])
+
+
+class Opening:
+    """The calm beginning of a schedule: each of its choices, and then what follows of it in the ordinary order."""
+
+    def __init__(self, lines):
+        self._rest = [Choice.parse(line) for line in lines]
+
+    def __call__(self, world):
+        """The next choice, or None once it is over."""
+        if not self._rest:
+            return None
+        return next_ordinary(world) or self._rest.pop(0)
+
+
+class Priorities:
+    """Probabilistic concurrency testing: each link and disk has a random priority, and the one with the highest goes on;
+    at `changes` random steps the one that goes on falls below all others. In between come activities, faults and time, by
+    weights. Deterministic from its seed."""
+
+    def __init__(self, seed, steps, changes=6, trouble=0.06, activity=0.10, time=0.06, losses=0.05):
+        self._random = random.Random(f"priorities/{seed}")
+        self._steps = 0
+        self._change_points = set(self._random.sample(range(steps), min(changes, steps)))
+        self._priorities, self._lowest = {}, 0.0
+        self._trouble = trouble * self._random.choice((0.0, 0.5, 1.0, 2.0))
+        self._activity, self._time = activity, time * self._random.choice((0.5, 1.0, 2.0))
+        self._losses = losses * self._random.choice((0.0, 1.0, 2.0))
+        self._opening = None
+
+    def __call__(self, world):
+        if self._opening is None:
+            self._opening = Opening(self._random.choice(openings_for(world.shape)))
+        opening = self._opening(world)
+        if opening is not None:
+            return opening
+        for _ in range(50):
+            choice = self._choose(world)
+            if choice is not None:
+                self._steps += 1
+                return choice
+        return Choice("tick")
+
+    def _choose(self, world):
+        drawn = self._random.random()
+        if drawn < self._trouble:
+            return self._fault(world)
+        drawn -= self._trouble
+        if drawn < self._activity:
+            return self._act(world)
+        drawn -= self._activity
+        if drawn < self._time:
+            return self._pass_time(world)
+        return self._go_on(world) or (self._act(world) if self._random.random() < 0.6 else self._pass_time(world))
+
+    # --- messages and syncs ---
+
+    def _go_on(self, world):
+        ready = {}
+        for message in world.messages:
+            if world.can_deliver(message):
+                ready.setdefault(message.label.partition(":")[0], message)
+        for name, machine in world.machines.items():
+            if machine.process is not None and not machine.frozen and machine.disk.syncs_waiting:
+                ready[name] = None
+        if not ready:
+            return None
+        for thread in ready:
+            if thread not in self._priorities:
+                self._priorities[thread] = self._random.random()
+        first = max(ready, key=self._priorities.get)
+        if self._steps in self._change_points:
+            self._lowest -= 1.0
+            self._priorities[first] = self._lowest
+            first = max(ready, key=self._priorities.get)
+        message = ready[first]
+        if message is None:
+            return Choice("sync", first)
+        drawn = self._random.random()
+        kind = "drop" if drawn < self._losses else "repeat" if drawn < 1.4 * self._losses else "deliver"
+        return message_choice(world, kind, message)
+
+    # --- the rest ---
+
+    def _machine(self, world):
+        return self._random.choice(list(world.machines))
+
+    def _pass_time(self, world):
+        kind = _weighted(self._random, TIMES)
+        return Choice("tick") if kind == "tick" else Choice("timer", self._machine(world))
+
+    def _likely_owner(self, world):
+        owners = [process.name for process in world.processes() if process.owner is not None]
+        return self._random.choice(owners) if owners and self._random.random() < 0.85 else self._machine(world)
+
+    def _act(self, world):
+        roster = world.roster()
+        is_moving = roster is not None and roster.version > 1
+        kind = _weighted(self._random, MOVING if is_moving else ACTIVITIES)
+        if kind == "takeover":
+            if serving(world) is not None and self._random.random() < 0.5:
+                return None
+            return Choice(kind, self._machine(world))
+        if kind == "pull":
+            one, other = self._random.sample(list(world.machines), 2)
+            return Choice(kind, one, other)
+        if kind == "put":
+            base = max(0, world.history.known_version() - (self._random.random() < 0.1))
+            return Choice(kind, self._likely_owner(world), f"{base}>{base + self._random.choice((1, 1, 2))}")
+        if kind == "again":
+            changes = list(world.history.changes)
+            return Choice(kind, self._likely_owner(world), self._random.choice(changes)) if changes else None
+        if kind in ("read", "renew"):
+            return Choice(kind, self._likely_owner(world))
+        return Choice(kind, self._machine(world))
+
+    def _fault(self, world):
+        kind = _weighted(self._random, FAULTS)
+        name = self._likely_owner(world) if kind in ("freeze", "cut") else self._machine(world)
+        if kind == "heal":
+            return Choice(kind)
+        if kind in ("kill", "power") and sum(one.process is None for one in world.machines.values()) > 1:
+            return None
+        if kind == "wipe" and not may_lose_disk(world, name):
+            return None
+        if kind == "replace":
+            return self._replacement(world)
+        return Choice(kind, name)
+
+    def _replacement(self, world):
+        roster = world.roster()
+        if roster is None:
+            return None
+        outsiders = [one.name for one in world.machines.values() if one.process and one.node_id not in roster.everyone]
+        if roster.next is not None or not outsiders:
+            return None
+        lost = [node_id for node_id in roster.members if world.machine_of(node_id) is None]
+        leaving = self._random.choice(lost or list(roster.members))
+        return Choice("replace", self._likely_owner(world), f"{leaving}>{self._random.choice(outsiders)}")
--- a/packages/oaklab/oaklab/main.py
+++ b/packages/oaklab/oaklab/main.py
@@ -18,6 +18,7 @@
 from oakbase.verdict import Unknown
 from oaklab.capacity import SLOPES
 from oaklab.checker import cut_off
+from oaklab.explore.command import explore
 from oaklab.fleet import Fleet
 from oaklab.measure import MEASURES
 from oaklab.plan import MARKERS, PLATFORM, SIZES, replica_rows
@@ -42,6 +43,9 @@
     """Runs oakramp fleets and trials on this machine's loopback addresses."""
 
 
+main.add_command(explore)
+
+
 @main.command()
 @SIZE
 def standins(size):
