--- a/packages/oaklab/oaklab/explore/command.py
+++ b/packages/oaklab/oaklab/explore/command.py
@@ -8,6 +8,7 @@
 
 import click
 
+from oaklab.explore.departures import SCENARIOS, search_departures
 from oaklab.explore.mutations import MUTATIONS, applied
 from oaklab.explore.report import replay_text, told
 from oaklab.explore.search import STEPS, Findings, search_random
@@ -30,23 +31,34 @@
 @click.option("--spares", default=0, show_default=True, help="Control nodes that don't, and may replace a voter.")
 @click.option("--losses", default=1, show_default=True, help="Disks that may be lost, one after another.")
 @click.option("--processes", default=1, show_default=True, help="Processes that share the schedules.")
+@click.option("--scenario", type=click.Choice(sorted(SCENARIOS)), help="All departures from this one, not random ones.")
+@click.option("--departures", default=1, show_default=True, help="From the scenario's ordinary order, at most.")
 @click.option("--mutation", type=click.Choice(sorted(MUTATIONS)), help="A fault to put in first.")
 @click.option("--save", type=click.Path(), help="Where the first failing schedule is written, made short.")
 @click.option("--replay", "replayed", type=click.File(), help="Replays this schedule and prints its timeline.")
-def explore(schedules, first, steps, voters, spares, losses, processes, mutation, save, replayed):
+def explore(schedules, first, steps, voters, spares, losses, processes, scenario, departures, mutation, save, replayed):
     """Runs the control classes under many schedules of messages, crashes and losses, and checks their invariants."""
     if replayed is not None:
         with applied(MUTATIONS[mutation]) if mutation else contextlib.nullcontext():
             outcome = replay_text(replayed.read())
         click.echo(told(outcome))
         sys.exit(1 if outcome.violations else 0)
-    shape = Shape(voters=voters, spares=spares, losses=losses)
     findings, began = Findings(), time.monotonic()
+    if scenario:
+        with applied(MUTATIONS[mutation]) if mutation else contextlib.nullcontext():
+            findings = search_departures(SCENARIOS[scenario], departures)
+        _tell(findings, f"up to {departures} departures", began, mutation, save)
+        return
+    shape = Shape(voters=voters, spares=spares, losses=losses)
     portions = [(seed, min(PORTION, first + schedules - seed)) for seed in range(first, first + schedules, PORTION)]
     with multiprocessing.Pool(processes) as pool:
         for found in pool.starmap(partial(_search_portion, shape, steps, mutation), portions, chunksize=1):
             findings.add(found)
-    click.echo(f"{findings.schedules} schedules of up to {steps} choices in {time.monotonic() - began:.0f} s")
+    _tell(findings, f"up to {steps} choices", began, mutation, save)
+
+
+def _tell(findings, bounds, began, mutation, save):
+    click.echo(f"{findings.schedules} schedules of {bounds} in {time.monotonic() - began:.0f} s")
     for rule, count in findings.rules.most_common():
         click.echo(f"{count:7}  {rule or 'nothing broken'}")
     if findings.first is None:
--- a/packages/oaklab/oaklab/explore/world.py
+++ b/packages/oaklab/oaklab/explore/world.py
@@ -77,6 +77,7 @@
             "members": {machine.node_id: machine.address for machine in members},
             "next": None,
         }
+        self.first_members = frozenset(self._first_roster["members"])
         self.watcher = Watcher(self)
         for machine in self.machines.values():
             self.start(machine.name)
