--- a/packages/oaklab/oaklab/explore/mutations.py
+++ b/packages/oaklab/oaklab/explore/mutations.py
@@ -191,6 +191,13 @@
         "        if False:\n",
         REPLACING,
     ),
+    Mutation(
+        "an image is fetched from a voter that has left",
+        OWNER,
+        "address = self.voterAddresses().get(nodeId)",
+        "address = self.voterAddresses()[nodeId]",
+        REPLACING,
+    ),
     Mutation(
         "a roster moves on before the images do",
         "oakcontrol.roster",
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -5,7 +5,7 @@
 
 from oaklab.explore.departures import SCENARIOS, search_departures
 from oaklab.explore.explorer import replay, run, without_collecting
-from oaklab.explore.invariants import NOT_SERVED
+from oaklab.explore.invariants import CRASHED, NOT_SERVED
 from oaklab.explore.mutations import MUTATIONS, applied
 from oaklab.explore.report import as_text, from_text, replay_text, timeline
 from oaklab.explore.search import STEPS, search_random
@@ -66,6 +66,73 @@
 sync n0
 power n0
 """
+VOTER_LEFT_WHILE_ASKED = """
+world voters=3 spares=1 changes=6 losses=2
+takeover n0
+sync n0
+deliver n0>n2:prepare 0
+sync n2
+deliver n2>n0:prepare-answer 0
+deliver n0>n1:acceptMany 0
+deliver n0>n2:acceptMany 0
+deliver n1>n0:acceptMany-answer 0
+deliver n2>n0:acceptMany-answer 0
+deliver n0>n1:accept 0
+sync n1
+deliver n0>n2:accept 0
+sync n2
+deliver n1>n0:accept-answer 0
+deliver n2>n0:accept-answer 0
+deliver n0>n2:confirm 0
+deliver n2>n0:confirm-answer 0
+replace n0 n0.0>n3
+deliver op>n0:replace 0
+deliver n0>n1:acceptMany 0
+sync n1
+deliver n0>n2:acceptMany 0
+sync n2
+deliver n1>n0:acceptMany-answer 0
+deliver n2>n0:acceptMany-answer 0
+pull n1 n0
+deliver n1>n0:pull 0
+deliver n0>n1:pull-answer 0
+sync n1
+pull n2 n0
+deliver n2>n0:pull 0
+deliver n0>n2:pull-answer 0
+sync n2
+timer n1
+sync n1
+pull n3 n0
+deliver n3>n0:pull 0
+deliver n0>n3:pull-answer 0
+sync n3
+takeover n3
+takeover n1
+timer n3
+deliver n3>n1:prepare 0
+sync n1
+timer n1
+sync n1
+deliver n1>n2:prepare 0
+sync n2
+deliver n2>n1:prepare-answer 0
+sync n1
+deliver n1>n2:acceptMany 0
+sync n2
+deliver n2>n1:acceptMany-answer 0
+deliver n1>n2:confirm 0
+deliver n2>n1:confirm-answer 0
+watch n1
+deliver n1>n2:rosterVersion 0
+deliver n2>n1:rosterVersion-answer 0
+sync n1
+deliver n1>n2:acceptMany 0
+sync n2
+deliver n2>n1:acceptMany-answer 0
+pull n3 n1
+deliver n3>n1:pull 0
+"""
 
 
 class Exploring(unittest.TestCase):
@@ -123,6 +190,18 @@
         self.assertIsNone(replay_text(as_text(shortest)).rule)
 
 
+class VoterThatLeft(unittest.TestCase):
+    def test_image_of_a_voter_that_left_is_given_up(self):
+        """
+        n0                      n1                          n3
+        owner, being replaced                               joins, begins to take over: n0 promised
+        gone from the roster    moves the roster on         hears of it: the image at n0 can't be fetched any more
+        """
+        self.assertIsNone(replay_text(VOTER_LEFT_WHILE_ASKED).rule)
+        with applied(MUTATIONS["an image is fetched from a voter that has left"]):
+            self.assertEqual(replay_text(VOTER_LEFT_WHILE_ASKED).rule, CRASHED)
+
+
 class RosterKeptByOne(unittest.TestCase):
     def test_schedule_that_found_it(self):
         self.assertIsNone(replay_text(ROSTER_KEPT_BY_ONE).rule)
