--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -713,6 +713,13 @@
         "        if False:\n            board.set_items",
         "test_explore.RosterKeptByOne.test_kept_roster_is_told_in_the_news_again",
     ),
+    TakeOut(
+        "a voter that left the roster is asked no more",
+        "oakcontrol/oakcontrol/owner.py",
+        "address = self.voter_addresses().get(node_id)",
+        "address = self.voter_addresses()[node_id]",
+        "test_explore.VoterThatLeft.test_image_of_a_voter_that_left_is_given_up",
+    ),
     TakeOut(
         "calls that name the node they are for",
         "oakwire/oakwire/net.py",
