--- a/packages/oaklab/oaklab/explore/departures.py
+++ b/packages/oaklab/oaklab/explore/departures.py
@@ -41,6 +41,15 @@
         ),
         Shape(voters=3, spares=1),
     ),
+    "asleep": Scenario(  # n2 sleeps through two versions of the roster; n0, which left it, has not heard of the second
+        (
+            *("takeover n1", "put n1 0>1", "freeze n2", "replace n1 n0.0>n3", "pull n0 n1", "pull n3 n1"),
+            *("timer n1", "timer n1", "watch n1", "timer n1", "pull n3 n1", "put n1 1>2"),
+            *("tick", "tick", "renew n1", "tick", "tick", "renew n1", "tick", "thaw n2", "takeover n2", "renew n1"),
+            *("read n1", "read n2"),
+        ),
+        Shape(voters=3, spares=1),
+    ),
 }
 
 
--- a/packages/oaklab/oaklab/explore/world.py
+++ b/packages/oaklab/oaklab/explore/world.py
@@ -65,6 +65,7 @@
         self.random = random.Random(1)
         self.messages, self.events, self.crashes = [], [], []
         self.cuts = set()
+        self.named_joining = set()  # (version built on, node id) of each replacement that was asked for
         self._graves = []
         self.history = History()
         self.machines = {}
@@ -185,6 +186,7 @@
         """A change of the roster, sent to a process."""
         roster = self.roster()
         newcomer = self.machines[joining]
+        self.named_joining.add((roster.version, newcomer.node_id))
         arguments = {
             "basedOn": roster.version,
             "leaving": leaving,
