--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -631,7 +631,7 @@
         if not await self.replicate(owner, 1, {}, start):
             raise CannotTell(f"the image of epoch {epoch} did not reach a majority")
         await preparation.former_lease_ended(released_epoch)
-        self._confirm({slot: owner})
+        spawn(self._ask_until_confirmed(owner, self._voter.roster.version), self.log)
         await within(self.reactor, TERM, owner.confirmed, CannotTell(f"epoch {epoch} was not confirmed"))
         owner.sequence = 1
         self.held[slot] = owner
@@ -639,6 +639,13 @@
         self.publish(owner, entries)
         self.log.event("slotTaken", slot=slot, epoch=epoch, entries=len(entries), released=released_epoch or "no")
 
+    async def _ask_until_confirmed(self, owner, roster_version):
+        """Asks for an owner's first term, again and again while voters pass to this roster. Under a later one nothing is
+        asked: the image was given to this one's majority only."""
+        while not owner.confirmed.called and self._voter.roster.version == roster_version:
+            self._confirm({owner.slot: owner})
+            await sleep(self.reactor, TERM_RENEW / 4)
+
     def _may_hold_term(self, slot, asker):
         """Whether this process has a term of the slot, or may come to one by a take-over that the asker's does not follow."""
         return slot in self.held or (slot in self._taking and asker != self._node.node_id)
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -881,6 +881,13 @@
         "if False:",
         "test_images.Fleets.test_full_slot_says_no_early_and_stays_movable",
     ),
+    TakeOut(
+        "a first term is asked for until voters have passed to the roster",
+        "oakcontrol/oakcontrol/owner.py",
+        "        while not owner.confirmed.called and self._voter.roster.version == roster_version:\n",
+        "        for _ in range(1):\n",
+        "test_confirmation.Confirmation.test_term_refused_by_voters_on_their_way_to_a_roster_is_asked_for_again",
+    ),
     TakeOut(
         "sync before answering",
         "oakring/oakring/ring.py",
