--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -276,6 +276,7 @@
         self.held = {}
         self._taking = set()
         self._seen_epochs = {}
+        self._released_at = {}
         self._orders = (), ()
         self._batchers = {}
         self._updates = VoterUpdates(self, node, self._on_outranked)
@@ -530,7 +531,8 @@
             return
         live_ids = self._live_roster()
         for slot in range(SLOTS):
-            if self.is_free(slot) and self._is_for_me(slot, live_ids):
+            is_free = self.is_free(slot) and not self._is_given_away(slot)
+            if is_free and self._is_for_me(slot, live_ids):
                 self.begin_take_over(slot)
 
     def is_free(self, slot):
@@ -553,6 +555,11 @@
         self._taking.add(slot)
         spawn(self._take_over(slot, self._live_roster(), lapsed), self.log)
 
+    def _is_given_away(self, slot):
+        """Whether another member has asked this one for the slot within a term. It may not count as live here yet, as one
+        that is just back from a cut; a take-over beside its own would hold the slot up."""
+        return self.reactor.seconds() < self._released_at.get(slot, float("-inf")) + TERM
+
     def _say_parted(self, is_parted):
         """A member that hears no majority says so, as far as it is still heard: slots are named for others at once,
         without a turn of its own that it could not use."""
@@ -641,7 +648,7 @@
 
     async def _ask_until_confirmed(self, owner, roster_version):
         """Asks for an owner's first term, again and again while voters pass to this roster. Under a later one nothing is
-        asked: the image was given to this one's majority only."""
+        asked: its majority need not hold what was prepared."""
         while not owner.confirmed.called and self._voter.roster.version == roster_version:
             self._confirm({owner.slot: owner})
             await sleep(self.reactor, TERM_RENEW / 4)
@@ -655,6 +662,7 @@
         if owner is None:
             return None
         owner.end()
+        self._released_at[arguments.slot] = self.reactor.seconds()
         self.log.event("slotReleased", slot=arguments.slot, epoch=owner.epoch)
         return owner.epoch
 
--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -881,6 +881,13 @@
         "if False:",
         "test_images.Fleets.test_full_slot_says_no_early_and_stays_movable",
     ),
+    TakeOut(
+        "a released slot is left to who asked for it",
+        "oakcontrol/oakcontrol/owner.py",
+        " and not self._is_given_away(slot)",
+        "",
+        "test_confirmation.Release.test_released_slot_is_left_to_who_asked_for_it_for_a_term",
+    ),
     TakeOut(
         "a first term is asked for until voters have passed to the roster",
         "oakcontrol/oakcontrol/owner.py",
