--- a/packages/oakbase/oakbase/logline.py
+++ b/packages/oakbase/oakbase/logline.py
@@ -3,7 +3,7 @@
 import json
 import logging
 import sys
-from datetime import datetime, timezone
+from datetime import UTC, datetime
 
 from oakbase.constants import LOG_LINE_LIMIT
 
@@ -62,7 +62,7 @@
 
 def _time_of(record):
     """Wall time of a record in UTC with milliseconds; it is only shown and decides nothing."""
-    return datetime.fromtimestamp(record.created, timezone.utc).isoformat(timespec="milliseconds")
+    return datetime.fromtimestamp(record.created, UTC).isoformat(timespec="milliseconds")
 
 
 class TextFormatter(logging.Formatter):
--- a/packages/oakcontrol/oakcontrol/owner.py
+++ b/packages/oakcontrol/oakcontrol/owner.py
@@ -26,8 +26,8 @@
     TERM_FRESH,
     TERM_HELD,
     TERM_RENEW,
-    VOTERS_LOOK,
     VIEW_RETRY,
+    VOTERS_LOOK,
 )
 from oakbase.inbox import Inbox
 from oakbase.tasks import Repeater, drive, sleep, spawn, within
@@ -402,7 +402,7 @@
         node_id, address = voter
         roster_version, owner, sequence, *_ = change
         if owner.progress.is_stalled(node_id):
-            self._settleAfter(
+            self._settle_after(
                 self._updates.await_update(voter, roster_version, owner, sequence), voter, offer, change, step
             )
             return
@@ -418,9 +418,9 @@
         elif taken is None and not isinstance(error, Unknown):
             self._refused(voter, offer, change, step, error)
         else:  # it lacks something, is not to be disturbed just now, or takes steps one by one only
-            self._settleAfter(self._updates.give(voter, *change, taken), voter, offer, change, step)
+            self._settle_after(self._updates.give(voter, *change, taken), voter, offer, change, step)
 
-    def _settleAfter(self, update, voter, offer, change, step):
+    def _settle_after(self, update, voter, offer, change, step):
         drive(
             update,
             lambda _, why: offer.settle(voter[0]) if why is None else self._refused(voter, offer, change, step, why),
--- a/packages/oakctl/oakctl/main.py
+++ b/packages/oakctl/oakctl/main.py
@@ -8,8 +8,8 @@
 import click
 
 from oakctl.asking import ADDRESS_TYPE, Refusal, ask, ask_first, show
-from oakctl.doctor import CHECKS, examine, take_survey, worst_code
 from oakctl.disk import check_folder
+from oakctl.doctor import CHECKS, examine, take_survey, worst_code
 from oakctl.eviction import lines_of
 
 INIT_TIME = 30  # s; nodes that were just started need a few rounds of news to meet
--- a/packages/oakgate/oakgate/relay_node.py
+++ b/packages/oakgate/oakgate/relay_node.py
@@ -8,8 +8,8 @@
     BODY_LIMIT,
     IDLE_CALLER_TIME,
     READY_DRAIN,
-    REPLICA_AGE,
     RELAY_BOUND,
+    REPLICA_AGE,
     RETRY_AFTER_LEAST,
     SETTLE_TIME,
 )
--- a/packages/oakgate/oakgate/turns.py
+++ b/packages/oakgate/oakgate/turns.py
@@ -8,8 +8,8 @@
 from oakbase.fetch import BodyLines
 from oakbase.tasks import settled, shielded, within
 from oakbase.verdict import (
-    BudgetEmpty,
     Broken,
+    BudgetEmpty,
     Conflict,
     Gone,
     NoAnswer,
--- a/packages/oaklab/oaklab/capacity.py
+++ b/packages/oaklab/oaklab/capacity.py
@@ -24,7 +24,7 @@
 from oakcohort.members import SILENT, Member
 from oakcontrol.client import OwnerClient
 from oakcontrol.controllers import CONTROLLERS
-from oakcontrol.owner import Context, SlotOwner, View
+from oakcontrol.owner import Context, View
 from oakcontrol.places import REPLICAS_KEY
 from oakcontrol.routing import ROUTING_KEY, pieces_of
 from oakcontrol.slots import pack_entry
--- a/packages/oaklab/oaklab/scale.py
+++ b/packages/oaklab/oaklab/scale.py
@@ -25,7 +25,7 @@
 from twisted.internet import stdio
 from twisted.protocols.basic import LineOnlyReceiver
 
-from oakbase.constants import ACCEPT_LIMIT, COHORT_CONTROL, COHORT_SIZE, CONDITION_AGE
+from oakbase.constants import COHORT_CONTROL, COHORT_SIZE, CONDITION_AGE
 from oakbase.tasks import Repeater, monotonic_reactor, spawn
 from oakbase.verdict import OakError
 from oakcohort.members import SILENT
--- a/packages/oakring/oakring/disk.py
+++ b/packages/oakring/oakring/disk.py
@@ -10,7 +10,6 @@
 
 from twisted.internet import defer
 
-
 UNFINISHED = ".new"  # what a file is called until it is whole
 
 
--- a/packages/oakring/oakring/ring.py
+++ b/packages/oakring/oakring/ring.py
@@ -26,7 +26,7 @@
 from cachetools import LRUCache
 from twisted.internet import defer
 
-from oakbase.constants import RING_BATCH, RING_FILES, RING_FILE_SIZE, RING_RESERVE_FILES, RING_VERSION
+from oakbase.constants import RING_BATCH, RING_FILE_SIZE, RING_FILES, RING_RESERVE_FILES, RING_VERSION
 from oakbase.tasks import spawn
 from oakbase.verdict import RingDamaged, RingError, RingFull
 
--- a/tests/relay_replicas.py
+++ b/tests/relay_replicas.py
@@ -5,7 +5,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from oakbase.tasks import sleep, spawn
-from oaklab.simnet import SimHost, SimReactor
+from oaklab.simnet import SimReactor
 from relay_http import ServerFactory, answer_bytes, answer_head, chunk
 
 STAMP = "Postmark"
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -3,7 +3,6 @@
 import base64
 import unittest
 
-from test_budgets import ClaimRig
 from twisted.internet.defer import ensureDeferred
 
 from oakbase.constants import CALL_TIME, CLAIM_KEPT
@@ -13,6 +12,7 @@
 from oakcontrol.owner import Context, View
 from oakcontrol.slots import slot_of_key
 from oaklab.simfleet import SimFleet
+from test_budgets import ClaimRig
 
 ANSWER = {"status": 200, "headers": [["Stamp", "a.b"]], "body": base64.b64encode(bytes(range(256))).decode()}
 KEY = "claim/0123456789abcdef"
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -11,8 +11,6 @@
 from sortedcontainers import SortedDict
 
 import test_operator
-from test_operator import document
-
 from oakbase.constants import OWNER_TRY_TIME, REPLICA_AGE, ROUTING_AGE, ROUTING_STRETCH, TERM, VIEW_AGE
 from oakbase.logline import LogLine
 from oakbase.tasks import sleep, spawn
@@ -30,6 +28,7 @@
 from oaklab.plan import PARTNERS, blueprint_of
 from oaklab.simfleet import SimFleet
 from oaklab.simnet import SimHost, SimNetwork, SimReactor, SimTime
+from test_operator import document
 
 CUT_S = 20.0  # s; how long a member is cut off
 FREEZE_S = 6.0  # s; longer than any order waits
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -20,9 +20,9 @@
 from oakbase.verdict import CannotTell, NoAnswer
 from oakcontrol.moves import OwnerMoves
 from oakcontrol.preparation import Preparation
+from oakcontrol.slots import slot_of_key
 from oaklab.failover import PLAN_KEY, false_takeovers, run_failover, run_planned_stop
 from oaklab.simfleet import SimFleet
-from oakcontrol.slots import slot_of_key
 
 
 class MeasurementTest(unittest.TestCase):
--- a/tests/test_gates_catching_up.py
+++ b/tests/test_gates_catching_up.py
@@ -5,7 +5,6 @@
 from types import SimpleNamespace
 
 from hypothesis import given, settings, strategies as st
-from relay_fleet import RelayFleet, route
 
 from oakbase.constants import COHORT_CONTROL, COHORT_SIZE, GONE_LIMIT
 from oakbase.logline import LogLine
@@ -15,6 +14,7 @@
 from oaknews.board import Board
 from oakplatform.dialect import Dialect
 from oakplatform.routes import routing_of
+from relay_fleet import RelayFleet, route
 
 SOURCE = "routing"
 ROUTING_SLOT = slot_of_key(ROUTING_KEY)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -3,12 +3,13 @@
 import unittest
 from unittest.mock import patch
 
+from order_trial import OrderTrial
+
 from oakbase.checks import pack_json
 from oakbase.constants import FORGET_AGE
 from oakbase.tasks import settled, sleep, spawn
 from oakcontrol import routing
 from oakcontrol.storeset import STORES_KEY
-from order_trial import OrderTrial
 from test_operator import OperatorTest, document
 from test_store_forming import Rig
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -16,10 +16,10 @@
 from oakbase.logline import LogLine
 from oakbase.tasks import monotonic_reactor
 from oakbase.verdict import ERROR_CLASSES, EnvError, OakError, Unreachable, Verdict, error_from
+from oakcohort.members import Member
 from oakcontrol.blueprint import blueprint_faults
 from oaklab.plan import SIZES, blueprint_of, env_of, machines_of
 from oaklab.simnet import SimHost, SimNetwork, SimReactor, SimTime
-from oakcohort.members import Member
 from oaknews.board import Board
 from oakwire.codec import idl, pack, unpack
 from oakwire.net import Net
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -45,7 +45,6 @@
 from oakcontrol.platform import PlatformWatch, RowReader  # noqa: E402
 from oakcontrol.slots import slot_of_key  # noqa: E402
 from oaklab import simfleet  # noqa: E402
-from oaklab.plan import PLATFORM  # noqa: E402
 from oaklab.simnet import SimHost, SimNetwork, SimReactor, SimTime  # noqa: E402
 from oaknews.program import EnvWatch  # noqa: E402
 from oakplatform.dialect import Dialect  # noqa: E402
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -6,12 +6,13 @@
 from types import SimpleNamespace
 
 from hypothesis import given, settings, strategies as st
-from test_budgets import Rig
 
 from oakbase.checks import pack_json
 from oakbase.constants import CHANGES_REMEMBERED
 from oakbase.logline import LogLine
 from oakbase.verdict import CannotTell, Invalid, Lost, Verdict
+from oakcontrol.controllers import CONTROLLERS
+from oakcontrol.owner import View
 from oakcontrol.routing import (
     ROUTING_KEY,
     apply_patch,
@@ -22,10 +23,9 @@
     pieces_of,
     table_faults,
 )
-from oakcontrol.controllers import CONTROLLERS
-from oakcontrol.owner import View
 from oakgate.routing import Route, Router
 from oaknews.board import Board
+from test_budgets import Rig
 
 DOCUMENT = {
     "number": 3,
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -13,8 +13,8 @@
 from oakdvv.clock import Clock, leq
 from oaklab.simdisk import SimDisk
 from oaklab.simfleet import SimFleet
-from oaklab.work import owner_work, store_work
 from oaklab.simnet import SimHost, SimNetwork, SimReactor, SimTime
+from oaklab.work import owner_work, store_work
 from oakring.ring import Ring
 from oakstore.table import LineTable, store_of
 
