--- a/packages/oaklab/oaklab/explore/disk.py
+++ b/packages/oaklab/oaklab/explore/disk.py
@@ -14,13 +14,13 @@
 
     def sync(self, names):
         done = defer.Deferred()
-        self.syncs_waiting.append((len(self._unsynced), done))
+        self.syncs_waiting.append((self._writes_to(names), done))
         return done
 
     def end_sync(self):
-        """The oldest sync under way ends: what had been written when it began lasts."""
-        count, done = self.syncs_waiting.pop(0)
-        self._settle(count)
+        """The oldest sync under way ends: what had been written to its files when it began lasts."""
+        covered, done = self.syncs_waiting.pop(0)
+        self._settle(covered)
         done.callback(None)
 
     def process_ended(self, keeps_unsynced):
@@ -30,4 +30,4 @@
             self._unsynced = []
             self._files = {name: bytearray(data) for name, data in self._durable.items()}
             return
-        self._settle(len(self._unsynced))
+        self._settle(list(self._unsynced))
--- /dev/null
+++ b/tests/test_takeout.py
@@ -0,0 +1,53 @@
+"""Each take-out is of the code as it is: what it replaces stands there, and the test named for it exists."""
+
+import ast
+import unittest
+from collections import Counter
+from pathlib import Path
+
+import oaklab
+from oaklab.takeout import TAKE_OUTS
+
+PACKAGES = Path(oaklab.__file__).parents[2]
+TESTS = Path(__file__).parent
+
+
+def tests_in(module):
+    """The names Class.test of a test file, those that its classes inherit within the file too."""
+    classes = {
+        node.name: node for node in ast.parse((TESTS / f"{module}.py").read_text("utf-8")).body if is_class(node)
+    }
+    return {f"{name}.{test}" for name in classes for test in _methods(name, classes)}
+
+
+def is_class(node):
+    return isinstance(node, ast.ClassDef)
+
+
+def _methods(name, classes):
+    if name not in classes:
+        return set()
+    own = {node.name for node in classes[name].body if isinstance(node, (ast.FunctionDef, ast.AsyncFunctionDef))}
+    bases = [base.id for base in classes[name].bases if isinstance(base, ast.Name)]
+    return own.union(*(_methods(base, classes) for base in bases))
+
+
+class TakeOuts(unittest.TestCase):
+    def test_each_stands_once_in_its_file_which_compiles_without_it(self):
+        for one in TAKE_OUTS:
+            with self.subTest(take_out=one.name):
+                path = PACKAGES / one.file
+                text = path.read_text("utf-8")
+                self.assertEqual(text.count(one.old), 1)
+                changed = text.replace(one.old, one.new)
+                self.assertNotEqual(changed, text)
+                compile(changed, str(path), "exec")
+
+    def test_each_has_a_name_of_its_own(self):
+        names = Counter(one.name for one in TAKE_OUTS)
+        self.assertEqual([name for name, count in names.items() if count > 1], [])
+
+    def test_each_names_a_test_that_exists(self):
+        modules = {one.test.partition(".")[0] for one in TAKE_OUTS}
+        known = {f"{module}.{test}" for module in modules for test in tests_in(module)}
+        self.assertEqual([one.test for one in TAKE_OUTS if one.test not in known], [])
