--- a/packages/oaklab/oaklab/explore/departures.py
+++ b/packages/oaklab/oaklab/explore/departures.py
@@ -34,6 +34,27 @@
     "busy": Scenario(
         ("takeover n0", "put n0 0>1", "put n0 0>2", "again n0 f1", "renew n0", "read n0", "power n0", "takeover n2")
     ),
+    "behind": Scenario(  # n2 misses changes, is brought up to date in one merged step, and is then needed
+        (
+            *(
+                "takeover n0",
+                "put n0 0>1",
+                "power n2",
+                "put n0 1>2",
+                "put n0 2>3",
+                "start n2",
+                "update n0",
+                "update n0",
+            ),
+            *("power n1", "put n0 3>4", "start n1", "power n0", *("tick",) * 5, "takeover n2", "read n2"),
+        )
+    ),
+    "lapse": Scenario(  # who is named next finds by a majority's word that n0's term has lapsed
+        (
+            *("takeover n0", "put n0 0>1", "renew n0", "power n0", *("tick",) * 5, "lapse n1", "lapse n2"),
+            *("read n1", "read n2", "put n1 1>2", "put n2 1>2", "start n0", "outcome n1 f2", "outcome n2 f2"),
+        )
+    ),
     "replacement": Scenario(
         (
             *("takeover n0", "put n0 0>1", "replace n0 n0.0>n3", *NEWS_OF_N0, *MOVE_ON, *NEWS_OF_N0),
--- a/packages/oaklab/oaklab/explore/mutations.py
+++ b/packages/oaklab/oaklab/explore/mutations.py
@@ -187,6 +187,30 @@
         "            if not await self._owners.replicate(self, self.sequence + 1, changes):\n                self.end()\n",
         "            if not await self._owners.replicate(self, self.sequence + 1, changes):\n                return None\n",
     ),
+    Mutation(
+        "the voter that was quiet longest ends the former term",
+        PREPARATION,
+        "unconfirmed = min(",
+        "unconfirmed = max(",
+    ),
+    Mutation(
+        "a merged step brings older values",
+        REPLICATION,
+        "            self.missing[key] = value\n",
+        "            self.missing.setdefault(key, value)\n",
+    ),
+    Mutation(
+        "what is gathered for a voter is dropped at any of its answers",
+        REPLICATION,
+        "        if sequence == self.newest:\n            progress.gather_anew()",
+        "        if True:\n            progress.gather_anew()",
+    ),
+    Mutation(
+        "a change that may still be taken is told lost",
+        ROUTING,
+        '    return CannotTell(f"built on version {based_on}, the newest',
+        '    return Lost(f"built on version {based_on}, the newest',
+    ),
     Mutation(
         "a voter of another roster version takes part",
         VOTER,
--- a/packages/oaklab/oaklab/explore/process.py
+++ b/packages/oaklab/oaklab/explore/process.py
@@ -9,6 +9,7 @@
 from oakcontrol import slots as slots_module
 from oakcontrol import voter as voter_module
 from oakcontrol.controllers import SLOT_SOURCE
+from oakcontrol.lapse import LapseWatch
 from oakcontrol.owner import Owners, TermRider
 from oakcontrol.roster import RosterWatch
 from oakcontrol.voter import Voter
@@ -73,13 +74,14 @@
 
 
 class ModelPuller:
-    """Everybody is heard: whether a take-over may begin is the schedule's choice."""
+    """Who is down, frozen or cut off is known at once not to answer. Whether a take-over may begin is the schedule's choice."""
 
-    def __init__(self, process):
+    def __init__(self, world, process):
+        self._world, self._name = world, process.name
         self.me = ModelMember(process.node_id, process.machine.address, process.machine.name)
 
     def answers_lately(self, address, lately=0.0):
-        return True
+        return self._world.is_answering(self._name, address)
 
     def describe(self, member):
         self.me = member
@@ -111,14 +113,15 @@
         self.log = ModelLog(world, machine.name)
         self.members = ModelMembers(world)
         self.board = Board(self.clock)
-        self.puller = ModelPuller(self)
+        self.puller = ModelPuller(world, self)
         self.net = ModelNet(world, self, self.clock, machine.address, self.log)
         self.ring = Ring(machine.disk, self.log, RING_FILE_SIZE, seconds=self.clock.seconds)
         self.voter = Voter(self, self.ring)
         self.owners = Owners(self, self.voter)
         self.rider = TermRider(self.owners, self)
+        self.lapses = LapseWatch(self, self.voter, self.owners)
         self.roster_watch = RosterWatch(self, self.voter, self.owners)
-        self._watching = False
+        self._watching = self._asking_lapses = False
         self.net.handle("pull", self._serve_pull)
 
     @property
@@ -149,6 +152,22 @@
     def renew(self):
         spawn(self.owners._renew(), self.log)
 
+    def update_voters(self):
+        """One look for voters that are behind."""
+        spawn(self.owners._update_voters(), self.log)
+
+    def look_for_lapses(self):
+        """One look for a lease that a majority has not confirmed for long, unless one is under way."""
+        if not self._asking_lapses:
+            self._asking_lapses = True
+            spawn(self._look_for_lapses(), self.log)
+
+    async def _look_for_lapses(self):
+        try:
+            await self.lapses._look()
+        finally:
+            self._asking_lapses = False
+
     def watch_roster(self):
         """One round of the roster watch, unless one is under way."""
         if not self._watching:
--- a/packages/oaklab/oaklab/explore/schedule.py
+++ b/packages/oaklab/oaklab/explore/schedule.py
@@ -119,6 +119,22 @@
     return True
 
 
+def _update(world, choice):
+    process = _running(world, choice)
+    if process is None or process.owner is None:
+        return False
+    process.update_voters()
+    return True
+
+
+def _lapse(world, choice):
+    process = _running(world, choice)
+    if process is None or not process.is_voter():
+        return False
+    process.look_for_lapses()
+    return True
+
+
 def _watch(world, choice):
     process = _running(world, choice)
     if process is None:
@@ -243,6 +259,14 @@
     return True
 
 
+def _outcome(world, choice):
+    change = world.history.changes.get(choice.detail)
+    if change is None or world.machines[choice.subject].process is None:
+        return False
+    world.ask_outcome(choice.subject, change)
+    return True
+
+
 def _read(world, choice):
     if world.machines[choice.subject].process is None:
         return False
@@ -273,6 +297,8 @@
     "tick": _tick,
     "takeover": _take_over,
     "renew": _renew,
+    "update": _update,
+    "lapse": _lapse,
     "watch": _watch,
     "leave": _leave,
     "pull": _pull,
@@ -288,6 +314,7 @@
     "heal": _heal,
     "put": _put,
     "again": _again,
+    "outcome": _outcome,
     "read": _read,
     "replace": _replace,
 }
--- a/packages/oaklab/oaklab/explore/world.py
+++ b/packages/oaklab/oaklab/explore/world.py
@@ -103,6 +103,13 @@
     def processes(self):
         return [machine.process for machine in self.machines.values() if machine.process is not None]
 
+    def is_answering(self, name, address):
+        """Whether a pull from this machine would be answered now by whoever is at the address."""
+        other = next((machine for machine in self.machines.values() if machine.address == address), None)
+        if other is None or other.process is None or other.frozen:
+            return False
+        return not {(name, other.name), (other.name, name)} & self.cuts
+
     def roster(self):
         """The newest roster that a process stands in."""
         return max(
@@ -179,6 +186,11 @@
         copy = self.history.begin_copy(change, self.step)
         self._ask(name, ROUTING_KEY, "put", arguments, copy)
 
+    def ask_outcome(self, name, change):
+        """The question what became of a change, as a copy of it that takes nothing."""
+        arguments = {"based_on": change.base, "fingerprint": change.fingerprint}
+        self._ask(name, ROUTING_KEY, "outcome", arguments, self.history.begin_copy(change, self.step))
+
     def read(self, name):
         self._ask(name, ROUTING_KEY, "read", {}, self.history.begin_read(self.step))
 
