--- a/packages/oakcontrol/oakcontrol/admin.py
+++ b/packages/oakcontrol/oakcontrol/admin.py
@@ -189,6 +189,7 @@
             "eviction": self._control.placement.mode,
             "roster": voter.roster and voter.roster.record,
             "majority": not owners.contact.is_lost(),
+            "votersBehind": owners.voters_behind,
             "inTouchFor": round(owners.contact.seconds(), 3),
             "disk": self._control.ring.condition(),
         }
--- a/packages/oakctl/oakctl/doctor.py
+++ b/packages/oakctl/oakctl/doctor.py
@@ -176,12 +176,17 @@
         )
 
 
+def _newest_members(survey):
+    """The members of the newest roster that any control node stands in; empty if there is none."""
+    rosters = [said["roster"] for said in survey.answered("control") if said.get("roster")]
+    return max(rosters, key=lambda roster: roster["version"])["members"] if rosters else {}
+
+
 @CHECKS.enter("roster")
 def _roster(survey):
-    rosters = [said["roster"] for said in survey.answered("control") if said.get("roster")]
-    if not rosters:
+    members = _newest_members(survey)
+    if not members:
         return
-    members = max(rosters, key=lambda roster: roster["version"])["members"]
     alive = [node_id for node_id in members if survey.is_alive(node_id)]
     spare = len(alive) - (len(members) // 2 + 1)
     if len(alive) < len(members):
@@ -207,6 +212,22 @@
             )
 
 
+@CHECKS.enter("catching up")
+def _catching_up(survey):
+    if not all(survey.is_alive(node_id) for node_id in _newest_members(survey)):
+        return  # who is down is behind; the roster's check tells of it
+    for said in survey.answered("control"):
+        behind = said.get("votersBehind", 0)  # a release before this one does not say
+        if behind:
+            yield Finding(
+                WARNING,
+                "catching up",
+                f"{behind} voters, counted for each slot that {said['machine']} owns, lack something of it",
+                "members were away, or are new; until they have caught up, fewer copies are left than it seems",
+                "nothing, if it is over within 10 s; else look at the disks and the network of these members",
+            )
+
+
 @CHECKS.enter("platform")
 def _platform(survey):
     for said in survey.answered("control"):
--- a/tests/test_doctor.py
+++ b/tests/test_doctor.py
@@ -84,6 +84,7 @@
                 ],
             ),
             ("majority", 4, set_("control", "majority", to=False)),
+            ("catching up", 3, set_("control", "votersBehind", to=2)),
             ("stores", 4, lambda survey: survey.conditions.update({store_id: "refused"})),
             ("stores", 3, lambda survey: survey.conditions[store_id].update(covers=False)),
             ("hints", 3, set_("store", "hints", store_id, to=7)),
