--- a/packages/oakrelay/oakrelay/answer.py
+++ b/packages/oakrelay/oakrelay/answer.py
@@ -4,11 +4,12 @@
 
 from oakbase.constants import PIECES_LIMIT
 from oakbase.verdict import Broken, NoAnswer, TooLarge, Verdict
+from oakrelay.headers import WithHeaders
 
 WHOLE = object()  # the outcome of an answer that came to its end
 
 
-class Answer:
+class Answer(WithHeaders):
     """The head of an answer, and its body as it comes. Whoever got it reads it to its end or aborts it.
 
     Invariants: pieces come in order, all that arrived before the end is given out before the end is told; `_outcome`
@@ -16,10 +17,8 @@
 
     __slots__ = (
         "status",
-        "headers",
         "length",
         "_connection",
-        "_index",
         "_pieces",
         "_size",
         "_outcome",
@@ -28,20 +27,11 @@
     )
 
     def __init__(self, connection, status, headers, length):
-        self._connection, self.status, self.headers, self.length = connection, status, headers, length
-        self._index = self._outcome = self._waiting = None
+        super().__init__(headers)
+        self._connection, self.status, self.length = connection, status, length
+        self._outcome = self._waiting = None
         self._pieces, self._size, self._paused = [], 0, False
 
-    def header(self, name):
-        """The value of a header, or None; of one that came several times, the values joined by commas."""
-        if self._index is None:
-            self._index = {}
-            for key, value in self.headers:
-                key = key.lower()
-                self._index[key] = self._index[key] + b", " + value if key in self._index else value
-        value = self._index.get(name.lower().encode("latin-1"))
-        return None if value is None else value.decode("latin-1")
-
     @property
     def is_ready(self):
         """Whether `next` would give something at once."""
--- a/packages/oakrelay/oakrelay/exchange.py
+++ b/packages/oakrelay/oakrelay/exchange.py
@@ -3,12 +3,13 @@
 from twisted.internet import defer
 
 from oakrelay.framing import HOP_BY_HOP, join_head, status_line
+from oakrelay.headers import WithHeaders
 from oakrelay.sockets import send_now
 
 _BODILESS = frozenset((204, 304))
 
 
-class Exchange:
+class Exchange(WithHeaders):
     """One request, read whole, and its answer. Invariant: an answer looks complete only after `finish`; what is
     written after the caller has gone is dropped."""
 
@@ -17,14 +18,12 @@
         "target",
         "path",
         "host",
-        "headers",
         "body",
         "received_at",
         "is_gone",
         "begun",
         "finished",
         "_caller",
-        "_index",
         "_gone",
         "_head",
         "_left",
@@ -34,24 +33,15 @@
     )
 
     def __init__(self, caller, method, target, host, headers):
+        super().__init__(headers)
         self._caller = caller
-        self.method, self.target, self.host, self.headers = method, target, host, headers
+        self.method, self.target, self.host = method, target, host
         self.path = target.partition(b"?")[0].decode("ascii")
         self.body, self.received_at = b"", None
         self.is_gone = self.begun = self.finished = False
-        self._index = self._gone = self._head = self._left = self._flushing = None
+        self._gone = self._head = self._left = self._flushing = None
         self._chunked = self._silent = False
 
-    def header(self, name):
-        """The value of a header, or None; of one that came several times, the values joined by commas."""
-        if self._index is None:
-            self._index = {}
-            for key, value in self.headers:
-                key = key.lower()
-                self._index[key] = self._index[key] + b", " + value if key in self._index else value
-        value = self._index.get(name.lower().encode("latin-1"))
-        return None if value is None else value.decode("latin-1")
-
     @property
     def gone(self):
         """Fires when the caller's connection is lost or closed before the answer is finished."""
--- /dev/null
+++ b/packages/oakrelay/oakrelay/headers.py
@@ -0,0 +1,24 @@
+"""Headers of a message, looked up by name."""
+
+
+class WithHeaders:
+    """A message with `headers`, a list of (name, value) as bytes, which does not change once a header was looked up."""
+
+    __slots__ = ("headers", "_index")
+
+    def __init__(self, headers):
+        self.headers, self._index = headers, None
+
+    def header(self, name):
+        """The value of a header, or None; of one that came several times, the values joined by commas."""
+        if self._index is None:
+            self._index = self._indexed()
+        value = self._index.get(name.lower().encode("latin-1"))
+        return None if value is None else value.decode("latin-1")
+
+    def _indexed(self):
+        index = {}
+        for key, value in self.headers:
+            key = key.lower()
+            index[key] = index[key] + b", " + value if key in index else value
+        return index
