--- a/packages/oaklab/oaklab/takeout.py
+++ b/packages/oaklab/oaklab/takeout.py
@@ -1101,8 +1101,8 @@
     TakeOut(
         "a write names the store it is for",
         "oakstore/oakstore/store.py",
-        '"turnKeep",\n                STORE_CALL_TIME,\n                to=node_id,',
-        '"turnKeep",\n                STORE_CALL_TIME,',
+        "peer, method, STORE_CALL_TIME, to=node_id, key=key",
+        "peer, method, STORE_CALL_TIME, key=key",
         "test_second_loss.FormerSelf.test_its_copy_does_not_count_twice",
     ),
     TakeOut(
--- a/packages/oakstore/oakstore/store.py
+++ b/packages/oakstore/oakstore/store.py
@@ -195,16 +195,10 @@
             raise NoAnswer(f"the set moved on to epoch {self.stores.epoch}; what is here may still be kept")
 
     async def _give(self, node_id, peer, key, state):
-        await self._give_noted(
-            node_id,
-            key,
-            state,
-            lambda: self._node.net.call(
-                peer, "lineKeep", STORE_CALL_TIME, to=node_id, key=key, state=state, sender=self._node.node_id
-            ),
-        )
+        await self._give_noted(node_id, peer, "lineKeep", key, state)
 
-    async def _give_noted(self, node_id, key, state, give):
+    async def _give_noted(self, node_id, peer, method, key, state, **more):
+        """Gives a line's state to another store by this method, and keeps a hint until that store has it."""
         # Of a set that is past, a member may have left meanwhile: then this is a list that nobody keeps.
         hints = self._hints.setdefault(node_id, OrderedDict()) if node_id in self.stores.everyone else OrderedDict()
         # Noted before it is sent: a crash of neither side may lose what the other lacks.
@@ -212,7 +206,9 @@
         hints.move_to_end(key)
         if len(hints) > HINT_LIMIT:
             hints.popitem(last=False)
-        await give()
+        await self._node.net.call(
+            peer, method, STORE_CALL_TIME, to=node_id, key=key, state=state, sender=self._node.node_id, **more
+        )
         if self.table.versions(key).keys() <= from_state(state).keys():
             hints.pop(key, None)
 
@@ -276,22 +272,8 @@
             raise CannotTell(f"the chain of turn {turn_id} is not here", retry_after=1)
 
     async def _give_turn(self, node_id, peer, key, state, records, lefts):
-        await self._give_noted(
-            node_id,
-            key,
-            state,
-            lambda: self._node.net.call(
-                peer,
-                "turnKeep",
-                STORE_CALL_TIME,
-                to=node_id,
-                key=key,
-                state=state,
-                sender=self._node.node_id,
-                records=records,
-                left_ms=[int(left * 1000) for left in lefts],
-            ),
-        )
+        left_ms = [int(left * 1000) for left in lefts]
+        await self._give_noted(node_id, peer, "turnKeep", key, state, records=records, left_ms=left_ms)
 
     async def _turn_keep(self, _peer, arguments):
         """Says yes only when the versions, the records and their whole chains are on the disk here."""
@@ -387,21 +369,8 @@
 
     async def _hand_over_turns(self, node_id, peer, key, state):
         """The member says which of the line's turns it wants by taking their chains from here."""
-        await self._give_noted(
-            node_id,
-            key,
-            state,
-            lambda: self._node.net.call(
-                peer,
-                "turnOffer",
-                STORE_CALL_TIME,
-                to=node_id,
-                key=key,
-                state=state,
-                sender=self._node.node_id,
-                turn_ids=sorted(self.table.records.on_line(key)),
-            ),
-        )
+        turn_ids = sorted(self.table.records.on_line(key))
+        await self._give_noted(node_id, peer, "turnOffer", key, state, turn_ids=turn_ids)
 
     async def _turn_offer(self, _peer, arguments):
         stores = self._check_sender(arguments)
