--- a/packages/rpc/oakramp/rpc/codec.py
+++ b/packages/rpc/oakramp/rpc/codec.py
@@ -1,12 +1,15 @@
 """Structs of the IDL to bytes and back, and the table of methods."""
 
 from struct import Struct
+from typing import Any
 
 from thriftpy2.protocol import TBinaryProtocolFactory
 from thriftpy2.utils import deserialize, serialize
 
 from oakramp.common.errors import BadRequestError
-from oakramp.rpc import messages as idl
+from oakramp.rpc import messages
+
+idl: Any = messages  # the library's classes tell type checkers nothing of their fields
 
 _FACTORY = TBinaryProtocolFactory(decode_response=True)
 
