--- a/packages/common/oakramp/common/constants.py
+++ b/packages/common/oakramp/common/constants.py
@@ -36,6 +36,10 @@
 # others
 GONE_LIMIT = 256  # items; removed ones that an image remembers, so that deltas can name them
 PULL_PAUSE = 0.2  # s; two hops of it stay well below every freshness bound
+PEERS_AGE = 1.0  # s; for so long a node keeps the peers that were named for it while all of them are live
+OTHER_PEERS_ROUNDS = 5  # rounds; while all control nodes among its peers answer, a node pulls from one other in so many
+UNCONFIRMED_AGE = 0.8  # s; what was published and not confirmed for so long makes a node ask all its peers: with leases
+# renewed at each pull, three pulls bring a confirmation everywhere in 0.6 s
 PULL_TIME = 0.8  # s; a member that does not answer a pull in this time counts as silent
 CONDITION_AGE = 1.5  # s; a node whose newest sign of life is older counts as dead: four pulls of two hops
 FORGET_AGE = 60.0  # s; a dead node's address is dropped from the table after this
@@ -79,6 +83,9 @@
 CONTROL_FULL = 0.7  # share of a ring's capacity; from here on nothing new is opened, admitted or claimed
 SHARD_FULL = 0.25  # share of a ring's capacity; one slot may take it, so that its image fits a second time
 CONTROL_BATCH = 64  # commands; one majority write covers this many at most
+DEFERRED_COMMAND_SHARE = 0.2  # share of the bound `settle_s`; a command that nobody waits for runs with the next one of
+# its shard, or after this
+SETTLE_BOUND = 1.0  # s; for what a turn put out to be counted, where a deployment's bound `settle_s` says nothing else
 UPDATE_LIMIT = 1 << 20  # bytes; of changes gathered for a voter that is behind, one message: beyond it gets an image
 UNANSWERED_STEPS = 4  # steps; a voter that leaves more unanswered gets no more of them, but an update when it is back
 VOTERS_POLL = 0.5  # s; how often an owner looks which voters lack something: far longer than a step takes
--- a/packages/gateway/oakramp/gateway/load_balancer.py
+++ b/packages/gateway/oakramp/gateway/load_balancer.py
@@ -130,7 +130,7 @@
                 self._node.log.warning("replica_description_unreadable", replica=replica_id)
                 return
             replica.running, replica.capacity, replica.own_then = load["running"], load["capacity"], own
-            replica.gates = max(1, len(self._node.members.live("gate")))
+            replica.gates = max(1, self._node.members.live_count("gate"))
             replica.adapters = tuple(map(str, said.get("adapters") or ()))
             replica.model_weights = str(said.get("weights", ""))
             replica.described_at = self._reactor.seconds()
--- a/packages/gateway/oakramp/gateway/outliers.py
+++ b/packages/gateway/oakramp/gateway/outliers.py
@@ -176,7 +176,7 @@
             return self._say(service, frozenset(), {})
         counts = self._counts(view)
         faults = {one.row["id"]: counts.get(one.row["id"], 0) for one in instances}
-        gates = max(1, len(self._node.members.live("gate")))
+        gates = max(1, self._node.members.live_count("gate"))
         given = len(view.sent) * gates / max(1, len(instances))
         total, most = sum(faults.values()), int(len(faults) * OUTLIER_SHARE)
 
--- a/packages/gateway/oakramp/gateway/proxy_forwarder.py
+++ b/packages/gateway/oakramp/gateway/proxy_forwarder.py
@@ -188,7 +188,7 @@
             )
 
         cap = self._router.services[service].get("max_connections") or 64
-        most = max(2, math.ceil(cap / max(1, len(self._node.members.live("gate")))))
+        most = max(2, math.ceil(cap / max(1, self._node.members.live_count("gate"))))
         sent = self._balancer.outliers.sent(instance)
         sending = begin(
             self._upstreams.send(
--- a/packages/gossip/oakramp/gossip/gossip_client.py
+++ b/packages/gossip/oakramp/gossip/gossip_client.py
@@ -3,7 +3,14 @@
 import json
 from dataclasses import replace
 
-from oakramp.common.constants import CONDITION_AGE, FORGET_AGE, PULL_PAUSE, PULL_TIME
+from oakramp.common.constants import (
+    CONDITION_AGE,
+    FORGET_AGE,
+    OTHER_PEERS_ROUNDS,
+    PULL_PAUSE,
+    PULL_TIME,
+    UNCONFIRMED_AGE,
+)
 from oakramp.common.errors import OakrampError
 from oakramp.common.tasks import Repeater, settled, sleep, spawn
 from oakramp.gossip.version_exchange import ReceivedVector, SentVector
@@ -28,7 +35,6 @@
         self._answered_at = {}
         self._told = {}  # address -> what it was told, if it keeps that
         self._heard = {}  # nodeId -> what this node was told
-        self._noted = {}  # source -> (version, member)
         self._rounds = 0
         self._repeater = None
         self._piggyback = self._voter = None
@@ -73,12 +79,11 @@
         return self._source
 
     def _note_member(self, source):
-        snapshot = self._state_table.snapshots.get(source)
-        known = self._noted.get(source)
-        if known is None or known[0] != snapshot.version:
-            known = self._noted[source] = snapshot.version, self._read_member(source)
-        if known[1] is not None:
-            self._members.note(known[1], self._state_table.confirmed_at(source))
+        """Called when a node's row has moved. Its age is read from the table's state whenever it is asked for."""
+        self._state_table.confirmed_at(source)  # this node's own row is confirmed by being looked at
+        member = self._read_member(source)
+        if member is not None:
+            self._members.note(member, self._state_table.snapshots[source])
 
     def _read_member(self, source):
         about = self._state_table.values(source).get("about")
@@ -146,7 +151,7 @@
     async def _round(self):
         self._refresh()
         self._rounds += 1
-        addresses = {member.peer for member in self._members.gossip_peers(self._me.kind)}
+        addresses = self._peers_now()
         # One more place each few rounds: it joins a new node and heals what a cut has parted.
         others = [
             address for address in {*self._seeds, *self._identity.addresses} - addresses if address != self._me.peer
@@ -159,18 +164,33 @@
         for address in sorted(addresses - self._pulling):
             spawn(self._pull_from(address), self._log)
 
+    def _peers_now(self):
+        """Addresses of the peers to pull from in this round.
+
+        What the control nodes publish comes from the control nodes among the peers, and so does what other nodes say.
+        The other peers are there for when these fail. So each of those is asked now and then only, but all of them as
+        long as a control node owes an answer, or something that was published has not been confirmed for a while.
+        """
+        peers = self._members.gossip_peers(self._me.kind)
+        control = [member.peer for member in peers if member.kind == "control"]
+        others = [member.peer for member in peers if member.kind != "control"]
+        is_unsure = not control or any(address in self._pulling or address in self._silent for address in control)
+        if is_unsure or self._state_table.oldest_age(NODE_SOURCE) > UNCONFIRMED_AGE:
+            return {*control, *others}
+        if others and self._rounds % OTHER_PEERS_ROUNDS == 0:
+            control.append(others[self._rounds // OTHER_PEERS_ROUNDS % len(others)])
+        return set(control)
+
     def _refresh(self):
-        for source in list(self._state_table.snapshots):
-            if source.startswith(NODE_SOURCE):
-                self._note_member(source)
-        forgotten = set(self._members.forget_old())
-        for source in [source for source in self._state_table.snapshots if source.rpartition("/")[2] in forgotten]:
-            self._state_table.drop(source)
-            self._noted.pop(source, None)
+        self._state_table.confirmed_at(self._source)  # brings the age of its own row up to date
+        forgotten = set(self._members.refresh())
+        if forgotten:
+            for source in [source for source in self._state_table.snapshots if source.rpartition("/")[2] in forgotten]:
+                self._state_table.drop(source)
         old = self._reactor.seconds() - FORGET_AGE
         for node_id in [node_id for node_id, heard in self._heard.items() if heard.heard_at < old]:
             del self._heard[node_id]
-        if self._net.cluster_id:
+        if self._net.cluster_id and self._rounds % OTHER_PEERS_ROUNDS == 0:
             self._learn({member.peer for member in self._members.live("control")} or set(self._identity.addresses))
 
     def _learn(self, addresses):
--- a/packages/gossip/oakramp/gossip/state_table.py
+++ b/packages/gossip/oakramp/gossip/state_table.py
@@ -116,6 +116,16 @@
         """Seconds since the source last confirmed what is known of it."""
         return self._reactor.seconds() - self.confirmed_at(source)
 
+    def oldest_age(self, left_out):
+        """Seconds since the least recently confirmed source was confirmed, of those that others publish and whose name
+        does not begin with `left_out`; 0 if there are none."""
+        confirmed_at = [
+            snapshot.confirmed_at
+            for source, snapshot in self.snapshots.items()
+            if not source.startswith(left_out) and source not in self._own_sources
+        ]
+        return self._reactor.seconds() - min(confirmed_at) if confirmed_at else 0.0
+
     def values(self, source):
         """The items of a source by name; none if the source is unknown."""
         snapshot = self.snapshots.get(source)
--- a/packages/membership/oakramp/membership/members.py
+++ b/packages/membership/oakramp/membership/members.py
@@ -1,8 +1,17 @@
 """What a node knows of the others, and whom it pulls from."""
 
+from collections import Counter
 from dataclasses import dataclass, fields
-
-from oakramp.common.constants import CONDITION_AGE, FORGET_AGE, GOSSIP_CONTROL_PEER_COUNT, GOSSIP_PEER_COUNT
+from typing import Protocol
+
+from oakramp.common.constants import (
+    CONDITION_AGE,
+    FORGET_AGE,
+    GOSSIP_CONTROL_PEER_COUNT,
+    GOSSIP_PEER_COUNT,
+    PEERS_AGE,
+    PULL_PAUSE,
+)
 from oakramp.membership.rendezvous_hashing import named
 
 LIVE, SILENT, LEAVING, PARTED = "live", "silent", "leaving", "parted"
@@ -35,51 +44,88 @@
         return {MEMBER_KEYS.get(name, name): value for name, value in vars(self).items()}
 
 
+class Heartbeat(Protocol):
+    """What tells of a boot's newest sign of life. It is read when it is asked for, so that nothing has to be done for
+    each member while nothing but ages moves."""
+
+    confirmed_at: float  # monotonic seconds here, counted back by the age under which it was passed on; never goes back
+
+
 class Members:
-    """Invariants: one row for each boot of a node; `_seenAt` is this node's own monotonic time of the
-    newest sign of life, counted back by the age under which it was passed on, and never goes back;
-    `_latest` names for each node its boot that was seen last."""
+    """Invariants: one row and one heartbeat for each boot of a node; `_latest` names for each node its boot that was
+    seen last, as of the last `note` or `refresh`; `_live_counts` are at most PULL_PAUSE old; `_peers` were the gossip
+    peers at `_peers_at`."""
 
     def __init__(self, reactor, own_id):
         self._reactor, self._own_id = reactor, own_id
         self._rows = {}
-        self._seen_at = {}
+        self._heartbeats = {}
         self._latest = {}
-        self._gossip_peers = None, None
+        self._peers, self._peers_at = [], float("-inf")
+        self._live_counts, self._counted_at = Counter(), float("-inf")
 
-    def note(self, member, seen_at):
-        """Takes in a row that was current at `seen_at` (monotonic seconds here); an old one changes nothing."""
+    def note(self, member, heartbeat):
+        """Takes in a row and the heartbeat that goes on to tell its age."""
         key = (member.node_id, member.boot)
-        if self._reactor.seconds() - seen_at > FORGET_AGE:
-            return
+        if self._rows.get(key) != member:
+            self._peers_at = float("-inf")
         self._rows[key] = member
-        self._seen_at[key] = seen_at = max(seen_at, self._seen_at.get(key, seen_at))
-        latest = self._latest.setdefault(member.node_id, key)
-        if latest != key and seen_at > self._seen_at[latest]:
-            self._latest[member.node_id] = key
-
-    def forget_old(self):
-        """Drops rows past their time, and returns the boots dropped."""
-        now = self._reactor.seconds()
-        old = [key for key, seen_at in self._seen_at.items() if now - seen_at > FORGET_AGE and key[0] != self._own_id]
+        self._heartbeats[key] = heartbeat
+        self._prefer(key)
+
+    def _prefer(self, key):
+        """Makes this boot the node's latest if it was seen after the one that is."""
+        latest = self._latest.setdefault(key[0], key)
+        if latest != key and self._seen_at(key) > self._seen_at(latest):
+            self._latest[key[0]] = key
+
+    def _seen_at(self, key):
+        return self._heartbeats[key].confirmed_at
+
+    def refresh(self):
+        """Finds each node's latest boot anew, drops rows past their time, and returns the boots dropped."""
+        if len(self._latest) < len(self._rows):
+            for key in self._rows:
+                self._prefer(key)
+        oldest = self._reactor.seconds() - FORGET_AGE
+        old = [
+            key
+            for key, heartbeat in self._heartbeats.items()
+            if heartbeat.confirmed_at < oldest and key[0] != self._own_id
+        ]
         for key in old:
-            del self._rows[key], self._seen_at[key]
+            del self._rows[key], self._heartbeats[key]
         for node_id in {node_id for node_id, _ in old}:
             left = [key for key in self._rows if key[0] == node_id]
             del self._latest[node_id]
             if left:
-                self._latest[node_id] = max(left, key=self._seen_at.get)
+                self._latest[node_id] = max(left, key=self._seen_at)
         return [boot for _, boot in old]
 
     def newest(self):
         """nodeId -> (member, age), the boot that was seen last."""
+        now, rows, heartbeats = self._reactor.seconds(), self._rows, self._heartbeats
+        return {node_id: (rows[key], now - heartbeats[key].confirmed_at) for node_id, key in self._latest.items()}
+
+    def find_with_age(self, node_id):
+        """(newest row, age in seconds) of a node; (None, inf) if it is not known."""
+        key = self._latest.get(node_id)
+        if key is None:
+            return None, float("inf")
+        return self._rows[key], self._reactor.seconds() - self._seen_at(key)
+
+    def live_count(self, kind):
+        """How many members of a kind were live within the last PULL_PAUSE seconds: for shares, which need no newer
+        count, taken on the way of each request."""
         now = self._reactor.seconds()
-        return {node_id: (self._rows[key], now - self._seen_at[key]) for node_id, key in self._latest.items()}
+        if now - self._counted_at >= PULL_PAUSE:
+            self._live_counts, self._counted_at = Counter(member.kind for member in self.live()), now
+        return self._live_counts[kind]
 
     def condition(self, node_id):
         """LIVE, LEAVING, PARTED (it reaches no majority) or SILENT for longer than CONDITION_AGE."""
         key = self._latest.get(node_id)
-        if key is None or self._reactor.seconds() - self._seen_at[key] > CONDITION_AGE:
+        if key is None or self._reactor.seconds() - self._seen_at(key) > CONDITION_AGE:
             return SILENT
         return {"up": LIVE, "leaving": LEAVING}.get(self._rows[key].state, PARTED)
 
@@ -88,7 +134,7 @@
         process has ended: `address` is where it was if nothing has been heard of it."""
         previous = self._latest.get(node_id)
         address = self._rows[previous].peer if previous else address
-        previous_seen_at, now = self._seen_at[previous] if previous else float("-inf"), self._reactor.seconds()
+        previous_seen_at, now = self._seen_at(previous) if previous else float("-inf"), self._reactor.seconds()
         return next(
             (
                 self._rows[key]
@@ -96,8 +142,8 @@
                 if self._rows[key].peer == address
                 and key[0] != node_id
                 and self._rows[key].state == "up"
-                and self._seen_at[key] > previous_seen_at
-                and now - self._seen_at[key] <= CONDITION_AGE
+                and self._seen_at(key) > previous_seen_at
+                and now - self._seen_at(key) <= CONDITION_AGE
             ),
             None,
         )
@@ -116,16 +162,22 @@
 
     def gossip_peers(self, own_kind):
         """Those this node pulls from and so watches: all control nodes if it is one of them, else the
-        ones named for it; and the few of all nodes that are named for it."""
+        ones named for it; and the few of all nodes that are named for it.
+
+        They are named anew when a row has come, one of them is not live any more, or PEERS_AGE has passed."""
+        now = self._reactor.seconds()
+        if not self._peers or now - self._peers_at >= PEERS_AGE or any(map(self._is_not_live, self._peers)):
+            self._peers, self._peers_at = self._name_peers(own_kind), now
+        return self._peers
+
+    def _is_not_live(self, member):
+        return self.condition(member.node_id) != LIVE
+
+    def _name_peers(self, own_kind):
         others = {member.node_id: member for member in self.live() if member.node_id != self._own_id}
-        kinds = own_kind, {(node_id, member.kind) for node_id, member in others.items()}
-        if self._gossip_peers[0] != kinds:
-            control_ids = [node_id for node_id, member in others.items() if member.kind == "control"]
-            chosen_ids = set(
-                control_ids if own_kind == "control" else named(control_ids, self._own_id, GOSSIP_CONTROL_PEER_COUNT)
-            )
-            self._gossip_peers = (
-                kinds,
-                sorted(chosen_ids | set(named(list(others.keys() - chosen_ids), self._own_id, GOSSIP_PEER_COUNT))),
-            )
-        return [others[node_id] for node_id in self._gossip_peers[1]]
+        control_ids = [node_id for node_id, member in others.items() if member.kind == "control"]
+        chosen_ids = set(
+            control_ids if own_kind == "control" else named(control_ids, self._own_id, GOSSIP_CONTROL_PEER_COUNT)
+        )
+        chosen_ids |= set(named(list(others.keys() - chosen_ids), self._own_id, GOSSIP_PEER_COUNT))
+        return [others[node_id] for node_id in sorted(chosen_ids)]
--- a/packages/store/oakramp/store/turns.py
+++ b/packages/store/oakramp/store/turns.py
@@ -140,10 +140,10 @@
 
     def _order(self, rows, key, first=None):
         """Whom to ask first: the live ones, of those the quick, of those the ones in our own zone."""
-        now, newest = self._reactor.seconds(), self._node.members.newest()
+        now, members = self._reactor.seconds(), self._node.members
 
         def place(node_id):
-            member, age = newest.get(node_id, (None, 0.0))
+            member, age = members.find_with_age(node_id)
             is_live = member is not None and age <= CONDITION_AGE and member.state == "up"
             return (
                 not is_live,
