--- a/packages/control/oakramp/control/controllers.py
+++ b/packages/control/oakramp/control/controllers.py
@@ -30,6 +30,7 @@
         cleanup: str | None = None,
         growing: Iterable[str] = (),
         replacing: Iterable[str] = (),
+        deferrable: Iterable[str] = (),
     ) -> None:
         """Describes a kind of key.
 
@@ -39,12 +40,15 @@
             cleanup: the command that removes what has expired, if there is one.
             growing: commands that are rejected when the control state is nearly full.
             replacing: commands that are rejected if a snapshot of what they leave would not fit beside the present one.
+            deferrable: commands whose callers wait for nothing: they run in one batch with the shard's next command,
+                before it, or after a share of the bound `settle_s`.
         """
         self._commands = Registry("command")
         for name, function in commands.items():
             self._commands.enter(name)(function)
         self.snapshot, self.cleanup = snapshot, cleanup
         self.growing, self.replacing = frozenset(growing), frozenset(replacing)
+        self.deferrable = frozenset(deferrable)
 
     def run(self, transaction: Transaction, key: str, command: str, arguments: dict[str, Any]) -> Any:
         """Runs a command on the key.
@@ -59,6 +63,14 @@
         return function(transaction, key, arguments)
 
 
+def is_deferrable(key: str, command: str) -> bool:
+    """Whether the command may wait for the next one of its shard; False for a kind of key that is not known."""
+    try:
+        return command in CONTROLLERS.find(key.partition("/")[0]).deferrable
+    except NotFoundError:
+        return False
+
+
 def published_by(entry_key: str) -> str | None:
     """The gossip source that an entry belongs to, or None if its kind is not published."""
     key = entry_key.partition("#")[0]
--- a/packages/control/oakramp/control/leader_registry.py
+++ b/packages/control/oakramp/control/leader_registry.py
@@ -11,11 +11,13 @@
 
 from oakramp.common.constants import (
     CALL_TIME,
+    DEFERRED_COMMAND_SHARE,
     FAILOVER_POLL,
     FULL_RETRY,
     LEASE_RENEW,
     ONWARD_TIME,
     OWNER_CLEANUP,
+    SETTLE_BOUND,
     VOTERS_POLL,
     VOTING_CONFIG_HEARD,
 )
@@ -51,6 +53,8 @@
         self._node = node
         self._voter = voter
         self.active: dict[int, ShardLeader] = {}
+        bounds = node.env.get("bounds") or {}
+        self.deferral_s = DEFERRED_COMMAND_SHARE * bounds.get("settle_s", SETTLE_BOUND)
         self.contact = QuorumContact(node.reactor, node.log)
         self.publisher = Publisher(node)
         self.leases = LeaseRenewer(node, voter, self)
--- a/packages/control/oakramp/control/shard_leader.py
+++ b/packages/control/oakramp/control/shard_leader.py
@@ -12,7 +12,7 @@
 from oakramp.common.constants import CONTROL_BATCH, CONTROL_QUEUE_LIMIT, OWNER_CLEANUP_KEYS
 from oakramp.common.errors import NotShardLeaderError, OakrampError, OutcomeUnknownError, Verdict
 from oakramp.common.tasks import spawn
-from oakramp.control.controllers import CONTROLLERS, SHARD_SOURCE, cleanups_for
+from oakramp.control.controllers import CONTROLLERS, SHARD_SOURCE, cleanups_for, is_deferrable
 from oakramp.control.replication import ShardProgress
 from oakramp.control.transaction import Transaction
 
@@ -21,6 +21,8 @@
 
     from oakramp.control.leader_registry import LeaderRegistry
 
+QueuedCommand = tuple[Callable[[Transaction], Any], "defer.Deferred[Any]"]  # what to do, and who is told of it
+
 AFTER_ROWS = "$"  # sorts after the '#' of a key's own rows, and before every character of a name
 
 
@@ -32,7 +34,8 @@
       bytes;
     - `sources` are the gossip sources that this leader publishes;
     - nothing is answered from it once `lease_until` (monotonic seconds) has passed or `ended` is set;
-    - no command is answered before what it changed, and all that it read, is on that majority.
+    - no command is answered before what it changed, and all that it read, is on that majority;
+    - while anything is in `_deferred`, a timer is set or a batch is queued that takes it along.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         self.sources = {f"{SHARD_SOURCE}{shard}"}
         self.cleaned_to = ""  # the key after which the next page of the cleanup begins
         self._queue = BoundedQueue(CONTROL_QUEUE_LIMIT, f"shard{shard}")
+        self._deferred: list[QueuedCommand] = []
         self.lease_until = 0.0
         self.voting_config_version = 0
         self.confirmed: defer.Deferred[None] = defer.Deferred()  # fires with the first lease
@@ -76,7 +80,7 @@
             return
         self.ended = True
         self._registry.retract(self)
-        for _, answer in filter(None, self._queue.take_ready(CONTROL_QUEUE_LIMIT)):
+        for _, answer in [*self._take_deferred(), *filter(None, self._queue.take_ready(CONTROL_QUEUE_LIMIT))]:
             answer.errback(NotShardLeaderError("this shard is changing hands"))
         if self._task is not None and self.idle:
             self._task.cancel()
@@ -91,7 +95,8 @@
             NotShardLeaderError: there is no lease; the command has not run.
             OverloadedError: too many commands wait already; it has not run.
         """
-        return self._put(partial(self._command, key, command, arguments))
+        work = partial(self._command, key, command, arguments)
+        return self._defer(work) if is_deferrable(key, command) else self._put(work)
 
     def cleanup(self) -> defer.Deferred[list[tuple[str, OakrampError]]]:
         """Removes what has expired of the next page of keys, all as one command.
@@ -109,19 +114,42 @@
         self._queue.put((work, answer))
         return answer
 
+    def _defer(self, work: Callable[[Transaction], Any]) -> defer.Deferred[Any]:
+        """Has this done along with the next command: a majority write costs the same for both."""
+        if not self.holds_lease():
+            raise NotShardLeaderError(f"no lease for shard {self.shard}")
+        if len(self._deferred) >= CONTROL_BATCH:
+            return self._put(work)
+        if not self._deferred:
+            self._registry.reactor.callLater(self._registry.deferral_s, self._run_deferred)
+        answer: defer.Deferred[Any] = defer.Deferred()
+        self._deferred.append((work, answer))
+        return answer
+
+    def _run_deferred(self) -> None:
+        """Queues a batch of what is still deferred, along with a command that does nothing."""
+        if self._deferred and len(self._queue) < CONTROL_QUEUE_LIMIT:
+            ignored: defer.Deferred[Any] = defer.Deferred()
+            ignored.addErrback(lambda _failure: None)
+            self._queue.put((lambda _transaction: None, ignored))
+
+    def _take_deferred(self) -> list[QueuedCommand]:
+        taken, self._deferred = self._deferred, []
+        return taken
+
     async def _run(self) -> None:
         while not self.ended:
             self.idle = True
             first = await self._queue.take()
             self.idle = False
-            await self._work([first, *self._queue.take_ready(CONTROL_BATCH - 1)])
+            await self._work([*self._take_deferred(), first, *self._queue.take_ready(CONTROL_BATCH - 1)])
 
     def write_again(self) -> None:
         """Has the state replicated to the majorities of the present voting configuration."""
         if len(self._queue) < CONTROL_QUEUE_LIMIT:
             self._queue.put(None)
 
-    async def _work(self, batch: list[tuple[Callable[[Transaction], Any], defer.Deferred[Any]] | None]) -> None:
+    async def _work(self, batch: list[QueuedCommand | None]) -> None:
         write_again = None in batch
         commands = [entry for entry in batch if entry is not None]
         transaction, outcomes = Transaction(self.entries, self._registry.context_for(self)), []
--- a/packages/control/oakramp/control/token_budget.py
+++ b/packages/control/oakramp/control/token_budget.py
@@ -124,6 +124,9 @@
 
 CONTROLLERS.enter("allowance")(
     Controller(
-        {"admit": _admit, "settle": _settle, "read": _read, "sweep": _cleanup}, cleanup="sweep", growing=("admit",)
+        {"admit": _admit, "settle": _settle, "read": _read, "sweep": _cleanup},
+        cleanup="sweep",
+        growing=("admit",),
+        deferrable=("settle",),
     )
 )
