--- a/packages/testbed/oakramp/testbed/main.py
+++ b/packages/testbed/oakramp/testbed/main.py
@@ -1,6 +1,5 @@
 """oakramp-testbed: whole fleets on one machine, stand-ins, simulator."""
 
-import json
 import multiprocessing
 import signal
 import sys
@@ -25,7 +24,6 @@
 from oakramp.testbed.mutation_testing import try_all
 from oakramp.testbed.plan import MARKERS, PLATFORM, SIZES, replica_rows
 from oakramp.testbed.realtrial import RealTrial, rolling_restart
-from oakramp.testbed.scale import Sizes, run_hollow, run_scale
 from oakramp.testbed.trial import DAYS, run_day, run_trial
 
 SIZE = click.option(
@@ -239,27 +237,6 @@
             click.echo(f"    {what}: {value}")
 
 
-@main.command()
-@click.option("--hollow", default=16, show_default=True, help="How many hollow nodes.")
-@click.option("--processes", default=1, show_default=True, help="How many processes they share.")
-@click.option("--controls", default=3, show_default=True, help="How many real control processes.")
-@click.option("--replicas", default=100, show_default=True, help="How many replicas are listed.")
-@click.option("--seconds", default=10.0, show_default=True, help="How long the quiet fleet is measured.")
-@click.option("--changes", default=5, show_default=True, help="How many changes of configuration are timed.")
-@click.option("--folder", default="scale-run", show_default=True, help="Where data folders and logs go.")
-def scale(hollow, processes, controls, replicas, seconds, changes, folder):
-    """Real control processes beside hollow nodes that speak the wire and carry no traffic."""
-    for what, value in run_scale(Sizes(hollow, processes, controls, replicas), folder, seconds, changes).items():
-        click.echo(f"{what}: {value}")
-
-
-@main.command(hidden=True)
-@click.argument("spec")
-def hollow(spec):
-    """One process of hollow nodes; `oakramp-testbed scale` starts it."""
-    run_hollow(json.loads(spec))
-
-
 @main.command()
 @click.argument("names", nargs=-1)
 @click.option("--root", default=".", show_default=True, type=click.Path(exists=True), help="The checkout.")
