--- a/packages/gossip/oakramp/gossip/gossip_client.py
+++ b/packages/gossip/oakramp/gossip/gossip_client.py
@@ -6,6 +6,7 @@
 from oakramp.common.constants import (
     CONDITION_AGE,
     FORGET_AGE,
+    GOSSIP_CONTROL_PEER_COUNT,
     OTHER_PEERS_ROUNDS,
     PULL_PAUSE,
     PULL_TIME,
@@ -167,13 +168,16 @@
     def _peers_now(self):
         """Addresses of the peers to pull from in this round.
 
-        What the control nodes publish comes from the control nodes among the peers, and so does what other nodes say.
-        The other peers are there for when these fail. So each of those is asked now and then only, but all of them as
-        long as a control node owes an answer, or something that was published has not been confirmed for a while.
+        What the control nodes publish comes from the control nodes among the peers (one, for other kinds of node), and
+        so does what other nodes say. The other peers are there for when these fail. So each of those is asked now and
+        then only, but all of them as long as a control node owes an answer, or something that was published has not
+        been confirmed for a while.
         """
         peers = self._members.gossip_peers(self._me.kind)
         control = [member.peer for member in peers if member.kind == "control"]
-        others = [member.peer for member in peers if member.kind != "control"]
+        if self._me.kind != "control":
+            control = control[:GOSSIP_CONTROL_PEER_COUNT]
+        others = [member.peer for member in peers if member.peer not in control]
         is_unsure = not control or any(address in self._pulling or address in self._silent for address in control)
         if is_unsure or self._state_table.oldest_age(NODE_SOURCE) > UNCONFIRMED_AGE:
             return {*control, *others}
--- /dev/null
+++ b/tests/test_gossip_peers.py
@@ -0,0 +1,79 @@
+"""Whom a node pulls from in a round: the control nodes while they answer, all its peers otherwise."""
+
+import random
+import unittest
+from types import SimpleNamespace
+
+from oakramp.common.constants import OTHER_PEERS_ROUNDS, UNCONFIRMED_AGE
+from oakramp.gossip.gossip_client import GossipClient
+from oakramp.gossip.state_table import StateTable
+from oakramp.membership.members import Member, Members
+
+
+class Clock:
+    now = 100.0
+
+    def seconds(self):
+        return self.now
+
+
+def row(node_id, kind):
+    return Member(node_id, "b1", kind, "zone0", node_id, f"{node_id}:7400", f"{node_id}:7480", "up", "0")
+
+
+class Round(unittest.TestCase):
+    def set_up(self, kind):
+        self.clock = Clock()
+        self.members, self.table = Members(self.clock, "own"), StateTable(self.clock)
+        net = SimpleNamespace(handle=lambda method, handler: None, address="own:7400")
+        me = row("own", kind)
+        self.client = GossipClient(self.clock, net, self.table, self.members, None, me, [], random.Random(1), None)
+        self.beats = {}
+        for node_id, of_kind in [("c0", "control"), ("c1", "control"), *((f"g{one}", "gate") for one in range(5))]:
+            self.beats[node_id] = SimpleNamespace(confirmed_at=self.clock.now)
+            self.members.note(row(node_id, of_kind), self.beats[node_id])
+        self.table.snapshots["slot/0"] = self.published = SimpleNamespace(confirmed_at=self.clock.now)
+        self.all = {member.peer for member in self.members.gossip_peers(kind)}
+
+    def rounds(self, count):
+        asked = []
+        for _ in range(count):
+            asked.append(self.client._peers_now())
+            self.client._rounds += 1
+        return asked
+
+    def test_a_gateway_asks_one_control_node_each_round_and_each_other_peer_in_turn(self):
+        self.set_up("gate")
+        asked = self.rounds(4 * OTHER_PEERS_ROUNDS)
+        first = set.intersection(*asked)
+        self.assertEqual(len(first), 1)
+        self.assertTrue(first.pop().startswith("c"))
+        self.assertEqual(sum(len(one) > 1 for one in asked), 4)
+        self.assertEqual(set.union(*asked), self.all)
+
+    def test_a_control_node_asks_all_control_nodes_each_round(self):
+        self.set_up("control")
+        for asked in self.rounds(OTHER_PEERS_ROUNDS):
+            self.assertLessEqual({"c0:7400", "c1:7400"}, asked)
+
+    def test_all_peers_are_asked_while_the_control_node_owes_an_answer(self):
+        for owed in ("_pulling", "_silent"):
+            with self.subTest(owed=owed):
+                self.set_up("gate")
+                control = min(self.rounds(2)[1])
+                getattr(self.client, owed).add(control)
+                self.assertEqual(self.rounds(1), [self.all])
+                getattr(self.client, owed).clear()
+                self.assertLess(len(self.rounds(2)[1]), len(self.all))
+
+    def test_all_peers_are_asked_while_something_published_is_not_confirmed(self):
+        self.set_up("gate")
+        self.published.confirmed_at = self.clock.now - UNCONFIRMED_AGE - 0.1
+        self.assertEqual(self.rounds(2), [self.all, self.all])
+        self.published.confirmed_at = self.clock.now
+        self.assertLess(len(self.rounds(2)[1]), len(self.all))
+
+    def test_old_rows_of_nodes_are_no_reason(self):
+        self.set_up("gate")
+        self.table.snapshots["node/old/b0"] = SimpleNamespace(confirmed_at=self.clock.now - 30)
+        self.assertLess(len(self.rounds(2)[1]), len(self.all))
