--- a/packages/common/oakramp/common/constants.py
+++ b/packages/common/oakramp/common/constants.py
@@ -273,6 +273,8 @@
 # the rest is for its run or for another try elsewhere
 OUTAGE_SHARE = 0.3  # share of the caller's time left; later it would not come back at all
 PATIENCE_SHARE = 0.5  # share of the time left; a request waits for room so long, the rest is for its run
+HELD_SHARE = 0.25  # share of a route's target; a request that is refused later than this was held
+LOSS_LINES = 10  # lines a second; on requests that ended late or failed, at one gateway: a few hundred bytes each
 ANSWER_HELD = 256 << 10  # bytes; of an answer gathered before any of it is passed on, so that a cut one may be tried
 # again
 RELAY_BOUND = 512  # requests; at a time in one gate, several times what its replicas take
--- a/packages/gateway/oakramp/gateway/proxied_request.py
+++ b/packages/gateway/oakramp/gateway/proxied_request.py
@@ -31,6 +31,13 @@
     output_size: int = 0
     head: tuple = None
     head_passed: bool = False
+    stages: dict = field(default_factory=dict)  # name -> when it was reached first (monotonic seconds)
+    replica_id: str | None = None  # the one it was placed at last
+    replica_load: float = 0.0  # requests there, as known when it was placed
+
+    def reached(self, stage, now):
+        """Notes that the request has come to this stage."""
+        self.stages.setdefault(stage, now)
 
 
 class ClientDisconnectedError(OakrampError):
--- a/packages/gateway/oakramp/gateway/proxy.py
+++ b/packages/gateway/oakramp/gateway/proxy.py
@@ -17,6 +17,7 @@
 from oakramp.gateway.proxy_idempotency import KeyedCalls
 from oakramp.gateway.proxy_responses import LocalResponses
 from oakramp.gateway.proxy_streams import Streams
+from oakramp.gateway.request_losses import RequestLosses
 
 
 class RequestProxy:
@@ -34,16 +35,22 @@
             lambda: router.staleness() or gate.replicas_staleness(),
             lambda: spawn(gate.node.gossip_client.pull_now(), gate.node.log),
         )
+        self._losses = RequestLosses(self._reactor, self._log)
         self._chains = {"safe": self._plain, "unsafe": self._plain, "tracked": keyed.serve, "stream": streams.serve}
 
     async def handle(self, exchange):
         """Answers the exchange, whatever happens."""
         request = self._dialect.request_of(exchange.method, exchange.target, exchange.headers)
+        proxied_request = None
         try:
-            await self._serve(exchange, request)
+            proxied_request = await self._accept(exchange, request)
+            await self._chains[proxied_request.route.kind](proxied_request)
             self._metrics.count("relay", outcome="done")
+            self._losses.answered(proxied_request)
         except OakrampError as error:
             self._metrics.count("relay", outcome=error.code)
+            if proxied_request is not None:
+                self._losses.failed(proxied_request, error)
             if exchange.is_gone:
                 return
             if exchange.begun:
@@ -67,7 +74,8 @@
         time_left = (request.time_left_s or 0.0) - (self._reactor.seconds() - exchange.received_at)
         return max(RETRY_AFTER_LEAST, min(OUTAGE_RETRY_AFTER, OUTAGE_SHARE * time_left))
 
-    async def _serve(self, exchange, request):
+    async def _accept(self, exchange, request):
+        """The request with its route and its time, once the news may be acted on."""
         if request.fault is not None:
             raise BadRequestError(request.fault)
         why = await self._news.wait(exchange.received_at + HOLD_SHARE * (request.time_left_s or 0.0))
@@ -83,7 +91,7 @@
         if proxied_request.may_repeat and route.kind == "stream":
             proxied_request.last_id = request.resume_after  # what its caller has had already
         proxied_request.affinity = (request.program or "") if route.pinned or route.kind == "stream" else ""
-        await self._chains[route.kind](proxied_request)
+        return proxied_request
 
     async def _plain(self, proxied_request):
         await self._carrier.forward(proxied_request, self._answers.relay)
--- a/packages/gateway/oakramp/gateway/proxy_forwarder.py
+++ b/packages/gateway/oakramp/gateway/proxy_forwarder.py
@@ -40,6 +40,7 @@
     stops_with_caller,
     when_gone,
 )
+from oakramp.gateway.request_losses import PLACED
 from oakramp.prefix_cache.counters import tenant_of
 
 
@@ -137,6 +138,9 @@
                 and self._route_now(proxied_request) == route
                 and self._balancer.is_ready(instance)
             ):
+                now = self._reactor.seconds()
+                proxied_request.reached(PLACED, now)
+                proxied_request.replica_id, proxied_request.replica_load = instance.row["id"], instance.load(now)
                 return instance, service
             self._balancer.release(instance)
 
--- a/packages/gateway/oakramp/gateway/proxy_streams.py
+++ b/packages/gateway/oakramp/gateway/proxy_streams.py
@@ -14,6 +14,7 @@
     QuorumUnavailableError,
 )
 from oakramp.gateway.proxied_request import print_of, remaining
+from oakramp.gateway.request_losses import ADMITTED, FIRST_EVENT, HISTORY_READ, LAST_EVENT
 from oakramp.gateway.settler import SpendReporter
 from oakramp.store.turns import Record
 
@@ -81,6 +82,7 @@
             raise QuorumUnavailableError(f"the budget's owner did not answer: {error.reason}") from error
         if state != "admitted":
             raise BudgetExhaustedError("the program has put out all of its budget")
+        proxied_request.reached(ADMITTED, self._reactor.seconds())
         try:
             await self._turn(proxied_request, recalling)
         finally:
@@ -93,10 +95,12 @@
             ok, recalled = await recalling
             if not ok:
                 raise recalled
+            proxied_request.reached(HISTORY_READ, self._reactor.seconds())
             history = b"".join(part for record in recalled.chain for part in (record.input, record.output))
             proxied_request.body = history + proxied_request.body
         if not await self._carrier.forward(proxied_request, self._pass_events):
             return
+        proxied_request.reached(LAST_EVENT, self._reactor.seconds())
         if proxied_request.route.retained:
             record = Record(
                 proxied_request.request.try_id,
@@ -160,6 +164,7 @@
 
     def _begin(self, proxied_request):
         proxied_request.head_passed = True
+        proxied_request.reached(FIRST_EVENT, self._reactor.seconds())
         status, headers = proxied_request.head
         proxied_request.exchange.start(status, headers, None)
 
--- /dev/null
+++ b/packages/gateway/oakramp/gateway/request_losses.py
@@ -0,0 +1,74 @@
+"""Which requests ended late, were refused, cut or given up on, and where their time went.
+
+One line at info level for each such request, at most LOSS_LINES a second; `oakrampctl losses` adds them up. A request
+that is answered in time costs a few entries in a dict.
+"""
+
+from oakramp.common.constants import HELD_SHARE, LOSS_LINES
+from oakramp.common.errors import Verdict
+from oakramp.gateway.proxied_request import ClientDisconnectedError
+
+ADMITTED, HISTORY_READ, PLACED, FIRST_EVENT, LAST_EVENT = "admitted", "history_read", "placed", "first", "last"
+LATE, REFUSED, HELD, CUT, LEFT = "late", "refused", "held", "cut", "left"
+
+
+class RequestLosses:
+    """Invariants: `_lines` counts the lines since `_since`; `_left_out` the losses that no line has told of."""
+
+    def __init__(self, reactor, log):
+        self._reactor, self._log = reactor, log
+        self._since, self._lines, self._left_out = float("-inf"), 0, 0
+
+    def answered(self, proxied_request):
+        """Notes an answer that was passed on whole, if its first event or its end came after its route's target."""
+        stages, received_at = proxied_request.stages, proxied_request.exchange.received_at
+        in_aim_at = stages.get(FIRST_EVENT, self._reactor.seconds())
+        if in_aim_at - received_at > proxied_request.route.target_s:
+            self._tell(LATE, "none", proxied_request)
+
+    def failed(self, proxied_request, error):
+        """Notes a request that ended with an error of the gateway."""
+        self._tell(self._outcome(proxied_request, error), error.code, proxied_request)
+
+    def _outcome(self, proxied_request, error):
+        if isinstance(error, ClientDisconnectedError):
+            return LEFT
+        if error.verdict is not Verdict.NO:
+            return CUT
+        waited_s = self._reactor.seconds() - proxied_request.exchange.received_at
+        return HELD if waited_s > HELD_SHARE * proxied_request.route.target_s else REFUSED
+
+    def _tell(self, outcome, reason, proxied_request):
+        now = self._reactor.seconds()
+        if now - self._since >= 1.0:
+            self._since, self._lines = now, 0
+        if self._lines >= LOSS_LINES:
+            self._left_out += 1
+            return
+        self._lines += 1
+        left_out, self._left_out = self._left_out, 0
+        route, stages = proxied_request.route, proxied_request.stages
+        received_at = proxied_request.exchange.received_at
+
+        def after_ms(stage):
+            return round(1000 * (stages[stage] - received_at)) if stage in stages else -1
+
+        self._log.info(
+            "request_lost",
+            outcome=outcome,
+            reason=reason,
+            route=route.name,
+            kind=route.kind,
+            priority=route.priority,
+            target_ms=round(1000 * route.target_s),
+            ended_ms=round(1000 * (now - received_at)),
+            admitted_ms=after_ms(ADMITTED),
+            history_ms=after_ms(HISTORY_READ),
+            placed_ms=after_ms(PLACED),
+            first_ms=after_ms(FIRST_EVENT),
+            last_ms=after_ms(LAST_EVENT),
+            tries=proxied_request.tries,
+            replica=proxied_request.replica_id or "none",
+            load=round(proxied_request.replica_load, 1),
+            left_out=left_out,
+        )
