--- a/packages/cli/oakramp/cli/main.py
+++ b/packages/cli/oakramp/cli/main.py
@@ -11,6 +11,7 @@
 from oakramp.cli.disk_check import check_folder
 from oakramp.cli.doctor import CHECKS, examine, take_survey, worst_code
 from oakramp.cli.eviction import lines_of
+from oakramp.cli.losses import read_losses, summarize
 
 INIT_TIME = 30  # s; nodes that were just started need a few rounds of news to meet
 
@@ -394,6 +395,15 @@
     sys.exit(worst_code(findings))
 
 
+@main.command("losses")
+@click.argument("logfiles", nargs=-1, required=True, type=click.File(errors="replace"))
+def show_losses(logfiles):
+    """Adds up the requests that ended late, refused, held, cut or left, from gateways' LOGFILES (- for standard
+    input)."""
+    for line in summarize(loss for file in logfiles for loss in read_losses(file)):
+        click.echo(line)
+
+
 @main.group("disk")
 def disk_group():
     """Looks at the data folder of a node that is stopped."""
--- a/packages/gateway/oakramp/gateway/request_losses.py
+++ b/packages/gateway/oakramp/gateway/request_losses.py
@@ -58,7 +58,7 @@
             outcome=outcome,
             reason=reason,
             route=route.name,
-            kind=route.kind,
+            route_kind=route.kind,
             priority=route.priority,
             target_ms=round(1000 * route.target_s),
             ended_ms=round(1000 * (now - received_at)),
