--- a/packages/gossip/oakramp/gossip/daemon.py
+++ b/packages/gossip/oakramp/gossip/daemon.py
@@ -99,6 +99,7 @@
     # What a program is made of lives as long as it does. Looking through all of it for what may go stopped everything
     # for some 30 ms, about each ten seconds.
     gc.freeze()
+    gc.enable()
     stops = []
     grace = (env.get("bounds") or {}).get("grace_s")
     stop_time = STOP_TIME if grace is None else max(grace - STOP_MARGIN, grace / 2)
