--- a/packages/testbed/oakramp/testbed/mutation_testing.py
+++ b/packages/testbed/oakramp/testbed/mutation_testing.py
@@ -1245,6 +1245,34 @@
         "_, partner = min(partners, key=lambda row: row[1])",
         "test_faults.Crowd.test_partners_share_a_pool",
     ),
+    CodeMutation(
+        "deferred settlings run before the next command",
+        "control/oakramp/control/shard_leader.py",
+        "[*self._take_deferred(), first, *self._queue.take_ready(CONTROL_BATCH - 1)]",
+        "[first, *self._queue.take_ready(CONTROL_BATCH - 1), *self._take_deferred()]",
+        "test_deferred_commands.DeferredCommands.test_a_budget_that_a_deferred_settling_has_used_up_admits_nothing",
+    ),
+    CodeMutation(
+        "all peers are asked while a control node owes an answer",
+        "gossip/oakramp/gossip/gossip_client.py",
+        "is_unsure = not control or any(address in self._pulling or address in self._silent for address in control)",
+        "is_unsure = not control",
+        "test_gossip_peers.Round.test_all_peers_are_asked_while_the_control_node_owes_an_answer",
+    ),
+    CodeMutation(
+        "all peers are asked while something is not confirmed",
+        "gossip/oakramp/gossip/gossip_client.py",
+        "is_unsure or self._state_table.oldest_age(NODE_SOURCE) > UNCONFIRMED_AGE",
+        "is_unsure",
+        "test_gossip_peers.Round.test_all_peers_are_asked_while_something_published_is_not_confirmed",
+    ),
+    CodeMutation(
+        "a silent gossip peer is replaced at once",
+        "membership/oakramp/membership/members.py",
+        " or any(map(self._is_not_live, self._peers))",
+        "",
+        "test_members.GossipPeersTest.test_one_that_falls_silent_is_replaced_at_once",
+    ),
 ]
 
 
