--- a/packages/testbed/oakramp/testbed/main.py
+++ b/packages/testbed/oakramp/testbed/main.py
@@ -15,6 +15,7 @@
 from oakramp.common.errors import NotFoundError
 from oakramp.common.structured_logging import EventLogger, stderr_sink
 from oakramp.common.tasks import monotonic_reactor, settled
+from oakramp.testbed.ablation import ABLATIONS, ablation_named, make_variant
 from oakramp.testbed.capacity import SLOPES
 from oakramp.testbed.checker import cut_off
 from oakramp.testbed.emulators import build_standins
@@ -237,6 +238,25 @@
             click.echo(f"    {what}: {value}")
 
 
+@main.command()
+@click.argument("name", required=False)
+@click.option("--into", type=click.Path(exists=False), help="The folder of the variant; it must not exist.")
+@click.option("--root", default=".", show_default=True, type=click.Path(exists=True), help="The checkout.")
+def ablation(name, into, root):
+    """Makes a variant of the checkout without one mechanism; without a NAME, lists the mechanisms."""
+    if name is None:
+        for one in ABLATIONS:
+            click.echo(f"{one.name}: {one.purpose}")
+        return
+    if into is None:
+        raise click.UsageError("--into is needed")
+    try:
+        make_variant(ablation_named(name), root, into)
+    except (NotFoundError, ValueError) as error:
+        raise click.ClickException(str(error)) from error
+    click.echo(f"without {name}: {into}; play days there with the users' bench")
+
+
 @main.command()
 @click.argument("names", nargs=-1)
 @click.option("--root", default=".", show_default=True, type=click.Path(exists=True), help="The checkout.")
