--- a/tests/test_takeout.py
+++ b/tests/test_takeout.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 import oakramp.testbed
-from oakramp.testbed.mutation_testing import CODE_MUTATIONS
+from oakramp.testbed.code_mutations import CODE_MUTATIONS
 
 PACKAGES = Path(oakramp.testbed.__file__).parents[3]
 TESTS = Path(__file__).parent
