--- a/packages/testbed/oakramp/testbed/mutation_testing.py
+++ b/packages/testbed/oakramp/testbed/mutation_testing.py
@@ -42,6 +42,7 @@
 
 
 def try_all(root, names=()):
+    """Yields (mutation, outcome) of each named one, or of all; the outcome is "fails" where its test does."""
     chosen = [one for one in CODE_MUTATIONS if not names or one.name in names]
     with ThreadPool(os.cpu_count()) as pool:
         yield from pool.imap(lambda one: try_without(one, root), chosen)
