--- a/packages/gateway/oakramp/gateway/proxy_node.py
+++ b/packages/gateway/oakramp/gateway/proxy_node.py
@@ -6,6 +6,7 @@
 from oakramp.common.constants import (
     ACCEPT_QUEUE_LIMIT,
     BODY_LIMIT,
+    FORGET_AGE,
     IDLE_CALLER_TIME,
     READY_DRAIN,
     RELAY_BOUND,
@@ -22,7 +23,7 @@
 from oakramp.gateway.base import GateBase
 from oakramp.gateway.prefix_placement import PrefixPlacement
 from oakramp.gateway.proxy import RequestProxy
-from oakramp.gateway.routing import Router
+from oakramp.gateway.routing import Router, RoutingAgeWatch
 from oakramp.http_proxy.listener import Listener
 from oakramp.http_proxy.upstream import Upstreams
 from oakramp.store.turns import TurnClient
@@ -52,6 +53,7 @@
         self._leaving_s = bounds["leaving_s"] * (1 - LEAVING_MARGIN) if "leaving_s" in bounds else REPLICA_AGE
         self._grace_s = bounds.get("grace_s", SETTLE_TIME)
         self.router = Router(self.node, dialect)
+        self._routing_age_watch = RoutingAgeWatch(reactor, self.router, self.node.log)
         self.placement = PrefixPlacement(self.node, self.leaders, self.metrics, self._cache_tokens_of)
         self.balancer = Balancer(self.node, self.node.log, self.placement)
         self.upstreams = Upstreams(reactor, env["relay"].rpartition(":")[0], self.node.log)
@@ -72,6 +74,7 @@
             ("requests_waiting", self.balancer.waiting_count),
             ("settling", lambda: len(self.settling)),
             ("members_live", lambda: len(self.node.members.live())),
+            ("routing_age_seconds", lambda: round(min(self.router.age(), FORGET_AGE), 3)),
         ):
             self.metrics.gauge(name, ask)
         turns.calls.show(self.metrics)
@@ -120,6 +123,7 @@
     def start(self):
         self.node.start()
         self.placement.start()
+        self._routing_age_watch.start()
         self.web.listen()
         self.ready_web.listen()
         self.front.listen()
@@ -134,6 +138,7 @@
         await self.front.stop(max(0.5, ends_at - self.node.reactor.seconds()))
         await self.wait_settled(STOP_MARGIN)
         self.placement.stop()
+        self._routing_age_watch.stop()
         for web in (self.ready_web, self.web):
             await web.stop()
         await self.node.stop()
--- a/packages/gateway/oakramp/gateway/routing.py
+++ b/packages/gateway/oakramp/gateway/routing.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass, field
 from itertools import accumulate
 
-from oakramp.common.constants import ROUTING_AGE, ROUTING_STRETCH
+from oakramp.common.constants import ROUTING_AGE, ROUTING_AGE_POLL, ROUTING_STRETCH
+from oakramp.common.tasks import Repeater
 from oakramp.control.routing import ROUTING_KEY, document_of, host_of
 from oakramp.control.shards import unpack_entry
 
@@ -130,6 +131,44 @@
             return "no routing is known yet"
         bounds = self._node.env.get("bounds") or {}
         longest = bounds.get("routing_age_s", ROUTING_AGE) + bounds.get("routing_stretch_s", ROUTING_STRETCH)
-        if self._state_table.age(ROUTING_KEY) > longest:
+        if self.age() > longest:
             return "the routing's news is too old"
         return None
+
+    def age(self):
+        """Seconds since the table was last confirmed to be the newest."""
+        return self._state_table.age(ROUTING_KEY)
+
+    def age_bound(self):
+        """Seconds within which a new version is in force at every gateway."""
+        return (self._node.env.get("bounds") or {}).get("routing_age_s", ROUTING_AGE)
+
+
+class RoutingAgeWatch:
+    """Logs when a gateway's routing table has not been confirmed for longer than a new version may take, and when it
+    is confirmed again. `_outdated_since` is when that began (monotonic seconds), or None."""
+
+    def __init__(self, reactor, router, log):
+        self._reactor, self._router, self._log = reactor, router, log
+        self._outdated_since = None
+        self._repeater = Repeater(reactor, ROUTING_AGE_POLL, self._poll, log)
+
+    def start(self):
+        """Starts to look."""
+        self._repeater.start()
+
+    def stop(self):
+        """Ends it."""
+        self._repeater.stop()
+
+    async def _poll(self):
+        is_outdated = bool(self._router.version) and self._router.age() > self._router.age_bound()
+        if is_outdated == (self._outdated_since is not None):
+            return
+        now, version = self._reactor.seconds(), self._router.version
+        if is_outdated:
+            self._outdated_since = now
+            self._log.warning("routing_outdated", version=version, age_s=round(self._router.age(), 3))
+            return
+        outdated_s, self._outdated_since = round(now - self._outdated_since, 3), None
+        self._log.info("routing_confirmed", version=version, outdated_s=outdated_s)
--- a/packages/gossip/oakramp/gossip/gossip_client.py
+++ b/packages/gossip/oakramp/gossip/gossip_client.py
@@ -23,7 +23,7 @@
 
 class GossipClient:
     """`_pulling` names the addresses with a pull under way: never two to one address; `_silent` those whose last pull
-    failed: that is told when it begins and when it ends."""
+    failed, with the time of the first that did (monotonic seconds): that is logged when it begins and when it ends."""
 
     def __init__(self, reactor, net, state_table, members, identity, me, seeds, random, log):
         self._reactor, self._net, self._state_table, self._members = reactor, net, state_table, members
@@ -32,7 +32,7 @@
         self._version = 0
         self._more = {}  # further items of the node's own row
         self._pulling = set()
-        self._silent = set()
+        self._silent = {}
         self._answered_at = {}
         self._told = {}  # address -> what it was told, if it keeps that
         self._heard = {}  # nodeId -> what this node was told
@@ -214,12 +214,13 @@
                 self._log.info("cluster_joined", cluster_id=news.cluster_id, through=address)
             self._state_table.merge(news, seen, asked_at)
             self._answered_at[address] = asked_at
-            if address in self._silent:
-                self._silent.discard(address)
-                self._log.info("gossip_peer_answered", address=address)
+            silent_since = self._silent.pop(address, None)
+            if silent_since is not None:
+                silent_s = round(self._reactor.seconds() - silent_since, 3)
+                self._log.info("gossip_peer_answered", address=address, silent_s=silent_s)
         except OakrampError as error:
             if address not in self._silent:
-                self._silent.add(address)
+                self._silent[address] = self._reactor.seconds()
                 self._log.warning("gossip_pull_failed", address=address, reason=error.reason)
         finally:
             self._pulling.discard(address)
--- a/packages/rpc/oakramp/rpc/endpoint.py
+++ b/packages/rpc/oakramp/rpc/endpoint.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 from struct import Struct
+from typing import NamedTuple
 
 from twisted.internet import defer, protocol
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -42,11 +43,22 @@
 LENGTH = Struct("!I")  # of the frame that follows
 
 
+class PendingCall(NamedTuple):
+    """A call that was written and not answered; times are monotonic seconds, `received` is the connection's count of
+    bytes at that time."""
+
+    answer: defer.Deferred
+    sent_at: float
+    due_at: float
+    method: str
+    received: int
+
+
 class Connection(protocol.Protocol):
-    """Invariants: nothing but a hello is read before the peer's hello; `_inFlight` holds exactly the
-    calls that were written and not answered, by number, with the time at which each is given up; once lost, it is
-    empty and stays so; while it holds any, `_timer` runs out no later than the first of these times; `_unread` is the
-    beginning of one frame, and none of it has been taken."""
+    """Invariants: nothing but a hello is read before the peer's hello; `_in_flight` holds exactly the
+    calls that were written and not answered, by number; once lost, it is empty and stays so; while it holds any,
+    `_timer` runs out no later than the first of their `due_at`; `_unread` is the beginning of one frame, and none of it
+    has been taken; `_received` counts the bytes that came."""
 
     def __init__(self, net):
         self._net = net
@@ -57,6 +69,8 @@
         self._hello_call = None
         self._timer = None
         self._due_at = 0.0
+        self._received = 0
+        self._is_silent = False
         self.peer = None
         self.ready = defer.Deferred()
 
@@ -86,6 +100,8 @@
 
     def dataReceived(self, data):
         """Splits what arrives into frames."""
+        self._received += len(data)
+        self._is_silent = False
         if self._unread:
             data = self._unread + data
         start, end = 0, len(data)
@@ -114,8 +130,8 @@
             self._timer.cancel()
             self._timer = None
         waiting, self._in_flight = self._in_flight, {}
-        for answer, _, _ in waiting.values():
-            answer.errback(OutcomeUnknownError("connection lost before the answer"))
+        for pending in waiting.values():
+            pending.answer.errback(OutcomeUnknownError("connection lost before the answer"))
 
     def _drop(self, why, **pairs):
         self._net.log.info(
@@ -164,7 +180,8 @@
             return defer.fail(OverloadedError("too many calls wait on this peer"))
         body = pack(arguments_class(method)(**arguments))
         call_id, answer = next(self._call_ids), defer.Deferred()
-        self._in_flight[call_id] = (answer, self._net.reactor.seconds() + time_left, method)
+        now = self._net.reactor.seconds()
+        self._in_flight[call_id] = PendingCall(answer, now, now + time_left, method, self._received)
         self._wake_within(time_left)
         self._net.call_counts[method] = self._net.call_counts.get(method, 0) + 1
         self.sendString(
@@ -184,25 +201,35 @@
 
     def _give_up_late(self):
         self._timer, now = None, self._net.reactor.seconds()
-        for call_id in [call_id for call_id, (_, due, _) in self._in_flight.items() if due <= now]:
-            answer, _, method = self._in_flight.pop(call_id, (None, None, None))
-            if answer is not None:  # else what an earlier one set off has closed the connection
-                answer.errback(OutcomeUnknownError(f"no answer to {method} in time"))
+        for call_id in [call_id for call_id, pending in self._in_flight.items() if pending.due_at <= now]:
+            pending = self._in_flight.pop(call_id, None)
+            if pending is None:
+                continue  # what an earlier one set off has closed the connection
+            if pending.received == self._received:
+                self._note_silent(now - pending.sent_at)
+            pending.answer.errback(OutcomeUnknownError(f"no answer to {pending.method} in time"))
         if self._in_flight:
-            self._wake_within(max(0.0, min(due for _, due, _ in self._in_flight.values()) - now))
+            self._wake_within(max(0.0, min(pending.due_at for pending in self._in_flight.values()) - now))
+
+    def _note_silent(self, seconds):
+        """Nothing has come since a call that has timed out was sent: the process is at a stand, or the way is cut, or
+        the machine has lost its power and does not know of this connection."""
+        if not self._is_silent:
+            self._is_silent = True
+            self._net.log.info("peer_connection_silent", peer=self.peer.node_id, silent_s=round(seconds, 3))
 
     def _answered(self, frame):
-        answer, _, method = self._in_flight.pop(frame.call_id, (None, None, None))
-        if answer is None:
+        pending = self._in_flight.pop(frame.call_id, None)
+        if pending is None:
             return  # it came after its time
         if frame.error:
-            answer.errback(
+            pending.answer.errback(
                 error_from_wire(
                     frame.error, frame.reason, frame.verdict, json.loads(frame.detail) if frame.detail else None
                 )
             )
             return
-        answer.callback(unpack(result_class(method), frame.body).success)
+        pending.answer.callback(unpack(result_class(pending.method), frame.body).success)
 
     # --- serving ---
 
--- a/packages/testbed/oakramp/testbed/code_mutations.py
+++ b/packages/testbed/oakramp/testbed/code_mutations.py
@@ -412,7 +412,7 @@
     CodeMutation(
         "a gate acts on no table of old news",
         "gateway/oakramp/gateway/routing.py",
-        "if self._state_table.age(ROUTING_KEY) > longest:",
+        "if self.age() > longest:",
         "if False:",
         "test_cut_off.CutGates.test_a_table_of_old_news_is_not_acted_on",
     ),
