--- a/packages/testbed/oakramp/testbed/simnet.py
+++ b/packages/testbed/oakramp/testbed/simnet.py
@@ -1,8 +1,11 @@
 """A simulated reactor for each machine, on one simulated time and network.
 
 A machine can be frozen (its calls wait), killed (its peers see their connections close) or cut off the power
-(its peers see nothing). Links can be cut in one direction or both, and slow; as with TCP, what was sent over
-a cut link arrives once it heals, unless one end has gone in between.
+(its peers see nothing). Links can be cut in one direction or both, and slow.
+
+As with TCP, what does not get through is sent again after a time that grows with each try, and all that is written
+later waits behind it. So a connection learns of a link that has healed, or of a peer that lost its power and is back,
+only when it sends again: up to as long after as it had waited before.
 """
 
 import heapq
@@ -15,7 +18,9 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-RESEND = 0.3  # s; a sender tries a cut link again after this
+SYN_RESEND = 0.3  # s; the opening packet of a connection is sent again after this
+RETRANSMISSION_TIMEOUT = 0.2  # s; first one of a segment that is not acknowledged
+RETRANSMISSION_TIMEOUT_MOST = 120.0  # s
 
 
 class SimTime:
@@ -82,6 +87,7 @@
         self.hosts = {}
         self.sent = 0
         self.bytes_from = Counter()
+        self.backoff = 1  # by which the time until a segment is sent again grows with each try
 
     def delay(self, from_host, to_host):
         return self.random.uniform(self._low, self._high) + self.delays.get((from_host, to_host), 0.0)
@@ -141,6 +147,7 @@
         self.up = not power_cut
         for transport in transports:
             transport.closed = True
+            transport.lost_power = power_cut
             if not power_cut:
                 transport.send_close(error.ConnectionLost("peer process ended"))
 
@@ -209,7 +216,7 @@
         if self.state != "connecting" or self._host.incarnation != incarnation:
             return
         if pair in network.cuts or pair[::-1] in network.cuts or target is None or not target.up:
-            network.time.schedule(RESEND, None, self._arrive, incarnation)
+            network.time.schedule(SYN_RESEND, None, self._arrive, incarnation)
             return
         back = network.delay(self._address, self._host.address)
         listener = target.listeners.get(self._port)
@@ -262,7 +269,8 @@
 @implementer(interfaces.ITCPTransport, interfaces.IPushProducer, interfaces.IConsumer)
 class SimTransport:
     """One end of a connection. Invariants: what is written arrives in order or not at all; after `closed`
-    nothing more is sent or handed up, and the protocol has been told once."""
+    nothing more is sent or handed up, and the protocol has been told once; while `_unacknowledged` holds anything, its
+    first part has been lost on the way, and a retransmission is scheduled."""
 
     def __init__(self, host, local_port, peer_address, peer_port):
         self.host, self.local_port, self._peer = host, local_port, (peer_address, peer_port)
@@ -272,6 +280,8 @@
         self.connected = True
         self._arrived = []
         self._last_arrival = 0.0
+        self._unacknowledged = []
+        self.lost_power = False
 
     # --- opening and arriving ---
 
@@ -295,23 +305,35 @@
         network.time.schedule(due - network.time.now, None, self._arrive_at, what)
 
     def _arrive_at(self, what):
-        """Runs for the network; the other machine takes it when it is up and not frozen."""
+        """Runs for the network; what comes after something that was lost waits behind it."""
+        self._unacknowledged.append(what)
+        if len(self._unacknowledged) == 1:
+            self._transmit(RETRANSMISSION_TIMEOUT)
+
+    def _transmit(self, timeout):
+        """Delivers what waits, in order. What gets lost is sent again after `timeout` seconds."""
+        if self.lost_power:
+            self._unacknowledged.clear()
+        while self._unacknowledged:
+            if not self._deliver(self._unacknowledged[0]):
+                longer = min(self.host.network.backoff * timeout, RETRANSMISSION_TIMEOUT_MOST)
+                self.host.network.time.schedule(timeout, None, self._transmit, longer)
+                return
+            self._unacknowledged.pop(0)
+
+    def _deliver(self, what):
+        """Whether the other machine's kernel has answered, be it with a reset."""
         network, other = self.host.network, self.other
-        if (self.host.address, self._peer[0]) in network.cuts:
-            network.time.schedule(RESEND, None, self._arrive_at, what)
-            return
         target = other.host
-        if other.closed or not target.up:
-            if target.up and not self.closed and not isinstance(what, Exception):
-                # Nobody has that connection any more: its kernel says so.
-                network.time.schedule(
-                    network.delay(target.address, self.host.address),
-                    self.host,
-                    self._finish,
-                    error.ConnectionLost("reset by peer"),
-                )
-            return
-        network.time.schedule(0, target, other.take, what)
+        if (self.host.address, self._peer[0]) in network.cuts or not target.up:
+            return False
+        if not other.closed:
+            network.time.schedule(0, target, other.take, what)
+        elif not self.closed and not isinstance(what, Exception):
+            # Nobody has that connection any more: its kernel says so.
+            back = network.delay(target.address, self.host.address)
+            network.time.schedule(back, self.host, self._finish, error.ConnectionLost("reset by peer"))
+        return True
 
     def take(self, what):
         if self.closed:
