--- a/packages/common/oakramp/common/constants.py
+++ b/packages/common/oakramp/common/constants.py
@@ -17,6 +17,9 @@
 PEER_IN_FLIGHT = 512  # calls; more waiting on one peer means that peer is not answering
 RECONNECT_PAUSE = 0.2  # s; keeps a dead address from being dialled in a loop
 REDIAL_PAUSE = 1.0  # s; an address at which another node was found than was asked for is dialled again so often at most
+SILENT_LEAST = 0.3  # s; a call with less time than this says nothing of its connection when it times out
+SILENT_MOST = 5.0  # s; a connection on which calls time out and nothing comes is closed after this; a new one is tried
+# beside it meanwhile
 CALL_TIME = 2.0  # s; a control or store call that takes longer is tried elsewhere
 ACCEPT_LIMIT = 512  # connections; a few times the largest fleet tried
 
@@ -134,8 +137,7 @@
 # answers at all: owners answer in milliseconds
 MAJORITY_WAIT = 0.35  # s; for that question's answers, so that one that is cut off says so within half a second
 ROUTING_AGE = 1.5  # s; as for blueprints, unless the deployment's bounds say otherwise
-ROUTING_STRETCH = 3.5  # s; a take-over: for so long more the routing may be old while the control nodes are
-# unsettled
+ROUTING_STRETCH = 3.5  # s; a take-over: for so long more a gateway without news calls itself ready, though it refuses
 ROUTING_AGE_POLL = 0.25  # s; how often a gateway looks whether its routing table is outdated, for its log only
 ALLOWANCE_KEPT = 900.0  # s; after its last turn a program's row goes: a program is over within minutes, and well
 # above
--- a/packages/control/oakramp/control/failover.py
+++ b/packages/control/oakramp/control/failover.py
@@ -73,8 +73,9 @@
         voting_config = self._voter.voting_config
         if voting_config is None:
             return
-        is_partitioned = not voting_config.is_quorum(self._answering_voters())
-        self._registry.contact.poll(not is_partitioned)
+        answering = self._answering_voters()
+        self._registry.contact.poll(voting_config.is_quorum(answering))
+        is_partitioned = not voting_config.is_quorum(answering & self._asking_voters())
         if self._node.node_id not in voting_config.everyone:
             # A non-member needs no majority; while it reported to be partitioned, it would not be let in again.
             self._report_partitioned(False)
@@ -82,7 +83,8 @@
                 leader.end()
             return
         # Only a node that hears from a majority may disturb a leader: one that is heard but hears nobody would end
-        # every lease with its prepares.
+        # every lease with its prepares. And only one that a majority reaches may lead: what a leader confirms is
+        # published at its node, where the others have to be able to ask for it.
         self._report_partitioned(is_partitioned)
         if is_partitioned:
             return
@@ -207,6 +209,12 @@
             if self._node.gossip_client.answers_lately(address)
         }
 
+    def _asking_voters(self) -> set[str]:
+        """Node ids of the voters whose gossip requests have come to this node lately."""
+        return {
+            node_id for node_id in self._voter.voting_config.everyone if self._node.gossip_client.is_asked_by(node_id)
+        }
+
     def _report_partitioned(self, is_partitioned: bool) -> None:
         """Publishes whether this member reaches a majority, as far as it is still heard.
 
--- a/packages/gateway/oakramp/gateway/proxy_node.py
+++ b/packages/gateway/oakramp/gateway/proxy_node.py
@@ -102,7 +102,7 @@
     def why_not_ready(self):
         if self.stopping:
             return "stopping"
-        return self.router.staleness() or self.replicas_staleness()
+        return self.router.why_not_ready() or self.replicas_staleness()
 
     async def _ready(self, _call):
         why = self.why_not_ready()
--- a/packages/gateway/oakramp/gateway/routing.py
+++ b/packages/gateway/oakramp/gateway/routing.py
@@ -124,13 +124,27 @@
         return None if routes is None else routes.find(path.partition("?")[0])
 
     def staleness(self):
-        """Why no request may be carried by this table now, or None."""
+        """Why no request may be carried by this table now, or None.
+
+        A change that was confirmed is in force everywhere within `age_bound`. So a table that was not confirmed within
+        that time may lack one, whatever kept the news from coming, and this gateway cannot tell what did.
+        """
+        return self._why_unusable(self.age_bound())
+
+    def why_not_ready(self):
+        """Why this gateway is of no use to those that choose among gateways, or None.
+
+        While a shard changes hands all gateways are without news for a moment. They refuse meanwhile, but call
+        themselves ready: who leaves out all of them has nowhere to go, and takes them back later than they serve again.
+        """
+        bounds = self._node.env.get("bounds") or {}
+        return self._why_unusable(self.age_bound() + bounds.get("routing_stretch_s", ROUTING_STRETCH))
+
+    def _why_unusable(self, longest):
         if self._unreadable is not None:
             return f"version {self._unreadable} of the routing cannot be read here"
         if not self.version:
             return "no routing is known yet"
-        bounds = self._node.env.get("bounds") or {}
-        longest = bounds.get("routing_age_s", ROUTING_AGE) + bounds.get("routing_stretch_s", ROUTING_STRETCH)
         if self.age() > longest:
             return "the routing's news is too old"
         return None
--- a/packages/gossip/oakramp/gossip/gossip_client.py
+++ b/packages/gossip/oakramp/gossip/gossip_client.py
@@ -2,6 +2,7 @@
 
 import json
 from dataclasses import replace
+from math import inf
 
 from oakramp.common.constants import (
     CONDITION_AGE,
@@ -34,6 +35,7 @@
         self._pulling = set()
         self._silent = {}
         self._answered_at = {}
+        self._asked_at = {}  # nodeId -> when that node last asked this one (monotonic seconds)
         self._told = {}  # address -> what it was told, if it keeps that
         self._heard = {}  # nodeId -> what this node was told
         self._rounds = 0
@@ -99,6 +101,7 @@
     async def _serve_pull(self, peer, arguments):
         """Answers with what the puller lacks. Its own row counts as a sign of life from now on; that is good
         enough for its condition, and rows of nodes are all that is taken from a puller."""
+        self._asked_at[peer.node_id] = self._reactor.seconds()
         news = self._news_for(peer, arguments)
         news.cluster_id = self._net.cluster_id
         if (
@@ -194,6 +197,7 @@
         old = self._reactor.seconds() - FORGET_AGE
         for node_id in [node_id for node_id, heard in self._heard.items() if heard.heard_at < old]:
             del self._heard[node_id]
+        self._asked_at = {node_id: at for node_id, at in self._asked_at.items() if at >= old}
         if self._net.cluster_id and self._rounds % OTHER_PEERS_ROUNDS == 0:
             self._learn({member.peer for member in self._members.live("control")} or set(self._identity.addresses))
 
@@ -254,6 +258,10 @@
             address == self._me.peer or self._reactor.seconds() - self._answered_at.get(address, float("-inf")) < lately
         )
 
+    def is_asked_by(self, node_id, lately=CONDITION_AGE):
+        """Whether this node has asked for what is published here, and so reaches this one."""
+        return node_id == self._me.node_id or self._reactor.seconds() - self._asked_at.get(node_id, -inf) < lately
+
     def take_seeds(self, seeds):
         """Asks these addresses from now on where no member is known."""
         self._seeds = list(seeds)
--- a/packages/http_proxy/oakramp/http_proxy/connection.py
+++ b/packages/http_proxy/oakramp/http_proxy/connection.py
@@ -10,9 +10,10 @@
 
 from oakramp.common.constants import ANSWER_HEAD_LIMIT, KEPT_MARGIN, KEPT_UNTOLD, TRAILER_LIMIT
 from oakramp.common.errors import IncompleteResponseError, OutcomeUnknownError, UnreachableError, Verdict
+from oakramp.common.tcp_options import set_peer_options
 from oakramp.http_proxy.framing import ChunkedDecoder, MalformedMessageError, body_length, parse_fields
 from oakramp.http_proxy.response import WHOLE, Response
-from oakramp.http_proxy.sockets import has_unsent, send_now, set_options
+from oakramp.http_proxy.sockets import has_unsent, send_now
 
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r\n")
 _TIMEOUT = re.compile(rb"timeout[ \t]*=[ \t]*([0-9]{1,9})")
@@ -46,7 +47,7 @@
         return self._pool.reactor.callLater(max(0.0, seconds), function)
 
     def connectionMade(self):
-        set_options(self.transport, probes=True)
+        set_peer_options(self.transport, probes=True)
         self.usable_until = self._pool.reactor.seconds() + KEPT_UNTOLD
         ready, self.ready = self.ready, None
         if ready is None:
--- a/packages/http_proxy/oakramp/http_proxy/downstream.py
+++ b/packages/http_proxy/oakramp/http_proxy/downstream.py
@@ -5,6 +5,7 @@
 from twisted.internet import defer, protocol
 
 from oakramp.common.constants import EAGER_LIMIT, LINGER_TIME, TRAILER_LIMIT
+from oakramp.common.tcp_options import set_peer_options
 from oakramp.http_proxy.exchange import Exchange
 from oakramp.http_proxy.framing import (
     BARE_LINE_FEED,
@@ -15,7 +16,7 @@
     parse_fields,
     status_line,
 )
-from oakramp.http_proxy.sockets import read_now, send_now, set_options
+from oakramp.http_proxy.sockets import read_now, send_now
 
 _REQUEST_LINE = re.compile(rb"(" + TOKEN + rb") (/[\x21-\x7e]*) HTTP/1\.1\r\n")
 _HOST = re.compile(rb"([^\s:/?#@\[\],]+|\[[0-9A-Fa-f:.]+\])(?::[0-9]*)?")
@@ -45,7 +46,7 @@
     # --- the connection ---
 
     def connectionMade(self):
-        set_options(self.transport, probes=False)
+        set_peer_options(self.transport, probes=False)
         self.transport.registerProducer(self, True)
         self._wait_idle()
         self.front.admit(self)
--- a/packages/http_proxy/oakramp/http_proxy/sockets.py
+++ b/packages/http_proxy/oakramp/http_proxy/sockets.py
@@ -9,33 +9,6 @@
 
 from twisted.internet import tcp
 
-from oakramp.common.constants import PEER_PROBE, PEER_SILENCE
-
-
-def set_options(transport, probes):
-    """A silent peer is noticed: by bytes it does not acknowledge, and with `probes` also while nothing is sent."""
-    if not isinstance(transport, tcp.Connection):
-        return
-    handle, options = (
-        transport.getHandle(),
-        [
-            (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(PEER_SILENCE * 1000)),
-        ],
-    )
-    if probes:
-        options += [
-            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PEER_PROBE),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PEER_PROBE),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, max(1, int(PEER_SILENCE / PEER_PROBE))),
-        ]
-    for option in options:
-        try:
-            handle.setsockopt(*option)
-        except OSError:
-            pass  # the connection works without; a peer that has gone is told by what is read and written
-
 
 def is_quiet(transport):
     """Whether nothing waits to be read, not even the peer's end, as far as the kernel knows."""
--- a/packages/rpc/oakramp/rpc/endpoint.py
+++ b/packages/rpc/oakramp/rpc/endpoint.py
@@ -21,6 +21,8 @@
     PEER_IN_FLIGHT,
     RECONNECT_PAUSE,
     REDIAL_PAUSE,
+    SILENT_LEAST,
+    SILENT_MOST,
     WIRE_SPAN,
     WIRE_VERSION,
 )
@@ -36,7 +38,8 @@
     error_from_wire,
 )
 from oakramp.common.settings import split_address
-from oakramp.common.tasks import begin, drive, spawn
+from oakramp.common.tasks import begin, drive, sleep, spawn, within
+from oakramp.common.tcp_options import set_peer_options
 from oakramp.rpc.codec import arguments_class, idl, pack, pack_frame, result_class, unpack, unpack_frame
 
 OPEN_METHODS = frozenset(["pull"])  # what one may ask that is not a member yet
@@ -58,7 +61,7 @@
     """Invariants: nothing but a hello is read before the peer's hello; `_in_flight` holds exactly the
     calls that were written and not answered, by number; once lost, it is empty and stays so; while it holds any,
     `_timer` runs out no later than the first of their `due_at`; `_unread` is the beginning of one frame, and none of it
-    has been taken; `_received` counts the bytes that came."""
+    has been taken; `received` counts the bytes that came."""
 
     def __init__(self, net):
         self._net = net
@@ -69,14 +72,15 @@
         self._hello_call = None
         self._timer = None
         self._due_at = 0.0
-        self._received = 0
-        self._is_silent = False
+        self.received = 0
+        self.is_silent = False  # a call has timed out, and nothing at all has come since it was sent
+        self.on_silent = lambda: None
         self.peer = None
         self.ready = defer.Deferred()
 
     def connectionMade(self):
         """Sends the hello, and waits HELLO_TIME seconds for the other side's."""
-        self.transport.setTcpNoDelay(True)
+        set_peer_options(self.transport, probes=True)
         self._hello_call = self._net.reactor.callLater(HELLO_TIME, self._drop, "noHello")
         self._net.connections[self] = None
         self.sendString(pack(self._net.hello()))
@@ -100,8 +104,8 @@
 
     def dataReceived(self, data):
         """Splits what arrives into frames."""
-        self._received += len(data)
-        self._is_silent = False
+        self.received += len(data)
+        self.is_silent = False
         if self._unread:
             data = self._unread + data
         start, end = 0, len(data)
@@ -181,7 +185,7 @@
         body = pack(arguments_class(method)(**arguments))
         call_id, answer = next(self._call_ids), defer.Deferred()
         now = self._net.reactor.seconds()
-        self._in_flight[call_id] = PendingCall(answer, now, now + time_left, method, self._received)
+        self._in_flight[call_id] = PendingCall(answer, now, now + time_left, method, self.received)
         self._wake_within(time_left)
         self._net.call_counts[method] = self._net.call_counts.get(method, 0) + 1
         self.sendString(
@@ -205,7 +209,7 @@
             pending = self._in_flight.pop(call_id, None)
             if pending is None:
                 continue  # what an earlier one set off has closed the connection
-            if pending.received == self._received:
+            if pending.received == self.received and now - pending.sent_at >= SILENT_LEAST:
                 self._note_silent(now - pending.sent_at)
             pending.answer.errback(OutcomeUnknownError(f"no answer to {pending.method} in time"))
         if self._in_flight:
@@ -214,9 +218,10 @@
     def _note_silent(self, seconds):
         """Nothing has come since a call that has timed out was sent: the process is at a stand, or the way is cut, or
         the machine has lost its power and does not know of this connection."""
-        if not self._is_silent:
-            self._is_silent = True
+        if not self.is_silent:
+            self.is_silent = True
             self._net.log.info("peer_connection_silent", peer=self.peer.node_id, silent_s=round(seconds, 3))
+            self.on_silent()
 
     def _answered(self, frame):
         pending = self._in_flight.pop(frame.call_id, None)
@@ -302,7 +307,9 @@
 
 class RpcEndpoint:
     """All peer connections of one node. `_links` holds at most one dialled connection for an address,
-    as the Deferred of a Connection; a dead one is replaced by the next call."""
+    as the Deferred of a Connection; a dead one is replaced by the next call, and one that has fallen silent as soon as
+    another one stands. That matters after a loss of power: the machine is back within seconds, but TCP sends again on
+    the former connection, and so learns that it is no more, only up to as long after as the machine was away."""
 
     def __init__(self, reactor, node_id, kind, address, cluster_id, log):
         self.reactor, self.node_id, self.kind, self.address, self.log = reactor, node_id, kind, address, log
@@ -358,11 +365,18 @@
         if address == self.address:
             self._check_node(address, to, self.node_id)
             return await self._call_self(method, arguments)
+        ends_at = self.reactor.seconds() + time_left
+        unreachable = UnreachableError(f"{address} was not reached in time")
+        connection = await within(self.reactor, time_left, self._connection_to(address, to), unreachable)
+        return await connection.call(method, ends_at - self.reactor.seconds(), arguments)
+
+    async def _connection_to(self, address, to):
+        """A connection to the node `to`, or to whatever node is at the address."""
         connection = await self._link(address)
         if to not in (None, connection.peer.node_id):
             connection = await self._dial_again(address, connection)
         self._check_node(address, to, connection.peer.node_id)
-        return await connection.call(method, time_left, arguments)
+        return connection
 
     @staticmethod
     def _check_node(address, wanted, found):
@@ -406,14 +420,51 @@
             raise UnreachableError(connection.reason)
         return connection
 
-    async def _dial(self, address, link):
+    async def _connect(self, address):
+        """A new connection whose peer has said hello."""
         host, port = split_address(address)
         endpoint = TCP4ClientEndpoint(
             self.reactor, host, port, timeout=CONNECT_TIME, bindAddress=(split_address(self.address)[0], 0)
         )
+        connection = await endpoint.connect(_Dialler(self))
+        await connection.ready
+        connection.on_silent = lambda: spawn(self._replace(address, connection), self.log)
+        return connection
+
+    async def _replace(self, address, silent):
+        """Dials beside a connection that has fallen silent, until something comes on it again or another one stands.
+
+        Calls that are under way on the former one may still be answered. After SILENT_MOST seconds it is closed, so
+        that calls fail at once instead of waiting for their time.
+        """
+        ends_at, received = self.reactor.seconds() + SILENT_MOST, silent.received
+        while silent.connected and silent.received == received:
+            if self.reactor.seconds() >= ends_at:
+                silent.transport.abortConnection()
+                return
+            try:
+                fresh = await self._connect(address)
+            except Exception:  # the peer is not back yet; whoever calls it is told so
+                await sleep(self.reactor, RECONNECT_PAUSE)
+                continue
+            if silent.received == received:
+                self._put_in_place_of(address, silent, fresh)
+            else:
+                fresh.transport.abortConnection()
+            return
+
+    def _put_in_place_of(self, address, silent, fresh):
+        link = self._links.get(address)
+        is_current = link is not None and link.called and link.result is silent
+        if not is_current or not fresh.connected:
+            fresh.transport.abortConnection()
+            return
+        self._links[address] = defer.succeed(fresh)
+        self.reactor.callLater(CALL_TIME, silent.transport.abortConnection)
+
+    async def _dial(self, address, link):
         try:
-            connection = await endpoint.connect(_Dialler(self))
-            await connection.ready
+            connection = await self._connect(address)
         except Exception as error:
             self._resting[address] = self.reactor.seconds() + RECONNECT_PAUSE
             if self._links.get(address) is link:
--- a/packages/testbed/oakramp/testbed/code_mutations.py
+++ b/packages/testbed/oakramp/testbed/code_mutations.py
@@ -15,6 +15,34 @@
 
 
 CODE_MUTATIONS = [
+    CodeMutation(
+        "a connection that has fallen silent is replaced",
+        "rpc/oakramp/rpc/endpoint.py",
+        "            self.on_silent()",
+        "            pass",
+        "test_silent_connections.SilentConnections.test_a_machine_that_lost_its_power_is_reached_soon_after_its_return",
+    ),
+    CodeMutation(
+        "a call waits for a connection no longer than its time",
+        "rpc/oakramp/rpc/endpoint.py",
+        "within(self.reactor, time_left, self._connection_to(address, to), unreachable)",
+        "self._connection_to(address, to)",
+        "test_silent_connections.SilentConnections.test_a_call_waits_for_a_connection_no_longer_than_its_time",
+    ),
+    CodeMutation(
+        "only who is asked by a majority leads",
+        "control/oakramp/control/failover.py",
+        "answering & self._asking_voters()",
+        "answering",
+        "test_returning_leader.Returning.test_a_leader_that_no_majority_asks_gives_its_shards_up",
+    ),
+    CodeMutation(
+        "a gateway acts on no table that may lack a confirmed change",
+        "gateway/oakramp/gateway/routing.py",
+        "return self._why_unusable(self.age_bound())",
+        "return self.why_not_ready()",
+        "test_routing.RouterTest.test_staleness",
+    ),
     CodeMutation(
         "claim before carrying",
         "control/oakramp/control/idempotency.py",
--- a/packages/testbed/oakramp/testbed/explore/process.py
+++ b/packages/testbed/oakramp/testbed/explore/process.py
@@ -86,6 +86,10 @@
     def answers_lately(self, address, lately=0.0):
         return self._world.is_answering(self._name, address)
 
+    def is_asked_by(self, node_id, lately=0.0):
+        asker = self._world.machine_of(node_id)
+        return asker is not None and self._world.is_answering(asker.name, self.me.peer)
+
     def describe(self, member):
         self.me = member
 
--- a/packages/testbed/oakramp/testbed/simnet.py
+++ b/packages/testbed/oakramp/testbed/simnet.py
@@ -3,7 +3,7 @@
 A machine can be frozen (its calls wait), killed (its peers see their connections close) or cut off the power
 (its peers see nothing). Links can be cut in one direction or both, and slow.
 
-As with TCP, what does not get through is sent again after a time that grows with each try, and all that is written
+As with TCP, what does not get through is sent again after a time that doubles with each try, and all that is written
 later waits behind it. So a connection learns of a link that has healed, or of a peer that lost its power and is back,
 only when it sends again: up to as long after as it had waited before.
 """
@@ -18,8 +18,8 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-SYN_RESEND = 0.3  # s; the opening packet of a connection is sent again after this
-RETRANSMISSION_TIMEOUT = 0.2  # s; first one of a segment that is not acknowledged
+SYN_RESEND = 1.0  # s; the opening packet of a connection is sent again after this
+RETRANSMISSION_TIMEOUT = 0.2  # s; first one of a segment that is not acknowledged, doubled with each further try
 RETRANSMISSION_TIMEOUT_MOST = 120.0  # s
 
 
@@ -87,7 +87,6 @@
         self.hosts = {}
         self.sent = 0
         self.bytes_from = Counter()
-        self.backoff = 1  # by which the time until a segment is sent again grows with each try
 
     def delay(self, from_host, to_host):
         return self.random.uniform(self._low, self._high) + self.delays.get((from_host, to_host), 0.0)
@@ -316,7 +315,7 @@
             self._unacknowledged.clear()
         while self._unacknowledged:
             if not self._deliver(self._unacknowledged[0]):
-                longer = min(self.host.network.backoff * timeout, RETRANSMISSION_TIMEOUT_MOST)
+                longer = min(2 * timeout, RETRANSMISSION_TIMEOUT_MOST)
                 self.host.network.time.schedule(timeout, None, self._transmit, longer)
                 return
             self._unacknowledged.pop(0)
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -42,9 +42,16 @@
     @classmethod
     def setUpClass(cls):
         cls.fleet = SimFleet(5).bring_up()
+        cls.fleet.wait_for("the plans' news at the gates", cls.have_plans)
         cls.gate = cls.fleet["gate0"].machine.http
         cls.control = cls.fleet["control0"].machine.http
 
+    @classmethod
+    def have_plans(cls):
+        """Whether each gate has had a plan: a first connection to a node that starts later takes a second."""
+        tables = [gate.node.node.state_table.snapshots for gate in cls.fleet.of_kind("gate")]
+        return all(any(source.startswith("blueprint/") for source in table) for table in tables)
+
     @classmethod
     def tearDownClass(cls):
         crashes = [line for line in cls.fleet.lines if "rashed" in line]
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -447,7 +447,7 @@
         self.publish(1, table(route()))
         self.assertIsNone(self.router.staleness())
         self.state_table.retract(ROUTING_KEY)
-        self.now += 7.0
+        self.now += 2.0
         self.assertIsNone(self.router.staleness())
         self.now += 0.1
         self.assertIn("too old", self.router.staleness())
@@ -456,6 +456,17 @@
         self.node.env = {}
         self.assertIn("too old", self.router.staleness())
 
+    def test_a_gateway_that_refuses_for_want_of_news_calls_itself_ready_for_a_while(self):
+        self.assertIn("no routing", self.router.why_not_ready())
+        self.publish(1, table(route()))
+        self.assertIsNone(self.router.why_not_ready())
+        self.state_table.retract(ROUTING_KEY)
+        self.now += 7.0
+        self.assertIsNone(self.router.why_not_ready())
+        self.assertIn("too old", self.router.staleness())
+        self.now += 0.1
+        self.assertIn("too old", self.router.why_not_ready())
+
     def test_a_table_that_cannot_be_read_stops_the_gate(self):
         self.publish(1, table(route()))
         for version, document in (
