--- a/packages/common/oakramp/common/constants.py
+++ b/packages/common/oakramp/common/constants.py
@@ -30,6 +30,8 @@
 # so
 # has room for half of what its files hold
 RING_RESERVE_FILES = 2  # files; kept free so that reclaiming the tail always has room to copy
+LOG_RECOVERY_PAUSE = 0.1  # s; from a failed write to the first try to bring the log back, doubled with each further one
+LOG_RECOVERY_PAUSE_MOST = 1.0  # s; so that a voter is back well before the next machine may be lost
 RING_BATCH = 256  # commits; one sync covers this many at most, so that no commit waits long
 
 # --- cohort and news ---------------------------------------------------------
--- a/packages/control/oakramp/control/control_node.py
+++ b/packages/control/oakramp/control/control_node.py
@@ -41,7 +41,14 @@
 
     def __init__(self, reactor, env, disk, random, sink, wall=time.time, dialect=None):
         self.node = Node(reactor, "control", env, random, sink, disk, wall, founding_of(env))
-        self.ring = CircularLog(disk, self.node.log, env.get("ringFileSize"), seconds=reactor.seconds)
+        self.ring = CircularLog(
+            disk,
+            self.node.log,
+            env.get("ringFileSize"),
+            seconds=reactor.seconds,
+            reactor=reactor,
+            random_source=random,
+        )
         self.voter = Voter(self.node, self.ring)
         self.client = ShardClient(self.node, lambda address: not self.node.gossip_client.answers_lately(address))
         self.leaders = LeaderRegistry(self.node, self.voter)
--- a/packages/control/oakramp/control/failover.py
+++ b/packages/control/oakramp/control/failover.py
@@ -86,7 +86,7 @@
         # every lease with its prepares. And only one that a majority reaches may lead: what a leader confirms is
         # published at its node, where the others have to be able to ask for it.
         self._report_partitioned(is_partitioned)
-        if is_partitioned:
+        if is_partitioned or self._voter.is_refusing:  # who cannot promise to itself only outbids those that can win
             return
         live_ids = self.live_voters()
         for shard in range(SHARDS):
--- a/packages/control/oakramp/control/lease_expiry.py
+++ b/packages/control/oakramp/control/lease_expiry.py
@@ -26,7 +26,7 @@
 
     async def _poll(self):
         shards = self._quiet_shards()
-        if not shards or not self._hears_majority():
+        if not shards or self._voter.is_refusing or not self._hears_majority():
             return
         quiet = await self._ask_majority(shards)
         expired = {shard for shard in shards if quiet[shard] >= LEASE_EXPIRED}
--- a/packages/control/oakramp/control/voter.py
+++ b/packages/control/oakramp/control/voter.py
@@ -198,8 +198,12 @@
             self._reactor.callLater(2 * LEASE, self._on_voting_config_aged, self.voting_config.version)
 
     def _on_voting_config_aged(self, version):
-        if version == self.voting_config.version and self._ring.broken is None:
-            spawn(self._ring.commit([(VOTING_CONFIG_IS_NEW, None)]), self._log)
+        if version != self.voting_config.version:
+            return
+        if self._ring.broken is not None:
+            self._forget_previous_voting_config()  # tried again
+            return
+        spawn(self._ring.commit([(VOTING_CONFIG_IS_NEW, None)]), self._log)
 
     def _count_from_now(self):
         """Confirmations count as given this instant. At a start, since what this voter confirmed before is forgotten;
@@ -220,8 +224,13 @@
 
         return handler
 
+    @property
+    def is_refusing(self):
+        """Whether this voter answers nothing for the moment, since its disk does not take what it would promise."""
+        return self._ring.broken is not None
+
     def _check_voting_config(self, peer, version):
-        if self._ring.broken is not None:
+        if self.is_refusing:
             raise StaleEpochError("this node's disk has failed")
         if self.voting_config is None or self._node_id not in self.voting_config.everyone:
             raise StaleEpochError(
--- a/packages/storage/oakramp/storage/circular_log.py
+++ b/packages/storage/oakramp/storage/circular_log.py
@@ -15,8 +15,15 @@
 that something later names as synced cannot be read, the disk lost what it had confirmed: that is
 damage and stops recovery. An unreadable record that nothing names is a tail torn by a power cut. After
 each sync an empty record is written without a sync of its own, so that even the last commit is named.
+
+A write or sync that fails fails the commits that it was for, and the log takes no others until it has recovered. After
+a failed sync the system may call pages clean that it never wrote, so nothing since the last good sync is assumed to be
+on the disk or not to be there: it is written anew from memory, and after it, for each key that the failed commits
+named, the value from before. Once that is synced, the disk holds what was confirmed, and nothing else.
 """
 
+import errno
+import random
 import struct
 import time
 import zlib
@@ -26,9 +33,17 @@
 from cachetools import LRUCache
 from twisted.internet import defer
 
-from oakramp.common.constants import RING_BATCH, RING_FILE_SIZE, RING_FILES, RING_RESERVE_FILES, RING_VERSION
+from oakramp.common.constants import (
+    LOG_RECOVERY_PAUSE,
+    LOG_RECOVERY_PAUSE_MOST,
+    RING_BATCH,
+    RING_FILE_SIZE,
+    RING_FILES,
+    RING_RESERVE_FILES,
+    RING_VERSION,
+)
 from oakramp.common.errors import StorageCorruptedError, StorageError, StorageFullError
-from oakramp.common.tasks import spawn
+from oakramp.common.tasks import sleep, spawn
 
 RING_PREFIX = "ring."  # what the names of a ring's files begin with
 LAP_MARK = b"OAKRING\0"
@@ -145,6 +160,20 @@
         return value
 
 
+class UnsyncedWrite(NamedTuple):
+    """Bytes that were written to a file of the log since its last good sync."""
+
+    file_name: str
+    offset: int
+    data: bytes
+
+
+def _kind_of(error):
+    """What a failed write says of the disk: whether it is full, faulty, or something else."""
+    number = getattr(error, "errno", None)
+    return {errno.ENOSPC: "full", errno.EDQUOT: "full", errno.EIO: "faulty"}.get(number, "other")
+
+
 class Table:
     """The entries of a ring as its users see them. Invariant: with `hot_bytes` given, values of COLD_FROM bytes and
     more are kept on the disk, and of them only those used last, of so many bytes together, in memory too."""
@@ -201,6 +230,10 @@
         self._rows[key] = ColdValue(file_name, offset, value)
         self._warm(key, value)
 
+    def stored(self, key):
+        """What stands for the key's value here: its bytes, a ColdValue, or None if there is no such key."""
+        return self._rows.get(key)
+
     def _warm(self, key, value):
         if len(value) <= self._hot.maxsize:
             self._hot[key] = value
@@ -221,6 +254,9 @@
     - only the head lap's file holds writes that no sync has covered: a lap is begun when all records before it are on
       the
       disk, and its first record is written when its header is. So a sync of one file covers all that was written.
+    - `_unsynced` are these writes in order, and `_before` holds, for each key that a commit without an answer names,
+      what stood for it before: its bytes, a ColdValue, or None.
+    - `broken` is the fault for which no commit is taken, or None; it is cleared once the log has recovered.
     """
 
     def __init__(
@@ -232,9 +268,13 @@
         seconds=time.monotonic,
         commit_share=COMMIT_SHARE,
         hot_bytes=None,
+        reactor=None,
+        random_source=random,
     ):
-        """With `hot_bytes` long values stand on the disk, and so many bytes of them in memory; else all in memory."""
+        """With `hot_bytes` long values stand on the disk, and so many bytes of them in memory; else all in memory. With
+        a `reactor` the log recovers by itself once the disk takes writes again; without one it stays broken."""
         self._disk, self._log, self._seconds = disk, log, seconds
+        self._reactor, self._random = reactor, random_source
         self._file_size, self._file_count = file_size or RING_FILE_SIZE, file_count or RING_FILES
         self._commit_share = commit_share
         self.table = Table(disk, hot_bytes)
@@ -248,6 +288,9 @@
         self._waiting_bytes = 0
         self._writing = False
         self._stopping = None
+        self._is_closed = False
+        self._unsynced = []
+        self._before = {}
         self.broken = None
         self.sync_count = 0
         self.sync_time = 0.0
@@ -274,6 +317,7 @@
             self._refuse_lost_head(0)
             self._open_lap(0)
             self._disk.sync_now([self._file_name(0)])
+            self._unsynced.clear()
             return
         left_over, torn_laps = self._replay_all(heads)
         if self._laps[-1] + 1 not in torn_laps:
@@ -397,8 +441,12 @@
 
     # --- writing ---
 
+    def _write(self, lap, offset, data):
+        self._disk.write(self._file_name(lap), offset, data)
+        self._unsynced.append(UnsyncedWrite(self._file_name(lap), offset, data))
+
     def _open_lap(self, lap):
-        self._disk.write(self._file_name(lap), 0, _pack_lap(lap, self._number + 1, self._synced_number))
+        self._write(lap, 0, _pack_lap(lap, self._number + 1, self._synced_number))
         self._laps.append(lap)
         self._offset = LAP_SIZE
 
@@ -459,9 +507,10 @@
             batch = [self._waiting.popleft() for _ in range(min(RING_BATCH, len(self._waiting)))]
             try:
                 await self._write_batch(batch)
-            except Exception as error:  # a disk that failed once is not trusted again
-                self.broken = error
-                self._log.warning("log_write_failed", error=repr(error))
+                self._before.clear()
+            except Exception as error:  # what is on the disk now is not known until the log has recovered
+                self.broken = self.broken or error
+                self._log.warning("log_write_failed", kind=_kind_of(error), error=repr(error))
                 batch += self._waiting
                 self._waiting.clear()
             for _, size, fired in batch:
@@ -470,12 +519,71 @@
                     fired.callback(None)
                     continue
                 fired.errback(StorageError(f"the disk failed: {self.broken}"))
+        if self.broken is not None and self._reactor is not None:
+            await self._recover_from_fault()
         self._writing = False
         if self._stopping is not None:
             self._stopping.callback(None)
 
+    async def _recover_from_fault(self):
+        """Tries again and again to bring the disk to what was confirmed; returns once it has, or at the end."""
+        pause, began_at = LOG_RECOVERY_PAUSE, self._seconds()
+        while not self._is_closed:
+            await sleep(self._reactor, pause * self._random.uniform(0.5, 1.0))
+            pause = min(2 * pause, LOG_RECOVERY_PAUSE_MOST)
+            if self._is_closed:
+                return
+            try:
+                await self._write_confirmed_state()
+            except OSError:
+                continue  # the disk still refuses
+            except (
+                Exception
+            ) as error:  # what stood there before cannot be read back: only a start can tell what is there
+                self._log.error("log_recovery_failed", error=repr(error))
+                return
+            if self._is_closed:
+                return
+            self.broken = None
+            self._log.info("log_recovered", broken_s=round(self._seconds() - began_at, 3), record=self._number)
+            return
+
+    async def _write_confirmed_state(self):
+        for write in list(self._unsynced):
+            self._disk.write(*write)
+        if self._unsynced:
+            await self._sync()
+        for batch in self._in_batches(self._confirmed_entries()):
+            packed = [(key, value, _pack_entry(key, value)) for key, value in batch]
+            await self._make_room(RECORD.size + sum(len(pack) for _, _, pack in packed))
+            self._append(packed)
+        await self._sync()
+        self._before.clear()
+
+    def _confirmed_entries(self):
+        """(key, value or None) of each key that a failed commit names, as it was before."""
+        entries = []
+        for key, before in list(self._before.items()):
+            value = before.read(self._disk) if type(before) is ColdValue else before
+            entries.append((key, value))
+        return entries
+
+    def _in_batches(self, entries):
+        """These entries in chunks of at most what one copied record takes, or of one entry."""
+        batch, size = [], 0
+        for key, value in entries:
+            entry_size = len(_pack_entry(key, value))
+            if batch and size + entry_size > self._file_size // COPY_SHARE:
+                yield batch
+                batch, size = [], 0
+            batch.append((key, value))
+            size += entry_size
+        if batch:
+            yield batch
+
     async def stop(self):
         """Takes no more commits, and returns once nothing more will be written."""
+        self._is_closed = True
         self.broken = self.broken or StorageError("the ring was closed")
         if self._writing and self._stopping is None:
             self._stopping = defer.Deferred()
@@ -491,9 +599,10 @@
 
     async def _sync(self):
         """Every record written so far is on the disk when this returns."""
-        number = self._number
+        number, covered = self._number, len(self._unsynced)
         started_at = self._seconds()
         await self._disk.sync([self._file_name(self._laps[-1])])
+        del self._unsynced[:covered]
         self.sync_time = 0.8 * self.sync_time + 0.2 * (self._seconds() - started_at)
         self.sync_count += 1
         self._synced_number = max(self._synced_number, number)
@@ -501,11 +610,12 @@
     def _append(self, packed):
         lap = self._laps[-1]
         data = _pack_record(lap, self._number + 1, self._synced_number, b"".join(pack for _, _, pack in packed))
-        self._disk.write(self._file_name(lap), self._offset, data)
+        self._write(lap, self._offset, data)
         end = self._offset + RECORD.size
         self._number += 1
         self._offset += len(data)
         for key, value, pack in packed:
+            self._before.setdefault(key, self.table.stored(key))
             end += len(pack)
             self._apply(lap, key, value, end - len(value or b""))
 
--- a/packages/testbed/oakramp/testbed/code_mutations.py
+++ b/packages/testbed/oakramp/testbed/code_mutations.py
@@ -15,6 +15,34 @@
 
 
 CODE_MUTATIONS = [
+    CodeMutation(
+        "a voter's log comes back once its disk takes writes",
+        "control/oakramp/control/control_node.py",
+        "            reactor=reactor,",
+        "            reactor=None,",
+        "test_log_recovery.Voters.test_a_later_loss_stops_nothing",
+    ),
+    CodeMutation(
+        "what was not synced is written anew after a fault",
+        "storage/oakramp/storage/circular_log.py",
+        "for write in list(self._unsynced):",
+        "for write in []:",
+        "test_log_recovery.Recovery.test_a_loss_of_power_after_it_leaves_just_that",
+    ),
+    CodeMutation(
+        "what failed commits wrote is taken back",
+        "storage/oakramp/storage/circular_log.py",
+        "for batch in self._in_batches(self._confirmed_entries()):",
+        "for batch in []:",
+        "test_log_recovery.Recovery.test_it_takes_commits_again_and_holds_what_was_confirmed",
+    ),
+    CodeMutation(
+        "who cannot promise to itself does not stand",
+        "control/oakramp/control/failover.py",
+        "if is_partitioned or self._voter.is_refusing:",
+        "if is_partitioned:",
+        "test_log_recovery.Voters.test_who_cannot_promise_to_itself_does_not_stand",
+    ),
     CodeMutation(
         "a connection that has fallen silent is replaced",
         "rpc/oakramp/rpc/endpoint.py",
@@ -829,8 +857,8 @@
     CodeMutation(
         "who was frozen itself suspects nobody",
         "control/oakramp/control/lease_expiry.py",
-        "if not shards or not self._hears_majority():",
-        "if not shards:",
+        "if not shards or self._voter.is_refusing or not self._hears_majority():",
+        "if not shards or self._voter.is_refusing:",
         "test_failover.LapseTest.test_who_was_frozen_itself_suspects_nobody",
     ),
     CodeMutation(
--- a/packages/testbed/oakramp/testbed/simdisk.py
+++ b/packages/testbed/oakramp/testbed/simdisk.py
@@ -2,8 +2,10 @@
 
 What it promises, and no more: a file holds what its last sync covered, which is every write to that file made before
 the sync was called; a write to another file, or one made while the sync is under way, is not covered. When power is
-lost, each write that no finished sync covers may be present, absent or torn by itself, or all of them are gone. Syncs
-under way end in any order. Files are made, replaced and removed durably, as `oakramp.storage.disk.FolderDisk` does it.
+lost, each write that no finished sync covers may be present, absent or torn by itself, or all of them are gone. Of
+what a failed sync should have covered each write is on the disk or is not, and no later sync covers it: a system may
+call such pages clean. Syncs under way end in any order. Files are made, replaced and removed durably, as
+`oakramp.storage.disk.FolderDisk` does it.
 """
 
 from twisted.internet import defer
@@ -90,6 +92,8 @@
             except PowerLost:
                 return
             except OSError as error:
+                self._settle([write for write in covered if self._random.random() < 0.5])
+                self._forget(covered)
                 done.errback(error)
                 return
             self._settle(covered)
@@ -108,7 +112,12 @@
         for write in [write for write in self._unsynced if id(write) in settled]:
             name, offset, data = write
             self._durable[name][offset : offset + len(data)] = data
-        self._unsynced = [write for write in self._unsynced if id(write) not in settled]
+        self._forget(covered)
+
+    def _forget(self, covered):
+        """No later sync covers these writes any more."""
+        forgotten = set(map(id, covered))
+        self._unsynced = [write for write in self._unsynced if id(write) not in forgotten]
 
     def sync_now(self, names):
         for name in names:
