--- a/packages/common/oakramp/common/constants.py
+++ b/packages/common/oakramp/common/constants.py
@@ -101,6 +101,7 @@
 # holds where a deployment's bound `rejoin_s` does not say otherwise
 VOTING_CONFIG_PAUSE = 0.25  # s; how often control nodes look at the roster: a small part of what mending it takes
 VOTING_CONFIG_MOVING_PAUSE = 0.05  # s; the same for who moves a change of the roster on, while it is under way
+VOTING_CONFIG_LEAST = 3  # members; fewer bear no loss, so a roster never gets smaller than this
 VOTING_CONFIG_MOST = 9  # members; four may be lost at once, and more voters only make each change dearer
 VOTING_CONFIG_ANSWERED = 1.0  # s; who joins must have answered within this: several pulls, of which one may be lost
 VOTING_CONFIG_HEARD = 0.5  # s; a member that has not answered for this long may be gone: two pulls at least. As long
--- a/packages/control/oakramp/control/control_node.py
+++ b/packages/control/oakramp/control/control_node.py
@@ -61,12 +61,9 @@
             if env.get("platform")
             else None
         )
-        self.voting_config_watch = MembershipRepairTask(
-            self.node, self.voter, self.leaders, bool(env.get("selfForming"))
-        )
-        self.store_watch = StoreMembershipTask(
-            self.node, self.leaders, bool(env.get("selfForming")), env.get("toleratedLosses") or 1
-        )
+        mends, tolerated_losses = bool(env.get("selfForming")), env.get("toleratedLosses") or 1
+        self.voting_config_watch = MembershipRepairTask(self.node, self.voter, self.leaders, mends, tolerated_losses)
+        self.store_watch = StoreMembershipTask(self.node, self.leaders, mends, tolerated_losses)
         self.placement = PrefixPlacementTask(self.node, self.leaders)
         self.web = HttpServer(reactor, env["http"], self.node.log, ACCEPT_QUEUE_LIMIT)
         self.operator = OperatorApi(self, dialect) if dialect is not None and env.get("operator") else None
--- a/packages/control/oakramp/control/voting_configuration.py
+++ b/packages/control/oakramp/control/voting_configuration.py
@@ -12,8 +12,9 @@
 
 In a cluster that forms itself, the leader of the key also mends the voting configuration: who came back without its
 disk, under a new id, takes its previous self's place; a member that stays silent gives its place to a live outsider;
-and further live control nodes join. It never shrinks, since what is silent may come back and hold what nobody else
-does.
+and further live control nodes join. Without an outsider a silent member keeps its place, but in an even number of
+members: of four with one gone a second loss leaves no majority, and of the three others it does.
+What was confirmed is on majorities of both sets before that, as with any change.
 
 A member that was replaced and comes back with its disk is an outsider, and may join again under its old id: an id is
 one disk, and as long as it is there, so is all it has promised. What it holds is older than what a majority of any
@@ -35,6 +36,7 @@
     VOTING_CONFIG_ANSWERED,
     VOTING_CONFIG_HEARD,
     VOTING_CONFIG_JOINING,
+    VOTING_CONFIG_LEAST,
     VOTING_CONFIG_MOST,
     VOTING_CONFIG_MOVING_PAUSE,
     VOTING_CONFIG_PATIENCE,
@@ -133,11 +135,21 @@
         return record  # asked again
     if record.get("next") is not None:
         raise ConflictError("the roster is being changed already")
-    if len(changed) < len(record["members"]):
-        raise RequestRejectedError("the roster never shrinks")
+    _check_smaller(transaction, record["members"], changed)
     return _begin_change(transaction, record, arguments["basedOn"], changed)
 
 
+def _check_smaller(transaction, members, changed):
+    """A voting configuration gets smaller only by members that are not live, and keeps VOTING_CONFIG_LEAST."""
+    if len(changed) >= len(members):
+        return
+    if len(changed) < VOTING_CONFIG_LEAST:
+        raise RequestRejectedError(f"a smaller roster has {VOTING_CONFIG_LEAST} members at least")
+    live = [node_id for node_id in members.keys() - changed if transaction.context.members.condition(node_id) == LIVE]
+    if live:
+        raise RequestRejectedError(f"{', '.join(sorted(live))} is live: a roster gets smaller by who is gone only")
+
+
 def _advance(transaction, _key, arguments):
     check_fields({"basedOn": whole(0, 1 << 53)}, arguments)
     record = _record(transaction)
@@ -167,17 +179,36 @@
 )
 
 
-def repaired(members, successors, lost, awaited, outsiders, joining=(), most=VOTING_CONFIG_MOST):
+def without_surplus(members, lost, least):
+    """These members without one of the lost ones, if their number is even: of four and of three just one may be lost,
+    so a lost fourth only takes from what the others bear. `least` of them stay."""
+    if not lost or len(members) % 2 or len(members) <= least:
+        return members
+    return {node_id: peer for node_id, peer in members.items() if node_id != lost[0]}
+
+
+def repaired(
+    members,
+    successors,
+    lost,
+    awaited,
+    outsiders,
+    joining=(),
+    most=VOTING_CONFIG_MOST,
+    least=VOTING_CONFIG_LEAST,
+):
     """The members that the voting configuration should have: `successors` maps a member to its next incarnation, under
     a new id; `lost` members give their places to `outsiders`; those of them that are `joining` add to the members.
     `awaited` members may be lost or back in a moment, so as many outsiders are held back to take their places instead.
+    Of an even number of members a lost one whose place nobody takes leaves; `least` members stay.
     Nodes are (id, address) pairs."""
     places, outsiders = dict(successors), dict(outsiders)
     vacant = [node_id for node_id in lost if node_id not in places]
     places |= {node_id: outsiders.popitem() for node_id in vacant[: len(outsiders)]}
     kept = dict(places.get(node_id, (node_id, peer)) for node_id, peer in members.items())
     room = max(0, min(most - len(kept), len(outsiders) - len([one for one in awaited if one not in places])))
-    return kept | dict([one for one in sorted(outsiders.items()) if one[0] in joining][:room])
+    wanted = kept | dict([one for one in sorted(outsiders.items()) if one[0] in joining][:room])
+    return without_surplus(wanted, [node_id for node_id in vacant if node_id in wanted], least)
 
 
 class MembershipRepairTask(SingletonTask):
@@ -187,9 +218,10 @@
     Invariant: `_silentSince` holds the members that this node has seen no sign of since then, and `_newSince` the live
     control nodes that are none, in rounds without a gap: one that was frozen itself has watched nobody meanwhile."""
 
-    def __init__(self, node, voter, leaders, mends=False):
+    def __init__(self, node, voter, leaders, mends=False, tolerated_losses=1):
         super().__init__(node, leaders, VOTING_CONFIG_KEY, VOTING_CONFIG_PAUSE)
         self._voter, self._mends = voter, mends
+        self._least = max(VOTING_CONFIG_LEAST, 2 * tolerated_losses + 1)
         self._silent_since, self._new_since = {}, {}
         self._watched_at = float("-inf")
         node.state_table.watch(VOTING_CONFIG_KEY, lambda _source: spawn(self._follow(), node.log))
@@ -299,7 +331,7 @@
             or not node.gossip_client.answers_lately(answering[node_id].peer, VOTING_CONFIG_HEARD)
         ]
         joining = {node_id for node_id, since in self._new_since.items() if now - since >= VOTING_CONFIG_JOINING}
-        wanted = repaired(voting_config.members, successors, lost, awaited, outsiders, joining)
+        wanted = repaired(voting_config.members, successors, lost, awaited, outsiders, joining, least=self._least)
         if wanted == voting_config.members:
             return
         if not VotingConfiguration({"version": 0, "members": voting_config.members, "next": wanted}).is_quorum(
--- a/packages/testbed/oakramp/testbed/code_mutations.py
+++ b/packages/testbed/oakramp/testbed/code_mutations.py
@@ -15,6 +15,13 @@
 
 
 CODE_MUTATIONS = [
+    CodeMutation(
+        "a lost fourth voter leaves",
+        "control/oakramp/control/voting_configuration.py",
+        "if not lost or len(members) % 2 or len(members) <= least:",
+        "if True:",
+        "test_replaced_voter.ReplacedAsPlanned.test_a_later_loss_leaves_a_majority",
+    ),
     CodeMutation(
         "a voter's log comes back once its disk takes writes",
         "control/oakramp/control/control_node.py",
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -919,6 +919,25 @@
     def test_lost_member_without_an_outsider_stays(self):
         self.assertEqual(repaired(self.MEMBERS, {}, ["c"], ["c"], []), self.MEMBERS)
 
+    def test_lost_member_leaves_an_even_number(self):
+        members = {name: name for name in "abcdef"}
+
+        def left(count, lost, **more):
+            of = dict(list(members.items())[:count])
+            return "".join(sorted(repaired(of, {}, list(lost), list(lost), [], **more)))
+
+        self.assertEqual(left(4, ""), "abcd")
+        self.assertEqual(left(4, "b"), "acd")
+        self.assertEqual(left(4, "b", least=5), "abcd")
+        self.assertEqual(left(5, "b"), "abcde", "of five and of four with one gone, one more may be lost")
+        self.assertEqual(left(5, "bc"), "abcde", "those that are cut off keep their places")
+        self.assertEqual(left(6, "b"), "acdef")
+        self.assertEqual(left(6, "bc"), "acdef")
+
+    def test_outsider_takes_the_place_of_a_lost_member_that_would_leave(self):
+        members = {name: name for name in "abcd"}
+        self.assertEqual(repaired(members, {}, ["b"], ["b"], [("e", "5")]).keys(), {"a", "c", "d", "e"})
+
     def test_joint_version_needs_majorities_of_both(self):
         joint = VotingConfiguration(
             {"version": 2, "members": self.MEMBERS, "next": {"b": "2", "c": "3", "d": "4", "e": "5", "f": "6"}}
