--- a/packages/membership/oakramp/membership/identity.py
+++ b/packages/membership/oakramp/membership/identity.py
@@ -5,7 +5,7 @@
 import json
 
 from oakramp.common.errors import StorageCorruptedError
-from oakramp.storage.circular_log import RING_PREFIX
+from oakramp.storage.log_format import RING_PREFIX
 
 IDENTITY_FILE = "identity"
 
--- a/packages/storage/oakramp/storage/circular_log.py
+++ b/packages/storage/oakramp/storage/circular_log.py
@@ -5,11 +5,8 @@
 head, and once that is synced the oldest lap's file is free. A removal is itself an entry; it may be
 left behind when its own lap is the oldest, since no older lap can hold what it removes.
 
-Lap:    header = marker, version, lap, first number, synced number, checksum, then records.
-Record: marker, lap, length, checksum, number, synced number, then the batch.
-Batch:  for each entry key length, value length (0xffffffff: removed), key, value.
-
-A lap is begun in three steps, each on the disk before the next: the former lap's records, the header, the first record.
+A lap is begun in three steps, each on the disk before the next: the former lap's records, the header, the first
+record. `oakramp.storage.log_format` has the bytes of a lap, and `oakramp.storage.log_table` the entries.
 
 The `synced number` is the newest record known to be on disk when this one was written. If a record
 that something later names as synced cannot be read, the disk lost what it had confirmed: that is
@@ -24,13 +21,10 @@
 
 import errno
 import random
-import struct
 import time
-import zlib
 from collections import Counter, deque
 from typing import NamedTuple
 
-from cachetools import LRUCache
 from twisted.internet import defer
 
 from oakramp.common.constants import (
@@ -44,122 +38,28 @@
 )
 from oakramp.common.errors import StorageCorruptedError, StorageError, StorageFullError
 from oakramp.common.tasks import sleep, spawn
+from oakramp.storage.log_format import (
+    ENTRY,
+    LAP_SIZE,
+    RECORD,
+    RECORD_MARK,
+    RING_PREFIX,
+    lap_header,
+    left_over_of,
+    pack_entry,
+    pack_lap,
+    pack_record,
+    read_record,
+    records_after,
+    unpack_batch,
+)
+from oakramp.storage.log_table import ColdValue, Table
 
-RING_PREFIX = "ring."  # what the names of a ring's files begin with
-LAP_MARK = b"OAKRING\0"
-LAP = struct.Struct("<8sIQQQ")
-LAP_SIZE = LAP.size + 4
-RECORD_MARK = b"\xa7oak"
-RECORD = struct.Struct("<4sIIIQQ")
-SUMMED_FROM = 16
-ENTRY = struct.Struct("<II")
-REMOVED = 0xFFFFFFFF
 COPY_SHARE = 8  # one copied record takes at most this part of a file, so that little is left over at its end
-COLD_FROM = 1 << 10  # bytes; shorter values are always in memory
-COLD_HEAD = 1 << 9  # bytes; of a longer one that are at hand: enough for what a user's header takes
 LOST_HEAD_READ = 1 << 18  # bytes; of a lap that cannot have been begun
 COMMIT_SHARE = 2  # one commit takes at most this part of a file, for the same reason
 
 
-def _pack_entry(key, value):
-    key_bytes = key.encode()
-    return ENTRY.pack(len(key_bytes), REMOVED if value is None else len(value)) + key_bytes + (value or b"")
-
-
-def _unpack_batch(batch):
-    """(key, value or None, where in the batch the value begins)"""
-    offset = 0
-    while offset < len(batch):
-        key_length, value_length = ENTRY.unpack_from(batch, offset)
-        key_end = offset + ENTRY.size + key_length
-        key = batch[offset + ENTRY.size : key_end].decode()
-        offset = key_end + (0 if value_length == REMOVED else value_length)
-        yield key, None if value_length == REMOVED else batch[key_end:offset], key_end
-
-
-def _pack_lap(lap, first_number, synced_number):
-    head = LAP.pack(LAP_MARK, RING_VERSION, lap, first_number, synced_number)
-    return head + struct.pack("<I", zlib.crc32(head))
-
-
-class LapHeader(NamedTuple):
-    """What a lap's file begins with."""
-
-    version: int
-    lap: int
-    first_number: int
-    synced_number: int
-
-
-def lap_header(data):
-    """The LapHeader at the beginning of a file, or None if there is none that is whole."""
-    if len(data) < LAP_SIZE:
-        return None
-    mark, *values = LAP.unpack_from(data)
-    if mark != LAP_MARK or data[LAP.size : LAP_SIZE] != struct.pack("<I", zlib.crc32(data[: LAP.size])):
-        return None
-    return LapHeader(*values)
-
-
-def _pack_record(lap, number, synced_number, batch):
-    tail = struct.pack("<QQ", number, synced_number) + batch
-    return struct.pack("<4sIII", RECORD_MARK, lap & 0xFFFFFFFF, len(batch), zlib.crc32(tail)) + tail
-
-
-def _read_record(data, lap, offset):
-    """(number, synced number, batch, end) of a whole record of this lap at this place, or None."""
-    if offset + RECORD.size > len(data):
-        return None
-    mark, record_lap, length, checksum, number, synced_number = RECORD.unpack_from(data, offset)
-    end = offset + RECORD.size + length
-    if mark != RECORD_MARK or record_lap != lap & 0xFFFFFFFF or end > len(data):
-        return None
-    if zlib.crc32(data[offset + SUMMED_FROM : end]) != checksum:
-        return None
-    return number, synced_number, data[offset + RECORD.size : end], end
-
-
-def _mark_of(lap):
-    """What each record of this lap begins with."""
-    return RECORD_MARK + struct.pack("<I", lap & 0xFFFFFFFF)
-
-
-def _records_after(data, lap, offset):
-    """Every whole record of this lap at or past an unreadable place."""
-    mark = _mark_of(lap)
-    place = data.find(mark, offset)
-    while place >= 0:
-        record = _read_record(data, lap, place)
-        if record is not None:
-            yield record
-        place = data.find(mark, place + 1)
-
-
-def _left_over(data, lap, offset):
-    """{lap: (offset, end)} up to the end of what begins like the last record of this lap; empty if there is none."""
-    last = data.rfind(_mark_of(lap), offset)
-    return {} if last < 0 else {lap: (offset, min(last + RECORD.size, len(data)))}
-
-
-class ColdValue:
-    """A value that is read from its file when it is asked for; its first bytes are at hand."""
-
-    __slots__ = ("file_name", "offset", "length", "head", "checksum")
-
-    def __init__(self, file_name, offset, value):
-        self.file_name, self.offset, self.length = file_name, offset, len(value)
-        self.head, self.checksum = value[:COLD_HEAD], zlib.crc32(value)
-
-    def read(self, disk):
-        """The value from its file. Raises StorageCorruptedError if its checksum differs."""
-        value = disk.read_at(self.file_name, self.offset, self.length)
-        if zlib.crc32(value) != self.checksum:
-            raise StorageCorruptedError(
-                f"{self.length} bytes at {self.offset} of {self.file_name} are not what was written there"
-            )
-        return value
-
-
 class UnsyncedWrite(NamedTuple):
     """Bytes that were written to a file of the log since its last good sync."""
 
@@ -174,76 +74,6 @@
     return {errno.ENOSPC: "full", errno.EDQUOT: "full", errno.EIO: "faulty"}.get(number, "other")
 
 
-class Table:
-    """The entries of a ring as its users see them. Invariant: with `hot_bytes` given, values of COLD_FROM bytes and
-    more are kept on the disk, and of them only those used last, of so many bytes together, in memory too."""
-
-    def __init__(self, disk, hot_bytes=None):
-        self._disk, self._rows = disk, {}
-        self._hot = None if hot_bytes is None else LRUCache(hot_bytes, getsizeof=len)
-
-    def __contains__(self, key):
-        return key in self._rows
-
-    def __len__(self):
-        return len(self._rows)
-
-    def __iter__(self):
-        return iter(self._rows)
-
-    keys = __iter__
-
-    def __getitem__(self, key):
-        value = self._rows[key]
-        if type(value) is not ColdValue:
-            return value
-        hot = self._hot.get(key)
-        if hot is None:
-            hot = value.read(self._disk)
-            self._warm(key, hot)
-        return hot
-
-    def get(self, key, default=None):
-        return self[key] if key in self._rows else default
-
-    def __eq__(self, other):
-        return dict(self.items()) == dict(other.items())
-
-    def items(self, prefix=""):
-        return [(key, self[key]) for key in self._rows if key.startswith(prefix)]
-
-    def heads(self, prefix):
-        """(key, the first COLD_HEAD bytes of its value at least, the value's length) of each key with this prefix."""
-        return (
-            (key, value.head, value.length) if type(value) is ColdValue else (key, value, len(value))
-            for key, value in self._rows.items()
-            if key.startswith(prefix)
-        )
-
-    def enter(self, key, value, file_name, offset):
-        """Sets a key to a value that stands at this offset of this file; a long one is kept in memory only while it
-        is hot."""
-        self.pop(key)  # what was hot of it is out of date
-        if self._hot is None or len(value) < COLD_FROM:
-            self._rows[key] = value
-            return
-        self._rows[key] = ColdValue(file_name, offset, value)
-        self._warm(key, value)
-
-    def stored(self, key):
-        """What stands for the key's value here: its bytes, a ColdValue, or None if there is no such key."""
-        return self._rows.get(key)
-
-    def _warm(self, key, value):
-        if len(value) <= self._hot.maxsize:
-            self._hot[key] = value
-
-    def pop(self, key):
-        """Removes a key, if it is there."""
-        if type(self._rows.pop(key, None)) is ColdValue:
-            self._hot.pop(key, None)
-
-
 class CircularLog:
     """Invariants:
     - `table` holds exactly the entries of the records written so far, in the order of their numbers.
@@ -380,11 +210,11 @@
             if torn_laps or first_number != self._number + 1:
                 self._refuse_synced(data, lap, LAP_SIZE)
                 torn_laps.append(lap)
-                left_over |= _left_over(data, lap, LAP_SIZE)
+                left_over |= left_over_of(data, lap, LAP_SIZE)
                 continue
             self._laps.append(lap)
             self._replay(lap, data)
-            left_over = _left_over(data, lap, self._offset)
+            left_over = left_over_of(data, lap, self._offset)
         return left_over, torn_laps
 
     def _lacks_only_a_marker(self, first_number, synced_number):
@@ -404,15 +234,15 @@
 
     def _replay(self, lap, data):
         self._offset = LAP_SIZE
-        while (record := _read_record(data, lap, self._offset)) and record[0] == self._number + 1:
+        while (record := read_record(data, lap, self._offset)) and record[0] == self._number + 1:
             start = self._offset + RECORD.size
             self._number, _, batch, self._offset = record
-            for key, value, place in _unpack_batch(batch):
+            for key, value, place in unpack_batch(batch):
                 self._apply(lap, key, value, start + place)
         self._refuse_synced(data, lap, self._offset)
 
     def _refuse_synced(self, data, lap, offset):
-        for number, synced_number, _, _ in _records_after(data, lap, offset):
+        for number, synced_number, _, _ in records_after(data, lap, offset):
             if synced_number > self._number:
                 raise StorageCorruptedError(
                     f"record {self._number + 1} in {self._file_name(lap)} at byte {offset} cannot be "
@@ -426,7 +256,7 @@
         may_be_begun = not self._laps or self._file_size - self._offset < self.commit_limit() + 2 * RECORD.size
         data = self._disk.read(self._file_name(lap), -1 if may_be_begun else LOST_HEAD_READ)
         self._refuse_synced(data, lap, 0)
-        return _left_over(data, lap, LAP_SIZE) if self._free_files() else {}
+        return left_over_of(data, lap, LAP_SIZE) if self._free_files() else {}
 
     def _apply(self, lap, key, value, offset):
         size = ENTRY.size + len(key.encode()) + len(value or b"")
@@ -446,7 +276,7 @@
         self._unsynced.append(UnsyncedWrite(self._file_name(lap), offset, data))
 
     def _open_lap(self, lap):
-        self._write(lap, 0, _pack_lap(lap, self._number + 1, self._synced_number))
+        self._write(lap, 0, pack_lap(lap, self._number + 1, self._synced_number))
         self._laps.append(lap)
         self._offset = LAP_SIZE
 
@@ -486,7 +316,7 @@
         """Writes these (key, value or None) pairs as one; fires when they are on the disk."""
         if self.broken is not None:
             return defer.fail(StorageError(f"the ring has failed: {self.broken}"))
-        packed = [(key, value, _pack_entry(key, value)) for key, value in entries]
+        packed = [(key, value, pack_entry(key, value)) for key, value in entries]
         size = sum(len(pack) for _, _, pack in packed)
         if size > self.commit_limit():
             return defer.fail(StorageFullError(f"{size} bytes are too much for one commit to this ring"))
@@ -554,7 +384,7 @@
         if self._unsynced:
             await self._sync()
         for batch in self._in_batches(self._confirmed_entries()):
-            packed = [(key, value, _pack_entry(key, value)) for key, value in batch]
+            packed = [(key, value, pack_entry(key, value)) for key, value in batch]
             await self._make_room(RECORD.size + sum(len(pack) for _, _, pack in packed))
             self._append(packed)
         await self._sync()
@@ -572,7 +402,7 @@
         """These entries in chunks of at most what one copied record takes, or of one entry."""
         batch, size = [], 0
         for key, value in entries:
-            entry_size = len(_pack_entry(key, value))
+            entry_size = len(pack_entry(key, value))
             if batch and size + entry_size > self._file_size // COPY_SHARE:
                 yield batch
                 batch, size = [], 0
@@ -609,7 +439,7 @@
 
     def _append(self, packed):
         lap = self._laps[-1]
-        data = _pack_record(lap, self._number + 1, self._synced_number, b"".join(pack for _, _, pack in packed))
+        data = pack_record(lap, self._number + 1, self._synced_number, b"".join(pack for _, _, pack in packed))
         self._write(lap, self._offset, data)
         end = self._offset + RECORD.size
         self._number += 1
@@ -653,7 +483,7 @@
                 self._places.pop(key)
                 continue
             value = self.table[key]
-            pack = _pack_entry(key, value)
+            pack = pack_entry(key, value)
             if batch and batch_size + len(pack) > self._file_size // COPY_SHARE:
                 await self._copy(batch, batch_size)
                 batch, batch_size = [], 0
--- a/packages/storage/oakramp/storage/disk_check.py
+++ b/packages/storage/oakramp/storage/disk_check.py
@@ -6,7 +6,8 @@
 
 from oakramp.common.errors import StorageError
 from oakramp.common.structured_logging import EventLogger
-from oakramp.storage.circular_log import LAP_SIZE, CircularLog, lap_header
+from oakramp.storage.circular_log import CircularLog
+from oakramp.storage.log_format import LAP_SIZE, lap_header
 
 RING_FILE = re.compile(r"ring\.(\d{3})")
 DEFAULT_FILE_SIZE = 4096  # bytes; for a folder without any ring file, of which nothing is read
--- a/packages/testbed/oakramp/testbed/code_mutations.py
+++ b/packages/testbed/oakramp/testbed/code_mutations.py
@@ -1007,14 +1007,14 @@
     CodeMutation(
         "what a start drops is wiped",
         "storage/oakramp/storage/circular_log.py",
-        "left_over |= _left_over(data, lap, LAP_SIZE)",
+        "left_over |= left_over_of(data, lap, LAP_SIZE)",
         "pass",
         "test_ring.PowerLossTest.test_records_that_a_start_dropped_never_return",
     ),
     CodeMutation(
         "what a start drops is wiped, also if its header is lost",
         "storage/oakramp/storage/circular_log.py",
-        "return _left_over(data, lap, LAP_SIZE) if self._free_files() else {}",
+        "return left_over_of(data, lap, LAP_SIZE) if self._free_files() else {}",
         "return {}",
         "test_ring.PowerLossTest.test_records_that_a_start_dropped_never_return",
     ),
