--- a/packages/control/oakramp/control/failover.py
+++ b/packages/control/oakramp/control/failover.py
@@ -75,7 +75,8 @@
             return
         answering = self._answering_voters()
         self._registry.contact.poll(voting_config.is_quorum(answering))
-        is_partitioned = not voting_config.is_quorum(answering & self._asking_voters())
+        is_reached = voting_config.is_quorum(answering & self._asking_voters())
+        is_partitioned = not voting_config.is_quorum(answering) or not (is_reached or self._is_new())
         if self._node.node_id not in voting_config.everyone:
             # A non-member needs no majority; while it reported to be partitioned, it would not be let in again.
             self._report_partitioned(False)
@@ -91,7 +92,9 @@
         live_ids = self.live_voters()
         for shard in range(SHARDS):
             is_free = self.is_free(shard) and not self._is_handed_over(shard)
-            if is_free and self._is_candidate_now(shard, live_ids):
+            # Who has just started may not have been asked yet: it takes no shard from a leader that is there.
+            may_lead = is_reached or not self._has_live_leader(shard)
+            if is_free and may_lead and self._is_candidate_now(shard, live_ids):
                 self.begin_failover(shard)
 
     def live_voters(self) -> list[str]:
@@ -209,6 +212,19 @@
             if self._node.gossip_client.answers_lately(address)
         }
 
+    def _is_new(self) -> bool:
+        """Whether this node has started so lately that others may not have come to ask it."""
+        return self._reactor.seconds() - self._started_at < CONDITION_AGE
+
+    def _has_live_leader(self, shard: int) -> bool:
+        """Whether the shard's known leader is another node that is live."""
+        known = self.known_leader(shard)
+        return (
+            known is not None
+            and known.node_id != self._node.node_id
+            and self._node.members.condition(known.node_id) in (LIVE, LEAVING)
+        )
+
     def _asking_voters(self) -> set[str]:
         """Node ids of the voters whose gossip requests have come to this node lately."""
         return {
@@ -221,8 +237,7 @@
         Shards then go to other members at once, without a candidate's turn that this one could not use.
         """
         state, me = PARTITIONED if is_partitioned else UP, self._node.gossip_client.me
-        is_new = self._reactor.seconds() - self._started_at < CONDITION_AGE
-        if me.state not in (state, LEAVING) and not (is_partitioned and is_new):
+        if me.state not in (state, LEAVING) and not (is_partitioned and self._is_new()):
             self._node.gossip_client.describe(replace(me, state=state))
             self._log.info("member_partitioned" if is_partitioned else "member_rejoined")
 
