--- a/packages/control/oakramp/control/failover.py
+++ b/packages/control/oakramp/control/failover.py
@@ -74,9 +74,10 @@
         if voting_config is None:
             return
         answering = self._answering_voters()
-        self._registry.contact.poll(voting_config.is_quorum(answering))
+        hears_majority = voting_config.is_quorum(answering)
+        self._registry.contact.poll(hears_majority)
         is_reached = voting_config.is_quorum(answering & self._asking_voters())
-        is_partitioned = not voting_config.is_quorum(answering) or not (is_reached or self._is_new())
+        is_partitioned = not hears_majority or not (is_reached or self._is_new())
         if self._node.node_id not in voting_config.everyone:
             # A non-member needs no majority; while it reported to be partitioned, it would not be let in again.
             self._report_partitioned(False)
@@ -93,7 +94,7 @@
         for shard in range(SHARDS):
             is_free = self.is_free(shard) and not self._is_handed_over(shard)
             # Who has just started may not have been asked yet: it takes no shard from a leader that is there.
-            may_lead = is_reached or not self._has_live_leader(shard)
+            may_lead = is_reached or self._live_leader(shard) is None
             if is_free and may_lead and self._is_candidate_now(shard, live_ids):
                 self.begin_failover(shard)
 
@@ -216,14 +217,12 @@
         """Whether this node has started so lately that others may not have come to ask it."""
         return self._reactor.seconds() - self._started_at < CONDITION_AGE
 
-    def _has_live_leader(self, shard: int) -> bool:
-        """Whether the shard's known leader is another node that is live."""
+    def _live_leader(self, shard: int) -> KnownLeader | None:
+        """The shard's known leader if it is another node that is live; None otherwise."""
         known = self.known_leader(shard)
-        return (
-            known is not None
-            and known.node_id != self._node.node_id
-            and self._node.members.condition(known.node_id) in (LIVE, LEAVING)
-        )
+        if known is None or known.node_id == self._node.node_id:
+            return None
+        return known if self._node.members.condition(known.node_id) in (LIVE, LEAVING) else None
 
     def _asking_voters(self) -> set[str]:
         """Node ids of the voters whose gossip requests have come to this node lately."""
@@ -266,11 +265,9 @@
 
     async def _ask_release(self, shard: int) -> int | None:
         """The epoch of the known leader if it gave the shard up on request; None otherwise."""
-        known = self.known_leader(shard)
+        known = self._live_leader(shard)
         if known is None or known.node_id not in self._voter.voting_config.everyone:
             return None
-        if known.node_id == self._node.node_id or self._node.members.condition(known.node_id) not in (LIVE, LEAVING):
-            return None
         try:
             return await self._node.net.call(known.address, "release", RELEASE_TIME, shard=shard)
         except OakrampError as error:
--- a/packages/control/oakramp/control/voter.py
+++ b/packages/control/oakramp/control/voter.py
@@ -200,7 +200,7 @@
     def _on_voting_config_aged(self, version):
         if version != self.voting_config.version:
             return
-        if self._ring.broken is not None:
+        if self.is_refusing:
             self._forget_previous_voting_config()  # tried again
             return
         spawn(self._ring.commit([(VOTING_CONFIG_IS_NEW, None)]), self._log)
--- a/packages/gossip/oakramp/gossip/gossip_client.py
+++ b/packages/gossip/oakramp/gossip/gossip_client.py
@@ -2,7 +2,6 @@
 
 import json
 from dataclasses import replace
-from math import inf
 
 from oakramp.common.constants import (
     CONDITION_AGE,
@@ -254,13 +253,15 @@
 
     def answers_lately(self, address, lately=CONDITION_AGE):
         """Whether this address has itself answered; what others say of it does not count."""
-        return (
-            address == self._me.peer or self._reactor.seconds() - self._answered_at.get(address, float("-inf")) < lately
-        )
+        return address == self._me.peer or self._is_within(self._answered_at.get(address), lately)
 
     def is_asked_by(self, node_id, lately=CONDITION_AGE):
         """Whether this node has asked for what is published here, and so reaches this one."""
-        return node_id == self._me.node_id or self._reactor.seconds() - self._asked_at.get(node_id, -inf) < lately
+        return node_id == self._me.node_id or self._is_within(self._asked_at.get(node_id), lately)
+
+    def _is_within(self, at, seconds):
+        """Whether this time (monotonic seconds; None: never) is less than so long ago."""
+        return at is not None and self._reactor.seconds() - at < seconds
 
     def take_seeds(self, seeds):
         """Asks these addresses from now on where no member is known."""
--- a/packages/rpc/oakramp/rpc/endpoint.py
+++ b/packages/rpc/oakramp/rpc/endpoint.py
@@ -61,7 +61,8 @@
     """Invariants: nothing but a hello is read before the peer's hello; `_in_flight` holds exactly the
     calls that were written and not answered, by number; once lost, it is empty and stays so; while it holds any,
     `_timer` runs out no later than the first of their `due_at`; `_unread` is the beginning of one frame, and none of it
-    has been taken; `received` counts the bytes that came."""
+    has been taken; `received` counts the bytes that came, and `_silent_from` is that count when the connection was last
+    found to be silent, or None."""
 
     def __init__(self, net):
         self._net = net
@@ -73,7 +74,7 @@
         self._timer = None
         self._due_at = 0.0
         self.received = 0
-        self.is_silent = False  # a call has timed out, and nothing at all has come since it was sent
+        self._silent_from = None
         self.on_silent = lambda: None
         self.peer = None
         self.ready = defer.Deferred()
@@ -105,7 +106,6 @@
     def dataReceived(self, data):
         """Splits what arrives into frames."""
         self.received += len(data)
-        self.is_silent = False
         if self._unread:
             data = self._unread + data
         start, end = 0, len(data)
@@ -215,11 +215,16 @@
         if self._in_flight:
             self._wake_within(max(0.0, min(pending.due_at for pending in self._in_flight.values()) - now))
 
+    @property
+    def is_silent(self):
+        """Whether a call has timed out, and nothing at all has come since it was sent."""
+        return self._silent_from == self.received
+
     def _note_silent(self, seconds):
         """Nothing has come since a call that has timed out was sent: the process is at a stand, or the way is cut, or
         the machine has lost its power and does not know of this connection."""
         if not self.is_silent:
-            self.is_silent = True
+            self._silent_from = self.received
             self._net.log.info("peer_connection_silent", peer=self.peer.node_id, silent_s=round(seconds, 3))
             self.on_silent()
 
@@ -394,13 +399,20 @@
         if self.reactor.seconds() < self._redialled.get(address, float("-inf")) + REDIAL_PAUSE:
             return previous
         self._redialled[address] = self.reactor.seconds()
-        link = self._links.get(address)
-        if link is not None and link.called and link.result is previous:
+        if self._is_current(address, previous):
             del self._links[address]
-            # Calls that are under way on the former one may still be answered.
-            self.reactor.callLater(CALL_TIME, previous.transport.abortConnection)
+            self._retire(previous)
         return await self._link(address)
 
+    def _is_current(self, address, connection):
+        """Whether calls to this address go over this connection."""
+        link = self._links.get(address)
+        return link is not None and link.called and link.result is connection
+
+    def _retire(self, connection):
+        """Closes a connection whose place is taken; calls that are under way on it may still be answered."""
+        self.reactor.callLater(CALL_TIME, connection.transport.abortConnection)
+
     async def _link(self, address):
         link = self._links.get(address)
         if link is None or (link.called and not getattr(link.result, "connected", False)):
@@ -434,8 +446,7 @@
     async def _replace(self, address, silent):
         """Dials beside a connection that has fallen silent, until something comes on it again or another one stands.
 
-        Calls that are under way on the former one may still be answered. After SILENT_MOST seconds it is closed, so
-        that calls fail at once instead of waiting for their time.
+        After SILENT_MOST seconds it is closed, so that calls fail at once instead of waiting for their time.
         """
         ends_at, received = self.reactor.seconds() + SILENT_MOST, silent.received
         while silent.connected and silent.received == received:
@@ -447,21 +458,13 @@
             except Exception:  # the peer is not back yet; whoever calls it is told so
                 await sleep(self.reactor, RECONNECT_PAUSE)
                 continue
-            if silent.received == received:
-                self._put_in_place_of(address, silent, fresh)
-            else:
+            if silent.received != received or not fresh.connected or not self._is_current(address, silent):
                 fresh.transport.abortConnection()
+                return
+            self._links[address] = defer.succeed(fresh)
+            self._retire(silent)
             return
 
-    def _put_in_place_of(self, address, silent, fresh):
-        link = self._links.get(address)
-        is_current = link is not None and link.called and link.result is silent
-        if not is_current or not fresh.connected:
-            fresh.transport.abortConnection()
-            return
-        self._links[address] = defer.succeed(fresh)
-        self.reactor.callLater(CALL_TIME, silent.transport.abortConnection)
-
     async def _dial(self, address, link):
         try:
             connection = await self._connect(address)
--- a/packages/storage/oakramp/storage/circular_log.py
+++ b/packages/storage/oakramp/storage/circular_log.py
@@ -234,19 +234,19 @@
 
     def _replay(self, lap, data):
         self._offset = LAP_SIZE
-        while (record := read_record(data, lap, self._offset)) and record[0] == self._number + 1:
+        while (record := read_record(data, lap, self._offset)) and record.number == self._number + 1:
             start = self._offset + RECORD.size
-            self._number, _, batch, self._offset = record
-            for key, value, place in unpack_batch(batch):
+            self._number, self._offset = record.number, record.end
+            for key, value, place in unpack_batch(record.batch):
                 self._apply(lap, key, value, start + place)
         self._refuse_synced(data, lap, self._offset)
 
     def _refuse_synced(self, data, lap, offset):
-        for number, synced_number, _, _ in records_after(data, lap, offset):
-            if synced_number > self._number:
+        for record in records_after(data, lap, offset):
+            if record.synced_number > self._number:
                 raise StorageCorruptedError(
                     f"record {self._number + 1} in {self._file_name(lap)} at byte {offset} cannot be "
-                    f"read, though record {number} says it was synced"
+                    f"read, though record {record.number} says it was synced"
                 )
 
     def _refuse_lost_head(self, lap):
@@ -383,33 +383,19 @@
             self._disk.write(*write)
         if self._unsynced:
             await self._sync()
-        for batch in self._in_batches(self._confirmed_entries()):
-            packed = [(key, value, pack_entry(key, value)) for key, value in batch]
-            await self._make_room(RECORD.size + sum(len(pack) for _, _, pack in packed))
-            self._append(packed)
+        for batch, size in self._in_batches(self._confirmed_entries()):
+            await self._make_room(RECORD.size + size)
+            self._append(batch)
         await self._sync()
         self._before.clear()
 
     def _confirmed_entries(self):
-        """(key, value or None) of each key that a failed commit names, as it was before."""
-        entries = []
-        for key, before in list(self._before.items()):
-            value = before.read(self._disk) if type(before) is ColdValue else before
-            entries.append((key, value))
-        return entries
-
-    def _in_batches(self, entries):
-        """These entries in chunks of at most what one copied record takes, or of one entry."""
-        batch, size = [], 0
-        for key, value in entries:
-            entry_size = len(pack_entry(key, value))
-            if batch and size + entry_size > self._file_size // COPY_SHARE:
-                yield batch
-                batch, size = [], 0
-            batch.append((key, value))
-            size += entry_size
-        if batch:
-            yield batch
+        """(key, value or None) of each key that a failed commit names, as it was before. All are read at once: what is
+        written after may free the laps in which they stand."""
+        return [
+            (key, before.read(self._disk) if type(before) is ColdValue else before)
+            for key, before in self._before.items()
+        ]
 
     async def stop(self):
         """Takes no more commits, and returns once nothing more will be written."""
@@ -477,24 +463,33 @@
     async def _reclaim(self):
         """Writes the live entries of the oldest lap again at the head and frees the lap."""
         oldest = self._laps[0]
-        batch, batch_size = [], 0
+        for batch, size in self._in_batches(self._live_entries(oldest)):
+            await self._copy(batch, size)
+        # The copies must be on the disk before the only other place of these entries may be written over.
+        await self._sync()
+        self._laps.popleft()
+        self._live_bytes.pop(oldest, None)
+
+    def _live_entries(self, oldest):
+        """(key, value) of each entry that is live in the oldest lap; removals there may be left behind."""
         for key in [key for key, (lap, _) in self._places.items() if lap == oldest]:
-            if key not in self.table:
+            if key in self.table:
+                yield key, self.table[key]
+            else:
                 self._places.pop(key)
-                continue
-            value = self.table[key]
+
+    def _in_batches(self, entries):
+        """(batch, bytes) of these entries, packed, in batches of at most what one copied record takes, or of one."""
+        batch, size = [], 0
+        for key, value in entries:
             pack = pack_entry(key, value)
-            if batch and batch_size + len(pack) > self._file_size // COPY_SHARE:
-                await self._copy(batch, batch_size)
-                batch, batch_size = [], 0
+            if batch and size + len(pack) > self._file_size // COPY_SHARE:
+                yield batch, size
+                batch, size = [], 0
             batch.append((key, value, pack))
-            batch_size += len(pack)
+            size += len(pack)
         if batch:
-            await self._copy(batch, batch_size)
-        # The copies must be on the disk before the only other place of these entries may be written over.
-        await self._sync()
-        self._laps.popleft()
-        self._live_bytes.pop(oldest, None)
+            yield batch, size
 
     async def _copy(self, batch, size):
         if self._offset + RECORD.size + size > self._file_size:
--- a/packages/testbed/oakramp/testbed/code_mutations.py
+++ b/packages/testbed/oakramp/testbed/code_mutations.py
@@ -39,8 +39,8 @@
     CodeMutation(
         "what failed commits wrote is taken back",
         "storage/oakramp/storage/circular_log.py",
-        "for batch in self._in_batches(self._confirmed_entries()):",
-        "for batch in []:",
+        "for batch, size in self._in_batches(self._confirmed_entries()):",
+        "for batch, size in []:",
         "test_log_recovery.Recovery.test_it_takes_commits_again_and_holds_what_was_confirmed",
     ),
     CodeMutation(
@@ -1119,7 +1119,7 @@
     CodeMutation(
         "damage told from a torn tail",
         "storage/oakramp/storage/circular_log.py",
-        "            if synced_number > self._number:\n",
+        "            if record.synced_number > self._number:\n",
         "            if False:\n",
         "test_ring.RingTest.test_damage_in_synced_part_is_not_silent",
     ),
