--- a/packages/common/oakramp/common/constants.py
+++ b/packages/common/oakramp/common/constants.py
@@ -15,6 +15,8 @@
 HELLO_TIME = 3.0  # s; a peer that says nothing for this long is no member
 CONNECT_TIME = 1.0  # s; machines of one site answer in milliseconds
 PEER_IN_FLIGHT = 512  # calls; more waiting on one peer means that peer is not answering
+DIAL_HEDGE = 0.25  # s; a dial that is not answered in this time gets another one beside it: many times a round trip,
+# and well below the second after which TCP sends an opening packet again
 RECONNECT_PAUSE = 0.2  # s; keeps a dead address from being dialled in a loop
 REDIAL_PAUSE = 1.0  # s; an address at which another node was found than was asked for is dialled again so often at most
 SILENT_LEAST = 0.3  # s; a call with less time than this says nothing of its connection when it times out
@@ -101,6 +103,7 @@
 # holds where a deployment's bound `rejoin_s` does not say otherwise
 VOTING_CONFIG_PAUSE = 0.25  # s; how often control nodes look at the roster: a small part of what mending it takes
 VOTING_CONFIG_MOVING_PAUSE = 0.05  # s; the same for who moves a change of the roster on, while it is under way
+SHARDS_LED_PATIENCE = 1.0  # s; a repair of the roster waits so long at most until each shard has a leader
 VOTING_CONFIG_LEAST = 3  # members; fewer bear no loss, so a roster never gets smaller than this
 VOTING_CONFIG_MOST = 9  # members; four may be lost at once, and more voters only make each change dearer
 VOTING_CONFIG_ANSWERED = 1.0  # s; who joins must have answered within this: several pulls, of which one may be lost
--- a/packages/rpc/oakramp/rpc/endpoint.py
+++ b/packages/rpc/oakramp/rpc/endpoint.py
@@ -41,6 +41,7 @@
 from oakramp.common.tasks import begin, drive, sleep, spawn, within
 from oakramp.common.tcp_options import set_peer_options
 from oakramp.rpc.codec import arguments_class, idl, pack, pack_frame, result_class, unpack, unpack_frame
+from oakramp.rpc.hedged_dial import HedgedDial
 
 OPEN_METHODS = frozenset(["pull"])  # what one may ask that is not a member yet
 LENGTH = Struct("!I")  # of the frame that follows
@@ -388,6 +389,18 @@
         if wanted not in (None, found):
             raise UnreachableError(f"{found} is at {address}, not {wanted}")
 
+    def node_at(self, address):
+        """The node id that the peer of the connection to this address has given, or None without a connection."""
+        if address == self.address:
+            return self.node_id
+        link = self._links.get(address)
+        connection = link.result if link is not None and link.called else None
+        return connection.peer.node_id if getattr(connection, "connected", False) else None
+
+    def forget_failure(self, address):
+        """Whoever listens there is known to be there again, so the next call dials it without a pause."""
+        self._resting.pop(address, None)
+
     async def _call_self(self, method, arguments):
         if method not in self.handlers:
             raise MethodNotFoundError(f"no method {method} here")
@@ -435,10 +448,14 @@
     async def _connect(self, address):
         """A new connection whose peer has said hello."""
         host, port = split_address(address)
-        endpoint = TCP4ClientEndpoint(
-            self.reactor, host, port, timeout=CONNECT_TIME, bindAddress=(split_address(self.address)[0], 0)
-        )
-        connection = await endpoint.connect(_Dialler(self))
+
+        def begin_attempt(seconds):
+            endpoint = TCP4ClientEndpoint(
+                self.reactor, host, port, timeout=seconds, bindAddress=(split_address(self.address)[0], 0)
+            )
+            return endpoint.connect(_Dialler(self))
+
+        connection = await HedgedDial(self.reactor, begin_attempt, CONNECT_TIME).start()
         await connection.ready
         connection.on_silent = lambda: spawn(self._replace(address, connection), self.log)
         return connection
