--- a/packages/control/oakramp/control/control_node.py
+++ b/packages/control/oakramp/control/control_node.py
@@ -23,13 +23,13 @@
 from oakramp.control.leader_registry import LeaderRegistry
 from oakramp.control.lease import LeaseRenewalPiggyback
 from oakramp.control.lease_expiry import LeaseExpiryWatch
+from oakramp.control.membership_repair import MembershipRepairTask
 from oakramp.control.operator_api import OperatorApi
 from oakramp.control.prefix_placement import PrefixPlacementTask
 from oakramp.control.replica_discovery import ReplicaDiscovery
 from oakramp.control.shard_client import MajorityClient, ShardClient
 from oakramp.control.store_membership import StoreMembershipTask
 from oakramp.control.voter import Voter
-from oakramp.control.voting_configuration import MembershipRepairTask
 from oakramp.gossip.node import Node
 from oakramp.storage.circular_log import CircularLog
 
--- a/packages/control/oakramp/control/failover.py
+++ b/packages/control/oakramp/control/failover.py
@@ -61,7 +61,9 @@
         self._voter = voter
         self._registry = registry
         self.in_progress: set[int] = set()
+        self._attempts: dict[int, int] = {}  # shard -> epoch of the attempt under way
         self._seen_epochs: dict[int, int] = {}  # shard -> highest epoch that a voter is known to have promised
+        self._refused_epochs: dict[int, int] = {}  # shard -> highest epoch for which a voter has refused this node
         self._released_at: dict[int, float] = {}  # shard -> when another member asked for it (monotonic seconds)
         self._orders: tuple[tuple[str, ...], list[list[str]]] = (), []
         self._started_at = node.reactor.seconds()
@@ -93,11 +95,21 @@
         live_ids = self.live_voters()
         for shard in range(SHARDS):
             is_free = self.is_free(shard) and not self._is_handed_over(shard)
-            # Who has just started may not have been asked yet: it takes no shard from a leader that is there.
-            may_lead = is_reached or self._live_leader(shard) is None
-            if is_free and may_lead and self._is_candidate_now(shard, live_ids):
+            if is_free and self._may_take(shard, is_reached) and self._is_candidate_now(shard, live_ids):
                 self.begin_failover(shard)
 
+    def _may_take(self, shard: int, is_reached: bool) -> bool:
+        """Whether the shard may be taken from the leader that it has.
+
+        Who has just started may not have been asked yet: it takes no shard from a leader that is there. Nor does
+        anybody in a joint voting configuration from one that stays: a failover between two versions waits for a lease.
+        """
+        leader = self._live_leader(shard)
+        if leader is None:
+            return True
+        voting_config = self._voter.voting_config
+        return is_reached and (voting_config.next is None or leader.node_id not in voting_config.next)
+
     def live_voters(self) -> list[str]:
         """Node ids of the voters that are live and have not come back under another id."""
         members = self._node.members
@@ -136,7 +148,12 @@
         spawn(self.run(shard, self.live_voters(), expired), self._log)
 
     async def run(self, shard: int, live_ids: list[str], expired: bool = False) -> None:
-        """One attempt to take the shard over; a failed one is logged and followed by a random pause."""
+        """Attempts to take the shard over; a failed one is logged and followed by a random pause.
+
+        An attempt that failed since the voting configuration has changed meanwhile is repeated at once: it lost to no
+        other candidate, and there are as many of them as changes. So is, once, the first candidate's that a voter has
+        refused for a promise: nobody else should stand, and the promise may be older than an outage of all.
+        """
         known = self.known_leader(shard)
         self._log.info(
             "failover_started",
@@ -148,12 +165,28 @@
         )
         try:
             released_epoch = None if expired else await self._ask_release(shard)
+            may_outbid = True
+            while await self._should_repeat_attempt(shard, released_epoch, may_outbid):
+                may_outbid = False
+        finally:
+            self.in_progress.discard(shard)
+
+    async def _should_repeat_attempt(self, shard: int, released_epoch: int | None, may_outbid: bool) -> bool:
+        """Makes one attempt; whether another one should follow at once."""
+        voting_config_version = self._voter.voting_config.version
+        refused_epoch = self._refused_epochs.get(shard, 0)
+        try:
             await self.prepare_and_serve(shard, released_epoch)
+            return False
         except OakrampError as error:
             self._log.warning("failover_failed", shard=shard, reason=error.reason)
-            await sleep(self._reactor, self._node.random.uniform(*RETRY_PAUSE))
-        finally:
-            self.in_progress.discard(shard)
+        if self._voter.voting_config.version != voting_config_version:
+            return True
+        was_refused = self._refused_epochs.get(shard, 0) > refused_epoch
+        if may_outbid and was_refused and self._is_first_candidate(shard, self.live_voters()):
+            return True
+        await sleep(self._reactor, self._node.random.uniform(*RETRY_PAUSE))
+        return False
 
     async def prepare_and_serve(self, shard: int, released_epoch: int | None) -> None:
         """Takes the shard over under a new epoch; `released_epoch` is that of a leader that said it has ended.
@@ -162,7 +195,26 @@
             QuorumUnavailableError: a majority did not promise the epoch, take the snapshot or confirm the lease.
         """
         epoch = self._next_epoch(shard, released_epoch)
-        self._seen_epochs[shard] = epoch
+        self._seen_epochs[shard] = self._attempts[shard] = epoch
+        try:
+            leader = await self._elect(shard, epoch, released_epoch)
+            if self._voter.promised_epoch(shard) > epoch:  # others may have been told that this attempt leads nothing
+                raise QuorumUnavailableError(f"epoch {self._voter.promised_epoch(shard)} is promised already")
+            self._registry.active[shard] = leader
+        finally:
+            del self._attempts[shard]
+        leader.serve()
+        self._registry.publisher.publish(leader, leader.entries)
+        self._log.info(
+            "shard_leader_elected",
+            shard=shard,
+            epoch=epoch,
+            entries=len(leader.entries),
+            released=released_epoch or "no",
+        )
+
+    async def _elect(self, shard: int, epoch: int, released_epoch: int | None) -> ShardLeader:
+        """A leader under this epoch whose first lease is confirmed, and that does not serve yet."""
         preparation = PreparePhase(self._registry, self._node, self._voter, shard, epoch)
         await preparation.prepare()
         newest, start = preparation.newest()
@@ -175,16 +227,12 @@
         unconfirmed = QuorumUnavailableError(f"epoch {epoch} was not confirmed")
         await within(self._reactor, LEASE, leader.confirmed, unconfirmed)
         leader.sequence = 1
-        self._registry.active[shard] = leader
-        leader.serve()
-        self._registry.publisher.publish(leader, entries)
-        self._log.info(
-            "shard_leader_elected", shard=shard, epoch=epoch, entries=len(entries), released=released_epoch or "no"
-        )
+        return leader
 
     def note_epoch(self, shard: int, epoch: int) -> None:
-        """A voter has promised this epoch; the next failover by this node goes above it."""
+        """A voter has refused this node for its promise of this epoch; the next failover by this node goes above it."""
         self._seen_epochs[shard] = max(self._seen_epochs.get(shard, 0), epoch)
+        self._refused_epochs[shard] = max(self._refused_epochs.get(shard, 0), epoch)
 
     def on_outranked(self, shard: int, leader: ShardLeader) -> None:
         """Ends a leader when a voter has promised a later epoch under which nobody serves.
@@ -195,9 +243,16 @@
         leader.end()
 
     def may_hold_lease(self, shard: int, requester: str) -> bool:
-        """Whether this process has the shard's lease, or may come to it by a failover that does not follow the
-        requester's."""
-        return shard in self._registry.active or (shard in self.in_progress and requester != self._node.node_id)
+        """Whether this process has the shard's lease, or may come to it by an attempt that does not follow the
+        requester's.
+
+        Asked once this node's voter has promised the requester's epoch. An attempt below what the voter has promised
+        serves nothing (`prepare_and_serve`), and the next one goes above it.
+        """
+        if shard in self._registry.active:
+            return True
+        epoch = self._attempts.get(shard)
+        return epoch is not None and requester != self._node.node_id and epoch >= self._voter.promised_epoch(shard)
 
     def candidate_order(self, shard: int, live_ids: tuple[str, ...]) -> list[str]:
         """These voters in the order in which they are candidates for the shard."""
@@ -210,7 +265,7 @@
         return {
             node_id
             for node_id, address in self._registry.voter_addresses().items()
-            if self._node.gossip_client.answers_lately(address)
+            if self._node.gossip_client.is_answered_by(node_id, address)
         }
 
     def _is_new(self) -> bool:
@@ -263,6 +318,9 @@
         late_s = leaderless_s - CONDITION_AGE - CANDIDATE_TURN_TIME
         return position == (0 if late_s <= 0 else (1 + int(late_s / CANDIDATE_TURN_TIME)) % len(order))
 
+    def _is_first_candidate(self, shard: int, live_ids: list[str]) -> bool:
+        return self.candidate_order(shard, tuple(live_ids))[:1] == [self._node.node_id]
+
     async def _ask_release(self, shard: int) -> int | None:
         """The epoch of the known leader if it gave the shard up on request; None otherwise."""
         known = self._live_leader(shard)
@@ -282,12 +340,23 @@
     async def _confirm_first_lease(self, leader: ShardLeader, voting_config_version: int) -> None:
         """Asks for the leader's first lease, again and again while voters pass to this voting configuration.
 
-        Under a later one nothing is asked: its majority need not hold what was prepared.
+        Under a later one nothing is asked: its majority need not hold what was prepared. Then, or once this node's own
+        voter has promised a later epoch, no lease will come, and who waits for it is told so at once.
         """
-        while not leader.confirmed.called and self._voter.voting_config.version == voting_config_version:
+        while not leader.confirmed.called:
+            reason = self._why_unconfirmable(leader, voting_config_version)
+            if reason is not None:
+                leader.confirmed.errback(QuorumUnavailableError(f"epoch {leader.epoch} was not confirmed: {reason}"))
+                return
             self._registry.leases.confirm({leader.shard: leader})
             await sleep(self._reactor, LEASE_RENEW / 4)
 
+    def _why_unconfirmable(self, leader: ShardLeader, voting_config_version: int) -> str | None:
+        if self._voter.voting_config.version != voting_config_version:
+            return "the voting configuration has changed"
+        promised_epoch = self._voter.promised_epoch(leader.shard)
+        return f"epoch {promised_epoch} is promised already" if promised_epoch > leader.epoch else None
+
     async def _serve_release(self, _peer: Any, arguments: Any) -> int | None:
         leader = self._registry.active.get(arguments.shard)
         if leader is None:
--- a/packages/control/oakramp/control/leader_registry.py
+++ b/packages/control/oakramp/control/leader_registry.py
@@ -22,7 +22,7 @@
     VOTING_CONFIG_HEARD,
 )
 from oakramp.common.errors import NotShardLeaderError, OakrampError, StorageFullError
-from oakramp.common.tasks import Repeater, sleep
+from oakramp.common.tasks import Repeater, sleep, spawn
 from oakramp.common.validation import pack_json
 from oakramp.control.command_context import CommandContext
 from oakramp.control.failover import Failover
@@ -64,18 +64,32 @@
         self._renewal_task = Repeater(node.reactor, LEASE_RENEW, self.leases.renew, node.log)
         self._cleanup_task = Repeater(node.reactor, OWNER_CLEANUP, self._cleanup, node.log)
         self._update_task = Repeater(node.reactor, VOTERS_POLL, self.replicator.update_voters, node.log)
+        self._is_poll_due = self._is_stopping = False
         node.net.handle("ownerCall", self._serve_call)
 
     def start(self) -> None:
         """Starts the periodic tasks."""
+        self._node.gossip_client.on_contact = self._poll_failover_soon
         for task in (self._failover_task, self._renewal_task, self._cleanup_task, self._update_task):
             task.start()
 
+    def _poll_failover_soon(self) -> None:
+        """A node is in contact that was not: there may be a majority now, which no shard should wait a poll for."""
+        if not self._is_poll_due:
+            self._is_poll_due = True
+            self.reactor.callLater(0, self._poll_failover_now)
+
+    def _poll_failover_now(self) -> None:
+        self._is_poll_due = False
+        if not self._is_stopping:
+            spawn(self.failover.poll(), self.log)
+
     async def stop(self) -> None:
         """Waits for the next leaders to ask for the shards, then ends what nobody asked for.
 
         Those shards are taken over once their lease has expired.
         """
+        self._is_stopping = True
         for task in (self._failover_task, self._cleanup_task, self._update_task):
             task.stop()
         for _ in range(HAND_OVER_POLLS):
--- a/packages/control/oakramp/control/lease_expiry.py
+++ b/packages/control/oakramp/control/lease_expiry.py
@@ -13,8 +13,8 @@
 class LeaseExpiryWatch:
     """Invariant: `_ask_at` holds, for each shard that was asked for, when it may be asked for again."""
 
-    def __init__(self, node, voter, leaders):
-        self._node, self._voter, self._owners = node, voter, leaders
+    def __init__(self, node, voter, registry):
+        self._node, self._voter, self._registry = node, voter, registry
         self._ask_at = {}
         self._repeater = Repeater(node.reactor, EXPIRY_POLL, self._poll, node.log)
 
@@ -31,16 +31,16 @@
         quiet = await self._ask_majority(shards)
         expired = {shard for shard in shards if quiet[shard] >= LEASE_EXPIRED}
         # Silent holders of expired leases are no candidates.
-        holders = map(self._owners.failover.last_lease_holder, expired)
+        holders = map(self._registry.failover.last_lease_holder, expired)
         suspects = {node_id for node_id in holders if not self._answers(node_id)}
         now = self._node.reactor.seconds()
         for shard in shards:
             if (
                 shard in expired
-                and self._owners.failover.is_free(shard)
-                and self._owners.failover.is_next(shard, suspects)
+                and self._registry.failover.is_free(shard)
+                and self._registry.failover.is_next(shard, suspects)
             ):
-                self._owners.failover.begin_failover(shard, expired=True)
+                self._registry.failover.begin_failover(shard, expired=True)
             self._ask_at[shard] = now + max(EXPIRY_POLL, LEASE_EXPIRED - quiet[shard])
 
     def _quiet_shards(self):
@@ -49,7 +49,7 @@
         return [
             shard
             for shard in self._voter.quiet_shards(LEASE_EXPIRED, own_id)
-            if self._owners.failover.is_free(shard) and now >= self._ask_at.get(shard, 0.0)
+            if self._registry.failover.is_free(shard) and now >= self._ask_at.get(shard, 0.0)
         ]
 
     def _hears_majority(self):
@@ -63,7 +63,7 @@
     async def _ask_majority(self, shards):
         """Shard -> seconds for which each of a majority has been quiet; 0 if no majority answered."""
         reached, answers = await quorum_of(
-            self._owners.ask_voters(
+            self._registry.ask_voters(
                 "unconfirmed", self._voter.voting_config.everyone, EXPIRY_QUERY_TIME, shards=shards
             ),
             self._voter.voting_config.is_quorum,
@@ -75,5 +75,5 @@
     def _answers(self, node_id):
         """Whether this node has answered a pull lately: then it is at work, though a majority may not confirm its
         lease."""
-        address = self._owners.voter_addresses().get(node_id)
-        return address is not None and self._node.gossip_client.answers_lately(address, SUSPECT_SILENT)
+        address = self._registry.voter_addresses().get(node_id)
+        return address is not None and self._node.gossip_client.is_answered_by(node_id, address, SUSPECT_SILENT)
--- a/packages/control/oakramp/control/previous_leases.py
+++ b/packages/control/oakramp/control/previous_leases.py
@@ -7,6 +7,8 @@
 
 from twisted.internet.defer import Deferred
 
+from oakramp.common.errors import OakrampError
+
 
 class PreviousLeases:
     """The leases of a shard's earlier epochs.
@@ -21,6 +23,10 @@
         self._left = set(holders)
         self._outcome: Deferred[None] = Deferred()
 
+    def may_hold(self, node_id: str) -> bool:
+        """Whether this node may still hold one."""
+        return node_id in self._left
+
     def holds_none(self, node_id: str) -> None:
         """This node has reported that it holds no lease of the shard and will not come to one of an earlier epoch."""
         self._left.discard(node_id)
@@ -30,9 +36,16 @@
     async def ended(self, at: float) -> None:
         """Returns at this time (monotonic seconds), or before if no node is left that may hold a lease."""
         call = self._reactor.callLater(max(0.0, at - self._reactor.seconds()), self._end)
-        await self._outcome
-        if call.active():
-            call.cancel()
+        try:
+            await self._outcome
+        finally:
+            if call.active():
+                call.cancel()
+
+    def give_up(self, error: OakrampError) -> None:
+        """Ends the wait with this error: what it is for can come to nothing any more."""
+        if not self._outcome.called:
+            self._outcome.errback(error)
 
     def _end(self) -> None:
         if not self._outcome.called:
--- a/packages/control/oakramp/control/voter.py
+++ b/packages/control/oakramp/control/voter.py
@@ -81,6 +81,7 @@
         self._owners = {
             shard: SerialExecutor(CONTROL_QUEUE_LIMIT, f"voter{shard}", node.log) for shard in range(SHARDS)
         }
+        self.on_voting_config = set()  # called, in any order, once a newer voting configuration is stored
         self._staged = {}
         self._confirmed_at = {}
         self._promised_at = {}
@@ -190,6 +191,8 @@
                 version=self.voting_config.version,
                 members=len(self.voting_config.everyone),
             )
+            for callback in list(self.on_voting_config):
+                callback()
 
     def _forget_previous_voting_config(self):
         """While the voting configuration is new, who was left out of it may still hold a lease; that outlasts a restart
@@ -250,7 +253,12 @@
         if (
             arguments.epoch <= table.promised_epoch
         ):  # its own leader's too: a restart has forgotten what it wrote under it
-            return idl.PrepareResponse(granted=False, promised_epoch=earlier[0], promised_owner=earlier[1])
+            return idl.PrepareResponse(
+                granted=False,
+                promised_epoch=earlier[0],
+                promised_owner=earlier[1],
+                holds_no_lease=self._holds_no_lease(arguments.shard, peer),
+            )
         self._promised_at[arguments.shard] = self._seconds()
         await self._write(arguments.shard, table, {}, promised_epoch=arguments.epoch, promised_owner=arguments.owner)
         entries = None if arguments.parts else [idl.Entry(key=key, value=value) for key, value in table.entries.items()]
@@ -262,10 +270,13 @@
             sequence=table.sequence,
             entries=entries,
             unconfirmed_ms=int((self._seconds() - self._confirmed_at[arguments.shard]) * 1000),
-            holds_no_lease=VOTING_CONFIG_IS_NEW not in self._ring.table
-            and not self.may_hold_lease(arguments.shard, peer.node_id),
+            holds_no_lease=self._holds_no_lease(arguments.shard, peer),
         )
 
+    def _holds_no_lease(self, shard, requester):
+        """Whether this process holds no lease of the shard, nor comes to one but after the requester's epoch."""
+        return VOTING_CONFIG_IS_NEW not in self._ring.table and not self.may_hold_lease(shard, requester.node_id)
+
     async def _snapshot_part(self, table, peer, arguments):
         """The snapshot does not move while it is read: only a higher promise could change it, and that ends this."""
         self._check_voting_config(peer, arguments.voting_config_version)
--- a/packages/gossip/oakramp/gossip/gossip_client.py
+++ b/packages/gossip/oakramp/gossip/gossip_client.py
@@ -34,7 +34,10 @@
         self._pulling = set()
         self._silent = {}
         self._answered_at = {}
+        self._answered_by = {}  # address -> node id of who answered there last
         self._asked_at = {}  # nodeId -> when that node last asked this one (monotonic seconds)
+        self.on_answer = set()  # called, in any order, when a node has answered
+        self.on_contact = lambda: None  # called when a node answers or asks that had not done so lately
         self._told = {}  # address -> what it was told, if it keeps that
         self._heard = {}  # nodeId -> what this node was told
         self._rounds = 0
@@ -100,8 +103,11 @@
     async def _serve_pull(self, peer, arguments):
         """Answers with what the puller lacks. Its own row counts as a sign of life from now on; that is good
         enough for its condition, and rows of nodes are all that is taken from a puller."""
+        is_new_contact = not self.is_asked_by(peer.node_id)
         self._asked_at[peer.node_id] = self._reactor.seconds()
         news = self._news_for(peer, arguments)
+        if is_new_contact:
+            self._on_new_asker(peer)
         news.cluster_id = self._net.cluster_id
         if (
             arguments.leases is not None
@@ -112,6 +118,15 @@
             news.confirmed = self._voter(peer, arguments.leases)
         return news
 
+    def _on_new_asker(self, peer):
+        """A control node that asks is there: it is asked in turn at once, whatever the last attempt to reach it met."""
+        member = self._members.find(peer.node_id)
+        if member is not None and peer.kind == self._me.kind == "control":
+            self._net.forget_failure(member.peer)
+            if member.peer not in self._pulling:
+                spawn(self._pull_from(member.peer), self._log)
+        self.on_contact()
+
     def _news_for(self, peer, arguments):
         me, now = arguments.me, self._reactor.seconds()
         is_row = me is not None and me.source.startswith(f"{NODE_SOURCE}{peer.node_id}/") and bool(peer.cluster_id)
@@ -216,7 +231,7 @@
                 self._net.join_cluster(news.cluster_id)
                 self._log.info("cluster_joined", cluster_id=news.cluster_id, through=address)
             self._state_table.merge(news, seen, asked_at)
-            self._answered_at[address] = asked_at
+            self._note_answer(address, asked_at)
             silent_since = self._silent.pop(address, None)
             if silent_since is not None:
                 silent_s = round(self._reactor.seconds() - silent_since, 3)
@@ -228,6 +243,15 @@
         finally:
             self._pulling.discard(address)
 
+    def _note_answer(self, address, asked_at):
+        node_id = self._net.node_at(address)
+        is_new_contact = not self.answers_lately(address) or node_id != self._answered_by.get(address)
+        self._answered_at[address], self._answered_by[address] = asked_at, node_id
+        if is_new_contact:
+            self.on_contact()
+        for callback in list(self.on_answer):
+            callback()
+
     async def _ask(self, address):
         """(when it was asked, the answer, the vector that it speaks of)."""
         while True:
@@ -255,6 +279,12 @@
         """Whether this address has itself answered; what others say of it does not count."""
         return address == self._me.peer or self._is_within(self._answered_at.get(address), lately)
 
+    def is_answered_by(self, node_id, address, lately=CONDITION_AGE):
+        """Whether this very node has itself answered at the address: after a lost disk another one is there."""
+        if node_id == self._me.node_id:
+            return True
+        return self._answered_by.get(address) == node_id and self.answers_lately(address, lately)
+
     def is_asked_by(self, node_id, lately=CONDITION_AGE):
         """Whether this node has asked for what is published here, and so reaches this one."""
         return node_id == self._me.node_id or self._is_within(self._asked_at.get(node_id), lately)
--- a/packages/testbed/oakramp/testbed/code_mutations.py
+++ b/packages/testbed/oakramp/testbed/code_mutations.py
@@ -17,7 +17,7 @@
 CODE_MUTATIONS = [
     CodeMutation(
         "a lost fourth voter leaves",
-        "control/oakramp/control/voting_configuration.py",
+        "control/oakramp/control/membership_repair.py",
         "if not lost or len(members) % 2 or len(members) <= least:",
         "if True:",
         "test_replaced_voter.ReplacedAsPlanned.test_a_later_loss_leaves_a_majority",
@@ -770,20 +770,20 @@
     CodeMutation(
         "who may hold a term says so",
         "control/oakramp/control/failover.py",
-        "return shard in self._registry.active or (shard in self.in_progress",
-        "return False and (shard in self.in_progress",
+        "        if shard in self._registry.active:\n            return True\n        epoch",
+        "        epoch",
         "test_faults.ControlFaults.test_no_two_leases_at_once",
     ),
     CodeMutation(
         "a new roster's voters vouch for nobody",
         "control/oakramp/control/voter.py",
-        "holds_no_lease=VOTING_CONFIG_IS_NEW not in self._ring.table\n            and",
-        "holds_no_lease=True and",
+        "return VOTING_CONFIG_IS_NEW not in self._ring.table and not self.may_hold_lease",
+        "return not self.may_hold_lease",
         "test_founding.Mending.test_who_may_hold_a_lease_is_waited_for",
     ),
     CodeMutation(
         "a kept roster is told in the news again",
-        "control/oakramp/control/voting_configuration.py",
+        "control/oakramp/control/membership_repair.py",
         "        if voting_config is not None:\n            state_table.set_items",
         "        if False:\n            state_table.set_items",
         "test_explore.RosterKeptByOne.test_kept_voting_config_is_told_in_the_news_again",
@@ -791,9 +791,9 @@
     CodeMutation(
         "a voter that left the roster is asked no more",
         "control/oakramp/control/prepare_phase.py",
-        "address = self._owners.voter_addresses().get(node_id)",
-        "address = self._owners.voter_addresses()[node_id]",
-        "test_explore.VoterThatLeft.test_snapshot_of_a_voter_that_left_is_given_up",
+        "address = self._registry.voter_addresses().get(node_id)",
+        "address = self._registry.voter_addresses()[node_id]",
+        "test_failover.PreparationTest.test_voter_that_leaves_while_its_snapshot_is_fetched",
     ),
     CodeMutation(
         "calls that name the node they are for",
@@ -825,7 +825,7 @@
     ),
     CodeMutation(
         "the place of a silent member is kept free",
-        "control/oakramp/control/voting_configuration.py",
+        "control/oakramp/control/membership_repair.py",
         (
             "if node_id not in here\n            or not "
             "node.gossip_client.answers_lately(answering[node_id].peer, VOTING_CONFIG_HEARD)"
@@ -969,7 +969,7 @@
     CodeMutation(
         "a first term is asked for until voters have passed to the roster",
         "control/oakramp/control/failover.py",
-        "        while not leader.confirmed.called and self._voter.voting_config.version == voting_config_version:\n",
+        "        while not leader.confirmed.called:\n",
         "        for _ in range(1):\n",
         (
             "test_confirmation.Confirmation.test_lease_refused_by_voters_on_their_way_to_a_voting_config_is_a"
@@ -1368,4 +1368,60 @@
         "self._state_table.merge(news, seen, self._reactor.seconds())",
         "test_routing_ages.RoutingAges.test_no_age_is_wrong_and_no_older_version_is_used",
     ),
+    CodeMutation(
+        "a dial that is not answered gets another one beside it",
+        "rpc/oakramp/rpc/hedged_dial.py",
+        "            self._timer = self._reactor.callLater(DIAL_HEDGE, self._attempt)",
+        "            pass",
+        "test_hedged_dial.HedgedDials.test_a_lost_opening_packet_costs_one_hedge",
+    ),
+    CodeMutation(
+        "who answers at a voter's address need not be that voter",
+        "control/oakramp/control/failover.py",
+        "if self._node.gossip_client.is_answered_by(node_id, address)",
+        "if self._node.gossip_client.answers_lately(address)",
+        "test_recovery.WhoAnswers.test_another_node_at_a_voters_address_is_not_that_voter",
+    ),
+    CodeMutation(
+        "nobody waits for a lease that cannot come",
+        "control/oakramp/control/failover.py",
+        "            if reason is not None:",
+        "            if False:",
+        "test_failover.FirstLeaseTest.test_a_changed_voting_configuration_ends_the_wait",
+    ),
+    CodeMutation(
+        "a repair of the voting configuration lets failovers end first",
+        "control/oakramp/control/membership_repair.py",
+        "may_repair = self._mends and not self._holds_failovers_up()",
+        "may_repair = self._mends",
+        "test_recovery.Recovery.test_every_shard_is_led_soon_after_an_outage_of_all",
+    ),
+    CodeMutation(
+        "another process in a holder's place ends the wait for its lease",
+        "control/oakramp/control/prepare_phase.py",
+        "        for node_id in self._ended_holders():\n            self._previous.holds_none(node_id)",
+        "        pass",
+        "test_failover.PreviousLeasesTest.test_another_process_in_the_holders_place_ends_it",
+    ),
+    CodeMutation(
+        "a voter that may hold a lease is waited for",
+        "control/oakramp/control/prepare_phase.py",
+        "        if promise.holds_no_lease:",
+        "        if True:",
+        "test_failover.PreviousLeasesTest.test_a_voter_that_refuses_may_hold_a_lease_until_it_says_otherwise",
+    ),
+    CodeMutation(
+        "an attempt that others were told leads nothing leads nothing",
+        "control/oakramp/control/failover.py",
+        "if self._voter.promised_epoch(shard) > epoch:",
+        "if False:",
+        "test_failover.OutbidTest.test_an_attempt_below_the_own_voters_promise_does_not_serve",
+    ),
+    CodeMutation(
+        "no promise is waited for once the voting configuration has changed",
+        "control/oakramp/control/prepare_phase.py",
+        "        self._voter.on_voting_config.add(end)",
+        "        pass",
+        "test_failover.PreparationTest.test_no_promise_is_waited_for_once_the_voting_configuration_has_changed",
+    ),
 ]
--- a/packages/testbed/oakramp/testbed/explore/process.py
+++ b/packages/testbed/oakramp/testbed/explore/process.py
@@ -13,7 +13,7 @@
 from oakramp.control.lease_expiry import LeaseExpiryWatch
 from oakramp.control.leader_registry import LeaderRegistry
 from oakramp.control.lease import LeaseRenewalPiggyback
-from oakramp.control.voting_configuration import MembershipRepairTask
+from oakramp.control.membership_repair import MembershipRepairTask
 from oakramp.control.voter import Voter
 from oakramp.gossip.state_table import StateTable
 from oakramp.storage.circular_log import CircularLog
@@ -82,10 +82,15 @@
     def __init__(self, world, process):
         self._world, self._name = world, process.name
         self.me = ModelMember(process.node_id, process.machine.address, process.machine.name)
+        self.on_answer = set()
 
     def answers_lately(self, address, lately=0.0):
         return self._world.is_answering(self._name, address)
 
+    def is_answered_by(self, node_id, address, lately=0.0):
+        answering = self._world.machine_of(node_id)
+        return answering is not None and answering.address == address and self.answers_lately(address)
+
     def is_asked_by(self, node_id, lately=0.0):
         asker = self._world.machine_of(node_id)
         return asker is not None and self._world.is_answering(asker.name, self.me.peer)
--- a/tests/recovery_trial.py
+++ b/tests/recovery_trial.py
@@ -23,6 +23,7 @@
 STEP = 0.01  # s
 GIVEN_UP_S = 8.0  # s
 FORMED_WITHIN_S = 30.0  # s
+SETTLED_S = 3.0  # s; from then on nobody may hold a lease of an earlier voting configuration
 
 
 class RecoveryTrial:
@@ -40,6 +41,7 @@
     def play(self):
         self.fleet.bring_up()
         self.fleet.wait_for("all control nodes vote", self._all_vote, FORMED_WITHIN_S)
+        self.fleet.run(SETTLED_S)
         self._take_the_power()
         started_at = self._start_all()
         majority_at = started_at[len(self.control) // 2]
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -28,6 +28,12 @@
     def handle(self, method, handler):
         self.handlers[method] = handler
 
+    def node_at(self, address):
+        return self.peers[address].node_id
+
+    def forget_failure(self, address):
+        """Nothing is remembered here of calls that failed."""
+
     async def call(self, address, method, _time_left, **arguments):
         self.calls += 1
         asked = pack(idl.pull_args(**arguments))
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -3,7 +3,7 @@
 import unittest
 from types import SimpleNamespace
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import Clock
 
 from oakramp.common.constants import (
@@ -12,12 +12,14 @@
     FAILOVER_POLL,
     LEASE,
     LEASE_EXPIRED,
+    LEASE_RENEW,
     OWNER_LEFT_PAUSE,
     PULL_PAUSE,
     SHARDS,
 )
-from oakramp.common.errors import OutcomeUnknownError, QuorumUnavailableError
-from oakramp.common.tasks import settled
+from oakramp.common.errors import OutcomeUnknownError, QuorumUnavailableError, UnreachableError
+from oakramp.common.tasks import begin, settled, spawn
+from oakramp.control.failover import Failover
 from oakramp.control.leader_changes import LeaderChangeWatch
 from oakramp.control.prepare_phase import PreparePhase
 from oakramp.control.shards import shard_of_key
@@ -199,6 +201,157 @@
         with self.assertRaises(QuorumUnavailableError):
             preparation.fetch_snapshot("left").send(None)
 
+    def test_no_promise_is_waited_for_once_the_voting_configuration_has_changed(self):
+        voting_config = SimpleNamespace(
+            everyone={"me": "a:1", "away": "b:1"}, version=2, is_quorum=lambda node_ids: len(node_ids) == 2
+        )
+        voter = SimpleNamespace(voting_config=voting_config, on_voting_config=set())
+        members = SimpleNamespace(successor_of=lambda *_: None)
+        net = SimpleNamespace(call=lambda *_, **__: Deferred())
+        node = SimpleNamespace(node_id="me", reactor=Clock(), members=members, net=net)
+        registry = SimpleNamespace(voter_addresses=lambda: voting_config.everyone)
+        ended = []
+        begin(PreparePhase(registry, node, voter, 3, 7).prepare()).addBoth(ended.append)
+        self.assertEqual(ended, [])
+        for callback in list(voter.on_voting_config):
+            callback()
+        ended[0].trap(QuorumUnavailableError)
+        self.assertEqual(voter.on_voting_config, set())
+
+
+class FirstLeaseTest(unittest.TestCase):
+    """Who waits for the first lease under an epoch is told as soon as none can come."""
+
+    def setUp(self):
+        self.clock, self.asked, self.ended, self.promised_epoch = Clock(), [], [], 3
+        self.voting_config = SimpleNamespace(version=1)
+        self.failover = Failover.__new__(Failover)
+        self.failover._reactor = self.clock
+        self.failover._voter = SimpleNamespace(
+            voting_config=self.voting_config, promised_epoch=lambda _shard: self.promised_epoch
+        )
+        self.failover._registry = SimpleNamespace(leases=SimpleNamespace(confirm=self.asked.append))
+        self.leader = SimpleNamespace(shard=5, epoch=3, confirmed=Deferred())
+        spawn(self.failover._confirm_first_lease(self.leader, 1))
+        self.leader.confirmed.addBoth(self.ended.append)
+        self.clock.advance(LEASE_RENEW)
+
+    def test_it_is_asked_for_again_and_again(self):
+        self.assertGreater(len(self.asked), 1)
+        self.assertEqual(self.ended, [])
+
+    def test_a_changed_voting_configuration_ends_the_wait(self):
+        self.voting_config.version = 2
+        self.clock.advance(LEASE_RENEW)
+        self.ended[0].trap(QuorumUnavailableError)
+
+    def test_a_later_promise_of_the_own_voter_ends_the_wait(self):
+        self.promised_epoch = 4
+        self.clock.advance(LEASE_RENEW)
+        self.ended[0].trap(QuorumUnavailableError)
+
+
+class OutbidTest(unittest.TestCase):
+    """An attempt at shard 5 under epoch 3, on a node whose voter then promises a later epoch to somebody else."""
+
+    def setUp(self):
+        self.promised_epoch, self.elected, self.ended = 3, Deferred(), []
+        self.leader = SimpleNamespace(entries={}, serve=lambda: None)
+        self.failover = Failover.__new__(Failover)
+        self.failover._attempts, self.failover._seen_epochs = {}, {}
+        self.failover._node, self.failover._log = (
+            SimpleNamespace(node_id="me"),
+            SimpleNamespace(info=lambda *_, **__: 0),
+        )
+        self.failover._voter = SimpleNamespace(promised_epoch=lambda _shard: self.promised_epoch)
+        self.failover._registry = SimpleNamespace(active={}, publisher=SimpleNamespace(publish=lambda *_: None))
+        self.failover._next_epoch = lambda *_: 3
+        self.failover._elect = lambda *_: self.elected
+        begin(self.failover.prepare_and_serve(5, None)).addBoth(self.ended.append)
+
+    def test_it_serves_unless_it_is_outbid(self):
+        self.assertTrue(self.failover.may_hold_lease(5, "other"))
+        self.assertFalse(self.failover.may_hold_lease(5, "me"))
+        self.elected.callback(self.leader)
+        self.assertEqual((self.ended, self.failover._registry.active), ([None], {5: self.leader}))
+        self.assertTrue(self.failover.may_hold_lease(5, "other"))
+
+    def test_an_attempt_below_the_own_voters_promise_does_not_serve(self):
+        self.promised_epoch = 4
+        self.assertFalse(self.failover.may_hold_lease(5, "other"))
+        self.elected.callback(self.leader)
+        self.ended[0].trap(QuorumUnavailableError)
+        self.assertEqual(self.failover._registry.active, {})
+
+    def test_a_failed_attempt_comes_to_no_lease(self):
+        self.elected.errback(QuorumUnavailableError("no majority"))
+        self.ended[0].trap(QuorumUnavailableError)
+        self.assertFalse(self.failover.may_hold_lease(5, "other"))
+
+
+class PreviousLeasesTest(unittest.TestCase):
+    """The wait for the leases of earlier epochs, by one that prepares epoch 7 of shard 3."""
+
+    def setUp(self):
+        self.clock, self.calls, self.ended = Clock(), [], []
+        self.successors, self.promised_epoch, self.answer = {}, 7, None
+        members = SimpleNamespace(successor_of=lambda node_id, _peer: self.successors.get(node_id))
+        net = SimpleNamespace(call=self._call)
+        self.on_answer = set()
+        gossip_client = SimpleNamespace(on_answer=self.on_answer)
+        node = SimpleNamespace(
+            node_id="me", reactor=self.clock, members=members, net=net, gossip_client=gossip_client, log=None
+        )
+        voting_config = SimpleNamespace(everyone={"me": "a:1", "other": "b:1"}, version=2)
+        voter = SimpleNamespace(voting_config=voting_config, promised_epoch=lambda _shard: self.promised_epoch)
+        registry = SimpleNamespace(voter_addresses=lambda: voting_config.everyone)
+        self.preparation = PreparePhase(registry, node, voter, 3, 7)
+        promise = SimpleNamespace(promised_epoch=4, unconfirmed_ms=0, holds_no_lease=True)
+        self.preparation._promises, self.preparation._prepared_at = {"me": promise}, self.clock.seconds()
+        self.preparation._note_holder("me", promise)
+        begin(self.preparation.previous_lease_ended(None)).addBoth(self.ended.append)
+
+    def _call(self, address, *_arguments, **_named):
+        self.calls.append(address)
+        return fail(UnreachableError("away")) if self.answer is None else succeed(self.answer)
+
+    def answer_gossip(self):
+        for callback in list(self.on_answer):
+            callback()
+
+    def test_it_lasts_as_long_as_a_lease(self):
+        self.clock.advance(LEASE - 0.01)
+        self.assertEqual(self.ended, [])
+        self.clock.advance(0.02)
+        self.assertEqual((self.ended, self.on_answer), ([None], set()))
+
+    def test_another_process_in_the_holders_place_ends_it(self):
+        self.successors["other"] = SimpleNamespace(node_id="next")
+        self.answer_gossip()
+        self.assertEqual(self.ended, [None])
+
+    def test_a_voter_that_is_back_is_asked_again(self):
+        self.preparation._unsure.add("other")
+        self.answer_gossip()
+        self.assertEqual((self.calls, self.ended), (["b:1"], []))
+        self.answer = SimpleNamespace(granted=False, promised_epoch=7, promised_owner="me", holds_no_lease=True)
+        self.answer_gossip()
+        self.assertEqual(self.ended, [None])
+
+    def test_a_voter_that_refuses_may_hold_a_lease_until_it_says_otherwise(self):
+        self.preparation._unsure.add("other")
+        self.answer = SimpleNamespace(granted=False, promised_epoch=8, promised_owner="third", holds_no_lease=False)
+        self.answer_gossip()
+        self.assertEqual(self.ended, [])
+        self.answer.holds_no_lease = True
+        self.answer_gossip()
+        self.assertEqual(self.ended, [None])
+
+    def test_a_later_promise_of_the_own_voter_ends_the_attempt(self):
+        self.promised_epoch = 8
+        self.answer_gossip()
+        self.ended[0].trap(QuorumUnavailableError)
+
 
 class MovesTest(unittest.TestCase):
     def setUp(self):
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -4,13 +4,12 @@
 import unittest
 from unittest.mock import patch
 
-from order_trial import OrderTrial
-
 from oakramp.common.constants import FORGET_AGE
 from oakramp.common.tasks import settled, sleep, spawn
 from oakramp.common.validation import pack_json
 from oakramp.control import routing
 from oakramp.control.store_membership import STORES_KEY
+from order_trial import OrderTrial
 from test_operator import OperatorTest, document
 from test_store_forming import Rig
 
