--- a/packages/testbed/oakramp/testbed/explore/process.py
+++ b/packages/testbed/oakramp/testbed/explore/process.py
@@ -6,7 +6,7 @@
 from oakramp.common.tasks import spawn
 from oakramp.membership.members import LIVE, SILENT
 from oakramp.control import failover as failover_module
-from oakramp.control import voting_configuration as voting_config_module
+from oakramp.control import membership_repair as membership_repair_module
 from oakramp.control import shards as shards_module
 from oakramp.control import voter as voter_module
 from oakramp.control.controllers import SHARD_SOURCE
@@ -28,7 +28,7 @@
 class OneSlot:
     """While entered, the control state has one slot, so that each choice of a schedule concerns it."""
 
-    _modules = (failover_module, voting_config_module, shards_module, voter_module)
+    _modules = (failover_module, membership_repair_module, shards_module, voter_module)
 
     def __enter__(self):
         self._previous = [module.SHARDS for module in self._modules]
