--- /dev/null
+++ b/packages/gossip/oakramp/gossip/member_state.py
@@ -0,0 +1,65 @@
+"""The state in which a node publishes itself: able to serve, without a majority, or with a disk that refuses writes.
+
+Several parts of a node know a reason why it should be passed over. Each reports its own; this module publishes the
+state that follows from all of them, in the node's own member row.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from oakramp.membership.members import LEAVING_STATE, PARTITIONED_STATE, STORAGE_FAULT_STATE, UP_STATE
+
+if TYPE_CHECKING:
+    from oakramp.common.structured_logging import EventLogger
+    from oakramp.gossip.gossip_client import GossipClient
+
+
+class MemberStatePublisher:
+    """Publishes this node's state whenever a report changes it.
+
+    A node that is leaving stays so. A storage fault is published before a partition: it is what an operator has to
+    mend, and a node with either is passed over alike.
+    """
+
+    def __init__(self, gossip_client: GossipClient, log: EventLogger) -> None:
+        self._gossip_client = gossip_client
+        self._log = log
+        self._is_partitioned = False
+        self._has_storage_fault = False
+
+    @property
+    def has_storage_fault(self) -> bool:
+        """Whether this node's disk refuses writes, as reported last."""
+        return self._has_storage_fault
+
+    def report_partitioned(self, is_partitioned: bool) -> None:
+        """Takes in whether this node reaches a majority of the voters."""
+        if is_partitioned == self._is_partitioned:
+            return
+        self._is_partitioned = is_partitioned
+        self._publish()
+        self._log.info("member_partitioned" if is_partitioned else "member_rejoined")
+
+    def report_storage_fault(self, has_storage_fault: bool) -> None:
+        """Takes in whether this node's disk refuses writes."""
+        if has_storage_fault == self._has_storage_fault:
+            return
+        self._has_storage_fault = has_storage_fault
+        self._publish()
+        if has_storage_fault:
+            self._log.warning("member_storage_fault")
+        else:
+            self._log.info("member_storage_recovered")
+
+    def _publish(self) -> None:
+        me = self._gossip_client.me
+        state = self._state()
+        if me.state not in (state, LEAVING_STATE):
+            self._gossip_client.describe(replace(me, state=state))
+
+    def _state(self) -> str:
+        if self._has_storage_fault:
+            return STORAGE_FAULT_STATE
+        return PARTITIONED_STATE if self._is_partitioned else UP_STATE
--- a/packages/testbed/oakramp/testbed/simdisk.py
+++ b/packages/testbed/oakramp/testbed/simdisk.py
@@ -4,7 +4,8 @@
 the sync was called; a write to another file, or one made while the sync is under way, is not covered. When power is
 lost, each write that no finished sync covers may be present, absent or torn by itself, or all of them are gone. Of
 what a failed sync should have covered each write is on the disk or is not, and no later sync covers it: a system may
-call such pages clean. Syncs under way end in any order. Files are made, replaced and removed durably, as
+call such pages clean. A write that fails is told by the next sync of its file, and what was written is read back all
+the same until then. Syncs under way end in any order. Files are made, replaced and removed durably, as
 `oakramp.storage.disk.FolderDisk` does it.
 """
 
@@ -26,6 +27,7 @@
         self.sync_time = 0.002  # seconds of a sync
         self.sync_spread = 0.0  # seconds that a sync may take longer, chosen at random
         self.failing = False
+        self._write_errors = {}  # file name -> the error of the first write since its last sync that failed
         self.host = None
         self.syncs = 0
         self.operations = 0  # writes, syncs and ends of syncs until now
@@ -67,9 +69,13 @@
         self._unsynced = [write for write in self._unsynced if write[0] != name]
 
     def write(self, name, offset, data):
-        self._check()
+        try:
+            self._check()
+        except OSError as error:
+            self._write_errors.setdefault(name, error)
+        else:
+            self._unsynced.append((name, offset, bytes(data)))
         self._files[name][offset : offset + len(data)] = data
-        self._unsynced.append((name, offset, bytes(data)))
 
     def sync(self, names):
         """Fires once all that was written to these files before this call is on the disk."""
@@ -81,6 +87,7 @@
         except OSError:
             pass  # told when it ends, as a real disk does
         covered = self._writes_to(names)
+        write_errors = [self._write_errors.pop(name) for name in names if name in self._write_errors]
         self.syncs += 1
         incarnation = self.host.incarnation
 
@@ -89,6 +96,8 @@
                 return
             try:
                 self._check()
+                if write_errors:
+                    raise write_errors[0]
             except PowerLost:
                 return
             except OSError as error:
@@ -122,6 +131,8 @@
     def sync_now(self, names):
         for name in names:
             self._check()
+            if name in self._write_errors:
+                raise self._write_errors.pop(name)
             self._settle(self._writes_to([name]))
 
     def replace(self, name, data):
@@ -137,7 +148,7 @@
         keep = keep or self._random.choice((self.keep_none, self.keep_files, self.keep_each, self.keep_each))
         for name, offset, data in keep():
             self._durable[name][offset : offset + len(data)] = data
-        self._unsynced = []
+        self._unsynced, self._write_errors = [], {}
         self._files = {name: bytearray(data) for name, data in self._durable.items()}
         self.power_is_lost, self.loses_power_at = False, None
 
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -1,9 +1,12 @@
 """The folder of a node on a real disk: a process may end anywhere, and the next one finds what it can use."""
 
+import errno
 import os
 import random
 import tempfile
 import unittest
+from queue import SimpleQueue
+from threading import Event
 from unittest import mock
 
 from oakramp.common.structured_logging import EventLogger
@@ -14,6 +17,7 @@
 from oakramp.testbed.simfolder import SimFolder
 
 SIZE = 1 << 16  # bytes of a file of the ring
+STALL_S = 3.0
 
 
 class Ended(Exception):
@@ -88,6 +92,94 @@
         self.assertEqual(synced, [base, os.path.join(base, "one"), self.folder])
 
 
+class ReactorCalls:
+    """What a thread hands to the reactor, run one by one when the test asks for it."""
+
+    def __init__(self):
+        self._calls = SimpleQueue()
+
+    def callFromThread(self, function, *arguments):
+        self._calls.put((function, arguments))
+
+    def run_next(self):
+        function, arguments = self._calls.get(timeout=10.0)
+        function(*arguments)
+
+
+class StalledDisk(unittest.TestCase):
+    """
+    reactor                            disk's thread
+    write, sync: return at once  --->  stands in a write that does not end
+    reads what it wrote
+    the sync fires               <---  the disk goes on
+    """
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.reactor = ReactorCalls()
+        self.disk = FolderDisk(self.reactor, folder.name)
+        self.addCleanup(self.disk.close)
+        self.disk.create("ring.000", SIZE)
+        self.goes_on, self.held_up = Event(), []  # calls that the test itself had to wait for
+        self.addCleanup(lambda: self.assertEqual(self.held_up, []))
+        self.addCleanup(self.goes_on.set)
+
+    def stalled(self, call):
+        operation = getattr(os, call)
+
+        def wait_and_run(*arguments):
+            if not self.goes_on.wait(STALL_S):
+                self.held_up.append(call)
+            return operation(*arguments)
+
+        return mock.patch(f"oakramp.storage.disk.os.{call}", wait_and_run)
+
+    def test_writes_and_syncs_return_at_once(self):
+        for call in ("pwrite", "fdatasync"):
+            with self.subTest(call=call), self.stalled(call):
+                self.goes_on.clear()
+                fired = []
+                self.disk.write("ring.000", 8, call.encode())
+                self.disk.sync(["ring.000"]).addBoth(fired.append)
+                self.assertEqual(self.disk.read_at("ring.000", 6, 4), b"\0\0" + call[:2].encode())
+                self.assertEqual(fired, [])
+                self.goes_on.set()
+                self.reactor.run_next()
+                self.assertEqual(fired, [None])
+                self.assertEqual(self.disk.read("ring.000", 8 + len(call))[8:], call.encode())
+
+    def test_the_newest_of_several_writes_is_read(self):
+        with self.stalled("pwrite"):
+            self.disk.write("ring.000", 0, b"aaaaaaaa")
+            self.disk.write("ring.000", 2, b"bbb")
+            self.disk.write("ring.000", 0, b"ccc")
+            self.assertEqual(self.disk.read_at("ring.000", 0, 10), b"cccbbaaa\0\0")
+            self.goes_on.set()
+            self.assertEqual(self.disk.read("ring.000", 10), b"cccbbaaa\0\0")
+
+    def test_a_write_that_fails_is_told_by_the_next_sync(self):
+        errors, fired = [OSError(errno.ENOSPC, "full")], []
+        write = os.pwrite
+
+        def refuse_once(*arguments):
+            if errors:
+                raise errors.pop()
+            return write(*arguments)
+
+        with mock.patch("oakramp.storage.disk.os.pwrite", refuse_once):
+            self.disk.write("ring.000", 0, b"first")
+            self.disk.sync(["ring.000"]).addBoth(fired.append)
+            self.reactor.run_next()
+            self.assertEqual(fired[0].value.errno, errno.ENOSPC)
+            self.assertEqual(self.disk.read_at("ring.000", 0, 5), b"first")
+            self.disk.write("ring.000", 0, b"first")
+            self.disk.sync(["ring.000"]).addBoth(fired.append)
+            self.reactor.run_next()
+        self.assertIsNone(fired[1])
+        self.assertEqual(self.disk.read("ring.000", 5), b"first")
+
+
 class FolderLosesPower(unittest.TestCase):
     """The folder model is that of oakramp.testbed.simfolder."""
 
