--- a/packages/cli/oakramp/cli/doctor.py
+++ b/packages/cli/oakramp/cli/doctor.py
@@ -143,7 +143,7 @@
                 "disks",
                 f"{said['machine']}'s disk failed: {disk['broken']}",
                 "the disk, or it is full",
-                "replace the machine by an empty one; do not reuse the folder",
+                "free space: it then takes part again by itself. Else replace the machine by an empty one",
             )
         if disk["syncSeconds"] > SLOW_SYNC:
             yield Finding(
--- a/packages/control/oakramp/control/control_node.py
+++ b/packages/control/oakramp/control/control_node.py
@@ -49,6 +49,7 @@
             reactor=reactor,
             random_source=random,
         )
+        self.node.watch_storage(self.ring)
         self.voter = Voter(self.node, self.ring)
         self.client = ShardClient(self.node, lambda address: not self.node.gossip_client.answers_lately(address))
         self.leaders = LeaderRegistry(self.node, self.voter)
@@ -78,6 +79,7 @@
             ("ring_syncs", lambda: self.ring.sync_count),
             ("ring_commits", lambda: self.ring.commit_count),
             ("ring_live_bytes", self.ring.live_bytes),
+            ("storage_fault", lambda: int(self.ring.broken is not None)),
             ("members_live", lambda: len(self.node.members.live())),
             ("eviction_moved", lambda: self.placement.counts["moved"]),
             ("eviction_let_go", lambda: self.placement.counts["let_go"]),
--- a/packages/control/oakramp/control/failover.py
+++ b/packages/control/oakramp/control/failover.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import json
-from dataclasses import replace
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from oakramp.common.constants import (
@@ -25,7 +24,7 @@
 from oakramp.control.controllers import SHARD_SOURCE
 from oakramp.control.prepare_phase import PreparePhase
 from oakramp.control.shard_leader import ShardLeader
-from oakramp.membership.members import LEAVING, LIVE
+from oakramp.membership.members import LEAVING, LIVE, STORAGE_FAULT
 from oakramp.membership.rendezvous_hashing import ranked
 
 if TYPE_CHECKING:
@@ -33,8 +32,7 @@
     from oakramp.control.voter import Voter
     from oakramp.gossip.node import Node
 
-PARTITIONED = "parted"  # state of a member that reaches no majority of voters, as it is spelled in member rows
-UP = "up"  # state of a member that does
+ANSWERING_CONDITIONS = (LIVE, LEAVING, STORAGE_FAULT)  # of a leader that releases a shard when it is asked to
 RETRY_PAUSE = (0.1, 0.5)  # s; drawn between these after a failed attempt, so that two candidates do not stay in step
 
 
@@ -273,11 +271,11 @@
         return self._reactor.seconds() - self._started_at < CONDITION_AGE
 
     def _live_leader(self, shard: int) -> KnownLeader | None:
-        """The shard's known leader if it is another node that is live; None otherwise."""
+        """The shard's known leader if it is another node that can be asked to release it; None otherwise."""
         known = self.known_leader(shard)
         if known is None or known.node_id == self._node.node_id:
             return None
-        return known if self._node.members.condition(known.node_id) in (LIVE, LEAVING) else None
+        return known if self._node.members.condition(known.node_id) in ANSWERING_CONDITIONS else None
 
     def _asking_voters(self) -> set[str]:
         """Node ids of the voters whose gossip requests have come to this node lately."""
@@ -290,10 +288,8 @@
 
         Shards then go to other members at once, without a candidate's turn that this one could not use.
         """
-        state, me = PARTITIONED if is_partitioned else UP, self._node.gossip_client.me
-        if me.state not in (state, LEAVING) and not (is_partitioned and self._is_new()):
-            self._node.gossip_client.describe(replace(me, state=state))
-            self._log.info("member_partitioned" if is_partitioned else "member_rejoined")
+        if not (is_partitioned and self._is_new()):
+            self._node.member_state.report_partitioned(is_partitioned)
 
     def _is_handed_over(self, shard: int) -> bool:
         """Whether another member has asked this one for the shard within the time of a lease.
--- a/packages/control/oakramp/control/voter.py
+++ b/packages/control/oakramp/control/voter.py
@@ -11,7 +11,7 @@
 
 from oakramp.common.bounded_queue import SerialExecutor
 from oakramp.common.constants import CONTROL_FULL, CONTROL_QUEUE_LIMIT, LEASE, SHARD_FULL, SHARDS, SNAPSHOT_PART
-from oakramp.common.errors import StaleEpochError, StorageFullError
+from oakramp.common.errors import StaleEpochError, StorageError, StorageFullError
 from oakramp.common.tasks import spawn
 from oakramp.common.validation import pack_json
 from oakramp.control.shards import ENTRY_COST, in_parts
@@ -83,12 +83,14 @@
         }
         self.on_voting_config = set()  # called, in any order, once a newer voting configuration is stored
         self._staged = {}
+        self._leftovers = []  # keys of rows that count for nothing, and that the log did not take the removal of
         self._confirmed_at = {}
         self._promised_at = {}
         self._holders = {}
         self._reactor = node.reactor
         self.may_hold_lease = lambda shard, requester: True  # until the leaders of this node say for themselves
         self._count_from_now()
+        ring.on_fault_change.add(self._remove_leftovers)
         self._load()
         self._forget_previous_voting_config()
         for method, command in (
@@ -128,8 +130,22 @@
             spawn(self._remove(leftovers), self._log)
 
     async def _remove(self, keys):
-        for part in in_parts(((key, None) for key in keys), self._ring.commit_limit() // 2):
-            await self._ring.commit(part)
+        """Removes rows that count for nothing any more; what the log does not take is removed once it has recovered."""
+        parts = list(in_parts(((key, None) for key in keys), self._ring.commit_limit() // 2))
+        while parts:
+            try:
+                await self._ring.commit(parts[0])
+            except StorageError as error:
+                self._leftovers += [key for part in parts for key, _ in part]
+                self._log.warning("snapshot_leftovers_kept", entries=len(self._leftovers), reason=error.reason)
+                return
+            del parts[0]
+
+    def _remove_leftovers(self):
+        if self._ring.broken is not None or not self._leftovers:
+            return
+        leftovers, self._leftovers = self._leftovers, []
+        spawn(self._remove(leftovers), self._log)
 
     def snapshot(self, shard):
         """(imageEpoch, sequence, entries) as they are on this disk."""
@@ -412,7 +428,7 @@
             for part in in_parts(rows.items(), limit):
                 await self._ring.commit(part)
             await self._write(shard, table, {}, **head, generation=generation)
-        except StorageFullError:
+        except StorageError:
             spawn(self._remove([row for row in rows if row in self._ring.table]), self._log)
             raise
         table.entries = SortedDict(snapshot)
--- a/packages/gossip/oakramp/gossip/gossip_client.py
+++ b/packages/gossip/oakramp/gossip/gossip_client.py
@@ -15,7 +15,7 @@
 from oakramp.common.errors import OakrampError
 from oakramp.common.tasks import Repeater, settled, sleep, spawn
 from oakramp.gossip.version_exchange import ReceivedVector, SentVector
-from oakramp.membership.members import Member
+from oakramp.membership.members import LEAVING_STATE, Member
 from oakramp.rpc.codec import idl
 
 NODE_SOURCE = "node/"
@@ -163,7 +163,7 @@
 
     async def say_leaving(self):
         """Tells the others, before it stops, that this node is about to."""
-        self.describe(replace(self._me, state="leaving"))
+        self.describe(replace(self._me, state=LEAVING_STATE))
         await sleep(self._reactor, 2 * PULL_PAUSE)
 
     async def _round(self):
--- a/packages/gossip/oakramp/gossip/node.py
+++ b/packages/gossip/oakramp/gossip/node.py
@@ -7,9 +7,10 @@
 from oakramp.common.structured_logging import EventLogger
 from oakramp.common.tasks import Repeater
 from oakramp.gossip.gossip_client import GossipClient
+from oakramp.gossip.member_state import MemberStatePublisher
 from oakramp.gossip.state_table import StateTable
 from oakramp.membership.identity import Identity
-from oakramp.membership.members import Member, Members
+from oakramp.membership.members import UP_STATE, Member, Members
 from oakramp.rpc.endpoint import RpcEndpoint
 
 RELEASE = "0.1.0"
@@ -53,13 +54,13 @@
             env["machine"],
             env["peer"],
             env["http"],
-            "up",
+            UP_STATE,
             RELEASE,
         )
         self.gossip_client = GossipClient(
             reactor, self.net, self.state_table, self.members, self.identity, me, env["seeds"], random, self.log
         )
-
+        self.member_state = MemberStatePublisher(self.gossip_client, self.log)
         self.wall_clock = WallClock(reactor, self.log, wall)
         self._env_watchers = []
 
@@ -67,6 +68,14 @@
         """`watcher(env)` is called with each env that replaces the one before while the node runs."""
         self._env_watchers.append(watcher)
 
+    def watch_storage(self, circular_log):
+        """Publishes from now on whether this node's log takes writes."""
+
+        def report():
+            self.member_state.report_storage_fault(circular_log.broken is not None)
+
+        circular_log.on_fault_change.add(report)
+
     def settings_changed(self, env):
         """What can change at run time is taken; the rest holds from the next start on."""
         self.env = env
--- a/packages/membership/oakramp/membership/members.py
+++ b/packages/membership/oakramp/membership/members.py
@@ -15,6 +15,16 @@
 from oakramp.membership.rendezvous_hashing import named
 
 LIVE, SILENT, LEAVING, PARTED = "live", "silent", "leaving", "parted"
+STORAGE_FAULT = "storageFault"
+
+# What a node says of itself in its row.
+UP_STATE = "up"
+LEAVING_STATE = "leaving"  # it is about to stop
+PARTITIONED_STATE = "parted"  # it is heard, but hears no majority of the voters
+STORAGE_FAULT_STATE = "storageFault"  # its disk refuses writes
+
+# A state that this release does not know is taken for a partition: its node is passed over.
+CONDITION_OF_STATE = {UP_STATE: LIVE, LEAVING_STATE: LEAVING, STORAGE_FAULT_STATE: STORAGE_FAULT}
 
 
 MEMBER_KEYS = {"node_id": "nodeId"}  # how fields are spelled on the wire, where they are spelled otherwise
@@ -31,7 +41,7 @@
     machine: str
     peer: str
     http: str
-    state: str  # "up", "leaving", or "parted" (heard, but hearing no majority of the roster), by its own word
+    state: str  # one of the states above, by its own word
     release: str
 
     @classmethod
@@ -123,11 +133,12 @@
         return self._live_counts[kind]
 
     def condition(self, node_id):
-        """LIVE, LEAVING, PARTED (it reaches no majority) or SILENT for longer than CONDITION_AGE."""
+        """LIVE, LEAVING, PARTED (it reaches no majority), STORAGE_FAULT (its disk refuses writes) or SILENT for longer
+        than CONDITION_AGE."""
         key = self._latest.get(node_id)
         if key is None or self._reactor.seconds() - self._seen_at(key) > CONDITION_AGE:
             return SILENT
-        return {"up": LIVE, "leaving": LEAVING}.get(self._rows[key].state, PARTED)
+        return CONDITION_OF_STATE.get(self._rows[key].state, PARTED)
 
     def successor_of(self, node_id, address):
         """The live node that listens where this one did, or None. Two cannot listen at one address, so this one's
@@ -141,7 +152,7 @@
                 for key in self._latest.values()
                 if self._rows[key].peer == address
                 and key[0] != node_id
-                and self._rows[key].state == "up"
+                and self._rows[key].state == UP_STATE
                 and self._seen_at(key) > previous_seen_at
                 and now - self._seen_at(key) <= CONDITION_AGE
             ),
@@ -153,7 +164,7 @@
         return [
             member
             for member, age in self.newest().values()
-            if age <= CONDITION_AGE and member.state == "up" and kind in (None, member.kind)
+            if age <= CONDITION_AGE and member.state == UP_STATE and kind in (None, member.kind)
         ]
 
     def find(self, node_id):
--- a/packages/storage/oakramp/storage/circular_log.py
+++ b/packages/storage/oakramp/storage/circular_log.py
@@ -86,7 +86,8 @@
       disk, and its first record is written when its header is. So a sync of one file covers all that was written.
     - `_unsynced` are these writes in order, and `_before` holds, for each key that a commit without an answer names,
       what stood for it before: its bytes, a ColdValue, or None.
-    - `broken` is the fault for which no commit is taken, or None; it is cleared once the log has recovered.
+    - `broken` is the fault for which no commit is taken, or None; it is cleared once the log has recovered. Each of
+      `on_fault_change` is called, without arguments, after either.
     """
 
     def __init__(
@@ -122,6 +123,7 @@
         self._unsynced = []
         self._before = {}
         self.broken = None
+        self.on_fault_change = set()
         self.sync_count = 0
         self.sync_time = 0.0
         self.commit_count = 0
@@ -343,17 +345,21 @@
                 self._log.warning("log_write_failed", kind=_kind_of(error), error=repr(error))
                 batch += self._waiting
                 self._waiting.clear()
+                self._tell_fault_change()
             for _, size, fired in batch:
                 self._waiting_bytes -= size
                 if self.broken is None:
                     fired.callback(None)
                     continue
                 fired.errback(StorageError(f"the disk failed: {self.broken}"))
-        if self.broken is not None and self._reactor is not None:
+        was_broken = self.broken is not None
+        if was_broken and self._reactor is not None:
             await self._recover_from_fault()
         self._writing = False
         if self._stopping is not None:
             self._stopping.callback(None)
+        if was_broken and self.broken is None:
+            self._tell_fault_change()  # whoever is told may commit at once
 
     async def _recover_from_fault(self):
         """Tries again and again to bring the disk to what was confirmed; returns once it has, or at the end."""
@@ -378,6 +384,10 @@
             self._log.info("log_recovered", broken_s=round(self._seconds() - began_at, 3), record=self._number)
             return
 
+    def _tell_fault_change(self):
+        for callback in list(self.on_fault_change):
+            callback()
+
     async def _write_confirmed_state(self):
         for write in list(self._unsynced):
             self._disk.write(*write)
--- a/packages/store/oakramp/store/record_table.py
+++ b/packages/store/oakramp/store/record_table.py
@@ -26,6 +26,7 @@
     STORE_OWNERS,
     STORE_QUEUE_LIMIT,
 )
+from oakramp.common.errors import StorageError
 from oakramp.common.validation import pack_json
 from oakramp.membership.rendezvous_hashing import shard_of
 from oakramp.rpc.codec import idl, pack, unpack
@@ -126,6 +127,7 @@
         self._touches, self._dots = SortedList(), Counter()
         self.records = RecordTable(node.reactor, ring)
         self._line_of, self._lacking = {}, {}
+        self._emptied_lines = {}  # lines that may have no record left, in the order in which they lost the last one
         self._buckets = [SortedDict() for _ in range(CLEANUP_BUCKETS)]
         self._sums, self._stale = [0] * CLEANUP_BUCKETS, set()
         self._births = int(ring.table.get(BIRTHS, b"0"))
@@ -239,23 +241,35 @@
         """Records alone, as ancestors from other lines are; of what is here already, only the time is new."""
         entries = self.records.entries(packed for packed, _ in records)
         if entries:
-            await self._ring.commit(entries)
+            await self._commit_records(entries)
         self._enter_records(records)
 
+    async def _commit_records(self, record_entries, others=()):
+        """Has these entries of records, or their removals, on the disk, and the other entries with them."""
+        turn_ids = [key[len(RECORD_ROW) :] for key, _ in record_entries]
+        claimed = self.records.claim_leftovers(turn_ids)
+        try:
+            await self._ring.commit([*others, *record_entries])
+        except StorageError:
+            self.records.note_leftovers(claimed)
+            raise
+
     def _enter_records(self, records):
         for packed, left in records:
             self._lacking.pop(self.records.enter(packed, left), None)
 
     async def drop_records(self):
-        """Lets records go whose time is over, and lines that have none left."""
+        """Lets records go whose time is over, and lines that have none left; and what the log did not let go before."""
         ended, lines = self.records.take_ended()
-        if not ended:
-            return
+        self._emptied_lines.update(dict.fromkeys(lines))
         for turn_id in ended:
             self._line_of.pop(turn_id, None)
-        await self._ring.commit([(RECORD_ROW + turn_id, None) for turn_id in ended])
-        for key in lines:
+        removed = self.records.leftovers()
+        if removed:
+            await self._commit_records([(RECORD_ROW + turn_id, None) for turn_id in removed])
+        for key in list(self._emptied_lines):
             await self._do(self._drop_line, key)
+            self._emptied_lines.pop(key, None)
 
     async def _drop_line(self, key):
         if key in self.rows and not self.records.on_line(key):
@@ -289,7 +303,8 @@
 
     async def _keep(self, key, row, versions, extra, age, records=()):
         data = row.clock_id.encode() + b"\0" + pack(to_state(versions))
-        await self._ring.commit([*extra, (ROW + key, data), *self.records.entries(packed for packed, _ in records)])
+        record_entries = self.records.entries(packed for packed, _ in records)
+        await self._commit_records(record_entries, [*extra, (ROW + key, data)])
         self._leave(key)
         self._index(key, {clock: value for clock, value in versions.items() if clock not in row.versions})
         row.versions = versions
--- a/packages/store/oakramp/store/records.py
+++ b/packages/store/oakramp/store/records.py
@@ -8,6 +8,7 @@
 
 import struct
 from collections import namedtuple
+from itertools import islice
 
 from sortedcontainers import SortedList
 
@@ -76,13 +77,15 @@
     """Invariants: `_rows` names exactly the records that are on the disk and not being dropped; `_children[id]` are
     those of them that name `id` as their parent, `_on_line[key]` those of that line; `_ends` holds (until, id) of
     each; a record is dropped only when its time is over and it has no children here. `_dropped` holds for a while
-    what was dropped here because its time was over."""
+    what was dropped here because its time was over. `_leftovers` names those not in `_rows` whose removal the log has
+    not taken yet, and of which no commit under way enters them again."""
 
     def __init__(self, reactor, ring):
         self._reactor, self._ring = reactor, ring
         self._rows, self._children, self._on_line = {}, {}, {}
         self._ends = SortedList()
         self._dropped, self._longest = {}, 0.0
+        self._leftovers = set()
         for name, head, length in ring.table.heads(RECORD_ROW):
             header = read_header(head, length)
             if header.body_at > len(head):
@@ -166,6 +169,23 @@
         if row is not None:
             self._lengthen(turn_id, row, self._reactor.seconds() + seconds)
 
+    # --- what the log still has of records that are not here any more ---
+
+    def leftovers(self, most=RECORDS_DROPPED):
+        """Ids whose entries are to be removed from the log; a page of them."""
+        return list(islice(self._leftovers, most))
+
+    def note_leftovers(self, turn_ids):
+        """The log may still have entries of these, which are not here."""
+        self._leftovers.update(turn_ids)
+
+    def claim_leftovers(self, turn_ids):
+        """Takes these out of the leftovers, since a commit enters them again or removes them; gives those that were
+        leftovers, which are to be noted again if the commit fails."""
+        claimed = self._leftovers.intersection(turn_ids)
+        self._leftovers -= claimed
+        return claimed
+
     # --- changes, each called once the ring has it ---
 
     def entries(self, packed_records):
@@ -214,7 +234,7 @@
 
     def take_ended(self, most=RECORDS_DROPPED):
         """The records to drop now, children before their parents, with the lines that have none left. They count as
-        not here from now on; what the ring still has of them until its commit is found again only by a restart."""
+        not here from now on; what the log still has of them is noted among the leftovers."""
         now, ended, lines = self._reactor.seconds(), [], []
         while self._ends and self._ends[0][0] <= now and len(ended) < most:
             _, turn_id = self._ends.pop(0)
@@ -234,6 +254,7 @@
                     lines.append(row.line_key)
                 turn_id = self._orphaned(row.parent, turn_id)
         self._forget(now)
+        self._leftovers.update(ended)
         return ended, lines
 
     def _orphaned(self, parent, child):
--- a/packages/store/oakramp/store/store_node.py
+++ b/packages/store/oakramp/store/store_node.py
@@ -62,6 +62,7 @@
         self._pass_epoch, self._covered_from = 0, set()
         self.stores = StoreMembership.from_state_table(node.state_table)
         node.state_table.watch(STORES_KEY, self._stores_moved)
+        ring.on_fault_change.add(self._cleanup_soon)  # once it has recovered, it takes what it missed
         self.metrics = Metrics()
         self._anti_entropy = AntiEntropy(node, self.table, self.metrics, lambda: self.stores)
         self._sweeper = Repeater(node.reactor, 0.0, self._wait_and_cleanup, node.log)
@@ -327,7 +328,7 @@
         await self._cleanup()
 
     async def _cleanup(self):
-        if not self.is_member:
+        if not self.is_member or self._ring.broken is not None:
             return
         since = self.stores.since(self._node.node_id)
         if self._pass_epoch != since:
@@ -416,8 +417,11 @@
             env.get("ringFileSize"),
             seconds=reactor.seconds,
             hot_bytes=env.get("hotBytes", STORE_HOT_BYTES),
+            reactor=reactor,
+            random_source=random,
             **shares,
         )
+        self.node.watch_storage(self.ring)
         self.store = Store(self.node, self.ring)
         self.node.state_table.watch(STORES_KEY, lambda _source: self._may_start_over())
         self.web = HttpServer(reactor, env["http"], self.node.log, ACCEPT_QUEUE_LIMIT)
@@ -430,6 +434,7 @@
             ("ring_syncs", lambda: self.ring.sync_count),
             ("ring_commits", lambda: self.ring.commit_count),
             ("ring_live_bytes", self.ring.live_bytes),
+            ("storage_fault", lambda: int(self.ring.broken is not None)),
         ):
             self.store.metrics.gauge(name, ask)
 
--- a/packages/store/oakramp/store/turns.py
+++ b/packages/store/oakramp/store/turns.py
@@ -29,6 +29,7 @@
 from oakramp.common.tasks import sleep, spawn
 from oakramp.common.validation import pack_json
 from oakramp.control.store_membership import STORES_KEY, StoreMembership, majority
+from oakramp.membership.members import UP_STATE
 from oakramp.membership.rendezvous_hashing import ranked
 from oakramp.store.record_table import TURN_LINE, from_state, pack_turns, turns_in
 from oakramp.store.records import pack_record, read_bodies, read_header
@@ -144,7 +145,7 @@
 
         def place(node_id):
             member, age = members.find_with_age(node_id)
-            is_live = member is not None and age <= CONDITION_AGE and member.state == "up"
+            is_live = member is not None and age <= CONDITION_AGE and member.state == UP_STATE
             return (
                 not is_live,
                 self._slow.get(node_id, 0.0) > now,
--- a/packages/testbed/oakramp/testbed/explore/process.py
+++ b/packages/testbed/oakramp/testbed/explore/process.py
@@ -15,6 +15,7 @@
 from oakramp.control.lease import LeaseRenewalPiggyback
 from oakramp.control.membership_repair import MembershipRepairTask
 from oakramp.control.voter import Voter
+from oakramp.gossip.member_state import MemberStatePublisher
 from oakramp.gossip.state_table import StateTable
 from oakramp.storage.circular_log import CircularLog
 from oakramp.rpc.codec import idl
@@ -130,6 +131,7 @@
         self.members = ModelMembers(world)
         self.state_table = StateTable(self.clock)
         self.gossip_client = ModelPuller(world, self)
+        self.member_state = MemberStatePublisher(self.gossip_client, self.log)
         self.net = ModelNet(world, self, self.clock, machine.address, self.log)
         self.ring = CircularLog(machine.disk, self.log, RING_FILE_SIZE, seconds=self.clock.seconds)
         self.voter = Voter(self, self.ring)
