--- a/packages/common/oakramp/common/constants.py
+++ b/packages/common/oakramp/common/constants.py
@@ -104,6 +104,7 @@
 VOTING_CONFIG_PAUSE = 0.25  # s; how often control nodes look at the roster: a small part of what mending it takes
 VOTING_CONFIG_MOVING_PAUSE = 0.05  # s; the same for who moves a change of the roster on, while it is under way
 SHARDS_LED_PATIENCE = 1.0  # s; a repair of the roster waits so long at most until each shard has a leader
+QUORUM_DEGRADED_AFTER = 1.0  # s; a voting configuration that bears no further loss for longer is told to operators
 VOTING_CONFIG_LEAST = 3  # members; fewer bear no loss, so a roster never gets smaller than this
 VOTING_CONFIG_MOST = 9  # members; four may be lost at once, and more voters only make each change dearer
 VOTING_CONFIG_ANSWERED = 1.0  # s; who joins must have answered within this: several pulls, of which one may be lost
@@ -248,6 +249,18 @@
 
 # --- raw requests ------------------------------------------------------------
 LOAD_AGE = 0.6  # s; what a replica told of its load counts less and less over one or two of its requests
+LOAD_MEAN_AGE = 3.0  # s; what the replicas of a service told on average counts less and less over it
+LOAD_MEAN_STEP = 0.2  # share; of the way to each telling that the average goes
+LOAD_TOLD_MOST = 2  # times its slots; more of one replica's word does not count for the others of its service
+BEGIN_SHARE = 0.5  # share of a replica's slots; where more are in use no program of the most urgent class begins, if
+# programs have several turns: each brings more, and a replica that is nearly full takes twice as long for each
+FOLLOW_UP_MOST = 0.5  # share of all turns; from so many that go on, what begins has to leave all of that room
+FOLLOW_UP_STEP = 0.05  # share; of the way to each turn that the estimate of that share goes: some twenty turns' memory
+BEGIN_PRIORITY_STEP = 0.9  # factor; so much of that share for a class that is less urgent by one, so that the more
+# urgent ones still begin where the others are refused
+PROGRAMS_KNOWN = 8192  # programs; so many a gateway remembers, some minutes' worth under the heaviest load aimed at
+BEGIN_PATIENCE_SHARE = 0.1  # share of a route's target; a program that can't begin by then is refused
+BEGIN_RETRY_AFTER = 0.2  # s; what a caller is told whose program could not begin: it soon can no longer be done in time
 QUEUED_SHARE = 0.25  # share of a replica's slots; so many may wait there, since it starts them at once when it
 # can
 AFFINITY_SLACK = 0.2  # share of a replica's slots; by so much more room others must have before a program leaves
--- a/packages/gateway/oakramp/gateway/balancer.py
+++ b/packages/gateway/oakramp/gateway/balancer.py
@@ -18,12 +18,11 @@
 from oakramp.common.constants import (
     AFFINITY_SLACK,
     BALANCER_QUEUE,
+    BEGIN_RETRY_AFTER,
     EJECT_AFTER,
     EJECT_LONGEST,
     EJECT_PAUSE,
-    LOAD_AGE,
     PLACEMENT_SLACK,
-    QUEUED_SHARE,
     RETRY_AFTER_LEAST,
     SHED_PAUSE,
 )
@@ -31,58 +30,54 @@
 from oakramp.common.tasks import within
 from oakramp.control.replica_registry import REPLICAS_KEY
 from oakramp.gateway.outliers import Outliers
+from oakramp.gateway.replica_load import Instance, ServiceLoad
 from oakramp.membership.rendezvous_hashing import score
 
 
-@dataclass
-class Instance:
-    """One life of a replica as this gate sees it. Invariants: `own` counts this gate's requests between acquire
-    and release; `told` is the load of the newest answer, which came at `told_at` when `own_then` were ours."""
-
-    row: dict
-    own: int = 0
-    told: int = 0
-    told_slots: int = 0
-    told_at: float = float("-inf")
-    own_then: int = 0
-    failures: int = 0
-    closed_until: float = float("-inf")
-
-    @property
-    def is_ready(self):
-        return self.row["state"] == "ready"
-
-    def slots(self, default):
-        return self.told_slots or self.row.get("slots") or default
-
-    def load(self, now):
-        """Requests that the replica has, as well as this gate can tell: its own, and what the others had when the
-        replica last told, of which more and more has ended since."""
-        still = max(0.0, 1 - (now - self.told_at) / LOAD_AGE)
-        return self.own + max(0, self.told - self.own_then) * still
-
-    def room(self, default):
-        """Requests that it may be given: its slots, and some that wait there, so that none stands idle meanwhile."""
-        return self.slots(default) * (1 + QUEUED_SHARE)
-
-
 @dataclass(frozen=True)
 class PlacementRequest:
-    """What a request needs of its replica. `rank` 0 goes first; `patience_until` is when it gives up waiting."""
+    """What a request needs of its replica.
+
+    The lowest `rank` goes first, and of one rank whoever has to be done first. `patience_until` is when
+    it gives up waiting. One that begins a program goes only where less than `begin_share` of the slots are in use, so
+    that there is room for the turns that follow; it is None for others.
+    """
 
     service: str
     default_slots: int
-    rank: int
+    rank: tuple
     patience_until: float
     affinity: str = ""
     excluded: frozenset = frozenset()
     tenant: str | None = None
+    finish_at: float = float("inf")  # when its program should be over, if anybody said so
+    begin_share: float | None = None
     keep_until: float = float("-inf")  # until then it would rather wait for its tenant's replicas than go elsewhere
 
+    @property
+    def due_at(self):
+        """By when it has to go on, for the order among those of its rank."""
+        return self.patience_until if math.isinf(self.finish_at) else self.finish_at
+
+
+def _has_room(instance, placement_request, now):
+    """Whether the replica may be given the request. Where a program begins, there must be room for more than it, as far
+    as the replica tells its load."""
+    if placement_request.begin_share is not None and instance.told_slots:
+        return instance.load(now) < placement_request.begin_share * instance.slots(placement_request.default_slots)
+    return instance.least_load(now) < instance.room(placement_request.default_slots)
+
+
+def _no_room(placement_request):
+    if placement_request.begin_share is not None:
+        return OverloadedError("no replica has room for another program", retry_after=BEGIN_RETRY_AFTER)
+    return DeadlineExceededError("no replica had room in time", retry_after=RETRY_AFTER_LEAST)
+
 
 class Balancer:
     """Invariants: `instances` has a row for each listed replica, by id; `_waiting[service]` is a heap of who waits for
-    room there, first by rank, then by patience."""
+    room there, first by rank, then by when it has to be done; `_service_loads` has one for each service
+    that was ever listed."""
 
     def __init__(self, node, log, placement=None):
         """`placement.allowed(service, tenant)` gives the replicas that a tenant should keep to, or None."""
@@ -90,7 +85,7 @@
         self._placement = placement
         self._zone = node.env["zone"]
         self.instances = {}
-        self._by_service = {}
+        self._by_service, self._service_loads = {}, {}
         self._waiting, self._looking = {}, set()
         self._order = itertools.count()
         self._scores = {}
@@ -107,7 +102,9 @@
             if self.on_gone:
                 self.on_gone(gone_id)
         for replica_id, row in rows.items():
-            self.instances.setdefault(replica_id, Instance(row)).row = row
+            if replica_id not in self.instances:
+                self.instances[replica_id] = Instance(row, self._service_loads.setdefault(row["pool"], ServiceLoad()))
+            self.instances[replica_id].row = row
         self._by_service = {}
         for instance in self.instances.values():
             self._by_service.setdefault(instance.row["pool"], []).append(instance)
@@ -151,7 +148,7 @@
         usable = [one for one in ready if now >= one.closed_until]
         usable = [one for one in usable if one.row["id"] not in left_out] or usable
         loads = {one.row["id"]: one.load(now) for one in usable}
-        roomy = [one for one in usable if loads[one.row["id"]] < one.room(placement_request.default_slots)]
+        roomy = [one for one in usable if _has_room(one, placement_request, now)]
         if not roomy:
             return None
         least = min(loads[one.row["id"]] / one.slots(placement_request.default_slots) for one in roomy)
@@ -198,6 +195,14 @@
         ]
         return self._node.random.choice([one for one in near if one.row.get("zone") == self._zone] or near)
 
+    def check_may_begin(self, placement_request):
+        """Raises OverloadedError if no replica has room for another program now. Who finds none at all is told so when
+        it is placed."""
+        now = self._reactor.seconds()
+        usable = [one for one in self.known(placement_request.service) if now >= one.closed_until]
+        if usable and not any(_has_room(one, placement_request, now) for one in usable):
+            raise _no_room(placement_request)
+
     async def acquire(self, placement_request):
         """A replica with one place taken on it, which the caller must release. Raises with verdict no."""
         if (
@@ -216,7 +221,7 @@
         if len(heap) >= BALANCER_QUEUE:
             raise OverloadedError("too many requests wait for a replica", retry_after=RETRY_AFTER_LEAST)
         waiter = defer.Deferred(lambda _: None)
-        entry = (placement_request.rank, placement_request.patience_until, next(self._order), placement_request, waiter)
+        entry = (placement_request.rank, placement_request.due_at, next(self._order), placement_request, waiter)
         heapq.heappush(heap, entry)
         self._wake(placement_request.service)
         self._poll_again(placement_request.service)
@@ -225,7 +230,7 @@
                 self._reactor,
                 placement_request.patience_until - self._reactor.seconds(),
                 waiter,
-                DeadlineExceededError("no replica had room in time", retry_after=RETRY_AFTER_LEAST),
+                _no_room(placement_request),
             )
         finally:
             if entry in heap:
@@ -269,9 +274,7 @@
 
     def told(self, instance, load):
         """The replica said how much it has: (running, waiting, slots), the asked request among them."""
-        running, waiting, slots = load
-        instance.told, instance.told_slots = running + waiting, slots
-        instance.told_at, instance.own_then = self._reactor.seconds(), instance.own
+        instance.tell(*load, self._reactor.seconds())
 
     def shed(self, instance):
         """It turned a request away, so it counts as full for a moment; one that does so far more than its fellows is
--- a/packages/gateway/oakramp/gateway/proxied_request.py
+++ b/packages/gateway/oakramp/gateway/proxied_request.py
@@ -22,6 +22,8 @@
     leave_by: float = float("inf")
     excluded: set = field(default_factory=set)
     body: bytes = b""
+    begins_program: bool = False  # whether it is the first turn of a program
+    finish_at: float = float("inf")  # when its program should be over, in monotonic seconds, if anybody said so
     affinity: str = ""
     service: str = ""
     units: int = 0  # tokens in the events that were passed on
--- a/packages/gateway/oakramp/gateway/proxy.py
+++ b/packages/gateway/oakramp/gateway/proxy.py
@@ -12,6 +12,7 @@
 from oakramp.common.errors import BadRequestError, NotFoundError, OakrampError, QuorumUnavailableError, Verdict
 from oakramp.common.tasks import spawn
 from oakramp.gateway.fresh_state import FreshStateWaiter
+from oakramp.gateway.program_starts import ProgramStarts
 from oakramp.gateway.proxied_request import ProxiedRequest, check_caller, may_repeat
 from oakramp.gateway.proxy_forwarder import ProxyForwarder
 from oakramp.gateway.proxy_idempotency import KeyedCalls
@@ -28,7 +29,8 @@
         self._gate, self._reactor, self._log = gate, gate.node.reactor, gate.node.log
         self._dialect, self._router, self._metrics = dialect, router, gate.metrics
         self._answers = LocalResponses(self._reactor, dialect, gate.limits)
-        self._carrier = ProxyForwarder(gate, dialect, router, balancer, upstreams)
+        self._program_starts = ProgramStarts()
+        self._carrier = ProxyForwarder(gate, dialect, router, balancer, upstreams, self._program_starts)
         keyed = KeyedCalls(gate, dialect, self._carrier, self._answers)
         streams = Streams(gate, dialect, router, self._carrier, self._answers, turn_client, placement)
         self._news = FreshStateWaiter(
@@ -93,6 +95,10 @@
         proxied_request = ProxiedRequest(exchange, request, route, ends_at, may_repeat(route), body=exchange.body)
         if proxied_request.may_repeat and route.kind == "stream":
             proxied_request.last_id = request.resume_after  # what its caller has had already
+        if route.kind == "stream":
+            proxied_request.begins_program = self._program_starts.begins(request)
+        if request.finish_s is not None:
+            proxied_request.finish_at = exchange.received_at + request.finish_s
         proxied_request.affinity = (request.program or "") if route.pinned or route.kind == "stream" else ""
         return proxied_request
 
--- a/packages/gateway/oakramp/gateway/proxy_forwarder.py
+++ b/packages/gateway/oakramp/gateway/proxy_forwarder.py
@@ -47,10 +47,10 @@
 class ProxyForwarder:
     """Carries requests to replicas; `forward` is all that others need."""
 
-    def __init__(self, gate, dialect, router, balancer, upstreams):
+    def __init__(self, gate, dialect, router, balancer, upstreams, program_starts):
         self._gate, self._node, self._reactor, self._log = gate, gate.node, gate.node.reactor, gate.node.log
         self._dialect, self._router, self._balancer, self._upstreams = dialect, router, balancer, upstreams
-        self._metrics = gate.metrics
+        self._metrics, self._program_starts = gate.metrics, program_starts
 
     async def forward(self, proxied_request, receive):
         """Places and sends until `receive(proxied_request, answer, instance)` gives a result. Goes on to another
@@ -100,21 +100,33 @@
             return False  # of what has been passed on, nobody could tell where it goes on
         return error.verdict is Verdict.NO or proxied_request.may_repeat
 
+    def check_may_begin(self, proxied_request):
+        """Refuses a program at its first turn, before it has cost anything, if no replica has room for another one and
+        waiting would not help."""
+        if not proxied_request.begins_program or self._program_starts.reserve < 1.0:
+            return
+        service = self._service_of(proxied_request)
+        self._balancer.check_may_begin(self._placement_request(proxied_request, service))
+
     def _placement_request(self, proxied_request, service):
         now = self._reactor.seconds()
-        patience = now + (proxied_request.ends_at - now) * PATIENCE_SHARE
+        patience_s = (proxied_request.ends_at - now) * PATIENCE_SHARE
         slots = self._router.services[service].get("slots") or 1
-        # What has begun goes before what begins: a program that is refused in the middle has cost most of its runs.
-        is_first = proxied_request.request.program is not None and proxied_request.request.previous_turn is None
+        priority, begins = proxied_request.route.priority, proxied_request.begins_program
+        if begins:
+            patience_s = self._program_starts.patience(patience_s, proxied_request.route.target_s)
         return PlacementRequest(
             service,
             slots,
-            2 * proxied_request.route.priority + is_first,
-            min(patience, proxied_request.leave_by),
+            # What has begun goes before what begins: a program that is refused in the middle has cost most of its runs.
+            (begins, priority),
+            min(now + patience_s, proxied_request.leave_by),
             proxied_request.affinity,
             frozenset(proxied_request.excluded),
             tenant_of(proxied_request.request.prefix),
-            now + (patience - now) * PLACEMENT_PATIENCE,
+            proxied_request.finish_at,
+            self._program_starts.begin_share(priority) if begins else None,
+            now + patience_s * PLACEMENT_PATIENCE,
         )
 
     def _service_of(self, proxied_request):
@@ -140,6 +152,7 @@
             ):
                 now = self._reactor.seconds()
                 proxied_request.reached(PLACED, now)
+                self._program_starts.note(proxied_request.request)
                 proxied_request.replica_id, proxied_request.replica_load = instance.row["id"], instance.load(now)
                 return instance, service
             self._balancer.release(instance)
--- a/packages/gateway/oakramp/gateway/proxy_streams.py
+++ b/packages/gateway/oakramp/gateway/proxy_streams.py
@@ -31,6 +31,7 @@
     async def serve(self, proxied_request):
         request, route = proxied_request.request, proxied_request.route
         recalling = None
+        self._carrier.check_may_begin(proxied_request)
         if route.retained and self._turns.is_full:
             # Before it runs: afterwards its answer could only be cut off.
             raise OverloadedError("the stores have no room for more until old turns go", retry_after=FULL_RETRY)
--- a/packages/gateway/oakramp/gateway/request_losses.py
+++ b/packages/gateway/oakramp/gateway/request_losses.py
@@ -4,6 +4,8 @@
 that is answered in time costs a few entries in a dict.
 """
 
+import math
+
 from oakramp.common.constants import HELD_SHARE, LOSS_LINES
 from oakramp.common.errors import Verdict
 from oakramp.gateway.proxied_request import ClientDisconnectedError
@@ -50,8 +52,11 @@
         route, stages = proxied_request.route, proxied_request.stages
         received_at = proxied_request.exchange.received_at
 
+        def after(at):
+            return round(1000 * (at - received_at))
+
         def after_ms(stage):
-            return round(1000 * (stages[stage] - received_at)) if stage in stages else -1
+            return after(stages[stage]) if stage in stages else -1
 
         self._log.info(
             "request_lost",
@@ -70,5 +75,6 @@
             tries=proxied_request.tries,
             replica=proxied_request.replica_id or "none",
             load=round(proxied_request.replica_load, 1),
+            finish_ms=-1 if math.isinf(proxied_request.finish_at) else after(proxied_request.finish_at),
             left_out=left_out,
         )
--- a/packages/testbed/oakramp/testbed/ablation.py
+++ b/packages/testbed/oakramp/testbed/ablation.py
@@ -38,8 +38,8 @@
     Ablation(
         "told loads fade",
         "a replica's word of its load counts less as it ages",
-        BALANCER,
-        "max(0.0, 1 - (now - self.told_at) / LOAD_AGE)",
+        "gateway/oakramp/gateway/replica_load.py",
+        "max(0.0, 1.0 - (now - self.told_at) / LOAD_AGE)",
         "1.0",
     ),
     Ablation("queued share", "no slot stands idle", CONSTANTS, "QUEUED_SHARE = 0.25", "QUEUED_SHARE = 0.0"),
@@ -47,8 +47,8 @@
         "begun programs first",
         "a program that has begun is not refused in the middle",
         "gateway/oakramp/gateway/proxy_forwarder.py",
-        "2 * proxied_request.route.priority + is_first,",
-        "2 * proxied_request.route.priority,",
+        "(begins, priority),",
+        "(False, priority),",
     ),
     Ablation(
         "stalled retry",
--- a/tests/relay_bench.py
+++ b/tests/relay_bench.py
@@ -128,6 +128,9 @@
     def is_ready(self, instance):
         return instance.row["state"] == "ready"
 
+    def check_may_begin(self, placement_request):
+        """Any program may begin."""
+
     async def acquire(self, placement_request):
         while True:
             left = [
