--- a/packages/control/oakramp/control/control_node.py
+++ b/packages/control/oakramp/control/control_node.py
@@ -80,6 +80,8 @@
             ("ring_commits", lambda: self.ring.commit_count),
             ("ring_live_bytes", self.ring.live_bytes),
             ("storage_fault", lambda: int(self.ring.broken is not None)),
+            ("voter_losses_left", lambda: self.voting_config_watch.margin.losses_left),
+            ("quorum_degraded_seconds", lambda: self.voting_config_watch.margin.degraded_s()),
             ("members_live", lambda: len(self.node.members.live())),
             ("eviction_moved", lambda: self.placement.counts["moved"]),
             ("eviction_let_go", lambda: self.placement.counts["let_go"]),
--- a/packages/control/oakramp/control/membership_repair.py
+++ b/packages/control/oakramp/control/membership_repair.py
@@ -2,9 +2,10 @@
 
 The leader of the key begins a change where one is due: who came back without its disk, under a new id, takes its
 previous self's place; a member that stays silent gives its place to a live outsider; and further live control nodes
-join. Without an outsider a silent member keeps its place, but in an even number of members: of four with one gone a
-second loss leaves no majority, and of the three others it does. What was confirmed is on majorities of both sets before
-that, as with any change. No repair begins while shards are without a leader, for as long as failovers take.
+join. Without an outsider a silent member keeps its place, unless the others bear more losses without it: of four with
+one gone a second loss leaves no majority, and of the three others it does; so it is of five with two gone. What was
+confirmed is on majorities of both sets before that, as with any change. No repair begins while shards are without a
+leader, for as long as failovers take.
 """
 
 import json
@@ -28,17 +29,19 @@
 from oakramp.common.tasks import quorum_of, sleep, spawn
 from oakramp.common.validation import pack_json
 from oakramp.control.controllers import SHARD_SOURCE
+from oakramp.control.quorum_margin import QuorumMargin
 from oakramp.control.singleton_task import SingletonTask
-from oakramp.control.voting_configuration import VOTING_CONFIG_KEY, VotingConfiguration
+from oakramp.control.voting_configuration import VOTING_CONFIG_KEY, VotingConfiguration, losses_left
 from oakramp.membership.members import LIVE
 
 
 def without_surplus(members, lost, least):
-    """These members without one of the lost ones, if their number is even: of four and of three just one may be lost,
-    so a lost fourth only takes from what the others bear. `least` of them stay."""
-    if not lost or len(members) % 2 or len(members) <= least:
-        return members
-    return {node_id: peer for node_id, peer in members.items() if node_id != lost[0]}
+    """These members without those of the lost ones that only take from what the others bear: as few as leave the most
+    losses that may follow. `least` members stay: with fewer, what was confirmed would be on too few disks."""
+    present = len(members) - len(lost)
+    removable = range(min(len(lost), max(0, len(members) - least)) + 1)
+    count = max(removable, key=lambda count: (losses_left(len(members) - count, present), -count))
+    return {node_id: peer for node_id, peer in members.items() if node_id not in lost[:count]}
 
 
 def repaired(
@@ -54,7 +57,7 @@
     """The members that the voting configuration should have: `successors` maps a member to its next incarnation, under
     a new id; `lost` members give their places to `outsiders`; those of them that are `joining` add to the members.
     `awaited` members may be lost or back in a moment, so as many outsiders are held back to take their places instead.
-    Of an even number of members a lost one whose place nobody takes leaves; `least` members stay.
+    Lost ones whose place nobody takes leave if the others bear more losses without them; `least` members stay.
     Nodes are (id, address) pairs."""
     places, outsiders = dict(successors), dict(outsiders)
     vacant = [node_id for node_id in lost if node_id not in places]
@@ -80,6 +83,7 @@
         self._least = max(VOTING_CONFIG_LEAST, 2 * tolerated_losses + 1)
         self._silent_since, self._new_since = {}, {}
         self._leaderless_since = None
+        self.margin = QuorumMargin(node.reactor, node.log)
         self._watched_at = float("-inf")
         node.state_table.watch(VOTING_CONFIG_KEY, lambda _source: spawn(self._follow(), node.log))
         self._tell_kept_voting_config(node.state_table)
@@ -102,8 +106,12 @@
 
     async def _round(self):
         await self._follow()
-        if self._mends and self._voter.voting_config is not None:
-            self._watch_members(self._voter.voting_config)
+        voting_config = self._voter.voting_config
+        if voting_config is not None:
+            present = {node_id for node_id, peer in voting_config.everyone.items() if self._is_here(node_id, peer)}
+            self.margin.poll(voting_config, present)
+        if self._mends and voting_config is not None:
+            self._watch_members(voting_config)
         await super()._round()
 
     async def _work(self, owner):
--- a/packages/control/oakramp/control/voting_configuration.py
+++ b/packages/control/oakramp/control/voting_configuration.py
@@ -52,6 +52,19 @@
             if member_ids is not None
         )
 
+    def losses_left(self, present):
+        """How many of the voters that are present may be lost with a majority left; below 0 if there is none now."""
+        return min(
+            losses_left(len(member_ids), len(present & member_ids.keys()))
+            for member_ids in (self.members, self.next)
+            if member_ids is not None
+        )
+
+
+def losses_left(members, present):
+    """The same of one set, by the numbers of its members and of those that are present."""
+    return present - (members // 2 + 1)
+
 
 def _record(transaction):
     return transaction.get(VOTING_CONFIG_KEY) or transaction.context.voting_config.record
--- a/packages/testbed/oakramp/testbed/code_mutations.py
+++ b/packages/testbed/oakramp/testbed/code_mutations.py
@@ -18,10 +18,17 @@
     CodeMutation(
         "a lost fourth voter leaves",
         "control/oakramp/control/membership_repair.py",
-        "if not lost or len(members) % 2 or len(members) <= least:",
-        "if True:",
+        "count = max(removable, key=lambda count: (losses_left(len(members) - count, present), -count))",
+        "count = 0",
         "test_replaced_voter.ReplacedAsPlanned.test_a_later_loss_leaves_a_majority",
     ),
+    CodeMutation(
+        "as many voters stay as what was confirmed needs",
+        "control/oakramp/control/membership_repair.py",
+        "removable = range(min(len(lost), max(0, len(members) - least)) + 1)",
+        "removable = range(len(lost) + 1)",
+        "test_replaced_voter.Surplus.test_so_many_stay_as_what_is_confirmed_needs",
+    ),
     CodeMutation(
         "a voter's log comes back once its disk takes writes",
         "control/oakramp/control/control_node.py",
