--- a/packages/control/oakramp/control/leader_registry.py
+++ b/packages/control/oakramp/control/leader_registry.py
@@ -69,7 +69,7 @@
 
     def start(self) -> None:
         """Starts the periodic tasks."""
-        self._node.gossip_client.on_contact = self._poll_failover_soon
+        self._node.gossip_client.on_contact.add(self._poll_failover_soon)
         for task in (self._failover_task, self._renewal_task, self._cleanup_task, self._update_task):
             task.start()
 
--- a/packages/gateway/oakramp/gateway/balancer.py
+++ b/packages/gateway/oakramp/gateway/balancer.py
@@ -33,6 +33,8 @@
 from oakramp.gateway.replica_load import Instance, ServiceLoad
 from oakramp.membership.rendezvous_hashing import score
 
+SAME_SHARE = 1e-9  # share of slots; loads closer than this are alike
+
 
 @dataclass(frozen=True)
 class PlacementRequest:
@@ -68,6 +70,11 @@
     return instance.least_load(now) < instance.room(placement_request.default_slots)
 
 
+def _least(instances, shares):
+    """The least share of slots in use among these replicas; `shares` has it by replica id."""
+    return min(shares[one.row["id"]] for one in instances)
+
+
 def _no_room(placement_request):
     if placement_request.begin_share is not None:
         return OverloadedError("no replica has room for another program", retry_after=BEGIN_RETRY_AFTER)
@@ -139,61 +146,63 @@
             else ()
         )
 
+    def _usable(self, placement_request, now):
+        """The replicas that may be asked; of these those that are no outliers, if there are any."""
+        known = self.known(placement_request.service)
+        left_out = self.outliers.among(placement_request.service, known)
+        open_ones = [
+            one for one in known if one.row["id"] not in placement_request.excluded and now >= one.closed_until
+        ]
+        return [one for one in open_ones if one.row["id"] not in left_out] or open_ones
+
     def _choose(self, placement_request):
+        """The replica for this request now, or None if it should wait."""
         now = self._reactor.seconds()
-        ready = [
-            one for one in self.known(placement_request.service) if one.row["id"] not in placement_request.excluded
-        ]
-        left_out = self.outliers.among(placement_request.service, self.known(placement_request.service))
-        usable = [one for one in ready if now >= one.closed_until]
-        usable = [one for one in usable if one.row["id"] not in left_out] or usable
-        loads = {one.row["id"]: one.load(now) for one in usable}
+        usable = self._usable(placement_request, now)
         roomy = [one for one in usable if _has_room(one, placement_request, now)]
         if not roomy:
             return None
-        least = min(loads[one.row["id"]] / one.slots(placement_request.default_slots) for one in roomy)
+        shares = {one.row["id"]: one.load(now) / one.slots(placement_request.default_slots) for one in usable}
         planned = self._planned(placement_request)
-        kept = [
+        kept = [one for one in usable if one.row["id"] in planned]
+        least = _least(roomy, shares)
+        kept = [one for one in kept if shares[one.row["id"]] <= least + PLACEMENT_SLACK]
+        kept_roomy = [one for one in kept if one in roomy]
+        if kept and not kept_roomy and now < placement_request.keep_until:
+            return None  # all are about as full: its prefix read again elsewhere would only fill them more
+        roomy = kept_roomy or roomy
+        if not placement_request.affinity:
+            return self._any_of_least(roomy, shares)
+        # Named over all that are listed, so that a full or failing one does not move the others' programs.
+        named_among = [
             one
-            for one in usable
-            if one.row["id"] in planned
-            and loads[one.row["id"]] / one.slots(placement_request.default_slots) <= least + PLACEMENT_SLACK
+            for one in self.known(placement_request.service)
+            if one.row["id"] not in placement_request.excluded and (not kept or one.row["id"] in planned)
         ]
-        if kept:
-            ready, kept_roomy = (
-                [one for one in ready if one.row["id"] in planned],
-                [one for one in kept if one in roomy],
-            )
-            if not kept_roomy and now < placement_request.keep_until:
-                return None  # all are about as full: its prefix read again elsewhere would only fill them more
-            roomy = kept_roomy or roomy
-            least = min(loads[one.row["id"]] / one.slots(placement_request.default_slots) for one in roomy)
-        if placement_request.affinity:
-            # Named over all that are listed, so that a full or failing one does not move the others' programs.
-            named = max(
-                ready,
-                key=lambda one: (
-                    one.row.get("zone") == self._zone,
-                    self._score(one.row["id"], placement_request.affinity),
-                ),
-            )
-            if (
-                named in roomy
-                and loads[named.row["id"]] / named.slots(placement_request.default_slots) <= least + AFFINITY_SLACK
-            ):
-                return named
-            return max(
-                roomy,
-                key=lambda one: (
-                    -math.floor(loads[one.row["id"]] / one.slots(placement_request.default_slots) / AFFINITY_SLACK),
-                    one.row.get("zone") == self._zone,
-                    self._score(one.row["id"], placement_request.affinity),
-                ),
-            )
-        near = [
-            one for one in roomy if loads[one.row["id"]] / one.slots(placement_request.default_slots) <= least + 1e-9
-        ]
-        return self._node.random.choice([one for one in near if one.row.get("zone") == self._zone] or near)
+        return self._by_affinity(placement_request.affinity, named_among, roomy, shares)
+
+    def _preference(self, instance, affinity):
+        """The higher, the sooner an affinity's requests go there: first the own zone, then rendezvous hashing."""
+        return self._is_near(instance), self._score(instance.row["id"], affinity)
+
+    def _is_near(self, instance):
+        return instance.row.get("zone") == self._zone
+
+    def _by_affinity(self, affinity, named_among, roomy, shares):
+        """The replica that is named for the affinity, unless others have clearly more room."""
+        named = max(named_among, key=lambda one: self._preference(one, affinity))
+        if named in roomy and shares[named.row["id"]] <= _least(roomy, shares) + AFFINITY_SLACK:
+            return named
+        return max(
+            roomy,
+            key=lambda one: (-math.floor(shares[one.row["id"]] / AFFINITY_SLACK), *self._preference(one, affinity)),
+        )
+
+    def _any_of_least(self, roomy, shares):
+        """One of those with the most room, in the own zone if there is one."""
+        least = _least(roomy, shares)
+        near = [one for one in roomy if shares[one.row["id"]] <= least + SAME_SHARE]
+        return self._node.random.choice([one for one in near if self._is_near(one)] or near)
 
     def check_may_begin(self, placement_request):
         """Raises OverloadedError if no replica has room for another program now. Who finds none at all is told so when
--- a/packages/gossip/oakramp/gossip/gossip_client.py
+++ b/packages/gossip/oakramp/gossip/gossip_client.py
@@ -2,6 +2,7 @@
 
 import json
 from dataclasses import replace
+from typing import NamedTuple
 
 from oakramp.common.constants import (
     CONDITION_AGE,
@@ -21,6 +22,18 @@
 NODE_SOURCE = "node/"
 
 
+class LastAnswer(NamedTuple):
+    """Who answered at an address last, and when it had been asked (monotonic seconds)."""
+
+    node_id: str
+    asked_at: float
+
+
+def _call_all(callbacks):
+    for callback in list(callbacks):
+        callback()
+
+
 class GossipClient:
     """`_pulling` names the addresses with a pull under way: never two to one address; `_silent` those whose last pull
     failed, with the time of the first that did (monotonic seconds): that is logged when it begins and when it ends."""
@@ -33,11 +46,10 @@
         self._more = {}  # further items of the node's own row
         self._pulling = set()
         self._silent = {}
-        self._answered_at = {}
-        self._answered_by = {}  # address -> node id of who answered there last
+        self._answers = {}  # address -> LastAnswer
         self._asked_at = {}  # nodeId -> when that node last asked this one (monotonic seconds)
         self.on_answer = set()  # called, in any order, when a node has answered
-        self.on_contact = lambda: None  # called when a node answers or asks that had not done so lately
+        self.on_contact = set()  # called, in any order, when a node answers or asks that had not done so lately
         self._told = {}  # address -> what it was told, if it keeps that
         self._heard = {}  # nodeId -> what this node was told
         self._rounds = 0
@@ -125,7 +137,7 @@
             self._net.forget_failure(member.peer)
             if member.peer not in self._pulling:
                 spawn(self._pull_from(member.peer), self._log)
-        self.on_contact()
+        _call_all(self.on_contact)
 
     def _news_for(self, peer, arguments):
         me, now = arguments.me, self._reactor.seconds()
@@ -245,12 +257,11 @@
 
     def _note_answer(self, address, asked_at):
         node_id = self._net.node_at(address)
-        is_new_contact = not self.answers_lately(address) or node_id != self._answered_by.get(address)
-        self._answered_at[address], self._answered_by[address] = asked_at, node_id
+        is_new_contact = not self.is_answered_by(node_id, address)
+        self._answers[address] = LastAnswer(node_id, asked_at)
         if is_new_contact:
-            self.on_contact()
-        for callback in list(self.on_answer):
-            callback()
+            _call_all(self.on_contact)
+        _call_all(self.on_answer)
 
     async def _ask(self, address):
         """(when it was asked, the answer, the vector that it speaks of)."""
@@ -277,13 +288,15 @@
 
     def answers_lately(self, address, lately=CONDITION_AGE):
         """Whether this address has itself answered; what others say of it does not count."""
-        return address == self._me.peer or self._is_within(self._answered_at.get(address), lately)
+        answer = self._answers.get(address)
+        return address == self._me.peer or self._is_within(answer and answer.asked_at, lately)
 
     def is_answered_by(self, node_id, address, lately=CONDITION_AGE):
         """Whether this very node has itself answered at the address: after a lost disk another one is there."""
         if node_id == self._me.node_id:
             return True
-        return self._answered_by.get(address) == node_id and self.answers_lately(address, lately)
+        answer = self._answers.get(address)
+        return answer is not None and answer.node_id == node_id and self._is_within(answer.asked_at, lately)
 
     def is_asked_by(self, node_id, lately=CONDITION_AGE):
         """Whether this node has asked for what is published here, and so reaches this one."""
--- a/packages/testbed/oakramp/testbed/ablation.py
+++ b/packages/testbed/oakramp/testbed/ablation.py
@@ -27,12 +27,12 @@
 CONSTANTS = "common/oakramp/common/constants.py"
 
 ABLATIONS = (
-    Ablation("affinity", "a program keeps to its replica", BALANCER, "if placement_request.affinity:", "if False:"),
+    Ablation("affinity", "a program keeps to its replica", BALANCER, "if not placement_request.affinity:", "if True:"),
     Ablation(
         "own zone first",
         "fewer bytes between zones",
         BALANCER,
-        'one.row.get("zone") == self._zone',
+        'instance.row.get("zone") == self._zone',
         "True",
     ),
     Ablation(
