--- a/packages/common/oakramp/common/constants.py
+++ b/packages/common/oakramp/common/constants.py
@@ -260,12 +260,16 @@
 # urgent ones still begin where the others are refused
 PROGRAMS_KNOWN = 8192  # programs; so many a gateway remembers, some minutes' worth under the heaviest load aimed at
 BEGIN_PATIENCE_SHARE = 0.1  # share of a route's target; a program that can't begin by then is refused
-BEGIN_RETRY_AFTER = 0.2  # s; what a caller is told whose program could not begin: it soon can no longer be done in time
+BEGIN_RETRY_AFTER = (
+    0.05  # s; what a caller is told whose program could not begin: later it can no longer be done in time
+)
 QUEUED_SHARE = 0.25  # share of a replica's slots; so many may wait there, since it starts them at once when it
 # can
 AFFINITY_SLACK = 0.2  # share of a replica's slots; by so much more room others must have before a program leaves
 # the
 # replica that has its prompts: reading them again costs about as much as so many neighbours
+HOME_SLACK = 1.0  # share of a replica's slots; by so much more room others must have before a program leaves the
+# replica that had its last turn, and so has the most of its prompts
 BALANCER_QUEUE = 512  # requests; waiting for room at one service in one gate
 SHED_PAUSE = 0.05  # s; a replica that turned a request away is full for about one short request
 EJECT_AFTER = 3  # failures in a row; single ones happen to sound replicas
--- a/packages/gateway/oakramp/gateway/balancer.py
+++ b/packages/gateway/oakramp/gateway/balancer.py
@@ -22,6 +22,7 @@
     EJECT_AFTER,
     EJECT_LONGEST,
     EJECT_PAUSE,
+    HOME_SLACK,
     PLACEMENT_SLACK,
     RETRY_AFTER_LEAST,
     SHED_PAUSE,
@@ -54,6 +55,7 @@
     tenant: str | None = None
     finish_at: float = float("inf")  # when its program should be over, if anybody said so
     begin_share: float | None = None
+    home: str | None = None  # the replica that had the affinity's last request, as far as this gateway knows
     keep_until: float = float("-inf")  # until then it would rather wait for its tenant's replicas than go elsewhere
 
     @property
@@ -179,7 +181,7 @@
             for one in self.known(placement_request.service)
             if one.row["id"] not in placement_request.excluded and (not kept or one.row["id"] in planned)
         ]
-        return self._by_affinity(placement_request.affinity, named_among, roomy, shares)
+        return self._by_affinity(placement_request, named_among, roomy, shares)
 
     def _preference(self, instance, affinity):
         """The higher, the sooner an affinity's requests go there: first the own zone, then rendezvous hashing."""
@@ -188,10 +190,15 @@
     def _is_near(self, instance):
         return instance.row.get("zone") == self._zone
 
-    def _by_affinity(self, affinity, named_among, roomy, shares):
-        """The replica that is named for the affinity, unless others have clearly more room."""
+    def _by_affinity(self, placement_request, named_among, roomy, shares):
+        """The replica that has the prompts of an affinity, or is named for it, unless others have clearly more room."""
+        affinity, least = placement_request.affinity, _least(roomy, shares)
+        home = next((one for one in roomy if one.row["id"] == placement_request.home), None)
+        if home is not None and shares[home.row["id"]] <= least + HOME_SLACK:
+            return home
         named = max(named_among, key=lambda one: self._preference(one, affinity))
-        if named in roomy and shares[named.row["id"]] <= _least(roomy, shares) + AFFINITY_SLACK:
+        is_free = placement_request.begin_share is None  # what begins has its prompts nowhere
+        if is_free and named in roomy and shares[named.row["id"]] <= least + AFFINITY_SLACK:
             return named
         return max(
             roomy,
--- a/packages/gateway/oakramp/gateway/program_starts.py
+++ b/packages/gateway/oakramp/gateway/programs.py
@@ -24,7 +24,7 @@
     from oakramp.gateway.proxy_types import ProxyRequest
 
 
-class ProgramStarts:
+class Programs:
     """Remembers the programs of which a turn was given to a replica by this gateway, the last PROGRAMS_KNOWN of them.
 
     A turn that names the one before it goes on, whichever gateway had that one. Elsewhere only memory can tell: a
@@ -32,21 +32,25 @@
     """
 
     def __init__(self) -> None:
-        self._begun: LRUCache[str, bool] = LRUCache(PROGRAMS_KNOWN)
+        self._homes: LRUCache[str, str] = LRUCache(PROGRAMS_KNOWN)  # program -> replica of its last turn
         self._follow_up_share = 0.0  # of the turns that were given to replicas lately, those that went on
 
     def begins(self, request: ProxyRequest) -> bool:
         """Whether this turn begins its program, as well as this gateway can tell."""
         if not request.program or request.previous_turn:
             return False
-        return request.program not in self._begun
+        return request.program not in self._homes
 
-    def note(self, request: ProxyRequest) -> None:
-        """A turn of this program was given to a replica."""
+    def home(self, request: ProxyRequest) -> str | None:
+        """The id of the replica that had the program's last turn by way of this gateway, if there was one."""
+        return self._homes.get(request.program)
+
+    def note(self, request: ProxyRequest, replica_id: str) -> None:
+        """A turn of this program was given to this replica."""
         if not request.program:
             return
         self._follow_up_share += FOLLOW_UP_STEP * ((not self.begins(request)) - self._follow_up_share)
-        self._begun[request.program] = True
+        self._homes[request.program] = replica_id
 
     @property
     def reserve(self) -> float:
--- a/packages/gateway/oakramp/gateway/proxy.py
+++ b/packages/gateway/oakramp/gateway/proxy.py
@@ -12,7 +12,7 @@
 from oakramp.common.errors import BadRequestError, NotFoundError, OakrampError, QuorumUnavailableError, Verdict
 from oakramp.common.tasks import spawn
 from oakramp.gateway.fresh_state import FreshStateWaiter
-from oakramp.gateway.program_starts import ProgramStarts
+from oakramp.gateway.programs import Programs
 from oakramp.gateway.proxied_request import ProxiedRequest, check_caller, may_repeat
 from oakramp.gateway.proxy_forwarder import ProxyForwarder
 from oakramp.gateway.proxy_idempotency import KeyedCalls
@@ -29,8 +29,8 @@
         self._gate, self._reactor, self._log = gate, gate.node.reactor, gate.node.log
         self._dialect, self._router, self._metrics = dialect, router, gate.metrics
         self._answers = LocalResponses(self._reactor, dialect, gate.limits)
-        self._program_starts = ProgramStarts()
-        self._carrier = ProxyForwarder(gate, dialect, router, balancer, upstreams, self._program_starts)
+        self._programs = Programs()
+        self._carrier = ProxyForwarder(gate, dialect, router, balancer, upstreams, self._programs)
         keyed = KeyedCalls(gate, dialect, self._carrier, self._answers)
         streams = Streams(gate, dialect, router, self._carrier, self._answers, turn_client, placement)
         self._news = FreshStateWaiter(
@@ -96,7 +96,7 @@
         if proxied_request.may_repeat and route.kind == "stream":
             proxied_request.last_id = request.resume_after  # what its caller has had already
         if route.kind == "stream":
-            proxied_request.begins_program = self._program_starts.begins(request)
+            proxied_request.begins_program = self._programs.begins(request)
         if request.finish_s is not None:
             proxied_request.finish_at = exchange.received_at + request.finish_s
         proxied_request.affinity = (request.program or "") if route.pinned or route.kind == "stream" else ""
--- a/packages/gateway/oakramp/gateway/proxy_forwarder.py
+++ b/packages/gateway/oakramp/gateway/proxy_forwarder.py
@@ -47,10 +47,10 @@
 class ProxyForwarder:
     """Carries requests to replicas; `forward` is all that others need."""
 
-    def __init__(self, gate, dialect, router, balancer, upstreams, program_starts):
+    def __init__(self, gate, dialect, router, balancer, upstreams, programs):
         self._gate, self._node, self._reactor, self._log = gate, gate.node, gate.node.reactor, gate.node.log
         self._dialect, self._router, self._balancer, self._upstreams = dialect, router, balancer, upstreams
-        self._metrics, self._program_starts = gate.metrics, program_starts
+        self._metrics, self._programs = gate.metrics, programs
 
     async def forward(self, proxied_request, receive):
         """Places and sends until `receive(proxied_request, answer, instance)` gives a result. Goes on to another
@@ -103,7 +103,7 @@
     def check_may_begin(self, proxied_request):
         """Refuses a program at its first turn, before it has cost anything, if no replica has room for another one and
         waiting would not help."""
-        if not proxied_request.begins_program or self._program_starts.reserve < 1.0:
+        if not proxied_request.begins_program or self._programs.reserve < 1.0:
             return
         service = self._service_of(proxied_request)
         self._balancer.check_may_begin(self._placement_request(proxied_request, service))
@@ -114,7 +114,7 @@
         slots = self._router.services[service].get("slots") or 1
         priority, begins = proxied_request.route.priority, proxied_request.begins_program
         if begins:
-            patience_s = self._program_starts.patience(patience_s, proxied_request.route.target_s)
+            patience_s = self._programs.patience(patience_s, proxied_request.route.target_s)
         return PlacementRequest(
             service,
             slots,
@@ -125,7 +125,8 @@
             frozenset(proxied_request.excluded),
             tenant_of(proxied_request.request.prefix),
             proxied_request.finish_at,
-            self._program_starts.begin_share(priority) if begins else None,
+            self._programs.begin_share(priority) if begins else None,
+            self._programs.home(proxied_request.request),
             now + patience_s * PLACEMENT_PATIENCE,
         )
 
@@ -152,7 +153,7 @@
             ):
                 now = self._reactor.seconds()
                 proxied_request.reached(PLACED, now)
-                self._program_starts.note(proxied_request.request)
+                self._programs.note(proxied_request.request, instance.row["id"])
                 proxied_request.replica_id, proxied_request.replica_load = instance.row["id"], instance.load(now)
                 return instance, service
             self._balancer.release(instance)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -271,6 +271,39 @@
         self.assertEqual(order, ["urgent"])
 
 
+class Home(unittest.TestCase):
+    """A program keeps to the replica that had its last turn, wherever its name would put it."""
+
+    def setUp(self):
+        self.bench = Bench(replicas=3, slots=4)
+        self.named = self.bench.take(affinity="p").row["id"]
+        self.bench.balancer.release(self.bench.balancer.instances[self.named])
+        self.home = next(name for name in self.bench.rows if name != self.named)
+
+    def tell(self, name, running):
+        self.bench.balancer.told(self.bench.balancer.instances[name], (running, 0, 4))
+
+    def take(self, **more):
+        return self.bench.take(affinity="p", home=self.home, **more).row["id"]
+
+    def test_it_goes_there_though_others_have_more_room(self):
+        self.tell(self.home, 3)
+        self.assertEqual(self.take(), self.home)
+
+    def test_it_leaves_when_others_have_far_more_room(self):
+        self.tell(self.home, 5)
+        self.assertNotEqual(self.take(), self.home)
+
+    def test_once_that_replica_is_gone_the_named_one_takes_it(self):
+        self.bench.remove(self.home)
+        self.assertEqual(self.take(), self.named)
+
+    def test_what_begins_goes_where_most_room_is(self):
+        self.tell(self.named, 2)
+        taken = self.bench.take(affinity="p", begin_share=0.9).row["id"]
+        self.assertNotEqual(taken, self.named)
+
+
 class Beginning(unittest.TestCase):
     """Programs begin only where there is room for the turns that follow."""
 
