--- a/packages/testbed/oakramp/testbed/main.py
+++ b/packages/testbed/oakramp/testbed/main.py
@@ -25,8 +25,11 @@
 from oakramp.testbed.mutation_testing import try_all
 from oakramp.testbed.plan import MARKERS, PLATFORM, SIZES, replica_rows
 from oakramp.testbed.realtrial import RealTrial, rolling_restart
+from oakramp.testbed.rush import POLICIES, Scene, play
 from oakramp.testbed.trial import DAYS, run_day, run_trial
 
+RUSH_RATES = (8, 16, 24, 32, 40, 48, 64, 96)  # programs a second; the replicas of the model serve some 38 in time
+
 SIZE = click.option(
     "--size",
     type=click.Choice(sorted(SIZES)),
@@ -238,6 +241,19 @@
             click.echo(f"    {what}: {value}")
 
 
+@main.command()
+@click.option("--rate", "rates", multiple=True, type=float, help="Programs a second; several may be given.")
+@click.option("--seeds", default=3, show_default=True)
+def rush(rates, seeds):
+    """What policies earn of more programs than the replicas can serve in time: programs' worth a second."""
+    click.echo("programs/s  " + "  ".join(f"{name:>12}" for name in POLICIES.names()))
+    for rate in rates or RUSH_RATES:
+        earned = [
+            sum(play(name, Scene(rate), seed).goodput() for seed in range(seeds)) / seeds for name in POLICIES.names()
+        ]
+        click.echo(f"{rate:10.0f}  " + "  ".join(f"{one:12.1f}" for one in earned))
+
+
 @main.command()
 @click.argument("name", required=False)
 @click.option("--into", type=click.Path(exists=False), help="The folder of the variant; it must not exist.")
--- /dev/null
+++ b/tests/test_rush.py
@@ -0,0 +1,52 @@
+"""More programs than can be served in time: what admission earns in the model, and that a rush leaves no trace."""
+
+import unittest
+
+from oakramp.testbed.rush import Scene, play
+
+
+class Policies(unittest.TestCase):
+    def test_below_capacity_all_is_in_time(self):
+        self.assertGreater(play("gateways", Scene(rate=20), seed=1).earned(), 0.98)
+
+    def test_beyond_capacity_most_of_the_best_is_earned(self):
+        """Of what a single mind earns that knows all, and whose limit was chosen with hindsight."""
+        for rate, least in ((36, 0.9), (48, 0.8), (72, 0.7)):
+            with self.subTest(rate=rate):
+                best = play("hindsight", Scene(rate), seed=1).goodput()
+                self.assertGreater(play("gateways", Scene(rate), seed=1).goodput(), least * best)
+
+    def test_without_admission_most_is_lost(self):
+        self.assertLess(play("no admission", Scene(48), 1).goodput(), 0.5 * play("gateways", Scene(48), 1).goodput())
+
+    def test_no_refused_program_has_cost_a_run(self):
+        site = play("gateways", Scene(48), seed=2)
+        refused = [one for one in site.programs if one.ended_at is None]
+        homes = {name for gateway in site.gateways for name in gateway.programs._homes}
+        begun = [one for one in refused if one.name in homes]
+        self.assertGreater(len(refused), 100)
+        self.assertLess(len(begun), 0.02 * len(refused))
+
+
+class AfterARush(unittest.TestCase):
+    """Ordinary traffic, then four times as much for six seconds, then ordinary traffic again."""
+
+    SCENE = Scene(rate=16, rush_rate=64, rush_from=4.0, rush_to=10.0)
+
+    def test_a_second_later_ordinary_traffic_is_in_time(self):
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                self.assertGreater(play("gateways", self.SCENE, seed).earned(since=11.0), 0.95)
+
+    def test_without_admission_it_lasts(self):
+        self.assertLess(play("no admission", self.SCENE, 1).earned(since=11.0), 0.6)
+
+    def test_runs_repeat(self):
+        first, second = (play("gateways", self.SCENE, 3) for _ in range(2))
+        self.assertEqual(
+            [(one.name, one.earned) for one in first.programs], [(one.name, one.earned) for one in second.programs]
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
