--- a/packages/storage/oakramp/storage/circular_log.py
+++ b/packages/storage/oakramp/storage/circular_log.py
@@ -11,7 +11,9 @@
 The `synced number` is the newest record known to be on disk when this one was written. If a record
 that something later names as synced cannot be read, the disk lost what it had confirmed: that is
 damage and stops recovery. An unreadable record that nothing names is a tail torn by a power cut. After
-each sync an empty record is written without a sync of its own, so that even the last commit is named.
+each sync an empty record is written without a sync of its own, so that even the last commit is named. A start writes
+anew what it found and no record names, before it syncs: a process that ended after a failed sync may have left what the
+system shows and never writes.
 
 A write or sync that fails fails the commits that it was for, and the log takes no others until it has recovered. After
 a failed sync the system may call pages clean that it never wrote, so nothing since the last good sync is assumed to be
@@ -121,6 +123,7 @@
         self._stopping = None
         self._is_closed = False
         self._unsynced = []
+        self._unconfirmed = []  # (offset, bytes) in the head lap that a start found and that no record names as synced
         self._before = {}
         self.broken = None
         self.on_fault_change = set()
@@ -157,7 +160,11 @@
         for lap, (offset, end) in left_over.items():
             self._log.warning("log_tail_torn", file=self._file_name(lap), offset=offset)
             self._disk.write(self._file_name(lap), offset, bytes(end - offset))
-        # A process that died without a power cut left writes that look whole but may not last yet.
+        # A process that died without a power cut left writes that look whole but may not last yet; and after a failed sync
+        # the system may show what it will never write.
+        for offset, data in self._unconfirmed:
+            self._disk.write(self._file_name(self._laps[-1]), offset, data)
+        self._unconfirmed = []
         self._disk.sync_now(file_names)
         # The headers go after the records: until then, a start that is cut off here finds the same laps again.
         for lap in torn_laps:
@@ -236,12 +243,17 @@
 
     def _replay(self, lap, data):
         self._offset = LAP_SIZE
+        synced_number, record_offsets = 0, {}
         while (record := read_record(data, lap, self._offset)) and record.number == self._number + 1:
+            synced_number = max(synced_number, record.synced_number)
+            record_offsets[record.number] = self._offset
             start = self._offset + RECORD.size
             self._number, self._offset = record.number, record.end
             for key, value, place in unpack_batch(record.batch):
                 self._apply(lap, key, value, start + place)
         self._refuse_synced(data, lap, self._offset)
+        first = next((offset for number, offset in record_offsets.items() if number > synced_number), self._offset)
+        self._unconfirmed = [(0, data[:LAP_SIZE]), (first, data[first : self._offset])]
 
     def _refuse_synced(self, data, lap, offset):
         for record in records_after(data, lap, offset):
--- a/packages/storage/oakramp/storage/disk_check.py
+++ b/packages/storage/oakramp/storage/disk_check.py
@@ -49,8 +49,8 @@
         self.would_make.append(name)
 
     def write(self, name, offset, data):
-        """Notes what a start would overwrite; nothing is written."""
-        if name not in self.would_make:
+        """Notes what a start would overwrite with something else; nothing is written."""
+        if name not in self.would_make and self.read_at(name, offset, len(data)) != data:
             self.would_wipe.append((name, offset, len(data)))
 
     def sync_now(self, _names):
--- a/packages/testbed/oakramp/testbed/code_mutations.py
+++ b/packages/testbed/oakramp/testbed/code_mutations.py
@@ -18,15 +18,22 @@
     CodeMutation(
         "a lost fourth voter leaves",
         "control/oakramp/control/membership_repair.py",
-        "count = max(removable, key=lambda count: (losses_left(len(members) - count, present), -count))",
+        "count = max(range(most + 1), key=lambda count: (losses_left(len(members) - count, present), -count))",
         "count = 0",
         "test_replaced_voter.ReplacedAsPlanned.test_a_later_loss_leaves_a_majority",
     ),
+    CodeMutation(
+        "who is cut off keeps its vote",
+        "control/oakramp/control/membership_repair.py",
+        "may_leave = max(len(gone), 1 - len(members) % 2)",
+        "may_leave = len(lost)",
+        "test_replaced_voter.GoneForGood.test_who_is_away_for_a_while_keeps_its_place",
+    ),
     CodeMutation(
         "as many voters stay as what was confirmed needs",
         "control/oakramp/control/membership_repair.py",
-        "removable = range(min(len(lost), max(0, len(members) - least)) + 1)",
-        "removable = range(len(lost) + 1)",
+        "most = min(may_leave, len(lost), max(0, len(members) - least))",
+        "most = min(may_leave, len(lost))",
         "test_replaced_voter.Surplus.test_so_many_stay_as_what_is_confirmed_needs",
     ),
     CodeMutation(
@@ -78,6 +85,13 @@
         "return data",
         "test_disk.StalledDisk.test_writes_and_syncs_return_at_once",
     ),
+    CodeMutation(
+        "a start writes anew what no record names as synced",
+        "storage/oakramp/storage/circular_log.py",
+        "for offset, data in self._unconfirmed:",
+        "for offset, data in []:",
+        "test_log_recovery.Recovery.test_what_a_new_process_finds_after_a_failed_sync_lasts",
+    ),
     CodeMutation(
         "what was not synced is written anew after a fault",
         "storage/oakramp/storage/circular_log.py",
--- a/packages/testbed/oakramp/testbed/simdisk.py
+++ b/packages/testbed/oakramp/testbed/simdisk.py
@@ -4,9 +4,9 @@
 the sync was called; a write to another file, or one made while the sync is under way, is not covered. When power is
 lost, each write that no finished sync covers may be present, absent or torn by itself, or all of them are gone. Of
 what a failed sync should have covered each write is on the disk or is not, and no later sync covers it: a system may
-call such pages clean. A write that fails is told by the next sync of its file, and what was written is read back all
-the same until then. Syncs under way end in any order. Files are made, replaced and removed durably, as
-`oakramp.storage.disk.FolderDisk` does it.
+call such pages clean, and show them to whoever reads until the power is lost. A write that fails is told by the next
+sync of its file; what was written is read back all the same as long as the process lives. Syncs under way end in any
+order. Files are made, replaced and removed durably, as `oakramp.storage.disk.FolderDisk` does it.
 """
 
 from twisted.internet import defer
@@ -28,6 +28,7 @@
         self.sync_spread = 0.0  # seconds that a sync may take longer, chosen at random
         self.failing = False
         self._write_errors = {}  # file name -> the error of the first write since its last sync that failed
+        self._failed_writes = []  # (file name, offset, the bytes before) of the writes that failed
         self.host = None
         self.syncs = 0
         self.operations = 0  # writes, syncs and ends of syncs until now
@@ -37,6 +38,13 @@
     def attach(self, host):
         """A new process opens the folder."""
         self.host = host
+        self.drop_failed_writes()
+
+    def drop_failed_writes(self):
+        """What failed writes would have changed was in the memory of the process that has ended."""
+        for name, offset, previous in reversed(self._failed_writes):
+            self._files[name][offset : offset + len(previous)] = previous
+        self._failed_writes, self._write_errors = [], {}
 
     def names(self):
         return sorted(self._files)
@@ -73,8 +81,11 @@
             self._check()
         except OSError as error:
             self._write_errors.setdefault(name, error)
+            self._failed_writes.append((name, offset, bytes(self._files[name][offset : offset + len(data)])))
         else:
             self._unsynced.append((name, offset, bytes(data)))
+            # Written anew, it is no failed write any more.
+            self._failed_writes = [one for one in self._failed_writes if one[:2] != (name, offset)]
         self._files[name][offset : offset + len(data)] = data
 
     def sync(self, names):
@@ -148,7 +159,7 @@
         keep = keep or self._random.choice((self.keep_none, self.keep_files, self.keep_each, self.keep_each))
         for name, offset, data in keep():
             self._durable[name][offset : offset + len(data)] = data
-        self._unsynced, self._write_errors = [], {}
+        self._unsynced, self._write_errors, self._failed_writes = [], {}, []
         self._files = {name: bytearray(data) for name, data in self._durable.items()}
         self.power_is_lost, self.loses_power_at = False, None
 
--- a/tests/test_log_recovery.py
+++ b/tests/test_log_recovery.py
@@ -86,6 +86,12 @@
             self.run(self.random.uniform(0.0, 0.4))
         self.disk.failing = False
 
+    def kill(self):
+        """The process ends, and the machine's memory of its files stays."""
+        self.host.end(power_cut=False)
+        self.host.up = True
+        self.begun = self.decided = 0
+
     def lose_power(self):
         self.host.end(power_cut=True)
         self.host.up = True
@@ -147,6 +153,35 @@
                 if key not in named:
                     self.assertEqual(found.get(key), world.confirmed.get(key), (seed, key))
 
+    def test_what_a_new_process_finds_after_a_failed_sync_lasts(self):
+        """
+        log                        disk
+        a sync fails        <---   shows what it will never write
+        the process ends
+        a new one finds it
+        commits             --->   takes writes again
+                                   loses its power
+        the next one finds all that and what was committed since
+        """
+        for seed in range(60):
+            world = FaultyDisk(seed)
+            for _ in range(3):
+                world.commit()
+                world.run(0.01)
+            world.commit()
+            world.disk.failing = True  # the write has been taken, and its sync fails
+            world.run(0.01)
+            world.kill()
+            world.disk.failing = False
+            world.start()
+            world.confirmed = dict(world.log.table.items())
+            for _ in range(world.random.randrange(3)):
+                world.commit()
+                world.run(0.1)
+            world.lose_power()
+            world.start()
+            self.assertEqual(dict(world.log.table.items()), world.confirmed, seed)
+
     def test_while_the_disk_refuses_nothing_is_taken(self):
         world = FaultyDisk(1)
         world.commit()
