--- a/packages/common/oakramp/common/constants.py
+++ b/packages/common/oakramp/common/constants.py
@@ -105,6 +105,8 @@
 VOTING_CONFIG_MOVING_PAUSE = 0.05  # s; the same for who moves a change of the roster on, while it is under way
 SHARDS_LED_PATIENCE = 1.0  # s; a repair of the roster waits so long at most until each shard has a leader
 QUORUM_DEGRADED_AFTER = 1.0  # s; a voting configuration that bears no further loss for longer is told to operators
+VOTING_CONFIG_GONE = 30.0  # s; a member without a sign of life for this long is gone for good: longer than a cut is
+# expected to last, since who is only cut off should keep its place
 VOTING_CONFIG_LEAST = 3  # members; fewer bear no loss, so a roster never gets smaller than this
 VOTING_CONFIG_MOST = 9  # members; four may be lost at once, and more voters only make each change dearer
 VOTING_CONFIG_ANSWERED = 1.0  # s; who joins must have answered within this: several pulls, of which one may be lost
@@ -260,9 +262,7 @@
 # urgent ones still begin where the others are refused
 PROGRAMS_KNOWN = 8192  # programs; so many a gateway remembers, some minutes' worth under the heaviest load aimed at
 BEGIN_PATIENCE_SHARE = 0.1  # share of a route's target; a program that can't begin by then is refused
-BEGIN_RETRY_AFTER = (
-    0.05  # s; what a caller is told whose program could not begin: later it can no longer be done in time
-)
+BEGIN_RETRY_AFTER = 0.05  # s; what a caller is told whose program could not begin, for it is soon too late for it
 QUEUED_SHARE = 0.25  # share of a replica's slots; so many may wait there, since it starts them at once when it
 # can
 AFFINITY_SLACK = 0.2  # share of a replica's slots; by so much more room others must have before a program leaves
--- a/packages/control/oakramp/control/membership_repair.py
+++ b/packages/control/oakramp/control/membership_repair.py
@@ -2,9 +2,10 @@
 
 The leader of the key begins a change where one is due: who came back without its disk, under a new id, takes its
 previous self's place; a member that stays silent gives its place to a live outsider; and further live control nodes
-join. Without an outsider a silent member keeps its place, unless the others bear more losses without it: of four with
-one gone a second loss leaves no majority, and of the three others it does; so it is of five with two gone. What was
-confirmed is on majorities of both sets before that, as with any change. No repair begins while shards are without a
+join. Without an outsider a silent member keeps its place, but in an even number of members: of four with one gone a
+second loss leaves no majority, and of the three others it does. Several that are gone for good leave, if the others bear
+more losses without them: five with two gone become three. What was confirmed is on majorities of both sets before that,
+as with any change. No repair begins while shards are without a
 leader, for as long as failovers take.
 """
 
@@ -17,6 +18,7 @@
     SHARDS,
     SHARDS_LED_PATIENCE,
     VOTING_CONFIG_ANSWERED,
+    VOTING_CONFIG_GONE,
     VOTING_CONFIG_HEARD,
     VOTING_CONFIG_JOINING,
     VOTING_CONFIG_LEAST,
@@ -35,13 +37,17 @@
 from oakramp.membership.members import LIVE
 
 
-def without_surplus(members, lost, least):
+def without_surplus(members, lost, gone, least):
     """These members without those of the lost ones that only take from what the others bear: as few as leave the most
-    losses that may follow. `least` members stay: with fewer, what was confirmed would be on too few disks."""
+    losses that may follow. Of an even number one may leave as soon as it is lost; others only once they are `gone` for
+    good, since who is cut off keeps its place. `least` members stay: with fewer, what was confirmed would be on too few
+    disks."""
+    leaving = sorted(lost, key=lambda node_id: node_id not in gone)
+    may_leave = max(len(gone), 1 - len(members) % 2)
+    most = min(may_leave, len(lost), max(0, len(members) - least))
     present = len(members) - len(lost)
-    removable = range(min(len(lost), max(0, len(members) - least)) + 1)
-    count = max(removable, key=lambda count: (losses_left(len(members) - count, present), -count))
-    return {node_id: peer for node_id, peer in members.items() if node_id not in lost[:count]}
+    count = max(range(most + 1), key=lambda count: (losses_left(len(members) - count, present), -count))
+    return {node_id: peer for node_id, peer in members.items() if node_id not in leaving[:count]}
 
 
 def repaired(
@@ -53,11 +59,13 @@
     joining=(),
     most=VOTING_CONFIG_MOST,
     least=VOTING_CONFIG_LEAST,
+    gone=(),
 ):
     """The members that the voting configuration should have: `successors` maps a member to its next incarnation, under
     a new id; `lost` members give their places to `outsiders`; those of them that are `joining` add to the members.
     `awaited` members may be lost or back in a moment, so as many outsiders are held back to take their places instead.
-    Lost ones whose place nobody takes leave if the others bear more losses without them; `least` members stay.
+    Of an even number of members a lost one whose place nobody takes leaves, and of any number those that are `gone` for
+    good, if the others bear more losses without them; `least` members stay.
     Nodes are (id, address) pairs."""
     places, outsiders = dict(successors), dict(outsiders)
     vacant = [node_id for node_id in lost if node_id not in places]
@@ -65,7 +73,8 @@
     kept = dict(places.get(node_id, (node_id, peer)) for node_id, peer in members.items())
     room = max(0, min(most - len(kept), len(outsiders) - len([one for one in awaited if one not in places])))
     wanted = kept | dict([one for one in sorted(outsiders.items()) if one[0] in joining][:room])
-    return without_surplus(wanted, [node_id for node_id in vacant if node_id in wanted], least)
+    left = [node_id for node_id in vacant if node_id in wanted]
+    return without_surplus(wanted, left, [node_id for node_id in left if node_id in gone], least)
 
 
 class MembershipRepairTask(SingletonTask):
@@ -162,6 +171,11 @@
             if not self._is_here(node_id, peer)
         }
 
+    def _silent_for(self, seconds):
+        """The members that have shown no sign of life for so long."""
+        last = self._node.reactor.seconds() - (seconds - CONDITION_AGE)
+        return [node_id for node_id, since in self._silent_since.items() if since <= last]
+
     async def _repair(self, owner, voting_config):
         node = self._node
         answering = {
@@ -196,11 +210,7 @@
             if not {one.peer, one.machine} & taken
         ]
         now = node.reactor.seconds()
-        lost = [
-            node_id
-            for node_id, since in self._silent_since.items()
-            if now - since >= VOTING_CONFIG_PATIENCE - CONDITION_AGE
-        ]
+        lost = self._silent_for(VOTING_CONFIG_PATIENCE)
         awaited = [
             node_id
             for node_id, peer in voting_config.members.items()
@@ -208,7 +218,16 @@
             or not node.gossip_client.answers_lately(answering[node_id].peer, VOTING_CONFIG_HEARD)
         ]
         joining = {node_id for node_id, since in self._new_since.items() if now - since >= VOTING_CONFIG_JOINING}
-        wanted = repaired(voting_config.members, successors, lost, awaited, outsiders, joining, least=self._least)
+        wanted = repaired(
+            voting_config.members,
+            successors,
+            lost,
+            awaited,
+            outsiders,
+            joining,
+            least=self._least,
+            gone=self._silent_for(VOTING_CONFIG_GONE),
+        )
         if wanted == voting_config.members:
             return
         if not VotingConfiguration({"version": 0, "members": voting_config.members, "next": wanted}).is_quorum(
