--- a/packages/testbed/oakramp/testbed/explore/closing_fault.py
+++ b/packages/testbed/oakramp/testbed/explore/closing_fault.py
@@ -36,6 +36,7 @@
 def _end_trouble(world):
     world.heal()
     for name in world.machines:
+        apply(world, Choice("accept", name))
         apply(world, Choice("thaw", name))
         apply(world, Choice("start", name))
     drain(world)
--- a/packages/testbed/oakramp/testbed/explore/command.py
+++ b/packages/testbed/oakramp/testbed/explore/command.py
@@ -30,13 +30,16 @@
 @click.option("--voters", default=3, show_default=True, help="Control nodes that vote.")
 @click.option("--spares", default=0, show_default=True, help="Control nodes that don't, and may replace a voter.")
 @click.option("--losses", default=1, show_default=True, help="Disks that may be lost, one after another.")
+@click.option("--refusing", default=0, show_default=True, help="Disks that may refuse for a while at one time.")
 @click.option("--processes", default=1, show_default=True, help="Processes that share the schedules.")
 @click.option("--scenario", type=click.Choice(sorted(SCENARIOS)), help="All departures from this one, not random ones.")
 @click.option("--departures", default=1, show_default=True, help="From the scenario's ordinary order, at most.")
 @click.option("--mutation", type=click.Choice(sorted(MUTATIONS)), help="A fault to put in first.")
 @click.option("--save", type=click.Path(), help="Where the first failing schedule is written, made short.")
 @click.option("--replay", "replayed", type=click.File(), help="Replays this schedule and prints its timeline.")
-def explore(schedules, first, steps, voters, spares, losses, processes, scenario, departures, mutation, save, replayed):
+def explore(
+    schedules, first, steps, voters, spares, losses, refusing, processes, scenario, departures, mutation, save, replayed
+):
     """Runs the control classes under many schedules of messages, crashes and losses, and checks their invariants."""
     if replayed is not None:
         with applied(MUTATIONS[mutation]) if mutation else contextlib.nullcontext():
@@ -49,7 +52,7 @@
             findings = search_departures(SCENARIOS[scenario], departures)
         _tell(findings, f"up to {departures} departures", began, mutation, save)
         return
-    shape = Shape(voters=voters, spares=spares, losses=losses)
+    shape = Shape(voters=voters, spares=spares, losses=losses, refusing=refusing)
     portions = [(seed, min(PORTION, first + schedules - seed)) for seed in range(first, first + schedules, PORTION)]
     with multiprocessing.Pool(processes) as pool:
         for found in pool.starmap(partial(_search_portion, shape, steps, mutation), portions, chunksize=1):
--- a/packages/testbed/oakramp/testbed/explore/process.py
+++ b/packages/testbed/oakramp/testbed/explore/process.py
@@ -133,7 +133,17 @@
         self.gossip_client = ModelPuller(world, self)
         self.member_state = MemberStatePublisher(self.gossip_client, self.log)
         self.net = ModelNet(world, self, self.clock, machine.address, self.log)
-        self.ring = CircularLog(machine.disk, self.log, RING_FILE_SIZE, seconds=self.clock.seconds)
+        self.ring = CircularLog(
+            machine.disk,
+            self.log,
+            RING_FILE_SIZE,
+            seconds=self.clock.seconds,
+            reactor=self.clock,
+            random_source=self.random,
+        )
+        self.ring.on_fault_change.add(
+            lambda: self.member_state.report_storage_fault(self.ring.broken is not None),
+        )
         self.voter = Voter(self, self.ring)
         self.leaders = LeaderRegistry(self, self.voter)
         self.piggyback = LeaseRenewalPiggyback(self.leaders, self)
--- a/packages/testbed/oakramp/testbed/explore/schedule.py
+++ b/packages/testbed/oakramp/testbed/explore/schedule.py
@@ -171,8 +171,9 @@
 
 
 def _start(world, choice):
-    if world.machines[choice.subject].process is not None:
-        return False
+    machine = world.machines[choice.subject]
+    if machine.process is not None or machine.disk.failing:
+        return False  # a log opens only on a disk that takes writes
     world.start(choice.subject)
     return True
 
@@ -218,6 +219,24 @@
     return True
 
 
+def _refuse(world, choice):
+    """The machine's disk takes nothing from now on, until `accept`."""
+    machine = world.machines[choice.subject]
+    refusing = sum(one.disk.failing for one in world.machines.values())
+    if machine.process is None or machine.disk.failing or refusing >= world.shape.refusing:
+        return False
+    machine.disk.failing = True
+    return True
+
+
+def _accept(world, choice):
+    machine = world.machines[choice.subject]
+    if not machine.disk.failing:
+        return False
+    machine.disk.failing = False
+    return True
+
+
 def _freeze(world, choice):
     machine = world.machines[choice.subject]
     if machine.process is None or machine.frozen:
@@ -318,6 +337,8 @@
     "power": _end(False),
     "start": _start,
     "wipe": _wipe,
+    "refuse": _refuse,
+    "accept": _accept,
     "freeze": _freeze,
     "thaw": _thaw,
     "cut": _cut(True, True),
--- a/packages/testbed/oakramp/testbed/explore/strategies.py
+++ b/packages/testbed/oakramp/testbed/explore/strategies.py
@@ -44,6 +44,7 @@
     ("wipe", 1),
     ("replace", 1),
 )
+DISK_FAULTS = (("refuse", 6), ("accept", 8))  # beside the others, in worlds whose disks may refuse
 TIMES = (("tick", 3), ("timer", 3))
 
 
@@ -197,7 +198,7 @@
         return Choice(kind, self._machine(world))
 
     def _fault(self, world):
-        kind = _weighted(self._random, FAULTS)
+        kind = _weighted(self._random, FAULTS + DISK_FAULTS if world.shape.refusing else FAULTS)
         name = self._likely_owner(world) if kind in ("freeze", "cut") else self._machine(world)
         if kind == "heal":
             return Choice(kind)
