--- a/packages/control/oakramp/control/membership_repair.py
+++ b/packages/control/oakramp/control/membership_repair.py
@@ -3,10 +3,9 @@
 The leader of the key begins a change where one is due: who came back without its disk, under a new id, takes its
 previous self's place; a member that stays silent gives its place to a live outsider; and further live control nodes
 join. Without an outsider a silent member keeps its place, but in an even number of members: of four with one gone a
-second loss leaves no majority, and of the three others it does. Several that are gone for good leave, if the others bear
-more losses without them: five with two gone become three. What was confirmed is on majorities of both sets before that,
-as with any change. No repair begins while shards are without a
-leader, for as long as failovers take.
+second loss leaves no majority, and of the three others it does. Several that are gone for good leave, if the others
+bear more losses without them: five with two gone become three. What was confirmed is on majorities of both sets before
+that, as with any change. No repair begins while shards are without a leader, for as long as failovers take.
 """
 
 import json
