--- a/packages/testbed/oakramp/testbed/explore/mutations.py
+++ b/packages/testbed/oakramp/testbed/explore/mutations.py
@@ -71,6 +71,7 @@
 
 PLAIN = Shape()
 REPLACING = Shape(voters=3, spares=1)
+REFUSING = Shape(refusing=1)
 
 
 def _take_out(name, shape=PLAIN):
@@ -90,6 +91,7 @@
     _take_out("epochs promised once"),
     _take_out("a given slot is not published again"),
     _take_out("sync before answering"),
+    _take_out("what was not synced is written anew after a fault", REFUSING),
 ]
 
 LEADER, VOTER, ROUTING = "oakramp.control.shard_leader", "oakramp.control.voter", "oakramp.control.routing"
--- a/packages/testbed/oakramp/testbed/explore/world.py
+++ b/packages/testbed/oakramp/testbed/explore/world.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from oakramp.common.validation import pack_json
-from oakramp.common.errors import OakrampError
+from oakramp.common.errors import OakrampError, StorageError
 from oakramp.control.voting_configuration import VOTING_CONFIG_KEY, VotingConfiguration
 from oakramp.control.routing import ROUTING_KEY
 from oakramp.rpc.codec import arguments_class
@@ -238,7 +238,10 @@
     def start(self, name):
         machine = self.machines[name]
         machine.starts += 1
-        machine.process = Process(self, machine, machine.starts)
+        try:
+            machine.process = Process(self, machine, machine.starts)
+        except StorageError as error:  # no fault of these worlds damages a log
+            self.crashes.append(f"{name} does not start: {error.reason}")
 
     def end(self, name, keeps_unsynced):
         """The process ends, or the power does; what had been written and not synced is kept or lost."""
