--- a/packages/testbed/oakramp/testbed/main.py
+++ b/packages/testbed/oakramp/testbed/main.py
@@ -26,6 +26,7 @@
 from oakramp.testbed.plan import MARKERS, PLATFORM, SIZES, replica_rows
 from oakramp.testbed.realtrial import RealTrial, rolling_restart
 from oakramp.testbed.rush import POLICIES, Scene, play
+from oakramp.testbed.rush_plot import plot
 from oakramp.testbed.trial import DAYS, run_day, run_trial
 
 RUSH_RATES = (8, 16, 24, 32, 40, 48, 64, 96)  # programs a second; the replicas of the model serve some 38 in time
@@ -244,14 +245,17 @@
 @main.command()
 @click.option("--rate", "rates", multiple=True, type=float, help="Programs a second; several may be given.")
 @click.option("--seeds", default=3, show_default=True)
-def rush(rates, seeds):
+@click.option("--plot", "plot_file", type=click.File("w"), help="Where a plot of it is written, as SVG.")
+def rush(rates, seeds, plot_file):
     """What policies earn of more programs than the replicas can serve in time: programs' worth a second."""
-    click.echo("programs/s  " + "  ".join(f"{name:>12}" for name in POLICIES.names()))
-    for rate in rates or RUSH_RATES:
-        earned = [
-            sum(play(name, Scene(rate), seed).goodput() for seed in range(seeds)) / seeds for name in POLICIES.names()
-        ]
-        click.echo(f"{rate:10.0f}  " + "  ".join(f"{one:12.1f}" for one in earned))
+    rates, earned = rates or RUSH_RATES, {name: [] for name in POLICIES.names()}
+    click.echo("programs/s  " + "  ".join(f"{name:>12}" for name in earned))
+    for rate in rates:
+        for name, values in earned.items():
+            values.append(sum(play(name, Scene(rate), seed).goodput() for seed in range(seeds)) / seeds)
+        click.echo(f"{rate:10.0f}  " + "  ".join(f"{values[-1]:12.1f}" for values in earned.values()))
+    if plot_file is not None:
+        plot_file.write(plot(rates, earned))
 
 
 @main.command()
--- a/tests/test_rush.py
+++ b/tests/test_rush.py
@@ -1,8 +1,10 @@
 """More programs than can be served in time: what admission earns in the model, and that a rush leaves no trace."""
 
 import unittest
+from xml.etree import ElementTree
 
 from oakramp.testbed.rush import Scene, play
+from oakramp.testbed.rush_plot import plot
 
 
 class Policies(unittest.TestCase):
@@ -48,5 +50,14 @@
         )
 
 
+class Plot(unittest.TestCase):
+    def test_each_policy_has_a_line_and_its_name(self):
+        drawn = ElementTree.fromstring(plot([10, 20], {"one & all": [1.0, 2.0], "other": [0.0, 4.0]}))
+        names = [one.text for one in drawn.iter() if one.tag.endswith("text")]
+        lines = [one for one in drawn.iter() if one.tag.endswith("polyline")]
+        self.assertLessEqual({"one & all", "other"}, set(names))
+        self.assertEqual(len(lines), 2 + 2, "two axes, two policies")
+
+
 if __name__ == "__main__":
     unittest.main()
