--- a/packages/gateway/oakramp/gateway/proxy_forwarder.py
+++ b/packages/gateway/oakramp/gateway/proxy_forwarder.py
@@ -153,7 +153,8 @@
             ):
                 now = self._reactor.seconds()
                 proxied_request.reached(PLACED, now)
-                self._programs.note(proxied_request.request, instance.row["id"])
+                if proxied_request.route.kind == "stream":  # a program's other calls are no turns, and go elsewhere
+                    self._programs.note(proxied_request.request, instance.row["id"])
                 proxied_request.replica_id, proxied_request.replica_load = instance.row["id"], instance.load(now)
                 return instance, service
             self._balancer.release(instance)
