--- a/packages/testbed/oakramp/testbed/code_mutations.py
+++ b/packages/testbed/oakramp/testbed/code_mutations.py
@@ -15,6 +15,34 @@
 
 
 CODE_MUTATIONS = [
+    CodeMutation(
+        "programs begin only where there is room for their next turns",
+        "gateway/oakramp/gateway/balancer.py",
+        "if placement_request.begin_share is not None and instance.told_slots:",
+        "if False:",
+        "test_balancer.Beginning.test_it_is_refused_where_no_replica_has_so_much_room",
+    ),
+    CodeMutation(
+        "a program keeps to the replica of its last turn",
+        "gateway/oakramp/gateway/balancer.py",
+        'if home is not None and shares[home.row["id"]] <= least + HOME_SLACK:',
+        "if False:",
+        "test_balancer.Home.test_it_goes_there_though_others_have_more_room",
+    ),
+    CodeMutation(
+        "only turns make a program's home",
+        "gateway/oakramp/gateway/proxy_forwarder.py",
+        'if proxied_request.route.kind == "stream":  # a program\'s other calls are no turns, and go elsewhere',
+        "if True:",
+        "test_relay_calls.ProgramsOfCalls.test_only_turns_make_a_home",
+    ),
+    CodeMutation(
+        "a load that nobody told lately is the mean of its service",
+        "gateway/oakramp/gateway/replica_load.py",
+        "return self.least_load(now) + (1.0 - self._freshness(now)) * self.service_load.mean(now)",
+        "return self.least_load(now)",
+        "test_replica_load.Loads.test_an_old_word_gives_way_to_the_mean_of_the_service",
+    ),
     CodeMutation(
         "a lost fourth voter leaves",
         "control/oakramp/control/membership_repair.py",
