--- a/packages/gateway/oakramp/gateway/balancer.py
+++ b/packages/gateway/oakramp/gateway/balancer.py
@@ -1,9 +1,10 @@
 """Which replica a raw request goes to, and who waits when none has room.
 
-Nothing is probed: a replica's load is what its last answer told, corrected by what this gate has begun and ended
-since. A request with an affinity (its program) keeps to the replica that rendezvous hashing names for it, in the
-gate's own zone first, since its earlier prompts are cached there; it leaves that replica only when others have
-clearly more room.
+Nothing is probed: a replica's load is what its last answer told, corrected by what this gateway has begun and ended
+since (`replica_load`). A request with an affinity (its program) keeps to the replica that had the last one, since its
+earlier prompts are cached there, and leaves it only when others have a whole batch less. Where this gateway does not
+know that replica, rendezvous hashing names one, in the gateway's own zone first. What begins a program goes where most
+room is, and nowhere if there is none for the turns that will follow.
 """
 
 import heapq
@@ -41,9 +42,9 @@
 class PlacementRequest:
     """What a request needs of its replica.
 
-    The lowest `rank` goes first, and of one rank whoever has to be done first. `patience_until` is when
-    it gives up waiting. One that begins a program goes only where less than `begin_share` of the slots are in use, so
-    that there is room for the turns that follow; it is None for others.
+    The lowest `rank` goes first, and of one rank whoever has to be done first. `patience_until` is when it gives up
+    waiting (monotonic seconds). One that begins a program goes only where less than `begin_share` of the slots are in
+    use, so that there is room for the turns that follow; it is None for others.
     """
 
     service: str
