--- a/packages/gossip/oakramp/gossip/member_state.py
+++ b/packages/gossip/oakramp/gossip/member_state.py
@@ -29,11 +29,6 @@
         self._is_partitioned = False
         self._has_storage_fault = False
 
-    @property
-    def has_storage_fault(self) -> bool:
-        """Whether this node's disk refuses writes, as reported last."""
-        return self._has_storage_fault
-
     def report_partitioned(self, is_partitioned: bool) -> None:
         """Takes in whether this node reaches a majority of the voters."""
         if is_partitioned == self._is_partitioned:
--- a/packages/testbed/oakramp/testbed/simdisk.py
+++ b/packages/testbed/oakramp/testbed/simdisk.py
@@ -98,7 +98,7 @@
         except OSError:
             pass  # told when it ends, as a real disk does
         covered = self._writes_to(names)
-        write_errors = [self._write_errors.pop(name) for name in names if name in self._write_errors]
+        write_error = self.take_write_error(names)
         self.syncs += 1
         incarnation = self.host.incarnation
 
@@ -107,8 +107,8 @@
                 return
             try:
                 self._check()
-                if write_errors:
-                    raise write_errors[0]
+                if write_error is not None:
+                    raise write_error
             except PowerLost:
                 return
             except OSError as error:
@@ -123,6 +123,11 @@
         self._time.schedule(self.sync_time + spread, self.host, finish)
         return done
 
+    def take_write_error(self, names):
+        """The error of a write to these files that no sync has told yet, or None; it is told once."""
+        errors = [self._write_errors.pop(name) for name in names if name in self._write_errors]
+        return next(iter(errors), None)
+
     def _writes_to(self, names):
         return [write for write in self._unsynced if write[0] in names]
 
@@ -142,8 +147,9 @@
     def sync_now(self, names):
         for name in names:
             self._check()
-            if name in self._write_errors:
-                raise self._write_errors.pop(name)
+            write_error = self.take_write_error([name])
+            if write_error is not None:
+                raise write_error
             self._settle(self._writes_to([name]))
 
     def replace(self, name, data):
