--- a/packages/common/oakramp/common/errors.py
+++ b/packages/common/oakramp/common/errors.py
@@ -99,12 +99,19 @@
 
 
 class InProgressError(OakrampError):
-    """The same key or turn is claimed and its outcome is not known yet."""
+    """The request that claimed the same key or turn is at work."""
 
     status = 409
     code = "inProgress"
 
 
+class OutcomeLostError(OakrampError):
+    """The operation of this key may have run, and its response will not be known any more."""
+
+    status = 502
+    code = "outcomeLost"
+
+
 class VersionConflictError(RequestRejectedError):
     """The change is based on an old version."""
 
--- a/packages/common/oakramp/common/http_client.py
+++ b/packages/common/oakramp/common/http_client.py
@@ -27,7 +27,7 @@
     Verdict,
 )
 from oakramp.common.settings import split_address
-from oakramp.common.tasks import within
+from oakramp.common.tasks import begin, within
 from oakramp.common.tcp_options import limit_unacknowledged
 from oakramp.common.validation import pack_json, parse_json
 
@@ -57,28 +57,38 @@
 
 @implementer(IAgentEndpointFactory)
 class _Endpoints:
-    """`last_check` runs once the connection is established, in the same reactor turn in which the request is
-    written."""
+    """`before_send` is awaited once the connection is established; `last_check` runs after it, in the same reactor turn
+    in which the request is written."""
 
-    def __init__(self, reactor, bind_host, last_check=None, unacknowledged_s=None):
+    def __init__(self, reactor, bind_host, last_check=None, unacknowledged_s=None, before_send=None):
         self._reactor, self._bind_host, self._last_check = reactor, bind_host, last_check
-        self._unacknowledged_s = unacknowledged_s
+        self._unacknowledged_s, self._before_send = unacknowledged_s, before_send
 
     def endpointForURI(self, uri):
         bound = (self._bind_host, 0) if self._bind_host else None
         endpoint = TCP4ClientEndpoint(self._reactor, uri.host.decode(), uri.port, CONNECT_TIME, bound)
-        return _CheckedEndpoint(endpoint, self._last_check, self._unacknowledged_s)
+        return _CheckedEndpoint(endpoint, self._last_check, self._unacknowledged_s, self._before_send)
 
 
 @implementer(IStreamClientEndpoint)
 class _CheckedEndpoint:
-    def __init__(self, endpoint, last_check, unacknowledged_s):
+    def __init__(self, endpoint, last_check, unacknowledged_s, before_send):
         self._endpoint, self._last_check, self._unacknowledged_s = endpoint, last_check, unacknowledged_s
+        self._before_send = before_send
 
     def connect(self, factory):
         connecting = self._endpoint.connect(factory)
+        if self._before_send:
+            connecting.addCallback(self._prepare)
         return connecting.addCallback(self._check) if self._last_check else connecting
 
+    def _prepare(self, connection):
+        def failed(failure):
+            connection.transport.abortConnection()
+            return failure
+
+        return begin(self._before_send()).addCallbacks(lambda _: connection, failed)
+
     def _check(self, connection):
         if self._unacknowledged_s is not None:
             limit_unacknowledged(connection.transport, self._unacknowledged_s)
@@ -193,10 +203,19 @@
         connection.transport.loseConnection()
 
     async def send(
-        self, method, address, path, value, time_left, last_check=None, more_headers=None, unacknowledged_s=None
+        self,
+        method,
+        address,
+        path,
+        value,
+        time_left,
+        last_check=None,
+        more_headers=None,
+        unacknowledged_s=None,
+        before_send=None,
     ):
-        """Returns the head of the response. An error has verdict NO only if no connection was made or `last_check`
-        raised it.
+        """Returns the head of the response. An error has verdict NO only if no connection was made, or `before_send` or
+        `last_check` raised it.
 
         `more_headers` are texts by name, sent in addition to this client's own. With `last_check`, the kernel drops a
         connection on which nothing is acknowledged for `unacknowledged_s` seconds.
@@ -205,7 +224,7 @@
         headers = Headers({"content-type": ["application/json"], "connection": ["close"]})
         for name, text in (more_headers or {}).items():
             headers.setRawHeaders(name, [text])
-        endpoints = _Endpoints(self._reactor, self._bind_host, last_check, unacknowledged_s)
+        endpoints = _Endpoints(self._reactor, self._bind_host, last_check, unacknowledged_s, before_send)
         agent = Agent.usingEndpointFactory(self._reactor, endpoints, self._pool)
         asked = agent.request(method.encode(), f"http://{address}{path}".encode(), headers, body)
         try:
@@ -230,10 +249,13 @@
         last_check=None,
         more_headers=None,
         unacknowledged_s=None,
+        before_send=None,
     ):
         """Returns (status, bytes) of a small response."""
         ends_at = self._reactor.seconds() + time_left
-        response = await self.send(method, address, path, value, time_left, last_check, more_headers, unacknowledged_s)
+        response = await self.send(
+            method, address, path, value, time_left, last_check, more_headers, unacknowledged_s, before_send
+        )
         outcome = defer.Deferred(lambda _: None)
         response.deliverBody(_WholeBody(limit, outcome))
         return response.code, await within(
--- a/packages/gateway/oakramp/gateway/forwarding.py
+++ b/packages/gateway/oakramp/gateway/forwarding.py
@@ -2,6 +2,8 @@
 
 import json
 
+from twisted.internet import defer
+
 from oakramp.common.constants import FORWARD_ATTEMPTS
 from oakramp.common.errors import (
     DeadlineExceededError,
@@ -12,7 +14,8 @@
     PlanChangedError,
     Verdict,
 )
-from oakramp.common.tasks import within
+from oakramp.common.tasks import begin, within
+from oakramp.gateway.idempotency_claim import ClaimRefusedError
 from oakramp.gateway.load_balancer import PlacementRequest, prefix_of
 
 
@@ -35,6 +38,8 @@
             placed_at = self._node.reactor.seconds()
             try:
                 return await send(replica, lambda: self._check_before_send(request, replica))
+            except ClaimRefusedError:
+                raise  # not the replica's fault
             except OakrampError as error:
                 if error.verdict is Verdict.NO:
                     self._load_balancer.refused(replica)
@@ -71,19 +76,7 @@
             request.bind(binding)
             request.remaining(self._node.reactor.seconds())
             try:
-                replica = await self._load_balancer.place(
-                    PlacementRequest(
-                        request.partner,
-                        binding["pool"],
-                        binding["urgency"],
-                        request.wait_until,
-                        lambda binding=binding: self._current_binding(request) == binding,
-                        request.fields.get("lineKey", ""),
-                        prefix_of(request.fields.get("start", "")),
-                        binding.get("adapter"),
-                        binding.get("modelWeights"),
-                    )
-                )
+                replica = await self._place(request, binding)
             except PlanChangedError:
                 continue
             placed_at = self._node.reactor.seconds()
@@ -103,6 +96,38 @@
                 return replica
             self._load_balancer.release(replica, placed_at)
 
+    async def _place(self, request, binding):
+        """A place on a replica; a request that turns out to be a repeat of one that was sent waits no longer."""
+        placing = begin(
+            self._load_balancer.place(
+                PlacementRequest(
+                    request.partner,
+                    binding["pool"],
+                    binding["urgency"],
+                    request.wait_until,
+                    lambda: self._current_binding(request) == binding,
+                    request.fields.get("lineKey", ""),
+                    prefix_of(request.fields.get("start", "")),
+                    binding.get("adapter"),
+                    binding.get("modelWeights"),
+                )
+            )
+        )
+        refusals = []
+
+        def refuse(failure):
+            refusals.append(failure.value)
+            placing.cancel()
+
+        if request.claim is not None and not placing.called:
+            request.claim.request_waits().addErrback(refuse)
+        try:
+            return await placing
+        except defer.CancelledError:
+            if refusals:
+                raise refusals[0] from None
+            raise
+
     def _check_before_send(self, request, replica):
         """Runs once the connection is open and before anything is written, so that the checks hold at that moment."""
         reason = self._bindings.staleness(request.partner)
--- a/packages/gateway/oakramp/gateway/outliers.py
+++ b/packages/gateway/oakramp/gateway/outliers.py
@@ -211,3 +211,25 @@
                 faults=",".join(str(faults[name]) for name in sorted(found)) or "none",
             )
         return found
+
+
+class RequestObservation:
+    """Reports one request to the detection of outliers, from the moment from which its replica is to be judged."""
+
+    def __init__(self, outliers, instance):
+        self._outliers, self._instance = outliers, instance
+        self._pending = None
+
+    def start(self):
+        """Starts to count the time until the response, unless that has begun."""
+        if self._pending is None:
+            self._pending = self._outliers.request_sent(self._instance)
+
+    def response_started(self):
+        """Records that the response head has arrived."""
+        self._outliers.response_started(self._pending)
+
+    def end(self):
+        """Ends the observation, whatever the outcome."""
+        if self._pending is not None:
+            self._outliers.request_ended(self._pending)
--- a/packages/gateway/oakramp/gateway/plain.py
+++ b/packages/gateway/oakramp/gateway/plain.py
@@ -1,20 +1,13 @@
-"""The filter chain of a plain service call: bind, claim its idempotency key, then place and forward."""
+"""The filter chain of a plain service call: bind, prepare the claim of its idempotency key, then place and forward."""
 
 import json
 
 from schema import Optional, Or
 
-from oakramp.common.constants import CALL_TIME, CLAIM_RESPONSE_LIMIT, CLAIM_SEND_TIME, TIME_LEFT_LIMIT
-from oakramp.common.errors import (
-    ConflictError,
-    DeadlineExceededError,
-    IncompleteResponseError,
-    OakrampError,
-    OutcomeUnknownError,
-    OverloadedError,
-    Verdict,
-)
+from oakramp.common.constants import CALL_TIME, CLAIM_RESPONSE_LIMIT, TIME_LEFT_LIMIT
+from oakramp.common.errors import IncompleteResponseError, OakrampError, OverloadedError, Verdict
 from oakramp.common.validation import NAME, check_fields, pack_json, seconds
+from oakramp.gateway.idempotency_claim import ClaimRefusedError, IdempotencyClaim
 from oakramp.gateway.request import Request, chain, fingerprint_of
 
 PLAIN = {
@@ -64,38 +57,31 @@
         return await next_step(request)
 
     async def _claim(self, request, next_step):
-        """Claims the key of a keyed call on a majority of disks before the call may be sent, and stores its answer
-        after."""
+        """Prepares the claim of a keyed call's key, which is made on a majority of disks before the call is sent, and
+        stores the answer after the call."""
         key = request.body["key"]
         if key is None:
             return {"answer": await next_step(request)}
         self._gate.check_settling()
-        claim_key = f"claim/{request.partner}/{key}"
-        arguments = request.admission | {"print": fingerprint_of([request.binding_name, request.body["body"]])}
-
-        def send_later(command, **more):
-            self._gate.background(self._leaders.call_until_done(claim_key, command, arguments | more))
-
-        # The owner counts from the arrival of the claim, so this deadline is the earlier of the two.
-        request.send_by = self._reactor.seconds() + CLAIM_SEND_TIME
-        try:
-            claimed = await self._leaders.call(
-                claim_key, "claim", arguments, request.remaining(self._reactor.seconds())
-            )
-        except OutcomeUnknownError as error:
-            send_later("free")  # the key may be claimed, but the call will not be sent
-            raise DeadlineExceededError(f"the claim's owner did not answer: {error.reason}", retry_after=1) from error
-        if claimed["state"] == "done" and claimed["answer"] is None:
-            raise ConflictError("this call ran before; its answer was too large to store", Verdict.YES)
-        if claimed["state"] == "done":
-            return {"answer": claimed["answer"], "kept": True}
+        request.claim = claim = IdempotencyClaim(
+            self._gate,
+            f"claim/{request.partner}/{key}",
+            fingerprint_of([request.binding_name, request.body["body"]]),
+            lambda: request.remaining(self._reactor.seconds()),
+        )
         try:
             answer = await next_step(request)
+        except ClaimRefusedError as refusal:
+            if refusal.error is not None:
+                raise refusal.error from None
+            return {"answer": refusal.stored_response, "kept": True}
         except OakrampError as error:
             if error.verdict is Verdict.NO:
-                send_later("free")
+                claim.release()
+            else:
+                claim.finish(None)
             raise
-        send_later("finish", answer=answer if len(pack_json(answer)) <= CLAIM_RESPONSE_LIMIT else None)
+        claim.finish(answer if len(pack_json(answer)) <= CLAIM_RESPONSE_LIMIT else None)
         return {"answer": answer}
 
     async def _forward(self, request):
@@ -116,6 +102,7 @@
             payload,
             request.ends_at - self._reactor.seconds(),
             last_check=last_check,
+            before_send=request.claim.acquire if request.claim is not None else None,
         )
         try:
             response = json.loads(data)
--- a/packages/gateway/oakramp/gateway/proxied_request.py
+++ b/packages/gateway/oakramp/gateway/proxied_request.py
@@ -1,10 +1,12 @@
 """The state of one proxied request, and the handling of client disconnects."""
 
+import math
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
 from oakramp.common.errors import DeadlineExceededError, OakrampError, Verdict
+from oakramp.gateway.idempotency_claim import IdempotencyClaim
 from oakramp.gateway.proxy_types import ProxyRequest
 from oakramp.gateway.routing import Route
 from oakramp.gateway.tenant_scope import scoped_name
@@ -25,7 +27,7 @@
     may_repeat: bool
     may_have_run: bool = False
     attempts: int = 0
-    send_by: float = float("inf")
+    claim: IdempotencyClaim | None = None  # of its operation key, on routes that require one
     tenant: Tenant | None = None  # None without configured tenants, or for a request without a key on a keyless route
     excluded: set = field(default_factory=set)
     body: bytes = b""
@@ -58,6 +60,11 @@
         """The id under which this turn is kept in the stores."""
         return scoped_name(self.tenant, self.request.try_id)
 
+    @property
+    def send_by(self):
+        """Monotonic seconds after which it must not be sent under the claim that it holds."""
+        return math.inf if self.claim is None else self.claim.send_by
+
     def record_stage(self, stage, now):
         """Records when the request first reached this stage."""
         self.stages.setdefault(stage, now)
--- a/packages/gateway/oakramp/gateway/proxy_forwarder.py
+++ b/packages/gateway/oakramp/gateway/proxy_forwarder.py
@@ -31,6 +31,8 @@
 )
 from oakramp.common.tasks import begin, spawn, within
 from oakramp.gateway.balancer import PlacementRequest
+from oakramp.gateway.idempotency_claim import ClaimRefusedError
+from oakramp.gateway.outliers import RequestObservation
 from oakramp.gateway.proxied_request import (
     ClientDisconnectedError,
     check_client_connected,
@@ -70,6 +72,8 @@
                 return result
             except PlanChangedError:
                 continue
+            except ClaimRefusedError:
+                raise  # not the replica's fault
             except OakrampError as error:
                 proxied_request.excluded.add(instance.row["id"])
                 if not isinstance(error, ClientDisconnectedError):
@@ -124,7 +128,7 @@
             # Running programs take precedence over new ones: by the time a program is rejected midway, most of its runs
             # have been paid for.
             (begins_program, priority),
-            min(now + patience_s, proxied_request.send_by),
+            now + patience_s,
             proxied_request.affinity,
             frozenset(proxied_request.excluded),
             tenant_of(proxied_request.request.prefix),
@@ -171,12 +175,23 @@
             raise
 
     async def _acquire(self, proxied_request, service):
-        """Acquires a slot on a replica; cancelled if the client disconnects meanwhile."""
+        """Acquires a slot on a replica; cancelled if the client disconnects meanwhile, or if the request turns out to
+        be a repeat of one that was sent."""
         acquiring = begin(self._balancer.acquire(self._placement_request(proxied_request, service)))
+        refusals = []
+
+        def refuse(failure):
+            refusals.append(failure.value)
+            acquiring.cancel()
+
+        if proxied_request.claim is not None and not acquiring.called:
+            proxied_request.claim.request_waits().addErrback(refuse)
         try:
             with on_client_disconnect(proxied_request.exchange, acquiring.cancel):
                 return await acquiring
         except defer.CancelledError:
+            if refusals:
+                raise refusals[0] from None
             raise ClientDisconnectedError(
                 "the client disconnected while waiting for a replica with capacity", Verdict.NO
             ) from None
@@ -218,6 +233,35 @@
         proxied_request.sent_at = self._reactor.seconds()
 
     async def _send(self, proxied_request, instance, service, receive):
+        observation = RequestObservation(self._balancer.outliers, instance)
+        if proxied_request.claim is None:
+            observation.start()  # the time that a claim takes is not the replica's
+        try:
+            response = await self._response_head(proxied_request, instance, service, observation)
+        finally:
+            observation.end()
+        self._check_response(proxied_request, instance, response)
+        self._count_responded(proxied_request, response)
+        return await self._receive(proxied_request, response, instance, receive)
+
+    async def _response_head(self, proxied_request, instance, service, observation):
+        sending = begin(self._begin_sending(proxied_request, instance, service, observation))
+
+        def cancel_sending():
+            if not proxied_request.may_have_run or is_cancelled_on_disconnect(proxied_request):
+                sending.cancel()
+
+        try:
+            with on_client_disconnect(proxied_request.exchange, cancel_sending):
+                response = await sending
+        except defer.CancelledError:
+            verdict = Verdict.MAYBE if proxied_request.may_have_run else Verdict.NO
+            raise ClientDisconnectedError("the client disconnected before the response arrived", verdict) from None
+        observation.response_started()
+        return response
+
+    def _begin_sending(self, proxied_request, instance, service, observation):
+        """The coroutine that connects to the replica, claims the request's key if it has one, and sends the request."""
         exchange, row = proxied_request.exchange, instance.row
         time_left = remaining_time(self._reactor, proxied_request)
 
@@ -231,39 +275,31 @@
                 proxied_request.tenant.name if proxied_request.tenant is not None else None,
             )
 
-        service_max_connections = self._router.services[service].get("max_connections") or 64
-        gateway_max_connections = max(
-            2, math.ceil(service_max_connections / max(1, self._node.members.live_count("gate")))
-        )
-        sent = self._balancer.outliers.request_sent(instance)
-        sending = begin(
-            self._upstreams.send(
-                row["address"],
-                row["id"],
-                exchange.method,
-                exchange.target,
-                headers,
-                proxied_request.body,
-                self._response_head_timeout(proxied_request, service, time_left),
-                last_check=lambda: self._check_before_send(proxied_request, instance),
-                expect=(self._dialect.echo_header.decode(), proxied_request.request.try_id),
-                max_connections=gateway_max_connections,
-            )
+        def check_before_send():
+            self._check_before_send(proxied_request, instance)
+            observation.start()
+
+        return self._upstreams.send(
+            row["address"],
+            row["id"],
+            exchange.method,
+            exchange.target,
+            headers,
+            proxied_request.body,
+            self._response_head_timeout(proxied_request, service, time_left),
+            before_send=proxied_request.claim.acquire if proxied_request.claim is not None else None,
+            last_check=check_before_send,
+            expect=(self._dialect.echo_header.decode(), proxied_request.request.try_id),
+            max_connections=self._max_connections(service),
         )
 
-        def cancel_sending():
-            if not proxied_request.may_have_run or is_cancelled_on_disconnect(proxied_request):
-                sending.cancel()
+    def _max_connections(self, service):
+        """This gateway's share of the connections that a replica of the service accepts."""
+        service_max_connections = self._router.services[service].get("max_connections") or 64
+        return max(2, math.ceil(service_max_connections / max(1, self._node.members.live_count("gate"))))
 
-        try:
-            with on_client_disconnect(exchange, cancel_sending):
-                response = await sending
-            self._balancer.outliers.response_started(sent)
-        except defer.CancelledError:
-            verdict = Verdict.MAYBE if proxied_request.may_have_run else Verdict.NO
-            raise ClientDisconnectedError("the client disconnected before the response arrived", verdict) from None
-        finally:
-            self._balancer.outliers.request_ended(sent)
+    def _check_response(self, proxied_request, instance, response):
+        """Raises an error unless the response may be relayed."""
         metadata = self._dialect.response_metadata(response.status, response.headers)
         if metadata.load is not None:
             self._balancer.record_load(instance, metadata.load)
@@ -282,8 +318,6 @@
         if response.status < 300 and not metadata.stamped:
             response.abort()
             raise IncompleteResponseError("the replica's response has no stamp header", Verdict.MAYBE)
-        self._count_responded(proxied_request, response)
-        return await self._receive(proxied_request, response, instance, receive)
 
     def _count_responded(self, proxied_request, response):
         """Counts a request that runs, except for streams, which count as running from their first event."""
--- a/packages/gateway/oakramp/gateway/request.py
+++ b/packages/gateway/oakramp/gateway/request.py
@@ -1,19 +1,21 @@
 """A caller's request while it passes the filters, and the filter chain itself."""
 
+import math
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
 from oakramp.common.constants import RUN_SHARE, TIME_LEFT_DEFAULT
 from oakramp.common.errors import DeadlineExceededError, PlanChangedError
 from oakramp.common.validation import pack_json
+from oakramp.gateway.idempotency_claim import IdempotencyClaim
 
 
 @dataclass
 class Request:
     """A request and its deadlines.
 
-    It may wait to be sent until `wait_until` (the binding's limit, and `send_by`, after which its reservation or claim
-    may be dropped), and may run until `ends_at` (the client's limit). Invariants: `wait_until` <= `ends_at`; all that a
+    It may wait to be sent until `wait_until` (the binding's limit, and that of the claim that it holds), and may run
+    until `ends_at` (the client's limit). Invariants: `wait_until` <= `ends_at`; all that a
     plan decides is read from `binding` when it is needed; `admitted_under` holds the terms of the binding under which
     the budget's shard leader admitted the turn, None before; `admission` is new for each time that a gateway asks for
     admission, so that the attempts can be told apart; `may_have_run` becomes true before the first byte may reach a
@@ -30,7 +32,7 @@
     binding: dict = None
     admitted_under: tuple = None
     ends_at: float = 0.0
-    send_by: float = float("inf")
+    claim: IdempotencyClaim | None = None  # of its idempotency key, if it has one
     may_have_run: bool = False
     fields: dict = field(default_factory=dict)
 
@@ -50,7 +52,8 @@
     @property
     def wait_until(self):
         total_s = self.ends_at - self.received_at
-        return min(self.received_at + min(total_s * (1 - RUN_SHARE), self.binding["maxWaitSeconds"]), self.send_by)
+        send_by = math.inf if self.claim is None else self.claim.send_by
+        return min(self.received_at + min(total_s * (1 - RUN_SHARE), self.binding["maxWaitSeconds"]), send_by)
 
     def remaining(self, now):
         """Seconds until which it may still be sent to a replica."""
--- a/packages/http_proxy/oakramp/http_proxy/upstream.py
+++ b/packages/http_proxy/oakramp/http_proxy/upstream.py
@@ -39,20 +39,20 @@
         headers,
         body,
         time_left,
+        before_send=None,
         last_check=None,
         expect=None,
         max_connections=None,
     ):
         """Returns the head of the response. `headers()` returns the fields as of the time when the first byte is sent;
-        `last_check` runs in the same reactor turn and may raise; `expect` is a (name, value) header that the response
-        must have."""
+        `before_send()` is awaited once a connection is established, and may raise; `last_check` runs in the same
+        reactor turn as the sending and may raise; `expect` is a (name, value) header that the response must have."""
         ends_at = self.reactor.seconds() + time_left
+        if before_send is not None:
+            await self._prepare(address, instance_id, ends_at, max_connections, before_send)
         data = _request_bytes(address, method, target, headers(), body)
         while True:
-            connection = self._take(address, instance_id)
-            is_reused = connection is not None
-            if connection is None:
-                connection = await self._connect(address, instance_id, ends_at, max_connections)
+            connection, is_reused = await self._take_or_connect(address, instance_id, ends_at, max_connections)
             try:
                 if ends_at <= self.reactor.seconds():
                     raise DeadlineExceededError("no time left for the request")
@@ -99,6 +99,13 @@
 
     # --- connections ---
 
+    async def _take_or_connect(self, address, instance_id, ends_at, max_connections):
+        """Returns (an established connection, whether it was idle before)."""
+        idle = self._take(address, instance_id)
+        if idle is not None:
+            return idle, True
+        return await self._connect(address, instance_id, ends_at, max_connections), False
+
     def _take(self, address, instance_id):
         idle, now = self._idle.get((address, instance_id)), self.reactor.seconds()
         while idle:
@@ -109,6 +116,15 @@
             connection.close()
         return None
 
+    async def _prepare(self, address, instance_id, ends_at, max_connections, before_send):
+        """Awaits `before_send` with an established connection in hand, which the request is then sent on, unless the
+        connection has become unusable meanwhile."""
+        connection, _ = await self._take_or_connect(address, instance_id, ends_at, max_connections)
+        try:
+            await before_send()
+        finally:
+            self.keep(connection)
+
     async def _connect(self, address, instance_id, ends_at, max_connections):
         time_left = ends_at - self.reactor.seconds()
         if time_left <= 0:
--- a/packages/testbed/oakramp/testbed/code_mutations.py
+++ b/packages/testbed/oakramp/testbed/code_mutations.py
@@ -179,15 +179,15 @@
     CodeMutation(
         "claim before carrying",
         "control/oakramp/control/idempotency.py",
-        'if claim and claim["state"] == "claimed" and claim["admission"] != arguments["admission"]:',
-        "if False:",
-        "test_faults.ReplicaFaults.test_answer_that_never_comes",
+        "    if _holder_is_at_work(context, key, claim):\n        raise InProgressError",
+        "    return None\n    if True:\n        raise InProgressError",
+        "test_relay.OperationKeys.test_a_key_is_not_run_again_after_its_gateway_was_killed",
     ),
     CodeMutation(
         "kept answer of a key",
         "control/oakramp/control/idempotency.py",
-        'if claim and claim["state"] == "done":',
-        "if False:",
+        '    if claim["state"] == "done":',
+        "    if False:",
         "test_faults.Budgets.test_keyed_calls_run_once",
     ),
     CodeMutation(
@@ -206,10 +206,40 @@
     ),
     CodeMutation(
         "a claimed call leaves soon or never",
-        "gateway/oakramp/gateway/plain.py",
-        "request.send_by = self._reactor.seconds() + CLAIM_SEND_TIME",
-        "pass",
-        "test_faults.ReplicaFaults.test_keyed_call_that_waited_leaves_no_more",
+        "gateway/oakramp/gateway/idempotency_claim.py",
+        "        self._held, self.send_by = arguments, send_by",
+        "        self._held = arguments",
+        "test_relay_calls.OperationKeys.test_a_call_is_not_sent_under_a_claim_that_may_have_been_forgotten",
+    ),
+    CodeMutation(
+        "a waiting request holds no claim",
+        "gateway/oakramp/gateway/proxy_forwarder.py",
+        "        while True:\n            try:\n                check_client_connected(proxied_request.exchange)\n",
+        "        if proxied_request.claim is not None:\n            await proxied_request.claim.acquire()\n"
+        "            proxied_request.claim.request_waits = lambda: defer.succeed(None)\n"
+        "        while True:\n            try:\n                check_client_connected(proxied_request.exchange)\n",
+        "test_relay_calls.OperationKeys.test_a_request_that_waits_for_a_replica_holds_no_claim",
+    ),
+    CodeMutation(
+        "a rejected call that waits again gives its claim up",
+        "gateway/oakramp/gateway/idempotency_claim.py",
+        "            self.release()\n            return defer.succeed(None)",
+        "            return defer.succeed(None)",
+        "test_relay_calls.OperationKeys.test_a_rejected_call_that_waits_again_gives_its_claim_up",
+    ),
+    CodeMutation(
+        "a claim whose caller left is freed",
+        "gateway/oakramp/gateway/idempotency_claim.py",
+        '            self._send_until_done("free", arguments)  # the call may still arrive\n',
+        "",
+        "test_relay_calls.OperationKeys.test_a_client_that_leaves_during_the_claim_frees_its_key",
+    ),
+    CodeMutation(
+        "a lost outcome ends the claim",
+        "gateway/oakramp/gateway/proxy_idempotency.py",
+        "            else:\n                claim.finish(None)\n            raise\n        except BaseException",
+        "            raise\n        except BaseException",
+        "test_relay_calls.OperationKeys.test_a_call_whose_outcome_is_lost_is_not_reported_as_at_work",
     ),
     CodeMutation(
         "a promise needs the replica's word",
@@ -307,9 +337,9 @@
     ),
     CodeMutation(
         "a claim overtaken is told to come again",
-        "gateway/oakramp/gateway/proxy_idempotency.py",
-        "            if error.code != RequestRejectedError.code:\n                raise\n",
-        "            raise\n",
+        "gateway/oakramp/gateway/idempotency_claim.py",
+        "        if isinstance(outcome, RequestRejectedError) and outcome.code == RequestRejectedError.code:",
+        "        if False:",
         "test_relay_calls.OperationKeys.test_a_claim_overtaken_by_a_later_released_claim_is_answered_503",
     ),
     CodeMutation(
@@ -392,8 +422,8 @@
     CodeMutation(
         "a key that may have run stays claimed",
         "gateway/oakramp/gateway/proxy_idempotency.py",
-        "            if error.verdict is Verdict.NO:\n                await self._finish_claim",
-        "            if True:\n                await self._finish_claim",
+        "            if error.verdict is Verdict.NO:\n                await claim.confirmed",
+        "            if True:\n                await claim.confirmed",
         "test_relay_calls.NotRunGuarantees.test_an_operation_key_stays_claimed_after_a_rejection_without_a_not_run_header",
     ),
     CodeMutation(
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -18,6 +18,7 @@
     "ended": ("ProgramEndedError", 410, "no"),
     "conflict": ("ConflictError", 409, "no"),
     "inProgress": ("InProgressError", 409, "maybe"),
+    "outcomeLost": ("OutcomeLostError", 502, "maybe"),
     "lost": ("VersionConflictError", 409, "no"),
     "invalid": ("ValidationFailedError", 422, "no"),
     "rebound": ("PlanChangedError", 503, "no"),
