--- a/packages/control/oakramp/control/command_context.py
+++ b/packages/control/oakramp/control/command_context.py
@@ -56,6 +56,11 @@
         """Restarts the count of the key's age."""
         self.local_state[key] = self.now
 
+    def knows_members(self) -> bool:
+        """Whether this node has been in contact with a quorum for long enough that members which it has not heard are
+        known to have been silent."""
+        return self._contact is None or self._contact.knows_members()
+
     def refusal(self, error: OakrampError) -> OakrampError:
         """The error to raise when a command is refused because members have been silent.
 
@@ -63,7 +68,7 @@
             the error itself once this node has been in contact with a quorum for long enough that the members are known
             to have been silent; until then QuorumUnavailableError, since the node itself may have lacked contact.
         """
-        if self._contact is None or self._contact.knows_members():
+        if self.knows_members():
             return error
         return QuorumUnavailableError(
             f"in contact with a quorum for too short a time to decide: {error.reason}", retry_after=CONTACT_RETRY_AFTER
--- a/packages/control/oakramp/control/idempotency.py
+++ b/packages/control/oakramp/control/idempotency.py
@@ -4,8 +4,9 @@
 nothing, and its key is free for a repeat if the gateway ends.
 
 Invariants of claim/P/K (partner P, idempotency key K): one claim holds the key at a time; a claim is given up only by
-its own gateway, which never sent the request, whatever the other members believe of that gateway; in state `done` the
-response is kept if it is known and small enough; `back` tells cancelled admissions from later ones
+its own gateway, which never sent the request, whatever the other members believe of that gateway; a claim that comes
+late or twice, after its gateway has given it up or has ended, does not take the key; in state `done` the response is
+kept if it is known and small enough; `back` tells cancelled admissions from later ones
 (oakramp/control/reservation_numbers.py); an entry is deleted only when this leader has counted the time of
 `_retention_s` since its last change or since it became the shard's leader, whichever is later.
 
@@ -73,6 +74,8 @@
         return {"state": "claimed"}
     if (outcome := _outcome(transaction.context, key, claim, arguments["print"])) is not None:
         return outcome
+    if _has_ended(transaction.context, arguments["gate"]):
+        raise RequestRejectedError("the gateway that asked for this claim has been silent since")
     _put_claim(
         transaction,
         key,
@@ -85,6 +88,11 @@
     return {"state": "claimed"}
 
 
+def _has_ended(context, gateway):
+    """Whether this gateway has not been heard for so long that nobody waits for the answer to its message."""
+    return context.knows_members() and context.members.condition(gateway) == SILENT
+
+
 def _is_held_by(claim, arguments):
     return claim is not None and claim["state"] == "claimed" and claim["admission"] == arguments["admission"]
 
--- a/packages/gateway/oakramp/gateway/idempotency_claim.py
+++ b/packages/gateway/oakramp/gateway/idempotency_claim.py
@@ -10,7 +10,9 @@
 
 from oakramp.common.constants import CLAIM_SEND_TIME
 from oakramp.common.errors import (
+    ConflictError,
     DeadlineExceededError,
+    InProgressError,
     OakrampError,
     OutcomeLostError,
     OutcomeUnknownError,
@@ -22,6 +24,9 @@
 if TYPE_CHECKING:
     from oakramp.gateway.base import GateBase
 
+# After these answers the claim is not held, but a late or second copy of it could still take the key.
+CANCELLED_AFTER = (OutcomeUnknownError, InProgressError, OutcomeLostError, ConflictError)
+
 Response = dict[str, Any]  # a stored response, as the gateway that received it wrote it
 
 
@@ -97,8 +102,9 @@
         except defer.CancelledError:
             self._send_until_done("free", arguments)  # the call may still arrive
             raise
+        if isinstance(outcome, CANCELLED_AFTER):
+            self._send_until_done("free", arguments)  # a copy of the claim may arrive once the key is free
         if isinstance(outcome, OutcomeUnknownError):
-            self._send_until_done("free", arguments)
             raise QuorumUnavailableError(f"the owner of the claim did not respond: {outcome.reason}")
         if isinstance(outcome, RequestRejectedError) and outcome.code == RequestRejectedError.code:
             # A later claim of the same key was processed first and released again: nothing ran, and the client may
--- a/packages/testbed/oakramp/testbed/code_mutations.py
+++ b/packages/testbed/oakramp/testbed/code_mutations.py
@@ -227,6 +227,20 @@
         "            return defer.succeed(None)",
         "test_relay_calls.OperationKeys.test_a_rejected_call_that_waits_again_gives_its_claim_up",
     ),
+    CodeMutation(
+        "a refused claim is cancelled",
+        "gateway/oakramp/gateway/idempotency_claim.py",
+        "        if isinstance(outcome, CANCELLED_AFTER):",
+        "        if isinstance(outcome, OutcomeUnknownError):",
+        "test_relay_calls.OperationKeys.test_a_second_copy_of_a_refused_claim_does_not_take_the_key",
+    ),
+    CodeMutation(
+        "a late claim of an ended gateway is rejected",
+        "control/oakramp/control/idempotency.py",
+        '    if _has_ended(transaction.context, arguments["gate"]):',
+        "    if False:",
+        "test_claims.ClaimRetention.test_late_claim_of_a_gateway_that_has_ended_does_not_take_the_key",
+    ),
     CodeMutation(
         "a claim whose caller left is freed",
         "gateway/oakramp/gateway/idempotency_claim.py",
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -91,6 +91,14 @@
         self.assertEqual(rows[1], rows[3])
         self.assertEqual(unpack_entry(rows[0]), unpack_entry(rows[2]) | {"gate": "g"})
 
+    def test_late_claim_of_a_gateway_that_has_ended_does_not_take_the_key(self):
+        """Nobody would free the key, which no replica got."""
+        runner = ClaimRunner()
+        late = runner.admission("g")
+        runner.members.gone.add("g")
+        self.assertEqual(runner.claim(late), "refused")
+        self.assertEqual(runner.claim(runner.admission("h")), {"state": "claimed"})
+
     def test_repeated_claim_and_finish_of_the_holder_change_nothing(self):
         runner = ClaimRunner()
         first = runner.admission()
