--- a/packages/control/oakramp/control/budget.py
+++ b/packages/control/oakramp/control/budget.py
@@ -147,6 +147,30 @@
     transaction.put(key, program)
 
 
+def _is_running(transaction, row):
+    """Whether the gateway of an open reservation may still be at work on its turn, as far as this leader knows."""
+    return row is not None and transaction.context.members.condition(row["gate"]) != SILENT
+
+
+LOOK_UP = {"turn": TURN, "print": str, "repeatable": bool}
+
+
+def _look_up(transaction, key, arguments):
+    """Reads what is known of a turn, without admitting it; `free` if it may be asked to be admitted."""
+    check_fields(LOOK_UP, arguments)
+    program, turn = _running(transaction, key), arguments["turn"]
+    row, record = program["open"].get(turn), transaction.get(_turn_record_key(key, turn))
+    known = row or (record if record and record["state"] != "never" else None)
+    if known is None:
+        return {"state": "free"}
+    if known["print"] != arguments["print"]:
+        raise ConflictError("this turn id is in use for another request")
+    if _is_running(transaction, row):
+        raise InProgressError("this turn is running", retry_after=1)
+    state = "vanished" if row else record["state"]
+    return {"state": "free" if arguments["repeatable"] and state in ("broken", "vanished") else state}
+
+
 def _admit(transaction, key, arguments):
     check_fields(
         {
@@ -169,7 +193,7 @@
         return {"state": "admitted", "reserve": row["reserve"]}
     if row and row["print"] != arguments["print"]:
         raise ConflictError("this turn id is in use for another request")
-    if row and transaction.context.members.condition(row["gate"]) != SILENT:
+    if _is_running(transaction, row):
         raise InProgressError("this turn is running", retry_after=1)
     if row:
         _expire_reservation(transaction, key, program, turn)
@@ -288,7 +312,15 @@
 
 CONTROLLERS.enter("budget")(
     Controller(
-        {"open": _open, "read": _read, "end": _end, "admit": _admit, "settle": _settle, "sweep": _cleanup},
+        {
+            "open": _open,
+            "read": _read,
+            "end": _end,
+            "admit": _admit,
+            "lookUp": _look_up,
+            "settle": _settle,
+            "sweep": _cleanup,
+        },
         cleanup="sweep",
         growing=("open", "admit"),
     )
--- a/packages/gateway/oakramp/gateway/forwarding.py
+++ b/packages/gateway/oakramp/gateway/forwarding.py
@@ -17,6 +17,7 @@
 from oakramp.common.tasks import begin, within
 from oakramp.gateway.idempotency_claim import ClaimRefusedError
 from oakramp.gateway.load_balancer import PlacementRequest, prefix_of
+from oakramp.gateway.turn_admission import AdmissionRefusedError
 
 
 class Forwarder:
@@ -38,7 +39,7 @@
             placed_at = self._node.reactor.seconds()
             try:
                 return await send(replica, lambda: self._check_before_send(request, replica))
-            except ClaimRefusedError:
+            except (ClaimRefusedError, AdmissionRefusedError):
                 raise  # not the replica's fault
             except OakrampError as error:
                 if error.verdict is Verdict.NO:
@@ -119,8 +120,8 @@
             refusals.append(failure.value)
             placing.cancel()
 
-        if request.claim is not None and not placing.called:
-            request.claim.request_waits().addErrback(refuse)
+        if request.permit is not None and not placing.called:
+            request.permit.request_waits().addErrback(refuse)
         try:
             return await placing
         except defer.CancelledError:
--- a/packages/gateway/oakramp/gateway/plain.py
+++ b/packages/gateway/oakramp/gateway/plain.py
@@ -63,7 +63,7 @@
         if key is None:
             return {"answer": await next_step(request)}
         self._gate.check_settling()
-        request.claim = claim = IdempotencyClaim(
+        request.permit = claim = IdempotencyClaim(
             self._gate,
             f"claim/{request.partner}/{key}",
             fingerprint_of([request.binding_name, request.body["body"]]),
@@ -102,7 +102,7 @@
             payload,
             request.ends_at - self._reactor.seconds(),
             last_check=last_check,
-            before_send=request.claim.acquire if request.claim is not None else None,
+            before_send=request.permit.acquire if request.permit is not None else None,
         )
         try:
             response = json.loads(data)
--- a/packages/gateway/oakramp/gateway/request.py
+++ b/packages/gateway/oakramp/gateway/request.py
@@ -7,14 +7,14 @@
 from oakramp.common.constants import RUN_SHARE, TIME_LEFT_DEFAULT
 from oakramp.common.errors import DeadlineExceededError, PlanChangedError
 from oakramp.common.validation import pack_json
-from oakramp.gateway.idempotency_claim import IdempotencyClaim
+from oakramp.gateway.send_permit import SendPermit
 
 
 @dataclass
 class Request:
     """A request and its deadlines.
 
-    It may wait to be sent until `wait_until` (the binding's limit, and that of the claim that it holds), and may run
+    It may wait to be sent until `wait_until` (the binding's limit, and that of the permit that it holds), and may run
     until `ends_at` (the client's limit). Invariants: `wait_until` <= `ends_at`; all that a
     plan decides is read from `binding` when it is needed; `admitted_under` holds the terms of the binding under which
     the budget's shard leader admitted the turn, None before; `admission` is new for each time that a gateway asks for
@@ -32,7 +32,7 @@
     binding: dict = None
     admitted_under: tuple = None
     ends_at: float = 0.0
-    claim: IdempotencyClaim | None = None  # of its idempotency key, if it has one
+    permit: SendPermit | None = None  # what it must hold when it is sent: its key's claim, or its turn's reservation
     may_have_run: bool = False
     fields: dict = field(default_factory=dict)
 
@@ -52,7 +52,7 @@
     @property
     def wait_until(self):
         total_s = self.ends_at - self.received_at
-        send_by = math.inf if self.claim is None else self.claim.send_by
+        send_by = math.inf if self.permit is None else self.permit.send_by
         return min(self.received_at + min(total_s * (1 - RUN_SHARE), self.binding["maxWaitSeconds"]), send_by)
 
     def remaining(self, now):
--- a/packages/gateway/oakramp/gateway/turns.py
+++ b/packages/gateway/oakramp/gateway/turns.py
@@ -1,7 +1,6 @@
-"""The filter chain of a turn: bind, admit, read the history, then place and forward, store and settle."""
+"""The filter chain of a turn: bind, read the history, place and connect, reserve, forward, store and settle."""
 
 from schema import And, Optional, Or
-from twisted.internet.defer import ensureDeferred
 
 from oakramp.common.constants import (
     CALL_TIME,
@@ -13,23 +12,22 @@
     UNITS_LIMIT,
 )
 from oakramp.common.errors import (
-    BudgetExhaustedError,
     ConflictError,
     DeadlineExceededError,
     IncompleteResponseError,
     OakrampError,
-    OutcomeUnknownError,
     OverloadedError,
     PlanChangedError,
     TurnExpiredError,
     Verdict,
 )
 from oakramp.common.http_client import BodyLines
-from oakramp.common.tasks import settled, shielded, within
+from oakramp.common.tasks import shielded, within
 from oakramp.common.validation import NAME, check_fields, seconds, whole
 from oakramp.gateway.forwarding import error_from_rejection
-from oakramp.gateway.request import Request, admission_terms, chain, fingerprint_of
+from oakramp.gateway.request import Request, chain, fingerprint_of
 from oakramp.gateway.stream import CallerStream, RunReader
+from oakramp.gateway.turn_admission import DID_RUN, INTERRUPTED, NEVER_RAN, AdmissionRefusedError, TurnAdmission
 
 TURN = {
     "turnId": NAME,
@@ -48,7 +46,7 @@
         self._gate, self._node, self._reactor = gate, gate.node, gate.node.reactor
         self._bindings, self._leaders, self._conversations = gate.bindings, gate.leaders, gate.conversations
         self._load_balancer, self._forwarder = gate.load_balancer, gate.forwarder
-        self._run = chain([self._bind, self._admit, self._read_history, self._retain], self._forward)
+        self._run = chain([self._bind, self._read_history, self._admit, self._retain], self._forward)
 
     # --- programs ---
 
@@ -128,76 +126,38 @@
         if not self._load_balancer.has_queue_space(request.partner, request.binding["pool"]):
             raise OverloadedError("too many requests are waiting for a replica", retry_after=1)
         self._gate.check_settling()
-        reserve = request.binding["maxOutput"]
-        request.fields["reserve"] = min(reserve, request.body["maxOutput"] or reserve)
         await next_step(request)
 
     async def _admit(self, request, next_step):
-        """Reserves budget for the turn's maximum output; the reservation is settled whatever happens afterwards."""
-        fields = request.fields
-        # The line is read concurrently: it does not depend on the admission, and the turn needs both to proceed.
-        fields["recalling"] = ensureDeferred(
-            settled([self._conversations.get(fields["lineKey"], request.remaining(self._reactor.seconds()))])
-        )
-        admit_call = self._leaders.call(
-            fields["budgetKey"],
-            "admit",
-            request.admission
-            | {
-                "turn": fields["turnKey"],
-                "print": fields["print"],
-                "reserve": fields["reserve"],
-                "repeatable": bool(request.binding.get("repeatable")),
-            },
-            request.remaining(self._reactor.seconds()),
-        )
-        try:
-            state = (await admit_call)["state"]
-        except OutcomeUnknownError as error:
-            # The budget may be reserved, but the turn will not be forwarded, so it never runs.
-            self._settle_later(request, "never", 0)
-            raise DeadlineExceededError(f"the budget's owner did not answer: {error.reason}", retry_after=1) from error
-        if state == "refused":
-            raise BudgetExhaustedError("the program has used up its budget")
-        if state != "admitted":
-            await self._replay_stored(request, state)
-            return
-        request.admitted_under = admission_terms(request.binding)
+        """Prepares the reservation of budget for the turn's maximum output, which is made just before the turn is sent;
+        it is settled whatever happens afterwards."""
+        request.permit = admission = TurnAdmission(self._gate, request)
         try:
             await next_step(request)
+        except AdmissionRefusedError as refusal:
+            if refusal.error is not None:
+                raise refusal.error from None
+            await self._replay_stored(request, refusal.state)
         except PlanChangedError:
-            settling = self._settle_later(request, "never", 0)
+            settling = admission.settle(NEVER_RAN, 0)
             if await within(self._reactor, request.remaining(self._reactor.seconds()), shielded(settling)) is None:
                 raise DeadlineExceededError("the budget's owner did not answer", retry_after=1) from None
             raise
         except BaseException as error:
             # The output of an interrupted run, perhaps unseen, is unknown: the whole reservation counts as spent.
             did_not_run = not request.may_have_run or (isinstance(error, OakrampError) and error.verdict is Verdict.NO)
-            self._settle_later(request, *(("never", 0) if did_not_run else ("broken", fields["reserve"])))
+            admission.settle(*((NEVER_RAN, 0) if did_not_run else (INTERRUPTED, request.fields["reserve"])))
             raise
 
-    def _settle(self, request, outcome, units):
-        fields = request.fields
-        return self._leaders.call_until_done(
-            fields["budgetKey"],
-            "settle",
-            request.admission
-            | {"turn": fields["turnKey"], "print": fields["print"], "units": units, "outcome": outcome},
-        )
-
-    def _settle_later(self, request, outcome, units):
-        return self._gate.background(self._settle(request, outcome, units))
-
     async def _read_history(self, request, next_step):
         fields, body = request.fields, request.body
-        [(is_loaded, line)] = await fields["recalling"]
-        if not is_loaded:
-            raise line
+        line = await self._conversations.get(fields["lineKey"], request.remaining(self._reactor.seconds()))
+        if body["turnId"] in line.turns:
+            self._replay(request, line.turns[body["turnId"]])
+            return
         if line.is_full:
             # Refused before the run: afterwards the only answer left is that the turn ran and was not stored.
             raise OverloadedError("the stores are full until old lines are removed", retry_after=FULL_RETRY_AFTER)
-        if body["turnId"] in line.turns:
-            raise ConflictError("the line already has a turn with this id")
         fields["line"] = line
         fields["path"] = line.path_to(body["after"])
         fields["start"] = (fields["path"][0] if fields["path"] else body)["input"]
@@ -216,7 +176,7 @@
             "print": fields["print"],
         }
         # The output is known now, whether the turn gets stored or not, so settling need not wait for the stores.
-        settling = self._settle_later(request, "done", reader.units)
+        settling = request.permit.settle(DID_RUN, reader.units)
         try:
             await self._conversations.keep(fields["lineKey"], fields["line"], body["turnId"], turn, SETTLE_TIME)
         except OakrampError as error:
@@ -237,7 +197,6 @@
                 {"input": turn["input"], "output": "".join(text for text, _ in turn["pieces"])}
                 for turn in fields["path"]
             ],
-            "maxOutput": fields["reserve"],
         }
         # Never a second run under one reservation: two runs might produce twice the reserved output.
         await self._forwarder.forward(
@@ -247,7 +206,8 @@
     async def _stream(self, request, payload, replica, last_check):
         fields = request.fields
         # Read only now: while the request waited, a newer blueprint may have replaced the binding.
-        payload = payload | request.forwarded_fields()
+        fields["reserve"] = _reserve_under(request)
+        payload = payload | request.forwarded_fields() | {"maxOutput": fields["reserve"]}
         # Each attempt is a run with its own id, so that pieces of two runs are never mixed.
         fields["run"] = run = self._gate.mint_id()
         fields["stream"].set_run(run)
@@ -259,6 +219,7 @@
             payload | {"run": run},
             request.ends_at - self._reactor.seconds(),
             last_check,
+            before_send=request.permit.acquire,
         )
         lines = BodyLines(REPLICA_EVENT_LIMIT)
         response.deliverBody(lines)
@@ -288,10 +249,21 @@
             raise IncompleteResponseError(
                 "this turn ran before and was interrupted", Verdict.MAYBE if state == "vanished" else Verdict.YES
             )
-        if turn["print"] != fields["print"]:
+        self._replay(request, turn)
+
+    @staticmethod
+    def _replay(request, turn):
+        """Answers with a turn that is stored."""
+        if turn["print"] != request.fields["print"]:
             raise ConflictError("this turn id was used for another request")
-        stream = fields["stream"]
+        stream = request.fields["stream"]
         stream.set_run(turn["run"])
         for text, units in turn["pieces"]:
             stream.write_piece(text, units)
         stream.end(turn=request.body["turnId"], units=sum(units for _, units in turn["pieces"]), kept=True)
+
+
+def _reserve_under(request):
+    """The most units that the turn may put out under its present binding."""
+    most = request.binding["maxOutput"]
+    return min(most, request.body["maxOutput"] or most)
--- a/packages/testbed/oakramp/testbed/code_mutations.py
+++ b/packages/testbed/oakramp/testbed/code_mutations.py
@@ -818,8 +818,8 @@
     CodeMutation(
         "one reservation a turn",
         "control/oakramp/control/budget.py",
-        'if row and transaction.context.members.condition(row["gate"]) != SILENT:',
-        "if False:",
+        '    return row is not None and transaction.context.members.condition(row["gate"]) != SILENT',
+        "    return False",
         "test_faults.GateFaults.test_killed_in_mid_stream",
     ),
     CodeMutation(
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -102,6 +102,47 @@
         self.assertEqual(self.budget()["spent"], 64, "all that was reserved counts as spent")
         self.assertTrue(self.turn(gateway=self.gate("gate1")).ended())
 
+    def test_turn_that_waited_in_a_killed_gateway_runs_when_sent_again(self):
+        """
+        caller          gate0                 gate1            replicas     budget's owner
+        t ----------->  waits                                  busy         nothing reserved for t
+                        killed
+        t again --------------------------->  carry -------->  runs         reserved
+        """
+        fleet = self.bring_up(capacity=1, piece_time=0.4)
+        self.open(limit=10000)
+        fillers = [
+            self.begin("dalatech", "p1", f"f{index}", None, "xxx", gateway=self.gate("gate1")) for index in range(2)
+        ]
+        fleet.run(0.5)
+        body = {"turnId": "t", "binding": "chat", "after": None, "input": "abc", "timeLeft": 30}
+        asked = ClientRequest("turn", "dalatech", "chat", False, body, "p1", "l1")
+        fleet.view.requests.append(asked)
+        spawn(fleet.client._send_turn(asked, self.gate("gate0")), fleet.lab_log)
+        fleet.run(0.3)
+        self.assertEqual(self.budget()["open"], 2)
+        fleet["gate0"].kill()
+        again = fleet.until(fleet.client._send_turn(asked, self.gate("gate1")), 60)
+        self.assertEqual((again.outcome, len(self.runs_of(asked))), ("end", 1))
+        ended = [one for _, one in fleet.until(settled(fillers), 60)]
+        fleet.run(1.0)
+        units = sum(one.ended().events[-1]["units"] for one in ended) + again.events[-1]["units"]
+        self.assertEqual((self.budget()["spent"], self.budget()["open"]), (units, 0))
+
+    def test_repeat_of_a_running_turn_is_told_so_though_no_replica_has_room(self):
+        fleet = self.bring_up(capacity=1, piece_time=0.4)
+        self.open(limit=10000)
+        body = {"turnId": "t", "binding": "chat", "after": None, "input": "abc", "timeLeft": 30}
+        asked = ClientRequest("turn", "dalatech", "chat", False, body, "p1", "l1")
+        fleet.view.requests.append(asked)
+        first = spawn(fleet.client._send_turn(asked, self.gate("gate0")), fleet.lab_log)
+        filler = self.begin("dalatech", "p1", "f", None, "xxx")
+        fleet.run(0.5)
+        again = fleet.until(fleet.client._send_turn(asked, self.gate("gate1")))
+        self.assertEqual((again.error, first.called), ("inProgress", False))
+        fleet.until(settled([first, filler]), 60)
+        self.assertEqual(len(self.runs_of(asked)), 1)
+
     def test_frozen_wakes_after_plan_change(self):
         """
         operator          gate0                      gate1
