--- a/packages/control/oakramp/control/idempotency.py
+++ b/packages/control/oakramp/control/idempotency.py
@@ -89,8 +89,9 @@
 
 
 def _has_ended(context, gateway):
-    """Whether this gateway has not been heard for so long that nobody waits for the answer to its message."""
-    return context.knows_members() and context.members.condition(gateway) == SILENT
+    """Whether this gateway was heard, and has been silent for so long that nobody waits for an answer."""
+    members = context.members
+    return context.knows_members() and members.find(gateway) is not None and members.condition(gateway) == SILENT
 
 
 def _is_held_by(claim, arguments):
--- a/packages/gateway/oakramp/gateway/idempotency_claim.py
+++ b/packages/gateway/oakramp/gateway/idempotency_claim.py
@@ -27,6 +27,8 @@
 # After these answers the claim is not held, but a late or second copy of it could still take the key.
 CANCELLED_AFTER = (OutcomeUnknownError, InProgressError, OutcomeLostError, ConflictError)
 
+LOOK_UP_TIME = 0.2  # s; the most that a rejection waits for the look-up whether its request is a repeat
+
 Response = dict[str, Any]  # a stored response, as the gateway that received it wrote it
 
 
@@ -127,11 +129,15 @@
             return defer.succeed(None)
         return begin(self._look_up())
 
-    async def _look_up(self) -> None:
+    async def check_not_a_repeat(self) -> None:
+        """Raises ClaimRefusedError if the key is known to be taken. To be called before a request is rejected that was
+        not sent: a repeat receives its response although no replica could be reached."""
+        await self._look_up(LOOK_UP_TIME)
+
+    async def _look_up(self, time_limit: float = math.inf) -> None:
         try:
-            _raise_if_done(
-                await self._leaders.call(self._key, "lookUp", {"print": self._fingerprint}, self._time_left())
-            )
+            time_left = min(time_limit, self._time_left())
+            _raise_if_done(await self._leaders.call(self._key, "lookUp", {"print": self._fingerprint}, time_left))
         except ClaimRefusedError:
             raise
         except (OutcomeUnknownError, QuorumUnavailableError, DeadlineExceededError):
--- a/packages/gateway/oakramp/gateway/plain.py
+++ b/packages/gateway/oakramp/gateway/plain.py
@@ -70,19 +70,28 @@
             lambda: request.remaining(self._reactor.seconds()),
         )
         try:
-            answer = await next_step(request)
+            answer = await self._run_claimed(request, claim, next_step)
         except ClaimRefusedError as refusal:
             if refusal.error is not None:
                 raise refusal.error from None
             return {"answer": refusal.stored_response, "kept": True}
+        claim.finish(answer if len(pack_json(answer)) <= CLAIM_RESPONSE_LIMIT else None)
+        return {"answer": answer}
+
+    @staticmethod
+    async def _run_claimed(request, claim, next_step):
+        try:
+            return await next_step(request)
+        except ClaimRefusedError:
+            raise
         except OakrampError as error:
             if error.verdict is Verdict.NO:
                 claim.release()
+                if not request.call.is_gone:
+                    await claim.check_not_a_repeat()
             else:
                 claim.finish(None)
             raise
-        claim.finish(answer if len(pack_json(answer)) <= CLAIM_RESPONSE_LIMIT else None)
-        return {"answer": answer}
 
     async def _forward(self, request):
         payload = {"run": request.admission["admission"], "key": request.body["key"], "body": request.body["body"]}
--- a/packages/gateway/oakramp/gateway/proxy_idempotency.py
+++ b/packages/gateway/oakramp/gateway/proxy_idempotency.py
@@ -25,16 +25,10 @@
         self._gate.check_settling()
         proxied_request.claim = claim = self._claim_of(proxied_request)
         try:
-            status, headers, body = await self._forwarder.forward(proxied_request, self._responses.read_whole)
+            status, headers, body = await self._forward(proxied_request, claim)
         except ClaimRefusedError as refusal:
             self._respond_without_a_run(proxied_request, refusal)
             return
-        except OakrampError as error:
-            if error.verdict is Verdict.NO:
-                await claim.confirmed(claim.release(), self._confirm_time(proxied_request))
-            else:
-                claim.finish(None)
-            raise
         except BaseException:
             if proxied_request.may_have_run:
                 claim.finish(None)
@@ -45,6 +39,20 @@
         await claim.confirmed(finished, self._confirm_time(proxied_request))
         proxied_request.exchange.reply(status, headers, body)
 
+    async def _forward(self, proxied_request, claim):
+        try:
+            return await self._forwarder.forward(proxied_request, self._responses.read_whole)
+        except ClaimRefusedError:
+            raise
+        except OakrampError as error:
+            if error.verdict is Verdict.NO:
+                await claim.confirmed(claim.release(), self._confirm_time(proxied_request))
+                if not proxied_request.exchange.is_gone:
+                    await claim.check_not_a_repeat()
+            else:
+                claim.finish(None)
+            raise
+
     def _claim_of(self, proxied_request):
         exchange, host = proxied_request.exchange, proxied_request.route.host
         return IdempotencyClaim(
--- a/packages/testbed/oakramp/testbed/code_mutations.py
+++ b/packages/testbed/oakramp/testbed/code_mutations.py
@@ -227,6 +227,13 @@
         "            return defer.succeed(None)",
         "test_relay_calls.OperationKeys.test_a_rejected_call_that_waits_again_gives_its_claim_up",
     ),
+    CodeMutation(
+        "a repeat needs no replica",
+        "gateway/oakramp/gateway/proxy_idempotency.py",
+        "                    await claim.check_not_a_repeat()\n",
+        "                    pass\n",
+        "test_relay_calls.OperationKeys.test_a_repeat_receives_the_stored_response_though_no_replica_can_be_reached",
+    ),
     CodeMutation(
         "a refused claim is cancelled",
         "gateway/oakramp/gateway/idempotency_claim.py",
@@ -251,8 +258,8 @@
     CodeMutation(
         "a lost outcome ends the claim",
         "gateway/oakramp/gateway/proxy_idempotency.py",
-        "            else:\n                claim.finish(None)\n            raise\n        except BaseException",
-        "            raise\n        except BaseException",
+        "            else:\n                claim.finish(None)\n            raise\n",
+        "            else:\n                claim._held = None\n            raise\n",
         "test_relay_calls.OperationKeys.test_a_call_whose_outcome_is_lost_is_not_reported_as_at_work",
     ),
     CodeMutation(
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -304,6 +304,15 @@
         self.assertEqual((self.response(first).status, self.response(after).status), (200, 200))
         self.assertEqual((self.response(after).header("Postmark"), self.gate.dialled()), ("st.1", 1))
 
+    def test_a_repeat_receives_the_stored_response_though_no_replica_can_be_reached(self):
+        first = self.gate.ask(request("tracked", "t1", Operation_Key="k"))
+        self.gate.replica().feed(answer(Connection="close"))
+        repeat = self.gate.ask(request("tracked", "t2", Operation_Key="k"))
+        for _ in range(3):
+            self.gate.reactor.dialled[-1].fail(ConnectionRefusedError())
+        self.assertEqual((self.response(first).status, self.response(repeat).status), (200, 200))
+        self.assertEqual((self.response(repeat).header("Postmark"), self.gate.dialled()), ("st.1", 4))
+
     def test_a_rejected_call_that_waits_again_gives_its_claim_up(self):
         """
         gateway g                       owner           gateway h
