--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -41,3 +41,23 @@
         self.assertEqual(known_red.verdict(lines, 1, red)[0], 1)
         self.assertEqual(known_red.verdict(["Ran 5 tests in 1.000s", "OK"], 0, red)[0], 1)
         self.assertEqual(known_red.verdict(lines, 1, dict(list(red.items())[:3]))[0], 0)
+
+    def test_marked_lines_are_passed_over_and_do_not_count(self):
+        red = known_red.known(
+            "".join(f"test_a.A.test_{number} [crowd]: cause; issue 60\n" for number in range(9))
+            + "".join(f"test_b.B.test_{number}: cause; issue 1\n" for number in range(3))
+        )
+        lines = ["FAIL: test_8 (test_a.A.test_8)", *ENDED]
+        self.assertEqual(known_red.verdict(lines, 1, red)[0], 0)
+        self.assertEqual(known_red.verdict(["FAIL: test_9 (test_a.A.test_9)", *ENDED], 1, red)[0], 1)
+        more = red | known_red.known("test_c.C.test_mark: the mark [crowd] stands in the text; issue 1\n")
+        self.assertEqual(known_red.verdict(lines, 1, more)[0], 1)
+
+    def test_crowds_are_a_suite_of_their_own(self):
+        others, crowds = known_red.SUITES
+        self.assertEqual(others, ("nose2",))
+        self.assertIn("tests/crowds", crowds)
+
+
+if __name__ == "__main__":
+    unittest.main()
