--- a/packages/common/oakramp/common/constants.py
+++ b/packages/common/oakramp/common/constants.py
@@ -24,6 +24,38 @@
 CALL_TIME = 2.0  # s; a control or store call that takes longer is tried elsewhere
 ACCEPT_LIMIT = 512  # connections; a few times the largest fleet that was tested
 
+HELLO_LIMIT = 4 << 10  # bytes; of the frame with a peer's hello, which holds four short names
+NON_MEMBER_FRAME_LIMIT = 16 << 10  # bytes; of a frame from a node without a cluster, which may only pull
+
+# --- memory of clients' bytes ------------------------------------------------
+MEMORY_DEFAULT_MB = 256  # MB; of a process whose settings name none
+DESCRIPTORS_DEFAULT = 4096  # descriptors; of a process whose settings name none
+FILE_DESCRIPTORS = 200  # descriptors; that are not for sockets, or half of all if there are few
+ACCOUNT_SHARES = {"gate": 0.3, "control": 0.2, "store": 0.1}  # share of the memory; of the account, by kind of node:
+# a control node and a store hold their log's table and records besides
+CLIENT_SHARE = 0.5  # share of the account; that one client address may hold
+PINNED_SHARE = 0.75  # share; of the account, and of a client's part of it, that large requests may pin
+SMALL_REQUEST = 64 << 10  # bytes; a request up to this size finds room beside large ones
+PIECE_OVERHEAD = 1.125  # times; what a body takes that grows piece by piece
+FIELD_COST = 160  # bytes; of a parsed header field beside its text
+HEAD_SHARE = 1 / 64  # share of the account; the most that one header block may take, as its parsed fields take many
+# times as much
+STANDS_STILL_AFTER = 1.0  # s; a connection on which nothing has moved for this long gives way first
+MEASURE_PAUSE = 0.05  # s; between two rounds in which all connections are measured
+MEMORY_LOG_PAUSE = 1.0  # s; between two log lines about the account
+CONNECTION_COST = 16 << 10  # bytes; of an open connection: its objects, and what has arrived and is not read yet
+CONNECTION_MEMORY_SHARE = 0.25  # share of the memory; that connections may take at each port
+CLIENT_DESCRIPTOR_SHARE = 0.5  # share of the descriptors for sockets; for connections of clients
+PEER_DESCRIPTOR_SHARE = 0.125  # share of the descriptors for sockets; for connections of other nodes
+JSON_DESCRIPTOR_SHARE = 0.1  # share of the descriptors for sockets; for connections at each JSON interface
+JSON_CONNECTIONS_LIMIT = 256  # connections; at each JSON interface, if the settings allow as many
+JSON_REQUEST_TIME = 60.0  # s; for a whole JSON request, however its pieces come
+JSON_OBJECT_COST = 232  # bytes; of a parsed JSON object beside its fields
+JSON_ARRAY_COST = 88  # bytes; of a parsed JSON array beside its values
+JSON_VALUE_COST = 32  # bytes; of a further value
+JSON_STRING_COST = 56  # bytes; of a string beside its text
+LOG_PAUSE = 1.0  # s; between two log lines of a kind that strangers can cause as often as they like
+
 # --- ring of files -----------------------------------------------------------
 RING_FILES = 8  # files; enough that reclaiming one frees space before the head reaches it
 RING_FILE_SIZE = 16 << 20  # bytes; a small disk holds a ring of 128 MiB, of which a quarter may be live
@@ -335,8 +367,8 @@
 CHUNK_LINE_LIMIT = 1024  # bytes; a chunk's size line with its extensions, limited as in Twisted
 TRAILER_LIMIT = 16 << 10  # bytes; trailers are read and dropped
 READ_AHEAD_LIMIT = 16 << 10  # bytes; of a client's next requests, read while one is being answered
-BODIES_LIMIT = 64 << 20  # bytes; of all clients' partly read bodies together, so that slow senders cannot fill memory
-CLIENTS_LIMIT = 2048  # connections; of clients at a time, half of what a process of a few thousand descriptors holds
+CLIENTS_LIMIT = 2048  # connections; of clients at a time, if the settings allow as many
+BODY_TIME = 300.0  # s; for a whole body, however its pieces come: far longer than any route's deadline
 LINGER_TIME = 2.0  # s; a client that still sends after its response is read for this long, so that a reset does not
 # overtake the response
 PEER_SILENCE = 5.0  # s; bytes unacknowledged for this long mean that the peer's machine or the path to it is gone
--- a/packages/common/oakramp/common/tcp_options.py
+++ b/packages/common/oakramp/common/tcp_options.py
@@ -36,6 +36,13 @@
             pass  # the connection works without the option; reads and writes still detect a peer that is gone
 
 
+def unsent_bytes(transport: Any) -> int:
+    """How many bytes that were written to a transport the kernel has not taken yet; 0 for a simulated one."""
+    if not isinstance(transport, tcp.Connection):
+        return 0
+    return len(transport.dataBuffer) - transport.offset + transport._tempDataLen
+
+
 def limit_unacknowledged(transport: Any, seconds: float) -> None:
     """Makes the kernel drop the connection, with all unsent data, once nothing is acknowledged for this many seconds.
 
--- a/packages/gateway/oakramp/gateway/proxied_request.py
+++ b/packages/gateway/oakramp/gateway/proxied_request.py
@@ -40,7 +40,9 @@
     has_event_ids: bool = True  # whether every relayed event with data has an id
     output: list = field(default_factory=list)
     output_size: int = 0
+    output_room: int = 0  # bytes of output that room was taken for
     response_head: tuple = None
+    response_held: int = 0  # bytes of the response that room was taken for, while it is gathered
     head_sent: bool = False
     stages: dict = field(default_factory=dict)  # name -> when the request first reached it (monotonic seconds)
     replica_id: str | None = None  # the replica that it was placed on last
--- a/packages/gateway/oakramp/gateway/proxy_node.py
+++ b/packages/gateway/oakramp/gateway/proxy_node.py
@@ -72,7 +72,15 @@
         )
         self._limits = (0, Limits())
         self.front = Listener(
-            reactor, env["relay"], self.relay.handle, self.limits, self.node.log, PROXY_IN_FLIGHT, self._reject
+            reactor,
+            env["relay"],
+            self.relay.handle,
+            self.limits,
+            self.node.log,
+            PROXY_IN_FLIGHT,
+            self._reject,
+            memory_account=self.node.memory_account,
+            clients_limit=self.node.limits.client_connections,
         )
         self.web = HttpServer(reactor, env["http"], self.node.log, ACCEPT_QUEUE_LIMIT)
         self.ready_web = HttpServer(reactor, env["ready"], self.node.log, ACCEPT_QUEUE_LIMIT)
@@ -87,6 +95,8 @@
             ("routing_age_seconds", lambda: round(min(self.router.age(), FORGET_AGE), 3)),
         ):
             self.metrics.gauge(name, read_value)
+        self.metrics.gauge("client_connections", lambda: len(self.front.clients))
+        self.node.memory_account.show(self.metrics)
         turn_client.calls.show(self.metrics)
 
     def _cache_tokens_of(self, service):
@@ -96,8 +106,21 @@
         """The limits of the routing version in force."""
         if self._limits[0] != self.router.version:
             self._limits = (self.router.version, Limits(**self.router.limits))
+            self._report_lowered_limits(self._limits[1])
         return self._limits[1]
 
+    def _report_lowered_limits(self, limits):
+        """Logs that the routing lets clients send more than this process has memory for; it answers 503 to that."""
+        account = self.node.memory_account
+        if limits.body_bytes > account.largest_body or limits.header_bytes > account.largest_head:
+            self.node.log.warning(
+                "limits_above_memory",
+                body_bytes=limits.body_bytes,
+                largest_body=account.largest_body,
+                header_bytes=limits.header_bytes,
+                largest_head=account.largest_head,
+            )
+
     def _reject(self, exchange):
         error = OverloadedError("the gateway has reached its limit of concurrent requests", retry_after=RETRY_AFTER_MIN)
         request = self._dialect.parse_request(exchange.method, exchange.target, exchange.headers)
--- a/packages/gateway/oakramp/gateway/proxy_responses.py
+++ b/packages/gateway/oakramp/gateway/proxy_responses.py
@@ -1,7 +1,7 @@
 """Relays replicas' responses to clients: small ones are buffered whole, larger ones are passed on as they arrive."""
 
 from oakramp.common.constants import RESPONSE_HELD_LIMIT
-from oakramp.common.errors import IncompleteResponseError, OutcomeUnknownError, Verdict
+from oakramp.common.errors import IncompleteResponseError, OutcomeUnknownError, TooLargeError, Verdict
 from oakramp.common.tasks import within
 from oakramp.gateway.proxied_request import ClientDisconnectedError, remaining_run_time
 
@@ -22,6 +22,8 @@
     async def read_buffered(self, proxied_request, response, instance):
         """Reads up to RESPONSE_HELD_LIMIT bytes, so that a small response is complete before any of it is relayed.
 
+        Reads fewer if this process has no memory left for them.
+
         A small response that is cut off has not been relayed at all, so its request may be retried. Returns the status,
         the headers, the parts read and the response with the rest of the body, or None in its place at the end."""
         parts, size = [], 0
@@ -36,22 +38,41 @@
                 return response.status, self._dialect.response_headers(response.headers), parts, None
             parts.append(part)
             size += len(part)
+            if not self._take_room(proxied_request, part):
+                break
         return response.status, self._dialect.response_headers(response.headers), parts, response
 
     async def read_whole(self, proxied_request, response, instance):
         """Returns the status, the headers and the whole body."""
         status, headers, parts, rest = await self.read_buffered(proxied_request, response, instance)
         if rest is not None:
-            parts.append(
-                await within(
-                    self._reactor,
-                    remaining_run_time(self._reactor, proxied_request),
-                    rest.read(self._body_limit()),
-                    OutcomeUnknownError("the replica's response did not end before the deadline"),
-                )
+            parts += await within(
+                self._reactor,
+                remaining_run_time(self._reactor, proxied_request),
+                self._read_rest(proxied_request, rest, self._body_limit()),
+                OutcomeUnknownError("the replica's response did not end before the deadline"),
             )
         return status, headers, b"".join(parts)
 
+    async def _read_rest(self, proxied_request, response, limit):
+        """The parts of the rest of a response, of at most `limit` bytes."""
+        parts, size = [], 0
+        while (part := await response.next()) is not None:
+            size += len(part)
+            if size > limit or not self._take_room(proxied_request, part):
+                response.abort()
+                raise TooLargeError(f"the response is over {limit} bytes, or than there is memory for", Verdict.MAYBE)
+            parts.append(part)
+        return parts
+
+    @staticmethod
+    def _take_room(proxied_request, part):
+        """Takes room for a part that is kept; False if there is none."""
+        if not proxied_request.exchange.reserve(len(part)):
+            return False
+        proxied_request.response_held += len(part)
+        return True
+
     async def relay(self, proxied_request, response, instance):
         """Relays the response; one that is longer than RESPONSE_HELD_LIMIT is streamed."""
         status, headers, parts, rest = await self.read_buffered(proxied_request, response, instance)
@@ -70,6 +91,9 @@
         try:
             for part in parts:
                 exchange.write(part)
+            parts.clear()
+            exchange.give_back(proxied_request.response_held)
+            proxied_request.response_held = 0
             while (part := await self.next_part(proxied_request, response)) is not None:
                 exchange.write(part)
                 if exchange.is_full:
--- a/packages/gateway/oakramp/gateway/proxy_streams.py
+++ b/packages/gateway/oakramp/gateway/proxy_streams.py
@@ -4,7 +4,7 @@
 
 from twisted.internet import defer
 
-from oakramp.common.constants import FULL_RETRY_AFTER, QUEUE_WAIT_SHARE, TURN_OUTPUT_LIMIT
+from oakramp.common.constants import FULL_RETRY_AFTER, QUEUE_WAIT_SHARE, RETRY_AFTER_MIN, TURN_OUTPUT_LIMIT
 from oakramp.common.errors import (
     BudgetExhaustedError,
     IncompleteResponseError,
@@ -18,6 +18,8 @@
 from oakramp.gateway.settler import SpendReporter
 from oakramp.store.turns import Record
 
+OUTPUT_ROOM_STEP = 4 << 10  # bytes; taken at a time for the output of a turn
+
 
 class StreamHandler:
     """Handles requests on routes whose responses are event streams."""
@@ -101,8 +103,7 @@
             if not is_success:
                 raise turn_history
             proxied_request.record_stage(HISTORY_READ, self._reactor.seconds())
-            history = b"".join(part for record in turn_history.chain for part in (record.input, record.output))
-            proxied_request.body = history + proxied_request.body
+            proxied_request.body = self._with_history(proxied_request, turn_history)
         if not await self._forwarder.forward(proxied_request, self._relay_events):
             return
         proxied_request.record_stage(LAST_EVENT, self._reactor.seconds())
@@ -126,6 +127,14 @@
                 raise IncompleteResponseError(f"the turn ran, but may not have been stored: {error.reason}") from error
         proxied_request.exchange.finish()
 
+    @staticmethod
+    def _with_history(proxied_request, turn_history):
+        """The body for the replica: all turns so far and the new input. Raises OverloadedError without memory for it."""
+        parts = [part for record in turn_history.chain for part in (record.input, record.output)]
+        if not proxied_request.exchange.reserve(sum(map(len, parts)) + len(proxied_request.body)):
+            raise OverloadedError("no memory for the history of the turn", retry_after=RETRY_AFTER_MIN)
+        return b"".join([*parts, proxied_request.body])
+
     async def _relay_events(self, proxied_request, response, instance):
         """Relays complete events as they arrive; finishing the response is left to the code that calls `forward`.
 
@@ -195,7 +204,7 @@
                 proxied_request.has_event_ids = False
             if proxied_request.route.retained and data is not None:
                 proxied_request.output_size += len(data) + 1
-                if proxied_request.output_size > TURN_OUTPUT_LIMIT:
+                if proxied_request.output_size > TURN_OUTPUT_LIMIT or not _has_output_room(proxied_request):
                     raise IncompleteResponseError("the output of the turn exceeds the size that can be stored")
                 proxied_request.output += (data, b"\n")
         if not chunks:
@@ -205,6 +214,15 @@
         proxied_request.exchange.write(b"".join(chunks))
 
 
+def _has_output_room(proxied_request):
+    """Takes room for the output that is kept, OUTPUT_ROOM_STEP bytes at a time; False if there is none."""
+    while proxied_request.output_room < proxied_request.output_size:
+        if not proxied_request.exchange.reserve(OUTPUT_ROOM_STEP):
+            return False
+        proxied_request.output_room += OUTPUT_ROOM_STEP
+    return True
+
+
 def _is_after(event_id, last_event_id):
     try:
         return int(event_id) > int(last_event_id)
--- a/packages/gossip/oakramp/gossip/node.py
+++ b/packages/gossip/oakramp/gossip/node.py
@@ -6,6 +6,8 @@
 import time
 
 from oakramp.common.constants import CLOCK_JUMP, CLOCK_POLL, SEED_AGE, WIRE_VERSION
+from oakramp.common.memory_account import MemoryAccount
+from oakramp.common.process_limits import limits_of
 from oakramp.common.structured_logging import EventLogger
 from oakramp.common.tasks import Repeater
 from oakramp.gossip.gossip_client import GossipClient
@@ -45,6 +47,8 @@
         self.identity = Identity(env["machine"], random, disk, env.get("clusterId"), founding)
         self.node_id = self.identity.node_id
         self.log = EventLogger(sink, node=env["machine"], kind=kind)
+        self.limits = limits_of(kind, env)
+        self.memory_account = MemoryAccount(reactor, self.limits.account_bytes, self.log)
         self.net = RpcEndpoint(reactor, self.node_id, kind, env["peer"], self.identity.cluster_id, self.log)
         self.members = Members(reactor, self.node_id)
         self.state_table = StateTable(reactor)
--- a/packages/http_proxy/oakramp/http_proxy/connection.py
+++ b/packages/http_proxy/oakramp/http_proxy/connection.py
@@ -13,7 +13,8 @@
 from oakramp.common.tcp_options import set_peer_options
 from oakramp.http_proxy.framing import ChunkedDecoder, MalformedMessageError, body_length, parse_fields
 from oakramp.http_proxy.response import COMPLETE, Response
-from oakramp.http_proxy.sockets import has_unsent, send_now
+from oakramp.http_proxy.sliced_sender import SEND_SLICE, SlicedSender
+from oakramp.http_proxy.sockets import has_unsent, is_kernel_socket, send_now
 
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r\n")
 _TIMEOUT = re.compile(rb"timeout[ \t]*=[ \t]*([0-9]{1,9})")
@@ -35,6 +36,7 @@
         self._buffer, self._left = b"", 0
         self._method = self._expect = None
         self._used = self._persists = False
+        self._body_sender = None
 
     @property
     def is_idle(self):
@@ -96,11 +98,13 @@
         if response is not None:
             response.end(after)
 
-    def ask(self, method, data, expect):
+    def ask(self, method, head, body, expect):
         """Writes the request. Fires with the head of the response."""
-        if not self.is_open or not send_now(self.transport, data):
+        is_sliced = is_kernel_socket(self.transport) and len(body) > SEND_SLICE
+        if not self.is_open or not send_now(self.transport, head if is_sliced else head + body):
             self.drop()
             raise UnreachableError(f"{self.address} had closed the connection")
+        self._body_sender = SlicedSender(self.transport, body) if is_sliced else None
         self._method, self._expect = method, expect
         self._head_waiting = defer.Deferred(self._give_up)
         return self._head_waiting
@@ -203,12 +207,16 @@
             return
         response.wake()
 
+    def _has_unsent(self):
+        """Whether the replica has answered before all of its request was sent."""
+        return has_unsent(self.transport) or (self._body_sender is not None and not self._body_sender.is_done)
+
     def _complete(self, rest):
         response, self._response, self._decoder = self._response, None, None
         if rest:
             self._leave()
             self.transport.abortConnection()  # bytes that belong to no request
-        elif not self._persists or self.is_retired or self._keep_alive_s <= 0 or has_unsent(self.transport):
+        elif not self._persists or self.is_retired or self._keep_alive_s <= 0 or self._has_unsent():
             self.close()
         else:
             self.usable_until = self._pool.reactor.seconds() + self._keep_alive_s
--- a/packages/http_proxy/oakramp/http_proxy/downstream.py
+++ b/packages/http_proxy/oakramp/http_proxy/downstream.py
@@ -4,13 +4,13 @@
 
 from twisted.internet import defer, protocol
 
-from oakramp.common.constants import LINGER_TIME, READ_AHEAD_LIMIT, TRAILER_LIMIT
-from oakramp.common.tcp_options import set_peer_options
+from oakramp.common.constants import BODY_TIME, FIELD_COST, LINGER_TIME, READ_AHEAD_LIMIT
+from oakramp.common.tcp_options import set_peer_options, unsent_bytes
+from oakramp.http_proxy.body_reader import BodyReader
 from oakramp.http_proxy.exchange import Exchange
 from oakramp.http_proxy.framing import (
     BARE_LINE_FEED,
     TOKEN,
-    ChunkedDecoder,
     MalformedMessageError,
     body_length,
     parse_fields,
@@ -27,15 +27,20 @@
     """One client's connection. Invariants: `exchange` is the request being answered, `_reading` the one whose body is
     being read; at most one of them is set. Once `_closing` is set, nothing more is read as a request.
 
+    Memory: `_holding` has room for `_buffer` and for what the client has not taken of its answers (`_unsent`), and
+    `_reading.holding` for a request that is being read; once it is read whole, that room is pinned until its handler
+    has ended, even if the client is gone by then.
+
     One timer serves all waits: `_due` is when the current one is over, and a timer that fires earlier is restarted."""
 
-    def __init__(self, front):
+    def __init__(self, front, address):
         self.front = front
+        self._holding = front.memory_account.holding(self, address)
+        self._unsent = 0
         self.exchange = self._reading = None
         self.full = False
         self._buffer, self._scanned = b"", 0
-        self._parts = self._decoder = None
-        self._left = self._size = 0
+        self._body = None
         self._limits = None
         self._due = self._timer = None
         self._arrived_at = 0.0  # when the newest bytes arrived: a pipelined request has waited since then
@@ -55,6 +60,7 @@
         self._closing = True
         self.front.clients.pop(self, None)
         self._drop_body()
+        self._holding.release()
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -70,8 +76,11 @@
 
     def resumeProducing(self):
         self.full = False
+        self.measure_memory()
         if self.exchange is not None:
             self._due = None
+        elif not self._closing and self._reading is None:
+            self._read_on()
         self._wake_writers()
 
     def stopProducing(self):
@@ -88,6 +97,68 @@
             if not waiting.called:
                 waiting.callback(None)
 
+    # --- memory ---
+
+    def send(self, data):
+        """Sends bytes of a response. A client that does not take them, while others need the room, is cut off."""
+        send_now(self.transport, data)
+        unsent = unsent_bytes(self.transport)
+        if unsent != self._unsent:
+            self._unsent = unsent
+            if not self._keep_room():
+                self.transport.abortConnection()
+
+    def _keep_room(self):
+        """Takes or gives back room for what the connection keeps beside a request. Returns whether there is room."""
+        return self._holding.resize(len(self._buffer) + self._unsent)
+
+    def measure_memory(self):
+        """Gives back the room of bytes that the client has taken meanwhile."""
+        unsent = unsent_bytes(self.transport)
+        if unsent < self._unsent:
+            self._holding.moved_at = self.front.reactor.seconds()
+            self._unsent = unsent
+            self._keep_room()
+
+    def _keep_buffer(self):
+        """Takes room for what has arrived but is not read as a request; refuses or drops it if there is none. Returns
+        whether it was kept."""
+        if self._holding.held == len(self._buffer) + self._unsent or self._keep_room():
+            return True
+        if self.exchange is not None or self.full:
+            self._drop_read_ahead()
+        elif not self._closing:
+            self._refuse(503)
+        return False
+
+    def _drop_read_ahead(self):
+        """Reads nothing after the current request, so that its client sends the next ones elsewhere."""
+        self._buffer, self._last = b"", True
+        self._keep_room()
+
+    def give_way(self):
+        """Refuses the request that is being read, drops what was read ahead, or closes the connection of a client that
+        does not read its answer."""
+        if self.is_reading and not self.full:
+            self._refuse(503)
+        elif self._buffer:
+            self._drop_read_ahead()
+        else:
+            self.transport.abortConnection()
+            self._holding.release()
+
+    def cut(self):
+        """Closes the connection at once, in favour of a new one."""
+        self._closing = True
+        self._drop_body()
+        self._holding.release()
+        self.transport.abortConnection()
+
+    @property
+    def is_reading(self):
+        """Whether this is in the middle of reading a request."""
+        return self.exchange is None and not self._closing and (self._reading is not None or bool(self._buffer))
+
     # --- time ---
 
     def _wait(self, due):
@@ -110,7 +181,7 @@
             self._wait(self._due)
             return
         self._due = None
-        if self._closing or self.exchange is not None:
+        if self._closing or self.exchange is not None or self.full:
             self.transport.abortConnection()  # the client does not read its response
             return
         read_now(self.transport)  # data that came while this process was busy or frozen was in time
@@ -133,9 +204,11 @@
                 self._advance()
             return
         self._buffer = self._buffer + data if self._buffer else data
-        if self.exchange is None:
+        if self.exchange is None and not self.full:
             self._advance()
-        elif len(self._buffer) > READ_AHEAD_LIMIT and not self._paused:
+            return
+        is_kept = self._keep_buffer()
+        if not self._paused and (not is_kept or len(self._buffer) > READ_AHEAD_LIMIT):
             self._paused = True
             self.transport.pauseProducing()
 
@@ -144,21 +217,25 @@
             return
         self._advancing = True
         try:
-            while self._buffer and self.exchange is None and self._reading is None and not self._closing:
+            while (
+                self._buffer and self.exchange is None and self._reading is None and not self._closing and not self.full
+            ):
                 if not self._read_head():
                     break
         except MalformedMessageError as fault:
-            self.front.log.info("request_malformed", reason=str(fault))
+            self.front.note_malformed(str(fault))
             self._refuse(400)
         finally:
             self._advancing = False
+        self._keep_buffer()
 
     def _read_head(self):
         """Reads a head from the buffer. Returns whether it was complete."""
         if self._limits is None:
             self._limits = self.front.limits()
             self._head_due = self.front.reactor.seconds() + self._limits.header_s
-        buffer, limit = self._buffer, self._limits.header_bytes
+        buffer = self._buffer
+        limit = min(self._limits.header_bytes, self.front.memory_account.largest_head)
         if buffer.startswith(b"\r\n"):  # empty lines before a request are allowed
             self._buffer = buffer = buffer[_EMPTY_LINES.match(buffer).end() :]
             self._scanned = 0
@@ -171,7 +248,7 @@
                 raise MalformedMessageError("a line that ends without a carriage return")
             self._scanned = len(buffer)
             if end >= 0 or len(buffer) >= limit:
-                self._refuse(431)
+                self._refuse(431 if limit == self._limits.header_bytes else 503)
                 return False
             self._wait(self._head_due)
             return False
@@ -183,13 +260,24 @@
         line = _REQUEST_LINE.match(head)
         if line is None:
             raise MalformedMessageError("the request line")
+        holding = self._holding.another()
+        if not holding.resize(len(head) + FIELD_COST * head.count(b"\n")):
+            self._refuse(503)
+            return
+        try:
+            self._take_request(line, head, holding)
+        finally:
+            if self._reading is None and (self.exchange is None or self.exchange.holding is not holding):
+                holding.release()
+
+    def _take_request(self, line, head, holding):
         fields, hop_by_hop = parse_fields(head[line.end() :])
         length = body_length(hop_by_hop)
         hosts = [value for name, value in fields if name.lower() == b"host"]
         host = _HOST.fullmatch(hosts[0]) if len(hosts) == 1 else None
         if host is None:
             raise MalformedMessageError("not exactly one valid Host")
-        exchange = Exchange(self, line[1].decode("ascii"), line[2], host[1].decode("latin-1").lower(), fields)
+        exchange = Exchange(self, line[1].decode("ascii"), line[2], host[1].decode("latin-1").lower(), fields, holding)
         self._last = b"close" in hop_by_hop.get(b"connection", ())
         if length is not None and length > self._limits.body_bytes:
             self._refuse(413)
@@ -197,55 +285,68 @@
         if length is not None and length <= 0:
             self._begin(exchange)
             return
-        if self.front.body_bytes > self.front.bodies_limit:
+        if length is not None and length > self.front.memory_account.largest_body:
             self._refuse(503)
             return
         if length is not None and len(self._buffer) >= length:
+            if not holding.grow(length):
+                self._refuse(503)
+                return
             exchange.body, self._buffer = self._buffer[:length], self._buffer[length:]
             self._begin(exchange)
             return
-        self._reading, self._parts, self._size = exchange, [], 0
-        self._left, self._decoder = length, ChunkedDecoder(TRAILER_LIMIT) if length is None else None
+        self._reading, self._body, self._head_cost = exchange, BodyReader(length), holding.held
+        self._body_due = self.front.reactor.seconds() + BODY_TIME
         data, self._buffer = self._buffer, b""
         if not data and b"100-continue" in [value.lower() for value in hop_by_hop.get(b"expect", ())]:
             send_now(self.transport, b"HTTP/1.1 100 Continue\r\n\r\n")
         self._take_body(data)
 
     def _take_body(self, data):
-        self._wait(self.front.reactor.seconds() + self._limits.idle_s)
-        if self._decoder is None:
-            pieces = [data[: self._left]]
-            self._left -= len(pieces[0])
-            done, rest = not self._left, data[len(pieces[0]) :]
-        else:
-            try:
-                pieces = self._decoder.feed(data)
-            except MalformedMessageError as fault:
-                self.front.log.info("request_malformed", reason=str(fault))
-                self._refuse(400)
-                return
-            done, rest = self._decoder.done, self._decoder.rest
-        size = sum(map(len, pieces))
-        self._size += size
-        self.front.body_bytes += size
-        self._parts += pieces
-        if self._size > self._limits.body_bytes:
+        self._wait(min(self.front.reactor.seconds() + self._limits.idle_s, self._body_due))
+        body, holding = self._body, self._reading.holding
+        if not holding.resize(self._head_cost + body.cost_with(len(data))):
+            self._refuse(503)
+            return
+        try:
+            body.feed(data)
+        except MalformedMessageError as fault:
+            self.front.note_malformed(str(fault))
+            self._refuse(400)
+            return
+        if body.size > self._limits.body_bytes:
             self._refuse(413)
             return
-        if done:
-            exchange = self._reading
-            exchange.body, self._buffer = b"".join(self._parts), rest
-            self._drop_body()
-            self._begin(exchange)
+        if not body.done:
+            holding.resize(self._head_cost + body.cost_with(len(body.rest)))
+            return
+        if not holding.resize(self._head_cost + body.cost_of_end()):
+            self._refuse(503)
+            return
+        self._end_body()
+
+    def _end_body(self):
+        """Hands on the request that was read whole."""
+        exchange, body = self._reading, self._body
+        self._buffer = body.rest
+        exchange.body = body.take()
+        exchange.holding.resize(self._head_cost + len(exchange.body))
+        self._reading = self._body = None
+        self._begin(exchange)
 
     def _drop_body(self):
-        self.front.body_bytes -= self._size
-        self._reading = self._parts = self._decoder = None
-        self._size = 0
+        """Gives up the request that is being read."""
+        reading, self._reading, self._body = self._reading, None, None
+        if reading is not None:
+            reading.holding.release()
 
     # --- answering ---
 
     def _begin(self, exchange):
+        if not exchange.holding.pin():
+            exchange.holding.release()
+            self._refuse(503)
+            return
         self._due = None
         self.exchange = exchange
         exchange.received_at = self._arrived_at
@@ -263,13 +364,20 @@
         if self._last:
             self._close(linger=bool(self._buffer) or self._paused)
             return
+        if not self.full:
+            self._read_on()
+        else:
+            self.front.touch(self)
+
+    def _read_on(self):
+        """Turns to the next request, which may have arrived already."""
         if self._buffer:
             self._limits = None
             self._advance()
         else:
             self.front.touch(self)
             self._wait_idle()
-        if self._paused and self.exchange is None and not self._closing:
+        if self._paused and self.exchange is None and not self._closing and not self.full:
             self._paused = False
             self.transport.resumeProducing()
 
@@ -296,6 +404,7 @@
         with unread bytes would reset the connection, and the client could lose the response."""
         self._closing = True
         self._buffer = b""
+        self._keep_room()
         self.transport.unregisterProducer()
         self._wait(self.front.reactor.seconds() + LINGER_TIME)
         if linger:
--- a/packages/http_proxy/oakramp/http_proxy/exchange.py
+++ b/packages/http_proxy/oakramp/http_proxy/exchange.py
@@ -4,14 +4,13 @@
 
 from oakramp.http_proxy.framing import HOP_BY_HOP, join_head, status_line
 from oakramp.http_proxy.headers import WithHeaders
-from oakramp.http_proxy.sockets import send_now
 
 _BODILESS = frozenset((204, 304))
 
 
 class Exchange(WithHeaders):
     """One complete request, and its response. Invariant: a response looks complete only after `finish`; data written
-    after the client has disconnected is dropped."""
+    after the client has disconnected is dropped. `holding` has room for the request until its handler has ended."""
 
     __slots__ = (
         "method",
@@ -20,6 +19,7 @@
         "host",
         "body",
         "received_at",
+        "holding",
         "is_gone",
         "begun",
         "finished",
@@ -32,9 +32,9 @@
         "_flushing",
     )
 
-    def __init__(self, client, method, target, host, headers):
+    def __init__(self, client, method, target, host, headers, holding):
         super().__init__(headers)
-        self._client = client
+        self._client, self.holding = client, holding
         self.method, self.target, self.host = method, target, host
         self.path = target.partition(b"?")[0].decode("ascii")
         self.body, self.received_at = b"", None
@@ -56,6 +56,15 @@
         """Whether more data is waiting for the client than the buffer of its connection takes."""
         return self._client.full and not self.is_gone
 
+    def reserve(self, size):
+        """Takes room in the process's memory for `size` more bytes that are kept for this request; False if there is
+        none. It is given back at the end, or before by `give_back`."""
+        return self.holding.grow_pinned(size)
+
+    def give_back(self, size):
+        """Gives back room that `reserve` has taken."""
+        self.holding.resize(self.holding.held - size)
+
     def start(self, status, headers, length):
         """Starts the response; with `length` None the body is chunked. The head is sent together with the first bytes
         of the body if they are written in the same reactor turn."""
@@ -125,7 +134,7 @@
             if self._flushing.active():
                 self._flushing.cancel()
         if data:
-            send_now(self._client.transport, data)
+            self._client.send(data)
 
     def _flush(self):
         if self._head is not None and not self.is_gone:
--- a/packages/http_proxy/oakramp/http_proxy/listener.py
+++ b/packages/http_proxy/oakramp/http_proxy/listener.py
@@ -8,7 +8,10 @@
 
 from twisted.internet import defer, protocol
 
-from oakramp.common.constants import BODIES_LIMIT, CLIENTS_LIMIT, QUIET_TIME
+from oakramp.common.constants import CLIENTS_LIMIT, LOG_PAUSE, QUIET_TIME
+from oakramp.common.log_rate_limit import LogRateLimit
+from oakramp.common.memory_account import MemoryAccount
+from oakramp.common.process_limits import limits_of
 from oakramp.common.settings import split_address
 from oakramp.common.tasks import sleep
 from oakramp.http_proxy.downstream import DownstreamConnection
@@ -20,17 +23,18 @@
     def __init__(self, front):
         self._front = front
 
-    def buildProtocol(self, _address):
-        return DownstreamConnection(self._front)
+    def buildProtocol(self, address):
+        return DownstreamConnection(self._front, getattr(address, "host", ""))
 
 
 class Listener:
     """The listening side of a gateway. Invariants: `clients` holds every open connection, of the idle ones those that
-    have been idle longest first; `body_bytes` counts the bodies being read and those of requests in progress.
+    have been idle longest first; what they keep of their clients' bytes is in `memory_account`.
 
     `handler(exchange)` is a coroutine function that responds; `limits()` returns the current header_bytes, body_bytes,
     header_s and idle_s; above `bound` requests at a time `refuse(exchange)` responds instead, and
-    `on_crash(exchange, error)` if the handler failed before it started a response."""
+    `on_crash(exchange, error)` if the handler failed before it started a response. Without a `memory_account` it has
+    one of its own, of the default size."""
 
     def __init__(
         self,
@@ -42,39 +46,53 @@
         bound,
         refuse=None,
         on_crash=None,
-        bodies_limit=BODIES_LIMIT,
+        memory_account=None,
         clients_limit=CLIENTS_LIMIT,
     ):
         self.reactor, self.address, self.handler, self.limits, self.log = reactor, address, handler, limits, log
-        self.bound, self.bodies_limit, self.clients_limit = bound, bodies_limit, clients_limit
+        self.bound, self.clients_limit = bound, clients_limit
+        self.memory_account = memory_account or MemoryAccount(reactor, limits_of("gate", {}).account_bytes, log)
         self._refuse = refuse or (lambda exchange: exchange.reply(503, [(b"Retry-After", b"1")], b""))
         self._on_crash = on_crash or (lambda exchange, error: exchange.reply(500, [], b""))
         self.clients = {}
         self.refused = {}
         self.running = 0
-        self.body_bytes = 0
         self.stopping = False
         self._port = None
+        self._malformed_log, self._connections_log = LogRateLimit(reactor, LOG_PAUSE), LogRateLimit(reactor, LOG_PAUSE)
 
     def listen(self):
         host, port = split_address(self.address)
         self._port = self.reactor.listenTCP(port, _ConnectionFactory(self), backlog=1024, interface=host)
 
     def admit(self, client):
-        """Adds a connection. Above the limit the one that has been idle longest is closed, or else the new one."""
+        """Adds a connection. Above the limit the one that has been idle longest is closed, or else the one that has
+        been without a whole request longest, or else the new one."""
         self.clients[client] = None
-        if len(self.clients) > self.clients_limit:
-            self.log.info("connection_limit_reached", connections=len(self.clients))
-            idle_longest = next(one for one in self.clients if one.is_idle)  # the new connection is idle too
-            if idle_longest is client:
-                client.transport.abortConnection()
-                return
+        if len(self.clients) <= self.clients_limit:
+            return
+        left_out = self._connections_log.take()
+        if left_out is not None:
+            self.log.info("connection_limit_reached", connections=len(self.clients), left_out=left_out)
+        idle_longest = next((one for one in self.clients if one.is_idle and one is not client), None)
+        if idle_longest is not None:
             idle_longest.close_idle()
+            return
+        unanswered = next((one for one in self.clients if one.exchange is None and one is not client), client)
+        del self.clients[unanswered]
+        unanswered.cut()
+
+    def note_malformed(self, reason):
+        """Logs that a client sent what is no request."""
+        left_out = self._malformed_log.take()
+        if left_out is not None:
+            self.log.info("request_malformed", reason=reason, left_out=left_out)
 
     def touch(self, client):
         """Keeps connections in the order in which they became idle."""
-        del self.clients[client]
-        self.clients[client] = None
+        if client in self.clients:
+            del self.clients[client]
+            self.clients[client] = None
 
     def begin(self, exchange):
         if self.running >= self.bound:
@@ -82,9 +100,9 @@
                 self._refuse(exchange)
             except Exception as error:
                 self._crashed(exchange, error)
+            exchange.holding.release()
             return
         self.running += 1
-        self.body_bytes += len(exchange.body)
         defer.ensureDeferred(self._run(exchange))
 
     async def _run(self, exchange):
@@ -96,7 +114,7 @@
             self._crashed(exchange, error)
         finally:
             self.running -= 1
-            self.body_bytes -= len(exchange.body)
+            exchange.holding.release()
 
     def _crashed(self, exchange, error):
         self.log.error("exchange_crashed", path=exchange.path, error=repr(error))
--- a/packages/http_proxy/oakramp/http_proxy/sockets.py
+++ b/packages/http_proxy/oakramp/http_proxy/sockets.py
@@ -10,6 +10,11 @@
 from twisted.internet import tcp
 
 
+def is_kernel_socket(transport):
+    """Whether the transport is a TCP connection of the kernel, not a simulated one."""
+    return isinstance(transport, tcp.Connection)
+
+
 def is_quiet(transport):
     """Whether nothing is waiting to be read, not even the end of the stream, as far as the kernel knows."""
     if not isinstance(transport, tcp.Connection):
--- a/packages/http_proxy/oakramp/http_proxy/upstream.py
+++ b/packages/http_proxy/oakramp/http_proxy/upstream.py
@@ -50,21 +50,21 @@
         ends_at = self.reactor.seconds() + time_left
         if before_send is not None:
             await self._prepare(address, instance_id, ends_at, max_connections, before_send)
-        data = _request_bytes(address, method, target, headers(), body)
+        head = _request_head(address, method, target, headers(), len(body))
         while True:
             connection, is_reused = await self._take_or_connect(address, instance_id, ends_at, max_connections)
             try:
                 if ends_at <= self.reactor.seconds():
                     raise DeadlineExceededError("no time left for the request")
                 if not is_reused:
-                    data = _request_bytes(address, method, target, headers(), body)  # connecting has taken time
+                    head = _request_head(address, method, target, headers(), len(body))  # connecting has taken time
                 if last_check is not None:
                     last_check()
             except Exception:
                 self.keep(connection)
                 raise
             try:
-                waiting = connection.ask(method, data, expect)
+                waiting = connection.ask(method, head, body, expect)
             except UnreachableError:
                 if is_reused:
                     continue
@@ -189,15 +189,15 @@
                 del table[key]
 
 
-def _request_bytes(address, method, target, headers, body):
+def _request_head(address, method, target, headers, body_length):
     fields = [field for field in headers if field[0].lower() not in HOP_BY_HOP]
     if not any(field[0].lower() == b"host" for field in fields):
         fields.append((b"Host", address.encode("ascii")))
     verb = method.encode("latin-1", "replace")
     if not _METHOD.fullmatch(verb) or not _TARGET.fullmatch(target):
         raise BadRequestError("the method or target cannot be sent")
-    length = b"Content-Length: %d\r\n" % len(body) if body or method in ("POST", "PUT", "PATCH") else b""
+    length = b"Content-Length: %d\r\n" % body_length if body_length or method in ("POST", "PUT", "PATCH") else b""
     try:
-        return join_head(b"%b %b HTTP/1.1\r\n" % (verb, target), fields, length) + body
+        return join_head(b"%b %b HTTP/1.1\r\n" % (verb, target), fields, length)
     except MalformedMessageError as fault:
         raise BadRequestError(str(fault)) from fault
--- a/packages/testbed/oakramp/testbed/code_mutations.py
+++ b/packages/testbed/oakramp/testbed/code_mutations.py
@@ -315,17 +315,17 @@
         "a long answer to a key ends with the time",
         "gateway/oakramp/gateway/proxy_responses.py",
         (
-            "                    remaining_run_time(self._reactor, proxied_request),\n                    "
-            "rest.read(self._body_limit()),"
+            "                remaining_run_time(self._reactor, proxied_request),\n                "
+            "self._read_rest(proxied_request, rest, self._body_limit()),"
         ),
-        "                    1e9,\n                    rest.read(self._body_limit()),",
+        "                1e9,\n                self._read_rest(proxied_request, rest, self._body_limit()),",
         "test_relay_calls.Deadlines.test_a_stalled_long_response_to_a_keyed_call_ends_at_the_deadline",
     ),
     CodeMutation(
         "a replica is handed the time left at the first byte",
         "http_proxy/oakramp/http_proxy/upstream.py",
-        "                if not is_reused:\n                    data",
-        "                if False:\n                    data",
+        "                if not is_reused:\n                    head",
+        "                if False:\n                    head",
         "test_relay_calls.Deadlines.test_a_replica_receives_the_time_left_when_the_request_is_sent",
     ),
     CodeMutation(
@@ -366,7 +366,7 @@
     CodeMutation(
         "a half-sent request's connection is not used again",
         "http_proxy/oakramp/http_proxy/connection.py",
-        " or has_unsent(self.transport):",
+        " or self._has_unsent():",
         ":",
         "test_relay_upstream.Sockets.test_a_replica_that_answered_early_gets_the_rest_of_that_body_and_nothing_else",
     ),
--- /dev/null
+++ b/tests/test_memory_account.py
@@ -0,0 +1,183 @@
+"""The memory account: who finds room, who gives way, and what follows from a process's settings."""
+
+import unittest
+from types import SimpleNamespace
+
+from hypothesis import given, settings, strategies
+from twisted.internet import task
+
+from oakramp.common.constants import ACCOUNT_SHARES, CLIENTS_LIMIT, SMALL_REQUEST, STANDS_STILL_AFTER
+from oakramp.common.errors import OverloadedError, Verdict
+from oakramp.common.memory_account import MemoryAccount
+from oakramp.common.process_limits import limits_of
+from oakramp.common.structured_logging import EventLogger
+from oakramp.gateway.proxy_streams import StreamHandler
+
+LIMIT = 10 * SMALL_REQUEST
+
+
+class Connection:
+    """An owner that releases its holding when it gives way."""
+
+    def __init__(self, account, address):
+        self.holding = account.holding(self, address)
+        self.has_given_way = False
+
+    def give_way(self):
+        """Releases its room."""
+        self.has_given_way = True
+        self.holding.release()
+
+    def measure_memory(self):
+        """Holds what it says it holds."""
+
+
+class Account(unittest.TestCase):
+    def setUp(self):
+        self.reactor, self.lines = task.Clock(), []
+        self.account = MemoryAccount(self.reactor, LIMIT, EventLogger(self.lines.append))
+
+    def connection(self, address="10.0.0.1"):
+        return Connection(self.account, address)
+
+    def filled(self, addresses, size):
+        """Connections from these addresses that hold this much each."""
+        connections = [self.connection(address) for address in addresses]
+        for connection in connections:
+            self.assertTrue(connection.holding.resize(size))
+        return connections
+
+    def test_a_single_request_may_use_all(self):
+        one = self.connection()
+        self.assertTrue(one.holding.resize(LIMIT))
+        self.assertTrue(one.holding.pin())
+        self.assertFalse(one.holding.grow(1))
+        one.holding.release()
+        self.assertEqual((self.account.held, self.account.pinned), (0, 0))
+
+    def test_the_client_that_holds_most_gives_way_to_a_small_request(self):
+        greedy = self.filled(["10.0.0.1"] * 4, LIMIT // 8)
+        others = self.filled([f"10.0.1.{number}" for number in range(4)], LIMIT // 8)
+        small = self.connection("10.0.2.1")
+        self.assertTrue(small.holding.resize(1000))
+        self.assertEqual(sum(one.has_given_way for one in greedy), 1)
+        self.assertFalse(any(one.has_given_way for one in others))
+
+    def test_one_that_stands_still_gives_way_first(self):
+        (still,) = self.filled(["10.0.0.1"], 1000)
+        self.reactor.advance(STANDS_STILL_AFTER)
+        moving = self.filled(["10.0.0.2", "10.0.0.3"], (LIMIT - 1000) // 2)
+        self.assertTrue(self.connection("10.0.0.4").holding.resize(500))
+        self.assertEqual([still.has_given_way, *(one.has_given_way for one in moving)], [True, False, False])
+
+    def test_the_largest_asks_in_vain(self):
+        others = self.filled([f"10.0.1.{number}" for number in range(8)], LIMIT // 8)
+        large = self.connection("10.0.0.1")
+        self.assertFalse(large.holding.resize(LIMIT // 2))
+        self.assertFalse(any(one.has_given_way for one in others))
+        self.assertEqual(self.account.refused, 1)
+
+    def test_one_client_holds_at_most_half(self):
+        self.filled(["10.0.0.1"] * 5, LIMIT // 10)
+        self.assertFalse(self.connection("10.0.0.1").holding.resize(LIMIT // 5))
+        self.assertTrue(self.connection("10.0.0.2").holding.resize(LIMIT // 2))
+
+    def test_a_pinned_request_never_gives_way(self):
+        pinned = self.filled(["10.0.0.1", "10.0.0.2"], LIMIT // 3)
+        self.assertEqual([one.holding.pin() for one in pinned], [True, True])
+        self.reactor.advance(STANDS_STILL_AFTER)
+        self.assertFalse(self.connection("10.0.0.3").holding.resize(LIMIT // 2))
+        self.assertFalse(any(one.has_given_way for one in pinned))
+
+    def test_large_requests_leave_room_for_small_ones(self):
+        large = self.filled([f"10.0.0.{number}" for number in range(4)], LIMIT // 4 - 2000)
+        self.assertEqual([one.holding.pin() for one in large], [True, True, True, False])
+        small = self.connection("10.0.1.1")
+        self.assertTrue(small.holding.resize(2000))
+        self.assertTrue(small.holding.pin())
+
+    def test_lines_are_logged_once_a_second(self):
+        self.filled(["10.0.0.1", "10.0.0.2"], LIMIT // 2)
+        for _ in range(50):
+            self.connection("10.0.0.3").holding.resize(LIMIT)
+        self.assertEqual(len(self.lines), 1)
+        self.assertIn("outcome=refused", self.lines[0])
+        self.reactor.advance(1.0)
+        self.connection("10.0.0.3").holding.resize(LIMIT)
+        self.assertIn("left_out=49", self.lines[1])
+
+    @settings(deadline=None)
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 11),
+                strategies.integers(0, LIMIT),
+                strategies.sampled_from(("size", "pin", "end")),
+            ),
+            max_size=60,
+        )
+    )
+    def test_the_sums_hold_after_any_steps(self, steps):
+        account = MemoryAccount(self.reactor, LIMIT, EventLogger(lambda line: None))
+        connections = [Connection(account, f"10.0.0.{number % 4}") for number in range(12)]
+        for number, size, step in steps:
+            holding = connections[number].holding
+            if step == "size":
+                holding.resize(size)
+            elif step == "pin":
+                holding.pin()
+            else:
+                holding.release()
+            held = [one.holding.held for one in connections]
+            pinned = [one.holding.held for one in connections if one.holding.is_pinned]
+            self.assertEqual((account.held, account.pinned), (sum(held), sum(pinned)))
+            self.assertLessEqual(account.held, LIMIT)
+        for connection in connections:
+            connection.holding.release()
+        clients = {(client.held, client.pinned) for client in account._clients.values()}
+        self.assertEqual((account.held, account.pinned, clients, account.holdings), (0, 0, {(0, 0)}, {}))
+
+
+class Settings(unittest.TestCase):
+    def test_limits_follow_from_the_memory_and_the_descriptors(self):
+        small = limits_of("gate", {"resources": {"memory_mb": 100, "descriptors": 1000}})
+        self.assertEqual(small.account_bytes, 100_000_000 * ACCOUNT_SHARES["gate"])
+        self.assertEqual((small.client_connections, small.json_connections, small.peer_connections), (400, 80, 100))
+        few = limits_of("gate", {"resources": {"memory_mb": 100, "descriptors": 100}})
+        self.assertEqual((few.client_connections, few.json_connections, few.peer_connections), (25, 5, 6))
+
+    def test_all_ports_together_leave_descriptors_over(self):
+        for descriptors in (64, 500, 4100, 8200, 1 << 20):
+            limits = limits_of("gate", {"resources": {"memory_mb": 1000, "descriptors": descriptors}})
+            taken = limits.client_connections + 2 * limits.json_connections + limits.peer_connections
+            self.assertLess(taken, descriptors)
+
+    def test_little_memory_means_few_connections(self):
+        limits = limits_of("gate", {"resources": {"memory_mb": 16, "descriptors": 1 << 20}})
+        self.assertLess(limits.client_connections, 256)
+
+    def test_without_resources_there_are_defaults(self):
+        self.assertEqual(limits_of("gate", {}), limits_of("gate", {"resources": {"memory_mb": 0}}))
+        self.assertLessEqual(limits_of("gate", {}).client_connections, CLIENTS_LIMIT)
+
+
+class Histories(unittest.TestCase):
+    """The body of a turn that goes on from others is put together here, from the stores."""
+
+    def test_a_history_without_room_is_refused_before_the_turn_runs(self):
+        account = MemoryAccount(task.Clock(), LIMIT, EventLogger(lambda line: None))
+        holding = account.holding(Connection(account, "10.0.0.1"), "10.0.0.1")
+        holding.resize(100)
+        holding.pin()
+        exchange = SimpleNamespace(reserve=holding.grow_pinned)
+        request = SimpleNamespace(exchange=exchange, body=b"more")
+        chain = [SimpleNamespace(input=b"in", output=b"out")]
+        self.assertEqual(StreamHandler._with_history(request, SimpleNamespace(chain=chain)), b"inoutmore")
+        chain.append(SimpleNamespace(input=bytes(LIMIT), output=b""))
+        with self.assertRaises(OverloadedError) as caught:
+            StreamHandler._with_history(request, SimpleNamespace(chain=chain))
+        self.assertIs(caught.exception.verdict, Verdict.NO)
+
+
+if __name__ == "__main__":
+    unittest.main()
