--- a/packages/gossip/oakramp/gossip/node.py
+++ b/packages/gossip/oakramp/gossip/node.py
@@ -49,7 +49,9 @@
         self.log = EventLogger(sink, node=env["machine"], kind=kind)
         self.limits = limits_of(kind, env)
         self.memory_account = MemoryAccount(reactor, self.limits.account_bytes, self.log)
-        self.net = RpcEndpoint(reactor, self.node_id, kind, env["peer"], self.identity.cluster_id, self.log)
+        self.net = RpcEndpoint(
+            reactor, self.node_id, kind, env["peer"], self.identity.cluster_id, self.log, self.limits.peer_connections
+        )
         self.members = Members(reactor, self.node_id)
         self.state_table = StateTable(reactor)
         me = Member(
--- a/packages/rpc/oakramp/rpc/endpoint.py
+++ b/packages/rpc/oakramp/rpc/endpoint.py
@@ -17,7 +17,10 @@
     CALL_TIME,
     CONNECT_TIME,
     FRAME_LIMIT,
+    HELLO_LIMIT,
     HELLO_TIME,
+    LOG_PAUSE,
+    NON_MEMBER_FRAME_LIMIT,
     PEER_IN_FLIGHT,
     RECONNECT_PAUSE,
     REDIAL_PAUSE,
@@ -37,6 +40,7 @@
     UnreachableError,
     error_from_wire,
 )
+from oakramp.common.log_rate_limit import LogRateLimit
 from oakramp.common.settings import split_address
 from oakramp.common.tasks import begin, drive, sleep, spawn, within
 from oakramp.common.tcp_options import set_peer_options
@@ -65,10 +69,12 @@
     were sent and have no reply, by call id; once the connection is lost, it is empty and stays so; while it is not
     empty, `_timer` fires no later than the earliest `due_at` in it; `_unread` is the beginning of one incomplete frame;
     `received` counts the received bytes, and `_silent_from` is that count when the connection was last found silent, or
-    None."""
+    None. An accepted connection is that of a stranger until its hello names this cluster: its frames are short, and it
+    gives way to newer connections."""
 
-    def __init__(self, net):
-        self._net = net
+    def __init__(self, net, stranger_at=None):
+        """`stranger_at` is the address of the machine that an accepted connection comes from."""
+        self._net, self._stranger_at = net, stranger_at
         self._unread = b""
         self._in_flight = {}
         self._running = 0
@@ -113,7 +119,7 @@
         start, end = 0, len(data)
         while end - start >= LENGTH.size:
             (length,) = LENGTH.unpack_from(data, start)
-            if length > FRAME_LIMIT:
+            if length > self._frame_limit():
                 self._unread = b""
                 self._drop("frameTooLong", length=length)
                 return
@@ -124,9 +130,16 @@
             self.stringReceived(frame)
         self._unread = data[start:]
 
+    def _frame_limit(self):
+        """The longest frame that is accepted now, in bytes."""
+        if self.peer is None:
+            return HELLO_LIMIT
+        return FRAME_LIMIT if self._stranger_at is None else NON_MEMBER_FRAME_LIMIT
+
     def connectionLost(self, reason=protocol.connectionDone):
         """Fails the calls in flight with OutcomeUnknownError."""
         self.connected = 0  # the base class leaves it set
+        self._net.strangers.remove(self, self._stranger_at)
         self._net.connections.pop(self, None)
         if self._hello_call is not None and self._hello_call.active():
             self._hello_call.cancel()
@@ -140,14 +153,14 @@
             pending.reply.errback(OutcomeUnknownError("the connection was lost before the reply"))
 
     def _drop(self, why, **pairs):
-        self._net.log.info(
-            "peer_connection_closed",
-            why=why,
-            peer=self.peer.node_id if self.peer else self.transport.getPeer().host,
-            **pairs,
-        )
+        self._net.log_closed(why, self.peer.node_id if self.peer else self.transport.getPeer().host, pairs)
         self.transport.abortConnection()
 
+    def give_way(self):
+        """Closes the connection of a stranger."""
+        self._drop("tooMany")
+        self._net.connections.pop(self, None)
+
     def stringReceived(self, data):
         """Handles one frame: the hello, a reply or a call."""
         try:
@@ -173,6 +186,9 @@
             self._drop("otherCluster", theirs=hello.cluster_id)
             return
         self.peer = hello
+        if hello.cluster_id == self._net.cluster_id:
+            self._net.strangers.remove(self, self._stranger_at)
+            self._stranger_at = None
         if not self.ready.called:
             self.ready.callback(self)
 
@@ -294,14 +310,45 @@
         self._net = net
 
     def buildProtocol(self, address):
-        if len(self._net.connections) >= ACCEPT_LIMIT:
-            self._net.log.info("peer_connection_rejected", why="tooMany", peer=address.host)
+        if len(self._net.connections) >= self._net.connections_limit and not self._net.strangers.dismiss_one():
+            self._net.log_rejected(address.host)
             return None
-        connection = Connection(self._net)
+        connection = Connection(self._net, address.host)
+        self._net.strangers.add(connection, address.host)
         connection.ready.addErrback(lambda _: None)  # only the dialling side waits for it
         return connection
 
 
+class Strangers:
+    """The accepted connections whose peers have not shown that they belong to the cluster.
+
+    Invariant: `_by_host` holds them by the address of their machine, the oldest first, and no empty entry."""
+
+    def __init__(self):
+        self._by_host = {}
+
+    def add(self, connection, host):
+        """Adds a connection that was just accepted."""
+        self._by_host.setdefault(host, {})[connection] = None
+
+    def remove(self, connection, host):
+        """Removes a connection that has ended or belongs to the cluster; others are ignored."""
+        connections = self._by_host.get(host, {})
+        connections.pop(connection, None)
+        if not connections:
+            self._by_host.pop(host, None)
+
+    def dismiss_one(self):
+        """Closes the oldest connection of the machine that has most of them. Returns whether there was one."""
+        if not self._by_host:
+            return False
+        host, connections = max(self._by_host.items(), key=lambda entry: len(entry[1]))
+        oldest = next(iter(connections))
+        self.remove(oldest, host)
+        oldest.give_way()
+        return True
+
+
 class _DiallingFactory(protocol.Factory):
     noisy = False
 
@@ -320,16 +367,30 @@
     loss of power: the machine is back within seconds, but the interval until TCP retransmits on the old connection, and
     so learns that it is gone, may be as long as the machine was away."""
 
-    def __init__(self, reactor, node_id, kind, address, cluster_id, log):
+    def __init__(self, reactor, node_id, kind, address, cluster_id, log, connections_limit=ACCEPT_LIMIT):
         self.reactor, self.node_id, self.kind, self.address, self.log = reactor, node_id, kind, address, log
         self.cluster_id = cluster_id or ""
         self.handlers = {}
         self.connections = {}
+        self.connections_limit, self.strangers = connections_limit, Strangers()
+        self._closed_logs, self._rejected_log = {}, LogRateLimit(reactor, LOG_PAUSE)
         self.call_counts = {}
         self._links = {}
         self._backoff_until, self._redialled_at = {}, {}
         self._port = None
 
+    def log_closed(self, why, peer, pairs):
+        """Logs that a connection was closed for what came over it, with pairs of the reason's own."""
+        left_out = self._closed_logs.setdefault(why, LogRateLimit(self.reactor, LOG_PAUSE)).take()
+        if left_out is not None:
+            self.log.info("peer_connection_closed", why=why, peer=peer, left_out=left_out, **pairs)
+
+    def log_rejected(self, peer):
+        """Logs that a connection was not accepted."""
+        left_out = self._rejected_log.take()
+        if left_out is not None:
+            self.log.info("peer_connection_rejected", why="tooMany", peer=peer, left_out=left_out)
+
     def hello(self):
         """The hello of this node."""
         return idl.Hello(wire_version=WIRE_VERSION, cluster_id=self.cluster_id, node_id=self.node_id, kind=self.kind)
