--- a/packages/common/oakramp/common/http_server.py
+++ b/packages/common/oakramp/common/http_server.py
@@ -1,10 +1,12 @@
 """JSON over HTTP with twisted.web.http: routes, body limits, errors with their verdict."""
 
 from twisted.internet import defer, protocol
-from twisted.protocols import policies
 
-from oakramp.common.constants import BODY_LIMIT, QUIET_TIME
+from oakramp.common.constants import BODY_LIMIT, JSON_CONNECTIONS_LIMIT, LOG_PAUSE, QUIET_TIME
 from oakramp.common.errors import BadRequestError, NotFoundError, OakrampError, OverloadedError, Verdict
+from oakramp.common.log_rate_limit import LogRateLimit
+from oakramp.common.memory_account import MemoryAccount
+from oakramp.common.process_limits import limits_of
 from oakramp.common.settings import split_address
 from oakramp.common.tasks import sleep, spawn
 from oakramp.common.validation import pack_json, parse_json
@@ -54,38 +56,72 @@
     """Connections to a server. Their implementation is imported with the first one: many daemons never get a request on
     this interface, and the import would take a twentieth of their start.
 
-    Invariant: `_factory` is never started, as that would set up an unused access log, with a timer."""
+    Invariants: `_factory` is never started, as that would set up an unused access log, with a timer; `open` holds every
+    open connection, of the idle ones those that have been idle longest first."""
 
     noisy = False
 
-    def __init__(self, server, body_limit, reactor):
+    def __init__(self, server, body_limit, reactor, memory_account, limit, log):
         self._server, self._body_limit, self._reactor = server, body_limit, reactor
+        self._limit, self._log, self._log_limit = limit, log, LogRateLimit(reactor, LOG_PAUSE)
+        self.memory_account = memory_account
+        self.open = {}
         self._factory = None
 
     def buildProtocol(self, addr):
         if self._factory is None:
             self._factory = self._request_factory()
+        if len(self.open) >= self._limit and not self._make_place():
+            return None
         return self._factory.buildProtocol(addr)
 
+    def _make_place(self):
+        """Closes the connection that has been idle longest, or else the one that has been in the middle of a request
+        longest. Returns whether there was one."""
+        left_out = self._log_limit.take()
+        if left_out is not None:
+            self._log.info("json_connection_limit_reached", connections=len(self.open), left_out=left_out)
+        idle_longest = next((one for one in self.open if one.is_idle), None)
+        if idle_longest is not None:
+            idle_longest.close_idle()
+            return True
+        reading_longest = next((one for one in self.open if one.is_reading), None)
+        if reading_longest is not None:
+            del self.open[reading_longest]
+            reading_longest.transport.abortConnection()
+            return True
+        return False
+
     def _request_factory(self):
         from oakramp.common.http_channel import Request, RequestFactory
 
         request_class = type("Request", (Request,), {"server": self._server, "body_limit": self._body_limit})
-        return RequestFactory(request_class, self._reactor)
+        return RequestFactory(request_class, self._reactor, self)
 
 
 class HttpServer:
     """Routes of one daemon. A handler is a coroutine function of an HttpCall; it returns (status, value),
-    or None if it has sent the response itself. `running` counts the requests being handled, for a graceful stop."""
-
-    def __init__(self, reactor, address, log, limit, body_limit=BODY_LIMIT):
+    or None if it has sent the response itself. `running` counts the requests being handled, for a graceful stop.
+
+    What it keeps of its clients' bytes is in `memory_account`, by default one of its own."""
+
+    def __init__(
+        self,
+        reactor,
+        address,
+        log,
+        limit,
+        body_limit=BODY_LIMIT,
+        memory_account=None,
+        connections_limit=JSON_CONNECTIONS_LIMIT,
+    ):
+        memory_account = memory_account or MemoryAccount(reactor, limits_of("gate", {}).account_bytes, log)
         self._reactor, self._address, self._log, self._limit = reactor, address, log, limit
         self._routes = []
         self.running = 0
         self._port = None
         self.stopping = False
-        self._connections = policies.WrappingFactory(_Connections(self, body_limit, reactor))
-        self._connections.noisy = False
+        self._connections = _Connections(self, body_limit, reactor, memory_account, connections_limit, log)
 
     def route(self, method, path, handler):
         """Registers a handler; a path segment in braces matches any text and is passed under its name."""
@@ -104,12 +140,12 @@
             self._port.doRead()  # accepts the pending connections, since closing the port would reset them
             await defer.maybeDeferred(self._port.stopListening)
         quiet_since = self._reactor.seconds()
-        while self._reactor.seconds() - quiet_since < QUIET_TIME and self._connections.protocols:
+        while self._reactor.seconds() - quiet_since < QUIET_TIME and self._connections.open:
             await sleep(self._reactor, QUIET_TIME / 10)
             if self.running:
                 quiet_since = self._reactor.seconds()
-        for connection in list(self._connections.protocols):
-            connection.loseConnection()
+        for connection in list(self._connections.open):
+            connection.transport.loseConnection()
         await sleep(self._reactor, QUIET_TIME / 10)
 
     def _find(self, request):
@@ -144,6 +180,8 @@
             handler, call.names = self._find(request)
             if self.running > self._limit:
                 raise OverloadedError("too many requests are in progress on this node", retry_after=1)
+            if not request.channel.keep_request(request):
+                raise OverloadedError("no memory for this request", retry_after=1)
             answer = await handler(call)
             if answer is not None:
                 call.reply(*answer)
--- a/packages/control/oakramp/control/control_node.py
+++ b/packages/control/oakramp/control/control_node.py
@@ -5,7 +5,6 @@
 from oakramp.common.constants import ACCEPT_QUEUE_LIMIT, LEADER_RETRY_PAUSE, SHARDS
 from oakramp.common.errors import OakrampError
 from oakramp.common.fenced_call import PlainCallFormat
-from oakramp.common.http_server import HttpServer
 from oakramp.common.metrics import Metrics, serve_metrics
 from oakramp.common.settings import orders_replicas
 from oakramp.common.tasks import settled, sleep, spawn
@@ -77,11 +76,12 @@
         )
         self.store_watch = StoreMembershipTask(self.node, self.leaders, self_forming, tolerated_losses)
         self.placement = PrefixPlacementTask(self.node, self.leaders)
-        self.web = HttpServer(reactor, env["http"], self.node.log, ACCEPT_QUEUE_LIMIT)
+        self.web = self.node.http_server(env["http"], ACCEPT_QUEUE_LIMIT)
         self.operator = OperatorApi(self, dialect) if dialect is not None and env.get("operator") else None
         self.metrics = Metrics()
         self.clock = self.fenced_caller = self.usage = self.orders = None
         self._compose_fenced_tasks(env, wall, dialect)
+        self.node.memory_account.show(self.metrics)
         serve_metrics(self.web, self.metrics)
         AdminApi(self)
         for name, ask in (
--- a/packages/control/oakramp/control/operator_api.py
+++ b/packages/control/oakramp/control/operator_api.py
@@ -39,7 +39,6 @@
     ValidationFailedError,
     Verdict,
 )
-from oakramp.common.http_server import HttpServer
 from oakramp.common.validation import pack_json
 from oakramp.control.routing import ROUTING_KEY, apply_patch, check_table, document_from, pieces_of
 from oakramp.control.store_membership import STORES_KEY
@@ -99,9 +98,7 @@
     def __init__(self, control, dialect):
         self._node, self._client, self._dialect = control.node, control.majority_client, dialect
         self._known = (0, None)
-        self.web = HttpServer(
-            self._node.reactor, self._node.env["operator"], self._node.log, OPERATOR_QUEUE_LIMIT, OPERATOR_LIMIT
-        )
+        self.web = self._node.http_server(self._node.env["operator"], OPERATOR_QUEUE_LIMIT, OPERATOR_LIMIT)
         for operation, handler in (
             ("replace", self._put),
             ("change", self._patch),
--- a/packages/gateway/oakramp/gateway/gateway_node.py
+++ b/packages/gateway/oakramp/gateway/gateway_node.py
@@ -4,7 +4,6 @@
 
 from oakramp.common.constants import ACCEPT_QUEUE_LIMIT, SETTLE_TIME
 from oakramp.common.http_client import HttpClient
-from oakramp.common.http_server import HttpServer
 from oakramp.common.metrics import serve_metrics
 from oakramp.gateway.base import GateBase
 from oakramp.gateway.bindings import Bindings
@@ -23,7 +22,9 @@
         self.bindings = Bindings(self.node)
         self.load_balancer = LoadBalancer(self.node, self.bindings, self.web_client, self.metrics)
         self.forwarder = Forwarder(self.node, self.bindings, self.load_balancer, self.web_client, self.metrics)
-        self.web = HttpServer(reactor, env["http"], self.node.log, ACCEPT_QUEUE_LIMIT)
+        self.web = self.node.http_server(
+            env["http"], ACCEPT_QUEUE_LIMIT, connections_limit=self.node.limits.client_connections
+        )
         turns, plain = Turns(self), PlainCalls(self)
         for method, path, handler in (
             ("POST", "/v1/{partner}/programs", turns.open_program),
@@ -42,6 +43,7 @@
             ("members_live", lambda: len(self.node.members.live())),
         ):
             self.metrics.gauge(name, read_value)
+        self.node.memory_account.show(self.metrics)
         self.conversations.calls.show(self.metrics)
 
     async def _condition(self, _call):
--- a/packages/gateway/oakramp/gateway/proxy_node.py
+++ b/packages/gateway/oakramp/gateway/proxy_node.py
@@ -15,7 +15,6 @@
     SETTLE_TIME,
 )
 from oakramp.common.errors import OverloadedError, QuorumUnavailableError
-from oakramp.common.http_server import HttpServer
 from oakramp.common.metrics import serve_metrics
 from oakramp.common.settings import orders_replicas
 from oakramp.common.tasks import sleep
@@ -82,8 +81,8 @@
             memory_account=self.node.memory_account,
             clients_limit=self.node.limits.client_connections,
         )
-        self.web = HttpServer(reactor, env["http"], self.node.log, ACCEPT_QUEUE_LIMIT)
-        self.ready_web = HttpServer(reactor, env["ready"], self.node.log, ACCEPT_QUEUE_LIMIT)
+        self.web = self.node.http_server(env["http"], ACCEPT_QUEUE_LIMIT)
+        self.ready_web = self.node.http_server(env["ready"], ACCEPT_QUEUE_LIMIT)
         self.ready_web.route("GET", dialect.ready_path, self._ready)
         self.web.route("GET", "/condition", self._condition)
         serve_metrics(self.web, self.metrics)
--- a/packages/gossip/oakramp/gossip/node.py
+++ b/packages/gossip/oakramp/gossip/node.py
@@ -5,7 +5,8 @@
 
 import time
 
-from oakramp.common.constants import CLOCK_JUMP, CLOCK_POLL, SEED_AGE, WIRE_VERSION
+from oakramp.common.constants import BODY_LIMIT, CLOCK_JUMP, CLOCK_POLL, SEED_AGE, WIRE_VERSION
+from oakramp.common.http_server import HttpServer
 from oakramp.common.memory_account import MemoryAccount
 from oakramp.common.process_limits import limits_of
 from oakramp.common.structured_logging import EventLogger
@@ -72,6 +73,25 @@
         self.wall_clock = WallClock(reactor, self.log, wall)
         self._env_watchers = []
 
+    def http_server(self, address, running_limit, body_limit=BODY_LIMIT, connections_limit=None):
+        """A JSON interface of this node at an address, whose clients share the node's memory account.
+
+        Args:
+            address: IP:PORT.
+            running_limit: requests that it handles at a time.
+            body_limit: bytes of a request's body.
+            connections_limit: connections at a time, by default those of an interface for tools and operators.
+        """
+        return HttpServer(
+            self.reactor,
+            address,
+            self.log,
+            running_limit,
+            body_limit,
+            self.memory_account,
+            connections_limit or self.limits.json_connections,
+        )
+
     def watch_env(self, watcher):
         """Calls `watcher(env)` with each env that replaces the previous one while the node runs."""
         self._env_watchers.append(watcher)
--- a/packages/store/oakramp/store/store_node.py
+++ b/packages/store/oakramp/store/store_node.py
@@ -30,7 +30,6 @@
     StaleEpochError,
     TooLargeError,
 )
-from oakramp.common.http_server import HttpServer
 from oakramp.common.metrics import Metrics, serve_metrics
 from oakramp.common.tasks import Repeater, quorum_of, sleep, spawn
 from oakramp.common.validation import pack_json
@@ -434,7 +433,8 @@
         self.node.watch_storage(self.ring)
         self.store = Store(self.node, self.ring)
         self.node.state_table.watch(STORES_KEY, lambda _source: self._start_over_if_retired())
-        self.web = HttpServer(reactor, env["http"], self.node.log, ACCEPT_QUEUE_LIMIT)
+        self.web = self.node.http_server(env["http"], ACCEPT_QUEUE_LIMIT)
+        self.node.memory_account.show(self.store.metrics)
         self.web.route("GET", "/condition", self._condition)
         serve_metrics(self.web, self.store.metrics)
         for name, read_value in (
--- a/packages/testbed/oakramp/testbed/code_mutations.py
+++ b/packages/testbed/oakramp/testbed/code_mutations.py
@@ -1363,7 +1363,7 @@
     CodeMutation(
         "hand-over of slots and quiet stop",
         "common/oakramp/common/http_server.py",
-        "while self._reactor.seconds() - quiet_since < QUIET_TIME and self._connections.protocols:",
+        "while self._reactor.seconds() - quiet_since < QUIET_TIME and self._connections.open:",
         "while False:",
         "test_faults.GateFaults.test_planned_stops_cut_nothing_off",
     ),
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -8,6 +8,7 @@
 
 from oakramp.common.constants import ACCOUNT_SHARES, CLIENTS_LIMIT, SMALL_REQUEST, STANDS_STILL_AFTER
 from oakramp.common.errors import OverloadedError, Verdict
+from oakramp.common.json_cost import parsed_size
 from oakramp.common.memory_account import MemoryAccount
 from oakramp.common.process_limits import limits_of
 from oakramp.common.structured_logging import EventLogger
@@ -161,6 +162,12 @@
         self.assertLessEqual(limits_of("gate", {}).client_connections, CLIENTS_LIMIT)
 
 
+class JsonCost(unittest.TestCase):
+    def test_many_small_values_cost_many_times_their_text(self):
+        self.assertGreater(parsed_size(b"[" + b"[]," * 1000 + b"[]]"), 20 * 3000)
+        self.assertLess(parsed_size(b'{"text":"' + b"x" * 3000 + b'"}'), 2 * 3000)
+
+
 class Histories(unittest.TestCase):
     """The body of a turn that goes on from others is put together here, from the stores."""
 
