--- a/packages/common/oakramp/common/http_channel.py
+++ b/packages/common/oakramp/common/http_channel.py
@@ -30,14 +30,16 @@
     from twisted.internet.interfaces import IAddress
     from twisted.python.failure import Failure
 
+    from oakramp.common.memory_account import Holding
+
 REFUSAL_STATUSES = {"tooLarge": 413, "timeSpent": 408}  # by the error's code; all others get 503
 
 
 class Channel(http.HTTPChannel):
     """One connection of a client.
 
-    Invariants: `holding` has room for all that is kept for this client; it is pinned while a request is handled. Once
-    `is_refused`, nothing more is read as a request."""
+    Invariants: `holding` has room for what is read and for what the client has not taken of its answers; a request that
+    was read whole has a holding of its own. Once `is_refused`, nothing more is read as a request."""
 
     def __init__(self, connections: Any, address: str) -> None:
         super().__init__()
@@ -45,7 +47,6 @@
         self.holding = connections.memory_account.holding(self, address)
         self.is_refused = False
         self.body_size = 0  # bytes of the body that is being read
-        self._parsed_size = 0
         self._due: Any = None  # the call that ends a request which is not read whole in time
 
     def connectionMade(self) -> None:
@@ -76,15 +77,20 @@
         """Takes or gives back room for all that is kept. Returns whether there is room."""
         head = self._receivedHeaderSize + FIELD_COST * 2 * self._receivedHeaderCount
         waiting = len(self._buffer) + sum(map(len, self._dataBuffer))
-        body = int(self.body_size * PIECE_OVERHEAD) + self._parsed_size
+        body = int(self.body_size * PIECE_OVERHEAD)
         return self.holding.resize(head + waiting + body + unsent_bytes(self.transport))
 
-    def keep_request(self, request: Request) -> bool:
-        """Keeps the room of a request that was read whole, with its parsed body; False if there is not enough."""
+    def hold_request(self, request: Request) -> Holding:
+        """The room of a request that was read whole, with its parsed body, until its handler releases it, even if the
+        client is gone by then. Raises OverloadedError without enough room."""
         body = request.content.getvalue()
-        self.body_size = 2 * len(body)  # it is copied to be parsed
-        self._parsed_size = parsed_size(body)
-        return self.keep_room() and self.holding.pin()
+        self.body_size = 0
+        self.keep_room()
+        holding = self.holding.another()
+        if not holding.resize(FIELD_COST + 2 * len(body) + parsed_size(body)) or not holding.pin():
+            holding.release()
+            raise OverloadedError("no memory for this request", retry_after=1)
+        return holding
 
     def measure_memory(self) -> None:
         """Gives back the room of bytes that the client has taken meanwhile."""
@@ -127,8 +133,6 @@
 
     def requestDone(self, request: Request) -> None:
         """Called by twisted.web after the response. A client that has not taken it gets no further one."""
-        self.body_size = self._parsed_size = 0
-        self.holding.unpin()
         if unsent_bytes(self.transport) and (self._dataBuffer or self._buffer):
             self.persistent = False
         if not self.persistent:
@@ -166,7 +170,7 @@
             % (status, http.RESPONSES[status], retry, len(body), body)
         )
         self._stop_waiting()
-        self.body_size = self._parsed_size = 0
+        self.body_size = 0
         for request in self.requests:
             request.content = BytesIO()
         self._buffer = b""
--- a/packages/common/oakramp/common/http_server.py
+++ b/packages/common/oakramp/common/http_server.py
@@ -173,6 +173,7 @@
 
     async def _run(self, request):
         self.running += 1
+        holding = None
         call = HttpCall(request, {})
         if self.stopping:
             request.setHeader(b"connection", b"close")
@@ -180,8 +181,7 @@
             handler, call.names = self._find(request)
             if self.running > self._limit:
                 raise OverloadedError("too many requests are in progress on this node", retry_after=1)
-            if not request.channel.keep_request(request):
-                raise OverloadedError("no memory for this request", retry_after=1)
+            holding = request.channel.hold_request(request)
             answer = await handler(call)
             if answer is not None:
                 call.reply(*answer)
@@ -192,3 +192,5 @@
             call.reply_error(OakrampError("internal fault", verdict=Verdict.MAYBE))
         finally:
             self.running -= 1
+            if holding is not None:
+                holding.release()
--- a/tests/crowds/crowd_gateway_clients.py
+++ b/tests/crowds/crowd_gateway_clients.py
@@ -49,6 +49,13 @@
         self.attack("counter", 60, post(b"slow", BODY_LIMIT) + bytes(BODY_LIMIT))
         self.check()
 
+    def test_whole_bodies_whose_clients_leave(self):
+        """What a request takes stays until it has ended, though its client is gone."""
+        for _ in range(6):
+            crowd = self.attack("counter", 10, post(b"slow", BODY_LIMIT) + bytes(BODY_LIMIT), stays_s=0.2)
+            crowd.close()
+        self.check()
+
     def test_bodies_in_chunks_of_two_bytes(self):
         """Each chunk is stored with the costs of a piece."""
         body = TWO_BYTE_CHUNK * (BODY_LIMIT // 2 - 1)
--- a/tests/crowds/crowd_json_ports.py
+++ b/tests/crowds/crowd_json_ports.py
@@ -122,6 +122,18 @@
         crowd.wait(1.0)
         self.check()
 
+    def test_whole_bodies_whose_clients_leave(self):
+        """What a request takes stays until it has ended, though its client is gone."""
+        start, end = b'{"body":{"list":[', b"[]]}}"
+        body = start + b"[]," * (BODY_LIMIT // 4 // 3) + end
+        for _ in range(20):
+            crowd = self.crowd("http", CROWD_ADDRESS)
+            crowd.add(3, post(self.PATH, len(body)) + body)
+            crowd.send(SEND_TIME)
+            crowd.wait(0.1)
+            crowd.close()
+        self.check()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -4,15 +4,25 @@
 from types import SimpleNamespace
 
 from hypothesis import given, settings, strategies
-from twisted.internet import task
-
-from oakramp.common.constants import ACCOUNT_SHARES, CLIENTS_LIMIT, SMALL_REQUEST, STANDS_STILL_AFTER
+from twisted.internet import address, defer, error, task
+from twisted.internet.testing import StringTransportWithDisconnection
+from twisted.python.failure import Failure
+
+from oakramp.common.constants import (
+    ACCOUNT_SHARES,
+    CLIENTS_LIMIT,
+    JSON_REQUEST_TIME,
+    SMALL_REQUEST,
+    STANDS_STILL_AFTER,
+)
 from oakramp.common.errors import OverloadedError, Verdict
+from oakramp.common.http_server import HttpServer
 from oakramp.common.json_cost import parsed_size
 from oakramp.common.memory_account import MemoryAccount
 from oakramp.common.process_limits import limits_of
 from oakramp.common.structured_logging import EventLogger
 from oakramp.gateway.proxy_streams import StreamHandler
+from relay_wire import Reactor
 
 LIMIT = 10 * SMALL_REQUEST
 
@@ -168,6 +178,75 @@
         self.assertLess(parsed_size(b'{"text":"' + b"x" * 3000 + b'"}'), 2 * 3000)
 
 
+class HalfClosableTransport(StringTransportWithDisconnection):
+    """A transport in memory of which one direction may be closed."""
+
+    def loseWriteConnection(self):
+        """Closes the direction to the client."""
+
+
+class JsonRequests(unittest.TestCase):
+    """What the requests at a JSON interface hold."""
+
+    def setUp(self):
+        self.reactor, self.ends = Reactor(), []
+        log = EventLogger(lambda line: None)
+        self.account = MemoryAccount(self.reactor, LIMIT, log)
+        web = HttpServer(self.reactor, "127.0.0.1:80", log, 10, memory_account=self.account, connections_limit=2)
+        web.route("POST", "/x", self.handle)
+        web.listen()
+
+    async def handle(self, _call):
+        """Ends when the test says so."""
+        self.ends.append(defer.Deferred())
+        await self.ends[-1]
+        return 200, {}
+
+    def connection(self, data):
+        """The transport of a client that has sent this."""
+        transport = HalfClosableTransport()
+        transport.protocol = self.reactor.listening[0].buildProtocol(address.IPv4Address("TCP", "10.0.0.1", 1))
+        transport.protocol.makeConnection(transport)
+        transport.protocol.dataReceived(data)
+        return transport
+
+    def post(self, sent, length=1000):
+        """A client that has sent so many bytes of a body."""
+        return self.connection(b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % length + b" " * sent)
+
+    def test_a_request_whose_client_is_gone_keeps_its_room_until_it_ends(self):
+        client = self.post(1000)
+        client.protocol.connectionLost(Failure(error.ConnectionDone()))
+        self.assertGreaterEqual(self.account.pinned, 1000)
+        self.ends[0].callback(None)
+        self.assertEqual((self.account.held, self.account.pinned), (0, 0))
+
+    def test_a_body_that_is_not_complete_counts_until_the_connection_ends(self):
+        client = self.post(999)
+        self.assertGreaterEqual(self.account.held, 999)
+        self.assertEqual(self.ends, [])
+        client.protocol.connectionLost(Failure(error.ConnectionDone()))
+        self.assertEqual(self.account.held, 0)
+
+    def test_a_request_that_comes_byte_by_byte_is_refused_after_a_time(self):
+        client = self.post(1)
+        self.reactor.advance(JSON_REQUEST_TIME - 1)
+        client.protocol.dataReceived(b" ")
+        self.assertEqual(client.value(), b"")
+        self.reactor.advance(1)
+        self.assertTrue(client.value().startswith(b"HTTP/1.1 408 "))
+        self.assertEqual(self.account.held, 0)
+
+    def test_a_body_without_room_is_refused_and_runs_nothing(self):
+        holding = Connection(self.account, "10.0.0.9").holding
+        holding.resize(LIMIT)
+        holding.pin()
+        client = self.post(1000)
+        self.assertTrue(client.value().startswith(b"HTTP/1.1 503 "))
+        self.assertIn(b"Retry-After: 1", client.value())
+        self.assertEqual(self.ends, [])
+
+
 class Histories(unittest.TestCase):
     """The body of a turn that goes on from others is put together here, from the stores."""
 
