--- a/packages/common/oakramp/common/http_channel.py
+++ b/packages/common/oakramp/common/http_channel.py
@@ -12,6 +12,7 @@
 from urllib.parse import unquote_to_bytes
 
 from twisted.web import http
+from twisted.web.http_headers import Headers
 
 from oakramp.common.constants import (
     BODY_LIMIT,
@@ -68,13 +69,20 @@
         if self._due is None and not self._handlingRequest:
             self._due = self.callLater(JSON_REQUEST_TIME, self._on_due)
         super().dataReceived(data)
-        if not self.is_refused and not self.keep_room() and not self._handlingRequest:
+        if self.is_refused or self.keep_room():
+            return
+        if self._handlingRequest:
+            self._dataBuffer, self.persistent = [], False  # what was sent ahead is not read
+            self.keep_room()
+        else:
             self.refuse(OverloadedError("no memory for this request"))
 
     # --- memory ---
 
     def keep_room(self) -> bool:
         """Takes or gives back room for all that is kept. Returns whether there is room."""
+        if self.is_refused:
+            return self.holding.resize(unsent_bytes(self.transport))
         head = self._receivedHeaderSize + FIELD_COST * 2 * self._receivedHeaderCount
         waiting = len(self._buffer) + sum(map(len, self._dataBuffer))
         body = int(self.body_size * PIECE_OVERHEAD)
@@ -172,7 +180,7 @@
         self._stop_waiting()
         self.body_size = 0
         for request in self.requests:
-            request.content = BytesIO()
+            request.content, request.requestHeaders = BytesIO(), Headers()
         self._buffer = b""
         self.keep_room()
         self._due = self.callLater(LINGER_TIME, self.transport.abortConnection)
