--- a/packages/gateway/oakramp/gateway/proxied_request.py
+++ b/packages/gateway/oakramp/gateway/proxied_request.py
@@ -11,6 +11,7 @@
 from oakramp.gateway.routing import Route
 from oakramp.gateway.tenant_scope import scoped_name
 from oakramp.gateway.tenants import Tenant
+from oakramp.http_proxy.response import Response
 
 
 @dataclass
@@ -41,6 +42,7 @@
     output: list = field(default_factory=list)
     output_size: int = 0
     output_room: int = 0  # bytes of output that room was taken for
+    response: Response | None = None  # the last one whose head came
     response_head: tuple = None
     response_held: int = 0  # bytes of the response that room was taken for, while it is gathered
     head_sent: bool = False
@@ -67,6 +69,11 @@
         """Monotonic seconds after which it must not be sent under the claim that it holds."""
         return math.inf if self.claim is None else self.claim.send_by
 
+    @property
+    def response_bytes(self):
+        """How many bytes of a body have arrived in its last response."""
+        return 0 if self.response is None else self.response.received
+
     def record_stage(self, stage, now):
         """Records when the request first reached this stage."""
         self.stages.setdefault(stage, now)
--- a/packages/gateway/oakramp/gateway/proxy.py
+++ b/packages/gateway/oakramp/gateway/proxy.py
@@ -78,6 +78,7 @@
                     reason=error.reason,
                     verdict=error.verdict.value,
                     request=request.try_id,
+                    response_bytes=0 if proxied_request is None else proxied_request.response_bytes,
                 )
             if isinstance(error, QuorumUnavailableError):
                 error.retry_after = self._outage_retry_after(exchange, request)
--- a/packages/gateway/oakramp/gateway/proxy_forwarder.py
+++ b/packages/gateway/oakramp/gateway/proxy_forwarder.py
@@ -258,6 +258,7 @@
             verdict = Verdict.MAYBE if proxied_request.may_have_run else Verdict.NO
             raise ClientDisconnectedError("the client disconnected before the response arrived", verdict) from None
         observation.response_started()
+        proxied_request.response = response
         return response
 
     def _begin_sending(self, proxied_request, instance, service, observation):
--- a/packages/gateway/oakramp/gateway/proxy_node.py
+++ b/packages/gateway/oakramp/gateway/proxy_node.py
@@ -60,7 +60,7 @@
         self._routing_age_watch = RoutingAgeWatch(reactor, self.router, self.node.log)
         self.placement = PrefixPlacement(self.node, self.leaders, self.metrics, self._cache_tokens_of)
         self.balancer = Balancer(self.node, self.node.log, self.placement)
-        self.upstreams = Upstreams(reactor, env["relay"].rpartition(":")[0], self.node.log)
+        self.upstreams = Upstreams(reactor, env["relay"].rpartition(":")[0], self.node.log, self.node.backend_room)
         self.balancer.on_replica_removed = self.upstreams.close_instance
         turn_client = TurnClient(self.node)
         is_counting = "usage" in (env.get("platformTasks") or ())
@@ -96,6 +96,7 @@
             self.metrics.gauge(name, read_value)
         self.metrics.gauge("client_connections", lambda: len(self.front.clients))
         self.node.memory_account.show(self.metrics)
+        self.node.backend_room.show(self.metrics)
         turn_client.calls.show(self.metrics)
 
     def _cache_tokens_of(self, service):
--- a/packages/gateway/oakramp/gateway/proxy_streams.py
+++ b/packages/gateway/oakramp/gateway/proxy_streams.py
@@ -4,6 +4,7 @@
 
 from twisted.internet import defer
 
+from oakramp.common.backend_room import Part
 from oakramp.common.constants import FULL_RETRY_AFTER, QUEUE_WAIT_SHARE, RETRY_AFTER_MIN, TURN_OUTPUT_LIMIT
 from oakramp.common.errors import (
     BudgetExhaustedError,
@@ -153,6 +154,7 @@
             if part is None:
                 break
             events = splitter.feed(part)
+            response.holding.keep(Part.EVENT, len(splitter.rest))
             if events:
                 self._record_first_event(proxied_request, instance)
                 self._write_events(proxied_request, events, self._tokens_per_event(instance.row["pool"]))
--- a/packages/gateway/oakramp/gateway/request_losses.py
+++ b/packages/gateway/oakramp/gateway/request_losses.py
@@ -78,5 +78,6 @@
             replica=proxied_request.replica_id or "none",
             load=round(proxied_request.replica_load, 1),
             finish_ms=-1 if math.isinf(proxied_request.finish_at) else ms_since_receipt(proxied_request.finish_at),
+            response_bytes=proxied_request.response_bytes,
             left_out=left_out,
         )
--- a/packages/http_proxy/oakramp/http_proxy/connection.py
+++ b/packages/http_proxy/oakramp/http_proxy/connection.py
@@ -8,6 +8,7 @@
 
 from twisted.internet import defer, error, protocol
 
+from oakramp.common.backend_room import Part
 from oakramp.common.constants import KEEP_ALIVE_DEFAULT, KEEP_ALIVE_MARGIN, RESPONSE_HEAD_LIMIT, TRAILER_LIMIT
 from oakramp.common.errors import IncompleteResponseError, OutcomeUnknownError, UnreachableError, Verdict
 from oakramp.common.tcp_options import set_peer_options
@@ -34,7 +35,7 @@
         self._keep_alive_s = KEEP_ALIVE_DEFAULT
         self._head_waiting = self._response = self._decoder = None
         self._buffer, self._left = b"", 0
-        self._method = self._expect = None
+        self._method = self._expect = self._holding = None
         self._used = self._persists = False
         self._body_sender = None
 
@@ -106,6 +107,7 @@
             raise UnreachableError(f"{self.address} had closed the connection")
         self._body_sender = SlicedSender(self.transport, body) if is_sliced else None
         self._method, self._expect = method, expect
+        self._holding = self._pool.backend_room.holding(self.address)
         self._head_waiting = defer.Deferred(self._give_up)
         return self._head_waiting
 
@@ -142,6 +144,7 @@
                 if not data.startswith(b"HTTP/1."[: len(data)]):
                     raise MalformedMessageError("the status line")
                 self._buffer = data
+                self._holding.keep(Part.HEAD, len(data))
                 return
             line = _STATUS_LINE.match(data)
             if line is None:
@@ -157,7 +160,8 @@
 
     def _begin(self, status, fields, hop_by_hop, is_11, data):
         length = body_length(hop_by_hop)
-        response = Response(self, status, fields, None if length == -1 else length)
+        holding, self._holding = self._holding, None
+        response = Response(self, status, fields, None if length == -1 else length, holding)
         if not self._is_expected(response):
             self._fail(OutcomeUnknownError(f"{self.address} sent the response to another request"), None)
             self.drop()
--- a/packages/http_proxy/oakramp/http_proxy/response.py
+++ b/packages/http_proxy/oakramp/http_proxy/response.py
@@ -2,6 +2,7 @@
 
 from twisted.internet import defer
 
+from oakramp.common.backend_room import Part
 from oakramp.common.constants import RESPONSE_BUFFER_LIMIT
 from oakramp.common.errors import IncompleteResponseError, OutcomeUnknownError, TooLargeError, Verdict
 from oakramp.http_proxy.headers import WithHeaders
@@ -13,11 +14,14 @@
     """The head of a response, and its body as it arrives. The requester reads it to its end or aborts it.
 
     Invariants: pieces are returned in order, and all that arrived before the end is returned before the end is
-    reported; `_outcome` is None until the end, then COMPLETE or the error."""
+    reported; `_outcome` is None until the end, then COMPLETE or the error; `received` counts the bytes of the
+    body that have arrived, and `holding` those that are kept."""
 
     __slots__ = (
         "status",
         "length",
+        "holding",
+        "received",
         "_connection",
         "_pieces",
         "_size",
@@ -26,9 +30,10 @@
         "_paused",
     )
 
-    def __init__(self, connection, status, headers, length):
+    def __init__(self, connection, status, headers, length, holding):
         super().__init__(headers)
         self._connection, self.status, self.length = connection, status, length
+        self.holding, self.received = holding, 0
         self._outcome = self._waiting = None
         self._pieces, self._size, self._paused = [], 0, False
 
@@ -67,6 +72,7 @@
                 raise OutcomeUnknownError("the response stopped arriving")
         if self._pieces:
             pieces, self._pieces, self._size = self._pieces, [], 0
+            self.holding.keep(Part.BODY, 0)
             if self._paused and self._connection is not None:
                 self._paused = False
                 self._connection.transport.resumeProducing()
@@ -96,7 +102,10 @@
     def put(self, pieces):
         """Stores pieces for `next`; a waiting `next` is resumed by `wake` or `end`."""
         self._pieces += pieces
-        self._size += sum(map(len, pieces))
+        size = sum(map(len, pieces))
+        self._size += size
+        self.received += size
+        self.holding.keep(Part.BODY, self._size)
         if self._size > RESPONSE_BUFFER_LIMIT and not self._paused:
             self._paused = True
             self._connection.transport.pauseProducing()
--- a/packages/http_proxy/oakramp/http_proxy/upstream.py
+++ b/packages/http_proxy/oakramp/http_proxy/upstream.py
@@ -10,6 +10,7 @@
 
 from twisted.internet import defer
 
+from oakramp.common.backend_room import BackendRoom
 from oakramp.common.constants import CONNECT_TIME
 from oakramp.common.errors import BadRequestError, DeadlineExceededError, OverloadedError, UnreachableError
 from oakramp.common.settings import split_address
@@ -25,7 +26,8 @@
     """All connections to replicas. Invariants: `_open` holds every connection that is established or being made,
     by address; `_idle` those of them that may be used again, the most recently used last."""
 
-    def __init__(self, reactor, bind_host, log):
+    def __init__(self, reactor, bind_host, log, backend_room=None):
+        self.backend_room = backend_room or BackendRoom()
         self.reactor, self._bind_host, self._log = reactor, bind_host, log
         self._open, self._idle = {}, {}
         self.opened = self.reused = 0
