--- a/packages/common/oakramp/common/constants.py
+++ b/packages/common/oakramp/common/constants.py
@@ -33,6 +33,9 @@
 FILE_DESCRIPTORS = 200  # descriptors; that are not for sockets, or half of all if there are few
 ACCOUNT_SHARES = {"gate": 0.3, "control": 0.2, "store": 0.1}  # share of the memory; of the account, by kind of node:
 # a control node and a store hold their log's table and records besides
+BACKEND_SHARES = {"gate": 0.08, "control": 0.2, "store": 0.02}  # share of the memory; for responses of back ends
+BACKEND_SENDER_SHARE = 0.5  # share of that room; that one back end may hold with several responses
+BACKEND_GATHERED_SHARE = 0.25  # share of the account; for bodies of one back end that are gathered at a time
 CLIENT_SHARE = 0.5  # share of the account; that one client address may hold
 PINNED_SHARE = 0.75  # share; of the account, and of a client's part of it, that large requests may pin
 SMALL_REQUEST = 64 << 10  # bytes; a request up to this size finds room beside large ones
@@ -270,6 +273,7 @@
 # --- gateways ----------------------------------------------------------------
 BODY_LIMIT = 1 << 20  # bytes; a client's request body
 REPLICA_EVENT_LIMIT = 64 << 10  # bytes; one event line from a replica
+OUTPUT_PIECE_COST = 192  # bytes; of a piece of a turn's output beside its text
 OUTPUT_LIMIT = 1 << 20  # bytes; the whole output of one turn
 NAME_LIMIT = 128  # characters; names of partners, programs, conversations, turns and keys
 UNITS_LIMIT = 1 << 40  # units; a spending limit above it is a mistake
@@ -374,6 +378,11 @@
 PEER_SILENCE = 5.0  # s; bytes unacknowledged for this long mean that the peer's machine or the path to it is gone
 PEER_PROBE = 2  # s; a connection on which a response is awaited is probed after this much silence, and at this interval
 RESPONSE_HEAD_LIMIT = 64 << 10  # bytes; a replica's header block; a larger one is not accepted as a response
+CHUNK_FRAMING_FACTOR = 8  # times; what a body in chunks of one byte takes on the wire, and a little more
+PIECE_SIZE_MIN = 4 << 10  # bytes; shorter pieces of a body are joined to the one before
+RESPONSE_FIELDS_LIMIT = 1000  # fields; of a replica's header block
+REPLICA_READ_SIZE = 16 << 10  # bytes; read at a time from a replica, so that many paused responses hold little
+EVENT_LIMIT = 1 << 20  # bytes; of one event of a stream
 RESPONSE_BUFFER_LIMIT = 64 << 10  # bytes; of one response's body buffered for a client that reads slowly, then the
 # replica is paused
 KEEP_ALIVE_MARGIN = 0.4  # s; a connection is no longer used this long before the replica's own timeout for idle
--- a/packages/common/oakramp/common/errors.py
+++ b/packages/common/oakramp/common/errors.py
@@ -204,6 +204,17 @@
     verdict = Verdict.YES
 
 
+class ResponseLimitError(IncompleteResponseError):
+    """A response was cut off, as it takes more memory than it may; its request may have run.
+
+    `part` of it, as BackendRoom names it, took `size` bytes, over `limit`; it came from `address`."""
+
+    code = "overLimit"
+    verdict = Verdict.MAYBE
+    address = part = ""
+    size = limit = 0
+
+
 class SettingsError(OakrampError):
     """The settings cannot be used; `detail` is the list of faults."""
 
--- a/packages/common/oakramp/common/process_limits.py
+++ b/packages/common/oakramp/common/process_limits.py
@@ -8,6 +8,7 @@
 from oakramp.common.constants import (
     ACCEPT_LIMIT,
     ACCOUNT_SHARES,
+    BACKEND_SHARES,
     CLIENT_DESCRIPTOR_SHARE,
     CLIENTS_LIMIT,
     CONNECTION_COST,
@@ -26,6 +27,7 @@
     """The limits of one process; connections are counted for each of its ports."""
 
     account_bytes: int  # of the memory account
+    backend_bytes: int  # of the room for responses on connections that the process opens
     client_connections: int  # at a gateway's port for clients
     json_connections: int  # at each JSON interface
     peer_connections: int  # at the port for other nodes
@@ -49,6 +51,7 @@
 
     return ProcessLimits(
         account_bytes=int(memory_bytes * ACCOUNT_SHARES[kind]),
+        backend_bytes=int(memory_bytes * BACKEND_SHARES[kind]),
         client_connections=connections(CLIENTS_LIMIT, CLIENT_DESCRIPTOR_SHARE),
         json_connections=connections(JSON_CONNECTIONS_LIMIT, JSON_DESCRIPTOR_SHARE),
         peer_connections=connections(ACCEPT_LIMIT, PEER_DESCRIPTOR_SHARE),
--- a/packages/gateway/oakramp/gateway/proxied_request.py
+++ b/packages/gateway/oakramp/gateway/proxied_request.py
@@ -39,6 +39,8 @@
     tokens_sent: int = 0  # tokens in the events that were relayed
     last_event_id: str = None  # id of the last event relayed to the client
     has_event_ids: bool = True  # whether every relayed event with data has an id
+    relayed_size: int = 0  # bytes of the events that were relayed
+    repeated_size: int = 0  # bytes of events that came again from the replica that resumes the stream
     output: list = field(default_factory=list)
     output_size: int = 0
     output_room: int = 0  # bytes of output that room was taken for
--- a/packages/gateway/oakramp/gateway/proxy_forwarder.py
+++ b/packages/gateway/oakramp/gateway/proxy_forwarder.py
@@ -26,6 +26,7 @@
     OutcomeUnknownError,
     OverloadedError,
     PlanChangedError,
+    ResponseLimitError,
     UnreachableError,
     Verdict,
 )
@@ -88,6 +89,8 @@
 
     def _record_failure(self, instance, error):
         self._metrics.count("relay_failed", code=error.code, verdict=error.verdict.value)
+        if isinstance(error, ResponseLimitError):
+            self._node.backend_room.report(error, instance.row["id"])
         if isinstance(error, UnreachableError):
             self._balancer.failed(instance, at_once=True)
             return
@@ -258,7 +261,7 @@
             verdict = Verdict.MAYBE if proxied_request.may_have_run else Verdict.NO
             raise ClientDisconnectedError("the client disconnected before the response arrived", verdict) from None
         observation.response_started()
-        proxied_request.response = response
+        proxied_request.response, proxied_request.repeated_size = response, 0
         return response
 
     def _begin_sending(self, proxied_request, instance, service, observation):
@@ -306,7 +309,7 @@
             self._balancer.record_load(instance, metadata.load)
         if metadata.not_run:
             proxied_request.may_have_run = False
-            spawn(self._drain(response), self._log)
+            spawn(self._drain(response, instance), self._log)
             raise OverloadedError(
                 f"the replica rejected the request with status {response.status}", retry_after=RETRY_AFTER_MIN
             )
@@ -351,6 +354,8 @@
                     "the client disconnected while the response was being relayed", Verdict.MAYBE
                 ) from error
             raise
+        finally:
+            response.holding.release()
 
     def _response_head_timeout(self, proxied_request, service, time_left):
         """Seconds to wait for the head of this replica's response: all the remaining time, unless the request may be
@@ -361,14 +366,18 @@
             time_left, max(STALLED_FACTOR * self._balancer.outliers.late_threshold(service), STALLED_SHARE * time_left)
         )
 
-    async def _drain(self, response):
+    async def _drain(self, response, instance):
         """Reads a rejection to its end, so that its connection can be reused."""
         try:
             await within(
                 self._reactor,
                 CALL_TIME,
-                response.read(REFUSAL_LIMIT),
+                response.discard(REFUSAL_LIMIT),
                 OutcomeUnknownError("the body of the rejection did not end in time"),
             )
+        except ResponseLimitError as error:
+            self._record_failure(instance, error)
         except OakrampError:
             response.abort()
+        finally:
+            response.holding.release()
--- a/packages/gateway/oakramp/gateway/proxy_responses.py
+++ b/packages/gateway/oakramp/gateway/proxy_responses.py
@@ -1,13 +1,22 @@
 """Relays replicas' responses to clients: small ones are buffered whole, larger ones are passed on as they arrive."""
 
-from oakramp.common.constants import RESPONSE_HELD_LIMIT
-from oakramp.common.errors import IncompleteResponseError, OutcomeUnknownError, TooLargeError, Verdict
+from oakramp.common.backend_room import Part
+from oakramp.common.constants import PIECE_SIZE_MIN, RESPONSE_HELD_LIMIT
+from oakramp.common.errors import IncompleteResponseError, OutcomeUnknownError, Verdict
 from oakramp.common.tasks import within
 from oakramp.gateway.proxied_request import ClientDisconnectedError, remaining_run_time
 
 NOT_MODIFIED = 304
 
 
+def _append(parts, part):
+    """Adds a part to those that are gathered; small ones are joined, so that each costs little beside its bytes."""
+    if parts and len(parts[-1]) < PIECE_SIZE_MIN:
+        parts[-1] += part
+    else:
+        parts.append(part)
+
+
 class ResponseRelay:
     """`limits()` returns the limits in force, with `body_bytes`.
 
@@ -36,8 +45,9 @@
             )
             if part is None:
                 return response.status, self._dialect.response_headers(response.headers), parts, None
-            parts.append(part)
             size += len(part)
+            response.holding.gather(size)
+            _append(parts, part)
             if not self._take_room(proxied_request, part):
                 break
         return response.status, self._dialect.response_headers(response.headers), parts, response
@@ -55,14 +65,13 @@
         return status, headers, b"".join(parts)
 
     async def _read_rest(self, proxied_request, response, limit):
-        """The parts of the rest of a response, of at most `limit` bytes."""
-        parts, size = [], 0
+        """The parts of the rest of a response, which has at most `limit` bytes. Raises ResponseLimitError."""
+        parts = []
         while (part := await response.next()) is not None:
-            size += len(part)
-            if size > limit or not self._take_room(proxied_request, part):
-                response.abort()
-                raise TooLargeError(f"the response is over {limit} bytes, or than there is memory for", Verdict.MAYBE)
-            parts.append(part)
+            if response.received > limit or not self._take_room(proxied_request, part):
+                raise response.holding.limit_error(Part.GATHERED, response.received, limit)
+            response.holding.gather(response.received)
+            _append(parts, part)
         return parts
 
     @staticmethod
@@ -94,6 +103,7 @@
             parts.clear()
             exchange.give_back(proxied_request.response_held)
             proxied_request.response_held = 0
+            response.holding.gather(0)
             while (part := await self.next_part(proxied_request, response)) is not None:
                 exchange.write(part)
                 if exchange.is_full:
--- a/packages/gateway/oakramp/gateway/proxy_streams.py
+++ b/packages/gateway/oakramp/gateway/proxy_streams.py
@@ -5,7 +5,13 @@
 from twisted.internet import defer
 
 from oakramp.common.backend_room import Part
-from oakramp.common.constants import FULL_RETRY_AFTER, QUEUE_WAIT_SHARE, RETRY_AFTER_MIN, TURN_OUTPUT_LIMIT
+from oakramp.common.constants import (
+    EVENT_LIMIT,
+    FULL_RETRY_AFTER,
+    QUEUE_WAIT_SHARE,
+    RETRY_AFTER_MIN,
+    TURN_OUTPUT_LIMIT,
+)
 from oakramp.common.errors import (
     BudgetExhaustedError,
     IncompleteResponseError,
@@ -149,23 +155,29 @@
             return False
         if not proxied_request.head_sent:
             proxied_request.response_head = (response.status, self._dialect.stream_headers(response.headers))
-        while True:
-            part = await self._responses.next_part(proxied_request, response)
-            if part is None:
-                break
-            events = splitter.feed(part)
-            response.holding.keep(Part.EVENT, len(splitter.rest))
-            if events:
-                self._record_first_event(proxied_request, instance)
-                self._write_events(proxied_request, events, self._tokens_per_event(instance.row["pool"]))
-                if proxied_request.exchange.is_full:
-                    await self._responses.wait_writable(proxied_request, response)
+        while (part := await self._responses.next_part(proxied_request, response)) is not None:
+            await self._relay_part(proxied_request, response, instance, splitter, part)
         if splitter.rest.strip():
             raise IncompleteResponseError("the stream ended in the middle of an event")
         if not proxied_request.head_sent:
             self._start_response(proxied_request)
         return True
 
+    async def _relay_part(self, proxied_request, response, instance, splitter, part):
+        """Relays the events that a part of the body completes. Raises ResponseLimitError for one that does not end, and
+        for a replica that sends relayed events again beyond what a resumed stream has."""
+        events = splitter.feed(part)
+        _check_event(response, len(splitter.rest))
+        if not events:
+            return
+        self._record_first_event(proxied_request, instance)
+        self._write_events(proxied_request, events, self._tokens_per_event(instance.row["pool"]))
+        repeated_limit = proxied_request.relayed_size + EVENT_LIMIT
+        if proxied_request.repeated_size > repeated_limit:
+            raise response.holding.limit_error(Part.EVENT, proxied_request.repeated_size, repeated_limit)
+        if proxied_request.exchange.is_full:
+            await self._responses.wait_writable(proxied_request, response)
+
     def _record_first_event(self, proxied_request, instance):
         """Records the first event of a request that was sent to one replica only.
 
@@ -197,6 +209,7 @@
                 and event_id is not None
                 and not _is_after(event_id, proxied_request.last_event_id)
             ):
+                proxied_request.repeated_size += len(raw)
                 continue
             chunks.append(raw)
             if event_id is not None:
@@ -213,7 +226,16 @@
             return
         if not proxied_request.head_sent:
             self._start_response(proxied_request)
-        proxied_request.exchange.write(b"".join(chunks))
+        written = b"".join(chunks)
+        proxied_request.relayed_size += len(written)
+        proxied_request.exchange.write(written)
+
+
+def _check_event(response, size):
+    """Takes room for the first `size` bytes of an event that has not ended. Raises ResponseLimitError."""
+    if size > EVENT_LIMIT:
+        raise response.holding.limit_error(Part.EVENT, size, EVENT_LIMIT)
+    response.holding.keep(Part.EVENT, size)
 
 
 def _has_output_room(proxied_request):
--- a/packages/gossip/oakramp/gossip/node.py
+++ b/packages/gossip/oakramp/gossip/node.py
@@ -6,7 +6,7 @@
 import time
 
 from oakramp.common.backend_room import BackendRoom
-from oakramp.common.constants import BODY_LIMIT, CLOCK_JUMP, CLOCK_POLL, SEED_AGE, WIRE_VERSION
+from oakramp.common.constants import BACKEND_GATHERED_SHARE, BODY_LIMIT, CLOCK_JUMP, CLOCK_POLL, SEED_AGE, WIRE_VERSION
 from oakramp.common.http_server import HttpServer
 from oakramp.common.memory_account import MemoryAccount
 from oakramp.common.process_limits import limits_of
@@ -51,7 +51,9 @@
         self.log = EventLogger(sink, node=env["machine"], kind=kind)
         self.limits = limits_of(kind, env)
         self.memory_account = MemoryAccount(reactor, self.limits.account_bytes, self.log)
-        self.backend_room = BackendRoom()
+        self.backend_room = BackendRoom(
+            reactor, self.limits.backend_bytes, self.limits.account_bytes * BACKEND_GATHERED_SHARE, self.log
+        )
         self.net = RpcEndpoint(
             reactor, self.node_id, kind, env["peer"], self.identity.cluster_id, self.log, self.limits.peer_connections
         )
--- a/packages/http_proxy/oakramp/http_proxy/connection.py
+++ b/packages/http_proxy/oakramp/http_proxy/connection.py
@@ -9,13 +9,27 @@
 from twisted.internet import defer, error, protocol
 
 from oakramp.common.backend_room import Part
-from oakramp.common.constants import KEEP_ALIVE_DEFAULT, KEEP_ALIVE_MARGIN, RESPONSE_HEAD_LIMIT, TRAILER_LIMIT
-from oakramp.common.errors import IncompleteResponseError, OutcomeUnknownError, UnreachableError, Verdict
+from oakramp.common.constants import (
+    FIELD_COST,
+    KEEP_ALIVE_DEFAULT,
+    KEEP_ALIVE_MARGIN,
+    REPLICA_READ_SIZE,
+    RESPONSE_FIELDS_LIMIT,
+    RESPONSE_HEAD_LIMIT,
+    TRAILER_LIMIT,
+)
+from oakramp.common.errors import (
+    IncompleteResponseError,
+    OutcomeUnknownError,
+    ResponseLimitError,
+    UnreachableError,
+    Verdict,
+)
 from oakramp.common.tcp_options import set_peer_options
-from oakramp.http_proxy.framing import ChunkedDecoder, MalformedMessageError, body_length, parse_fields
+from oakramp.http_proxy.framing import ChunkedDecoder, LineLimitError, MalformedMessageError, body_length, parse_fields
 from oakramp.http_proxy.response import COMPLETE, Response
 from oakramp.http_proxy.sliced_sender import SEND_SLICE, SlicedSender
-from oakramp.http_proxy.sockets import has_unsent, is_kernel_socket, send_now
+from oakramp.http_proxy.sockets import has_unsent, is_kernel_socket, limit_reads, send_now
 
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r\n")
 _TIMEOUT = re.compile(rb"timeout[ \t]*=[ \t]*([0-9]{1,9})")
@@ -24,7 +38,7 @@
 class ReplicaConnection(protocol.Protocol):
     """Invariants: `ready` is set until the connection is established; `_head_waiting` from the first byte of a request
     to the head of its response, `_response` from there to the response's end. With none of them set the connection is
-    idle, and bytes that arrive then belong to no request."""
+    idle, and bytes that arrive then belong to no request. `_interim_size` counts the bytes of interim heads."""
 
     def __init__(self, pool, address, instance_id):
         self._pool, self.address, self.instance_id = pool, address, instance_id
@@ -34,7 +48,7 @@
         self.ready = self.connector = None
         self._keep_alive_s = KEEP_ALIVE_DEFAULT
         self._head_waiting = self._response = self._decoder = None
-        self._buffer, self._left = b"", 0
+        self._buffer, self._left, self._interim_size = b"", 0, 0
         self._method = self._expect = self._holding = None
         self._used = self._persists = False
         self._body_sender = None
@@ -51,6 +65,7 @@
 
     def connectionMade(self):
         set_peer_options(self.transport, probes=True)
+        limit_reads(self.transport, REPLICA_READ_SIZE)
         self.usable_until = self._pool.reactor.seconds() + KEEP_ALIVE_DEFAULT
         ready, self.ready = self.ready, None
         if ready is None:
@@ -91,7 +106,15 @@
             self.transport.abortConnection()
         self._fail(OutcomeUnknownError(f"{self.address}: {why}"), IncompleteResponseError(f"{self.address}: {why}"))
 
+    def cut_off(self, error):
+        """Closes at once; the request fails with this error, before or after the head of its response."""
+        self._fail(error, error)
+        self.drop()
+
     def _fail(self, before, after):
+        holding, self._holding = self._holding, None
+        if holding is not None:
+            holding.release()
         waiting, self._head_waiting = self._head_waiting, None
         response, self._response = self._response, None
         if waiting is not None and not waiting.called:
@@ -107,7 +130,8 @@
             raise UnreachableError(f"{self.address} had closed the connection")
         self._body_sender = SlicedSender(self.transport, body) if is_sliced else None
         self._method, self._expect = method, expect
-        self._holding = self._pool.backend_room.holding(self.address)
+        self._holding = self._pool.backend_room.holding(self.address, self.cut_off)
+        self._interim_size = 0
         self._head_waiting = defer.Deferred(self._give_up)
         return self._head_waiting
 
@@ -127,24 +151,26 @@
                 self._take_head(data)
             else:
                 self.drop()  # bytes that belong to no request
+        except LineLimitError as fault:
+            self.cut_off(self._response.holding.limit_error(Part.BODY, fault.size, fault.limit))
         except MalformedMessageError as fault:
             self._fail(
                 IncompleteResponseError(f"{self.address} sent an invalid response: {fault}", Verdict.MAYBE),
                 IncompleteResponseError(f"{self.address} sent a body with invalid framing: {fault}"),
             )
             self.drop()
+        except ResponseLimitError as error:
+            self.cut_off(error)
 
     def _take_head(self, data):
         data = self._buffer + data if self._buffer else data
         while True:
             end = data.find(b"\r\n\r\n")
-            if end < 0 or end + 4 > RESPONSE_HEAD_LIMIT:
-                if end >= 0 or len(data) >= RESPONSE_HEAD_LIMIT:
-                    raise MalformedMessageError("a header block that is too long")
+            self._check_head(data, len(data) if end < 0 else end + 4)
+            if end < 0:
                 if not data.startswith(b"HTTP/1."[: len(data)]):
                     raise MalformedMessageError("the status line")
                 self._buffer = data
-                self._holding.keep(Part.HEAD, len(data))
                 return
             line = _STATUS_LINE.match(data)
             if line is None:
@@ -155,9 +181,20 @@
                 raise MalformedMessageError("a change of protocol that was not requested")
             if status >= 200:
                 break
+            self._interim_size += end + 4
         self._buffer = b""
         self._begin(status, fields, hop_by_hop, line[1] == b"1", data)
 
+    def _check_head(self, data, size):
+        """Takes room for a header block that begins with `size` bytes of `data`. Raises ResponseLimitError if it is too
+        long, alone or together with the interim heads before it."""
+        fields = data.count(b"\n", 0, size)
+        if self._interim_size + size > RESPONSE_HEAD_LIMIT:
+            raise self._holding.limit_error(Part.HEAD, self._interim_size + size, RESPONSE_HEAD_LIMIT)
+        if fields > RESPONSE_FIELDS_LIMIT:
+            raise self._holding.limit_error(Part.HEAD, size + FIELD_COST * fields, FIELD_COST * RESPONSE_FIELDS_LIMIT)
+        self._holding.keep(Part.HEAD, size + FIELD_COST * fields)
+
     def _begin(self, status, fields, hop_by_hop, is_11, data):
         length = body_length(hop_by_hop)
         holding, self._holding = self._holding, None
--- a/packages/http_proxy/oakramp/http_proxy/framing.py
+++ b/packages/http_proxy/oakramp/http_proxy/framing.py
@@ -40,6 +40,14 @@
     """The bytes are not HTTP/1.1, or could be read in two ways."""
 
 
+class LineLimitError(MalformedMessageError):
+    """A size line of a chunk, or the trailers, are longer than `limit` bytes."""
+
+    def __init__(self, reason, size, limit):
+        super().__init__(reason)
+        self.size, self.limit = size, limit
+
+
 def status_line(status):
     line = _STATUS_LINES.get(status)
     if line is None:
@@ -115,7 +123,9 @@
             if state == self.SIZE:
                 match = _CHUNK.match(data, at, at + CHUNK_LINE_LIMIT)
                 if match is None:
-                    if size - at >= CHUNK_LINE_LIMIT or data.find(b"\n", at) >= 0:
+                    if data.find(b"\n", at, at + CHUNK_LINE_LIMIT) < 0 and size - at >= CHUNK_LINE_LIMIT:
+                        raise LineLimitError("a chunk's size line is too long", size - at, CHUNK_LINE_LIMIT)
+                    if data.find(b"\n", at) >= 0:
                         raise MalformedMessageError("a chunk's size line is malformed")
                     break
                 at, self._left = match.end(), int(match[1], 16)
@@ -139,8 +149,9 @@
                 state = self.SIZE
             else:
                 end = data.find(b"\r\n", at)
-                if self._trailers + (size if end < 0 else end) - at > self._trailer_limit:
-                    raise MalformedMessageError("trailers are too long")
+                trailers = self._trailers + (size if end < 0 else end) - at
+                if trailers > self._trailer_limit:
+                    raise LineLimitError("trailers are too long", trailers, self._trailer_limit)
                 if end < 0:
                     break
                 self._trailers += end + 2 - at
--- a/packages/http_proxy/oakramp/http_proxy/response.py
+++ b/packages/http_proxy/oakramp/http_proxy/response.py
@@ -1,5 +1,7 @@
 """A replica's response, which the requester reads while it arrives."""
 
+import weakref
+
 from twisted.internet import defer
 
 from oakramp.common.backend_room import Part
@@ -13,7 +15,7 @@
 class Response(WithHeaders):
     """The head of a response, and its body as it arrives. The requester reads it to its end or aborts it.
 
-    Invariants: pieces are returned in order, and all that arrived before the end is returned before the end is
+    Invariants: the bytes are returned in order, and all that arrived before the end is returned before the end is
     reported; `_outcome` is None until the end, then COMPLETE or the error; `received` counts the bytes of the
     body that have arrived, and `holding` those that are kept."""
 
@@ -23,11 +25,12 @@
         "holding",
         "received",
         "_connection",
-        "_pieces",
+        "_data",
         "_size",
         "_outcome",
         "_waiting",
         "_paused",
+        "__weakref__",
     )
 
     def __init__(self, connection, status, headers, length, holding):
@@ -35,12 +38,12 @@
         self._connection, self.status, self.length = connection, status, length
         self.holding, self.received = holding, 0
         self._outcome = self._waiting = None
-        self._pieces, self._size, self._paused = [], 0, False
+        self._data, self._paused = b"", False
 
     @property
     def is_ready(self):
         """Whether `next` would return or raise at once."""
-        return bool(self._pieces) or self._outcome is not None
+        return bool(self._data) or self._outcome is not None
 
     @property
     def has_ended(self):
@@ -50,14 +53,14 @@
     @property
     def is_spent(self):
         """Whether the response arrived completely, and all of it was returned by `next`."""
-        return self._outcome is COMPLETE and not self._pieces
+        return self._outcome is COMPLETE and not self._data
 
     async def next(self, time_left=None):
         """Returns the part of the body that has arrived, waiting for some; None after the complete body. A wait longer
         than `time_left` raises OutcomeUnknownError and leaves the response as it is."""
         ends_at = None if time_left is None else self._connection.now() + time_left if self._outcome is None else 0.0
         # Arriving data may be framing only, which ends the wait without a piece.
-        while not self._pieces and self._outcome is None:
+        while not self._data and self._outcome is None:
             waiting = self._waiting = defer.Deferred()
             if ends_at is None:
                 await waiting
@@ -68,15 +71,15 @@
             finally:
                 if timer.active():
                     timer.cancel()
-            if not self._pieces and self._outcome is None and self._connection.now() >= ends_at:
+            if not self._data and self._outcome is None and self._connection.now() >= ends_at:
                 raise OutcomeUnknownError("the response stopped arriving")
-        if self._pieces:
-            pieces, self._pieces, self._size = self._pieces, [], 0
+        if self._data:
+            data, self._data = self._data, b""
             self.holding.keep(Part.BODY, 0)
             if self._paused and self._connection is not None:
                 self._paused = False
                 self._connection.transport.resumeProducing()
-            return pieces[0] if len(pieces) == 1 else b"".join(pieces)
+            return bytes(data)
         if self._outcome is COMPLETE:
             return None
         raise self._outcome
@@ -92,21 +95,38 @@
             parts.append(piece)
         return b"".join(parts)
 
+    async def discard(self, limit):
+        """Reads the body to its end and keeps nothing. Raises ResponseLimitError if it is over `limit` bytes."""
+        while await self.next() is not None:
+            if self.received > limit:
+                self.abort()
+                raise self.holding.limit_error(Part.BODY, self.received, limit)
+
     def abort(self):
-        """Closes the connection unless the response has ended, so that the replica drops the request."""
+        """Closes the connection unless the response has ended, so that the replica drops the request.
+
+        What has arrived is given up."""
+        self._data = b""
+        self.holding.release()
         if self._outcome is None:
             connection = self._connection
             self.end(IncompleteResponseError("the response was given up", Verdict.MAYBE))
             connection.drop()
 
     def put(self, pieces):
-        """Stores pieces for `next`; a waiting `next` is resumed by `wake` or `end`."""
-        self._pieces += pieces
-        size = sum(map(len, pieces))
-        self._size += size
-        self.received += size
-        self.holding.keep(Part.BODY, self._size)
-        if self._size > RESPONSE_BUFFER_LIMIT and not self._paused:
+        """Stores pieces for `next`; a waiting `next` is resumed by `wake` or `end`. Raises ResponseLimitError."""
+        data = pieces[0] if len(pieces) == 1 else b"".join(pieces)
+        if not data:
+            return
+        self.received += len(data)
+        self.holding.keep(Part.BODY, len(self._data) + len(data))
+        if not self._data:
+            self._data = data
+        else:
+            if isinstance(self._data, bytes):
+                self._data = bytearray(self._data)
+            self._data += data
+        if not self._paused and (len(self._data) > RESPONSE_BUFFER_LIMIT or self.holding.is_scarce):
             self._paused = True
             self._connection.transport.pauseProducing()
 
@@ -117,10 +137,16 @@
             return
         connection, self._connection = self._connection, None
         self._outcome = outcome
+        response = weakref.ref(self)
+        self.holding.give_way = lambda error: response().lose(error) if response() is not None else None
         if self._paused and connection.is_open:
             connection.transport.resumeProducing()
         self.wake()
 
+    def lose(self, error):
+        """Gives up what has arrived of a response that has ended, and was not read yet."""
+        self._data, self._outcome = b"", error
+
     def wake(self):
         waiting, self._waiting = self._waiting, None
         if waiting is not None and not waiting.called:
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -32,6 +32,7 @@
     "fenced": ("StaleEpochError", 409, "no"),
     "noAnswer": ("OutcomeUnknownError", 502, "maybe"),
     "broken": ("IncompleteResponseError", 502, "yes"),
+    "overLimit": ("ResponseLimitError", 502, "maybe"),
     "env": ("SettingsError", 500, "no"),
     "ring": ("StorageError", 500, "maybe"),
     "ringFull": ("StorageFullError", 507, "no"),
--- a/tests/test_relay_upstream.py
+++ b/tests/test_relay_upstream.py
@@ -20,6 +20,7 @@
     KEEP_ALIVE_DEFAULT,
     KEEP_ALIVE_MARGIN,
     RESPONSE_BUFFER_LIMIT,
+    RESPONSE_FIELDS_LIMIT,
     RESPONSE_HEAD_LIMIT,
 )
 from oakramp.common.errors import (
@@ -28,6 +29,7 @@
     IncompleteResponseError,
     OutcomeUnknownError,
     OverloadedError,
+    ResponseLimitError,
     TooLargeError,
     UnreachableError,
     Verdict,
@@ -264,15 +266,32 @@
             head + b"Content-Length: 5\r\nContent-Length: 6\r\n\r\n",
             head + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
             head + b"Transfer-Encoding: gzip\r\n\r\n",
+        ):
+            with self.subTest(data=data[:60]):
+                outcome, replica = self.dialled()
+                replica.feed(data)
+                self.failed(outcome, IncompleteResponseError, Verdict.MAYBE)
+                self.assertIsInstance(replica.ended, error.ConnectionAborted)
+        self.assertEqual(self.upstreams.open_count(PLACE), 0)
+
+    def test_heads_that_are_too_long(self):
+        head = b"HTTP/1.1 200 OK\r\n"
+        interim = b"HTTP/1.1 103 Early Hints\r\nX: " + b"x" * (RESPONSE_HEAD_LIMIT // 2) + b"\r\n\r\n"
+        for data in (
             head + b"X: " + b"x" * RESPONSE_HEAD_LIMIT,
             head + b"X: " + b"x" * RESPONSE_HEAD_LIMIT + b"\r\n\r\n",
+            head + b"X:\r\n" * RESPONSE_FIELDS_LIMIT + b"\r\n",
+            interim * 2 + OK,
         ):
             with self.subTest(data=data[:60]):
                 outcome, replica = self.dialled()
                 replica.feed(data)
-                self.failed(outcome, IncompleteResponseError, Verdict.MAYBE)
+                self.failed(outcome, ResponseLimitError, Verdict.MAYBE)
+                self.assertEqual(outcome.error.part, "head")
+                self.assertGreater(outcome.error.size, outcome.error.limit)
                 self.assertIsInstance(replica.ended, error.ConnectionAborted)
         self.assertEqual(self.upstreams.open_count(PLACE), 0)
+        self.assertEqual(self.upstreams.backend_room.total, 0)
 
     def test_no_answer(self):
         outcome, replica = self.dialled()
