--- a/packages/common/oakramp/common/http_client.py
+++ b/packages/common/oakramp/common/http_client.py
@@ -1,31 +1,44 @@
 """HTTP/1.1 requests with twisted.web, each on a connection of its own.
 
 A connection that is not shared keeps the verdict exact: unless the connection was made, nothing was sent.
+
+twisted.web's parser keeps all header lines of a response, so its bytes are counted before it gets them
+(`_BoundedConnection`). A response that takes too much, or too long, is cut off.
 """
 
 from __future__ import annotations
 
-from collections import deque
+import re
 from typing import TYPE_CHECKING
 
 from twisted.internet import defer, error, protocol
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
-from oakramp.common.constants import BODY_LIMIT, CONNECT_TIME
+from oakramp.common.backend_room import BackendRoom, Part
+from oakramp.common.constants import (
+    BODY_LIMIT,
+    CHUNK_FRAMING_FACTOR,
+    CONNECT_TIME,
+    FIELD_COST,
+    RESPONSE_FIELDS_LIMIT,
+    RESPONSE_HEAD_LIMIT,
+)
 from oakramp.common.errors import (
     BadRequestError,
     IncompleteResponseError,
     OakrampError,
     OutcomeUnknownError,
-    TooLargeError,
+    ResponseLimitError,
     UnreachableError,
     Verdict,
 )
+from oakramp.common.json_cost import parsed_size
 from oakramp.common.settings import split_address
 from oakramp.common.tasks import begin, within
 from oakramp.common.tcp_options import limit_unacknowledged
@@ -55,29 +68,98 @@
         pass
 
 
+_BLANK_LINE = re.compile(rb"\n\r?\n")
+
+
+class _ResponseMeter:
+    """Counts the bytes of one response on the wire. Invariant: `error` is set once the response is over a limit."""
+
+    def __init__(self, holding, wire_limit=None):
+        """`wire_limit` is the most bytes of the whole response, with its framing, or None."""
+        self.holding, self._wire_limit = holding, wire_limit
+        self._size = self._fields = 0
+        self._has_blank_line = self.is_head_over = False
+        self.error = None
+
+    def take(self, data):
+        """Takes room for what the head in `data` adds. Raises ResponseLimitError."""
+        self._size += len(data)
+        if self._wire_limit is not None and self._size > self._wire_limit:
+            raise self.holding.limit_error(Part.BODY, self._size, self._wire_limit)
+        if self.is_head_over:
+            return
+        if not self._has_blank_line:
+            blank_line = _BLANK_LINE.search(data)
+            self._has_blank_line = blank_line is not None
+            self._fields += data.count(b"\n", 0, blank_line.end() if blank_line else len(data))
+        if self._size > 2 * RESPONSE_HEAD_LIMIT:  # the first read may hold a body behind the head
+            raise self.holding.limit_error(Part.HEAD, self._size, 2 * RESPONSE_HEAD_LIMIT)
+        cost = FIELD_COST * self._fields
+        if self._fields > RESPONSE_FIELDS_LIMIT:
+            raise self.holding.limit_error(Part.HEAD, cost, FIELD_COST * RESPONSE_FIELDS_LIMIT)
+        self.holding.keep(Part.HEAD, self._size + cost)
+
+
+class _BoundedConnection(ProtocolWrapper):
+    """Passes a response on to twisted.web as long as it is within its limits."""
+
+    def dataReceived(self, data: bytes) -> None:
+        """Counts the data before it is parsed."""
+        meter = self.factory.meter
+        if meter.error is not None:
+            return
+        try:
+            meter.take(data)
+        except ResponseLimitError as error:
+            meter.error = error
+            self.transport.abortConnection()
+            return
+        super().dataReceived(data)
+
+
+class _BoundedFactory(WrappingFactory):
+    noisy = False
+    protocol = _BoundedConnection
+
+    def __init__(self, wrapped, meter):
+        super().__init__(wrapped)
+        self.meter = meter
+
+
+def _abort(transport):
+    """Closes the connection from which a body is delivered."""
+    transport = getattr(transport, "_producer", transport)
+    closing = getattr(transport, "abortConnection", None) or getattr(transport, "loseConnection", None)
+    if closing is not None:
+        closing()
+
+
 @implementer(IAgentEndpointFactory)
 class _Endpoints:
     """`before_send` is awaited once the connection is established; `last_check` runs after it, in the same reactor turn
     in which the request is written."""
 
-    def __init__(self, reactor, bind_host, last_check=None, unacknowledged_s=None, before_send=None):
+    def __init__(self, reactor, bind_host, meter, last_check=None, unacknowledged_s=None, before_send=None):
+        self._meter = meter
         self._reactor, self._bind_host, self._last_check = reactor, bind_host, last_check
         self._unacknowledged_s, self._before_send = unacknowledged_s, before_send
 
     def endpointForURI(self, uri):
         bound = (self._bind_host, 0) if self._bind_host else None
         endpoint = TCP4ClientEndpoint(self._reactor, uri.host.decode(), uri.port, CONNECT_TIME, bound)
-        return _CheckedEndpoint(endpoint, self._last_check, self._unacknowledged_s, self._before_send)
+        return _CheckedEndpoint(endpoint, self._meter, self._last_check, self._unacknowledged_s, self._before_send)
 
 
 @implementer(IStreamClientEndpoint)
 class _CheckedEndpoint:
-    def __init__(self, endpoint, last_check, unacknowledged_s, before_send):
+    def __init__(self, endpoint, meter, last_check, unacknowledged_s, before_send):
+        self._meter = meter
         self._endpoint, self._last_check, self._unacknowledged_s = endpoint, last_check, unacknowledged_s
         self._before_send = before_send
 
     def connect(self, factory):
-        connecting = self._endpoint.connect(factory)
+        connecting = self._endpoint.connect(_BoundedFactory(factory, self._meter))
+        connecting.addCallback(lambda connection: connection.wrappedProtocol)
         if self._before_send:
             connecting.addCallback(self._prepare)
         return connecting.addCallback(self._check) if self._last_check else connecting
@@ -103,35 +185,45 @@
 class BodyLines(protocol.Protocol):
     """The body of a response as lines, read by one task.
 
-    Invariants: `_lines` holds complete lines only, and the sender is paused while more than `most` wait;
-    `ended` is set once nothing more arrives, however the body ended."""
+    Invariants: `_unread` holds what has arrived and was not returned yet, and the sender is paused while it is longer
+    than a line may be; `ended` is set once nothing more arrives, however the body ended; `error` if that was for a
+    limit; `holding` is that of the response."""
 
-    def __init__(self, line_limit, most=64):
-        self._line_limit, self._most = line_limit, most
-        self._lines = deque()
-        self._rest = b""
+    def __init__(self, line_limit, holding=None):
+        """`line_limit` is in bytes."""
+        self._line_limit = line_limit
+        self.holding = holding or BackendRoom().holding("")
+        self._unread = bytearray()
+        self._is_paused = False
         self._waiting = None
         self.ended = False
         self.whole = False
+        self.error = None
 
     def dataReceived(self, data: bytes) -> None:
-        """Splits arriving data into lines; reading pauses while too many wait."""
+        """Keeps arriving data; reading pauses while more than a line is unread."""
         if self.ended:
             return
-        *lines, self._rest = (self._rest + data).split(b"\n")
-        self._lines.extend(line for line in lines if line.strip())
-        if len(self._rest) > self._line_limit or any(len(line) > self._line_limit for line in lines):
-            self._end(False)
+        try:
+            self.holding.keep(Part.BODY, len(self._unread) + len(data))
+            self._unread += data
+            if self._unread.find(b"\n", 0, self._line_limit + 1) < 0 and len(self._unread) > self._line_limit:
+                raise self.holding.limit_error(Part.EVENT, len(self._unread), self._line_limit)
+        except ResponseLimitError as error:
+            self.error = error
+            self._unread.clear()
             self.abort()
             return
-        if len(self._lines) > self._most:
+        if len(self._unread) > self._line_limit and not self._is_paused:
+            self._is_paused = True
             self.transport.pauseProducing()
-        self._wake()
+        if b"\n" in data:
+            self._wake()
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         """Ends the body; it is complete only if its last line was."""
         # A truncated body has another reason; a last line without its line feed is not counted in either case.
-        self._end(bool(reason.check(ResponseDone)) and not self._rest)
+        self._end(bool(reason.check(ResponseDone)) and self._unread[-1:] in (b"", b"\n"))
 
     def _end(self, whole):
         if not self.ended:
@@ -139,56 +231,79 @@
             self._wake()
 
     def _wake(self):
-        if self._waiting is not None and (self._lines or self.ended):
+        if self._waiting is not None:
             waiting, self._waiting = self._waiting, None
             waiting.callback(None)
 
     async def next(self) -> bytes | None:
-        """The next line, or None once the body has ended."""
-        if not self._lines and not self.ended:
+        """The next line that is not blank, or None once the body has ended."""
+        while True:
+            end = self._unread.find(b"\n")
+            if end >= 0:
+                line = bytes(self._unread[:end])
+                del self._unread[: end + 1]
+                self.holding.keep(Part.BODY, len(self._unread))
+                self._read_on()
+                if len(line) > self._line_limit:
+                    self.error = self.holding.limit_error(Part.EVENT, len(line), self._line_limit)
+                    self.abort()
+                    return None
+                if line.strip():
+                    return line
+                continue
+            if self.ended:
+                return None
             self._waiting = defer.Deferred()
             await self._waiting
-        if self._lines:
-            line = self._lines.popleft()
-            if not self.ended and len(self._lines) == self._most // 2:
-                self.transport.resumeProducing()
-            return line
-        return None
+
+    def _read_on(self):
+        if self._is_paused and not self.ended and len(self._unread) <= self._line_limit // 2:
+            self._is_paused = False
+            self.transport.resumeProducing()
 
     def abort(self) -> None:
         """Closes the connection, so that the other side learns that nobody reads any more."""
         self._end(False)
-        transport = getattr(self.transport, "_producer", self.transport)
-        closing = getattr(transport, "abortConnection", None) or getattr(transport, "loseConnection", None)
-        if closing is not None:
-            closing()
+        _abort(self.transport)
 
 
 class _WholeBody(protocol.Protocol):
-    def __init__(self, limit, outcome):
-        self._limit, self._outcome, self._parts, self._size = limit, outcome, [], 0
+    """Gathers a body of at most `limit` bytes. A body whose `outcome` is known is cut off."""
+
+    def __init__(self, limit, meter):
+        self._limit, self._meter, self._data = limit, meter, bytearray()
+        self.outcome = defer.Deferred(lambda _: _abort(self.transport))
 
     def dataReceived(self, data: bytes) -> None:
-        self._size += len(data)
-        if self._size > self._limit and not self._outcome.called:
-            self._outcome.errback(TooLargeError(f"response is over {self._limit} bytes", Verdict.MAYBE))
-        if not self._outcome.called:
-            self._parts.append(data)
+        """Keeps arriving data, for which it takes room."""
+        if self.outcome.called:
+            return
+        size, holding = len(self._data) + len(data), self._meter.holding
+        try:
+            if size > self._limit:
+                raise holding.limit_error(Part.BODY, size, self._limit)
+            holding.keep(Part.BODY, 2 * size)  # it is copied at its end
+        except ResponseLimitError as error:
+            self.outcome.errback(error)
+            _abort(self.transport)
+            return
+        self._data += data
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
-        if self._outcome.called:
+        """Ends the body."""
+        if self.outcome.called:
             return
         if reason.check(ResponseDone):
-            self._outcome.callback(b"".join(self._parts))
+            self.outcome.callback(bytes(self._data))
             return
-        self._outcome.errback(OutcomeUnknownError("the response was truncated"))
+        self.outcome.errback(self._meter.error or OutcomeUnknownError("the response was truncated"))
 
 
 class HttpClient:
-    """Sends requests, each on a connection of its own."""
+    """Sends requests, each on a connection of its own. What is kept of responses is in `room`."""
 
-    def __init__(self, reactor, bind_host=None):
-        self._reactor, self._bind_host = reactor, bind_host
+    def __init__(self, reactor, bind_host=None, room=None):
+        self._reactor, self._bind_host, self.room = reactor, bind_host, room or BackendRoom()
         self._pool = HTTPConnectionPool(reactor, persistent=False)
 
     async def probe(self, address: str, time_left: float) -> None:
@@ -213,29 +328,35 @@
         more_headers=None,
         unacknowledged_s=None,
         before_send=None,
+        meter=None,
     ):
         """Returns the head of the response. An error has verdict NO only if no connection was made, or `before_send` or
         `last_check` raised it.
 
         `more_headers` are texts by name, sent in addition to this client's own. With `last_check`, the kernel drops a
-        connection on which nothing is acknowledged for `unacknowledged_s` seconds.
+        connection on which nothing is acknowledged for `unacknowledged_s` seconds. The response is counted by `meter`.
         """
+        meter = meter or self.meter(address)
         body = None if value is None else _Body(pack_json(value))
         headers = Headers({"content-type": ["application/json"], "connection": ["close"]})
         for name, text in (more_headers or {}).items():
             headers.setRawHeaders(name, [text])
-        endpoints = _Endpoints(self._reactor, self._bind_host, last_check, unacknowledged_s, before_send)
+        endpoints = _Endpoints(self._reactor, self._bind_host, meter, last_check, unacknowledged_s, before_send)
         agent = Agent.usingEndpointFactory(self._reactor, endpoints, self._pool)
         asked = agent.request(method.encode(), f"http://{address}{path}".encode(), headers, body)
         try:
-            return await within(
+            response = await within(
                 self._reactor, time_left, asked, OutcomeUnknownError(f"{address} did not answer in time")
             )
+            meter.is_head_over = True
+            return response
         except (error.ConnectError, error.ConnectingCancelledError) as fault:
             raise UnreachableError(f"{address} cannot be reached: {fault!r}") from fault
         except OakrampError:
             raise
         except Exception as fault:
+            if meter.error is not None:
+                raise meter.error from fault
             raise OutcomeUnknownError(f"{address} failed during the request: {fault!r}") from fault
 
     async def data(
@@ -251,26 +372,54 @@
         unacknowledged_s=None,
         before_send=None,
     ):
-        """Returns (status, bytes) of a small response."""
-        ends_at = self._reactor.seconds() + time_left
-        response = await self.send(
-            method, address, path, value, time_left, last_check, more_headers, unacknowledged_s, before_send
-        )
-        outcome = defer.Deferred(lambda _: None)
-        response.deliverBody(_WholeBody(limit, outcome))
-        return response.code, await within(
-            self._reactor,
-            ends_at - self._reactor.seconds(),
-            outcome,
-            OutcomeUnknownError(f"{address} did not finish its response in time"),
+        """Returns (status, bytes) of a small response. Raises ResponseLimitError if its body is over `limit` bytes."""
+        return await self._whole(
+            self.meter(address, 2 * RESPONSE_HEAD_LIMIT + CHUNK_FRAMING_FACTOR * limit),
+            limit,
+            (method, address, path, value, time_left, last_check, more_headers, unacknowledged_s, before_send),
         )
 
+    def meter(self, address, wire_limit=None):
+        """What counts the bytes of one response of the back end at this address."""
+        return _ResponseMeter(self.room.holding(address), wire_limit)
+
+    async def _whole(self, meter, limit, request):
+        """(status, bytes) of the response to a request, given as the arguments of `send`."""
+        address, time_left = request[1], request[4]
+        ends_at = self._reactor.seconds() + time_left
+        try:
+            response = await self.send(*request, meter=meter)
+            body = _WholeBody(limit, meter)
+            response.deliverBody(body)
+            return response.code, await within(
+                self._reactor,
+                ends_at - self._reactor.seconds(),
+                body.outcome,
+                OutcomeUnknownError(f"{address} did not finish its response in time"),
+            )
+        except ResponseLimitError as error:
+            self.room.report(error)
+            raise
+        finally:
+            meter.holding.release()
+
     async def json(self, method, address, path, value, time_left, limit=BODY_LIMIT, last_check=None):
-        """Returns (status, JSON object) of a small response."""
+        """Returns (status, JSON object) of a small response.
+
+        Raises:
+            ResponseLimitError: it is over `limit` bytes, or there is no room to parse it.
+        """
         status, data = await self.data(method, address, path, value, time_left, limit, last_check)
+        holding = self.room.holding(address)
         try:
+            holding.keep(Part.BODY, parsed_size(data))
             return status, parse_json(data, limit, "answer")
+        except ResponseLimitError as error:
+            self.room.report(error)
+            raise
         except BadRequestError as fault:
             raise IncompleteResponseError(
                 f"{address} sent a response that is not JSON: {fault.reason}", Verdict.MAYBE
             ) from fault
+        finally:
+            holding.release()
--- a/packages/control/oakramp/control/control_node.py
+++ b/packages/control/oakramp/control/control_node.py
@@ -82,6 +82,7 @@
         self.clock = self.fenced_caller = self.usage = self.orders = None
         self._compose_fenced_tasks(env, wall, dialect)
         self.node.memory_account.show(self.metrics)
+        self.node.backend_room.show(self.metrics)
         serve_metrics(self.web, self.metrics)
         AdminApi(self)
         for name, ask in (
--- a/packages/control/oakramp/control/fenced_task.py
+++ b/packages/control/oakramp/control/fenced_task.py
@@ -92,6 +92,7 @@
         env = node.env
         self._reactor = node.reactor
         self._bind_host = env["http"].rpartition(":")[0]
+        self._backend_room = node.backend_room
         self.hand_over = hand_over
         self._call_format = call_format
         self._metrics = metrics
@@ -106,7 +107,7 @@
         """The HTTP client, imported and created at the first call, because most control nodes never make one."""
         from oakramp.common.http_client import HttpClient
 
-        return HttpClient(self._reactor, self._bind_host)
+        return HttpClient(self._reactor, self._bind_host, self._backend_room)
 
     def start(self) -> None:
         """Starts freeze detection."""
--- a/packages/control/oakramp/control/replica_discovery.py
+++ b/packages/control/oakramp/control/replica_discovery.py
@@ -17,6 +17,7 @@
 
 from twisted.internet.defer import ensureDeferred
 
+from oakramp.common.backend_room import Part
 from oakramp.common.constants import (
     PLATFORM_BACKOFF,
     PLATFORM_BOUND_SHARE,
@@ -30,7 +31,8 @@
     PLATFORM_TICKS,
     PLATFORM_TIME,
 )
-from oakramp.common.errors import OakrampError, PlatformUnavailableError, QuorumUnavailableError
+from oakramp.common.errors import OakrampError, PlatformUnavailableError, QuorumUnavailableError, ResponseLimitError
+from oakramp.common.json_cost import parsed_size
 from oakramp.common.tasks import quorum_of, shielded, sleep, within
 from oakramp.common.validation import pack_json, parse_json
 from oakramp.control.replica_registry import REPLICAS_KEY, valid_fields
@@ -138,7 +140,7 @@
         """Imported and created by the first poll, since most control nodes never poll."""
         from oakramp.common.http_client import HttpClient
 
-        return HttpClient(self._node.reactor, self._node.env["http"].rpartition(":")[0])
+        return HttpClient(self._node.reactor, self._node.env["http"].rpartition(":")[0], self._node.backend_room)
 
     def _take_env(self, env):
         """Applies the settings that may change while the node runs."""
@@ -237,8 +239,9 @@
 
     async def _read_pages(self):
         rows, token, seen = [], None, set()
+        holding = self._node.backend_room.holding(self._address)
         while True:
-            page, token = await self._page(token)
+            page, token = await self._page(token, holding)
             rows += page
             if token is None:
                 return rows, len(seen) + 1
@@ -247,9 +250,19 @@
             seen.add(token)
             await sleep(self._node.reactor, self._page_pause())
 
-    async def _page(self, token):
-        """One page. If the platform rejects the call because of its rate limit, the call is retried with a doubling
-        backoff, as long as the answer can still keep the list fresh."""
+    def _take_room(self, holding, size):
+        """Takes room for `size` more bytes of rows. Raises ResponseLimitError."""
+        try:
+            holding.keep(Part.BODY, holding.held + size)
+        except ResponseLimitError as error:
+            self._node.backend_room.report(error)
+            raise
+
+    async def _page(self, token, holding):
+        """One page, for whose rows `holding` takes room, beside those of the pages before.
+
+        If the platform rejects the call because of its rate limit, the call is retried with a doubling backoff, as long
+        as the answer can still keep the list fresh."""
         reactor = self._node.reactor
         ends_at, backoff = reactor.seconds() + self._pause, PLATFORM_BACKOFF
         while True:
@@ -257,6 +270,7 @@
                 "GET", self._address, self._list_form.list_target(token), None, PLATFORM_TIME, PLATFORM_LIMIT
             )
             if status == 200:
+                self._take_room(holding, parsed_size(body))
                 return self._list_form.parse_list_page(body)
             if status != TOO_MANY_REQUESTS:
                 raise PlatformUnavailableError(f"status {status}")
--- a/packages/control/oakramp/control/shard_hand_over.py
+++ b/packages/control/oakramp/control/shard_hand_over.py
@@ -31,7 +31,7 @@
         """The client that probes the platform; imported and created when the first offer is received."""
         from oakramp.common.http_client import HttpClient
 
-        return HttpClient(self._node.reactor, self._node.env["http"].rpartition(":")[0])
+        return HttpClient(self._node.reactor, self._node.env["http"].rpartition(":")[0], self._node.backend_room)
 
     async def offer(self, shard: int) -> bool:
         """Offers the shard to at most FENCED_OFFERS live voters in turn; returns whether one of them accepted it."""
--- a/packages/gateway/oakramp/gateway/forwarding.py
+++ b/packages/gateway/oakramp/gateway/forwarding.py
@@ -12,6 +12,7 @@
     OutcomeUnknownError,
     OverloadedError,
     PlanChangedError,
+    ResponseLimitError,
     Verdict,
 )
 from oakramp.common.tasks import begin, within
@@ -42,7 +43,7 @@
             except (ClaimRefusedError, AdmissionRefusedError):
                 raise  # not the replica's fault
             except OakrampError as error:
-                if error.verdict is Verdict.NO:
+                if error.verdict is Verdict.NO or isinstance(error, ResponseLimitError):
                     self._load_balancer.refused(replica)
                 self._metrics.count("carry_failed", verdict=error.verdict.value)
                 if attempt == FORWARD_ATTEMPTS - 1 or not self._may_retry(request, may_repeat, error):
@@ -158,7 +159,7 @@
             OutcomeUnknownError("the body of the replica's rejection did not end in time"),
         )
         message = json.loads(line) if line else {}
-    except (ValueError, OakrampError):
+    except (ValueError, RecursionError, OakrampError):
         message = {}
     finally:
         lines.abort()
--- a/packages/gateway/oakramp/gateway/gateway_node.py
+++ b/packages/gateway/oakramp/gateway/gateway_node.py
@@ -17,7 +17,7 @@
 class GateNode(GateBase):
     def __init__(self, reactor, env, _disk, random, sink, wall=time.time):
         super().__init__(reactor, env, random, sink, wall)
-        self.web_client = HttpClient(reactor, env["http"].rpartition(":")[0])
+        self.web_client = HttpClient(reactor, env["http"].rpartition(":")[0], self.node.backend_room)
         self.conversations = ConversationClient(self.node)
         self.bindings = Bindings(self.node)
         self.load_balancer = LoadBalancer(self.node, self.bindings, self.web_client, self.metrics)
@@ -44,6 +44,7 @@
         ):
             self.metrics.gauge(name, read_value)
         self.node.memory_account.show(self.metrics)
+        self.node.backend_room.show(self.metrics)
         self.conversations.calls.show(self.metrics)
 
     async def _condition(self, _call):
--- a/packages/gateway/oakramp/gateway/plain.py
+++ b/packages/gateway/oakramp/gateway/plain.py
@@ -115,7 +115,7 @@
         )
         try:
             response = json.loads(data)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise IncompleteResponseError("the replica's response is not valid JSON", Verdict.MAYBE) from error
         if not isinstance(response, dict):
             raise IncompleteResponseError("the replica's response is not a JSON object", Verdict.MAYBE)
--- a/packages/gateway/oakramp/gateway/stream.py
+++ b/packages/gateway/oakramp/gateway/stream.py
@@ -6,7 +6,7 @@
 
 import json
 
-from oakramp.common.constants import IDLE_TIME, OUTPUT_LIMIT
+from oakramp.common.constants import IDLE_TIME, OUTPUT_LIMIT, OUTPUT_PIECE_COST
 from oakramp.common.errors import IncompleteResponseError
 from oakramp.common.tasks import within
 from oakramp.common.validation import pack_json
@@ -26,16 +26,19 @@
         self.ended = False
 
     async def next(self, ends_at):
-        """The next [text, units], or None after the closing line. Raises IncompleteResponseError for anything else."""
+        """The next [text, units], or None after the closing line. Raises IncompleteResponseError for anything else, and
+        ResponseLimitError if there is no room for another piece."""
         time_left = min(IDLE_TIME, ends_at - self._reactor.seconds())
         line = await within(
             self._reactor, time_left, self._lines.next(), IncompleteResponseError("the replica stopped sending")
         )
         if line is None:
+            if self._lines.error is not None:
+                raise self._lines.error
             raise IncompleteResponseError("the replica's stream ended without its closing line")
         try:
             event = json.loads(line)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise IncompleteResponseError("the replica sent a line that is not valid JSON") from error
         if not isinstance(event, dict) or event.get("run") != self._run:
             raise IncompleteResponseError("the replica sent a piece of another run")
@@ -50,6 +53,7 @@
         self._output_size += len(text)
         if self.units + units > self._reserve or self._output_size > OUTPUT_LIMIT:
             raise IncompleteResponseError("the replica's output exceeds the reservation or the size limit")
+        self._lines.holding.gather(self._output_size + OUTPUT_PIECE_COST * (len(self.pieces) + 1))
         self.units += units
         self.pieces.append([text, units])
         return [text, units]
--- a/packages/gateway/oakramp/gateway/turns.py
+++ b/packages/gateway/oakramp/gateway/turns.py
@@ -18,6 +18,7 @@
     OakrampError,
     OverloadedError,
     PlanChangedError,
+    ResponseLimitError,
     TurnExpiredError,
     Verdict,
 )
@@ -212,6 +213,7 @@
         fields["run"] = run = self._gate.mint_id()
         fields["stream"].set_run(run)
         fields.pop("reader", None)
+        meter = self._gate.web_client.meter(replica.row["address"])
         response = await self._gate.web_client.send(
             "POST",
             replica.row["address"],
@@ -220,8 +222,9 @@
             request.ends_at - self._reactor.seconds(),
             last_check,
             before_send=request.permit.acquire,
+            meter=meter,
         )
-        lines = BodyLines(REPLICA_EVENT_LIMIT)
+        lines = BodyLines(REPLICA_EVENT_LIMIT, meter.holding)
         response.deliverBody(lines)
         if response.code != 200:
             raise await error_from_rejection(self._reactor, response, lines, CALL_TIME)
@@ -232,6 +235,8 @@
             while (piece := await reader.next(request.ends_at)) is not None:
                 fields["stream"].write_piece(*piece)
         except OakrampError as error:
+            if isinstance(error, ResponseLimitError):
+                self._gate.web_client.room.report(error, replica.row["id"])
             if request.call.is_gone:
                 raise IncompleteResponseError("the caller disconnected") from error
             raise
--- a/tests/fenced_world.py
+++ b/tests/fenced_world.py
@@ -10,6 +10,7 @@
 
 from sortedcontainers import SortedDict
 
+from oakramp.common.backend_room import BackendRoom
 from oakramp.common.constants import LEASE, LEASE_HELD, LEASE_RENEW
 from oakramp.common.fenced_call import FencedCall, PlainCallFormat
 from oakramp.common.http_server import HttpServer
@@ -112,6 +113,7 @@
             log=world.log,
             random=random.Random(f"{world.seed}/{self.name}/{self.starts}"),
             watch_env=lambda watcher: None,
+            backend_room=BackendRoom(),
         )
         self.leaders = SimpleNamespace(active={})
         self.metrics = Metrics()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,6 +18,7 @@
 
 from twisted.web.http_headers import Headers  # noqa: E402
 
+from oakramp.common.backend_room import BackendRoom
 from oakramp.common.constants import PLATFORM_PAUSE_MAX, PLATFORM_RATE_SHARE, RETRY_AFTER_MIN  # noqa: E402
 from oakramp.common.errors import (
     ERROR_CLASSES,
@@ -893,6 +894,7 @@
             log=log,
             random=random.Random("node"),
             node_id="me",
+            backend_room=BackendRoom(),
             net=RpcEndpoint(reactor, "me", "control", "127.20.1.1:7400", None, log),
         )
         node.watch_env = lambda watcher: setattr(self, "change_env", watcher)
