--- a/packages/gateway/oakramp/gateway/proxy_node.py
+++ b/packages/gateway/oakramp/gateway/proxy_node.py
@@ -60,7 +60,9 @@
         self._routing_age_watch = RoutingAgeWatch(reactor, self.router, self.node.log)
         self.placement = PrefixPlacement(self.node, self.leaders, self.metrics, self._cache_tokens_of)
         self.balancer = Balancer(self.node, self.node.log, self.placement)
-        self.upstreams = Upstreams(reactor, env["relay"].rpartition(":")[0], self.node.log, self.node.backend_room)
+        self.upstreams = Upstreams(
+            reactor, env["relay"].rpartition(":")[0], self.node.log, self.node.backend_room, self.node.fair_turns
+        )
         self.balancer.on_replica_removed = self.upstreams.close_instance
         turn_client = TurnClient(self.node)
         is_counting = "usage" in (env.get("platformTasks") or ())
@@ -80,6 +82,7 @@
             self._reject,
             memory_account=self.node.memory_account,
             clients_limit=self.node.limits.client_connections,
+            fair_turns=self.node.fair_turns,
         )
         self.web = self.node.http_server(env["http"], ACCEPT_QUEUE_LIMIT)
         self.ready_web = self.node.http_server(env["ready"], ACCEPT_QUEUE_LIMIT)
--- a/packages/gateway/oakramp/gateway/proxy_streams.py
+++ b/packages/gateway/oakramp/gateway/proxy_streams.py
@@ -8,6 +8,7 @@
 from oakramp.common.constants import (
     EVENT_LIMIT,
     FULL_RETRY_AFTER,
+    LINES_PER_TURN,
     QUEUE_WAIT_SHARE,
     RETRY_AFTER_MIN,
     TURN_OUTPUT_LIMIT,
@@ -164,12 +165,21 @@
         return True
 
     async def _relay_part(self, proxied_request, response, instance, splitter, part):
-        """Relays the events that a part of the body completes. Raises ResponseLimitError for one that does not end, and
-        for a replica that sends relayed events again beyond what a resumed stream has."""
-        events = splitter.feed(part)
-        _check_event(response, len(splitter.rest))
-        if not events:
-            return
+        """Relays the events that a part of the body completes, many of them in several turns of the reactor."""
+        left = len(part)
+        for piece in _slices(part):
+            if left < len(part):
+                await self._node.fair_turns.turn()
+            left -= len(piece)
+            events = splitter.feed(piece)
+            _check_event(response, len(splitter.rest))
+            response.holding.keep(Part.EVENT, len(splitter.rest) + left)
+            if events:
+                await self._relay_complete(proxied_request, response, instance, events)
+
+    async def _relay_complete(self, proxied_request, response, instance, events):
+        """Relays complete events. Raises ResponseLimitError for a replica that sends relayed events again beyond what a
+        resumed stream has."""
         self._record_first_event(proxied_request, instance)
         self._write_events(proxied_request, events, self._tokens_per_event(instance.row["pool"]))
         repeated_limit = proxied_request.relayed_size + EVENT_LIMIT
@@ -232,10 +242,18 @@
 
 
 def _check_event(response, size):
-    """Takes room for the first `size` bytes of an event that has not ended. Raises ResponseLimitError."""
+    """Raises ResponseLimitError if an event that has not ended has `size` bytes already, and these are too many."""
     if size > EVENT_LIMIT:
         raise response.holding.limit_error(Part.EVENT, size, EVENT_LIMIT)
-    response.holding.keep(Part.EVENT, size)
+
+
+def _slices(part):
+    """The parts of a part of a stream that are relayed in a turn of the reactor each."""
+    lines = part.count(b"\n")
+    if lines <= LINES_PER_TURN:
+        return (part,)
+    size = max(1, len(part) * LINES_PER_TURN // lines)
+    return [part[at : at + size] for at in range(0, len(part), size)]
 
 
 def _has_output_room(proxied_request):
--- a/packages/gossip/oakramp/gossip/node.py
+++ b/packages/gossip/oakramp/gossip/node.py
@@ -7,6 +7,7 @@
 
 from oakramp.common.backend_room import BackendRoom
 from oakramp.common.constants import BACKEND_GATHERED_SHARE, BODY_LIMIT, CLOCK_JUMP, CLOCK_POLL, SEED_AGE, WIRE_VERSION
+from oakramp.common.fair_turns import FairTurns
 from oakramp.common.http_server import HttpServer
 from oakramp.common.memory_account import MemoryAccount
 from oakramp.common.process_limits import limits_of
@@ -51,6 +52,7 @@
         self.log = EventLogger(sink, node=env["machine"], kind=kind)
         self.limits = limits_of(kind, env)
         self.memory_account = MemoryAccount(reactor, self.limits.account_bytes, self.log)
+        self.fair_turns = FairTurns(reactor)
         self.backend_room = BackendRoom(
             reactor, self.limits.backend_bytes, self.limits.account_bytes * BACKEND_GATHERED_SHARE, self.log
         )
--- a/packages/http_proxy/oakramp/http_proxy/body_reader.py
+++ b/packages/http_proxy/oakramp/http_proxy/body_reader.py
@@ -1,6 +1,6 @@
 """The body of one request as it arrives, in one growing block, so that small pieces cost no more than large ones."""
 
-from oakramp.common.constants import PIECE_OVERHEAD, TRAILER_LIMIT
+from oakramp.common.constants import CHUNKS_PER_TURN, PIECE_OVERHEAD, TRAILER_LIMIT
 from oakramp.http_proxy.framing import ChunkedDecoder
 
 
@@ -20,6 +20,11 @@
         """How many bytes of the body have arrived."""
         return len(self._data)
 
+    @property
+    def has_more(self):
+        """Whether `rest` may hold more of the body, which another `feed` decodes in a later turn of the reactor."""
+        return self._decoder is not None and self._decoder.has_more
+
     def cost_with(self, more):
         """The memory in bytes that the body takes once `more` bytes have been fed."""
         return int((len(self._data) + more) * PIECE_OVERHEAD)
@@ -36,7 +41,7 @@
             self._data += piece
             self.done, self.rest = not self._left, data[len(piece) :]
             return
-        for piece in self._decoder.feed(data):
+        for piece in self._decoder.feed(data, CHUNKS_PER_TURN):
             self._data += piece
         self.done, self.rest = self._decoder.done, self._decoder.rest
 
--- a/packages/http_proxy/oakramp/http_proxy/connection.py
+++ b/packages/http_proxy/oakramp/http_proxy/connection.py
@@ -10,6 +10,7 @@
 
 from oakramp.common.backend_room import Part
 from oakramp.common.constants import (
+    CHUNKS_PER_TURN,
     FIELD_COST,
     KEEP_ALIVE_DEFAULT,
     KEEP_ALIVE_MARGIN,
@@ -27,7 +28,7 @@
 )
 from oakramp.common.tcp_options import set_peer_options
 from oakramp.http_proxy.framing import ChunkedDecoder, LineLimitError, MalformedMessageError, body_length, parse_fields
-from oakramp.http_proxy.response import COMPLETE, Response
+from oakramp.http_proxy.response import COMPLETE, Pause, Response
 from oakramp.http_proxy.sliced_sender import SEND_SLICE, SlicedSender
 from oakramp.http_proxy.sockets import has_unsent, is_kernel_socket, limit_reads, send_now
 
@@ -52,6 +53,7 @@
         self._method = self._expect = self._holding = None
         self._used = self._persists = False
         self._body_sender = None
+        self._pauses = set()
 
     @property
     def is_idle(self):
@@ -63,6 +65,19 @@
     def call_later(self, seconds, function):
         return self._pool.reactor.callLater(max(0.0, seconds), function)
 
+    def pause(self, reason):
+        """Reads nothing until each reason to pause has ended."""
+        if not self._pauses:
+            self.transport.pauseProducing()
+        self._pauses.add(reason)
+
+    def resume(self, reason):
+        """Ends a reason to pause."""
+        if reason in self._pauses:
+            self._pauses.remove(reason)
+            if not self._pauses and self.is_open:
+                self.transport.resumeProducing()
+
     def connectionMade(self):
         set_peer_options(self.transport, probes=True)
         limit_reads(self.transport, REPLICA_READ_SIZE)
@@ -144,13 +159,17 @@
     def dataReceived(self, data):
         if not self.is_open:
             return
+        if self._response is not None:
+            self._parse(self._take_body, data)
+        elif self._head_waiting is not None:
+            self._parse(self._take_head, data)
+        else:
+            self.drop()  # bytes that belong to no request
+
+    def _parse(self, take, data):
+        """Calls `take(data)`; closes the connection if the response is malformed or over a limit."""
         try:
-            if self._response is not None:
-                self._take_body(data)
-            elif self._head_waiting is not None:
-                self._take_head(data)
-            else:
-                self.drop()  # bytes that belong to no request
+            take(data)
         except LineLimitError as fault:
             self.cut_off(self._response.holding.limit_error(Part.BODY, fault.size, fault.limit))
         except MalformedMessageError as fault:
@@ -232,8 +251,13 @@
     def _take_body(self, data):
         response, rest = self._response, b""
         if self._decoder is not None:
-            response.put(self._decoder.feed(data))
+            pieces = self._decoder.feed(data, CHUNKS_PER_TURN)
             is_complete, rest = self._decoder.done, self._decoder.rest
+            response.put(pieces, 0 if is_complete else len(rest))
+            if self._decoder.has_more:
+                self._decode_later(self._decoder)
+            else:
+                self.resume(Pause.DECODING)
         elif self._left is None:
             response.put([data])
             is_complete = False
@@ -248,6 +272,15 @@
             return
         response.wake()
 
+    def _decode_later(self, decoder):
+        """Decodes the next chunks in a later turn; nothing is read until then."""
+        self.pause(Pause.DECODING)
+        self._pool.fair_turns.call_later(lambda: self._decode_more(decoder))
+
+    def _decode_more(self, decoder):
+        if self.is_open and self._decoder is decoder:
+            self._parse(self._take_body, b"")
+
     def _has_unsent(self):
         """Whether the replica has answered before all of its request was sent."""
         return has_unsent(self.transport) or (self._body_sender is not None and not self._body_sender.is_done)
--- a/packages/http_proxy/oakramp/http_proxy/downstream.py
+++ b/packages/http_proxy/oakramp/http_proxy/downstream.py
@@ -319,12 +319,33 @@
             return
         if not body.done:
             holding.resize(self._head_cost + body.cost_with(len(body.rest)))
+            if body.has_more:
+                self._decode_later(body)
             return
         if not holding.resize(self._head_cost + body.cost_of_end()):
             self._refuse(503)
             return
         self._end_body()
 
+    def _decode_later(self, body):
+        """Decodes the next chunks of a body in a later turn; nothing is read until then."""
+        if not self._paused:
+            self._paused = True
+            self.transport.pauseProducing()
+        self.front.fair_turns.call_later(lambda: self._decode_more(body))
+
+    def _decode_more(self, body):
+        if self._body is not body or self._closing:
+            return
+        self._take_body(b"")
+        if self._body is body and body.has_more:
+            return
+        if self._reading is None:
+            self._advance()
+        if self._paused and not self._closing and not self.full and len(self._buffer) <= READ_AHEAD_LIMIT:
+            self._paused = False
+            self.transport.resumeProducing()
+
     def _end_body(self):
         """Hands on the request that was read whole."""
         exchange, body = self._reading, self._body
--- a/packages/http_proxy/oakramp/http_proxy/framing.py
+++ b/packages/http_proxy/oakramp/http_proxy/framing.py
@@ -6,6 +6,7 @@
 end the replica sees elsewhere results in a request that no client sent (request smuggling).
 """
 
+import math
 import re
 from http import HTTPStatus
 
@@ -105,22 +106,27 @@
 
 
 class ChunkedDecoder:
-    """Invariant: `rest` holds the bytes that are not decoded yet; once `done`, those that follow the body."""
+    """Invariant: `rest` holds the bytes that are not decoded yet; once `done`, those that follow the body. With
+    `has_more` they may hold whole chunks, which the next `feed` decodes."""
 
-    __slots__ = ("rest", "done", "_left", "_state", "_trailers", "_trailer_limit")
+    __slots__ = ("rest", "done", "has_more", "_left", "_state", "_trailers", "_trailer_limit")
     SIZE, DATA, DATA_END, TRAILER = range(4)
 
     def __init__(self, trailer_limit):
-        self.rest, self.done = b"", False
+        self.rest, self.done, self.has_more = b"", False, False
         self._left, self._state, self._trailers, self._trailer_limit = 0, self.SIZE, 0, trailer_limit
 
-    def feed(self, data):
-        """Returns the pieces of the body in `data`."""
+    def feed(self, data, most=math.inf):
+        """Returns the pieces of the body in `data`, at most `most` of them."""
         if self.rest:
             data = self.rest + data
         at, size, state, pieces = 0, len(data), self._state, []
+        self.has_more = False
         while not self.done:
             if state == self.SIZE:
+                if len(pieces) >= most:
+                    self.has_more = at < size
+                    break
                 match = _CHUNK.match(data, at, at + CHUNK_LINE_LIMIT)
                 if match is None:
                     if data.find(b"\n", at, at + CHUNK_LINE_LIMIT) < 0 and size - at >= CHUNK_LINE_LIMIT:
--- a/packages/http_proxy/oakramp/http_proxy/listener.py
+++ b/packages/http_proxy/oakramp/http_proxy/listener.py
@@ -9,6 +9,7 @@
 from twisted.internet import defer, protocol
 
 from oakramp.common.constants import CLIENTS_LIMIT, LOG_PAUSE, QUIET_TIME
+from oakramp.common.fair_turns import FairTurns
 from oakramp.common.log_rate_limit import LogRateLimit
 from oakramp.common.memory_account import MemoryAccount
 from oakramp.common.process_limits import limits_of
@@ -48,10 +49,12 @@
         on_crash=None,
         memory_account=None,
         clients_limit=CLIENTS_LIMIT,
+        fair_turns=None,
     ):
         self.reactor, self.address, self.handler, self.limits, self.log = reactor, address, handler, limits, log
         self.bound, self.clients_limit = bound, clients_limit
         self.memory_account = memory_account or MemoryAccount(reactor, limits_of("gate", {}).account_bytes, log)
+        self.fair_turns = fair_turns or FairTurns(reactor)
         self._refuse = refuse or (lambda exchange: exchange.reply(503, [(b"Retry-After", b"1")], b""))
         self._on_crash = on_crash or (lambda exchange, error: exchange.reply(500, [], b""))
         self.clients = {}
--- a/packages/http_proxy/oakramp/http_proxy/response.py
+++ b/packages/http_proxy/oakramp/http_proxy/response.py
@@ -1,6 +1,7 @@
 """A replica's response, which the requester reads while it arrives."""
 
 import weakref
+from enum import Enum
 
 from twisted.internet import defer
 
@@ -12,6 +13,13 @@
 COMPLETE = object()  # the outcome of a response that arrived completely
 
 
+class Pause(Enum):
+    """Why nothing is read from a replica."""
+
+    CLIENT = "its client reads slowly"
+    DECODING = "chunks that have come are decoded in later turns"
+
+
 class Response(WithHeaders):
     """The head of a response, and its body as it arrives. The requester reads it to its end or aborts it.
 
@@ -26,10 +34,10 @@
         "received",
         "_connection",
         "_data",
+        "_undecoded",
         "_size",
         "_outcome",
         "_waiting",
-        "_paused",
         "__weakref__",
     )
 
@@ -38,7 +46,7 @@
         self._connection, self.status, self.length = connection, status, length
         self.holding, self.received = holding, 0
         self._outcome = self._waiting = None
-        self._data, self._paused = b"", False
+        self._data, self._undecoded = b"", 0
 
     @property
     def is_ready(self):
@@ -75,10 +83,9 @@
                 raise OutcomeUnknownError("the response stopped arriving")
         if self._data:
             data, self._data = self._data, b""
-            self.holding.keep(Part.BODY, 0)
-            if self._paused and self._connection is not None:
-                self._paused = False
-                self._connection.transport.resumeProducing()
+            self.holding.keep(Part.BODY, self._undecoded)
+            if self._connection is not None:
+                self._connection.resume(Pause.CLIENT)
             return bytes(data)
         if self._outcome is COMPLETE:
             return None
@@ -106,29 +113,33 @@
         """Closes the connection unless the response has ended, so that the replica drops the request.
 
         What has arrived is given up."""
-        self._data = b""
+        self._data, self._undecoded = b"", 0
         self.holding.release()
         if self._outcome is None:
             connection = self._connection
             self.end(IncompleteResponseError("the response was given up", Verdict.MAYBE))
             connection.drop()
 
-    def put(self, pieces):
-        """Stores pieces for `next`; a waiting `next` is resumed by `wake` or `end`. Raises ResponseLimitError."""
+    def put(self, pieces, undecoded=0):
+        """Stores pieces for `next`; a waiting `next` is resumed by `wake` or `end`. `undecoded` more bytes have come.
+
+        Raises:
+            ResponseLimitError: there is no room for them.
+        """
         data = pieces[0] if len(pieces) == 1 else b"".join(pieces)
+        self.holding.keep(Part.BODY, len(self._data) + len(data) + undecoded)
+        self._undecoded = undecoded
         if not data:
             return
         self.received += len(data)
-        self.holding.keep(Part.BODY, len(self._data) + len(data))
         if not self._data:
             self._data = data
         else:
             if isinstance(self._data, bytes):
                 self._data = bytearray(self._data)
             self._data += data
-        if not self._paused and (len(self._data) > RESPONSE_BUFFER_LIMIT or self.holding.is_scarce):
-            self._paused = True
-            self._connection.transport.pauseProducing()
+        if len(self._data) > RESPONSE_BUFFER_LIMIT or self.holding.is_scarce:
+            self._connection.pause(Pause.CLIENT)
 
     def end(self, outcome):
         """Records that nothing more arrives. If reading was paused, it is resumed for the next user of the
@@ -139,8 +150,7 @@
         self._outcome = outcome
         response = weakref.ref(self)
         self.holding.give_way = lambda error: response().lose(error) if response() is not None else None
-        if self._paused and connection.is_open:
-            connection.transport.resumeProducing()
+        connection.resume(Pause.CLIENT)
         self.wake()
 
     def lose(self, error):
--- a/packages/http_proxy/oakramp/http_proxy/upstream.py
+++ b/packages/http_proxy/oakramp/http_proxy/upstream.py
@@ -13,6 +13,7 @@
 from oakramp.common.backend_room import BackendRoom
 from oakramp.common.constants import CONNECT_TIME
 from oakramp.common.errors import BadRequestError, DeadlineExceededError, OverloadedError, UnreachableError
+from oakramp.common.fair_turns import FairTurns
 from oakramp.common.settings import split_address
 from oakramp.http_proxy.connection import Dial, ReplicaConnection
 from oakramp.http_proxy.framing import HOP_BY_HOP, TOKEN, MalformedMessageError, join_head
@@ -26,8 +27,8 @@
     """All connections to replicas. Invariants: `_open` holds every connection that is established or being made,
     by address; `_idle` those of them that may be used again, the most recently used last."""
 
-    def __init__(self, reactor, bind_host, log, backend_room=None):
-        self.backend_room = backend_room or BackendRoom()
+    def __init__(self, reactor, bind_host, log, backend_room=None, fair_turns=None):
+        self.backend_room, self.fair_turns = backend_room or BackendRoom(), fair_turns or FairTurns(reactor)
         self.reactor, self._bind_host, self._log = reactor, bind_host, log
         self._open, self._idle = {}, {}
         self.opened = self.reused = 0
--- a/tests/crowds/crowd_gateway_clients.py
+++ b/tests/crowds/crowd_gateway_clients.py
@@ -1,11 +1,15 @@
 """Crowds at the gateway's port for clients."""
 
+import threading
 import unittest
 
 from crowd_case import SEND_TIME, CrowdCase
 from process_fleet import BODY_LIMIT, DEFAULT_LIMITS, HEADER_LIMIT, HOST
 
 TWO_BYTE_CHUNK = b"2\r\nxx\r\n"
+ORDINARY_REQUESTS = 20  # requests; of an ordinary client beside a crowd, one after the other
+FILL_TIME = 2.0  # s; in which a crowd fills the kernel's buffers
+BYTES_BETWEEN_ANSWERS = 512 << 10  # bytes; that a crowd brings while one ordinary request is served
 DRIPS = 6  # bytes that a slow client sends one by one
 
 
@@ -62,6 +66,28 @@
         self.attack("counter", 4, post(b"ordinary") + body)
         self.check()
 
+    def test_ordinary_clients_beside_many_bodies_in_chunks_of_two_bytes(self):
+        """Their decoding takes all the processor that it gets: what they bring between two answers is bounded."""
+        crowd = self.crowd("counter")
+        crowd.add(24, post(b"ordinary") + TWO_BYTE_CHUNK * (BODY_LIMIT // 2 - 1))
+        crowd.send(FILL_TIME)  # until the kernel's buffers are full
+        answers = []
+
+        def ask():
+            for _ in range(ORDINARY_REQUESTS):
+                answers.append(self.ordinary_request()[0])
+
+        client = threading.Thread(target=ask, daemon=True)
+        sent = sum(member.sent for member in crowd.members)
+        client.start()
+        while client.is_alive():
+            crowd.send(0.05)
+        sent = sum(member.sent for member in crowd.members) - sent
+        self.assertEqual(answers, [200] * ORDINARY_REQUESTS)
+        self.assertFalse(any(member.has_sent_all for member in crowd.members), "the crowd has ended before")
+        self.assertLess(sent / ORDINARY_REQUESTS, BYTES_BETWEEN_ANSWERS)
+        self.check()
+
     def test_whole_bodies_of_keyed_requests(self):
         """The fingerprint of a keyed request is taken of its whole body."""
         crowd = self.crowd("counter")
