--- a/tests/crowds/crowd_back_ends.py
+++ b/tests/crowds/crowd_back_ends.py
@@ -34,6 +34,7 @@
         been poured that may be, or nothing moves any more. An ordinary client asks meanwhile."""
         server = self.fleet.pouring
         server.tries.clear()
+        server.paths.clear()
         server.pour = self.current = Pour(first, repeated, POUR_MEMORIES * self.target.memory_bound)
         crowd = self.crowd("counter")
         for _ in range(count):
--- a/tests/crowds/crowd_soak.py
+++ b/tests/crowds/crowd_soak.py
@@ -15,7 +15,9 @@
 import unittest
 
 from client_crowd import Crowd
+from crowd_back_ends import CHUNKED, HEAD, LENGTH as BODY_LENGTH, STREAM_HEAD, UNTIL_CLOSE, ask
 from crowd_gateway_clients import TWO_BYTE_CHUNK, many_fields, post
+from pouring_server import Pour
 from process_fleet import BODY_LIMIT, DESCRIPTORS, HOST, Fleet, configuration
 
 from oakramp.common.constants import FRAME_LIMIT
@@ -55,6 +57,27 @@
 }
 
 
+POUR_SHARE = 0.6  # share of troubles beside which a back end pours
+POURS = 16  # requests at the faulty replica at a time
+POUR_MEMORIES = 2  # times the memory of the process; that one pour brings at most
+LIST_POUR_SHARE = 0.15  # share of pours that come in place of the platform's list
+BACK_ENDS = {  # what the faulty replica sends: path of the route, what comes first, what comes again and again
+    "a field": (b"unsafe", HEAD + b"a: ", b"x"),
+    "fields": (b"safe", HEAD, b"a:\r\n"),
+    "interim heads": (b"unsafe", b"", b"HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n"),
+    "a length": (b"safe", HEAD + BODY_LENGTH, b"x"),
+    "until close": (b"tracked", HEAD + UNTIL_CLOSE, b"x"),
+    "small chunks": (b"safe", HEAD + CHUNKED, b"1\r\nx\r\n"),
+    "trailers": (b"tracked", HEAD + CHUNKED + b"1\r\nx\r\n0\r\n", b"a: b\r\n"),
+    "a refusal": (b"unsafe", b"HTTP/1.1 503 Full\r\nTry-Id: TRY\r\nNot-Run: 1\r\n" + BODY_LENGTH, b"x"),
+    "an event": (b"stream", STREAM_HEAD + UNTIL_CLOSE + b"data: ", b"x"),
+    "an event in chunks": (b"resumed", STREAM_HEAD + CHUNKED, b"6\r\ndata: \r\n"),
+    "empty events": (b"stream", STREAM_HEAD + UNTIL_CLOSE, b"\n\n"),
+    "one event": (b"resumed", STREAM_HEAD + UNTIL_CLOSE, b"id: 1\ndata: x\n\n"),
+    "a kept turn": (b"retained", STREAM_HEAD + UNTIL_CLOSE, b"data: x\n\n"),
+}
+
+
 class OrdinaryClient(threading.Thread):
     """Sends small requests on a connection that it keeps until the other side closes it, and notes what it gets."""
 
@@ -110,6 +133,10 @@
         self.fleet = Fleet(gates=gates, stores=stores)
         self.is_over, self.lock = threading.Event(), threading.Lock()
         self.findings, self.statuses, self.refused, self.crowds, self.troubles = [], {}, set(), [], []
+        self.pour_random = random.Random(
+            f"{seed}/pours"
+        )  # apart, so that the other troubles of a seed stay as they are
+        self.list_pours_until = 0.0
         self.edition = 1
         self.expected_ends = set()
 
@@ -140,6 +167,7 @@
                 self._wait(self.random.uniform(*PAUSE))
             for crowd, _ in self.crowds:
                 crowd.close()
+            self.fleet.list_pour = None
             time.sleep(SETTLE_TIME)
             self._check_end()
             self.is_over.set()
@@ -161,6 +189,8 @@
                 if time.monotonic() >= leaves_at:
                     crowd.close()
                     self.crowds = [entry for entry in self.crowds if entry[0] is not crowd]
+            if time.monotonic() >= self.list_pours_until:
+                self.fleet.list_pour = None
             self._check_processes()
             time.sleep(0.02)
 
@@ -168,6 +198,26 @@
         kind = self.random.choices(("crowd", "change", "freeze", "kill", "stop"), (6, 2, 1, 1, 1))[0]
         self.troubles.append(kind)
         getattr(self, f"_{kind}")()
+        if self.pour_random.random() < POUR_SHARE:
+            self._pour()
+
+    def _pour(self):
+        """Has a back end pour: the faulty replica, at a gateway, or now and then the platform's list."""
+        name = self.pour_random.choice(sorted(BACK_ENDS))
+        path, first, repeated = BACK_ENDS[name]
+        node = self.random_gate(self.pour_random)
+        pour = Pour(first, repeated, POUR_MEMORIES * node.memory_bound)
+        if self.pour_random.random() < LIST_POUR_SHARE:
+            self.fleet.list_pour, self.list_pours_until = pour, time.monotonic() + self.pour_random.uniform(*FREEZE)
+            self.troubles.append(f"{name} in place of the list")
+            return
+        self.fleet.pouring.pour = pour
+        crowd = Crowd(node.address("counter"), f"{self.fleet.net}.6.{self.pour_random.randint(1, 9)}")
+        reads = self.pour_random.random() < 0.7
+        for _ in range(POURS):
+            crowd.add(1, ask(path), reads)
+        self.crowds.append((crowd, time.monotonic() + self.pour_random.uniform(*LIFE)))
+        self.troubles.append(f"{name} poured at {node.name}")
 
     def _crowd(self):
         name = self.random.choice(sorted(CROWDS))
@@ -251,6 +301,8 @@
                 self.findings.append(f"{gate.name} does not answer an ordinary client")
 
     def _check_runs(self):
+        poured = self.fleet.pouring.tries_of("/pour/unsafe/", "/pour/tracked/", "/pour/stream/", "/pour/retained/")
+        self.findings += [f"{try_id} ran twice" for try_id in sorted(set(poured)) if poured.count(try_id) > 1]
         keys = [key for service, _, key in self.fleet.runs if service == "keyed" and key.startswith("c")]
         self.findings += [f"key {key} ran twice" for key in sorted(set(keys)) if keys.count(key) > 1]
         ran = {try_id for _, try_id, _ in self.fleet.runs}
