--- a/packages/common/oakramp/common/backend_room.py
+++ b/packages/common/oakramp/common/backend_room.py
@@ -191,9 +191,11 @@
 
     def release(self) -> None:
         """Gives back all room."""
-        for part in (Part.HEAD, Part.BODY, Part.EVENT):
-            self.keep(part, 0)
-        self.gather(0)
+        if self.held:
+            for part in (Part.HEAD, Part.BODY, Part.EVENT):
+                self.keep(part, 0)
+        if self._sizes[Part.GATHERED]:
+            self.gather(0)
 
     def limit_error(self, part: Part, size: int, limit: float) -> ResponseLimitError:
         """The error for this response, of which `size` bytes are over `limit`."""
