--- a/packages/http_proxy/oakramp/http_proxy/downstream.py
+++ b/packages/http_proxy/oakramp/http_proxy/downstream.py
@@ -441,9 +441,10 @@
         return self.exchange is None and self._reading is None and not self._buffer and not self._closing
 
     def close_idle(self):
-        """Closes a connection between two requests, unless one has just arrived."""
-        if not self.is_idle:
-            return
-        read_now(self.transport)
+        """Closes a connection between two requests, unless one has just arrived. Returns whether it did."""
         if self.is_idle:
-            self._close(linger=False)
+            read_now(self.transport)
+        if not self.is_idle:
+            return False
+        self._close(linger=False)
+        return True
--- a/packages/http_proxy/oakramp/http_proxy/listener.py
+++ b/packages/http_proxy/oakramp/http_proxy/listener.py
@@ -77,9 +77,7 @@
         left_out = self._connections_log.take()
         if left_out is not None:
             self.log.info("connection_limit_reached", connections=len(self.clients), left_out=left_out)
-        idle_longest = next((one for one in self.clients if one.is_idle and one is not client), None)
-        if idle_longest is not None:
-            idle_longest.close_idle()
+        if any(one.close_idle() for one in list(self.clients) if one.is_idle and one is not client):
             return
         unanswered = next((one for one in self.clients if one.exchange is None and one is not client), client)
         del self.clients[unanswered]
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -754,6 +754,21 @@
         self.addCleanup(self.peer.close)
         self.addCleanup(self.transport.socket.close)
 
+    def test_a_new_connection_finds_place_though_heads_have_come_on_all_idle_ones(self):
+        """None of them is idle once it is looked at, so one in the middle of a request makes place."""
+        front = self.bench.front
+        front.clients_limit = 2
+        self.peer.sendall(b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n")
+        transports = [self.transport]
+        for _ in range(3):
+            transport, peer = tcp_pair(self.bench.reactor.listening[0].buildProtocol(None), self.reactor)
+            self.addCleanup(peer.close)
+            self.addCleanup(transport.socket.close)
+            peer.sendall(b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n")
+            transports.append(transport)
+            self.assertLessEqual(len(front.clients), 2)
+        self.assertIn(transports[-1].protocol, front.clients)
+
     def test_answers_leave_in_the_turn_they_are_written(self):
         self.peer.sendall(GET)
         self.transport.doRead()
