--- a/packages/gateway/oakramp/gateway/proxied_request.py
+++ b/packages/gateway/oakramp/gateway/proxied_request.py
@@ -41,7 +41,7 @@
     has_event_ids: bool = True  # whether every relayed event with data has an id
     relayed_size: int = 0  # bytes of the events that were relayed
     repeated_size: int = 0  # bytes of events that came again from the replica that resumes the stream
-    output: list = field(default_factory=list)
+    output: bytearray = field(default_factory=bytearray)  # what is kept of a turn: the data of its events, a line each
     output_size: int = 0
     output_room: int = 0  # bytes of output that room was taken for
     response: Response | None = None  # the last one whose head came
--- a/packages/gateway/oakramp/gateway/proxy_streams.py
+++ b/packages/gateway/oakramp/gateway/proxy_streams.py
@@ -121,7 +121,7 @@
                 proxied_request.request.previous_turn or None,
                 proxied_request.request.session or proxied_request.turn_id,
                 proxied_request.exchange.body,
-                b"".join(proxied_request.output),
+                bytes(proxied_request.output),
             )
             try:
                 await self._turn_client.retain(
@@ -231,7 +231,8 @@
                 proxied_request.output_size += len(data) + 1
                 if proxied_request.output_size > TURN_OUTPUT_LIMIT or not _has_output_room(proxied_request):
                     raise IncompleteResponseError("the output of the turn exceeds the size that can be stored")
-                proxied_request.output += (data, b"\n")
+                proxied_request.output += data
+                proxied_request.output += b"\n"
         if not chunks:
             return
         if not proxied_request.head_sent:
