--- a/packages/gateway/oakramp/gateway/proxy_responses.py
+++ b/packages/gateway/oakramp/gateway/proxy_responses.py
@@ -7,6 +7,7 @@
 from oakramp.gateway.proxied_request import ClientDisconnectedError, remaining_run_time
 
 NOT_MODIFIED = 304
+NOT_IN_TIME = "the replica's response did not end before the deadline"
 
 
 def _append(parts, part):
@@ -41,14 +42,15 @@
                 self._reactor,
                 remaining_run_time(self._reactor, proxied_request),
                 response.next(),
-                OutcomeUnknownError("the replica's response did not end before the deadline"),
+                OutcomeUnknownError(NOT_IN_TIME),
             )
             if part is None:
                 return response.status, self._dialect.response_headers(response.headers), parts, None
             size += len(part)
             response.holding.gather(size)
+            has_room = self._take_room(proxied_request, part)
             _append(parts, part)
-            if not self._take_room(proxied_request, part):
+            if not has_room:
                 break
         return response.status, self._dialect.response_headers(response.headers), parts, response
 
@@ -60,17 +62,19 @@
                 self._reactor,
                 remaining_run_time(self._reactor, proxied_request),
                 self._read_rest(proxied_request, rest, self._body_limit()),
-                OutcomeUnknownError("the replica's response did not end before the deadline"),
+                OutcomeUnknownError(NOT_IN_TIME),
             )
         return status, headers, b"".join(parts)
 
     async def _read_rest(self, proxied_request, response, limit):
-        """The parts of the rest of a response, which has at most `limit` bytes. Raises ResponseLimitError."""
+        """The parts of the rest of a response. Raises ResponseLimitError if all of it is over `limit` bytes."""
         parts = []
         while (part := await response.next()) is not None:
-            if response.received > limit or not self._take_room(proxied_request, part):
+            if response.received > limit:
                 raise response.holding.limit_error(Part.GATHERED, response.received, limit)
             response.holding.gather(response.received)
+            if not self._take_room(proxied_request, part):
+                raise IncompleteResponseError("no memory for the response", Verdict.MAYBE)
             _append(parts, part)
         return parts
 
@@ -115,10 +119,19 @@
 
     def next_part(self, proxied_request, response):
         """A deferred that fires with the next part of a response that is being relayed, or with None at its end."""
-        timeout_error = IncompleteResponseError("the replica's response did not end before the deadline")
+        # Checked even if the replica never pauses, so that no single wait times out.
+        self.check_deadline(proxied_request, response)
+        return within(
+            self._reactor,
+            remaining_run_time(self._reactor, proxied_request),
+            response.next(),
+            IncompleteResponseError(NOT_IN_TIME),
+        )
+
+    def check_deadline(self, proxied_request, response):
+        """Raises IncompleteResponseError if the deadline has passed and the response has not ended."""
         if self._reactor.seconds() >= proxied_request.ends_at and not response.has_ended:
-            raise timeout_error  # even if the replica never pauses, so that no single wait times out
-        return within(self._reactor, remaining_run_time(self._reactor, proxied_request), response.next(), timeout_error)
+            raise IncompleteResponseError(NOT_IN_TIME)
 
     async def wait_writable(self, proxied_request, response):
         """Pauses the relaying while the client reads slowly; a response that has ended is already buffered."""
--- a/packages/gateway/oakramp/gateway/proxy_streams.py
+++ b/packages/gateway/oakramp/gateway/proxy_streams.py
@@ -170,6 +170,7 @@
         for piece in _slices(part):
             if left < len(part):
                 await self._node.fair_turns.turn()
+                self._responses.check_deadline(proxied_request, response)
             left -= len(piece)
             events = splitter.feed(piece)
             _check_event(response, len(splitter.rest))
--- a/packages/http_proxy/oakramp/http_proxy/connection.py
+++ b/packages/http_proxy/oakramp/http_proxy/connection.py
@@ -219,6 +219,7 @@
         holding, self._holding = self._holding, None
         response = Response(self, status, fields, None if length == -1 else length, holding)
         if not self._is_expected(response):
+            holding.release()
             self._fail(OutcomeUnknownError(f"{self.address} sent the response to another request"), None)
             self.drop()
             return
@@ -255,7 +256,7 @@
             is_complete, rest = self._decoder.done, self._decoder.rest
             response.put(pieces, 0 if is_complete else len(rest))
             if self._decoder.has_more:
-                self._decode_later(self._decoder)
+                self._decode_later()
             else:
                 self.resume(Pause.DECODING)
         elif self._left is None:
@@ -272,13 +273,13 @@
             return
         response.wake()
 
-    def _decode_later(self, decoder):
+    def _decode_later(self):
         """Decodes the next chunks in a later turn; nothing is read until then."""
         self.pause(Pause.DECODING)
-        self._pool.fair_turns.call_later(lambda: self._decode_more(decoder))
+        self._pool.fair_turns.call_later(self._decode_more)
 
-    def _decode_more(self, decoder):
-        if self.is_open and self._decoder is decoder:
+    def _decode_more(self):
+        if self.is_open and self._decoder is not None and self._decoder.has_more:
             self._parse(self._take_body, b"")
 
     def _has_unsent(self):
--- a/packages/http_proxy/oakramp/http_proxy/downstream.py
+++ b/packages/http_proxy/oakramp/http_proxy/downstream.py
@@ -320,25 +320,25 @@
         if not body.done:
             holding.resize(self._head_cost + body.cost_with(len(body.rest)))
             if body.has_more:
-                self._decode_later(body)
+                self._decode_later()
             return
         if not holding.resize(self._head_cost + body.cost_of_end()):
             self._refuse(503)
             return
         self._end_body()
 
-    def _decode_later(self, body):
-        """Decodes the next chunks of a body in a later turn; nothing is read until then."""
+    def _decode_later(self):
+        """Decodes the next chunks of the body in a later turn; nothing is read until then."""
         if not self._paused:
             self._paused = True
             self.transport.pauseProducing()
-        self.front.fair_turns.call_later(lambda: self._decode_more(body))
+        self.front.fair_turns.call_later(self._decode_more)
 
-    def _decode_more(self, body):
-        if self._body is not body or self._closing:
+    def _decode_more(self):
+        if self._body is None or not self._body.has_more or self._closing:
             return
         self._take_body(b"")
-        if self._body is body and body.has_more:
+        if self._body is not None and self._body.has_more:
             return
         if self._reading is None:
             self._advance()
