--- a/packages/cli/oakramp/cli/control_client.py
+++ b/packages/cli/oakramp/cli/control_client.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import threading
+import time
 
 import click
 
@@ -76,10 +77,10 @@
     was over ANSWER_LIMIT."""
     host, port = split_address(address)
     connection = http.client.HTTPConnection(host, port, timeout=time_left)
-    end = None
+    end, ends_at = None, time.monotonic() + time_left
     try:
         connection.connect()
-        end = _EndTimer(connection.sock, time_left)
+        end = _EndTimer(connection.sock, max(0.0, ends_at - time.monotonic()))
         request_body = None if value is None else json.dumps(value)
         connection.request(method, path, request_body, {"Content-Type": "application/json"})
         response = connection.getresponse()
