--- a/packages/common/oakramp/common/backend_room.py
+++ b/packages/common/oakramp/common/backend_room.py
@@ -69,10 +69,9 @@
         self._log, self._log_limit = log, LogRateLimit(reactor, LOG_PAUSE) if log is not None else None
         self._senders: WeakValueDictionary[str, _Sender] = WeakValueDictionary()
 
-    def holding(
-        self, address: str, give_way: Callable[[ResponseLimitError], None] = lambda error: None
-    ) -> BackendHolding:
-        """An empty holding for one response of the back end at this address; `give_way(error)` cuts it off."""
+    def holding(self, address: str, give_way: Callable[[ResponseLimitError], None] | None = None) -> BackendHolding:
+        """An empty holding for one response of the back end at this address. `give_way(error)` cuts it off; without it
+        the holding does not give way to others."""
         sender = self._senders.get(address)
         if sender is None:
             sender = self._senders[address] = _Sender()
@@ -111,7 +110,7 @@
         """
         while (sender := self._crowded_sender(asking, more)) is not None:
             largest = sender.largest() if sender.holdings else asking
-            if largest is asking or largest.held <= asking.held + more:
+            if largest is asking or largest.give_way is None or largest.held <= asking.held + more:
                 raise asking.limit_error(part, asking.held + more, min(self.limit, self.sender_limit))
             error = largest.limit_error(Part.BODY, largest.held, min(self.limit, self.sender_limit))
             largest.release()
@@ -138,7 +137,11 @@
     __slots__ = ("_room", "sender", "address", "give_way", "held", "_sizes", "__weakref__")
 
     def __init__(
-        self, room: BackendRoom, sender: _Sender, address: str, give_way: Callable[[ResponseLimitError], None]
+        self,
+        room: BackendRoom,
+        sender: _Sender,
+        address: str,
+        give_way: Callable[[ResponseLimitError], None] | None,
     ) -> None:
         self._room, self.sender, self.address, self.give_way = room, sender, address, give_way
         self.held = 0
@@ -162,6 +165,7 @@
         room, sender = self._room, self.sender
         if more > 0 and (room.total + more > room.limit or sender.held + more > room.sender_limit):
             room.make_room(self, part, more)
+            more = size - self._sizes[part]  # what gave way may have had this response end
         if not self.held:
             sender.holdings.add(self)
         self._count(part, size, more)
@@ -169,15 +173,20 @@
         sender.held += more
         room.total += more
 
-    def gather(self, size: int) -> None:
+    def gather(self, size: int, is_bounded: bool = True) -> None:
         """Counts a body of which `size` bytes are gathered. It is no part of this room, as what a gateway gathers is in
         the account of clients.
 
+        Args:
+            size: in bytes.
+            is_bounded: whether the body has a limit of its own; the only one of its back end is held to that alone.
+
         Raises:
             ResponseLimitError: this back end has too many bodies that are gathered; nothing has changed then.
         """
         more, sender = size - self._sizes[Part.GATHERED], self.sender
-        if more > 0 and sender.gathered + more > self._room.gathered_limit:
+        is_alone = is_bounded and sender.gathered == self._sizes[Part.GATHERED]
+        if more > 0 and not is_alone and sender.gathered + more > self._room.gathered_limit:
             raise self.limit_error(Part.GATHERED, sender.gathered + more, self._room.gathered_limit)
         sender.gathered += more
         self._count(Part.GATHERED, size, more)
--- a/packages/common/oakramp/common/constants.py
+++ b/packages/common/oakramp/common/constants.py
@@ -370,6 +370,7 @@
 # --- HTTP proxy --------------------------------------------------------------
 CHUNK_LINE_LIMIT = 1024  # bytes; a chunk's size line with its extensions, limited as in Twisted
 CHUNKS_PER_TURN = 512  # chunks; of one body that are decoded in one turn of the reactor
+PIECES_PER_TURN = 64  # pieces; of one run of `/v1` that are relayed in one turn of the reactor
 LINES_PER_TURN = 256  # lines; of the events of one stream that are relayed in one turn of the reactor
 TRAILER_LIMIT = 16 << 10  # bytes; trailers are read and dropped
 READ_AHEAD_LIMIT = 16 << 10  # bytes; of a client's next requests, read while one is being answered
--- a/packages/common/oakramp/common/http_client.py
+++ b/packages/common/oakramp/common/http_client.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import re
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 from twisted.internet import defer, error, protocol
@@ -26,6 +27,7 @@
     CHUNK_FRAMING_FACTOR,
     CONNECT_TIME,
     FIELD_COST,
+    REPLICA_READ_SIZE,
     RESPONSE_FIELDS_LIMIT,
     RESPONSE_HEAD_LIMIT,
 )
@@ -72,15 +74,24 @@
 
 
 class _ResponseMeter:
-    """Counts the bytes of one response on the wire. Invariant: `error` is set once the response is over a limit."""
+    """Counts the bytes of one response on the wire. Invariant: `error` is set once the response is over a limit, or had
+    to give way to others; its connection, `transport`, is then closed."""
 
-    def __init__(self, holding, wire_limit=None):
+    def __init__(self, room, address, wire_limit=None):
         """`wire_limit` is the most bytes of the whole response, with its framing, or None."""
-        self.holding, self._wire_limit = holding, wire_limit
+        self.holding, self._wire_limit = room.holding(address, self.cut_off), wire_limit
+        self.transport = None
         self._size = self._fields = 0
         self._has_blank_line = self.is_head_over = False
         self.error = None
 
+    def cut_off(self, error):
+        """Closes the connection; the response fails with this error."""
+        if self.error is None:
+            self.error = error
+            if self.transport is not None:
+                self.transport.abortConnection()
+
     def take(self, data):
         """Takes room for what the head in `data` adds. Raises ResponseLimitError."""
         self._size += len(data)
@@ -103,6 +114,13 @@
 class _BoundedConnection(ProtocolWrapper):
     """Passes a response on to twisted.web as long as it is within its limits."""
 
+    def connectionMade(self) -> None:
+        """Has little read at a time, since twisted.web decodes all that has come in one turn of the reactor."""
+        self.factory.meter.transport = self.transport
+        if hasattr(self.transport, "bufferSize"):
+            self.transport.bufferSize = REPLICA_READ_SIZE
+        super().connectionMade()
+
     def dataReceived(self, data: bytes) -> None:
         """Counts the data before it is parsed."""
         meter = self.factory.meter
@@ -111,8 +129,7 @@
         try:
             meter.take(data)
         except ResponseLimitError as error:
-            meter.error = error
-            self.transport.abortConnection()
+            meter.cut_off(error)
             return
         super().dataReceived(data)
 
@@ -187,13 +204,14 @@
 
     Invariants: `_unread` holds what has arrived and was not returned yet, and the sender is paused while it is longer
     than a line may be; `ended` is set once nothing more arrives, however the body ended; `error` if that was for a
-    limit; `holding` is that of the response."""
+    limit; `_tail` is the length of the line that has not ended; `holding` is that of the response."""
 
-    def __init__(self, line_limit, holding=None):
-        """`line_limit` is in bytes."""
+    def __init__(self, line_limit, meter=None):
+        """`line_limit` is in bytes; `meter` is what counts the response."""
         self._line_limit = line_limit
-        self.holding = holding or BackendRoom().holding("")
-        self._unread = bytearray()
+        self._meter = meter or _ResponseMeter(BackendRoom(), "")
+        self.holding = self._meter.holding
+        self._unread, self._tail = bytearray(), 0
         self._is_paused = False
         self._waiting = None
         self.ended = False
@@ -204,16 +222,18 @@
         """Keeps arriving data; reading pauses while more than a line is unread."""
         if self.ended:
             return
+        line_end = data.rfind(b"\n")
+        tail = len(data) - line_end - 1 + (self._tail if line_end < 0 else 0)
         try:
             self.holding.keep(Part.BODY, len(self._unread) + len(data))
-            self._unread += data
-            if self._unread.find(b"\n", 0, self._line_limit + 1) < 0 and len(self._unread) > self._line_limit:
-                raise self.holding.limit_error(Part.EVENT, len(self._unread), self._line_limit)
+            if tail > self._line_limit:
+                raise self.holding.limit_error(Part.EVENT, tail, self._line_limit)
         except ResponseLimitError as error:
             self.error = error
-            self._unread.clear()
             self.abort()
             return
+        self._unread += data
+        self._tail = tail
         if len(self._unread) > self._line_limit and not self._is_paused:
             self._is_paused = True
             self.transport.pauseProducing()
@@ -223,7 +243,8 @@
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         """Ends the body; it is complete only if its last line was."""
         # A truncated body has another reason; a last line without its line feed is not counted in either case.
-        self._end(bool(reason.check(ResponseDone)) and self._unread[-1:] in (b"", b"\n"))
+        self.error = self.error or self._meter.error
+        self._end(bool(reason.check(ResponseDone)) and not self._tail)
 
     def _end(self, whole):
         if not self.ended:
@@ -238,6 +259,8 @@
     async def next(self) -> bytes | None:
         """The next line that is not blank, or None once the body has ended."""
         while True:
+            if self._unread[:1] in b"\r\n":
+                del self._unread[: len(self._unread) - len(self._unread.lstrip(b"\r\n"))]
             end = self._unread.find(b"\n")
             if end >= 0:
                 line = bytes(self._unread[:end])
@@ -373,22 +396,12 @@
         before_send=None,
     ):
         """Returns (status, bytes) of a small response. Raises ResponseLimitError if its body is over `limit` bytes."""
-        return await self._whole(
-            self.meter(address, 2 * RESPONSE_HEAD_LIMIT + CHUNK_FRAMING_FACTOR * limit),
-            limit,
-            (method, address, path, value, time_left, last_check, more_headers, unacknowledged_s, before_send),
-        )
-
-    def meter(self, address, wire_limit=None):
-        """What counts the bytes of one response of the back end at this address."""
-        return _ResponseMeter(self.room.holding(address), wire_limit)
-
-    async def _whole(self, meter, limit, request):
-        """(status, bytes) of the response to a request, given as the arguments of `send`."""
-        address, time_left = request[1], request[4]
         ends_at = self._reactor.seconds() + time_left
+        meter = self.meter(address, 2 * RESPONSE_HEAD_LIMIT + CHUNK_FRAMING_FACTOR * limit)
         try:
-            response = await self.send(*request, meter=meter)
+            response = await self.send(
+                method, address, path, value, time_left, last_check, more_headers, unacknowledged_s, before_send, meter
+            )
             body = _WholeBody(limit, meter)
             response.deliverBody(body)
             return response.code, await within(
@@ -403,23 +416,38 @@
         finally:
             meter.holding.release()
 
-    async def json(self, method, address, path, value, time_left, limit=BODY_LIMIT, last_check=None):
-        """Returns (status, JSON object) of a small response.
+    def meter(self, address, wire_limit=None):
+        """What counts the bytes of one response of the back end at this address."""
+        return _ResponseMeter(self.room, address, wire_limit)
+
+    @contextmanager
+    def room_to_parse(self, address, data):
+        """Takes room for the values of the JSON in `data`, from the back end at this address, as long as they are used.
 
         Raises:
-            ResponseLimitError: it is over `limit` bytes, or there is no room to parse it.
+            ResponseLimitError: there is none.
         """
-        status, data = await self.data(method, address, path, value, time_left, limit, last_check)
         holding = self.room.holding(address)
         try:
             holding.keep(Part.BODY, parsed_size(data))
-            return status, parse_json(data, limit, "answer")
+            yield
         except ResponseLimitError as error:
             self.room.report(error)
             raise
+        finally:
+            holding.release()
+
+    async def json(self, method, address, path, value, time_left, limit=BODY_LIMIT, last_check=None):
+        """Returns (status, JSON object) of a small response.
+
+        Raises:
+            ResponseLimitError: it is over `limit` bytes, or there is no room to parse it.
+        """
+        status, data = await self.data(method, address, path, value, time_left, limit, last_check)
+        try:
+            with self.room_to_parse(address, data):
+                return status, parse_json(data, limit, "answer")
         except BadRequestError as fault:
             raise IncompleteResponseError(
                 f"{address} sent a response that is not JSON: {fault.reason}", Verdict.MAYBE
             ) from fault
-        finally:
-            holding.release()
--- a/packages/control/oakramp/control/replica_discovery.py
+++ b/packages/control/oakramp/control/replica_discovery.py
@@ -238,8 +238,14 @@
         return (row["id"] for row in rows if isinstance(row, dict) and isinstance(row.get("id"), str))
 
     async def _read_pages(self):
-        rows, token, seen = [], None, set()
         holding = self._node.backend_room.holding(self._address)
+        try:
+            return await self._read_pages_into(holding)
+        finally:
+            holding.release()
+
+    async def _read_pages_into(self, holding):
+        rows, token, seen = [], None, set()
         while True:
             page, token = await self._page(token, holding)
             rows += page
--- a/packages/gateway/oakramp/gateway/plain.py
+++ b/packages/gateway/oakramp/gateway/plain.py
@@ -113,6 +113,12 @@
             last_check=last_check,
             before_send=request.permit.acquire if request.permit is not None else None,
         )
+        with self._gate.web_client.room_to_parse(replica.row["address"], data):
+            return self._answer_in(request, status, data)
+
+    @staticmethod
+    def _answer_in(request, status, data):
+        """The answer in a replica's response."""
         try:
             response = json.loads(data)
         except (ValueError, RecursionError) as error:
--- a/packages/gateway/oakramp/gateway/stream.py
+++ b/packages/gateway/oakramp/gateway/stream.py
@@ -53,7 +53,8 @@
         self._output_size += len(text)
         if self.units + units > self._reserve or self._output_size > OUTPUT_LIMIT:
             raise IncompleteResponseError("the replica's output exceeds the reservation or the size limit")
-        self._lines.holding.gather(self._output_size + OUTPUT_PIECE_COST * (len(self.pieces) + 1))
+        room = self._output_size + OUTPUT_PIECE_COST * (len(self.pieces) + 1)
+        self._lines.holding.gather(room, is_bounded=False)
         self.units += units
         self.pieces.append([text, units])
         return [text, units]
--- a/packages/gateway/oakramp/gateway/turns.py
+++ b/packages/gateway/oakramp/gateway/turns.py
@@ -5,6 +5,7 @@
 from oakramp.common.constants import (
     CALL_TIME,
     FULL_RETRY_AFTER,
+    PIECES_PER_TURN,
     REPLICA_EVENT_LIMIT,
     SETTLE_TIME,
     SETTLE_WAIT,
@@ -105,6 +106,8 @@
                 raise
             stream.abort(error)
             return
+        finally:
+            _release_run(request)
         self._gate.metrics.count("turns", outcome="done")
 
     async def _run_bound(self, request):
@@ -213,31 +216,42 @@
         fields["run"] = run = self._gate.mint_id()
         fields["stream"].set_run(run)
         fields.pop("reader", None)
+        _release_run(request)
         meter = self._gate.web_client.meter(replica.row["address"])
+        fields["holding"] = meter.holding
+        try:
+            await self._relay_run(request, payload | {"run": run}, replica, last_check, meter)
+        except ResponseLimitError as error:
+            self._gate.web_client.room.report(error, replica.row["id"])
+            raise
+
+    async def _relay_run(self, request, payload, replica, last_check, meter):
+        """Sends the turn to the replica, and relays the pieces of its run."""
+        fields = request.fields
         response = await self._gate.web_client.send(
             "POST",
             replica.row["address"],
             "/turn",
-            payload | {"run": run},
+            payload,
             request.ends_at - self._reactor.seconds(),
             last_check,
             before_send=request.permit.acquire,
             meter=meter,
         )
-        lines = BodyLines(REPLICA_EVENT_LIMIT, meter.holding)
+        lines = BodyLines(REPLICA_EVENT_LIMIT, meter)
         response.deliverBody(lines)
         if response.code != 200:
             raise await error_from_rejection(self._reactor, response, lines, CALL_TIME)
-        fields["reader"] = reader = RunReader(self._reactor, run, lines, fields["reserve"])
+        fields["reader"] = reader = RunReader(self._reactor, fields["run"], lines, fields["reserve"])
         if request.binding.get("onCallerGone", "cancel") == "cancel":
             request.call.gone.addCallback(lambda _: lines.abort())
         try:
             while (piece := await reader.next(request.ends_at)) is not None:
                 fields["stream"].write_piece(*piece)
+                if len(reader.pieces) % PIECES_PER_TURN == 0:
+                    await self._gate.node.fair_turns.turn()
         except OakrampError as error:
-            if isinstance(error, ResponseLimitError):
-                self._gate.web_client.room.report(error, replica.row["id"])
-            if request.call.is_gone:
+            if request.call.is_gone and not isinstance(error, ResponseLimitError):
                 raise IncompleteResponseError("the caller disconnected") from error
             raise
         finally:
@@ -268,6 +282,13 @@
         stream.end(turn=request.body["turnId"], units=sum(units for _, units in turn["pieces"]), kept=True)
 
 
+def _release_run(request):
+    """Gives back the room of the run that the request had last."""
+    holding = request.fields.pop("holding", None)
+    if holding is not None:
+        holding.release()
+
+
 def _reserve_under(request):
     """The most units that the turn may put out under its present binding."""
     most = request.binding["maxOutput"]
