--- a/tests/crowds/crowd_back_ends.py
+++ b/tests/crowds/crowd_back_ends.py
@@ -7,6 +7,7 @@
 from pouring_server import Pour
 from process_fleet import HOST
 
+MANY = 140  # requests at the faulty replica at a time, nearly as many as a gateway takes connections of clients
 POURS = 24  # requests at the faulty replica at a time
 POUR_MEMORIES = 3  # times the memory of the process; that are poured at most, on all connections together
 OWN_BOUND_SHARE = 0.25  # share of the memory; that one connection brings at most before it is cut off
@@ -92,6 +93,19 @@
     def test_fields_without_end(self):
         self.check_cut_off(b"unsafe", HEAD, b"a:\r\n")
 
+    def test_many_heads_that_stop_short_of_their_end(self):
+        self.pour(b"unsafe", HEAD + b"a: " + b"x" * 60000, b"", count=MANY)
+        self.check()
+
+    def test_many_whole_heads_of_many_fields(self):
+        """The fields of a head are kept as long as its body is read."""
+        self.pour(b"safe", HEAD + b"a:\r\n" * 15000 + LENGTH, b"", count=MANY)
+        self.check()
+
+    def test_many_whole_heads_of_as_many_fields_as_are_taken(self):
+        self.pour(b"safe", HEAD + b"a:\r\n" * 900 + LENGTH, b"", count=MANY)
+        self.check()
+
     def test_interim_heads_without_end(self):
         self.check_cut_off(b"unsafe", b"", b"HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n")
 
@@ -108,6 +122,14 @@
     def test_a_keyed_answer_in_chunks_of_one_byte(self):
         self.check_cut_off(b"tracked", HEAD + CHUNKED, b"1\r\nx\r\n", framing=6)
 
+    def test_many_gathered_answers_that_stop_short_of_their_end(self):
+        self.pour(b"tracked", HEAD + LENGTH + b"x" * 250000, b"", count=MANY)
+        self.check()
+
+    def test_many_gathered_answers_in_chunks_of_one_byte(self):
+        self.pour(b"safe", HEAD + CHUNKED + b"1\r\nx\r\n" * 200000, b"", count=MANY)
+        self.check()
+
     def test_an_answer_whose_clients_read(self):
         """It may be as long as it likes, and is passed on; the requests' time ends it."""
         self.pour(b"safe", HEAD + LENGTH, b"x")
--- a/tests/crowds/process_fleet.py
+++ b/tests/crowds/process_fleet.py
@@ -113,6 +113,7 @@
     """A replica: echoes the length of the body; one of the service `slow` answers once the fleet lets it."""
 
     protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True  # else each answer waits for the acknowledgement of its head
 
     def log_message(self, format, *args):  # the name is the base class's
         """Writes no access log."""
