--- a/packages/common/oakramp/common/constants.py
+++ b/packages/common/oakramp/common/constants.py
@@ -384,7 +384,8 @@
 CHUNK_FRAMING_FACTOR = 8  # times; what a body in chunks of one byte takes on the wire, and a little more
 PIECE_SIZE_MIN = 4 << 10  # bytes; shorter pieces of a body are joined to the one before
 RESPONSE_FIELDS_LIMIT = 1000  # fields; of a replica's header block
-REPLICA_READ_SIZE = 16 << 10  # bytes; read at a time from a replica, so that many paused responses hold little
+BACKEND_READ_SIZE = 16 << 10  # bytes; read at a time from a back end, so that many paused responses hold little
+BACKEND_RECEIVE_BUFFER = 64 << 10  # bytes; of what a back end has sent and is not read yet; Linux takes twice as much
 EVENT_LIMIT = 1 << 20  # bytes; of one event of a stream
 RESPONSE_BUFFER_LIMIT = 64 << 10  # bytes; of one response's body buffered for a client that reads slowly, then the
 # replica is paused
--- a/packages/common/oakramp/common/http_client.py
+++ b/packages/common/oakramp/common/http_client.py
@@ -27,7 +27,6 @@
     CHUNK_FRAMING_FACTOR,
     CONNECT_TIME,
     FIELD_COST,
-    REPLICA_READ_SIZE,
     RESPONSE_FIELDS_LIMIT,
     RESPONSE_HEAD_LIMIT,
 )
@@ -43,7 +42,7 @@
 from oakramp.common.json_cost import parsed_size
 from oakramp.common.settings import split_address
 from oakramp.common.tasks import begin, within
-from oakramp.common.tcp_options import limit_unacknowledged
+from oakramp.common.tcp_options import limit_received, limit_unacknowledged
 from oakramp.common.validation import pack_json, parse_json
 
 if TYPE_CHECKING:
@@ -117,8 +116,7 @@
     def connectionMade(self) -> None:
         """Has little read at a time, since twisted.web decodes all that has come in one turn of the reactor."""
         self.factory.meter.transport = self.transport
-        if hasattr(self.transport, "bufferSize"):
-            self.transport.bufferSize = REPLICA_READ_SIZE
+        limit_received(self.transport)
         super().connectionMade()
 
     def dataReceived(self, data: bytes) -> None:
--- a/packages/common/oakramp/common/tcp_options.py
+++ b/packages/common/oakramp/common/tcp_options.py
@@ -1,11 +1,12 @@
-"""TCP options that detect a peer which is gone without having closed the connection."""
+"""TCP options: they detect a peer which is gone without having closed the connection, and bound what has arrived."""
 
+import contextlib
 import socket
 from typing import Any
 
 from twisted.internet import tcp
 
-from oakramp.common.constants import PEER_PROBE, PEER_SILENCE
+from oakramp.common.constants import BACKEND_READ_SIZE, BACKEND_RECEIVE_BUFFER, PEER_PROBE, PEER_SILENCE
 
 
 def set_peer_options(transport: Any, probes: bool) -> None:
@@ -36,6 +37,18 @@
             pass  # the connection works without the option; reads and writes still detect a peer that is gone
 
 
+def limit_received(transport: Any) -> None:
+    """Bounds what arrives from a back end before its protocol counts it: in one read, and in the kernel's buffer.
+
+    A transport that is not a TCP connection of the kernel is left as it is.
+    """
+    if not isinstance(transport, tcp.Connection):
+        return
+    transport.bufferSize = BACKEND_READ_SIZE
+    with contextlib.suppress(OSError):
+        transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BACKEND_RECEIVE_BUFFER)
+
+
 def unsent_bytes(transport: Any) -> int:
     """How many bytes that were written to a transport the kernel has not taken yet; 0 for a simulated one."""
     if not isinstance(transport, tcp.Connection):
--- a/packages/http_proxy/oakramp/http_proxy/connection.py
+++ b/packages/http_proxy/oakramp/http_proxy/connection.py
@@ -14,7 +14,6 @@
     FIELD_COST,
     KEEP_ALIVE_DEFAULT,
     KEEP_ALIVE_MARGIN,
-    REPLICA_READ_SIZE,
     RESPONSE_FIELDS_LIMIT,
     RESPONSE_HEAD_LIMIT,
     TRAILER_LIMIT,
@@ -26,11 +25,11 @@
     UnreachableError,
     Verdict,
 )
-from oakramp.common.tcp_options import set_peer_options
+from oakramp.common.tcp_options import limit_received, set_peer_options
 from oakramp.http_proxy.framing import ChunkedDecoder, LineLimitError, MalformedMessageError, body_length, parse_fields
 from oakramp.http_proxy.response import COMPLETE, Pause, Response
 from oakramp.http_proxy.sliced_sender import SEND_SLICE, SlicedSender
-from oakramp.http_proxy.sockets import has_unsent, is_kernel_socket, limit_reads, send_now
+from oakramp.http_proxy.sockets import has_unsent, is_kernel_socket, send_now
 
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r\n")
 _TIMEOUT = re.compile(rb"timeout[ \t]*=[ \t]*([0-9]{1,9})")
@@ -80,7 +79,7 @@
 
     def connectionMade(self):
         set_peer_options(self.transport, probes=True)
-        limit_reads(self.transport, REPLICA_READ_SIZE)
+        limit_received(self.transport)
         self.usable_until = self._pool.reactor.seconds() + KEEP_ALIVE_DEFAULT
         ready, self.ready = self.ready, None
         if ready is None:
--- a/packages/http_proxy/oakramp/http_proxy/sockets.py
+++ b/packages/http_proxy/oakramp/http_proxy/sockets.py
@@ -15,12 +15,6 @@
     return isinstance(transport, tcp.Connection)
 
 
-def limit_reads(transport, size):
-    """Has the transport read at most `size` bytes at a time."""
-    if is_kernel_socket(transport):
-        transport.bufferSize = size
-
-
 def is_quiet(transport):
     """Whether nothing is waiting to be read, not even the end of the stream, as far as the kernel knows."""
     if not isinstance(transport, tcp.Connection):
--- a/tests/test_relay_upstream.py
+++ b/tests/test_relay_upstream.py
@@ -16,6 +16,8 @@
 from twisted.web.http_headers import Headers
 
 from oakramp.common.constants import (
+    BACKEND_READ_SIZE,
+    BACKEND_RECEIVE_BUFFER,
     CONNECT_TIME,
     KEEP_ALIVE_DEFAULT,
     KEEP_ALIVE_MARGIN,
@@ -35,6 +37,7 @@
     Verdict,
 )
 from oakramp.common.structured_logging import EventLogger
+from oakramp.common.tcp_options import limit_received
 from oakramp.http_proxy.listener import Listener
 from oakramp.http_proxy.upstream import Upstreams
 from oakramp.testbed.simnet import SimHost, SimNetwork, SimReactor, SimTime
@@ -376,6 +379,17 @@
         return replica
 
 
+class KernelBuffers(unittest.TestCase):
+    def test_little_arrives_before_it_is_counted(self):
+        transport, peer = tcp_pair(protocol.Protocol(), Reactor())
+        self.addCleanup(peer.close)
+        self.addCleanup(transport.socket.close)
+        limit_received(transport)
+        self.assertEqual(transport.bufferSize, BACKEND_READ_SIZE)
+        buffer = transport.socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        self.assertLessEqual(buffer, 2 * BACKEND_RECEIVE_BUFFER)
+
+
 class LastCheck(Bench):
     def test_runs_in_the_turn_of_the_first_byte(self):
         seen = []
